--- /dev/null
+++ b/src/command.c
@@ -0,0 +1,64 @@
+/**
+ * @file command.c
+ * The table of subcommands and the program's own options.
+ */
+#include "command.h"
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum command_id
+{
+  COMMAND_SERVE,
+  COMMAND_MAX
+};
+
+struct command_entry
+{
+  const char *name;
+  const char *summary;
+  int (*run) (int argc, char **argv);
+};
+
+static int command_help (FILE *out, int code);
+
+static const struct command_entry commands[COMMAND_MAX] = {
+  [COMMAND_SERVE] = { "serve", "run a router", command_serve },
+};
+
+const char *argp_program_version = "cherrylanding " CHERRYLANDING_VERSION;
+
+int
+command_main (int argc, char **argv)
+{
+  int i;
+
+  argp_err_exit_status = COMMAND_USAGE;
+  if (argc < 2)
+    return command_help (stderr, COMMAND_USAGE);
+  if (strcmp (argv[1], "--help") == 0)
+    return command_help (stdout, COMMAND_DONE);
+  if (strcmp (argv[1], "--version") == 0)
+    {
+      puts (argp_program_version);
+      return COMMAND_DONE;
+    }
+  for (i = 0; i < COMMAND_MAX; i++)
+    if (strcmp (argv[1], commands[i].name) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "cherrylanding: unknown command '%s'\n", argv[1]);
+  return command_help (stderr, COMMAND_USAGE);
+}
+
+static int
+command_help (FILE *out, int code)
+{
+  int i;
+
+  fputs ("Usage: cherrylanding COMMAND [OPTION...]\n\nCommands:\n", out);
+  for (i = 0; i < COMMAND_MAX; i++)
+    fprintf (out, "  %-8s %s\n", commands[i].name, commands[i].summary);
+  fputs ("\n`cherrylanding COMMAND --help' describes a command.\n", out);
+  return code;
+}
--- /dev/null
+++ b/src/command.h
@@ -0,0 +1,27 @@
+/**
+ * @file command.h
+ * Subcommands of the program, in a table indexed by an enum.  Each takes its
+ * own arguments (argv[0] is "cherrylanding NAME") and returns an exit code.
+ */
+#ifndef COMMAND_H
+#define COMMAND_H
+
+/** Exit codes. */
+enum command_exit
+{
+  COMMAND_DONE = 0,
+  COMMAND_FAILED = 1,
+  COMMAND_USAGE = 2
+};
+
+int command_main (int argc, char **argv);
+
+int command_serve (int argc, char **argv);
+int command_check (int argc, char **argv);
+int command_apply (int argc, char **argv);
+int command_get (int argc, char **argv);
+int command_audit (int argc, char **argv);
+int command_status (int argc, char **argv);
+int command_drain (int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/coordination/lessor.h
@@ -0,0 +1,60 @@
+/**
+ * @file lessor.h
+ * Leases the slots of the upstreams that this instance is responsible for.
+ * For each upstream the sum over lessees of slots that any of them may still
+ * use never exceeds its configured slots: a smaller grant counts at its old
+ * size until the lessee has confirmed it, or its lease has run out here.
+ */
+#ifndef COORDINATION_LESSOR_H
+#define COORDINATION_LESSOR_H
+
+#include "coordination/member.h"
+#include "coordination/message.h"
+#include "state/catalog.h"
+#include "state/ledger.h"
+#include "state/share.h"
+#include <stdint.h>
+
+struct lessor_config
+{
+  uint32_t lease_ms; /**< that a lessee may use a grant */
+  uint32_t grace_ms; /**< that the lessor waits longer than that */
+  uint64_t payback;  /**< see share_compute */
+  const struct catalog *catalog;
+  const struct ledger *ledger;
+  const struct member_table *members;
+};
+
+struct lessor;
+
+struct lessor *lessor_new (const struct lessor_config *config);
+void lessor_free (struct lessor *lessor);
+
+/** Replaces what is known of an instance's demand (changed pairs only unless
+    the heartbeat is full).  Self reports here too. */
+int lessor_demand (struct lessor *lessor, uint64_t instance_id,
+                   const struct message_heartbeat *heartbeat);
+
+/** A lessee's report of what it holds. */
+int lessor_hold (struct lessor *lessor, uint64_t instance_id,
+                 const struct message_hold *hold, uint64_t now_ns);
+
+/** An instance is gone or restarted; its leases end at their time. */
+void lessor_instance_gone (struct lessor *lessor, uint64_t instance_id);
+
+/**
+ * Recomputes targets and sends grants that changed, and renewals.
+ * @param full  true each exchange interval; false after a hold or a demand,
+ *              when only free slots are given to instances that wait.
+ */
+int lessor_run (struct lessor *lessor, uint64_t now_ns, bool full,
+                const struct message_link *link);
+
+/** Slots of an upstream that lessees may still use; for tests and status. */
+uint32_t lessor_reserved (const struct lessor *lessor, uint64_t upstream_id);
+
+/** Requests of a service waiting anywhere in the fleet, as last heard. */
+uint32_t lessor_fleet_waiting (const struct lessor *lessor,
+                               uint64_t service_id);
+
+#endif
--- /dev/null
+++ b/src/state/err.h
@@ -0,0 +1,42 @@
+/**
+ * @file err.h
+ * Negative error numbers shared by every layer.
+ */
+#ifndef STATE_ERR_H
+#define STATE_ERR_H
+
+/** Error numbers; functions return 0 or one of these. */
+enum err
+{
+  ERR_OK = 0,
+  ERR_NO_MEMORY = -1,
+  ERR_INVALID = -2, /**< input breaks its format or range */
+  ERR_NOT_FOUND = -3,
+  ERR_EXISTS = -4,
+  ERR_FULL = -5,     /**< a bounded table or buffer has no room */
+  ERR_CONFLICT = -6, /**< compare-and-swap found another index */
+  ERR_TIMEOUT = -7,
+  ERR_REFUSED = -8,    /**< peer refused the connection */
+  ERR_RESET = -9,      /**< peer reset or closed mid-message */
+  ERR_TRUNCATED = -10, /**< response ended before its stated length */
+  ERR_MISMATCH = -11,  /**< response belongs to another request */
+  ERR_TOO_LARGE = -12,
+  ERR_AUTH = -13,        /**< credentials missing, unknown or insufficient */
+  ERR_UNAVAILABLE = -14, /**< service known to be down or draining */
+  ERR_RATE_LIMITED = -15,
+  ERR_PROTOCOL = -16, /**< peer broke the protocol */
+  ERR_IO = -17,
+  ERR_CANCELED = -18,
+  ERR_STALE = -19,           /**< older than what is already held */
+  ERR_UNKNOWN_OUTCOME = -20, /**< the operation may have taken effect */
+  ERR_MIN = -21              /**< one past the last error number */
+};
+
+/**
+ * Name of an error number for logs, such as "timeout".
+ * @param error 0 or a negative error number.
+ * @return static text; "unknown" for a number out of range.
+ */
+const char *err_name (int error);
+
+#endif
--- /dev/null
+++ b/src/state/ledger.h
@@ -0,0 +1,88 @@
+/**
+ * @file ledger.h
+ * Service received by each customer at each service over the fleet, as
+ * grow-only counters per (instance, incarnation) merged by maximum.  Lost,
+ * repeated and reordered reports do no harm.
+ *
+ * Amounts are normalised: cost units x LEDGER_SCALE / customer weight.  The
+ * position of a customer is base + floor + sum(charged - refunded); the
+ * customer with the least position is served next.  The floor is a maximum
+ * register that lifts a customer which was idle, so idleness earns no credit.
+ */
+#ifndef STATE_LEDGER_H
+#define STATE_LEDGER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define LEDGER_SCALE 1000 /**< normalised units of one cost unit, weight 1 */
+
+/** Origin of counters: one life of one instance. */
+struct ledger_origin
+{
+  uint64_t instance_id;
+  uint64_t incarnation;
+};
+
+/** Counters of one origin for one (customer, service). */
+struct ledger_entry
+{
+  uint64_t customer_id;
+  uint64_t service_id;
+  uint64_t charged;  /**< normalised units, grow-only */
+  uint64_t refunded; /**< normalised units, grow-only, <= charged */
+  uint64_t floor;    /**< normalised units, maximum register */
+  uint64_t cost;     /**< plain cost units settled so far, grow-only */
+};
+
+struct ledger; /* defined in state/ledger_int.h */
+
+/** Bytes of a ledger, for callers that own its memory. */
+struct ledger *ledger_new (struct ledger_origin self);
+void ledger_free (struct ledger *ledger);
+
+/** Charges an estimate at dispatch, in cost units. @return 0 or an error. */
+int ledger_charge (struct ledger *ledger, uint64_t customer_id,
+                   uint64_t service_id, uint64_t cost, uint32_t weight);
+
+/** Takes back part of an estimate that was too high, in cost units. */
+int ledger_refund (struct ledger *ledger, uint64_t customer_id,
+                   uint64_t service_id, uint64_t cost, uint32_t weight);
+
+/** Adds the true cost of a finished or progressing request, for reports. */
+int ledger_settle (struct ledger *ledger, uint64_t customer_id,
+                   uint64_t service_id, uint64_t cost);
+
+/** Merges a report. @return 1 if it told something new, 0, or an error. */
+int ledger_merge (struct ledger *ledger, struct ledger_origin origin,
+                  const struct ledger_entry *entry);
+
+/** Normalised position of a customer at a service, over the fleet. */
+uint64_t ledger_position (const struct ledger *ledger, uint64_t customer_id,
+                          uint64_t service_id);
+
+/** Lifts a customer that becomes backlogged to `position` if it is lower. */
+int ledger_lift (struct ledger *ledger, uint64_t customer_id,
+                 uint64_t service_id, uint64_t position);
+
+/** Own entries changed after `*cursor`; advances the cursor.
+    @return number of entries written to `out`, at most `capacity`. */
+size_t ledger_changes (const struct ledger *ledger, uint64_t *cursor,
+                       struct ledger_entry *out, size_t capacity);
+
+/** Visits every origin's entries, for a snapshot to a cold instance.
+    The visitor returns 0 to go on. */
+typedef int (*ledger_visitor) (void *user, struct ledger_origin origin,
+                               const struct ledger_entry *entry);
+int ledger_visit (const struct ledger *ledger, ledger_visitor visit,
+                  void *user);
+
+/** Folds the counters of an origin that is gone into the base, so that
+    memory stays bounded; positions do not change. */
+void ledger_fold (struct ledger *ledger, struct ledger_origin origin);
+
+/** Bytes held, for capacity reports. */
+size_t ledger_memory_bytes (const struct ledger *ledger);
+
+#endif
--- /dev/null
+++ b/src/state/refusal.h
@@ -0,0 +1,46 @@
+/**
+ * @file refusal.h
+ * Reasons for which a router itself answers a client.
+ */
+#ifndef STATE_REFUSAL_H
+#define STATE_REFUSAL_H
+
+#include <stdint.h>
+
+/** Reason of a response made by the router and not by an upstream. */
+enum refusal
+{
+  REFUSAL_NONE,
+  REFUSAL_BAD_REQUEST,       /**< 400 malformed request */
+  REFUSAL_NO_KEY,            /**< 401 key missing or unknown */
+  REFUSAL_NO_PROFILE,        /**< 404 profile unknown */
+  REFUSAL_NO_SERVICE,        /**< 404 service unknown or not the profile's */
+  REFUSAL_HEADERS_TOO_LARGE, /**< 431 header section over its limit */
+  REFUSAL_BODY_TOO_LARGE,    /**< 413 body over its limit */
+  REFUSAL_CUSTOMER_LIMIT,    /**< 429 customer's own waiting limit */
+  REFUSAL_PROFILE_LIMIT,     /**< 429 profile's queue limit */
+  REFUSAL_SHED,              /**< 503 disposable request dropped for room */
+  REFUSAL_ROUTER_FULL,       /**< 503 router's waiting limit */
+  REFUSAL_CONNECTIONS,       /**< 503 connection limit */
+  REFUSAL_NO_UPSTREAM,       /**< 503 service has no usable upstream */
+  REFUSAL_DRAINING,          /**< 503 instance is shutting down */
+  REFUSAL_NOT_READY,         /**< 503 instance holds no configuration yet */
+  REFUSAL_DEADLINE,          /**< 504 deadline passed */
+  REFUSAL_UPSTREAM_FAILED,   /**< 502 attempts failed */
+  REFUSAL_RETRY_BUDGET,      /**< 502 failed with no retry budget left */
+  REFUSAL_MAX
+};
+
+/** How a refusal reads on the wire. */
+struct refusal_info
+{
+  uint16_t status;        /**< HTTP status code */
+  uint16_t retry_after_s; /**< Retry-After value; 0 for none */
+  const char *code;       /**< `error.code` of the JSON body */
+  const char *message;    /**< `error.message` of the JSON body */
+};
+
+/** Static description of a refusal; never NULL for a valid value. */
+const struct refusal_info *refusal_info (enum refusal refusal);
+
+#endif
--- /dev/null
+++ b/src/state/verdict.c
@@ -0,0 +1,17 @@
+/**
+ * @file verdict.c
+ * Header values of verdicts.
+ */
+#include "state/verdict.h"
+
+static const char *const verdict_names[VERDICT_MAX] = {
+  [VERDICT_NOT_RUN] = "not-run",
+  [VERDICT_MAY_HAVE_RUN] = "may-have-run",
+  [VERDICT_RAN] = "ran",
+};
+
+const char *
+verdict_name (enum verdict verdict)
+{
+  return verdict_names[verdict];
+}
--- /dev/null
+++ b/src/transport/log.h
@@ -0,0 +1,116 @@
+/**
+ * @file log.h
+ * Structured log: one logfmt line an event on standard error.  Every message
+ * is one of a table with its severity; fields are typed.  Secrets and request
+ * bodies are never logged.
+ */
+#ifndef TRANSPORT_LOG_H
+#define TRANSPORT_LOG_H
+
+#include "transport/clock.h"
+#include <stddef.h>
+#include <stdint.h>
+
+enum log_level
+{
+  LOG_LEVEL_DEBUG,
+  LOG_LEVEL_INFO,
+  LOG_LEVEL_WARN,
+  LOG_LEVEL_ERROR,
+  LOG_LEVEL_MAX
+};
+
+/** Messages; texts and severities are in log_messages.c, grouped alike. */
+enum log_message
+{
+  /* process */
+  LOG_STARTED,
+  LOG_STOPPED,
+  LOG_LISTENING,
+  LOG_LISTEN_FAILED,
+  LOG_SETTINGS_REFUSED,
+  LOG_DRAIN_STARTED,
+  LOG_DRAIN_FINISHED,
+  LOG_DRAIN_TIMEOUT,
+  /* requests */
+  LOG_REQUEST_ACCEPTED,
+  LOG_REQUEST_REFUSED,
+  LOG_REQUEST_DONE,
+  LOG_REQUEST_ABORTED,
+  LOG_CLIENT_GONE,
+  LOG_ATTEMPT_STARTED,
+  LOG_ATTEMPT_FAILED,
+  LOG_UPSTREAM_DRAINING,
+  LOG_UPSTREAM_MISMATCH,
+  /* peers */
+  LOG_PEER_UP,
+  LOG_PEER_DOWN,
+  LOG_PEER_REJECTED,
+  LOG_MEMBER_STATUS,
+  LOG_LESSOR_CHANGED,
+  /* configuration */
+  LOG_CONFIG_APPLIED,
+  LOG_CONFIG_REJECTED,
+  LOG_CONFIG_STALE,
+  LOG_CONFIG_READY,
+  LOG_STORE_UNAVAILABLE,
+  LOG_STORE_RECOVERED,
+  LOG_STORE_REVERTED,
+  LOG_ADMIN_CHANGE,
+  LOG_ADMIN_REFUSED,
+  LOG_MESSAGE_MAX
+};
+
+enum log_field_kind
+{
+  LOG_FIELD_STRING,
+  LOG_FIELD_U64,
+  LOG_FIELD_I64
+};
+
+struct log_field
+{
+  const char *key;
+  enum log_field_kind kind;
+  union
+  {
+    const char *string;
+    uint64_t u64;
+    int64_t i64;
+  } u;
+};
+
+#define LOG_S(k, v)                                                           \
+  ((struct log_field){ (k), LOG_FIELD_STRING, { .string = (v) } })
+#define LOG_U(k, v) ((struct log_field){ (k), LOG_FIELD_U64, { .u64 = (v) } })
+#define LOG_I(k, v) ((struct log_field){ (k), LOG_FIELD_I64, { .i64 = (v) } })
+
+/** Logs a message of the table with fields:
+    LOG (LOG_PEER_UP, NULL, LOG_S ("peer", name)). The request id may be
+    NULL. */
+#define LOG(message, request_id, ...)                                         \
+  log_write ((message), (request_id),                                         \
+             (const struct log_field[]){ __VA_ARGS__ },                       \
+             sizeof ((const struct log_field[]){ __VA_ARGS__ })               \
+                 / sizeof (struct log_field))
+
+/** Severity and text of a message, in the table of log_messages.c. */
+struct log_message_info
+{
+  enum log_level level;
+  const char *text;
+};
+extern const struct log_message_info log_messages[LOG_MESSAGE_MAX];
+
+/** Sets the process-wide level and clock; the clock must outlive logging. */
+void log_init (enum log_level level, const struct clock *clock);
+/** @return the level of a name, or LOG_LEVEL_MAX. */
+enum log_level log_level_parse (const char *name);
+void log_write (enum log_message message, const char *request_id,
+                const struct log_field *fields, size_t count);
+/** Formats one line into `out`, NUL-terminated. @return its length. */
+size_t log_format (char *out, size_t size, uint64_t wall_ms,
+                   enum log_message message, const char *request_id,
+                   const struct log_field *fields, size_t count);
+
+#endif
