Add peer messages, their codec, membership and TCP addresses

Instances need typed messages that survive a hostile or damaged peer. The codec checks every length, count, range and name before a message reaches the coordination layer; membership ages instances by missed heartbeats and picks lessors by rendezvous hashing.

--- /dev/null
+++ b/src/coordination/member.c
@@ -0,0 +1,239 @@
+/**
+ * @file member.c
+ * Membership by heartbeat, and the choice of an upstream's lessor.
+ */
+#include "coordination/member.h"
+#include "state/err.h"
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NS_PER_MS 1000000ULL /**< nanoseconds */
+
+static struct member *find (const struct member_table *table, uint64_t id);
+static struct member *add (struct member_table *table, uint64_t id);
+static bool leases (const struct member *member);
+static enum member_status status_after (const struct member_table *table,
+                                        const struct member *member,
+                                        uint64_t now_ns);
+static uint64_t score (uint64_t instance_id, uint64_t upstream_id);
+
+int
+member_init (struct member_table *table, const struct member *self,
+             uint32_t interval_ms)
+{
+  struct member *member;
+
+  memset (table, 0, sizeof *table);
+  table->interval_ms = interval_ms;
+  table->self_id = self->instance_id;
+  member = add (table, self->instance_id);
+  if (member == NULL)
+    return ERR_NO_MEMORY;
+  memcpy (member->instance, self->instance, sizeof member->instance);
+  memcpy (member->availability_zone, self->availability_zone,
+          sizeof member->availability_zone);
+  memcpy (member->address, self->address, sizeof member->address);
+  member->incarnation = self->incarnation;
+  member->state = self->state;
+  member->status = MEMBER_ALIVE;
+  member->config_index = self->config_index;
+  return 0;
+}
+
+void
+member_finish (struct member_table *table)
+{
+  struct member *member = table->members;
+  struct member *next;
+
+  HASH_CLEAR (hh, table->members);
+  for (; member != NULL; member = next)
+    {
+      next = member->hh.next;
+      free (member);
+    }
+}
+
+int
+member_hello (struct member_table *table, const struct message_hello *hello,
+              uint64_t now_ns)
+{
+  uint64_t id = catalog_id (hello->instance);
+  struct member *member = find (table, id);
+
+  if (id == table->self_id)
+    return ERR_EXISTS;
+  /* A restarted instance whose wall clock went back is let in again once
+     its former life is gone. */
+  if (member != NULL && hello->incarnation < member->incarnation
+      && member->status != MEMBER_GONE)
+    return ERR_STALE;
+  if (member == NULL)
+    member = add (table, id);
+  if (member == NULL)
+    return ERR_NO_MEMORY;
+  if (member->incarnation != hello->incarnation)
+    {
+      member->state = MESSAGE_STARTING;
+      member->config_index = 0;
+    }
+  member->incarnation = hello->incarnation;
+  memcpy (member->instance, hello->instance, sizeof member->instance);
+  memcpy (member->availability_zone, hello->availability_zone,
+          sizeof member->availability_zone);
+  memcpy (member->address, hello->address, sizeof member->address);
+  member->status = MEMBER_ALIVE;
+  member->heard_ns = now_ns;
+  table->generation++;
+  return 0;
+}
+
+int
+member_heartbeat (struct member_table *table, uint64_t instance_id,
+                  const struct message_heartbeat *heartbeat, uint64_t now_ns)
+{
+  struct member *member = find (table, instance_id);
+  bool before;
+
+  if (member == NULL)
+    return ERR_NOT_FOUND;
+  before = leases (member);
+  member->status = MEMBER_ALIVE;
+  member->state = heartbeat->state;
+  if (heartbeat->config_index > member->config_index)
+    member->config_index = heartbeat->config_index;
+  if (now_ns > member->heard_ns)
+    member->heard_ns = now_ns;
+  if (leases (member) != before)
+    table->generation++;
+  return 0;
+}
+
+bool
+member_tick (struct member_table *table, uint64_t now_ns)
+{
+  struct member *member;
+  enum member_status status;
+  bool changed = false;
+  bool before;
+
+  for (member = table->members; member != NULL; member = member->hh.next)
+    {
+      if (member->instance_id == table->self_id)
+        continue;
+      status = status_after (table, member, now_ns);
+      if (status <= member->status)
+        continue;
+      before = leases (member);
+      member->status = status;
+      changed = true;
+      if (leases (member) != before)
+        table->generation++;
+    }
+  return changed;
+}
+
+void
+member_set_state (struct member_table *table, enum message_state state)
+{
+  struct member *self = find (table, table->self_id);
+
+  if (self->state == state)
+    return;
+  self->state = state;
+  table->generation++;
+}
+
+void
+member_remove (struct member_table *table, uint64_t instance_id)
+{
+  struct member *member = find (table, instance_id);
+
+  if (member == NULL || instance_id == table->self_id)
+    return;
+  HASH_DEL (table->members, member);
+  free (member);
+  table->generation++;
+}
+
+const struct member *
+member_find (const struct member_table *table, uint64_t instance_id)
+{
+  return find (table, instance_id);
+}
+
+uint64_t
+member_lessor (const struct member_table *table, uint64_t upstream_id)
+{
+  const struct member *member;
+  uint64_t best_score = 0;
+  uint64_t best = 0;
+  uint64_t value;
+
+  for (member = table->members; member != NULL; member = member->hh.next)
+    {
+      if (!leases (member))
+        continue;
+      value = score (member->instance_id, upstream_id);
+      if (best != 0 && value <= best_score)
+        continue;
+      best = member->instance_id;
+      best_score = value;
+    }
+  /* Requests in flight at the last instance still end on leased slots. */
+  return best != 0 ? best : table->self_id;
+}
+
+static struct member *
+find (const struct member_table *table, uint64_t id)
+{
+  struct member *member;
+
+  HASH_FIND (hh, table->members, &id, sizeof id, member);
+  return member;
+}
+
+static struct member *
+add (struct member_table *table, uint64_t id)
+{
+  struct member *member = calloc (1, sizeof *member);
+
+  if (member == NULL)
+    return NULL;
+  member->instance_id = id;
+  HASH_ADD (hh, table->members, instance_id, sizeof member->instance_id,
+            member);
+  return member;
+}
+
+/** Whether a member takes part in the choice of lessors. */
+static bool
+leases (const struct member *member)
+{
+  return member->status != MEMBER_GONE && member->state == MESSAGE_LIVE;
+}
+
+static enum member_status
+status_after (const struct member_table *table, const struct member *member,
+              uint64_t now_ns)
+{
+  uint64_t interval_ns = table->interval_ms * NS_PER_MS;
+  uint64_t silent_ns
+      = now_ns > member->heard_ns ? now_ns - member->heard_ns : 0;
+
+  if (silent_ns > MEMBER_GONE_INTERVALS * interval_ns)
+    return MEMBER_GONE;
+  if (silent_ns > MEMBER_SUSPECT_INTERVALS * interval_ns)
+    return MEMBER_SUSPECT;
+  return MEMBER_ALIVE;
+}
+
+/** Rendezvous score; ties are broken by the table's order, with 2^-64 odds. */
+static uint64_t
+score (uint64_t instance_id, uint64_t upstream_id)
+{
+  const uint64_t pair[2] = { instance_id, upstream_id };
+
+  return XXH3_64bits (pair, sizeof pair);
+}
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -51,7 +51,7 @@
 void member_finish (struct member_table *table);
 
 /** Notes a peer's hello. @return 0, ERR_STALE for an older incarnation,
-    ERR_NO_MEMORY. */
+    ERR_EXISTS for this instance's own name, ERR_NO_MEMORY. */
 int member_hello (struct member_table *table,
                   const struct message_hello *hello, uint64_t now_ns);
 
@@ -63,11 +63,18 @@
 /** Ages members. @return true when any status changed. */
 bool member_tick (struct member_table *table, uint64_t now_ns);
 
+/** Sets this instance's own state. */
+void member_set_state (struct member_table *table, enum message_state state);
+
+/** Forgets an instance; this one is kept. */
+void member_remove (struct member_table *table, uint64_t instance_id);
+
 const struct member *member_find (const struct member_table *table,
                                   uint64_t instance_id);
 
 /** The member that leases out an upstream's slots: the rendezvous hash over
-    members that are alive or suspect and not draining. */
+    members that are alive or suspect and in MESSAGE_LIVE; this instance when
+    there is none. */
 uint64_t member_lessor (const struct member_table *table,
                         uint64_t upstream_id);
 
--- /dev/null
+++ b/tests/test_peercodec.c
@@ -0,0 +1,277 @@
+/**
+ * @file test_peercodec.c
+ * Peer frames: every kind survives the wire; damaged ones do no harm.
+ */
+#include "protocol/peer.pb-c.h"
+#include "protocol/peercodec.h"
+#include "state/err.h"
+#include "support/suite.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define GARBAGE_ROUNDS 20000
+#define GARBAGE_BYTES  96
+
+static struct message_demand demands[]
+    = { { 1, 2, 3, 4 }, { UINT64_MAX, UINT64_MAX, UINT32_MAX, UINT32_MAX } };
+static struct ledger_entry entries[]
+    = { { 1, 2, 30, 20, 10, 5 },
+        { 7, 8, UINT64_MAX, UINT64_MAX, UINT64_MAX, UINT64_MAX } };
+static struct message_grant_item grants[] = { { 1, 2, 3 }, { 9, 9, 0 } };
+static struct message_hold_item holds[] = { { 1, 2, 3, 3 }, { 9, 9, 4, 0 } };
+static struct message_object objects[]
+    = { { "customer/ana", 12, false, 2, (char *)"{}" },
+        { "service/model", 13, true, 0, NULL } };
+
+static const struct message samples[] = {
+  { .kind = MESSAGE_HELLO,
+    .u.hello = { MESSAGE_VERSION,
+                 "farm",
+                 "router-1",
+                 "a",
+                 "127.0.0.1:7000",
+                 77,
+                 { 1, 2, 0, 3 } } },
+  { .kind = MESSAGE_PROOF, .u.proof = { 9, 8, 0, 7 } },
+  { .kind = MESSAGE_HEARTBEAT,
+    .u.heartbeat = { 5, MESSAGE_DRAINING, 99, true, 2, demands } },
+  { .kind = MESSAGE_HEARTBEAT,
+    .u.heartbeat = { 0, MESSAGE_STARTING, 0, false, 0, NULL } },
+  { .kind = MESSAGE_ACCOUNTS, .u.accounts = { { 3, 4 }, 2, entries } },
+  { .kind = MESSAGE_GRANT, .u.grant = { 4, 2000, 2, grants } },
+  { .kind = MESSAGE_HOLD, .u.hold = { 4, 2, holds } },
+  { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
+  { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
+};
+#define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
+
+static void
+assert_same_arrays (const struct message *a, const struct message *b)
+{
+  switch (a->kind)
+    {
+    case MESSAGE_HEARTBEAT:
+      CU_ASSERT_EQUAL (a->u.heartbeat.state, b->u.heartbeat.state);
+      CU_ASSERT_EQUAL (a->u.heartbeat.full, b->u.heartbeat.full);
+      CU_ASSERT_EQUAL_FATAL (a->u.heartbeat.demand_count,
+                             b->u.heartbeat.demand_count);
+      if (a->u.heartbeat.demand_count > 0)
+        CU_ASSERT_EQUAL (memcmp (a->u.heartbeat.demands,
+                                 b->u.heartbeat.demands, sizeof demands),
+                         0);
+      break;
+    case MESSAGE_ACCOUNTS:
+      CU_ASSERT_EQUAL (a->u.accounts.origin.incarnation,
+                       b->u.accounts.origin.incarnation);
+      CU_ASSERT_EQUAL_FATAL (b->u.accounts.entry_count, 2);
+      CU_ASSERT_EQUAL (memcmp (entries, b->u.accounts.entries, sizeof entries),
+                       0);
+      break;
+    case MESSAGE_CONFIG:
+      CU_ASSERT_EQUAL (b->u.config.newest_index, 50);
+      CU_ASSERT_TRUE (b->u.config.complete);
+      CU_ASSERT_EQUAL_FATAL (b->u.config.object_count, 2);
+      CU_ASSERT_STRING_EQUAL (b->u.config.objects[0].key, "customer/ana");
+      CU_ASSERT_STRING_EQUAL (b->u.config.objects[0].value, "{}");
+      CU_ASSERT_TRUE (b->u.config.objects[1].deleted);
+      CU_ASSERT_PTR_NULL (b->u.config.objects[1].value);
+      break;
+    default:
+      break;
+    }
+}
+
+/* The encoding of what was decoded is the same as what was decoded. */
+static void
+test_round_trip (void)
+{
+  struct peercodec_buffer first = { 0 };
+  struct peercodec_buffer second = { 0 };
+  struct message message;
+  size_t i;
+
+  for (i = 0; i < SAMPLE_COUNT; i++)
+    {
+      CU_ASSERT_EQUAL_FATAL (peercodec_encode (&samples[i], &first), 0);
+      CU_ASSERT_EQUAL_FATAL (
+          peercodec_decode (first.data, first.size, &message), 0);
+      CU_ASSERT_EQUAL_FATAL (message.kind, samples[i].kind);
+      assert_same_arrays (&samples[i], &message);
+      CU_ASSERT_EQUAL_FATAL (peercodec_encode (&message, &second), 0);
+      CU_ASSERT_EQUAL_FATAL (first.size, second.size);
+      CU_ASSERT_EQUAL (memcmp (first.data, second.data, first.size), 0);
+      message_finish (&message);
+    }
+  peercodec_buffer_finish (&first);
+  peercodec_buffer_finish (&second);
+}
+
+static void
+test_truncation (void)
+{
+  struct peercodec_buffer buffer = { 0 };
+  struct message message;
+  uint8_t *part;
+  size_t size;
+  size_t i;
+
+  for (i = 0; i < SAMPLE_COUNT; i++)
+    {
+      CU_ASSERT_EQUAL_FATAL (peercodec_encode (&samples[i], &buffer), 0);
+      for (size = 0; size < buffer.size; size++)
+        {
+          part = malloc (size + 1);
+          memcpy (part, buffer.data, size);
+          CU_ASSERT (peercodec_decode (part, size, &message) < 0);
+          free (part);
+        }
+    }
+  peercodec_buffer_finish (&buffer);
+}
+
+/* Decodes damaged bytes; whatever is let through must be well formed. */
+static void
+decode_damaged (const uint8_t *data, size_t size)
+{
+  struct peercodec_buffer again = { 0 };
+  struct message message;
+
+  if (peercodec_decode (data, size, &message) == 0)
+    {
+      CU_ASSERT_EQUAL (peercodec_encode (&message, &again), 0);
+      message_finish (&message);
+    }
+  peercodec_buffer_finish (&again);
+}
+
+static void
+test_every_byte_damaged (void)
+{
+  struct peercodec_buffer buffer = { 0 };
+  uint8_t kept;
+  size_t at;
+  size_t i;
+  int value;
+
+  for (i = 0; i < SAMPLE_COUNT; i++)
+    {
+      CU_ASSERT_EQUAL_FATAL (peercodec_encode (&samples[i], &buffer), 0);
+      for (at = 0; at < buffer.size; at++)
+        {
+          kept = buffer.data[at];
+          for (value = 0; value < 256; value++)
+            {
+              buffer.data[at] = (uint8_t)value;
+              decode_damaged (buffer.data, buffer.size);
+            }
+          buffer.data[at] = kept;
+        }
+    }
+  peercodec_buffer_finish (&buffer);
+}
+
+static void
+test_garbage (void)
+{
+  uint8_t data[GARBAGE_BYTES];
+  unsigned int seed = 1;
+  size_t size;
+  size_t i;
+  int round;
+
+  for (round = 0; round < GARBAGE_ROUNDS; round++)
+    {
+      size = (size_t)rand_r (&seed) % sizeof data;
+      for (i = 0; i < size; i++)
+        data[i] = (uint8_t)rand_r (&seed);
+      decode_damaged (data, size);
+    }
+}
+
+/* Each message is well-formed protobuf, and breaks one bound. */
+static void
+test_bounds (void)
+{
+  static struct message_hold_item overdrawn[] = { { 1, 1, 2, 3 } };
+  static struct ledger_entry negative[] = { { 1, 1, 1, 2, 0, 0 } };
+  static struct message_object live[] = { { "customer/ana", 1, false, 0, 0 } };
+  static struct message_object spaced[] = { { "a b", 1, true, 0, NULL } };
+  const struct message bad[] = {
+    { .kind = MESSAGE_HEARTBEAT,
+      .u.heartbeat = { 1, MESSAGE_STATE_MAX, 0, false, 0, NULL } },
+    { .kind = MESSAGE_HOLD, .u.hold = { 1, 1, overdrawn } },
+    { .kind = MESSAGE_ACCOUNTS, .u.accounts = { { 1, 1 }, 1, negative } },
+    { .kind = MESSAGE_ACCOUNTS, .u.accounts = { { 0, 1 }, 0, NULL } },
+    { .kind = MESSAGE_GRANT,
+      .u.grant = { 1, PEERCODEC_LEASE_MS_MAX + 1, 0, NULL } },
+    { .kind = MESSAGE_HELLO, .u.hello = { 1, "", "r", "a", "x:1", 1, { 0 } } },
+    { .kind = MESSAGE_HELLO, .u.hello = { 1, "f", "", "a", "x:1", 1, { 0 } } },
+    { .kind = MESSAGE_HELLO,
+      .u.hello = { 1, "f", "r\n", "a", "x:1", 1, { 0 } } },
+    { .kind = MESSAGE_HELLO, .u.hello = { 1, "f", "r", "a", "", 1, { 0 } } },
+    { .kind = MESSAGE_HELLO,
+      .u.hello = { 1, "f", "r", "a", "x:1", 0, { 0 } } },
+    { .kind = MESSAGE_CONFIG, .u.config = { 1, true, 1, live } },
+    { .kind = MESSAGE_CONFIG, .u.config = { 1, true, 1, spaced } },
+  };
+  struct peercodec_buffer buffer = { 0 };
+  struct message message;
+  size_t i;
+
+  for (i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      CU_ASSERT_EQUAL_FATAL (peercodec_encode (&bad[i], &buffer), 0);
+      CU_ASSERT_EQUAL (peercodec_decode (buffer.data, buffer.size, &message),
+                       ERR_PROTOCOL);
+    }
+  peercodec_buffer_finish (&buffer);
+}
+
+static void
+test_sizes (void)
+{
+  const size_t count = PEERCODEC_ITEMS_MAX + 1;
+  struct peercodec_buffer buffer = { 0 };
+  struct message message = { .kind = MESSAGE_GRANT };
+  char name[CATALOG_NAME_SIZE + 1];
+  Peer__Hello hello = PEER__HELLO__INIT;
+  Peer__Frame frame = PEER__FRAME__INIT;
+  uint8_t wire[512];
+
+  message.u.grant.item_count = count;
+  message.u.grant.items = calloc (count, sizeof (struct message_grant_item));
+  CU_ASSERT (peercodec_encode (&message, &buffer) < 0);
+  message_finish (&message);
+  peercodec_buffer_finish (&buffer);
+
+  memset (name, 'n', sizeof name);
+  name[CATALOG_NAME_SIZE] = '\0';
+  hello.version = 1;
+  hello.fleet = name;
+  hello.instance = (char *)"r";
+  hello.address = (char *)"x:1";
+  hello.incarnation = 1;
+  hello.nonce.len = MESSAGE_NONCE_SIZE;
+  hello.nonce.data = (uint8_t *)name;
+  frame.body_case = PEER__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  CU_ASSERT_EQUAL (
+      peercodec_decode (wire, peer__frame__pack (&frame, wire), &message),
+      ERR_PROTOCOL);
+  hello.fleet = (char *)"farm";
+  hello.nonce.len = MESSAGE_NONCE_SIZE - 1;
+  CU_ASSERT_EQUAL (
+      peercodec_decode (wire, peer__frame__pack (&frame, wire), &message),
+      ERR_PROTOCOL);
+}
+
+static const struct suite_test tests[] = {
+  { "round trip of every kind", test_round_trip },
+  { "every truncation is refused", test_truncation },
+  { "every byte damaged", test_every_byte_damaged },
+  { "garbage", test_garbage },
+  { "values out of bounds are refused", test_bounds },
+  { "sizes out of bounds are refused", test_sizes },
+};
+
+SUITE_MAIN ("test_peercodec", tests)
