Add the stand-in engines and plain service

Benches and tests need upstreams that count what they ran, give responses that can be checked byte for byte, and show faults when told. One program serves many workers on one loop; a control endpoint gives statistics, executions per request id, and sets faults.

--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,369 @@
+/**
+ * @file engine.c
+ * Stand-in model engines: many workers on one loop.  A worker batches
+ * continuously: at each tick every request that holds a slot gets its next
+ * tokens.  Requests beyond the slots wait inside, first come, first served.
+ */
+#include "standin/engine_int.h"
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+static int worker_init (struct engine *engine, struct server_listener *l);
+static void on_first_tick (evutil_socket_t fd, short events, void *user);
+static void on_tick (evutil_socket_t fd, short events, void *user);
+static void on_load (evutil_socket_t fd, short events, void *user);
+static void on_delay (evutil_socket_t fd, short events, void *user);
+static void on_request (struct server_listener *listener,
+                        struct evhttp_request *request);
+static void on_gone (void *user);
+static void refuse (struct engine_job *job, int status, const char *reason);
+static void admit (struct engine_job *job);
+static void run (struct engine_job *job);
+static void start_response (struct engine_job *job);
+static void advance (struct engine_job *job);
+static void stream_tokens (struct engine_job *job, uint32_t count);
+static void finish_job (struct engine_job *job);
+static void release (struct engine_job *job);
+
+static const struct server_handler handler = { on_request, NULL };
+
+int
+engine_init (struct server *server, const struct standin_options *options)
+{
+  struct engine *engine = calloc (1, sizeof (*engine));
+  const struct timeval lag
+      = { options->load_lag_ms / 1000, (options->load_lag_ms % 1000) * 1000 };
+  uint32_t i;
+
+  engine->options = *options;
+  engine->server = server;
+  if (server_init (server, options->listen, options->workers, options->control,
+                   options->slots, &handler)
+      != 0)
+    return -1;
+  server->data = engine;
+  engine->scratch = evbuffer_new ();
+  for (i = 0; i < server->listener_count; i++)
+    if (worker_init (engine, &server->listeners[i]) != 0)
+      return -1;
+  engine->load_timer
+      = event_new (server->base, -1, EV_PERSIST, on_load, engine);
+  return event_add (engine->load_timer, &lag);
+}
+
+void
+engine_finish (struct server *server)
+{
+  struct engine *engine = server->data;
+  uint32_t i;
+
+  for (i = 0; i < server->listener_count; i++)
+    {
+      struct engine_worker *worker = server->listeners[i].data;
+
+      evhttp_free (server->listeners[i].http);
+      server->listeners[i].http = evhttp_new (server->base);
+      event_free (worker->tick);
+      free (worker);
+    }
+  event_free (engine->load_timer);
+  evbuffer_free (engine->scratch);
+  free (engine);
+  server_finish (server);
+}
+
+/* Ticks of the workers are spread evenly over the tick's length. */
+static int
+worker_init (struct engine *engine, struct server_listener *listener)
+{
+  struct engine_worker *worker = calloc (1, sizeof (*worker));
+  uint64_t phase_us = (uint64_t)engine->options.token_ms * 1000
+                      * listener->index / engine->server->listener_count;
+  const struct timeval phase
+      = { (time_t)(phase_us / 1000000), (suseconds_t)(phase_us % 1000000) };
+
+  worker->engine = engine;
+  worker->listener = listener;
+  listener->data = worker;
+  worker->tick
+      = event_new (engine->server->base, -1, 0, on_first_tick, worker);
+  return event_add (worker->tick, &phase);
+}
+
+static void
+on_first_tick (evutil_socket_t fd, short events, void *user)
+{
+  struct engine_worker *worker = user;
+  uint32_t tick_ms = worker->engine->options.token_ms;
+  const struct timeval interval = { tick_ms / 1000, (tick_ms % 1000) * 1000 };
+
+  (void)fd;
+  (void)events;
+  event_free (worker->tick);
+  worker->tick = event_new (worker->engine->server->base, -1, EV_PERSIST,
+                            on_tick, worker);
+  event_add (worker->tick, &interval);
+}
+
+static void
+on_tick (evutil_socket_t fd, short events, void *user)
+{
+  struct engine_worker *worker = user;
+  const struct fault *fault = &worker->listener->fault;
+  struct engine_job *job;
+  struct engine_job *next;
+
+  (void)fd;
+  (void)events;
+  if (fault->kind == FAULT_SLOW && fault->value > 0
+      && ++worker->skipped < fault->value)
+    return;
+  worker->skipped = 0;
+  DL_FOREACH_SAFE (worker->running, job, next)
+    advance (job);
+}
+
+static void
+on_load (evutil_socket_t fd, short events, void *user)
+{
+  struct engine *engine = user;
+  uint32_t i;
+
+  (void)fd;
+  (void)events;
+  for (i = 0; i < engine->server->listener_count; i++)
+    {
+      struct engine_worker *worker = engine->server->listeners[i].data;
+
+      worker->reported_load = worker->busy;
+    }
+}
+
+static void
+on_request (struct server_listener *listener, struct evhttp_request *request)
+{
+  struct engine_worker *worker = listener->data;
+  struct engine_job *job = calloc (1, sizeof (*job));
+  const struct timeval none = { 0, 0 };
+  struct timeval delay = none;
+  const char *customer;
+
+  job->worker = worker;
+  exchange_init (&job->exchange, listener->server->base, request,
+                 fault_take (&listener->fault), on_gone, job);
+  customer = exchange_header (&job->exchange, "Cherrylanding-Customer");
+  job->customer = record_customer (&listener->server->record,
+                                   customer == NULL ? "-" : customer);
+  if (job->exchange.fault.kind == FAULT_NOT_RUN)
+    {
+      exchange_add_header (&job->exchange, "Cherrylanding-Verdict", "not-run");
+      refuse (job, HTTP_SERVUNAVAIL, "not-run");
+      return;
+    }
+  if (engine_parse (job, request) != 0)
+    {
+      refuse (job, HTTP_BADREQUEST, "bad request");
+      return;
+    }
+  if (job->exchange.fault.kind != FAULT_DELAY)
+    {
+      admit (job);
+      return;
+    }
+  delay.tv_sec = (time_t)(job->exchange.fault.value / 1000);
+  delay.tv_usec = (suseconds_t)(job->exchange.fault.value % 1000 * 1000);
+  job->delay = evtimer_new (listener->server->base, on_delay, job);
+  evtimer_add (job->delay, &delay);
+}
+
+static void
+on_delay (evutil_socket_t fd, short events, void *user)
+{
+  (void)fd;
+  (void)events;
+  admit (user);
+}
+
+static void
+refuse (struct engine_job *job, int status, const char *reason)
+{
+  struct evbuffer *body = evbuffer_new ();
+
+  job->worker->listener->server->record.refused++;
+  exchange_add_header (&job->exchange, "Cherrylanding-Request-Id",
+                       job->exchange.request_id);
+  evbuffer_add_printf (body, "{\"error\":{\"message\":\"%s\"}}\n", reason);
+  exchange_reply (&job->exchange, status, "application/json", body);
+  evbuffer_free (body);
+  free (job);
+}
+
+static void
+admit (struct engine_job *job)
+{
+  struct engine_worker *worker = job->worker;
+  struct record *record = &worker->listener->server->record;
+
+  record_execute (record, job->exchange.request_id);
+  if (job->exchange.fault.kind == FAULT_DOUBLE)
+    record_execute (record, job->exchange.request_id);
+  if (job->resumed_bytes > 0)
+    record->resumed++;
+  if (worker->busy < worker->engine->options.slots)
+    {
+      run (job);
+      return;
+    }
+  record->oversubscribed++;
+  job->customer->waiting++;
+  job->state = ENGINE_JOB_WAITING;
+  DL_APPEND (worker->waiting, job);
+}
+
+static void
+run (struct engine_job *job)
+{
+  struct engine_worker *worker = job->worker;
+  const struct standin_options *options = &worker->engine->options;
+
+  job->state = ENGINE_JOB_RUNNING;
+  job->started_ns = record_now_ns ();
+  worker->busy++;
+  record_busy (&worker->listener->server->record, 1);
+  DL_APPEND (worker->running, job);
+  job->customer->running++;
+  job->customer->started++;
+  job->customer->input_tokens += job->text.input_tokens;
+  job->customer->cost
+      += (uint64_t)job->text.input_tokens * options->input_cost;
+  if (job->streamed)
+    start_response (job);
+}
+
+static void
+start_response (struct engine_job *job)
+{
+  struct exchange *exchange = &job->exchange;
+  enum fault_kind fault = exchange->fault.kind;
+  char number[32];
+
+  exchange_add_header (exchange, "Cherrylanding-Request-Id",
+                       fault == FAULT_WRONG_ID ? "another-request"
+                                               : exchange->request_id);
+  snprintf (number, sizeof (number), "%" PRIu32, job->worker->reported_load);
+  exchange_add_header (exchange, "Cherrylanding-Upstream-Load", number);
+  if (fault == FAULT_DRAINING)
+    exchange_add_header (exchange, "Cherrylanding-Upstream-State", "draining");
+  if (fault == FAULT_CROSSED)
+    job->text.seed++;
+  if (job->resumed_bytes > 0)
+    {
+      snprintf (number, sizeof (number), "%" PRIu64, job->resumed_bytes);
+      exchange_add_header (exchange, "Cherrylanding-Resumed", number);
+    }
+  if (job->streamed)
+    exchange_start (exchange, HTTP_OK, "text/event-stream");
+}
+
+static void
+advance (struct engine_job *job)
+{
+  const struct standin_options *options = &job->worker->engine->options;
+  uint32_t left = job->text.output_tokens - job->produced;
+  uint32_t count = options->tokens < left ? options->tokens : left;
+
+  job->customer->output_tokens += count;
+  job->customer->cost += (uint64_t)count * options->output_cost;
+  if (job->streamed)
+    stream_tokens (job, count);
+  job->produced += count;
+  if (job->produced == job->text.output_tokens)
+    finish_job (job);
+}
+
+static void
+stream_tokens (struct engine_job *job, uint32_t count)
+{
+  struct evbuffer *data = job->worker->engine->scratch;
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    text_add_event (&job->text, job->produced + i, data);
+  if (job->produced + count == job->text.output_tokens)
+    text_add_tail (&job->text, data);
+  if (job->skip_bytes > 0)
+    {
+      evbuffer_drain (data, job->skip_bytes);
+      job->skip_bytes = 0;
+    }
+  if (evbuffer_get_length (data) > 0)
+    exchange_write (&job->exchange, data);
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+static void
+finish_job (struct engine_job *job)
+{
+  struct evbuffer *body = job->worker->engine->scratch;
+
+  if (job->exchange.closing != NULL)
+    return;
+  job->customer->finished++;
+  if (job->streamed)
+    exchange_end (&job->exchange);
+  else
+    {
+      start_response (job);
+      text_add_json (&job->text, body);
+      exchange_reply (&job->exchange, HTTP_OK, "application/json", body);
+      evbuffer_drain (body, evbuffer_get_length (body));
+    }
+  /* A fault may hold the exchange open until its connection is closed. */
+  if (job->exchange.request == NULL)
+    release (job);
+}
+
+static void
+on_gone (void *user)
+{
+  struct engine_job *job = user;
+  struct server *server = job->worker->listener->server;
+
+  server->record.cancelled++;
+  job->customer->cancelled++;
+  release (job);
+}
+
+/* Gives the slot to the next request that waits. */
+static void
+release (struct engine_job *job)
+{
+  struct engine_worker *worker = job->worker;
+  struct engine_job *next;
+
+  if (job->state == ENGINE_JOB_RUNNING)
+    {
+      DL_DELETE (worker->running, job);
+      worker->busy--;
+      record_busy (&worker->listener->server->record, -1);
+      job->customer->running--;
+      job->customer->slot_us += (record_now_ns () - job->started_ns) / 1000;
+    }
+  else if (job->state == ENGINE_JOB_WAITING)
+    {
+      DL_DELETE (worker->waiting, job);
+      job->customer->waiting--;
+    }
+  if (job->delay != NULL)
+    event_free (job->delay);
+  free (job);
+  next = worker->waiting;
+  if (next == NULL || worker->busy >= worker->engine->options.slots)
+    return;
+  DL_DELETE (worker->waiting, next);
+  next->customer->waiting--;
+  run (next);
+}
--- /dev/null
+++ b/tests/standin/server.h
@@ -0,0 +1,66 @@
+/**
+ * @file server.h
+ * Listeners of a stand-in process on one loop, and their control endpoint
+ * under /_standin/: GET stats, GET executions?id=ID, POST executions (one id
+ * a line in, one count a line out), POST faults?kind=KIND[&listener=N]
+ * [&count=N][&value=N].
+ */
+#ifndef TESTS_STANDIN_SERVER_H
+#define TESTS_STANDIN_SERVER_H
+
+#include "standin/exchange.h"
+#include "standin/fault.h"
+#include "standin/record.h"
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdint.h>
+
+struct server;
+
+struct server_listener
+{
+  struct server *server;
+  struct evhttp *http;
+  struct evhttp_bound_socket *socket; /**< NULL while it refuses */
+  char host[64];
+  uint16_t port;
+  uint32_t index;
+  struct fault fault;
+  void *data; /**< of the handler */
+};
+
+struct server_handler
+{
+  void (*request) (struct server_listener *listener,
+                   struct evhttp_request *request);
+  /** Told of a new fault; may be NULL. */
+  void (*fault) (struct server_listener *listener);
+};
+
+struct server
+{
+  struct event_base *base;
+  struct server_listener *listeners;
+  uint32_t listener_count;
+  struct evhttp *control; /**< never refuses */
+  const struct server_handler *handler;
+  struct record record;
+  void *data; /**< of the handler */
+};
+
+/**
+ * Binds all listeners and the control endpoint, and prints their addresses:
+ * "listen HOST:PORT" for each, then "control HOST:PORT".
+ * @param addresses comma-separated HOST:PORT; port 0 takes a free one.
+ * @param workers   listeners to make when `addresses` names one only.
+ * @return 0 or -1.
+ */
+int server_init (struct server *server, const char *addresses,
+                 uint32_t workers, const char *control, uint32_t slots,
+                 const struct server_handler *handler);
+void server_finish (struct server *server);
+
+/** Splits HOST:PORT. @return 0 or -1. */
+int server_parse_address (const char *address, char host[64], uint16_t *port);
+
+#endif
