Load settings from YAML and check them

One table a record holds type, range, default and form of each field; the libcyaml schema, the defaults and the checks are made from it. libcyaml's own booleans take any unknown word for true, so booleans are strict enums. Lines of cross-check faults come from libyaml's document tree.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 OPT_sanitize = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 CFLAGS = $(OPT_$(MODE))
 
-PACKAGES = libevent libevent_openssl evhtp libprotobuf-c libcyaml jansson libxxhash openssl
+PACKAGES = libevent libevent_openssl evhtp libprotobuf-c libcyaml yaml-0.1 jansson libxxhash openssl
 APT = libevent-dev libevhtp-dev libprotobuf-c-dev protobuf-c-compiler \
 	libcyaml-dev libyaml-dev libjansson-dev libcunit1-dev libxxhash-dev \
 	uthash-dev libssl-dev libcurl4-openssl-dev pkg-config gcc make
--- a/src/command.c
+++ b/src/command.c
@@ -11,6 +11,7 @@
 enum command_id
 {
   COMMAND_SERVE,
+  COMMAND_CHECK,
   COMMAND_MAX
 };
 
@@ -25,6 +26,7 @@
 
 static const struct command_entry commands[COMMAND_MAX] = {
   [COMMAND_SERVE] = { "serve", "run a router", command_serve },
+  [COMMAND_CHECK] = { "check", "check a settings file", command_check },
 };
 
 const char *argp_program_version = "cherrylanding " CHERRYLANDING_VERSION;
@@ -32,6 +34,7 @@
 int
 command_main (int argc, char **argv)
 {
+  static char name[32]; /* argp keeps it to the end of the program */
   int i;
 
   argp_err_exit_status = COMMAND_USAGE;
@@ -46,7 +49,11 @@
     }
   for (i = 0; i < COMMAND_MAX; i++)
     if (strcmp (argv[1], commands[i].name) == 0)
-      return commands[i].run (argc - 1, argv + 1);
+      {
+        snprintf (name, sizeof name, "cherrylanding %s", commands[i].name);
+        argv[1] = name;
+        return commands[i].run (argc - 1, argv + 1);
+      }
   fprintf (stderr, "cherrylanding: unknown command '%s'\n", argv[1]);
   return command_help (stderr, COMMAND_USAGE);
 }
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -146,7 +146,10 @@
 void settings_free (struct settings *settings);
 
 /** Cross-checks: ranges, names that refer to nothing, duplicates.  Reports
-    all of them. @return 0 or ERR_INVALID. */
+    all of them, with lines when the file can still be read.  A file with
+    neither router settings nor services is a part of a configuration: its
+    profiles may name services that are defined elsewhere.
+    @return 0 or ERR_INVALID. */
 int settings_validate (const struct settings *settings, const char *path,
                        FILE *errors);
 
--- /dev/null
+++ b/src/protocol/settings_int.h
@@ -0,0 +1,139 @@
+/**
+ * @file settings_int.h
+ * One table a record describes every field of the settings and of the
+ * configuration objects: type, range, default and form of text.  The YAML
+ * schema, the defaults, the checks and the JSON form are all made from it.
+ */
+#ifndef PROTOCOL_SETTINGS_INT_H
+#define PROTOCOL_SETTINGS_INT_H
+
+#include "protocol/settings.h"
+#include <cyaml/cyaml.h>
+#include <stdarg.h>
+
+#define SETTINGS_PATH_SIZE   192 /**< bytes of a path with its NUL */
+#define SETTINGS_REASON_SIZE 224 /**< bytes of a reason with its NUL */
+#define SETTINGS_KEY_MIN     8   /**< bytes of a customer's key */
+#define SETTINGS_KEY_MAX     256 /**< bytes of a customer's key */
+
+enum settings_kind
+{
+  SETTINGS_U32,
+  SETTINGS_U64,
+  SETTINGS_BOOL,
+  SETTINGS_ENUM,
+  SETTINGS_TEXT,
+  SETTINGS_TEXTS,      /**< sequence of texts */
+  SETTINGS_RECORD,     /**< embedded record */
+  SETTINGS_RECORD_PTR, /**< optional record */
+  SETTINGS_RECORDS,    /**< sequence of records */
+  SETTINGS_KIND_MAX
+};
+
+/** Form that a text must have. */
+enum settings_form
+{
+  SETTINGS_FORM_ANY,
+  SETTINGS_FORM_NAME,    /**< letters, digits, '.', '_' and '-' */
+  SETTINGS_FORM_ADDRESS, /**< IP number and port */
+  SETTINGS_FORM_LISTEN,  /**< the same; port 0 lets the system choose */
+  SETTINGS_FORM_DIGEST,  /**< 64 hexadecimal digits */
+  SETTINGS_FORM_CHOICE,  /**< one of `names` */
+  SETTINGS_FORM_SECRET,  /**< `min` to `max` bytes; never shown */
+  SETTINGS_FORM_MAX
+};
+
+enum settings_record_id
+{
+  SETTINGS_RECORD_TOP,
+  SETTINGS_RECORD_ROUTER,
+  SETTINGS_RECORD_LIMITS,
+  SETTINGS_RECORD_PLATFORM,
+  SETTINGS_RECORD_TOKEN,
+  SETTINGS_RECORD_CUSTOMER,
+  SETTINGS_RECORD_PROFILE,
+  SETTINGS_RECORD_SERVICE,
+  SETTINGS_RECORD_UPSTREAM,
+  SETTINGS_RECORD_ID_MAX
+};
+
+struct settings_field
+{
+  const char *key;
+  enum settings_kind kind;
+  bool required;
+  uint32_t offset;
+  uint32_t count_offset;          /**< of sequences */
+  uint64_t min;                   /**< value, entries, or bytes of a secret */
+  uint64_t max;                   /**< likewise */
+  uint64_t preset;                /**< default of a number */
+  const char *preset_text;        /**< default of a text; NULL for none */
+  enum settings_form form;        /**< of texts */
+  const cyaml_strval_t *names;    /**< of enums and choices */
+  uint32_t names_count;           /**< entries of `names` */
+  enum settings_record_id record; /**< of records */
+};
+
+struct settings_record
+{
+  const struct settings_field *fields;
+  uint32_t fields_count;
+  uint32_t size; /**< bytes of the structure */
+};
+
+extern const struct settings_record settings_records[SETTINGS_RECORD_ID_MAX];
+
+/** YAML schema of the whole file, built on first use. */
+const cyaml_schema_value_t *settings_schema (void);
+
+/** Called with each field of a record; `data` points at the member. */
+typedef void (*settings_visitor) (void *user, const char *path,
+                                  const struct settings_field *field,
+                                  void *data);
+
+/** Visits every field that is there, outer ones first. */
+void settings_walk (enum settings_record_id id, void *record, const char *path,
+                    settings_visitor visit, void *user);
+
+/** Number of entries of a sequence field whose member is at `data`. */
+uint32_t settings_count (const struct settings_field *field, const void *data);
+
+/** Where faults go. */
+struct settings_source;
+struct settings_report
+{
+  void (*fault) (void *user, const char *path, uint32_t line,
+                 const char *reason);
+  void *user;
+  struct settings_source *source; /**< gives lines; may be NULL */
+  uint32_t count;                 /**< faults reported */
+};
+
+/** Reports a fault of the value at `path`. */
+void settings_fault (struct settings_report *report, const char *path,
+                     const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/** Checks range and form of every field of a record. */
+void settings_check (enum settings_record_id id, void *record,
+                     const char *path, struct settings_report *report);
+
+/** Checks within one object: duplicate upstreams and so on. */
+void settings_check_customer (const struct settings_customer *customer,
+                              const char *path,
+                              struct settings_report *report);
+void settings_check_service (const struct settings_service *service,
+                             const char *path, struct settings_report *report);
+
+/** Puts one object into a catalog. @return 0 or an error. */
+int settings_put_customer (const struct settings_customer *customer,
+                           struct catalog *catalog);
+int settings_put_profile (const struct settings_profile *profile,
+                          struct catalog *catalog);
+int settings_put_service (const struct settings_service *service,
+                          struct catalog *catalog);
+
+/** Decodes 64 hexadecimal digits. @return 0 or ERR_INVALID. */
+int settings_digest (const char *text, uint8_t digest[CATALOG_KEY_HASH_SIZE]);
+
+#endif
