--- a/src/state/budget.h
+++ b/src/state/budget.h
@@ -1,7 +1,9 @@
 /**
  * @file budget.h
  * Retry budget of a customer: each first attempt earns a tenth of a retry,
- * up to a small cap, so a dead service costs at most 1.1 times its load.
+ * up to a small cap, so a dead service costs at most 1.1 times its load and
+ * the cap.  A customer starts with the cap saved up: its first request may be
+ * retried too.
  */
 #ifndef STATE_BUDGET_H
 #define STATE_BUDGET_H
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -5,7 +5,7 @@
  * repeated and reordered reports do no harm.
  *
  * Amounts are normalised: cost units x LEDGER_SCALE / customer weight.  The
- * position of a customer is base + floor + sum(charged - refunded); the
+ * position of a customer is floor + sum(charged - refunded); the
  * customer with the least position is served next.  The floor is a maximum
  * register that lifts a customer which was idle, so idleness earns no credit.
  */
@@ -18,6 +18,11 @@
 
 #define LEDGER_SCALE 1000 /**< normalised units of one cost unit, weight 1 */
 
+/** Set in an incarnation to name the sum of all lives up to that one.  It
+    replaces the counters of those lives, so old lives cost no memory, and a
+    late report of one of them is not counted again. */
+#define LEDGER_FOLDED (UINT64_C (1) << 63)
+
 /** Origin of counters: one life of one instance. */
 struct ledger_origin
 {
@@ -36,9 +41,9 @@
   uint64_t cost;     /**< plain cost units settled so far, grow-only */
 };
 
-struct ledger; /* defined in state/ledger_int.h */
+struct ledger;
 
-/** Bytes of a ledger, for callers that own its memory. */
+/** @return NULL without memory. */
 struct ledger *ledger_new (struct ledger_origin self);
 void ledger_free (struct ledger *ledger);
 
@@ -54,7 +59,8 @@
 int ledger_settle (struct ledger *ledger, uint64_t customer_id,
                    uint64_t service_id, uint64_t cost);
 
-/** Merges a report. @return 1 if it told something new, 0, or an error. */
+/** Merges a report; own entries that come back are ignored.
+    @return 1 if it told something new, 0, or an error. */
 int ledger_merge (struct ledger *ledger, struct ledger_origin origin,
                   const struct ledger_entry *entry);
 
@@ -78,9 +84,10 @@
 int ledger_visit (const struct ledger *ledger, ledger_visitor visit,
                   void *user);
 
-/** Folds the counters of an origin that is gone into the base, so that
-    memory stays bounded; positions do not change. */
-void ledger_fold (struct ledger *ledger, struct ledger_origin origin);
+/** Folds the counters of an instance's lives up to `origin.incarnation` into
+    one, once a newer life of it is heard of, so that memory stays bounded;
+    positions do not change.  @return 0 or ERR_NO_MEMORY. */
+int ledger_fold (struct ledger *ledger, struct ledger_origin origin);
 
 /** Bytes held, for capacity reports. */
 size_t ledger_memory_bytes (const struct ledger *ledger);
--- a/src/state/queue.h
+++ b/src/state/queue.h
@@ -2,8 +2,10 @@
  * @file queue.h
  * Requests waiting at one instance: per service, per customer, ordered within
  * a customer by class and then by arrival, with deadlines.  Nodes are embedded
- * in the caller's request, so no operation allocates after a customer's first
- * request.
+ * in the caller's request; only the first request of a customer and growth of
+ * the two heaps (by deadline, and of disposable requests by age) allocate.
+ * The choice of the next request looks at each customer with requests waiting
+ * at the service once, not at the requests.
  */
 #ifndef STATE_QUEUE_H
 #define STATE_QUEUE_H
@@ -13,6 +15,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** Heaps that a waiting request may stand in. */
+enum queue_heap_kind
+{
+  QUEUE_HEAP_DEADLINE,   /**< every request, the earliest deadline on top */
+  QUEUE_HEAP_DISPOSABLE, /**< disposable ones, the youngest on top */
+  QUEUE_HEAP_MAX
+};
+
 /** Links of one waiting request; owned by the caller. */
 struct queue_node
 {
@@ -24,6 +34,8 @@
   uint64_t deadline_ns;
   struct queue_node *prev;
   struct queue_node *next;
+  struct queue_flow *flow;               /**< private */
+  uint32_t heap_indices[QUEUE_HEAP_MAX]; /**< private */
   bool queued;
 };
 
