Add links between instances with a proof of the shared secret

Messages need a carrier that strangers cannot join. A link frames messages over TCP; each side proves the fleet's secret by an HMAC over both hellos, the dialer first, so that whoever merely connects gets nothing to guess from. Sockets are driven by plain events and evbuffers instead of bufferevents: only so the processor time of reads and writes can be counted as control work, and all frames of a turn of the loop leave in one write.

--- /dev/null
+++ b/src/transport/peerlink.c
@@ -0,0 +1,335 @@
+/**
+ * @file peerlink.c
+ * Framing and flow of a connection between two instances.
+ */
+#include "state/err.h"
+#include "transport/peerlink_int.h"
+#include "transport/sock.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES_MAX 65536 /**< read at once */
+
+static int start (struct peerlink *link, bool dialed);
+static void destroy (struct peerlink *link);
+static void on_readable (evutil_socket_t fd, short what, void *arg);
+static void on_writable (evutil_socket_t fd, short what, void *arg);
+static void on_timer (evutil_socket_t fd, short what, void *arg);
+static void enter (struct peerlink *link);
+static void leave (struct peerlink *link);
+static int read_frames (struct peerlink *link);
+static int read_frame (struct peerlink *link);
+static int receive (struct peerlink *link, const uint8_t *data, size_t size);
+static int read_error (void);
+static void arm_timer (struct peerlink *link, uint32_t timeout_ms);
+static void fail (struct peerlink *link, int error);
+
+struct peerlink *
+peerlink_open (const struct peerlink_config *config, int fd, bool dialed)
+{
+  struct peerlink *link = calloc (1, sizeof *link);
+
+  if (link == NULL)
+    {
+      close (fd);
+      return NULL;
+    }
+  link->config = config;
+  link->fd = fd;
+  link->dialed = dialed;
+  link->input = evbuffer_new ();
+  link->output = evbuffer_new ();
+  link->read_event
+      = event_new (config->base, fd, EV_READ | EV_PERSIST, on_readable, link);
+  link->write_event
+      = event_new (config->base, fd, EV_WRITE, on_writable, link);
+  link->timer = evtimer_new (config->base, on_timer, link);
+  if (link->input == NULL || link->output == NULL || link->read_event == NULL
+      || link->write_event == NULL || link->timer == NULL
+      || start (link, dialed) != 0)
+    {
+      destroy (link);
+      return NULL;
+    }
+  return link;
+}
+
+void
+peerlink_close (struct peerlink *link)
+{
+  link->closed = true;
+  if (link->busy == 0)
+    destroy (link);
+}
+
+int
+peerlink_send (struct peerlink *link, const struct message *message)
+{
+  int rc;
+
+  if (link->step != PEERLINK_UP || link->closed || link->error != 0)
+    return ERR_RESET;
+  rc = peerlink_write (link, message);
+  if (rc == ERR_FULL)
+    {
+      /* The caller may be in the midst of its own tables: report later. */
+      link->error = ERR_FULL;
+      event_active (link->timer, EV_TIMEOUT, 0);
+    }
+  return rc;
+}
+
+const struct message_hello *
+peerlink_hello (const struct peerlink *link)
+{
+  return &link->peer;
+}
+
+bool
+peerlink_is_up (const struct peerlink *link)
+{
+  return link->step == PEERLINK_UP && !link->closed;
+}
+
+bool
+peerlink_dialed (const struct peerlink *link)
+{
+  return link->dialed;
+}
+
+/** Queues one frame, whatever the step. */
+int
+peerlink_write (struct peerlink *link, const struct message *message)
+{
+  struct peerlink_counters *counters = link->config->counters;
+  uint32_t prefix;
+  int rc = peercodec_encode (message, &link->scratch);
+
+  if (rc != 0)
+    return rc;
+  if (evbuffer_get_length (link->output) + link->scratch.size
+      > link->config->output_bytes_max)
+    return ERR_FULL;
+  prefix = htonl ((uint32_t)link->scratch.size);
+  if (evbuffer_add (link->output, &prefix, sizeof prefix) != 0
+      || evbuffer_add (link->output, link->scratch.data, link->scratch.size)
+             != 0)
+    return ERR_NO_MEMORY;
+  counters->frames_out[message->kind]++;
+  counters->bytes_out[message->kind] += sizeof prefix + link->scratch.size;
+  /* One write for all frames of this turn of the loop. */
+  if (!event_pending (link->write_event, EV_WRITE, NULL))
+    event_active (link->write_event, EV_WRITE, 0);
+  return 0;
+}
+
+static int
+start (struct peerlink *link, bool dialed)
+{
+  int rc;
+
+  sock_no_delay (link->fd);
+  if (event_add (link->read_event, NULL) != 0)
+    return ERR_NO_MEMORY;
+  if (dialed && event_add (link->write_event, NULL) != 0)
+    return ERR_NO_MEMORY;
+  arm_timer (link, link->config->handshake_ms);
+  rc = peerlink_shake_start (link);
+  return rc;
+}
+
+static void
+destroy (struct peerlink *link)
+{
+  if (link->read_event != NULL)
+    event_free (link->read_event);
+  if (link->write_event != NULL)
+    event_free (link->write_event);
+  if (link->timer != NULL)
+    event_free (link->timer);
+  if (link->input != NULL)
+    evbuffer_free (link->input);
+  if (link->output != NULL)
+    evbuffer_free (link->output);
+  peercodec_buffer_finish (&link->scratch);
+  peercodec_buffer_finish (&link->own_frame);
+  peercodec_buffer_finish (&link->peer_frame);
+  close (link->fd);
+  free (link);
+}
+
+/** Keeps the link's memory while its callbacks run. */
+static void
+enter (struct peerlink *link)
+{
+  link->busy++;
+  cpumeter_enter (&link->config->counters->cpu);
+}
+
+static void
+leave (struct peerlink *link)
+{
+  cpumeter_leave (&link->config->counters->cpu);
+  if (--link->busy == 0 && link->closed)
+    destroy (link);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *arg)
+{
+  struct peerlink *link = arg;
+  int size;
+  int rc;
+
+  (void)what;
+  enter (link);
+  size = evbuffer_read (link->input, fd, READ_BYTES_MAX);
+  if (size > 0)
+    {
+      if (link->step == PEERLINK_UP)
+        arm_timer (link, link->config->idle_ms);
+      rc = read_frames (link);
+    }
+  else
+    rc = size == 0 ? ERR_RESET : read_error ();
+  if (rc != 0)
+    fail (link, rc);
+  leave (link);
+}
+
+static void
+on_writable (evutil_socket_t fd, short what, void *arg)
+{
+  struct peerlink *link = arg;
+
+  (void)what;
+  enter (link);
+  if (evbuffer_get_length (link->output) > 0
+      && evbuffer_write (link->output, fd) < 0 && read_error () != 0)
+    fail (link, read_error ());
+  else if (evbuffer_get_length (link->output) > 0)
+    event_add (link->write_event, NULL);
+  leave (link);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct peerlink *link = arg;
+
+  (void)fd;
+  (void)what;
+  enter (link);
+  fail (link, link->error != 0 ? link->error : ERR_TIMEOUT);
+  leave (link);
+}
+
+/** Reads whole frames until the input has no more. */
+static int
+read_frames (struct peerlink *link)
+{
+  int rc;
+
+  do
+    rc = read_frame (link);
+  while (rc == 1 && !link->closed);
+  return rc < 0 ? rc : 0;
+}
+
+/** @return 1 when a frame was read, 0 when it is not whole, or an error. */
+static int
+read_frame (struct peerlink *link)
+{
+  size_t size_max = link->step == PEERLINK_UP ? MESSAGE_FRAME_MAX
+                                              : PEERLINK_HANDSHAKE_BYTES_MAX;
+  size_t length = evbuffer_get_length (link->input);
+  const uint8_t *data;
+  uint32_t prefix;
+  size_t size;
+  int rc;
+
+  if (length < sizeof prefix)
+    return 0;
+  evbuffer_copyout (link->input, &prefix, sizeof prefix);
+  size = ntohl (prefix);
+  if (size == 0 || size > size_max)
+    return ERR_TOO_LARGE;
+  if (length < sizeof prefix + size)
+    return 0;
+  data = evbuffer_pullup (link->input, (ev_ssize_t)(sizeof prefix + size));
+  if (data == NULL)
+    return ERR_NO_MEMORY;
+  rc = receive (link, data + sizeof prefix, size);
+  evbuffer_drain (link->input, sizeof prefix + size);
+  return rc < 0 ? rc : 1;
+}
+
+static int
+receive (struct peerlink *link, const uint8_t *data, size_t size)
+{
+  struct peerlink_counters *counters = link->config->counters;
+  struct message message;
+  int rc = peercodec_decode (data, size, &message);
+
+  if (rc != 0)
+    return rc;
+  counters->frames_in[message.kind]++;
+  counters->bytes_in[message.kind] += sizeof (uint32_t) + size;
+  if (link->step != PEERLINK_UP)
+    rc = peerlink_shake (link, &message, data, size);
+  else if (message.kind == MESSAGE_HELLO || message.kind == MESSAGE_PROOF)
+    rc = ERR_PROTOCOL;
+  else
+    link->config->events->message (link->config->user, link, &message);
+  message_finish (&message);
+  return rc;
+}
+
+void
+peerlink_set_up (struct peerlink *link)
+{
+  link->step = PEERLINK_UP;
+  arm_timer (link, link->config->idle_ms);
+  link->config->events->up (link->config->user, link);
+}
+
+/** Error of the socket after a failed call; 0 when it may be tried again. */
+static int
+read_error (void)
+{
+  switch (errno)
+    {
+    case EAGAIN:
+    case EINTR:
+      return 0;
+    case ECONNREFUSED:
+      return ERR_REFUSED;
+    default:
+      return ERR_RESET;
+    }
+}
+
+static void
+arm_timer (struct peerlink *link, uint32_t timeout_ms)
+{
+  const struct timeval timeout
+      = { timeout_ms / 1000, (suseconds_t)(timeout_ms % 1000) * 1000 };
+
+  evtimer_add (link->timer, &timeout);
+}
+
+static void
+fail (struct peerlink *link, int error)
+{
+  if (link->closed)
+    return;
+  event_del (link->read_event);
+  event_del (link->write_event);
+  event_del (link->timer);
+  link->error = error;
+  link->config->events->down (link->config->user, link, error);
+}
--- /dev/null
+++ b/tests/test_peernet.c
@@ -0,0 +1,196 @@
+/**
+ * @file test_peernet.c
+ * One link for each pair of instances, over loopback.
+ */
+#include "state/err.h"
+#include "support/suite.h"
+#include "transport/peernet.h"
+#include <stdio.h>
+#include <string.h>
+
+#define TURNS_MAX 20000 /* of the loop, until something must have happened */
+
+struct node
+{
+  struct peernet *net;
+  uint32_t ups;
+  uint32_t downs;
+  uint32_t rejected;
+  int error;
+};
+
+static struct event_base *base;
+static struct clock wall;
+
+static void
+on_up (void *user, const struct message_hello *hello)
+{
+  (void)hello;
+  ((struct node *)user)->ups++;
+}
+
+static void
+on_message (void *user, uint64_t instance_id, const struct message *message)
+{
+  (void)user;
+  (void)instance_id;
+  (void)message;
+}
+
+static void
+on_down (void *user, uint64_t instance_id, int error)
+{
+  (void)instance_id;
+  (void)error;
+  ((struct node *)user)->downs++;
+}
+
+static void
+on_rejected (void *user, const char *address, int error)
+{
+  struct node *node = user;
+
+  (void)address;
+  node->rejected++;
+  node->error = error;
+}
+
+static const struct peernet_events events
+    = { on_up, on_message, on_down, on_rejected };
+
+static void
+start (struct node *node, const char *instance, uint64_t incarnation,
+       const char *address)
+{
+  struct peernet_config config = { .base = base,
+                                   .clock = &wall,
+                                   .listen_address = address,
+                                   .secret = "open sesame",
+                                   .handshake_ms = 2000,
+                                   .idle_ms = 60000,
+                                   .events = &events,
+                                   .user = node };
+
+  memset (node, 0, sizeof *node);
+  snprintf (config.self.fleet, sizeof config.self.fleet, "%s", "farm");
+  snprintf (config.self.instance, sizeof config.self.instance, "%s", instance);
+  config.self.incarnation = incarnation;
+  CU_ASSERT_EQUAL_FATAL (peernet_new (&config, &node->net), 0);
+}
+
+static void
+turn_until_links (const struct node *node, size_t links)
+{
+  int turn;
+
+  for (turn = 0; turn < TURNS_MAX && peernet_links (node->net) != links;
+       turn++)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (peernet_links (node->net), links);
+}
+
+static void
+turn_some (void)
+{
+  int turn;
+
+  for (turn = 0; turn < 20; turn++)
+    event_base_loop (base, EVLOOP_ONCE);
+}
+
+static void
+join (struct node *a, struct node *b)
+{
+  CU_ASSERT_EQUAL (peernet_offer (a->net, peernet_address (b->net), true), 0);
+  CU_ASSERT_EQUAL (peernet_offer (b->net, peernet_address (a->net), true), 0);
+}
+
+static void
+test_one_link_per_pair (void)
+{
+  const struct message message = { .kind = MESSAGE_CONFIG_REQUEST };
+  struct node a;
+  struct node b;
+
+  start (&a, "router-a", 1, "127.0.0.1:0");
+  start (&b, "router-b", 1, "127.0.0.1:0");
+  join (&a, &b);
+  turn_until_links (&a, 1);
+  turn_until_links (&b, 1);
+  turn_some ();
+  CU_ASSERT_EQUAL (peernet_links (a.net), 1);
+  CU_ASSERT_EQUAL (peernet_links (b.net), 1);
+  CU_ASSERT_EQUAL (a.rejected + b.rejected, 0);
+  CU_ASSERT_EQUAL (peernet_send (a.net, catalog_id ("router-b"), &message), 0);
+  CU_ASSERT_EQUAL (peernet_send (a.net, catalog_id ("router-c"), &message),
+                   ERR_NOT_FOUND);
+  turn_some ();
+  CU_ASSERT_EQUAL (peernet_counters (b.net)->frames_in[MESSAGE_CONFIG_REQUEST],
+                   1);
+  peernet_free (a.net);
+  turn_until_links (&b, 0);
+  peernet_free (b.net);
+}
+
+/* An accepted peer is dialed again after it comes back at its address. */
+static void
+test_restart (void)
+{
+  struct node a;
+  struct node b;
+  char address[CATALOG_ADDRESS_SIZE];
+
+  start (&a, "router-a", 1, "127.0.0.1:0");
+  start (&b, "router-b", 1, "127.0.0.1:0");
+  snprintf (address, sizeof address, "%s", peernet_address (b.net));
+  CU_ASSERT_EQUAL (peernet_offer (b.net, peernet_address (a.net), true), 0);
+  turn_until_links (&a, 1);
+  peernet_free (b.net);
+  turn_until_links (&a, 0);
+  start (&b, "router-b", 2, address);
+  turn_until_links (&a, 1);
+  CU_ASSERT_EQUAL (a.downs, 1);
+  peernet_free (a.net);
+  peernet_free (b.net);
+}
+
+static void
+test_own_name (void)
+{
+  struct node a;
+  struct node b;
+
+  start (&a, "router-a", 1, "127.0.0.1:0");
+  start (&b, "router-a", 2, "127.0.0.1:0");
+  CU_ASSERT_EQUAL (peernet_offer (a.net, "127.0.0.1:65536", true),
+                   ERR_INVALID);
+  /* Its own address among its seeds is no fault. */
+  CU_ASSERT_EQUAL (peernet_offer (a.net, peernet_address (a.net), true), 0);
+  turn_some ();
+  CU_ASSERT_EQUAL (a.rejected, 0);
+  CU_ASSERT_EQUAL (peernet_offer (a.net, peernet_address (b.net), true), 0);
+  while (a.rejected == 0)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT (a.error == ERR_CONFLICT || a.error == ERR_RESET);
+  CU_ASSERT_EQUAL (a.ups + b.ups, 0);
+  peernet_free (a.net);
+  peernet_free (b.net);
+}
+
+static const struct suite_test tests[] = {
+  { "one link for each pair", test_one_link_per_pair },
+  { "restart at the same address", test_restart },
+  { "own name", test_own_name },
+};
+
+int
+main (void)
+{
+  int rc;
+
+  base = event_base_new ();
+  clock_init_real (&wall);
+  rc = suite_run ("test_peernet", tests, sizeof tests / sizeof tests[0]);
+  event_base_free (base);
+  return rc;
+}
