--- /dev/null
+++ b/src/protocol/metrics_text.h
@@ -0,0 +1,35 @@
+/**
+ * @file metrics_text.h
+ * Metrics of one instance in the Prometheus text format.
+ */
+#ifndef PROTOCOL_METRICS_TEXT_H
+#define PROTOCOL_METRICS_TEXT_H
+
+#include "coordination/member.h"
+#include "state/dispatch.h"
+#include "state/metrics.h"
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+/** What is read; members may be NULL. */
+struct metrics_text_source
+{
+  const struct metrics *metrics;
+  const struct catalog *catalog;
+  const struct ledger *ledger;
+  struct ledger_origin self; /**< whose own service is written */
+  const struct dispatch *dispatch;
+  const struct slots *slots;
+  const struct member_table *members;
+  const struct metrics_traffic *traffic;
+  size_t traffic_count;
+  uint64_t control_cpu_ns; /**< spent on control messages */
+  uint64_t links;          /**< peers connected */
+};
+
+/** Writes all metrics, and the process's own processor time and memory.
+    @return 0 or ERR_IO. */
+int metrics_text_write (const struct metrics_text_source *source, FILE *out);
+
+#endif
