Divide slots by weighted max-min; lay out the lease seams

A grant now names the newest heartbeat of the lessee that the lessor had heard. A lease counted from receipt is longer than the lessor's whenever the grant was delayed or the lessee paused with grants in its socket buffer; counted from the sending of that heartbeat it never is.

--- a/src/coordination/lessor.h
+++ b/src/coordination/lessor.h
@@ -4,6 +4,14 @@
  * For each upstream the sum over lessees of slots that any of them may still
  * use never exceeds its configured slots: a smaller grant counts at its old
  * size until the lessee has confirmed it, or its lease has run out here.
+ *
+ * A lessor that becomes responsible for an upstream asks every live instance
+ * what it holds there, takes that over as granted, and raises nobody before
+ * all have answered or a lease time and the grace have passed.  An instance
+ * that becomes alive is asked before its first grant.
+ *
+ * Messages to this instance itself go through the link too; the caller loops
+ * them back.
  */
 #ifndef COORDINATION_LESSOR_H
 #define COORDINATION_LESSOR_H
@@ -20,6 +28,11 @@
   uint32_t lease_ms; /**< that a lessee may use a grant */
   uint32_t grace_ms; /**< that the lessor waits longer than that */
   uint64_t payback;  /**< see share_compute */
+  /** A cold instance that sees fewer other live members than this waits a
+      lease time and the grace before its first grant, as it may not yet see
+      who else leases.  0 for a fleet of one. */
+  uint32_t members_expected;
+  const struct share_policy *policy; /**< NULL: share_fleet */
   const struct catalog *catalog;
   const struct ledger *ledger;
   const struct member_table *members;
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -86,12 +86,17 @@
   uint32_t slots;    /**< the lessee may hold at most this many */
 };
 
+/** With lease_ms 0 it grants nothing but asks what the lessee holds at the
+    items' upstreams, whoever granted it; the answer is a hold. */
 struct message_grant
 {
   uint64_t lessor_incarnation;
-  uint32_t lease_ms; /**< from receipt, for every item this lessor granted */
+  uint32_t lease_ms; /**< for every item this lessor granted */
   size_t item_count; /**< 0 renews what was granted before */
   struct message_grant_item *items;
+  /** Newest of the lessee's heartbeats that the lessor had heard: the lease
+      runs from when the lessee sent it.  0: from receipt. */
+  uint64_t heartbeat_sequence;
 };
 
 /** What a lessee holds at one upstream. */
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1189,7 +1189,7 @@
   (ProtobufCMessageInit) peer__grant_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__grant__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__grant__field_descriptors[4] =
 {
   {
     "lessor_incarnation",
@@ -1227,8 +1227,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heartbeat_sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Grant, heartbeat_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__grant__field_indices_by_name[] = {
+  3,   /* field[3] = heartbeat_sequence */
   2,   /* field[2] = items */
   1,   /* field[1] = lease_ms */
   0,   /* field[0] = lessor_incarnation */
@@ -1236,7 +1249,7 @@
 static const ProtobufCIntRange peer__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__grant__descriptor =
 {
@@ -1246,7 +1259,7 @@
   "Peer__Grant",
   "peer",
   sizeof(Peer__Grant),
-  3,
+  4,
   peer__grant__field_descriptors,
   peer__grant__field_indices_by_name,
   1,  peer__grant__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -137,10 +137,11 @@
   uint32_t lease_ms;
   size_t n_items;
   Peer__GrantItem **items;
+  uint64_t heartbeat_sequence;
 };
 #define PEER__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__grant__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 struct  Peer__HoldItem
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -229,6 +229,7 @@
   peer__grant__init (wire);
   wire->lessor_incarnation = grant->lessor_incarnation;
   wire->lease_ms = grant->lease_ms;
+  wire->heartbeat_sequence = grant->heartbeat_sequence;
   wire->n_items = grant->item_count;
   wire->items = (Peer__GrantItem **)out->block;
   out->frame.body_case = PEER__FRAME__BODY_GRANT;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -203,6 +203,7 @@
     return ERR_PROTOCOL;
   grant->lessor_incarnation = wire->lessor_incarnation;
   grant->lease_ms = wire->lease_ms;
+  grant->heartbeat_sequence = wire->heartbeat_sequence;
   rc = items_new ((void **)&grant->items, wire->n_items, sizeof *grant->items);
   if (rc != 0)
     return rc;
--- a/src/state/share.h
+++ b/src/state/share.h
@@ -7,6 +7,7 @@
 #ifndef STATE_SHARE_H
 #define STATE_SHARE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,6 +43,28 @@
                    uint32_t slots, uint64_t payback,
                    struct share_target *targets, size_t target_count);
 
+/** How slots are divided: the mechanism, and baselines for the benches. */
+struct share_policy
+{
+  const char *name;
+  int (*compute) (const struct share_demand *demands, size_t demand_count,
+                  uint32_t slots, uint64_t payback,
+                  struct share_target *targets, size_t target_count);
+  bool moves;       /**< slots follow demand between exchanges too */
+  bool exchanges;   /**< accounts are exchanged between instances */
+  bool by_position; /**< queues serve by ledger position, else by arrival */
+};
+
+extern const struct share_policy share_fleet;
+/** Each instance gets slots / instances of every upstream, and serves by its
+    own accounts alone. */
+extern const struct share_policy share_static;
+/** Slots as share_fleet; queues serve in order of arrival. */
+extern const struct share_policy share_fcfs;
+
+/** Policy of a name; NULL when unknown. */
+const struct share_policy *share_policy_find (const char *name);
+
 /**
  * Whole slots of one upstream for each instance, by low-discrepancy rounding
  * of the targets: sums to `upstream_slots`, and over all upstreams each
