Add JSON objects with change records, their replication, a store in memory

A stored value holds its last 16 change records, each with the fields it changed, so the audit cannot part from the change. Objects are decoded, checked and encoded by the tables of the settings. An object's index is the store's modify index plus a base in the value, which a writer raises when the store was restored to an older state; coordination/confsync.h gives the rule.

--- a/Makefile
+++ b/Makefile
@@ -127,7 +127,7 @@
 	sh tests/fuzz/fuzz.sh
 
 lint:
-	printf '%s\n' $(OWN_C) | xargs -P 8 -n 3 sh -c \
+	printf '%s\n' $(OWN_C) | xargs -P 8 -n 1 sh -c \
 		'$(CLANG_TIDY) --quiet "$$@" -- $(LINT_FLAGS)' lint
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr -j 8 \
 		--enable=warning,portability --suppress=missingIncludeSystem \
--- /dev/null
+++ b/src/coordination/confsync.c
@@ -0,0 +1,250 @@
+/**
+ * @file confsync.c
+ * The newest object of each key, by key.
+ */
+#include "coordination/confsync.h"
+#include "state/err.h"
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+struct held
+{
+  struct message_object object;
+  UT_hash_handle hh;
+};
+
+struct confsync
+{
+  struct confsync_sink sink;
+  struct held *objects;
+  bool ready;
+  uint64_t complete_index;
+  uint64_t newest_index;
+};
+
+static int compare (const struct message_object *left,
+                    const struct message_object *right);
+static int copy_value (const struct message_object *object, char **value);
+static void hold (struct confsync *confsync, struct held *entry,
+                  const struct message_object *object, char *value);
+static struct held *find (const struct confsync *confsync, const char *key);
+static int send_part (const struct confsync *confsync, uint64_t instance_id,
+                      struct message *part, bool complete,
+                      const struct message_link *link);
+
+struct confsync *
+confsync_new (const struct confsync_sink *sink)
+{
+  struct confsync *confsync = calloc (1, sizeof *confsync);
+
+  if (confsync != NULL)
+    confsync->sink = *sink;
+  return confsync;
+}
+
+void
+confsync_free (struct confsync *confsync)
+{
+  struct held *entry;
+  struct held *next;
+
+  if (confsync == NULL)
+    return;
+  entry = confsync->objects;
+  HASH_CLEAR (hh, confsync->objects);
+  for (; entry != NULL; entry = next)
+    {
+      next = entry->hh.next;
+      free (entry->object.value);
+      free (entry);
+    }
+  free (confsync);
+}
+
+int
+confsync_offer (struct confsync *confsync, const struct message_object *object)
+{
+  struct held *entry;
+  struct held *fresh = NULL;
+  char *value = NULL;
+  int error;
+
+  if (memchr (object->key, '\0', sizeof object->key) == NULL
+      || object->index == 0 || (!object->deleted && object->value == NULL))
+    return ERR_INVALID;
+  entry = find (confsync, object->key);
+  if (entry != NULL && compare (object, &entry->object) <= 0)
+    return object->index < entry->object.index ? ERR_STALE : 0;
+  error = copy_value (object, &value);
+  if (error == 0 && entry == NULL)
+    {
+      fresh = calloc (1, sizeof *fresh);
+      error = fresh == NULL ? ERR_NO_MEMORY : 0;
+    }
+  if (error == 0)
+    error = confsync->sink.apply (confsync->sink.user, object->key, value,
+                                  object->value_size);
+  if (error != 0)
+    {
+      free (value);
+      free (fresh);
+      return error;
+    }
+  if (fresh != NULL)
+    {
+      memcpy (fresh->object.key, object->key, sizeof fresh->object.key);
+      HASH_ADD_STR (confsync->objects, object.key, fresh);
+      entry = fresh;
+    }
+  hold (confsync, entry, object, value);
+  return 1;
+}
+
+/* Objects of equal index differ only when two writers raised the base at the
+   same moment, or when stores in memory differ; every instance must choose
+   the same one. */
+static int
+compare (const struct message_object *left, const struct message_object *right)
+{
+  size_t size = left->value_size < right->value_size ? left->value_size
+                                                     : right->value_size;
+  int order = 0;
+
+  if (left->index != right->index)
+    return left->index < right->index ? -1 : 1;
+  if (size > 0)
+    order = memcmp (left->value, right->value, size);
+  if (order != 0)
+    return order;
+  return (left->value_size > right->value_size)
+         - (left->value_size < right->value_size);
+}
+
+static int
+copy_value (const struct message_object *object, char **value)
+{
+  if (object->value == NULL)
+    return 0;
+  *value = malloc (object->value_size + 1);
+  if (*value == NULL)
+    return ERR_NO_MEMORY;
+  memcpy (*value, object->value, object->value_size);
+  (*value)[object->value_size] = '\0';
+  return 0;
+}
+
+static void
+hold (struct confsync *confsync, struct held *entry,
+      const struct message_object *object, char *value)
+{
+  free (entry->object.value);
+  entry->object.value = value;
+  entry->object.value_size = value == NULL ? 0 : object->value_size;
+  entry->object.deleted = object->deleted;
+  entry->object.index = object->index;
+  if (object->index > confsync->newest_index)
+    confsync->newest_index = object->index;
+}
+
+void
+confsync_complete (struct confsync *confsync, uint64_t index)
+{
+  confsync->ready = true;
+  if (index > confsync->complete_index)
+    confsync->complete_index = index;
+}
+
+bool
+confsync_ready (const struct confsync *confsync)
+{
+  return confsync->ready;
+}
+
+uint64_t
+confsync_index (const struct confsync *confsync)
+{
+  return confsync->complete_index;
+}
+
+uint64_t
+confsync_newest (const struct confsync *confsync)
+{
+  return confsync->newest_index;
+}
+
+int
+confsync_respond (const struct confsync *confsync, uint64_t instance_id,
+                  uint64_t since_index, const struct message_link *link)
+{
+  struct message part = { .kind = MESSAGE_CONFIG };
+  const struct held *entry;
+  size_t bytes = 0;
+  int error = 0;
+
+  /* The parts borrow the objects held here. */
+  part.u.config.objects = calloc (HASH_COUNT (confsync->objects) + 1,
+                                  sizeof *part.u.config.objects);
+  if (part.u.config.objects == NULL)
+    return ERR_NO_MEMORY;
+  for (entry = confsync->objects; entry != NULL && error == 0;
+       entry = entry->hh.next)
+    {
+      if (entry->object.index <= since_index)
+        continue;
+      if (bytes > 0 && bytes + entry->object.value_size > CONFSYNC_PART_BYTES)
+        {
+          error = send_part (confsync, instance_id, &part, false, link);
+          part.u.config.object_count = 0;
+          bytes = 0;
+        }
+      part.u.config.objects[part.u.config.object_count++] = entry->object;
+      bytes += entry->object.value_size + MESSAGE_KEY_SIZE;
+    }
+  if (error == 0)
+    error = send_part (confsync, instance_id, &part, confsync->ready, link);
+  free (part.u.config.objects);
+  return error;
+}
+
+/* An instance that holds no whole configuration itself never says that its
+   response completes one. */
+static int
+send_part (const struct confsync *confsync, uint64_t instance_id,
+           struct message *part, bool complete,
+           const struct message_link *link)
+{
+  part->u.config.newest_index = confsync->complete_index;
+  part->u.config.complete = complete;
+  return link->send (link->user, instance_id, part);
+}
+
+const struct message_object *
+confsync_find (const struct confsync *confsync, const char *key)
+{
+  const struct held *entry = find (confsync, key);
+
+  return entry == NULL ? NULL : &entry->object;
+}
+
+int
+confsync_visit (const struct confsync *confsync, confsync_visitor visit,
+                void *user)
+{
+  const struct held *entry;
+  int result = 0;
+
+  for (entry = confsync->objects; entry != NULL && result == 0;
+       entry = entry->hh.next)
+    result = visit (user, &entry->object);
+  return result;
+}
+
+static struct held *
+find (const struct confsync *confsync, const char *key)
+{
+  struct held *entry = NULL;
+
+  HASH_FIND_STR (confsync->objects, key, entry);
+  return entry;
+}
--- /dev/null
+++ b/src/protocol/object_value.c
@@ -0,0 +1,296 @@
+/**
+ * @file object_value.c
+ * Stored values: an object with the records of its last changes.
+ */
+#include "protocol/object.h"
+#include "protocol/platform.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DIGEST_SHOWN 12 /* hexadecimal digits */
+#define PATH_SIZE    192
+
+static json_t *make_record (const json_t *object, const json_t *previous,
+                            const struct object_change *change);
+static int append_history (json_t *history, const json_t *previous);
+static char *dump_within (json_t *value, json_t *history);
+static int diff_values (json_t *out, const char *path, json_t *before,
+                        json_t *after);
+static int diff_objects (json_t *out, const char *path, json_t *before,
+                         json_t *after);
+static int diff_upstreams (json_t *out, json_t *before, json_t *after);
+static json_t *find_upstream (json_t *upstreams, const char *address);
+static int add_difference (json_t *out, const char *path, json_t *before,
+                           json_t *after);
+static json_t *shorten (json_t *digests);
+
+char *
+object_store_value (const json_t *object, const json_t *previous,
+                    const struct object_change *change)
+{
+  json_t *history = json_array ();
+  json_t *value = NULL;
+  char *text = NULL;
+
+  if (json_array_append_new (history, make_record (object, previous, change))
+          == 0
+      && append_history (history, previous) == 0)
+    value = json_pack ("{s:o, s:b, s:I, s:O}", "object",
+                       object == NULL ? json_null ()
+                                      : json_incref ((json_t *)object),
+                       "deleted", object == NULL, "index_base",
+                       (json_int_t)change->index_base, "history", history);
+  if (value != NULL)
+    text = dump_within (value, history);
+  json_decref (value);
+  json_decref (history);
+  return text;
+}
+
+static json_t *
+make_record (const json_t *object, const json_t *previous,
+             const struct object_change *change)
+{
+  return json_pack ("{s:s, s:s, s:I, s:I, s:s, s:o}", "change_id",
+                    change->change_id, "operator", change->operator_name,
+                    "time_ms", (json_int_t)change->time_ms, "previous_index",
+                    (json_int_t)change->previous_index, "reason",
+                    change->reason, "fields",
+                    object_differences (object_of_value (previous), object));
+}
+
+static int
+append_history (json_t *history, const json_t *previous)
+{
+  const json_t *older = object_history (previous);
+  size_t i;
+
+  for (i = 0; i < json_array_size (older) && i + 1 < OBJECT_HISTORY_MAX; i++)
+    if (json_array_append (history, json_array_get (older, i)) != 0)
+      return -1;
+  return 0;
+}
+
+static char *
+dump_within (json_t *value, json_t *history)
+{
+  for (;;)
+    {
+      char *text = json_dumps (value, JSON_COMPACT);
+
+      if (text == NULL || strlen (text) <= PLATFORM_VALUE_MAX)
+        return text;
+      free (text);
+      /* The newest record stays: it is the audit of this very change. */
+      if (json_array_size (history) <= 1)
+        return NULL;
+      json_array_remove (history, json_array_size (history) - 1);
+    }
+}
+
+json_t *
+object_parse_value (const char *value, size_t value_size)
+{
+  json_t *json = json_loadb (value, value_size, JSON_REJECT_DUPLICATES, NULL);
+  const json_t *object = json_object_get (json, "object");
+  bool deleted = json_is_true (json_object_get (json, "deleted"));
+
+  if (json_is_array (json_object_get (json, "history"))
+      && (deleted ? json_is_null (object) : json_is_object (object)))
+    return json;
+  json_decref (json);
+  return NULL;
+}
+
+const json_t *
+object_of_value (const json_t *value)
+{
+  const json_t *object = json_object_get (value, "object");
+
+  return json_is_object (object) ? object : NULL;
+}
+
+const json_t *
+object_history (const json_t *value)
+{
+  return json_object_get (value, "history");
+}
+
+uint64_t
+object_index_base (const json_t *value)
+{
+  json_int_t base = json_integer_value (json_object_get (value, "index_base"));
+
+  return base > 0 ? (uint64_t)base : 0;
+}
+
+bool
+object_has_change (const json_t *value, const char *change_id)
+{
+  const json_t *history = object_history (value);
+  size_t i;
+
+  for (i = 0; i < json_array_size (history); i++)
+    {
+      const char *id = json_string_value (
+          json_object_get (json_array_get (history, i), "change_id"));
+
+      if (id != NULL && strcmp (id, change_id) == 0)
+        return true;
+    }
+  return false;
+}
+
+json_t *
+object_differences (const json_t *before, const json_t *after)
+{
+  json_t *out = json_array ();
+
+  if (out == NULL
+      || diff_objects (out, "", (json_t *)before, (json_t *)after) == 0)
+    return out;
+  json_decref (out);
+  return NULL;
+}
+
+static int
+diff_objects (json_t *out, const char *path, json_t *before, json_t *after)
+{
+  char place[PATH_SIZE];
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (before, key, value)
+  {
+    snprintf (place, sizeof place, "%s%s%s", path, *path == '\0' ? "" : ".",
+              key);
+    if (diff_values (out, place, value, json_object_get (after, key)) != 0)
+      return -1;
+  }
+  json_object_foreach (after, key, value)
+  {
+    snprintf (place, sizeof place, "%s%s%s", path, *path == '\0' ? "" : ".",
+              key);
+    if (json_object_get (before, key) == NULL
+        && diff_values (out, place, NULL, value) != 0)
+      return -1;
+  }
+  return 0;
+}
+
+static int
+diff_values (json_t *out, const char *path, json_t *before, json_t *after)
+{
+  json_t *old_shown;
+  json_t *new_shown;
+  int result;
+
+  if (before != NULL && after != NULL && json_equal (before, after))
+    return 0;
+  if (strcmp (path, "upstreams") == 0)
+    return diff_upstreams (out, before, after);
+  if (strcmp (path, "key_sha256") != 0)
+    return add_difference (out, path, before, after);
+  old_shown = shorten (before);
+  new_shown = shorten (after);
+  result = add_difference (out, path, old_shown, new_shown);
+  json_decref (old_shown);
+  json_decref (new_shown);
+  return result;
+}
+
+static int
+diff_upstreams (json_t *out, json_t *before, json_t *after)
+{
+  char place[PATH_SIZE];
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (before, i, entry)
+  {
+    const char *address
+        = json_string_value (json_object_get (entry, "address"));
+    json_t *other = find_upstream (after, address);
+
+    snprintf (place, sizeof place, "upstreams[%s]",
+              address == NULL ? "" : address);
+    if ((other == NULL ? add_difference (out, place, entry, NULL)
+                       : diff_objects (out, place, entry, other))
+        != 0)
+      return -1;
+  }
+  json_array_foreach (after, i, entry)
+  {
+    const char *address
+        = json_string_value (json_object_get (entry, "address"));
+
+    snprintf (place, sizeof place, "upstreams[%s]",
+              address == NULL ? "" : address);
+    if (find_upstream (before, address) == NULL
+        && add_difference (out, place, NULL, entry) != 0)
+      return -1;
+  }
+  return 0;
+}
+
+static json_t *
+find_upstream (json_t *upstreams, const char *address)
+{
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (upstreams, i, entry)
+  {
+    const char *own = json_string_value (json_object_get (entry, "address"));
+
+    if (own != NULL && address != NULL && strcmp (own, address) == 0)
+      return entry;
+  }
+  return NULL;
+}
+
+static int
+add_difference (json_t *out, const char *path, json_t *before, json_t *after)
+{
+  return json_array_append_new (
+      out, json_pack ("{s:s, s:O, s:O}", "path", path, "old",
+                      before == NULL ? json_null () : before, "new",
+                      after == NULL ? json_null () : after));
+}
+
+json_t *
+object_redact (const json_t *object)
+{
+  json_t *copy = json_copy ((json_t *)object);
+  json_t *digests = json_object_get (copy, "key_sha256");
+
+  if (digests != NULL
+      && json_object_set_new (copy, "key_sha256", shorten (digests)) != 0)
+    {
+      json_decref (copy);
+      return NULL;
+    }
+  return copy;
+}
+
+static json_t *
+shorten (json_t *digests)
+{
+  json_t *out;
+  json_t *entry;
+  size_t i;
+
+  if (digests == NULL)
+    return NULL;
+  out = json_array ();
+  json_array_foreach (digests, i, entry)
+  {
+    const char *text = json_string_value (entry);
+
+    json_array_append_new (
+        out, json_sprintf ("%.*s...", DIGEST_SHOWN, text == NULL ? "" : text));
+  }
+  return out;
+}
--- a/src/protocol/platform.h
+++ b/src/protocol/platform.h
@@ -2,8 +2,9 @@
  * @file platform.h
  * The platform's key-value service as a table of operations.  Calls are
  * asynchronous: each ends in exactly one call of its callback, which may come
- * before the operation returns.  Implementations: transport/kvmem (in
- * memory: one router, tests) and transport/kvhttp (HTTP and JSON).
+ * before the operation returns; `finish` drops those still pending.
+ * Implementations: transport/kvmem (in memory: one router, tests) and
+ * transport/kvhttp (HTTP and JSON).
  */
 #ifndef PROTOCOL_PLATFORM_H
 #define PROTOCOL_PLATFORM_H
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -6,6 +6,7 @@
  */
 #include "protocol/settings.h"
 #include "protocol/settings_int.h"
+#include "protocol/settings_json.h"
 #include "protocol/settings_source.h"
 #include "state/err.h"
 #include <errno.h>
@@ -84,6 +85,13 @@
     cyaml_free (&free_config, settings_schema (), settings, 0);
 }
 
+void
+settings_free_record (enum settings_record_id id, void *record)
+{
+  if (record != NULL)
+    cyaml_free (&free_config, settings_record_schema (id), record, 0);
+}
+
 static char *
 read_file (const char *path, size_t *size, int *error)
 {
--- a/src/protocol/settings_int.h
+++ b/src/protocol/settings_int.h
@@ -85,6 +85,9 @@
 
 /** YAML schema of the whole file, built on first use. */
 const cyaml_schema_value_t *settings_schema (void);
+/** Schema of one record on its own. */
+const cyaml_schema_value_t *
+settings_record_schema (enum settings_record_id id);
 
 /** Called with each field of a record; `data` points at the member. */
 typedef void (*settings_visitor) (void *user, const char *path,
--- a/src/protocol/settings_schema.c
+++ b/src/protocol/settings_schema.c
@@ -214,7 +214,7 @@
 static cyaml_schema_field_t schema_fields[SETTINGS_RECORD_ID_MAX]
                                          [FIELDS_MAX + 1];
 static cyaml_schema_value_t schema_records[SETTINGS_RECORD_ID_MAX];
-static cyaml_schema_value_t schema_top;
+static cyaml_schema_value_t schema_alone[SETTINGS_RECORD_ID_MAX];
 
 static const cyaml_schema_value_t schema_text
     = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 0, CYAML_UNLIMITED) };
@@ -222,15 +222,23 @@
 const cyaml_schema_value_t *
 settings_schema (void)
 {
-  int id;
+  return settings_record_schema (SETTINGS_RECORD_TOP);
+}
+
+const cyaml_schema_value_t *
+settings_record_schema (enum settings_record_id id)
+{
+  int i;
 
-  if (schema_top.type == CYAML_MAPPING)
-    return &schema_top;
-  for (id = SETTINGS_RECORD_ID_MAX - 1; id >= 0; id--)
-    build_record ((enum settings_record_id)id);
-  schema_top = schema_records[SETTINGS_RECORD_TOP];
-  schema_top.flags = CYAML_FLAG_POINTER;
-  return &schema_top;
+  if (schema_alone[id].type == CYAML_MAPPING)
+    return &schema_alone[id];
+  for (i = SETTINGS_RECORD_ID_MAX - 1; i >= 0; i--)
+    {
+      build_record ((enum settings_record_id)i);
+      schema_alone[i] = schema_records[i];
+      schema_alone[i].flags = CYAML_FLAG_POINTER;
+    }
+  return &schema_alone[id];
 }
 
 static void
--- /dev/null
+++ b/src/transport/kvmem.c
@@ -0,0 +1,425 @@
+/**
+ * @file kvmem.c
+ * Keys in a hash table; every call but a watch ends at once.
+ */
+#include "transport/kvmem.h"
+#include "state/err.h"
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+#include <uthash.h>
+
+struct entry
+{
+  char *key;
+  char *value;
+  size_t value_size;
+  uint64_t index;
+  char *holder;          /* of the lease; NULL when free */
+  uint32_t ttl_ms;       /* of the lease */
+  uint64_t lease_end_ns; /* of the lease */
+  UT_hash_handle hh;
+};
+
+struct kvmem;
+
+struct waiter
+{
+  struct kvmem *store;
+  struct waiter *next;
+  char *prefix;
+  uint64_t since;
+  platform_items_fn done;
+  void *user;
+  struct event *timer; /* NULL without a loop */
+};
+
+struct kvmem
+{
+  struct platform platform; /* first: the table's functions get this */
+  struct event_base *base;
+  const struct clock *clock;
+  struct entry *entries;
+  struct waiter *waiters;
+  uint64_t index;
+};
+
+static int mem_get (struct platform *platform, const char *key,
+                    platform_items_fn done, void *user);
+static int mem_list (struct platform *platform, const char *prefix,
+                     platform_items_fn done, void *user);
+static int mem_cas (struct platform *platform, const char *key,
+                    const char *value, size_t value_size, uint64_t expected,
+                    platform_write_fn done, void *user);
+static int mem_watch (struct platform *platform, const char *prefix,
+                      uint64_t since, uint32_t wait_ms, platform_items_fn done,
+                      void *user);
+static int mem_lease (struct platform *platform, const char *key,
+                      const char *holder, uint32_t ttl_ms,
+                      platform_write_fn done, void *user);
+static int mem_renew (struct platform *platform, const char *key,
+                      const char *holder, platform_write_fn done, void *user);
+static void mem_finish (struct platform *platform);
+static struct entry *find (const struct kvmem *store, const char *key);
+static struct entry *add (struct kvmem *store, const char *key);
+static int store_value (struct kvmem *store, const char *key,
+                        const char *value, size_t value_size);
+static int list_now (struct kvmem *store, const char *prefix,
+                     platform_items_fn done, void *user);
+static bool is_newer (const struct kvmem *store, const char *prefix,
+                      uint64_t since);
+static int wait_for (struct kvmem *store, struct waiter *waiter,
+                     uint32_t wait_ms);
+static void wake (struct kvmem *store, const char *key);
+static void waiter_timeout (evutil_socket_t fd, short events, void *arg);
+static void waiter_remove (struct waiter *waiter);
+static void waiter_free (struct waiter *waiter);
+
+static const struct platform_ops kvmem_ops = { .name = "memory",
+                                               .get = mem_get,
+                                               .list = mem_list,
+                                               .cas = mem_cas,
+                                               .watch = mem_watch,
+                                               .lease = mem_lease,
+                                               .renew = mem_renew,
+                                               .finish = mem_finish };
+
+struct platform *
+kvmem_new (struct event_base *base, const struct clock *clock)
+{
+  struct kvmem *store = calloc (1, sizeof *store);
+
+  if (store == NULL)
+    return NULL;
+  store->platform.ops = &kvmem_ops;
+  store->base = base;
+  store->clock = clock;
+  return &store->platform;
+}
+
+static void
+mem_finish (struct platform *platform)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  struct entry *entry = store->entries;
+  struct entry *next;
+
+  while (store->waiters != NULL)
+    {
+      struct waiter *waiter = store->waiters;
+
+      store->waiters = waiter->next;
+      waiter_free (waiter);
+    }
+  HASH_CLEAR (hh, store->entries);
+  for (; entry != NULL; entry = next)
+    {
+      next = entry->hh.next;
+      free (entry->key);
+      free (entry->value);
+      free (entry->holder);
+      free (entry);
+    }
+  free (store);
+}
+
+static int
+mem_get (struct platform *platform, const char *key, platform_items_fn done,
+         void *user)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  const struct entry *entry = find (store, key);
+  struct platform_item item;
+
+  platform->counters.reads++;
+  if (entry == NULL || entry->value == NULL)
+    {
+      done (user, ERR_NOT_FOUND, store->index, NULL, 0);
+      return 0;
+    }
+  item = (struct platform_item){ .key = entry->key,
+                                 .value = entry->value,
+                                 .value_size = entry->value_size,
+                                 .index = entry->index };
+  done (user, 0, store->index, &item, 1);
+  return 0;
+}
+
+static int
+mem_list (struct platform *platform, const char *prefix,
+          platform_items_fn done, void *user)
+{
+  platform->counters.reads++;
+  return list_now ((struct kvmem *)platform, prefix, done, user);
+}
+
+static int
+list_now (struct kvmem *store, const char *prefix, platform_items_fn done,
+          void *user)
+{
+  struct platform_item *items
+      = calloc (HASH_COUNT (store->entries) + 1, sizeof *items);
+  const struct entry *entry;
+  size_t count = 0;
+
+  if (items == NULL)
+    return ERR_NO_MEMORY;
+  for (entry = store->entries; entry != NULL; entry = entry->hh.next)
+    {
+      if (entry->value == NULL
+          || strncmp (entry->key, prefix, strlen (prefix)) != 0)
+        continue;
+      items[count++] = (struct platform_item){ .key = entry->key,
+                                               .value = entry->value,
+                                               .value_size = entry->value_size,
+                                               .index = entry->index };
+    }
+  done (user, 0, store->index, items, count);
+  free (items);
+  return 0;
+}
+
+static int
+mem_cas (struct platform *platform, const char *key, const char *value,
+         size_t value_size, uint64_t expected, platform_write_fn done,
+         void *user)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  const struct entry *entry = find (store, key);
+  uint64_t current = entry == NULL ? 0 : entry->index;
+  uint64_t index;
+
+  if (value_size > PLATFORM_VALUE_MAX)
+    return ERR_TOO_LARGE;
+  platform->counters.writes++;
+  if (current != expected)
+    {
+      done (user, ERR_CONFLICT, current);
+      return 0;
+    }
+  if (store_value (store, key, value, value_size) != 0)
+    return ERR_NO_MEMORY;
+  index = store->index;
+  /* The callback may free the caller's key; the store's own stays. */
+  key = find (store, key)->key;
+  done (user, 0, index);
+  wake (store, key);
+  return 0;
+}
+
+static int
+store_value (struct kvmem *store, const char *key, const char *value,
+             size_t value_size)
+{
+  struct entry *entry = add (store, key);
+  char *copy = malloc (value_size + 1);
+
+  if (entry == NULL || copy == NULL)
+    {
+      free (copy);
+      return ERR_NO_MEMORY;
+    }
+  memcpy (copy, value, value_size);
+  copy[value_size] = '\0';
+  free (entry->value);
+  entry->value = copy;
+  entry->value_size = value_size;
+  entry->index = ++store->index;
+  return 0;
+}
+
+static int
+mem_watch (struct platform *platform, const char *prefix, uint64_t since,
+           uint32_t wait_ms, platform_items_fn done, void *user)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  struct waiter *waiter;
+
+  platform->counters.watches++;
+  if (is_newer (store, prefix, since))
+    return list_now (store, prefix, done, user);
+  waiter = calloc (1, sizeof *waiter);
+  if (waiter == NULL)
+    return ERR_NO_MEMORY;
+  waiter->store = store;
+  waiter->since = since;
+  waiter->done = done;
+  waiter->user = user;
+  waiter->prefix = strdup (prefix);
+  if (waiter->prefix == NULL || wait_for (store, waiter, wait_ms) != 0)
+    {
+      waiter_free (waiter);
+      return ERR_NO_MEMORY;
+    }
+  return 0;
+}
+
+static int
+wait_for (struct kvmem *store, struct waiter *waiter, uint32_t wait_ms)
+{
+  struct timeval wait
+      = { wait_ms / 1000, (suseconds_t)(wait_ms % 1000) * 1000 };
+
+  if (store->base != NULL)
+    {
+      waiter->timer = evtimer_new (store->base, waiter_timeout, waiter);
+      if (waiter->timer == NULL || evtimer_add (waiter->timer, &wait) != 0)
+        return ERR_NO_MEMORY;
+    }
+  waiter->next = store->waiters;
+  store->waiters = waiter;
+  return 0;
+}
+
+static bool
+is_newer (const struct kvmem *store, const char *prefix, uint64_t since)
+{
+  const struct entry *entry;
+
+  for (entry = store->entries; entry != NULL; entry = entry->hh.next)
+    if (entry->index > since && entry->value != NULL
+        && strncmp (entry->key, prefix, strlen (prefix)) == 0)
+      return true;
+  return false;
+}
+
+/* Callbacks may watch again; those new waiters are not woken by this key. */
+static void
+wake (struct kvmem *store, const char *key)
+{
+  struct waiter *woken = NULL;
+  struct waiter **link = &store->waiters;
+
+  while (*link != NULL)
+    {
+      struct waiter *waiter = *link;
+
+      if (strncmp (key, waiter->prefix, strlen (waiter->prefix)) != 0)
+        {
+          link = &waiter->next;
+          continue;
+        }
+      *link = waiter->next;
+      waiter->next = woken;
+      woken = waiter;
+    }
+  while (woken != NULL)
+    {
+      struct waiter *waiter = woken;
+
+      woken = waiter->next;
+      list_now (store, waiter->prefix, waiter->done, waiter->user);
+      waiter_free (waiter);
+    }
+}
+
+static void
+waiter_timeout (evutil_socket_t fd, short events, void *arg)
+{
+  struct waiter *waiter = arg;
+
+  (void)fd;
+  (void)events;
+  waiter_remove (waiter);
+  list_now (waiter->store, waiter->prefix, waiter->done, waiter->user);
+  waiter_free (waiter);
+}
+
+static void
+waiter_remove (struct waiter *waiter)
+{
+  struct waiter **link = &waiter->store->waiters;
+
+  while (*link != NULL && *link != waiter)
+    link = &(*link)->next;
+  if (*link != NULL)
+    *link = waiter->next;
+}
+
+static void
+waiter_free (struct waiter *waiter)
+{
+  if (waiter->timer != NULL)
+    event_free (waiter->timer);
+  free (waiter->prefix);
+  free (waiter);
+}
+
+static int
+mem_lease (struct platform *platform, const char *key, const char *holder,
+           uint32_t ttl_ms, platform_write_fn done, void *user)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  struct entry *entry = add (store, key);
+  uint64_t now_ns = clock_now_ns (store->clock);
+  char *copy;
+
+  platform->counters.writes++;
+  if (entry == NULL)
+    return ERR_NO_MEMORY;
+  if (entry->holder != NULL && now_ns < entry->lease_end_ns
+      && strcmp (entry->holder, holder) != 0)
+    {
+      done (user, ERR_CONFLICT, entry->index);
+      return 0;
+    }
+  copy = strdup (holder);
+  if (copy == NULL)
+    return ERR_NO_MEMORY;
+  free (entry->holder);
+  entry->holder = copy;
+  entry->ttl_ms = ttl_ms;
+  entry->lease_end_ns = now_ns + (uint64_t)ttl_ms * CLOCK_NS_PER_MS;
+  done (user, 0, entry->index);
+  return 0;
+}
+
+static int
+mem_renew (struct platform *platform, const char *key, const char *holder,
+           platform_write_fn done, void *user)
+{
+  struct kvmem *store = (struct kvmem *)platform;
+  struct entry *entry = find (store, key);
+  uint64_t now_ns = clock_now_ns (store->clock);
+
+  platform->counters.writes++;
+  if (entry == NULL || entry->holder == NULL || now_ns >= entry->lease_end_ns
+      || strcmp (entry->holder, holder) != 0)
+    {
+      done (user, ERR_CONFLICT, entry == NULL ? 0 : entry->index);
+      return 0;
+    }
+  entry->lease_end_ns = now_ns + (uint64_t)entry->ttl_ms * CLOCK_NS_PER_MS;
+  done (user, 0, entry->index);
+  return 0;
+}
+
+static struct entry *
+find (const struct kvmem *store, const char *key)
+{
+  struct entry *entry = NULL;
+
+  HASH_FIND_STR (store->entries, key, entry);
+  return entry;
+}
+
+static struct entry *
+add (struct kvmem *store, const char *key)
+{
+  struct entry *entry = find (store, key);
+
+  if (entry != NULL)
+    return entry;
+  entry = calloc (1, sizeof *entry);
+  if (entry == NULL)
+    return NULL;
+  entry->key = strdup (key);
+  if (entry->key == NULL)
+    {
+      free (entry);
+      return NULL;
+    }
+  HASH_ADD_KEYPTR (hh, store->entries, entry->key, strlen (entry->key), entry);
+  return entry;
+}
