--- /dev/null
+++ b/src/transport/log.c
@@ -0,0 +1,204 @@
+/**
+ * @file log.c
+ * Formats log lines and writes them to standard error.
+ */
+#include "transport/log.h"
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LOG_LINE_MAX 2048 /**< bytes of a line */
+
+/** Bounded writer; the last byte is kept for the NUL. */
+struct log_cursor
+{
+  char *out;
+  size_t size;
+  size_t used;
+};
+
+static void put_bytes (struct log_cursor *cursor, const char *bytes,
+                       size_t count);
+static void put_text (struct log_cursor *cursor, const char *text);
+static void put_value (struct log_cursor *cursor, const char *text);
+static void put_escaped (struct log_cursor *cursor, unsigned char byte);
+static void put_field (struct log_cursor *cursor,
+                       const struct log_field *field);
+static void put_time (struct log_cursor *cursor, uint64_t wall_ms);
+static bool needs_quotes (const char *text);
+
+static const char *const level_names[LOG_LEVEL_MAX] = {
+  [LOG_LEVEL_DEBUG] = "debug",
+  [LOG_LEVEL_INFO] = "info",
+  [LOG_LEVEL_WARN] = "warn",
+  [LOG_LEVEL_ERROR] = "error",
+};
+
+static enum log_level log_threshold = LOG_LEVEL_INFO;
+static const struct clock *log_clock;
+
+void
+log_init (enum log_level level, const struct clock *clock)
+{
+  log_threshold = level;
+  log_clock = clock;
+}
+
+enum log_level
+log_level_parse (const char *name)
+{
+  int level;
+
+  for (level = 0; level < LOG_LEVEL_MAX; level++)
+    if (strcmp (name, level_names[level]) == 0)
+      break;
+  return (enum log_level)level;
+}
+
+void
+log_write (enum log_message message, const char *request_id,
+           const struct log_field *fields, size_t count)
+{
+  char line[LOG_LINE_MAX];
+  size_t length;
+  size_t done;
+  ssize_t n;
+
+  if (log_messages[message].level < log_threshold)
+    return;
+  length = log_format (line, sizeof (line) - 1,
+                       log_clock == NULL ? 0 : clock_wall_ms (log_clock),
+                       message, request_id, fields, count);
+  line[length++] = '\n';
+  for (done = 0; done < length; done += (size_t)n)
+    {
+      n = write (STDERR_FILENO, line + done, length - done);
+      if (n <= 0)
+        return;
+    }
+}
+
+size_t
+log_format (char *out, size_t size, uint64_t wall_ms, enum log_message message,
+            const char *request_id, const struct log_field *fields,
+            size_t count)
+{
+  struct log_cursor cursor = { out, size, 0 };
+  size_t i;
+
+  put_text (&cursor, "time=");
+  put_time (&cursor, wall_ms);
+  put_text (&cursor, " level=");
+  put_text (&cursor, level_names[log_messages[message].level]);
+  put_text (&cursor, " msg=");
+  put_value (&cursor, log_messages[message].text);
+  if (request_id != NULL)
+    {
+      put_text (&cursor, " request_id=");
+      put_value (&cursor, request_id);
+    }
+  for (i = 0; i < count; i++)
+    put_field (&cursor, &fields[i]);
+  out[cursor.used] = '\0';
+  return cursor.used;
+}
+
+static void
+put_field (struct log_cursor *cursor, const struct log_field *field)
+{
+  char number[24];
+
+  put_text (cursor, " ");
+  put_text (cursor, field->key);
+  put_text (cursor, "=");
+  switch (field->kind)
+    {
+    case LOG_FIELD_STRING:
+      put_value (cursor, field->u.string == NULL ? "" : field->u.string);
+      break;
+    case LOG_FIELD_U64:
+      snprintf (number, sizeof (number), "%" PRIu64, field->u.u64);
+      put_text (cursor, number);
+      break;
+    case LOG_FIELD_I64:
+      snprintf (number, sizeof (number), "%" PRId64, field->u.i64);
+      put_text (cursor, number);
+      break;
+    }
+}
+
+static void
+put_time (struct log_cursor *cursor, uint64_t wall_ms)
+{
+  char text[40];
+  time_t seconds = (time_t)(wall_ms / 1000);
+  struct tm tm;
+  size_t length;
+
+  gmtime_r (&seconds, &tm);
+  length = strftime (text, sizeof (text), "%Y-%m-%dT%H:%M:%S", &tm);
+  snprintf (text + length, sizeof (text) - length, ".%03uZ",
+            (unsigned int)(wall_ms % 1000));
+  put_text (cursor, text);
+}
+
+static bool
+needs_quotes (const char *text)
+{
+  const unsigned char *p;
+
+  for (p = (const unsigned char *)text; *p != '\0'; p++)
+    if (*p <= ' ' || *p == '"' || *p == '=' || *p == '\\' || *p == 0x7f)
+      return true;
+  return p == (const unsigned char *)text;
+}
+
+static void
+put_value (struct log_cursor *cursor, const char *text)
+{
+  const char *p;
+
+  if (!needs_quotes (text))
+    {
+      put_text (cursor, text);
+      return;
+    }
+  put_text (cursor, "\"");
+  for (p = text; *p != '\0'; p++)
+    put_escaped (cursor, (unsigned char)*p);
+  put_text (cursor, "\"");
+}
+
+static void
+put_escaped (struct log_cursor *cursor, unsigned char byte)
+{
+  char escape[8];
+
+  if (byte == '"' || byte == '\\')
+    snprintf (escape, sizeof (escape), "\\%c", byte);
+  else if (byte < ' ' || byte == 0x7f)
+    snprintf (escape, sizeof (escape), "\\x%02x", byte);
+  else
+    snprintf (escape, sizeof (escape), "%c", byte);
+  put_text (cursor, escape);
+}
+
+static void
+put_text (struct log_cursor *cursor, const char *text)
+{
+  put_bytes (cursor, text, strlen (text));
+}
+
+static void
+put_bytes (struct log_cursor *cursor, const char *bytes, size_t count)
+{
+  size_t room = cursor->size - 1 - cursor->used;
+
+  if (count > room)
+    count = room;
+  memcpy (cursor->out + cursor->used, bytes, count);
+  cursor->used += count;
+}
