Add attempts, refusals and the dispatcher

Events in, actions out. An upstream's own word that it refused a request before running it takes the attempt back to what the earlier ones reached, so that a request which is not idempotent may still move on. Limits on waiting count only requests that must wait. A drained upstream is tried again after 30 s, since a replacement at the same address announces itself by nothing.

--- a/src/state/attempt.h
+++ b/src/state/attempt.h
@@ -27,6 +27,7 @@
 {
   enum attempt_step step;     /**< of the current attempt */
   enum attempt_step furthest; /**< over all attempts */
+  enum attempt_step earlier;  /**< over all attempts before the current */
   uint32_t number;            /**< current attempt, from 1; 0 while queued */
   uint32_t attempts_max;
   bool idempotent;
@@ -47,6 +48,10 @@
 int attempt_advance (struct attempt *attempt, enum attempt_step step,
                      uint64_t now_ns);
 
+/** The upstream said that it refused the current attempt before running it:
+    the attempt counts as one that handed over nothing. */
+void attempt_refused (struct attempt *attempt);
+
 enum verdict attempt_verdict (const struct attempt *attempt);
 
 /** Whether the rules allow another attempt after the current one failed;
--- a/src/state/dispatch.h
+++ b/src/state/dispatch.h
@@ -60,10 +60,12 @@
     {
       uint64_t output_units; /**< output tokens so far, or 0 */
       bool client_started;   /**< client has been sent response bytes */
+      bool draining;         /**< upstream said that it is draining */
     } progress;              /**< DISPATCH_PROGRESS, _COMPLETED */
     struct
     {
-      int error;           /**< enum err */
+      /** enum err; ERR_UNAVAILABLE: the upstream refused before running */
+      int error;
       bool resumable;      /**< offset is exact; engine can resume there */
       bool client_started; /**< client has been sent response bytes */
       bool draining;       /**< upstream said that it is draining */
@@ -111,9 +113,21 @@
   uint32_t quick_permille; /**< bound on service ahead of turn for `quick` */
 };
 
+/** What the rest of the fleet has waiting at a service. */
+struct dispatch_backlog
+{
+  bool customer_waits;     /**< the customer itself waits elsewhere */
+  bool others_wait;        /**< some other customer waits elsewhere */
+  uint64_t least_position; /**< of those others, in the ledger */
+};
+
 struct dispatch_config
 {
   const char *availability_zone;
+  /** Asked when a customer becomes backlogged here; NULL when alone. */
+  void (*fleet_backlog) (const void *user, uint64_t customer_id,
+                         uint64_t service_id, struct dispatch_backlog *out);
+  const void *fleet_user;
   struct dispatch_limits limits;
   const struct place_policy *placement;
   struct catalog *catalog; /**< not owned; must outlive the dispatcher */
@@ -132,6 +146,10 @@
 
 struct dispatch;
 
+#define DISPATCH_BACKOFF_MIN_MS 100   /**< after a first failure to connect */
+#define DISPATCH_BACKOFF_MAX_MS 5000  /**< after many */
+#define DISPATCH_REJOIN_MS      30000 /**< until a drained upstream is tried */
+
 struct dispatch *dispatch_new (const struct dispatch_config *config);
 void dispatch_free (struct dispatch *dispatch);
 
@@ -144,6 +162,14 @@
                      const struct dispatch_event *event, uint64_t now_ns,
                      struct dispatch_actions *actions);
 
+/** Sets the view of the fleet of an existing dispatcher. */
+void dispatch_set_fleet (struct dispatch *dispatch,
+                         void (*fleet_backlog) (const void *user,
+                                                uint64_t customer_id,
+                                                uint64_t service_id,
+                                                struct dispatch_backlog *out),
+                         const void *user);
+
 /** Attempt record of a request; NULL when unknown. */
 const struct attempt *dispatch_attempt (const struct dispatch *dispatch,
                                         uint64_t request);
--- /dev/null
+++ b/src/state/dispatch_cost.c
@@ -0,0 +1,172 @@
+/**
+ * @file dispatch_cost.c
+ * What a request costs its customer: an estimate at dispatch, corrected as
+ * the response advances, settled at the end.
+ */
+#include "state/dispatch_int.h"
+#include "state/err.h"
+
+#define NS_PER_MS 1000000ULL /**< nanoseconds */
+
+static uint64_t cost_so_far (const struct dispatch_request *request,
+                             uint64_t now_ns);
+static int charge_more (struct dispatch *dispatch,
+                        struct dispatch_request *request, uint64_t cost);
+static uint64_t lift_target (struct dispatch *dispatch,
+                             const struct dispatch_request *request,
+                             const struct dispatch_backlog *elsewhere);
+
+uint64_t
+dispatch_position (const void *user, uint64_t customer_id, uint64_t service_id)
+{
+  const struct dispatch *dispatch = user;
+
+  return ledger_position (dispatch->config.ledger, customer_id, service_id);
+}
+
+int
+dispatch_lift (struct dispatch *dispatch, struct dispatch_request *request)
+{
+  struct dispatch_backlog elsewhere = { .customer_waits = false };
+
+  if (request->demand->waiting > 1)
+    return 0;
+  if (dispatch->config.fleet_backlog != NULL)
+    dispatch->config.fleet_backlog (dispatch->config.fleet_user,
+                                    request->node.customer_id,
+                                    request->node.service_id, &elsewhere);
+  if (elsewhere.customer_waits)
+    return 0;
+  return ledger_lift (dispatch->config.ledger, request->node.customer_id,
+                      request->node.service_id,
+                      lift_target (dispatch, request, &elsewhere));
+}
+
+/* The least position among those already waiting; when none waits, that of
+   the customer served last. */
+static uint64_t
+lift_target (struct dispatch *dispatch, const struct dispatch_request *request,
+             const struct dispatch_backlog *elsewhere)
+{
+  const struct dispatch_demand_entry *entry;
+  const struct dispatch_service *service;
+  uint64_t least = UINT64_MAX;
+  uint64_t position;
+
+  if (elsewhere->others_wait)
+    least = elsewhere->least_position;
+  for (entry = dispatch->demands; entry != NULL; entry = entry->hh.next)
+    if (entry->key.service_id == request->node.service_id && entry->waiting > 0
+        && entry->key.customer_id != request->node.customer_id)
+      {
+        position = dispatch_position (dispatch, entry->key.customer_id,
+                                      entry->key.service_id);
+        least = position < least ? position : least;
+      }
+  if (least != UINT64_MAX)
+    return least;
+  service = dispatch_service_entry (dispatch, request->node.service_id);
+  return service == NULL ? 0 : service->virtual_position;
+}
+
+int
+dispatch_charge (struct dispatch *dispatch, struct dispatch_request *request)
+{
+  struct dispatch_service *service;
+  uint64_t position;
+  uint64_t cost;
+
+  if (request->charged_once)
+    return 0;
+  service = dispatch_service_entry (dispatch, request->node.service_id);
+  if (service == NULL)
+    return ERR_NO_MEMORY;
+  position = dispatch_position (dispatch, request->node.customer_id,
+                                request->node.service_id);
+  if (position > service->virtual_position)
+    service->virtual_position = position;
+  cost = estimate_cost (&dispatch->estimates, request->node.customer_id,
+                        request->node.profile_id, request->hint);
+  if (cost < request->input_units * request->input_cost)
+    cost = request->input_units * request->input_cost;
+  request->charged_once = true;
+  return charge_more (dispatch, request, cost);
+}
+
+int
+dispatch_charge_progress (struct dispatch *dispatch,
+                          struct dispatch_request *request, uint64_t now_ns)
+{
+  uint64_t cost = cost_so_far (request, now_ns);
+
+  if (cost <= request->charged)
+    return 0;
+  return charge_more (dispatch, request, cost - request->charged);
+}
+
+static int
+charge_more (struct dispatch *dispatch, struct dispatch_request *request,
+             uint64_t cost)
+{
+  int error
+      = ledger_charge (dispatch->config.ledger, request->node.customer_id,
+                       request->node.service_id, cost, request->weight);
+
+  if (error == 0)
+    request->charged += cost;
+  return error;
+}
+
+void
+dispatch_settle (struct dispatch *dispatch, struct dispatch_request *request,
+                 bool completed, uint64_t now_ns)
+{
+  struct ledger *ledger = dispatch->config.ledger;
+  uint64_t customer_id = request->node.customer_id;
+  uint64_t service_id = request->node.service_id;
+  uint64_t cost = cost_so_far (request, now_ns);
+
+  if (!request->charged_once)
+    return;
+  if (cost > request->charged)
+    charge_more (dispatch, request, cost - request->charged);
+  else if (cost < request->charged)
+    ledger_refund (ledger, customer_id, service_id, request->charged - cost,
+                   request->weight);
+  ledger_settle (ledger, customer_id, service_id, cost);
+  if (completed)
+    estimate_observe (&dispatch->estimates, customer_id,
+                      request->node.profile_id, request->hint, cost);
+}
+
+/* A request that no upstream began to run has cost nothing. */
+static uint64_t
+cost_so_far (const struct dispatch_request *request, uint64_t now_ns)
+{
+  uint64_t slot_ns = request->slot_ns;
+
+  if (request->attempt.furthest < ATTEMPT_SENDING)
+    return 0;
+  if (request->engine)
+    return request->input_units * request->input_cost
+           + request->output_units * request->output_cost;
+  if (request->running)
+    slot_ns += now_ns - request->started_ns;
+  return (slot_ns + NS_PER_MS - 1) / NS_PER_MS;
+}
+
+struct dispatch_service *
+dispatch_service_entry (struct dispatch *dispatch, uint64_t service_id)
+{
+  struct dispatch_service *entry;
+
+  HASH_FIND (hh, dispatch->services, &service_id, sizeof (service_id), entry);
+  if (entry != NULL)
+    return entry;
+  entry = calloc (1, sizeof (*entry));
+  if (entry == NULL)
+    return NULL;
+  entry->service_id = service_id;
+  HASH_ADD (hh, dispatch->services, service_id, sizeof (service_id), entry);
+  return entry;
+}
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -17,6 +17,8 @@
   REFUSAL_NO_SERVICE,        /**< 404 service unknown or not the profile's */
   REFUSAL_HEADERS_TOO_LARGE, /**< 431 header section over its limit */
   REFUSAL_BODY_TOO_LARGE,    /**< 413 body over its limit */
+  REFUSAL_READ_TIMEOUT,      /**< 408 request did not arrive whole in time */
+  REFUSAL_IDLE_TIMEOUT,      /**< 408 connection was idle for too long */
   REFUSAL_CUSTOMER_LIMIT,    /**< 429 customer's own waiting limit */
   REFUSAL_PROFILE_LIMIT,     /**< 429 profile's queue limit */
   REFUSAL_SHED,              /**< 503 disposable request dropped for room */
