Add the HTTP server for clients and the driver for upstreams

The driver stands on bufferevent and libevhtp's response parser: evhttp shows no response before the whole request is written, takes a cut response without a length for a whole one, and has no way to stop reading. The server puts a space before the type of a form, which libevhtp would otherwise parse in place of the path's query.

--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -34,6 +34,14 @@
   clock->manual_ns += duration_ms * CLOCK_NS_PER_MS;
 }
 
+struct timeval
+clock_timeval (uint32_t duration_ms)
+{
+  return (struct timeval){ .tv_sec = duration_ms / 1000,
+                           .tv_usec
+                           = (suseconds_t)(duration_ms % 1000) * 1000 };
+}
+
 uint64_t
 clock_now_ns (const struct clock *clock)
 {
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -7,6 +7,7 @@
 #define TRANSPORT_CLOCK_H
 
 #include <stdint.h>
+#include <sys/time.h>
 
 #define CLOCK_NS_PER_MS 1000000ULL    /**< nanoseconds */
 #define CLOCK_NS_PER_S  1000000000ULL /**< nanoseconds */
@@ -26,6 +27,9 @@
                         uint64_t wall_ms);
 void clock_advance_ms (struct clock *clock, uint64_t duration_ms);
 
+/** A duration as libevent takes it. */
+struct timeval clock_timeval (uint32_t duration_ms);
+
 uint64_t clock_now_ns (const struct clock *clock);
 uint64_t clock_wall_ms (const struct clock *clock);
 
--- /dev/null
+++ b/src/transport/httpd.c
@@ -0,0 +1,536 @@
+/**
+ * @file httpd.c
+ * The HTTP server for clients.
+ */
+#include "transport/httpd.h"
+#include "state/err.h"
+#include "transport/clock.h"
+#include "transport/linger.h"
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#define CONNECTIONS_SPARE 64   /**< over the limit, to be told so */
+#define LISTEN_BACKLOG    1024 /**< connections not yet accepted */
+#define HEADER_OVERHEAD   4    /**< bytes of ": " and the end of a line */
+#define FORM_TYPE         "application/x-www-form-urlencoded"
+#define REFUSAL_BYTES_MAX 1024 /**< of a response sent without a loop */
+
+/** What a connection is doing. */
+enum conn_state
+{
+  CONN_IDLE,
+  CONN_READING,    /**< a request is arriving */
+  CONN_RESPONDING, /**< with its owner */
+  CONN_CLOSED      /**< taken away from libevhtp */
+};
+
+struct httpd_conn
+{
+  struct httpd *httpd;
+  evhtp_connection_t *evhtp;
+  struct event *timer;
+  enum conn_state state;
+  bool over_limit; /**< one connection too many */
+  uint32_t header_bytes;
+  uint64_t body_bytes;
+  void *request_user; /**< NULL when not bound */
+  struct httpd_conn *prev;
+  struct httpd_conn *next;
+};
+
+struct httpd
+{
+  struct httpd_config config;
+  evhtp_t *evhtp;
+  struct httpd_conn *conns;
+  uint32_t count;
+  bool draining;
+};
+
+static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
+static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
+static evhtp_res on_header (evhtp_request_t *http, evhtp_header_t *header,
+                            void *arg);
+static evhtp_res on_headers (evhtp_request_t *http, evhtp_headers_t *headers,
+                             void *arg);
+static evhtp_res on_body (evhtp_request_t *http, struct evbuffer *data,
+                          void *arg);
+static void on_error (evhtp_request_t *http, evhtp_error_flags error,
+                      void *arg);
+static evhtp_res on_write (evhtp_connection_t *evhtp, void *arg);
+static evhtp_res on_request_fini (evhtp_request_t *http, void *arg);
+static evhtp_res on_connection_fini (evhtp_connection_t *evhtp, void *arg);
+static void on_request (evhtp_request_t *http, void *arg);
+static void on_timer (evutil_socket_t fd, short what, void *arg);
+
+static void set_hooks (struct httpd_conn *conn);
+static void set_timer (struct httpd_conn *conn, uint32_t timeout_ms);
+static struct httpd_conn *conn_of (const evhtp_request_t *http);
+static void conn_free (struct httpd_conn *conn);
+static struct bufferevent *take_over (struct httpd_conn *conn);
+static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
+static void refuse_broken (struct httpd_conn *conn);
+static void tell_gone (struct httpd_conn *conn);
+static int hide_form_type (evhtp_headers_t *headers);
+static const char *request_id (const struct httpd_conn *conn);
+static int listen_on (struct httpd *httpd, const char *address);
+
+int
+httpd_new (struct httpd **out, const struct httpd_config *config)
+{
+  struct httpd *httpd = calloc (1, sizeof (*httpd));
+  int error;
+
+  if (httpd == NULL)
+    return ERR_NO_MEMORY;
+  httpd->config = *config;
+  httpd->evhtp = evhtp_new (config->base, NULL);
+  if (httpd->evhtp == NULL)
+    {
+      free (httpd);
+      return ERR_NO_MEMORY;
+    }
+  evhtp_enable_flag (httpd->evhtp, EVHTP_FLAG_ENABLE_NODELAY);
+  evhtp_set_post_accept_cb (httpd->evhtp, on_accept, httpd);
+  evhtp_set_gencb (httpd->evhtp, on_request, httpd);
+  error = listen_on (httpd, config->address);
+  if (error != 0)
+    {
+      httpd_free (httpd);
+      return error;
+    }
+  *out = httpd;
+  return 0;
+}
+
+static int
+listen_on (struct httpd *httpd, const char *address)
+{
+  struct sockaddr_storage where;
+  int size = sizeof (where);
+
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&where, &size)
+      != 0)
+    return ERR_INVALID;
+  if (evhtp_bind_sockaddr (httpd->evhtp, (struct sockaddr *)&where,
+                           (size_t)size, LISTEN_BACKLOG)
+      != 0)
+    return ERR_IO;
+  return 0;
+}
+
+void
+httpd_free (struct httpd *httpd)
+{
+  struct httpd_conn *conn;
+  struct httpd_conn *next;
+
+  DL_FOREACH_SAFE (httpd->conns, conn, next)
+    evhtp_connection_free (conn->evhtp);
+  if (httpd->evhtp->server != NULL)
+    evhtp_unbind_socket (httpd->evhtp);
+  evhtp_free (httpd->evhtp);
+  free (httpd);
+}
+
+uint16_t
+httpd_port (const struct httpd *httpd)
+{
+  struct sockaddr_storage where;
+  socklen_t size = sizeof (where);
+
+  memset (&where, 0, sizeof (where));
+  if (httpd->evhtp->server == NULL
+      || getsockname (evconnlistener_get_fd (httpd->evhtp->server),
+                      (struct sockaddr *)&where, &size)
+             != 0)
+    return 0;
+  if (where.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&where)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&where)->sin_port);
+}
+
+void
+httpd_drain (struct httpd *httpd)
+{
+  struct httpd_conn *conn;
+  struct httpd_conn *next;
+
+  httpd->draining = true;
+  DL_FOREACH_SAFE (httpd->conns, conn, next)
+    if (conn->state == CONN_IDLE && conn->evhtp->num_requests > 0)
+      evhtp_connection_free (conn->evhtp);
+}
+
+void
+httpd_bind (evhtp_request_t *http, void *request_user)
+{
+  conn_of (http)->request_user = request_user;
+}
+
+void
+httpd_hold (evhtp_request_t *http)
+{
+  evhtp_request_pause (http);
+}
+
+void
+httpd_release (evhtp_request_t *http)
+{
+  evhtp_request_resume (http);
+}
+
+void
+httpd_abort (evhtp_request_t *http)
+{
+  struct httpd_conn *conn = conn_of (http);
+  const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  evhtp_connection_t *evhtp = conn->evhtp;
+  struct bufferevent *bev = take_over (conn);
+
+  setsockopt (bufferevent_getfd (bev), SOL_SOCKET, SO_LINGER, &reset,
+              sizeof (reset));
+  bufferevent_free (bev);
+  evhtp_connection_free (evhtp);
+}
+
+size_t
+httpd_pending_bytes (const evhtp_request_t *http)
+{
+  return evbuffer_get_length (bufferevent_get_output (http->conn->bev));
+}
+
+uint32_t
+httpd_connections (const struct httpd *httpd)
+{
+  return httpd->count;
+}
+
+uint32_t
+httpd_active (const struct httpd *httpd)
+{
+  const struct httpd_conn *conn;
+  uint32_t active = 0;
+
+  DL_FOREACH (httpd->conns, conn)
+    if (conn->state != CONN_IDLE)
+      active++;
+  return active;
+}
+
+/* Connections. */
+
+static evhtp_res
+on_accept (evhtp_connection_t *evhtp, void *arg)
+{
+  struct httpd *httpd = arg;
+  const struct httpd_limits *limits = &httpd->config.limits;
+  const struct timeval write_timeout
+      = clock_timeval (limits->write_timeout_ms);
+  struct httpd_conn *conn;
+
+  if (httpd->count >= limits->connections_max + CONNECTIONS_SPARE)
+    return EVHTP_RES_ERROR;
+  conn = calloc (1, sizeof (*conn));
+  if (conn == NULL)
+    return EVHTP_RES_ERROR;
+  conn->httpd = httpd;
+  conn->evhtp = evhtp;
+  conn->timer = event_new (httpd->config.base, -1, 0, on_timer, conn);
+  if (conn->timer == NULL)
+    {
+      free (conn);
+      return EVHTP_RES_ERROR;
+    }
+  conn->over_limit = httpd->count >= limits->connections_max;
+  httpd->count++;
+  DL_APPEND (httpd->conns, conn);
+  set_hooks (conn);
+  bufferevent_set_timeouts (evhtp->bev, NULL, &write_timeout);
+  bufferevent_setwatermark (evhtp->bev, EV_WRITE, limits->low_water_bytes, 0);
+  bufferevent_setwatermark (evhtp->bev, EV_READ, 0, HTTPD_READ_MAX);
+  set_timer (conn, limits->idle_timeout_ms);
+  return EVHTP_RES_OK;
+}
+
+static void
+set_hooks (struct httpd_conn *conn)
+{
+  evhtp_connection_t *evhtp = conn->evhtp;
+
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_headers_start,
+                             on_headers_start, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_header, on_header, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_headers, on_headers, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_read, on_body, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_error,
+                             (evhtp_hook)(void (*) (void))on_error, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_write, on_write, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_request_fini,
+                             on_request_fini, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_connection_fini,
+                             on_connection_fini, conn);
+}
+
+static void
+set_timer (struct httpd_conn *conn, uint32_t timeout_ms)
+{
+  const struct timeval timeout = clock_timeval (timeout_ms);
+
+  event_add (conn->timer, &timeout);
+}
+
+/* libevhtp has no field for its user on a connection, but its hooks have. */
+static struct httpd_conn *
+conn_of (const evhtp_request_t *http)
+{
+  return http->conn->hooks->on_connection_fini_arg;
+}
+
+static void
+conn_free (struct httpd_conn *conn)
+{
+  DL_DELETE (conn->httpd->conns, conn);
+  conn->httpd->count--;
+  event_free (conn->timer);
+  free (conn);
+}
+
+static evhtp_res
+on_connection_fini (evhtp_connection_t *evhtp, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)evhtp;
+  tell_gone (conn);
+  if (conn->state <= CONN_READING)
+    refuse_broken (conn);
+  conn_free (conn);
+  return EVHTP_RES_OK;
+}
+
+/* Input that libevhtp cannot parse makes it close at once; the client is told
+   why if the socket takes it without waiting. */
+static void
+refuse_broken (struct httpd_conn *conn)
+{
+  htpparse_error broken = htparser_get_error (conn->evhtp->parser);
+  enum refusal refusal = broken == htparse_error_too_big
+                             ? REFUSAL_HEADERS_TOO_LARGE
+                             : REFUSAL_BAD_REQUEST;
+  char text[REFUSAL_BYTES_MAX];
+  struct evbuffer *out;
+  int size;
+
+  if (broken == htparse_error_none || conn->evhtp->bev == NULL)
+    return;
+  out = evbuffer_new ();
+  if (out == NULL)
+    return;
+  conn->httpd->config.refuse (conn->httpd->config.user, refusal,
+                              request_id (conn), out);
+  size = evbuffer_remove (out, text, sizeof (text));
+  evbuffer_free (out);
+  if (size > 0)
+    send (bufferevent_getfd (conn->evhtp->bev), text, (size_t)size,
+          MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* Takes the socket away from libevhtp, whose own structures remain. */
+static struct bufferevent *
+take_over (struct httpd_conn *conn)
+{
+  evhtp_connection_t *evhtp = conn->evhtp;
+
+  conn->request_user = NULL;
+  conn_free (conn);
+  return evhtp_connection_take_ownership (evhtp);
+}
+
+/* @return what a libevhtp hook returns to have its connection freed. */
+static evhtp_res
+refuse (struct httpd_conn *conn, enum refusal refusal)
+{
+  const struct httpd_config *config = &conn->httpd->config;
+  struct evbuffer *out = evbuffer_new ();
+  struct bufferevent *bev;
+
+  if (out != NULL)
+    config->refuse (config->user, refusal, request_id (conn), out);
+  bev = take_over (conn);
+  if (out != NULL)
+    {
+      bufferevent_write_buffer (bev, out);
+      evbuffer_free (out);
+    }
+  linger_close (bev);
+  return EVHTP_RES_ERROR;
+}
+
+static const char *
+request_id (const struct httpd_conn *conn)
+{
+  const evhtp_request_t *http = conn->evhtp->request;
+
+  if (http == NULL || http->headers_in == NULL)
+    return NULL;
+  return evhtp_header_find (http->headers_in, "Cherrylanding-Request-Id");
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct httpd_conn *conn = arg;
+  evhtp_connection_t *evhtp = conn->evhtp;
+
+  (void)fd;
+  (void)what;
+  refuse (conn, conn->state == CONN_READING ? REFUSAL_READ_TIMEOUT
+                                            : REFUSAL_IDLE_TIMEOUT);
+  evhtp_connection_free (evhtp);
+}
+
+/* Requests. */
+
+static evhtp_res
+on_headers_start (evhtp_request_t *http, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)http;
+  conn->state = CONN_READING;
+  conn->header_bytes = 0;
+  conn->body_bytes = 0;
+  set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_header (evhtp_request_t *http, evhtp_header_t *header, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)http;
+  conn->header_bytes
+      += (uint32_t)(header->klen + header->vlen + HEADER_OVERHEAD);
+  if (conn->header_bytes > conn->httpd->config.limits.header_bytes_max)
+    return refuse (conn, REFUSAL_HEADERS_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_headers (evhtp_request_t *http, evhtp_headers_t *headers, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  if (conn->over_limit)
+    return refuse (conn, REFUSAL_CONNECTIONS);
+  if (hide_form_type (headers) != 0)
+    return refuse (conn, REFUSAL_ROUTER_FULL);
+  if (evhtp_request_content_len (http)
+      > conn->httpd->config.limits.body_bytes_max)
+    return refuse (conn, REFUSAL_BODY_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+/* libevhtp takes the body of a form for the query of the path, whose place it
+   is given.  A space before the value, which means nothing, prevents that. */
+static int
+hide_form_type (evhtp_headers_t *headers)
+{
+  evhtp_kv_t *header = evhtp_headers_find_header (headers, "Content-Type");
+  char *value = NULL;
+  int length;
+
+  if (header == NULL
+      || strncasecmp (header->val, FORM_TYPE, strlen (FORM_TYPE)) != 0)
+    return 0;
+  length = asprintf (&value, " %s", header->val);
+  if (length < 0)
+    return ERR_NO_MEMORY;
+  if (header->v_heaped)
+    free (header->val);
+  header->val = value;
+  header->vlen = (size_t)length;
+  header->v_heaped = 1;
+  return 0;
+}
+
+static evhtp_res
+on_body (evhtp_request_t *http, struct evbuffer *data, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)http;
+  conn->body_bytes += evbuffer_get_length (data);
+  if (conn->body_bytes > conn->httpd->config.limits.body_bytes_max)
+    return refuse (conn, REFUSAL_BODY_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+static void
+on_request (evhtp_request_t *http, void *arg)
+{
+  struct httpd *httpd = arg;
+  struct httpd_conn *conn = conn_of (http);
+
+  event_del (conn->timer);
+  conn->state = CONN_RESPONDING;
+  if (httpd->draining)
+    evhtp_request_set_keepalive (http, 0);
+  httpd->config.request (httpd->config.user, http);
+}
+
+/* The connection broke.  libevhtp would not free one that is paused before it
+   is resumed. */
+static void
+on_error (evhtp_request_t *http, evhtp_error_flags error, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)error;
+  tell_gone (conn);
+  if ((http->conn->flags & EVHTP_CONN_FLAG_PAUSED) != 0)
+    evhtp_request_resume (http);
+}
+
+static evhtp_res
+on_write (evhtp_connection_t *evhtp, void *arg)
+{
+  struct httpd_conn *conn = arg;
+  const struct httpd_config *config = &conn->httpd->config;
+
+  (void)evhtp;
+  if (conn->request_user != NULL)
+    config->drained (config->user, conn->request_user);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_request_fini (evhtp_request_t *http, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)http;
+  tell_gone (conn);
+  conn->state = CONN_IDLE;
+  set_timer (conn, conn->httpd->config.limits.idle_timeout_ms);
+  return EVHTP_RES_OK;
+}
+
+static void
+tell_gone (struct httpd_conn *conn)
+{
+  const struct httpd_config *config = &conn->httpd->config;
+  void *request_user = conn->request_user;
+
+  conn->request_user = NULL;
+  if (request_user != NULL)
+    config->gone (config->user, request_user);
+}
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -15,6 +15,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define HTTPD_READ_MAX 65536 /**< bytes read ahead of the parser */
+
 struct httpd_limits
 {
   uint32_t header_bytes_max;
@@ -53,8 +55,11 @@
 /** Closes all connections; `gone` is called for requests in progress. */
 void httpd_free (struct httpd *httpd);
 
-/** Stops accepting; closes idle connections, and others after their
-    response. */
+/** Port it listens on. */
+uint16_t httpd_port (const struct httpd *httpd);
+
+/** Closes idle connections now, and others after their response.  New ones
+    are still accepted, so that their requests are refused by word. */
 void httpd_drain (struct httpd *httpd);
 
 /** Ties a request to its owner's data; NULL unties it, and neither `gone`
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -1,9 +1,8 @@
 /**
  * @file upstream.h
  * One attempt of a request at an upstream, as a table of functions: the real
- * driver over evhttp, and fakes in tests.  The driver reports how far the
- * request got, which evhttp itself does not tell, by watching the output
- * buffer of the connection.
+ * driver in upstream_http.c, and fakes in tests.  The driver reports how far
+ * the request got by watching the output buffer of the connection.
  */
 #ifndef TRANSPORT_UPSTREAM_H
 #define TRANSPORT_UPSTREAM_H
@@ -30,16 +29,17 @@
   size_t header_count;
   const char *body;       /**< must outlive the attempt */
   size_t body_size;       /**< bytes */
+  bool idempotent;        /**< else only recently used connections serve */
   uint64_t resume_offset; /**< bytes of response body already passed on */
   const struct catalog_service *service; /**< copied fields only */
   const struct catalog_upstream *upstream;
 };
 
 /** Callbacks of an attempt, in the order of the attempt's steps.  After
-    `completed` or `failed`, none comes.  None comes before start returns. */
+    `completed` or `failed`, none comes.  None comes before start returns.
+    Each may cancel the attempt. */
 struct upstream_events
 {
-  void (*connecting) (void *user);
   void (*sending) (void *user); /**< first byte handed to the socket */
   void (*sent) (void *user);
   /** Status line and headers; the request id has been checked. */
--- /dev/null
+++ b/src/transport/upstream_http.c
@@ -0,0 +1,504 @@
+/**
+ * @file upstream_http.c
+ * The HTTP/1.1 driver: one connection an attempt, kept for later ones.
+ *
+ * It stands on bufferevent and libevhtp's response parser and not on evhttp.
+ * evhttp does not look at a response before the whole request is written, so
+ * that an upstream which answers early and closes looks like a broken one; it
+ * ends a response that has no length cleanly wherever it was cut; it keeps
+ * bytes past the stated length to itself; and it has no way to stop reading.
+ */
+#include "transport/upstream_http.h"
+#include "state/err.h"
+#include "transport/upstream_http_int.h"
+#include <errno.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#define NS_PER_MS 1000000ULL /**< nanoseconds */
+
+static struct upstream_attempt *
+http_start (void *driver, const struct upstream_request *request,
+            const struct upstream_events *events, void *user);
+static void http_cancel (struct upstream_attempt *attempt);
+static void http_pause (struct upstream_attempt *attempt, bool paused);
+
+static struct upstream_attempt *
+attempt_new (const struct upstream_request *request,
+             const struct upstream_events *events, void *user);
+static void attempt_free (struct upstream_attempt *attempt);
+static void attempt_end (struct upstream_http_conn *conn, int error);
+static struct upstream_http_pool *pool_find (struct upstream_http *http,
+                                             uint64_t upstream_id);
+static struct upstream_http_conn *
+conn_reuse (struct upstream_http *http, struct upstream_http_pool *pool,
+            const struct upstream_request *request);
+static struct upstream_http_conn *conn_take (struct upstream_http_pool *pool);
+static bool conn_alive (struct upstream_http_conn *conn);
+static struct upstream_http_conn *
+conn_open (struct upstream_http *http, struct upstream_http_pool *pool,
+           const struct upstream_request *request);
+static int conn_connect (struct upstream_http_conn *conn, const char *address);
+static void conn_free (struct upstream_http_conn *conn);
+static void conn_keep (struct upstream_http_conn *conn);
+static int write_request (struct evbuffer *out,
+                          const struct upstream_request *request);
+static void on_read (struct bufferevent *bev, void *arg);
+static void on_event (struct bufferevent *bev, short what, void *arg);
+static void on_output (struct evbuffer *buffer,
+                       const struct evbuffer_cb_info *info, void *arg);
+static void read_response (struct upstream_http_conn *conn);
+
+const struct upstream_driver upstream_http_driver = {
+  .name = "http",
+  .start = http_start,
+  .cancel = http_cancel,
+  .pause = http_pause,
+};
+
+struct upstream_http *
+upstream_http_new (const struct upstream_http_config *config)
+{
+  struct upstream_http *http = calloc (1, sizeof (*http));
+
+  if (http != NULL)
+    http->config = *config;
+  return http;
+}
+
+void
+upstream_http_free (struct upstream_http *http)
+{
+  struct upstream_http_pool *pool;
+  struct upstream_http_pool *next;
+  struct upstream_http_conn *conn;
+
+  pool = http->pools;
+  HASH_CLEAR (hh, http->pools);
+  for (; pool != NULL; pool = next)
+    {
+      next = pool->hh.next;
+      while ((conn = conn_take (pool)) != NULL)
+        conn_free (conn);
+      free (pool);
+    }
+  free (http);
+}
+
+void
+upstream_http_sweep (struct upstream_http *http)
+{
+  uint64_t now_ns = clock_now_ns (http->config.clock);
+  struct upstream_http_pool *pool;
+  struct upstream_http_conn *conn;
+  struct upstream_http_conn *next;
+
+  for (pool = http->pools; pool != NULL; pool = pool->hh.next)
+    DL_FOREACH_SAFE (pool->idle, conn, next)
+      if (now_ns - conn->idle_ns >= conn->idle_max_ns)
+        conn_free (conn);
+}
+
+uint32_t
+upstream_http_connections (const struct upstream_http *http)
+{
+  return http->connections;
+}
+
+/* The driver's operations. */
+
+static struct upstream_attempt *
+http_start (void *driver, const struct upstream_request *request,
+            const struct upstream_events *events, void *user)
+{
+  struct upstream_http *http = driver;
+  struct upstream_http_pool *pool = pool_find (http, request->upstream->id);
+  struct upstream_attempt *attempt;
+  struct upstream_http_conn *conn;
+
+  if (pool == NULL)
+    return NULL;
+  attempt = attempt_new (request, events, user);
+  if (attempt == NULL)
+    return NULL;
+  conn = conn_reuse (http, pool, request);
+  if (conn == NULL)
+    conn = conn_open (http, pool, request);
+  if (conn == NULL)
+    {
+      attempt_free (attempt);
+      return NULL;
+    }
+  conn->attempt = attempt;
+  attempt->conn = conn;
+  conn->keep = false;
+  conn->idle_max_ns
+      = (uint64_t)request->service->idle_timeout_ms / 2 * NS_PER_MS;
+  upstream_http_response_reset (conn);
+  if (write_request (bufferevent_get_output (conn->bev), request) != 0)
+    {
+      conn_free (conn);
+      return NULL;
+    }
+  return attempt;
+}
+
+static void
+http_cancel (struct upstream_attempt *attempt)
+{
+  conn_free (attempt->conn);
+}
+
+static void
+http_pause (struct upstream_attempt *attempt, bool paused)
+{
+  struct bufferevent *bev = attempt->conn->bev;
+
+  if (attempt->paused == paused)
+    return;
+  attempt->paused = paused;
+  if (paused)
+    {
+      bufferevent_disable (bev, EV_READ);
+      return;
+    }
+  bufferevent_enable (bev, EV_READ);
+  if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
+    bufferevent_trigger (
+        bev, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Attempts. */
+
+static struct upstream_attempt *
+attempt_new (const struct upstream_request *request,
+             const struct upstream_events *events, void *user)
+{
+  struct upstream_attempt *attempt = calloc (1, sizeof (*attempt));
+
+  if (attempt == NULL)
+    return NULL;
+  attempt->request_id = strdup (request->request_id);
+  if (attempt->request_id == NULL)
+    {
+      free (attempt);
+      return NULL;
+    }
+  attempt->events = events;
+  attempt->user = user;
+  attempt->resume_offset = request->resume_offset;
+  attempt->head = strcmp (request->method, "HEAD") == 0;
+  return attempt;
+}
+
+static void
+attempt_free (struct upstream_attempt *attempt)
+{
+  upstream_http_response_finish (&attempt->response);
+  free (attempt->request_id);
+  free (attempt);
+}
+
+/* Ends the attempt of a connection and tells its owner, last. */
+static void
+attempt_end (struct upstream_http_conn *conn, int error)
+{
+  struct upstream_attempt *attempt = conn->attempt;
+  const struct upstream_events *events = attempt->events;
+  void *user = attempt->user;
+
+  conn->attempt = NULL;
+  attempt_free (attempt);
+  if (error == 0 && conn->keep)
+    conn_keep (conn);
+  else
+    conn_free (conn);
+  if (error == 0)
+    events->completed (user);
+  else
+    events->failed (user, error);
+}
+
+/* Connections. */
+
+static struct upstream_http_pool *
+pool_find (struct upstream_http *http, uint64_t upstream_id)
+{
+  struct upstream_http_pool *pool;
+
+  HASH_FIND (hh, http->pools, &upstream_id, sizeof (upstream_id), pool);
+  if (pool != NULL)
+    return pool;
+  pool = calloc (1, sizeof (*pool));
+  if (pool == NULL)
+    return NULL;
+  pool->upstream_id = upstream_id;
+  HASH_ADD (hh, http->pools, upstream_id, sizeof (upstream_id), pool);
+  return pool;
+}
+
+static struct upstream_http_conn *
+conn_reuse (struct upstream_http *http, struct upstream_http_pool *pool,
+            const struct upstream_request *request)
+{
+  uint64_t now_ns = clock_now_ns (http->config.clock);
+  struct upstream_http_conn *conn;
+  uint64_t idle_ns;
+
+  /* The first is the freshest: when it will not do, none will. */
+  while (pool->idle != NULL)
+    {
+      idle_ns = now_ns - pool->idle->idle_ns;
+      if (idle_ns >= pool->idle->idle_max_ns
+          || (!request->idempotent
+              && idle_ns >= UPSTREAM_HTTP_FRESH_MS * NS_PER_MS))
+        return NULL;
+      conn = conn_take (pool);
+      if (conn_alive (conn))
+        return conn;
+      conn_free (conn);
+    }
+  return NULL;
+}
+
+/* The idle connection used last; NULL when there is none. */
+static struct upstream_http_conn *
+conn_take (struct upstream_http_pool *pool)
+{
+  struct upstream_http_conn *conn = pool->idle;
+
+  if (conn == NULL)
+    return NULL;
+  DL_DELETE (pool->idle, conn);
+  conn->prev = NULL;
+  return conn;
+}
+
+/* False when the upstream closed the connection, or sent unasked for bytes,
+   and the loop has not come to see it. */
+static bool
+conn_alive (struct upstream_http_conn *conn)
+{
+  char byte;
+  ssize_t n;
+
+  if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
+    return false;
+  n = recv (bufferevent_getfd (conn->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && errno == EAGAIN;
+}
+
+static struct upstream_http_conn *
+conn_open (struct upstream_http *http, struct upstream_http_pool *pool,
+           const struct upstream_request *request)
+{
+  struct upstream_http_conn *conn = calloc (1, sizeof (*conn));
+
+  if (conn == NULL)
+    return NULL;
+  conn->http = http;
+  conn->pool = pool;
+  http->connections++;
+  conn->parser = htparser_new ();
+  conn->scratch = evbuffer_new ();
+  conn->bev = bufferevent_socket_new (
+      http->config.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  if (conn->parser == NULL || conn->scratch == NULL || conn->bev == NULL
+      || conn_connect (conn, request->upstream->address) != 0)
+    {
+      conn_free (conn);
+      return NULL;
+    }
+  return conn;
+}
+
+static int
+conn_connect (struct upstream_http_conn *conn, const char *address)
+{
+  const struct timeval timeout
+      = clock_timeval (conn->http->config.connect_timeout_ms);
+  struct sockaddr_storage to;
+  int size = sizeof (to);
+
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &size) != 0)
+    return ERR_INVALID;
+  bufferevent_setcb (conn->bev, on_read, NULL, on_event, conn);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, UPSTREAM_HTTP_READ_MAX);
+  bufferevent_set_timeouts (conn->bev, NULL, &timeout);
+  conn->output_cb
+      = evbuffer_add_cb (bufferevent_get_output (conn->bev), on_output, conn);
+  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+  /* A failure is told by on_event, from the loop. */
+  bufferevent_socket_connect (conn->bev, (struct sockaddr *)&to, size);
+  return conn->output_cb == NULL ? ERR_NO_MEMORY : 0;
+}
+
+static void
+conn_free (struct upstream_http_conn *conn)
+{
+  if (conn->attempt != NULL)
+    attempt_free (conn->attempt);
+  else if (conn->pool->idle != NULL && conn->prev != NULL)
+    DL_DELETE (conn->pool->idle, conn);
+  conn->attempt = NULL;
+  conn->prev = NULL;
+  if (conn->output_cb != NULL)
+    evbuffer_remove_cb_entry (bufferevent_get_output (conn->bev),
+                              conn->output_cb);
+  conn->output_cb = NULL;
+  if (conn->bev != NULL)
+    bufferevent_free (conn->bev);
+  conn->bev = NULL;
+  if (conn->parsing)
+    {
+      conn->doomed = true;
+      return;
+    }
+  if (conn->scratch != NULL)
+    evbuffer_free (conn->scratch);
+  free (conn->parser);
+  conn->http->connections--;
+  free (conn);
+}
+
+static void
+conn_keep (struct upstream_http_conn *conn)
+{
+  conn->idle_ns = clock_now_ns (conn->http->config.clock);
+  DL_PREPEND (conn->pool->idle, conn);
+}
+
+/* Requests. */
+
+static int
+write_request (struct evbuffer *out, const struct upstream_request *request)
+{
+  size_t i;
+  int error;
+
+  error = evbuffer_add_printf (
+      out,
+      "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n"
+      "Cherrylanding-Request-Id: %s\r\n",
+      request->method, request->path, request->upstream->address,
+      request->body_size, request->request_id);
+  if (error < 0)
+    return ERR_NO_MEMORY;
+  if (request->resume_offset > 0)
+    evbuffer_add_printf (out, "Cherrylanding-Resume-Offset: %llu\r\n",
+                         (unsigned long long)request->resume_offset);
+  for (i = 0; i < request->header_count; i++)
+    evbuffer_add_printf (out, "%s: %s\r\n", request->headers[i].name,
+                         request->headers[i].value);
+  error = evbuffer_add (out, "\r\n", 2);
+  if (error == 0 && request->body_size > 0)
+    error = evbuffer_add_reference (out, request->body, request->body_size,
+                                    NULL, NULL);
+  return error == 0 ? 0 : ERR_NO_MEMORY;
+}
+
+/* Counts what the kernel has taken, which is what a verdict rests on. */
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+           void *arg)
+{
+  struct upstream_http_conn *conn = arg;
+  struct upstream_attempt *attempt = conn->attempt;
+
+  if (info->n_deleted == 0 || attempt == NULL)
+    return;
+  if (!attempt->sending)
+    {
+      attempt->sending = true;
+      attempt->events->sending (attempt->user);
+    }
+  if (!attempt->sent && evbuffer_get_length (buffer) == 0)
+    {
+      attempt->sent = true;
+      attempt->events->sent (attempt->user);
+    }
+}
+
+/* Responses. */
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  struct upstream_http_conn *conn = arg;
+
+  (void)bev;
+  if (conn->attempt == NULL)
+    conn_free (conn);
+  else if (!conn->attempt->paused)
+    read_response (conn);
+}
+
+static void
+read_response (struct upstream_http_conn *conn)
+{
+  struct evbuffer *input = bufferevent_get_input (conn->bev);
+  struct response *response = &conn->attempt->response;
+  size_t size = evbuffer_get_length (input);
+  size_t used;
+
+  if (size == 0)
+    return;
+  used = upstream_http_response_parse (
+      conn, (const char *)evbuffer_pullup (input, -1), size);
+  if (conn->doomed)
+    {
+      conn->parsing = false;
+      conn_free (conn);
+      return;
+    }
+  evbuffer_drain (input, used);
+  if (response->error != 0)
+    attempt_end (conn, response->error);
+  else if (response->whole && !response->body_absent && used < size)
+    attempt_end (conn, ERR_PROTOCOL);
+  else if (response->whole)
+    {
+      /* Answered early: the rest of the request is still unsent. */
+      if (!conn->attempt->sent)
+        conn->keep = false;
+      attempt_end (conn, 0);
+    }
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  struct upstream_http_conn *conn = arg;
+  int one = 1;
+
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+      conn->connected = true;
+      setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &one,
+                  sizeof (one));
+      bufferevent_set_timeouts (bev, NULL, NULL);
+      return;
+    }
+  if (conn->attempt == NULL)
+    {
+      conn_free (conn);
+      return;
+    }
+  if (conn->connected && (what & BEV_EVENT_WRITING) != 0)
+    {
+      /* The upstream reads no more; its early response may be on its way. */
+      bufferevent_disable (bev, EV_WRITE);
+      return;
+    }
+  if (!conn->connected)
+    attempt_end (conn,
+                 (what & BEV_EVENT_TIMEOUT) != 0 ? ERR_TIMEOUT : ERR_REFUSED);
+  else
+    attempt_end (conn,
+                 conn->attempt->response.started ? ERR_TRUNCATED : ERR_RESET);
+}
--- /dev/null
+++ b/src/transport/upstream_http_response.c
@@ -0,0 +1,315 @@
+/**
+ * @file upstream_http_response.c
+ * Reads a response with libevhtp's parser and checks that it is whole, of its
+ * stated length and the answer to this request.
+ */
+#include "state/err.h"
+#include "state/verdict.h"
+#include "transport/upstream_http_int.h"
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define ARENA_FIRST_BYTES 512
+
+static int on_header_name (htparser *parser, const char *data, size_t size);
+static int on_header_value (htparser *parser, const char *data, size_t size);
+static int on_headers (htparser *parser);
+static int on_body (htparser *parser, const char *data, size_t size);
+static int on_message (htparser *parser);
+static int fail (struct upstream_http_conn *conn, int error);
+static int arena_add (struct response *response, const char *data, size_t size,
+                      uint32_t *offset);
+static int check_framing (struct response *response);
+static int check_length (struct response *response, const char *value);
+static int check_identity (const struct upstream_attempt *attempt, int status);
+static void tell_draining (struct upstream_attempt *attempt);
+static void tell_responding (struct upstream_attempt *attempt, int status);
+
+static htparse_hooks hooks = {
+  .hdr_key = on_header_name,
+  .hdr_val = on_header_value,
+  .on_hdrs_complete = on_headers,
+  .body = on_body,
+  .on_msg_complete = on_message,
+};
+
+void
+upstream_http_response_reset (struct upstream_http_conn *conn)
+{
+  htparser_init (conn->parser, htp_type_response);
+  htparser_set_userdata (conn->parser, conn);
+}
+
+void
+upstream_http_response_finish (struct response *response)
+{
+  free (response->arena);
+  response->arena = NULL;
+}
+
+size_t
+upstream_http_response_parse (struct upstream_http_conn *conn,
+                              const char *data, size_t size)
+{
+  struct response *response = &conn->attempt->response;
+  size_t used;
+
+  conn->parsing = true;
+  used = htparser_run (conn->parser, &hooks, data, size);
+  conn->parsing = false;
+  if (conn->doomed || response->whole || response->error != 0)
+    return used;
+  if (htparser_get_error (conn->parser) != htparse_error_none || used < size)
+    response->error = ERR_PROTOCOL;
+  return used;
+}
+
+const char *
+upstream_http_response_header (const struct response *response,
+                               const char *name)
+{
+  uint32_t i;
+
+  for (i = 0; i < response->count; i++)
+    if (strcasecmp (response->arena + response->slices[i].name, name) == 0)
+      return response->arena + response->slices[i].value;
+  return NULL;
+}
+
+static int
+on_header_name (htparser *parser, const char *data, size_t size)
+{
+  struct upstream_http_conn *conn = htparser_get_userdata (parser);
+  struct response *response = &conn->attempt->response;
+
+  if (response->count == RESPONSE_HEADERS_MAX)
+    return fail (conn, ERR_TOO_LARGE);
+  if (arena_add (response, data, size, &response->slices[response->count].name)
+      != 0)
+    return fail (conn, ERR_TOO_LARGE);
+  return 0;
+}
+
+static int
+on_header_value (htparser *parser, const char *data, size_t size)
+{
+  struct upstream_http_conn *conn = htparser_get_userdata (parser);
+  struct response *response = &conn->attempt->response;
+
+  if (response->count == RESPONSE_HEADERS_MAX
+      || arena_add (response, data, size,
+                    &response->slices[response->count].value)
+             != 0)
+    return fail (conn, ERR_TOO_LARGE);
+  response->count++;
+  return 0;
+}
+
+static int
+on_headers (htparser *parser)
+{
+  struct upstream_http_conn *conn = htparser_get_userdata (parser);
+  struct upstream_attempt *attempt = conn->attempt;
+  struct response *response = &attempt->response;
+  int status = (int)htparser_get_status (parser);
+  int error;
+
+  if (status == 101 || status < 100)
+    return fail (conn, ERR_PROTOCOL);
+  if (status < 200)
+    return 0;
+  response->body_absent = attempt->head || status == 204 || status == 304;
+  error = check_framing (response);
+  if (error == 0)
+    error = check_identity (attempt, status);
+  if (error == ERR_MISMATCH)
+    return fail (conn, error);
+  tell_draining (attempt);
+  if (conn->doomed)
+    return -1;
+  if (error != 0)
+    return fail (conn, error);
+  conn->keep = htparser_should_keep_alive (parser) != 0;
+  tell_responding (attempt, status);
+  if (conn->doomed)
+    return -1;
+  if (!response->body_absent)
+    return 0;
+  /* The parser would wait for a body that never comes. */
+  response->whole = true;
+  conn->keep = false;
+  return -1;
+}
+
+static int
+on_body (htparser *parser, const char *data, size_t size)
+{
+  struct upstream_http_conn *conn = htparser_get_userdata (parser);
+  struct upstream_attempt *attempt = conn->attempt;
+
+  attempt->response.received += size;
+  if (evbuffer_add (conn->scratch, data, size) != 0)
+    return fail (conn, ERR_NO_MEMORY);
+  attempt->events->body (attempt->user, conn->scratch);
+  if (conn->doomed)
+    return -1;
+  evbuffer_drain (conn->scratch, evbuffer_get_length (conn->scratch));
+  return 0;
+}
+
+static int
+on_message (htparser *parser)
+{
+  struct upstream_http_conn *conn = htparser_get_userdata (parser);
+  struct response *response = &conn->attempt->response;
+
+  if (htparser_get_status (parser) < 200)
+    {
+      response->count = 0;
+      response->arena_used = 0;
+      return 0;
+    }
+  if (response->has_length && response->received != response->length)
+    return fail (conn, ERR_TRUNCATED);
+  response->whole = true;
+  /* Stops the parser here: what follows belongs to no request. */
+  return -1;
+}
+
+static int
+fail (struct upstream_http_conn *conn, int error)
+{
+  conn->attempt->response.error = error;
+  return -1;
+}
+
+static int
+arena_add (struct response *response, const char *data, size_t size,
+           uint32_t *offset)
+{
+  uint32_t need = response->arena_used + (uint32_t)size + 1;
+  uint32_t room
+      = response->arena_size == 0 ? ARENA_FIRST_BYTES : response->arena_size;
+  char *arena;
+
+  if (size > RESPONSE_HEADER_BYTES_MAX || need > RESPONSE_HEADER_BYTES_MAX)
+    return ERR_TOO_LARGE;
+  while (room < need)
+    room *= 2;
+  if (room != response->arena_size)
+    {
+      arena = realloc (response->arena, room);
+      if (arena == NULL)
+        return ERR_NO_MEMORY;
+      response->arena = arena;
+      response->arena_size = room;
+    }
+  *offset = response->arena_used;
+  memcpy (response->arena + *offset, data, size);
+  response->arena[*offset + size] = '\0';
+  response->arena_used = need;
+  return 0;
+}
+
+/* A body that ends with the connection cannot be told from one that was cut,
+   so a response must state its length or be chunked. */
+static int
+check_framing (struct response *response)
+{
+  const char *name;
+  const char *value;
+  uint32_t i;
+
+  for (i = 0; i < response->count; i++)
+    {
+      name = response->arena + response->slices[i].name;
+      value = response->arena + response->slices[i].value;
+      if (strcasecmp (name, "Content-Length") == 0)
+        {
+          if (check_length (response, value) != 0)
+            return ERR_PROTOCOL;
+        }
+      else if (strcasecmp (name, "Transfer-Encoding") == 0)
+        {
+          if (strcasecmp (value, "chunked") != 0 || response->chunked)
+            return ERR_PROTOCOL;
+          response->chunked = true;
+        }
+    }
+  if (response->has_length && response->chunked)
+    return ERR_PROTOCOL;
+  if (!response->has_length && !response->chunked && !response->body_absent)
+    return ERR_PROTOCOL;
+  return 0;
+}
+
+static int
+check_length (struct response *response, const char *value)
+{
+  char *end;
+  uint64_t length;
+
+  if (*value < '0' || *value > '9')
+    return ERR_PROTOCOL;
+  length = strtoull (value, &end, 10);
+  if (*end != '\0' || (response->has_length && response->length != length))
+    return ERR_PROTOCOL;
+  response->has_length = true;
+  response->length = length;
+  return 0;
+}
+
+/* Whose response it is, and whether it is one: an upstream may also refuse
+   before it runs the request. */
+static int
+check_identity (const struct upstream_attempt *attempt, int status)
+{
+  const struct response *response = &attempt->response;
+  const char *id
+      = upstream_http_response_header (response, "Cherrylanding-Request-Id");
+  const char *resumed
+      = upstream_http_response_header (response, "Cherrylanding-Resumed");
+
+  const char *verdict
+      = upstream_http_response_header (response, "Cherrylanding-Verdict");
+
+  if (id == NULL || strcmp (id, attempt->request_id) != 0)
+    return ERR_MISMATCH;
+  if (status == 503 && verdict != NULL
+      && strcmp (verdict, verdict_name (VERDICT_NOT_RUN)) == 0)
+    return ERR_UNAVAILABLE;
+  if (attempt->resume_offset > 0
+      && (status != 200 || resumed == NULL
+          || strtoull (resumed, NULL, 10) != attempt->resume_offset))
+    return ERR_PROTOCOL;
+  return 0;
+}
+
+static void
+tell_draining (struct upstream_attempt *attempt)
+{
+  const char *state = upstream_http_response_header (
+      &attempt->response, "Cherrylanding-Upstream-State");
+
+  if (state == NULL || strcasecmp (state, "draining") != 0)
+    return;
+  attempt->events->draining (attempt->user);
+}
+
+static void
+tell_responding (struct upstream_attempt *attempt, int status)
+{
+  struct upstream_header headers[RESPONSE_HEADERS_MAX];
+  struct response *response = &attempt->response;
+  uint32_t i;
+
+  for (i = 0; i < response->count; i++)
+    {
+      headers[i].name = response->arena + response->slices[i].name;
+      headers[i].value = response->arena + response->slices[i].value;
+    }
+  response->started = true;
+  attempt->events->responding (attempt->user, status, headers,
+                               response->count);
+}
