Serve requests: the whole path from client to upstream and back

Settings from the file, keys by digest, queue, slot, upstream, and the response streamed or, when its length is known and moderate, held until whole so that a failure in its middle can still be retried or refused by word.

--- /dev/null
+++ b/src/protocol/usage.c
@@ -0,0 +1,103 @@
+/**
+ * @file usage.c
+ * Incremental search for token counts.
+ */
+#include "protocol/usage.h"
+#include <string.h>
+
+#define COUNT_MAX (UINT64_MAX / 16) /**< larger numbers are not read on */
+
+static void feed_line (struct usage *usage, char c);
+static void feed_fields (struct usage *usage, char c);
+static void feed_number (struct usage *usage, char c);
+
+/* A quote inside a JSON string is escaped, so these cannot match in text. */
+static const char *const field_names[USAGE_FIELD_MAX] = {
+  [USAGE_PROMPT] = "\"prompt_tokens\":",
+  [USAGE_COMPLETION] = "\"completion_tokens\":",
+};
+static const char event_prefix[] = "data:";
+
+void
+usage_feed (struct usage *usage, const char *data, size_t size)
+{
+  size_t i;
+
+  for (i = 0; i < size; i++)
+    {
+      if (usage->event_stream)
+        feed_line (usage, data[i]);
+      if (usage->reading != 0)
+        feed_number (usage, data[i]);
+      else
+        feed_fields (usage, data[i]);
+    }
+}
+
+uint64_t
+usage_output (const struct usage *usage)
+{
+  if (usage->known[USAGE_COMPLETION])
+    return usage->counts[USAGE_COMPLETION];
+  return usage->events;
+}
+
+static void
+feed_line (struct usage *usage, char c)
+{
+  if (c == '\n')
+    {
+      usage->line_started = false;
+      usage->line_matched = 0;
+      return;
+    }
+  if (usage->line_started)
+    return;
+  if (c != event_prefix[usage->line_matched])
+    usage->line_started = true;
+  else if (event_prefix[++usage->line_matched] == '\0')
+    {
+      usage->events++;
+      usage->line_started = true;
+    }
+}
+
+static void
+feed_fields (struct usage *usage, char c)
+{
+  int field;
+  uint8_t matched;
+
+  for (field = 0; field < USAGE_FIELD_MAX; field++)
+    {
+      matched = usage->matched[field];
+      if (c == field_names[field][matched])
+        matched++;
+      else if (c == ' ' && field_names[field][matched] == ':')
+        continue;
+      else
+        matched = c == '"' ? 1 : 0;
+      if (field_names[field][matched] == '\0')
+        {
+          usage->reading = (uint8_t)(1 + field);
+          usage->counts[field] = 0;
+          matched = 0;
+        }
+      usage->matched[field] = matched;
+    }
+}
+
+static void
+feed_number (struct usage *usage, char c)
+{
+  int field = usage->reading - 1;
+
+  if (c >= '0' && c <= '9')
+    {
+      if (usage->counts[field] < COUNT_MAX)
+        usage->counts[field] = usage->counts[field] * 10 + (uint64_t)(c - '0');
+      usage->known[field] = true;
+    }
+  else if (c != ' ' || usage->known[field])
+    usage->reading = 0;
+}
--- a/src/router.h
+++ b/src/router.h
@@ -20,6 +20,7 @@
 #include <stdint.h>
 
 #define ROUTER_TICK_MS 10 /**< between DISPATCH_TICK events */
+#define ROUTER_SIGNALS 2  /**< that begin a shutdown */
 
 struct router;
 
@@ -40,6 +41,8 @@
   void (*idle) (struct router *router, uint64_t upstream_id, uint64_t now_ns);
   /** Shutdown has begun: take nothing new, finish what is in flight. */
   void (*drain) (struct router *router, uint64_t now_ns);
+  /** False holds the end of a drain back, such as until peers were told. */
+  bool (*drained) (const struct router *router);
   /** False holds readiness back, such as until a configuration is held. */
   bool (*ready) (const struct router *router);
 };
@@ -52,11 +55,16 @@
   ROUTER_MODULE_MAX
 };
 
-/** Counters of one (customer, service), for metrics. */
-struct router_counter
+struct router_counter_key
 {
   uint64_t customer_id;
   uint64_t service_id;
+};
+
+/** Counters of one (customer, service), for metrics. */
+struct router_counter
+{
+  struct router_counter_key key;
   uint64_t accepted;
   uint64_t completed;
   uint64_t refused;  /**< responses made by the router itself */
@@ -87,14 +95,15 @@
   struct router_counter *counters;       /**< uthash by both identifiers */
   uint64_t refused[REFUSAL_MAX];         /**< by reason */
   bool draining;
-  uint64_t drain_ns;               /**< when draining began */
-  bool drain_late_logged;          /**< stragglers have been reported */
-  struct event *tick;              /**< every ROUTER_TICK_MS */
-  struct event *batch;             /**< runs modules after a batch of events */
-  struct event *signals[2];        /**< SIGTERM and SIGINT */
+  uint64_t drain_ns;      /**< when draining began */
+  bool drain_late_logged; /**< stragglers have been reported */
+  struct event *tick;     /**< every ROUTER_TICK_MS */
+  struct event *batch;    /**< runs modules after a batch of events */
+  struct event *signals[ROUTER_SIGNALS]; /**< SIGTERM and SIGINT */
+  uint64_t sweep_ns; /**< of the last sweep of idle upstream connections */
   struct dispatch_actions actions; /**< spare buffer of router_handle */
   uint64_t request_sequence;       /**< of generated request ids */
-  uint32_t requests;               /**< requests in progress */
+  bool cut; /**< a second signal ended requests in flight */
 };
 
 /**
