--- a/src/protocol/settings_validate.c
+++ b/src/protocol/settings_validate.c
@@ -198,7 +198,7 @@
 settings_check_customer (const struct settings_customer *customer,
                          const char *path, struct settings_report *report)
 {
-  char place[SETTINGS_PATH_SIZE];
+  char place[SETTINGS_PATH_SIZE + 8];
 
   if (customer->keys_count + customer->key_sha256_count <= CATALOG_KEYS_MAX)
     return;
