--- a/src/request_int.h
+++ b/src/request_int.h
@@ -45,11 +45,16 @@
   struct usage usage;
   uint64_t arrival_ns;
   uint64_t first_attempt_ns; /**< 0 before the first attempt */
+  uint64_t first_body_ns;    /**< 0 before the first byte of a body */
 };
 
 /** Handle of a request in the dispatcher. */
 uint64_t request_handle (const struct request *request);
 
+/** Starts an attempt, as a DISPATCH_CONNECT says. */
+void request_connect (struct request *request,
+                      const struct dispatch_action *action);
+
 /** Starts the reply with an upstream's status line and headers. */
 void request_reply_start (struct request *request, int status,
                           const struct upstream_header *headers, size_t count);
--- /dev/null
+++ b/src/request_upstream.c
@@ -0,0 +1,256 @@
+/**
+ * @file request_upstream.c
+ * Attempts of a request at upstreams, and what they report.
+ */
+#include "request_int.h"
+#include "state/err.h"
+#include "transport/log.h"
+#include "transport/upstream_http.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define FORWARDED_MAX 64 /**< headers passed on to an upstream */
+#define LOAD_HEADER   "Cherrylanding-Upstream-Load"
+
+static size_t forward_headers (const struct request *request,
+                               struct upstream_header *out, size_t count);
+static void raise_event (struct request *request,
+                         enum dispatch_event_kind kind);
+static void raise_progress (struct request *request,
+                            enum dispatch_event_kind kind);
+static void raise_failure (struct request *request, int error);
+static void on_sending (void *user);
+static void on_sent (void *user);
+static void on_draining (void *user);
+static void note_load (struct request *request,
+                       const struct upstream_header *headers, size_t count);
+static void on_responding (void *user, int status,
+                           const struct upstream_header *headers,
+                           size_t count);
+static void on_body (void *user, struct evbuffer *data);
+static void on_completed (void *user);
+static void on_failed (void *user, int error);
+
+static const struct upstream_events upstream_events = {
+  .sending = on_sending,
+  .sent = on_sent,
+  .responding = on_responding,
+  .body = on_body,
+  .completed = on_completed,
+  .failed = on_failed,
+  .draining = on_draining,
+};
+
+void
+request_connect (struct request *request, const struct dispatch_action *action)
+{
+  struct router *router = request->router;
+  const struct catalog_service *service
+      = catalog_service (&router->catalog, request->service_id);
+  const struct catalog_upstream *upstream
+      = service == NULL ? NULL
+                        : catalog_upstream (service, action->upstream_id);
+  struct upstream_header headers[FORWARDED_MAX + 2];
+  char number[12];
+  struct upstream_request start = {
+    .request_id = request->id,
+    .method = htparser_get_methodstr_m (request->http->method),
+    .path = request->path,
+    .headers = headers,
+    .body = request->body,
+    .body_size = request->body_size,
+    .idempotent = request->idempotent,
+    .resume_offset = action->resume ? request->delivered_bytes : 0,
+    .service = service,
+    .upstream = upstream,
+  };
+
+  request->attempt_number = action->attempt;
+  request->upstream_id = action->upstream_id;
+  request->upstream_draining = false;
+  request->paused = false;
+  if (request->first_attempt_ns == 0)
+    request->first_attempt_ns = router_now_ns (router);
+  metrics_attempt (&router->metrics, request->customer_id, request->service_id,
+                   action->attempt);
+  snprintf (number, sizeof (number), "%u", action->attempt);
+  headers[0] = (struct upstream_header){ "Cherrylanding-Customer",
+                                         request->customer };
+  headers[1] = (struct upstream_header){ "Cherrylanding-Attempt", number };
+  start.header_count = forward_headers (request, headers, 2);
+  if (upstream != NULL)
+    request->attempt = router->driver->start (router->driver_state, &start,
+                                              &upstream_events, request);
+  LOG (LOG_ATTEMPT_STARTED, request->id, LOG_U ("attempt", action->attempt),
+       LOG_S ("upstream", upstream == NULL ? "" : upstream->address));
+  if (request->attempt == NULL)
+    raise_failure (request, ERR_REFUSED);
+  else
+    raise_event (request, DISPATCH_CONNECTING);
+}
+
+static size_t
+forward_headers (const struct request *request, struct upstream_header *out,
+                 size_t count)
+{
+  const evhtp_header_t *header;
+  size_t end = count + FORWARDED_MAX;
+
+  TAILQ_FOREACH (header, request->http->headers_in, next)
+  {
+    if (count < end && client_header_passes (header->key))
+      out[count++] = (struct upstream_header){ header->key, header->val };
+  }
+  return count;
+}
+
+static void
+raise_event (struct request *request, enum dispatch_event_kind kind)
+{
+  router_handle (request->router, &(struct dispatch_event){
+                                      .kind = kind,
+                                      .request = request_handle (request),
+                                      .attempt = request->attempt_number,
+                                  });
+}
+
+static void
+raise_progress (struct request *request, enum dispatch_event_kind kind)
+{
+  router_handle (
+      request->router,
+      &(struct dispatch_event){
+          .kind = kind,
+          .request = request_handle (request),
+          .attempt = request->attempt_number,
+          .u.progress
+          = { .output_units
+              = request->engine ? usage_output (&request->usage) : 0,
+              .client_started = request_reply_started (request),
+              .draining = request->upstream_draining },
+      });
+}
+
+static void
+raise_failure (struct request *request, int error)
+{
+  router_handle (
+      request->router,
+      &(struct dispatch_event){
+          .kind = DISPATCH_FAILED,
+          .request = request_handle (request),
+          .attempt = request->attempt_number,
+          .u.failure
+          = { .error = error,
+              .resumable = request->resumable && request->delivered_bytes > 0,
+              .client_started = request_reply_started (request),
+              .draining = request->upstream_draining },
+      });
+}
+
+static void
+on_sending (void *user)
+{
+  raise_event (user, DISPATCH_SENDING);
+}
+
+static void
+on_sent (void *user)
+{
+  raise_event (user, DISPATCH_SENT);
+}
+
+static void
+on_draining (void *user)
+{
+  struct request *request = user;
+
+  LOG (LOG_UPSTREAM_DRAINING, request->id,
+       LOG_U ("upstream_id", request->upstream_id));
+  request->upstream_draining = true;
+  raise_progress (request, DISPATCH_PROGRESS);
+}
+
+static void
+note_load (struct request *request, const struct upstream_header *headers,
+           size_t count)
+{
+  struct slots_entry *entry
+      = slots_find (&request->router->slots, request->upstream_id);
+  size_t i;
+
+  for (i = 0; i < count && entry != NULL; i++)
+    if (strcasecmp (headers[i].name, LOAD_HEADER) == 0)
+      {
+        entry->reported_load = (uint32_t)strtoul (headers[i].value, NULL, 10);
+        entry->reported_ns = router_now_ns (request->router);
+        return;
+      }
+}
+
+static void
+on_responding (void *user, int status, const struct upstream_header *headers,
+               size_t count)
+{
+  struct request *request = user;
+  size_t i;
+
+  note_load (request, headers, count);
+  raise_event (request, DISPATCH_RESPONDING);
+  /* A resumed response goes on where the last attempt's stopped. */
+  if (request_reply_started (request))
+    return;
+  for (i = 0; i < count; i++)
+    if (strcasecmp (headers[i].name, "Content-Type") == 0)
+      request->usage.event_stream
+          = strncasecmp (headers[i].value, "text/event-stream", 17) == 0;
+  request_reply_start (request, status, headers, count);
+}
+
+static void
+on_body (void *user, struct evbuffer *data)
+{
+  struct request *request = user;
+  struct router *router = request->router;
+  size_t limit = router->settings->router->limits.response_buffer_bytes;
+  size_t size = evbuffer_get_length (data);
+
+  if (request->first_body_ns == 0)
+    request->first_body_ns = router_now_ns (router);
+  if (request->engine)
+    usage_feed (&request->usage, (const char *)evbuffer_pullup (data, -1),
+                size);
+  request_reply_body (request, data);
+  if (request_reply_started (request) && !request->paused
+      && httpd_pending_bytes (request->http) + UPSTREAM_HTTP_READ_MAX > limit)
+    {
+      request->paused = true;
+      router->driver->pause (request->attempt, true);
+    }
+  if (request->engine)
+    raise_progress (request, DISPATCH_PROGRESS);
+}
+
+static void
+on_completed (void *user)
+{
+  struct request *request = user;
+
+  request->attempt = NULL;
+  raise_progress (request, DISPATCH_COMPLETED);
+}
+
+static void
+on_failed (void *user, int error)
+{
+  struct request *request = user;
+
+  request->attempt = NULL;
+  LOG (error == ERR_MISMATCH ? LOG_UPSTREAM_MISMATCH : LOG_ATTEMPT_FAILED,
+       request->id, LOG_U ("attempt", request->attempt_number),
+       LOG_S ("error", err_name (error)));
+  request_reply_reset (request);
+  raise_failure (request, error);
+}
--- a/src/router.c
+++ b/src/router.c
@@ -69,8 +69,6 @@
 void
 router_finish (struct router *router)
 {
-  struct router_counter *counter;
-  struct router_counter *next;
   int i;
 
   if (router->httpd != NULL)
@@ -87,13 +85,7 @@
   slots_finish (&router->slots);
   catalog_finish (&router->catalog);
   dispatch_actions_finish (&router->actions);
-  counter = router->counters;
-  HASH_CLEAR (hh, router->counters);
-  for (; counter != NULL; counter = next)
-    {
-      next = counter->hh.next;
-      free (counter);
-    }
+  metrics_finish (&router->metrics);
   if (router->tick != NULL)
     event_free (router->tick);
   if (router->batch != NULL)
@@ -353,27 +345,6 @@
     }
 }
 
-struct router_counter *
-router_counter (struct router *router, uint64_t customer_id,
-                uint64_t service_id)
-{
-  struct router_counter key;
-  struct router_counter *counter;
-
-  memset (&key, 0, sizeof (key));
-  key.key.customer_id = customer_id;
-  key.key.service_id = service_id;
-  HASH_FIND (hh, router->counters, &key.key, sizeof (key.key), counter);
-  if (counter != NULL)
-    return counter;
-  counter = calloc (1, sizeof (*counter));
-  if (counter == NULL)
-    return NULL;
-  counter->key = key.key;
-  HASH_ADD (hh, router->counters, key, sizeof (counter->key), counter);
-  return counter;
-}
-
 uint64_t
 router_now_ns (const struct router *router)
 {
--- a/src/router.h
+++ b/src/router.h
@@ -11,6 +11,7 @@
 #include "state/catalog.h"
 #include "state/dispatch.h"
 #include "state/ledger.h"
+#include "state/metrics.h"
 #include "state/slots.h"
 #include "transport/clock.h"
 #include "transport/httpd.h"
@@ -55,29 +56,6 @@
   ROUTER_MODULE_MAX
 };
 
-struct router_counter_key
-{
-  uint64_t customer_id;
-  uint64_t service_id;
-};
-
-/** Counters of one (customer, service), for metrics. */
-struct router_counter
-{
-  struct router_counter_key key;
-  uint64_t accepted;
-  uint64_t completed;
-  uint64_t refused;  /**< responses made by the router itself */
-  uint64_t aborted;  /**< responses that ended in an aborted connection */
-  uint64_t canceled; /**< client closed its connection */
-  uint64_t attempts;
-  uint64_t response_bytes;
-  uint64_t output_units; /**< output tokens */
-  uint64_t wait_us;      /**< sum of time until the first attempt */
-  uint64_t total_us;     /**< sum of time until the end */
-  UT_hash_handle hh;
-};
-
 struct router
 {
   struct event_base *base;
@@ -92,8 +70,7 @@
   void *driver_state;
   struct httpd *httpd;
   void *module_state[ROUTER_MODULE_MAX]; /**< owned by each module */
-  struct router_counter *counters;       /**< uthash by both identifiers */
-  uint64_t refused[REFUSAL_MAX];         /**< by reason */
+  struct metrics metrics;
   bool draining;
   uint64_t drain_ns;      /**< when draining began */
   bool drain_late_logged; /**< stragglers have been reported */
@@ -136,11 +113,6 @@
 /** Gives this instance all slots of all upstreams, as when it is alone. */
 void router_local_slots (struct router *router);
 
-/** Counters of a customer at a service. NULL without memory. */
-struct router_counter *router_counter (struct router *router,
-                                       uint64_t customer_id,
-                                       uint64_t service_id);
-
 uint64_t router_now_ns (const struct router *router);
 
 #endif
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 #include <sys/time.h>
 
+#define CLOCK_NS_PER_US 1000ULL       /**< nanoseconds */
 #define CLOCK_NS_PER_MS 1000000ULL    /**< nanoseconds */
 #define CLOCK_NS_PER_S  1000000000ULL /**< nanoseconds */
 
