Send identifiers by number and own accounts as increases

A row of accounts took 43 bytes, of which 16 were the same two hashes each time, and a heartbeat's row 20. Each direction of a link now has a dictionary, and rows are packed; a sender's own accounts travel as increases since their last row. The link is ordered and a lost frame ends it, so both ends agree by construction.

--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -17,13 +17,9 @@
 
 typedef struct Peer__Hello Peer__Hello;
 typedef struct Peer__Proof Peer__Proof;
-typedef struct Peer__Demand Peer__Demand;
 typedef struct Peer__Heartbeat Peer__Heartbeat;
-typedef struct Peer__Account Peer__Account;
 typedef struct Peer__Accounts Peer__Accounts;
-typedef struct Peer__GrantItem Peer__GrantItem;
 typedef struct Peer__Grant Peer__Grant;
-typedef struct Peer__HoldItem Peer__HoldItem;
 typedef struct Peer__Hold Peer__Hold;
 typedef struct Peer__ConfigRequest Peer__ConfigRequest;
 typedef struct Peer__Object Peer__Object;
@@ -62,19 +58,9 @@
     , {0,NULL} }
 
 
-struct  Peer__Demand
-{
-  ProtobufCMessage base;
-  uint64_t customer_id;
-  uint64_t service_id;
-  uint32_t waiting;
-  uint32_t running;
-};
-#define PEER__DEMAND__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__demand__descriptor) \
-    , 0, 0, 0, 0 }
-
-
+/*
+ * Rows: pair, waiting, running.
+ */
 struct  Peer__Heartbeat
 {
   ProtobufCMessage base;
@@ -82,91 +68,69 @@
   uint32_t state;
   uint64_t config_index;
   protobuf_c_boolean full;
-  size_t n_demands;
-  Peer__Demand **demands;
+  size_t n_names;
+  uint64_t *names;
+  size_t n_items;
+  uint64_t *items;
 };
 #define PEER__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
-
-
-struct  Peer__Account
-{
-  ProtobufCMessage base;
-  uint64_t customer_id;
-  uint64_t service_id;
-  uint64_t charged;
-  uint64_t refunded;
-  uint64_t floor;
-  uint64_t cost;
-};
-#define PEER__ACCOUNT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__account__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Rows: pair, charged, refunded, floor, cost.  Without an origin they are the
+ * sender's own, as increases since the last row of the pair on this link.
+ */
 struct  Peer__Accounts
 {
   ProtobufCMessage base;
   uint64_t origin_instance_id;
   uint64_t origin_incarnation;
-  size_t n_entries;
-  Peer__Account **entries;
+  size_t n_names;
+  uint64_t *names;
+  size_t n_items;
+  uint64_t *items;
 };
 #define PEER__ACCOUNTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__accounts__descriptor) \
-    , 0, 0, 0,NULL }
-
-
-struct  Peer__GrantItem
-{
-  ProtobufCMessage base;
-  uint64_t upstream_id;
-  uint64_t sequence;
-  uint32_t slots;
-};
-#define PEER__GRANT_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__grant_item__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Rows: upstream, sequence, slots.  No incarnation: the sender's.
+ */
 struct  Peer__Grant
 {
   ProtobufCMessage base;
   uint64_t lessor_incarnation;
   uint32_t lease_ms;
+  size_t n_names;
+  uint64_t *names;
   size_t n_items;
-  Peer__GrantItem **items;
+  uint64_t *items;
   uint64_t heartbeat_sequence;
 };
 #define PEER__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__grant__descriptor) \
-    , 0, 0, 0,NULL, 0 }
-
-
-struct  Peer__HoldItem
-{
-  ProtobufCMessage base;
-  uint64_t upstream_id;
-  uint64_t sequence;
-  uint32_t capacity;
-  uint32_t busy;
-};
-#define PEER__HOLD_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__hold_item__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Rows: upstream, sequence, capacity, busy.  No incarnation: the receiver's.
+ */
 struct  Peer__Hold
 {
   ProtobufCMessage base;
   uint64_t lessor_incarnation;
+  size_t n_names;
+  uint64_t *names;
   size_t n_items;
-  Peer__HoldItem **items;
+  uint64_t *items;
 };
 #define PEER__HOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__hold__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL }
 
 
 struct  Peer__ConfigRequest
@@ -276,25 +240,6 @@
 void   peer__proof__free_unpacked
                      (Peer__Proof *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Demand methods */
-void   peer__demand__init
-                     (Peer__Demand         *message);
-size_t peer__demand__get_packed_size
-                     (const Peer__Demand   *message);
-size_t peer__demand__pack
-                     (const Peer__Demand   *message,
-                      uint8_t             *out);
-size_t peer__demand__pack_to_buffer
-                     (const Peer__Demand   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__Demand *
-       peer__demand__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__demand__free_unpacked
-                     (Peer__Demand *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__Heartbeat methods */
 void   peer__heartbeat__init
                      (Peer__Heartbeat         *message);
@@ -314,25 +259,6 @@
 void   peer__heartbeat__free_unpacked
                      (Peer__Heartbeat *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Account methods */
-void   peer__account__init
-                     (Peer__Account         *message);
-size_t peer__account__get_packed_size
-                     (const Peer__Account   *message);
-size_t peer__account__pack
-                     (const Peer__Account   *message,
-                      uint8_t             *out);
-size_t peer__account__pack_to_buffer
-                     (const Peer__Account   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__Account *
-       peer__account__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__account__free_unpacked
-                     (Peer__Account *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__Accounts methods */
 void   peer__accounts__init
                      (Peer__Accounts         *message);
@@ -352,25 +278,6 @@
 void   peer__accounts__free_unpacked
                      (Peer__Accounts *message,
                       ProtobufCAllocator *allocator);
-/* Peer__GrantItem methods */
-void   peer__grant_item__init
-                     (Peer__GrantItem         *message);
-size_t peer__grant_item__get_packed_size
-                     (const Peer__GrantItem   *message);
-size_t peer__grant_item__pack
-                     (const Peer__GrantItem   *message,
-                      uint8_t             *out);
-size_t peer__grant_item__pack_to_buffer
-                     (const Peer__GrantItem   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__GrantItem *
-       peer__grant_item__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__grant_item__free_unpacked
-                     (Peer__GrantItem *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__Grant methods */
 void   peer__grant__init
                      (Peer__Grant         *message);
@@ -390,25 +297,6 @@
 void   peer__grant__free_unpacked
                      (Peer__Grant *message,
                       ProtobufCAllocator *allocator);
-/* Peer__HoldItem methods */
-void   peer__hold_item__init
-                     (Peer__HoldItem         *message);
-size_t peer__hold_item__get_packed_size
-                     (const Peer__HoldItem   *message);
-size_t peer__hold_item__pack
-                     (const Peer__HoldItem   *message,
-                      uint8_t             *out);
-size_t peer__hold_item__pack_to_buffer
-                     (const Peer__HoldItem   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__HoldItem *
-       peer__hold_item__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__hold_item__free_unpacked
-                     (Peer__HoldItem *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__Hold methods */
 void   peer__hold__init
                      (Peer__Hold         *message);
@@ -512,27 +400,15 @@
 typedef void (*Peer__Proof_Closure)
                  (const Peer__Proof *message,
                   void *closure_data);
-typedef void (*Peer__Demand_Closure)
-                 (const Peer__Demand *message,
-                  void *closure_data);
 typedef void (*Peer__Heartbeat_Closure)
                  (const Peer__Heartbeat *message,
                   void *closure_data);
-typedef void (*Peer__Account_Closure)
-                 (const Peer__Account *message,
-                  void *closure_data);
 typedef void (*Peer__Accounts_Closure)
                  (const Peer__Accounts *message,
                   void *closure_data);
-typedef void (*Peer__GrantItem_Closure)
-                 (const Peer__GrantItem *message,
-                  void *closure_data);
 typedef void (*Peer__Grant_Closure)
                  (const Peer__Grant *message,
                   void *closure_data);
-typedef void (*Peer__HoldItem_Closure)
-                 (const Peer__HoldItem *message,
-                  void *closure_data);
 typedef void (*Peer__Hold_Closure)
                  (const Peer__Hold *message,
                   void *closure_data);
@@ -556,13 +432,9 @@
 
 extern const ProtobufCMessageDescriptor peer__hello__descriptor;
 extern const ProtobufCMessageDescriptor peer__proof__descriptor;
-extern const ProtobufCMessageDescriptor peer__demand__descriptor;
 extern const ProtobufCMessageDescriptor peer__heartbeat__descriptor;
-extern const ProtobufCMessageDescriptor peer__account__descriptor;
 extern const ProtobufCMessageDescriptor peer__accounts__descriptor;
-extern const ProtobufCMessageDescriptor peer__grant_item__descriptor;
 extern const ProtobufCMessageDescriptor peer__grant__descriptor;
-extern const ProtobufCMessageDescriptor peer__hold_item__descriptor;
 extern const ProtobufCMessageDescriptor peer__hold__descriptor;
 extern const ProtobufCMessageDescriptor peer__config_request__descriptor;
 extern const ProtobufCMessageDescriptor peer__object__descriptor;
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -5,11 +5,36 @@
 #include "protocol/peercodec.h"
 #include "protocol/peer.pb-c.h"
 #include "state/err.h"
+#include "state/hash.h"
 #include <stdlib.h>
 
-/** A frame under construction; the items live in one block. */
+#define HEARTBEAT_COLUMNS 3
+#define ACCOUNT_COLUMNS   5
+#define GRANT_COLUMNS     3
+#define HOLD_COLUMNS      4
+
+struct peercodec_key
+{
+  uint64_t first;
+  uint64_t second;
+};
+
+/** A pair of the dictionary, and the last own account sent for it. */
+struct peercodec_name
+{
+  struct peercodec_key key;
+  uint32_t index;
+  uint64_t charged;
+  uint64_t refunded;
+  uint64_t floor;
+  uint64_t cost;
+  UT_hash_handle hh;
+};
+
+/** A frame under construction. */
 struct encoding
 {
+  struct peercodec_encoder *encoder;
   Peer__Frame frame;
   union
   {
@@ -22,7 +47,11 @@
     Peer__ConfigRequest config_request;
     Peer__Config config;
   } body;
-  void **block; /**< pointers to items, then the items */
+  uint64_t *names; /**< new pairs, flattened */
+  size_t name_count;
+  uint64_t *items; /**< rows, flattened */
+  size_t item_count;
+  void **objects; /**< pointers to objects, then the objects */
 };
 
 static int encode_hello (const struct message *message, struct encoding *out);
@@ -36,7 +65,11 @@
 static int encode_config_request (const struct message *message,
                                   struct encoding *out);
 static int encode_config (const struct message *message, struct encoding *out);
-static void *items_new (struct encoding *out, size_t count, size_t size);
+static int rows_new (struct encoding *out, size_t count, size_t columns);
+static struct peercodec_name *name_row (struct encoding *out, uint64_t first,
+                                        uint64_t second);
+static void add (struct encoding *out, uint64_t value);
+static uint64_t increase (uint64_t *last, uint64_t value);
 static int pack (const Peer__Frame *frame, struct peercodec_buffer *buffer);
 
 static int (*const encoders[MESSAGE_KIND_MAX]) (const struct message *message,
@@ -61,11 +94,27 @@
   buffer->capacity = 0;
 }
 
+void
+peercodec_encoder_finish (struct peercodec_encoder *encoder)
+{
+  struct peercodec_name *name = encoder->names;
+  struct peercodec_name *next;
+
+  HASH_CLEAR (hh, encoder->names);
+  for (; name != NULL; name = next)
+    {
+      next = name->hh.next;
+      free (name);
+    }
+}
+
 int
-peercodec_encode (const struct message *message,
+peercodec_encode (struct peercodec_encoder *encoder,
+                  const struct message *message,
                   struct peercodec_buffer *buffer)
 {
-  struct encoding encoding = { .frame = PEER__FRAME__INIT };
+  struct encoding encoding
+      = { .encoder = encoder, .frame = PEER__FRAME__INIT };
   int rc;
 
   if ((unsigned int)message->kind >= MESSAGE_KIND_MAX)
@@ -73,7 +122,9 @@
   rc = encoders[message->kind](message, &encoding);
   if (rc == 0)
     rc = pack (&encoding.frame, buffer);
-  free (encoding.block);
+  free (encoding.names);
+  free (encoding.items);
+  free (encoding.objects);
   return rc;
 }
 
@@ -97,22 +148,57 @@
   return 0;
 }
 
-/** Allocates `count` items and the array that points to them. */
-static void *
-items_new (struct encoding *out, size_t count, size_t size)
+/** Makes room for rows, and for a new name in each. */
+static int
+rows_new (struct encoding *out, size_t count, size_t columns)
 {
-  uint8_t *items;
-  size_t i;
-
   if (count > PEERCODEC_ITEMS_MAX)
-    return NULL;
-  out->block = calloc (count + 1, sizeof (void *) + size);
-  if (out->block == NULL)
-    return NULL;
-  items = (uint8_t *)(out->block + count + 1);
-  for (i = 0; i < count; i++)
-    out->block[i] = items + i * size;
-  return items;
+    return ERR_TOO_LARGE;
+  out->names = calloc (2 * count + 1, sizeof *out->names);
+  out->items = calloc (columns * count + 1, sizeof *out->items);
+  return out->names != NULL && out->items != NULL ? 0 : ERR_NO_MEMORY;
+}
+
+/** Starts a row with the index of a pair, which joins the dictionary if it is
+    new. @return NULL when there is no room. */
+static struct peercodec_name *
+name_row (struct encoding *out, uint64_t first, uint64_t second)
+{
+  const struct peercodec_key key = { first, second };
+  struct peercodec_encoder *encoder = out->encoder;
+  struct peercodec_name *name = NULL;
+
+  HASH_FIND (hh, encoder->names, &key, sizeof key, name);
+  if (name == NULL && HASH_COUNT (encoder->names) < PEERCODEC_NAMES_MAX)
+    {
+      name = calloc (1, sizeof *name);
+      if (name == NULL)
+        return NULL;
+      name->key = key;
+      name->index = HASH_COUNT (encoder->names);
+      HASH_ADD (hh, encoder->names, key, sizeof name->key, name);
+      out->names[out->name_count++] = first;
+      out->names[out->name_count++] = second;
+    }
+  if (name != NULL)
+    add (out, name->index);
+  return name;
+}
+
+static void
+add (struct encoding *out, uint64_t value)
+{
+  out->items[out->item_count++] = value;
+}
+
+/** Distance to the last value sent; none for one that went down. */
+static uint64_t
+increase (uint64_t *last, uint64_t value)
+{
+  uint64_t distance = value > *last ? value - *last : 0;
+
+  *last += distance;
+  return distance;
 }
 
 static int
@@ -153,60 +239,68 @@
 {
   const struct message_heartbeat *heartbeat = &message->u.heartbeat;
   Peer__Heartbeat *wire = &out->body.heartbeat;
-  Peer__Demand *items
-      = items_new (out, heartbeat->demand_count, sizeof *items);
   size_t i;
+  int rc = rows_new (out, heartbeat->demand_count, HEARTBEAT_COLUMNS);
 
-  if (items == NULL)
-    return ERR_NO_MEMORY;
-  for (i = 0; i < heartbeat->demand_count; i++)
+  for (i = 0; rc == 0 && i < heartbeat->demand_count; i++)
     {
-      peer__demand__init (&items[i]);
-      items[i].customer_id = heartbeat->demands[i].customer_id;
-      items[i].service_id = heartbeat->demands[i].service_id;
-      items[i].waiting = heartbeat->demands[i].waiting;
-      items[i].running = heartbeat->demands[i].running;
+      if (name_row (out, heartbeat->demands[i].customer_id,
+                    heartbeat->demands[i].service_id)
+          == NULL)
+        return ERR_FULL;
+      add (out, heartbeat->demands[i].waiting);
+      add (out, heartbeat->demands[i].running);
     }
   peer__heartbeat__init (wire);
   wire->sequence = heartbeat->sequence;
   wire->state = heartbeat->state;
   wire->config_index = heartbeat->config_index;
   wire->full = heartbeat->full;
-  wire->n_demands = heartbeat->demand_count;
-  wire->demands = (Peer__Demand **)out->block;
+  wire->n_names = out->name_count;
+  wire->names = out->names;
+  wire->n_items = out->item_count;
+  wire->items = out->items;
   out->frame.body_case = PEER__FRAME__BODY_HEARTBEAT;
   out->frame.heartbeat = wire;
-  return 0;
+  return rc;
 }
 
 static int
 encode_accounts (const struct message *message, struct encoding *out)
 {
   const struct message_accounts *accounts = &message->u.accounts;
+  const struct ledger_origin *sender = &out->encoder->sender;
+  const struct ledger_entry *entry;
   Peer__Accounts *wire = &out->body.accounts;
-  Peer__Account *items = items_new (out, accounts->entry_count, sizeof *items);
+  bool own = accounts->origin.instance_id == sender->instance_id
+             && accounts->origin.incarnation == sender->incarnation;
+  struct peercodec_name *name;
   size_t i;
+  int rc = rows_new (out, accounts->entry_count, ACCOUNT_COLUMNS);
 
-  if (items == NULL)
-    return ERR_NO_MEMORY;
-  for (i = 0; i < accounts->entry_count; i++)
+  for (i = 0; rc == 0 && i < accounts->entry_count; i++)
     {
-      peer__account__init (&items[i]);
-      items[i].customer_id = accounts->entries[i].customer_id;
-      items[i].service_id = accounts->entries[i].service_id;
-      items[i].charged = accounts->entries[i].charged;
-      items[i].refunded = accounts->entries[i].refunded;
-      items[i].floor = accounts->entries[i].floor;
-      items[i].cost = accounts->entries[i].cost;
+      entry = &accounts->entries[i];
+      name = name_row (out, entry->customer_id, entry->service_id);
+      if (name == NULL)
+        return ERR_FULL;
+      add (out,
+           own ? increase (&name->charged, entry->charged) : entry->charged);
+      add (out, own ? increase (&name->refunded, entry->refunded)
+                    : entry->refunded);
+      add (out, own ? increase (&name->floor, entry->floor) : entry->floor);
+      add (out, own ? increase (&name->cost, entry->cost) : entry->cost);
     }
   peer__accounts__init (wire);
-  wire->origin_instance_id = accounts->origin.instance_id;
-  wire->origin_incarnation = accounts->origin.incarnation;
-  wire->n_entries = accounts->entry_count;
-  wire->entries = (Peer__Account **)out->block;
+  wire->origin_instance_id = own ? 0 : accounts->origin.instance_id;
+  wire->origin_incarnation = own ? 0 : accounts->origin.incarnation;
+  wire->n_names = out->name_count;
+  wire->names = out->names;
+  wire->n_items = out->item_count;
+  wire->items = out->items;
   out->frame.body_case = PEER__FRAME__BODY_ACCOUNTS;
   out->frame.accounts = wire;
-  return 0;
+  return rc;
 }
 
 static int
@@ -214,27 +308,28 @@
 {
   const struct message_grant *grant = &message->u.grant;
   Peer__Grant *wire = &out->body.grant;
-  Peer__GrantItem *items = items_new (out, grant->item_count, sizeof *items);
   size_t i;
+  int rc = rows_new (out, grant->item_count, GRANT_COLUMNS);
 
-  if (items == NULL)
-    return ERR_NO_MEMORY;
-  for (i = 0; i < grant->item_count; i++)
+  for (i = 0; rc == 0 && i < grant->item_count; i++)
     {
-      peer__grant_item__init (&items[i]);
-      items[i].upstream_id = grant->items[i].upstream_id;
-      items[i].sequence = grant->items[i].sequence;
-      items[i].slots = grant->items[i].slots;
+      if (name_row (out, grant->items[i].upstream_id, 0) == NULL)
+        return ERR_FULL;
+      add (out, grant->items[i].sequence);
+      add (out, grant->items[i].slots);
     }
   peer__grant__init (wire);
-  wire->lessor_incarnation = grant->lessor_incarnation;
+  if (grant->lessor_incarnation != out->encoder->sender.incarnation)
+    wire->lessor_incarnation = grant->lessor_incarnation;
   wire->lease_ms = grant->lease_ms;
   wire->heartbeat_sequence = grant->heartbeat_sequence;
-  wire->n_items = grant->item_count;
-  wire->items = (Peer__GrantItem **)out->block;
+  wire->n_names = out->name_count;
+  wire->names = out->names;
+  wire->n_items = out->item_count;
+  wire->items = out->items;
   out->frame.body_case = PEER__FRAME__BODY_GRANT;
   out->frame.grant = wire;
-  return 0;
+  return rc;
 }
 
 static int
@@ -242,26 +337,27 @@
 {
   const struct message_hold *hold = &message->u.hold;
   Peer__Hold *wire = &out->body.hold;
-  Peer__HoldItem *items = items_new (out, hold->item_count, sizeof *items);
   size_t i;
+  int rc = rows_new (out, hold->item_count, HOLD_COLUMNS);
 
-  if (items == NULL)
-    return ERR_NO_MEMORY;
-  for (i = 0; i < hold->item_count; i++)
+  for (i = 0; rc == 0 && i < hold->item_count; i++)
     {
-      peer__hold_item__init (&items[i]);
-      items[i].upstream_id = hold->items[i].upstream_id;
-      items[i].sequence = hold->items[i].sequence;
-      items[i].capacity = hold->items[i].capacity;
-      items[i].busy = hold->items[i].busy;
+      if (name_row (out, hold->items[i].upstream_id, 0) == NULL)
+        return ERR_FULL;
+      add (out, hold->items[i].sequence);
+      add (out, hold->items[i].capacity);
+      add (out, hold->items[i].busy);
     }
   peer__hold__init (wire);
-  wire->lessor_incarnation = hold->lessor_incarnation;
-  wire->n_items = hold->item_count;
-  wire->items = (Peer__HoldItem **)out->block;
+  if (hold->lessor_incarnation != out->encoder->receiver_incarnation)
+    wire->lessor_incarnation = hold->lessor_incarnation;
+  wire->n_names = out->name_count;
+  wire->names = out->names;
+  wire->n_items = out->item_count;
+  wire->items = out->items;
   out->frame.body_case = PEER__FRAME__BODY_HOLD;
   out->frame.hold = wire;
-  return 0;
+  return rc;
 }
 
 static int
@@ -281,11 +377,16 @@
 {
   const struct message_config *config = &message->u.config;
   Peer__Config *wire = &out->body.config;
-  Peer__Object *items = items_new (out, config->object_count, sizeof *items);
+  Peer__Object *items;
   size_t i;
 
-  if (items == NULL)
+  if (config->object_count > PEERCODEC_ITEMS_MAX)
+    return ERR_TOO_LARGE;
+  out->objects
+      = calloc (config->object_count + 1, sizeof (void *) + sizeof *items);
+  if (out->objects == NULL)
     return ERR_NO_MEMORY;
+  items = (Peer__Object *)(out->objects + config->object_count + 1);
   for (i = 0; i < config->object_count; i++)
     {
       peer__object__init (&items[i]);
@@ -294,12 +395,13 @@
       items[i].deleted = config->objects[i].deleted;
       items[i].value.data = (uint8_t *)config->objects[i].value;
       items[i].value.len = config->objects[i].value_size;
+      out->objects[i] = &items[i];
     }
   peer__config__init (wire);
   wire->newest_index = config->newest_index;
   wire->complete = config->complete;
   wire->n_objects = config->object_count;
-  wire->objects = (Peer__Object **)out->block;
+  wire->objects = (Peer__Object **)out->objects;
   out->frame.body_case = PEER__FRAME__BODY_CONFIG;
   out->frame.config = wire;
   return 0;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -9,29 +9,75 @@
 #include <stdlib.h>
 #include <string.h>
 
-static int decode_hello (const Peer__Frame *frame, struct message *message);
-static int decode_proof (const Peer__Frame *frame, struct message *message);
-static int decode_heartbeat (const Peer__Frame *frame,
+#define HEARTBEAT_COLUMNS 3
+#define ACCOUNT_COLUMNS   5
+#define GRANT_COLUMNS     3
+#define HOLD_COLUMNS      4
+#define ROWS_MIN          64 /* of a dictionary, at first */
+
+/** A pair of the dictionary, and the sender's last account for it. */
+struct peercodec_row
+{
+  uint64_t first;
+  uint64_t second;
+  uint64_t charged;
+  uint64_t refunded;
+  uint64_t floor;
+  uint64_t cost;
+};
+
+/** Rows of a message, flattened on the wire. */
+struct rows
+{
+  struct peercodec_decoder *decoder;
+  const uint64_t *items;
+  size_t columns;
+  size_t count;
+};
+
+typedef int (*decode_fn) (struct peercodec_decoder *decoder,
+                          const Peer__Frame *frame, struct message *message);
+
+static int decode_hello (struct peercodec_decoder *decoder,
+                         const Peer__Frame *frame, struct message *message);
+static int decode_proof (struct peercodec_decoder *decoder,
+                         const Peer__Frame *frame, struct message *message);
+static int decode_heartbeat (struct peercodec_decoder *decoder,
+                             const Peer__Frame *frame,
                              struct message *message);
-static int decode_accounts (const Peer__Frame *frame, struct message *message);
-static int decode_grant (const Peer__Frame *frame, struct message *message);
-static int decode_hold (const Peer__Frame *frame, struct message *message);
-static int decode_config_request (const Peer__Frame *frame,
+static int decode_accounts (struct peercodec_decoder *decoder,
+                            const Peer__Frame *frame, struct message *message);
+static int decode_grant (struct peercodec_decoder *decoder,
+                         const Peer__Frame *frame, struct message *message);
+static int decode_hold (struct peercodec_decoder *decoder,
+                        const Peer__Frame *frame, struct message *message);
+static int decode_config_request (struct peercodec_decoder *decoder,
+                                  const Peer__Frame *frame,
                                   struct message *message);
-static int decode_config (const Peer__Frame *frame, struct message *message);
+static int decode_config (struct peercodec_decoder *decoder,
+                          const Peer__Frame *frame, struct message *message);
 static int decode_object (const Peer__Object *wire,
                           struct message_object *object);
 static int copy_name (char *out, size_t size, const char *text,
                       size_t size_min);
 static int items_new (void **out, size_t count, size_t size);
+static int add_names (struct peercodec_decoder *decoder, const uint64_t *names,
+                      size_t count);
+static int rows_init (struct rows *rows, struct peercodec_decoder *decoder,
+                      const uint64_t *items, size_t count, size_t columns);
+static struct peercodec_row *row_name (const struct rows *rows, size_t row);
+static uint64_t cell (const struct rows *rows, size_t row, size_t column);
+static int small_cell (const struct rows *rows, size_t row, size_t column,
+                       uint32_t *out);
+static int account_row (const struct rows *rows, size_t row, bool own,
+                        struct ledger_entry *entry);
+static int raise (uint64_t *last, uint64_t distance);
 
-struct decoder
+static const struct
 {
   enum message_kind kind;
-  int (*decode) (const Peer__Frame *frame, struct message *message);
-};
-
-static const struct decoder decoders[] = {
+  decode_fn decode;
+} decoders[] = {
   [PEER__FRAME__BODY_HELLO] = { MESSAGE_HELLO, decode_hello },
   [PEER__FRAME__BODY_PROOF] = { MESSAGE_PROOF, decode_proof },
   [PEER__FRAME__BODY_HEARTBEAT] = { MESSAGE_HEARTBEAT, decode_heartbeat },
@@ -43,8 +89,15 @@
   [PEER__FRAME__BODY_CONFIG] = { MESSAGE_CONFIG, decode_config },
 };
 
+void
+peercodec_decoder_finish (struct peercodec_decoder *decoder)
+{
+  free (decoder->rows);
+}
+
 int
-peercodec_decode (const uint8_t *data, size_t size, struct message *message)
+peercodec_decode (struct peercodec_decoder *decoder, const uint8_t *data,
+                  size_t size, struct message *message)
 {
   Peer__Frame *frame;
   int rc = ERR_PROTOCOL;
@@ -59,7 +112,7 @@
       && (size_t)frame->body_case < sizeof decoders / sizeof decoders[0])
     {
       message->kind = decoders[frame->body_case].kind;
-      rc = decoders[frame->body_case].decode (frame, message);
+      rc = decoders[frame->body_case].decode (decoder, frame, message);
     }
   peer__frame__free_unpacked (frame, NULL);
   if (rc != 0)
@@ -79,6 +132,73 @@
   return *out != NULL ? 0 : ERR_NO_MEMORY;
 }
 
+/** Appends pairs to the dictionary. */
+static int
+add_names (struct peercodec_decoder *decoder, const uint64_t *names,
+           size_t count)
+{
+  const size_t total = decoder->row_count + count / 2;
+  struct peercodec_row *rows;
+  size_t capacity = decoder->row_capacity;
+  size_t i;
+
+  if (count % 2 != 0 || count / 2 > PEERCODEC_NAMES_MAX
+      || total > PEERCODEC_NAMES_MAX)
+    return ERR_PROTOCOL;
+  while (capacity < total)
+    capacity = capacity == 0 ? ROWS_MIN : 2 * capacity;
+  if (capacity > decoder->row_capacity)
+    {
+      rows = realloc (decoder->rows, capacity * sizeof *rows);
+      if (rows == NULL)
+        return ERR_NO_MEMORY;
+      decoder->rows = rows;
+      decoder->row_capacity = capacity;
+    }
+  for (i = 0; i < count; i += 2)
+    decoder->rows[decoder->row_count++]
+        = (struct peercodec_row){ .first = names[i], .second = names[i + 1] };
+  return 0;
+}
+
+static int
+rows_init (struct rows *rows, struct peercodec_decoder *decoder,
+           const uint64_t *items, size_t count, size_t columns)
+{
+  rows->decoder = decoder;
+  rows->items = items;
+  rows->columns = columns;
+  rows->count = count / columns;
+  if (count % columns != 0 || rows->count > PEERCODEC_ITEMS_MAX)
+    return ERR_PROTOCOL;
+  return 0;
+}
+
+/** @return the pair that a row names; NULL when the dictionary has none. */
+static struct peercodec_row *
+row_name (const struct rows *rows, size_t row)
+{
+  uint64_t index = cell (rows, row, 0);
+
+  return index < rows->decoder->row_count ? &rows->decoder->rows[index] : NULL;
+}
+
+static uint64_t
+cell (const struct rows *rows, size_t row, size_t column)
+{
+  return rows->items[row * rows->columns + column];
+}
+
+/** A cell that must fit 32 bits. */
+static int
+small_cell (const struct rows *rows, size_t row, size_t column, uint32_t *out)
+{
+  uint64_t value = cell (rows, row, column);
+
+  *out = (uint32_t)value;
+  return value <= UINT32_MAX ? 0 : ERR_PROTOCOL;
+}
+
 /** Copies printable text without spaces. */
 static int
 copy_name (char *out, size_t size, const char *text, size_t size_min)
@@ -96,11 +216,13 @@
 }
 
 static int
-decode_hello (const Peer__Frame *frame, struct message *message)
+decode_hello (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+              struct message *message)
 {
   const Peer__Hello *wire = frame->hello;
   struct message_hello *hello = &message->u.hello;
 
+  (void)decoder;
   if (wire->nonce.len != sizeof hello->nonce || wire->incarnation == 0)
     return ERR_PROTOCOL;
   hello->version = wire->version;
@@ -119,10 +241,12 @@
 }
 
 static int
-decode_proof (const Peer__Frame *frame, struct message *message)
+decode_proof (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+              struct message *message)
 {
   const Peer__Proof *wire = frame->proof;
 
+  (void)decoder;
   if (wire->hmac.len != sizeof message->u.proof)
     return ERR_PROTOCOL;
   memcpy (message->u.proof, wire->hmac.data, sizeof message->u.proof);
@@ -130,133 +254,190 @@
 }
 
 static int
-decode_heartbeat (const Peer__Frame *frame, struct message *message)
+decode_heartbeat (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+                  struct message *message)
 {
   const Peer__Heartbeat *wire = frame->heartbeat;
   struct message_heartbeat *heartbeat = &message->u.heartbeat;
+  const struct peercodec_row *name;
+  struct message_demand *demand;
+  struct rows rows;
   size_t i;
-  int rc;
+  int rc = add_names (decoder, wire->names, wire->n_names);
 
-  if (wire->state >= MESSAGE_STATE_MAX)
-    return ERR_PROTOCOL;
+  if (rc == 0)
+    rc = rows_init (&rows, decoder, wire->items, wire->n_items,
+                    HEARTBEAT_COLUMNS);
+  if (rc != 0 || wire->state >= MESSAGE_STATE_MAX)
+    return rc != 0 ? rc : ERR_PROTOCOL;
   heartbeat->sequence = wire->sequence;
   heartbeat->state = (enum message_state)wire->state;
   heartbeat->config_index = wire->config_index;
   heartbeat->full = wire->full != 0;
-  rc = items_new ((void **)&heartbeat->demands, wire->n_demands,
-                  sizeof *heartbeat->demands);
-  if (rc != 0)
-    return rc;
-  heartbeat->demand_count = wire->n_demands;
-  for (i = 0; i < wire->n_demands; i++)
+  rc = items_new ((void **)&heartbeat->demands, rows.count, sizeof *demand);
+  heartbeat->demand_count = rc == 0 ? rows.count : 0;
+  for (i = 0; rc == 0 && i < rows.count; i++)
     {
-      heartbeat->demands[i].customer_id = wire->demands[i]->customer_id;
-      heartbeat->demands[i].service_id = wire->demands[i]->service_id;
-      heartbeat->demands[i].waiting = wire->demands[i]->waiting;
-      heartbeat->demands[i].running = wire->demands[i]->running;
+      name = row_name (&rows, i);
+      demand = &heartbeat->demands[i];
+      if (name == NULL || small_cell (&rows, i, 1, &demand->waiting) != 0
+          || small_cell (&rows, i, 2, &demand->running) != 0)
+        return ERR_PROTOCOL;
+      demand->customer_id = name->first;
+      demand->service_id = name->second;
     }
-  return 0;
+  return rc;
 }
 
 static int
-decode_accounts (const Peer__Frame *frame, struct message *message)
+decode_accounts (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+                 struct message *message)
 {
   const Peer__Accounts *wire = frame->accounts;
   struct message_accounts *accounts = &message->u.accounts;
-  const Peer__Account *item;
+  bool own = wire->origin_instance_id == 0;
+  struct rows rows;
   size_t i;
-  int rc;
+  int rc = add_names (decoder, wire->names, wire->n_names);
 
-  if (wire->origin_instance_id == 0)
-    return ERR_PROTOCOL;
-  accounts->origin.instance_id = wire->origin_instance_id;
-  accounts->origin.incarnation = wire->origin_incarnation;
-  rc = items_new ((void **)&accounts->entries, wire->n_entries,
-                  sizeof *accounts->entries);
+  if (rc == 0)
+    rc = rows_init (&rows, decoder, wire->items, wire->n_items,
+                    ACCOUNT_COLUMNS);
   if (rc != 0)
     return rc;
-  accounts->entry_count = wire->n_entries;
-  for (i = 0; i < wire->n_entries; i++)
-    {
-      item = wire->entries[i];
-      if (item->refunded > item->charged)
-        return ERR_PROTOCOL;
-      accounts->entries[i].customer_id = item->customer_id;
-      accounts->entries[i].service_id = item->service_id;
-      accounts->entries[i].charged = item->charged;
-      accounts->entries[i].refunded = item->refunded;
-      accounts->entries[i].floor = item->floor;
-      accounts->entries[i].cost = item->cost;
-    }
+  accounts->origin.instance_id
+      = own ? decoder->sender.instance_id : wire->origin_instance_id;
+  accounts->origin.incarnation
+      = own ? decoder->sender.incarnation : wire->origin_incarnation;
+  rc = items_new ((void **)&accounts->entries, rows.count,
+                  sizeof *accounts->entries);
+  accounts->entry_count = rc == 0 ? rows.count : 0;
+  for (i = 0; rc == 0 && i < rows.count; i++)
+    rc = account_row (&rows, i, own, &accounts->entries[i]);
+  return rc;
+}
+
+static int
+account_row (const struct rows *rows, size_t row, bool own,
+             struct ledger_entry *entry)
+{
+  struct peercodec_row *name = row_name (rows, row);
+  struct peercodec_row values = { 0 };
+
+  if (name == NULL)
+    return ERR_PROTOCOL;
+  if (own)
+    values = *name;
+  if (raise (&values.charged, cell (rows, row, 1)) != 0
+      || raise (&values.refunded, cell (rows, row, 2)) != 0
+      || raise (&values.floor, cell (rows, row, 3)) != 0
+      || raise (&values.cost, cell (rows, row, 4)) != 0
+      || values.refunded > values.charged)
+    return ERR_PROTOCOL;
+  if (own)
+    *name = values;
+  *entry = (struct ledger_entry){ .customer_id = name->first,
+                                  .service_id = name->second,
+                                  .charged = values.charged,
+                                  .refunded = values.refunded,
+                                  .floor = values.floor,
+                                  .cost = values.cost };
   return 0;
 }
 
 static int
-decode_grant (const Peer__Frame *frame, struct message *message)
+raise (uint64_t *last, uint64_t distance)
+{
+  return __builtin_add_overflow (*last, distance, last) ? ERR_PROTOCOL : 0;
+}
+
+static int
+decode_grant (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+              struct message *message)
 {
   const Peer__Grant *wire = frame->grant;
   struct message_grant *grant = &message->u.grant;
+  const struct peercodec_row *name;
+  struct rows rows;
   size_t i;
-  int rc;
+  int rc = add_names (decoder, wire->names, wire->n_names);
 
-  if (wire->lease_ms > PEERCODEC_LEASE_MS_MAX)
-    return ERR_PROTOCOL;
-  grant->lessor_incarnation = wire->lessor_incarnation;
+  if (rc == 0)
+    rc = rows_init (&rows, decoder, wire->items, wire->n_items, GRANT_COLUMNS);
+  if (rc != 0 || wire->lease_ms > PEERCODEC_LEASE_MS_MAX)
+    return rc != 0 ? rc : ERR_PROTOCOL;
+  grant->lessor_incarnation = wire->lessor_incarnation != 0
+                                  ? wire->lessor_incarnation
+                                  : decoder->sender.incarnation;
   grant->lease_ms = wire->lease_ms;
   grant->heartbeat_sequence = wire->heartbeat_sequence;
-  rc = items_new ((void **)&grant->items, wire->n_items, sizeof *grant->items);
-  if (rc != 0)
-    return rc;
-  grant->item_count = wire->n_items;
-  for (i = 0; i < wire->n_items; i++)
+  rc = items_new ((void **)&grant->items, rows.count, sizeof *grant->items);
+  grant->item_count = rc == 0 ? rows.count : 0;
+  for (i = 0; rc == 0 && i < rows.count; i++)
     {
-      grant->items[i].upstream_id = wire->items[i]->upstream_id;
-      grant->items[i].sequence = wire->items[i]->sequence;
-      grant->items[i].slots = wire->items[i]->slots;
+      name = row_name (&rows, i);
+      if (name == NULL || small_cell (&rows, i, 2, &grant->items[i].slots))
+        return ERR_PROTOCOL;
+      grant->items[i].upstream_id = name->first;
+      grant->items[i].sequence = cell (&rows, i, 1);
     }
-  return 0;
+  return rc;
 }
 
 static int
-decode_hold (const Peer__Frame *frame, struct message *message)
+decode_hold (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+             struct message *message)
 {
   const Peer__Hold *wire = frame->hold;
   struct message_hold *hold = &message->u.hold;
+  const struct peercodec_row *name;
+  struct message_hold_item *item;
+  struct rows rows;
   size_t i;
-  int rc;
+  int rc = add_names (decoder, wire->names, wire->n_names);
 
-  hold->lessor_incarnation = wire->lessor_incarnation;
-  rc = items_new ((void **)&hold->items, wire->n_items, sizeof *hold->items);
+  if (rc == 0)
+    rc = rows_init (&rows, decoder, wire->items, wire->n_items, HOLD_COLUMNS);
   if (rc != 0)
     return rc;
-  hold->item_count = wire->n_items;
-  for (i = 0; i < wire->n_items; i++)
+  hold->lessor_incarnation = wire->lessor_incarnation != 0
+                                 ? wire->lessor_incarnation
+                                 : decoder->receiver_incarnation;
+  rc = items_new ((void **)&hold->items, rows.count, sizeof *item);
+  hold->item_count = rc == 0 ? rows.count : 0;
+  for (i = 0; rc == 0 && i < rows.count; i++)
     {
-      if (wire->items[i]->busy > wire->items[i]->capacity)
+      name = row_name (&rows, i);
+      item = &hold->items[i];
+      if (name == NULL || small_cell (&rows, i, 2, &item->capacity) != 0
+          || small_cell (&rows, i, 3, &item->busy) != 0
+          || item->busy > item->capacity)
         return ERR_PROTOCOL;
-      hold->items[i].upstream_id = wire->items[i]->upstream_id;
-      hold->items[i].sequence = wire->items[i]->sequence;
-      hold->items[i].capacity = wire->items[i]->capacity;
-      hold->items[i].busy = wire->items[i]->busy;
+      item->upstream_id = name->first;
+      item->sequence = cell (&rows, i, 1);
     }
-  return 0;
+  return rc;
 }
 
 static int
-decode_config_request (const Peer__Frame *frame, struct message *message)
+decode_config_request (struct peercodec_decoder *decoder,
+                       const Peer__Frame *frame, struct message *message)
 {
+  (void)decoder;
   message->u.config_request.since_index = frame->config_request->since_index;
   return 0;
 }
 
 static int
-decode_config (const Peer__Frame *frame, struct message *message)
+decode_config (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+               struct message *message)
 {
   const Peer__Config *wire = frame->config;
   struct message_config *config = &message->u.config;
   size_t i;
   int rc;
 
+  (void)decoder;
   config->newest_index = wire->newest_index;
   config->complete = wire->complete != 0;
   rc = items_new ((void **)&config->objects, wire->n_objects,
--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -74,10 +74,11 @@
   if (link->step != PEERLINK_UP || link->closed || link->error != 0)
     return ERR_RESET;
   rc = peerlink_write (link, message);
-  if (rc == ERR_FULL)
+  if (rc != 0)
     {
-      /* The caller may be in the midst of its own tables: report later. */
-      link->error = ERR_FULL;
+      /* The peer has missed a frame, so the link is of no more use.  The
+         caller may be in the midst of its own tables: report later. */
+      link->error = rc;
       event_active (link->timer, EV_TIMEOUT, 0);
     }
   return rc;
@@ -107,7 +108,7 @@
 {
   struct peerlink_counters *counters = link->config->counters;
   uint32_t prefix;
-  int rc = peercodec_encode (message, &link->scratch);
+  int rc = peercodec_encode (&link->encoder, message, &link->scratch);
 
   if (rc != 0)
     return rc;
@@ -155,6 +156,8 @@
     evbuffer_free (link->input);
   if (link->output != NULL)
     evbuffer_free (link->output);
+  peercodec_encoder_finish (&link->encoder);
+  peercodec_decoder_finish (&link->decoder);
   peercodec_buffer_finish (&link->scratch);
   peercodec_buffer_finish (&link->own_frame);
   peercodec_buffer_finish (&link->peer_frame);
@@ -273,7 +276,7 @@
 {
   struct peerlink_counters *counters = link->config->counters;
   struct message message;
-  int rc = peercodec_decode (data, size, &message);
+  int rc = peercodec_decode (&link->decoder, data, size, &message);
 
   if (rc != 0)
     return rc;
@@ -292,6 +295,14 @@
 void
 peerlink_set_up (struct peerlink *link)
 {
+  const struct message_hello *self = &link->config->self;
+
+  link->encoder.sender.instance_id = catalog_id (self->instance);
+  link->encoder.sender.incarnation = self->incarnation;
+  link->encoder.receiver_incarnation = link->peer.incarnation;
+  link->decoder.sender.instance_id = catalog_id (link->peer.instance);
+  link->decoder.sender.incarnation = link->peer.incarnation;
+  link->decoder.receiver_incarnation = self->incarnation;
   link->step = PEERLINK_UP;
   arm_timer (link, link->config->idle_ms);
   link->config->events->up (link->config->user, link);
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -69,7 +69,7 @@
 void peerlink_close (struct peerlink *link);
 
 /** Queues a message. @return 0, ERR_RESET on a link that is not up, ERR_FULL
-    when the peer does not read (`down` follows), or an encoding error. */
+    when the peer does not read, or an encoding error; `down` follows. */
 int peerlink_send (struct peerlink *link, const struct message *message);
 
 /** The peer's hello; valid once the link is up. */
--- a/src/transport/peerlink_int.h
+++ b/src/transport/peerlink_int.h
@@ -32,6 +32,8 @@
   struct event *read_event;
   struct event *write_event;
   struct event *timer; /**< handshake, then silence of the peer */
+  struct peercodec_encoder encoder;
+  struct peercodec_decoder decoder;
   struct peercodec_buffer scratch;
   struct peercodec_buffer own_frame;  /**< hello as sent */
   struct peercodec_buffer peer_frame; /**< hello as received */
--- a/src/transport/peerlink_shake.c
+++ b/src/transport/peerlink_shake.c
@@ -42,7 +42,7 @@
   message.u.hello.version = MESSAGE_VERSION;
   if (RAND_bytes (message.u.hello.nonce, MESSAGE_NONCE_SIZE) != 1)
     return ERR_IO;
-  rc = peercodec_encode (&message, &link->own_frame);
+  rc = peercodec_encode (&link->encoder, &message, &link->own_frame);
   if (rc == 0 && link->own_frame.size > PEERLINK_HANDSHAKE_BYTES_MAX)
     rc = ERR_TOO_LARGE;
   return rc == 0 ? peerlink_write (link, &message) : rc;
