Compose the fleet: heartbeats, accounts, leases and configuration

Instances exchange changed demand and accounts each interval, and at once when requests begin to wait; a peer that comes up is sent everything.

--- /dev/null
+++ b/src/coordination/backlog.c
@@ -0,0 +1,296 @@
+/**
+ * @file backlog.c
+ * Demand of other instances.
+ */
+#include "coordination/backlog.h"
+#include "state/err.h"
+#include "state/hash.h"
+#include <stdlib.h>
+#include <utlist.h>
+
+struct backlog_key
+{
+  uint64_t customer_id;
+  uint64_t service_id;
+};
+
+/** Sum over instances. */
+struct backlog_pair
+{
+  struct backlog_key key;
+  uint32_t waiting;
+  struct backlog_pair *prev; /**< pairs of the service that wait */
+  struct backlog_pair *next;
+  UT_hash_handle hh;
+};
+
+struct backlog_service
+{
+  uint64_t service_id;
+  uint32_t waiting;
+  struct backlog_pair *pairs; /**< that have requests waiting */
+  UT_hash_handle hh;
+};
+
+/** Demand of one pair at one instance. */
+struct backlog_item
+{
+  struct backlog_key key;
+  uint32_t waiting;
+  uint64_t sequence; /**< of the last heartbeat that named it */
+  UT_hash_handle hh;
+};
+
+struct backlog_instance
+{
+  uint64_t instance_id;
+  struct backlog_item *items;
+  UT_hash_handle hh;
+};
+
+static struct backlog_instance *instance_get (struct backlog *backlog,
+                                              uint64_t instance_id);
+static struct backlog_item *item_get (struct backlog_instance *instance,
+                                      const struct backlog_key *key);
+static int set_waiting (struct backlog *backlog, struct backlog_item *item,
+                        uint32_t waiting);
+static struct backlog_pair *pair_get (struct backlog *backlog,
+                                      const struct backlog_key *key);
+static struct backlog_service *service_get (struct backlog *backlog,
+                                            uint64_t service_id);
+static struct backlog_service *service_find (const struct backlog *backlog,
+                                             uint64_t service_id);
+static void clear_unnamed (struct backlog *backlog,
+                           struct backlog_instance *instance,
+                           uint64_t sequence);
+
+void
+backlog_finish (struct backlog *backlog)
+{
+  struct backlog_pair *pair;
+  struct backlog_pair *next_pair;
+  struct backlog_service *service;
+  struct backlog_service *next_service;
+
+  while (backlog->instances != NULL)
+    backlog_drop (backlog, backlog->instances->instance_id);
+  pair = backlog->pairs;
+  HASH_CLEAR (hh, backlog->pairs);
+  for (; pair != NULL; pair = next_pair)
+    {
+      next_pair = pair->hh.next;
+      free (pair);
+    }
+  service = backlog->services;
+  HASH_CLEAR (hh, backlog->services);
+  for (; service != NULL; service = next_service)
+    {
+      next_service = service->hh.next;
+      free (service);
+    }
+}
+
+int
+backlog_apply (struct backlog *backlog, uint64_t instance_id,
+               const struct message_heartbeat *heartbeat)
+{
+  struct backlog_instance *instance = instance_get (backlog, instance_id);
+  struct backlog_item *item;
+  struct backlog_key key;
+  size_t i;
+  int rc;
+
+  if (instance == NULL)
+    return ERR_NO_MEMORY;
+  for (i = 0; i < heartbeat->demand_count; i++)
+    {
+      key.customer_id = heartbeat->demands[i].customer_id;
+      key.service_id = heartbeat->demands[i].service_id;
+      item = item_get (instance, &key);
+      if (item == NULL)
+        return ERR_NO_MEMORY;
+      item->sequence = heartbeat->sequence;
+      rc = set_waiting (backlog, item, heartbeat->demands[i].waiting);
+      if (rc != 0)
+        return rc;
+    }
+  if (heartbeat->full)
+    clear_unnamed (backlog, instance, heartbeat->sequence);
+  return 0;
+}
+
+void
+backlog_drop (struct backlog *backlog, uint64_t instance_id)
+{
+  struct backlog_instance *instance = NULL;
+  struct backlog_item *item;
+  struct backlog_item *next;
+
+  HASH_FIND (hh, backlog->instances, &instance_id, sizeof instance_id,
+             instance);
+  if (instance == NULL)
+    return;
+  item = instance->items;
+  HASH_CLEAR (hh, instance->items);
+  for (; item != NULL; item = next)
+    {
+      next = item->hh.next;
+      set_waiting (backlog, item, 0);
+      free (item);
+    }
+  HASH_DEL (backlog->instances, instance);
+  free (instance);
+}
+
+void
+backlog_of (const struct backlog *backlog, const struct ledger *ledger,
+            uint64_t customer_id, uint64_t service_id,
+            struct dispatch_backlog *out)
+{
+  const struct backlog_service *service = service_find (backlog, service_id);
+  const struct backlog_pair *pair;
+  uint64_t position;
+
+  *out = (struct dispatch_backlog){ .least_position = UINT64_MAX };
+  if (service == NULL)
+    return;
+  for (pair = service->pairs; pair != NULL; pair = pair->next)
+    {
+      if (pair->key.customer_id == customer_id)
+        {
+          out->customer_waits = true;
+          continue;
+        }
+      out->others_wait = true;
+      position = ledger_position (ledger, pair->key.customer_id, service_id);
+      if (position < out->least_position)
+        out->least_position = position;
+    }
+}
+
+uint32_t
+backlog_waiting (const struct backlog *backlog, uint64_t service_id)
+{
+  const struct backlog_service *service = service_find (backlog, service_id);
+
+  return service != NULL ? service->waiting : 0;
+}
+
+static struct backlog_instance *
+instance_get (struct backlog *backlog, uint64_t instance_id)
+{
+  struct backlog_instance *instance = NULL;
+
+  HASH_FIND (hh, backlog->instances, &instance_id, sizeof instance_id,
+             instance);
+  if (instance != NULL)
+    return instance;
+  instance = calloc (1, sizeof *instance);
+  if (instance == NULL)
+    return NULL;
+  instance->instance_id = instance_id;
+  HASH_ADD (hh, backlog->instances, instance_id, sizeof instance->instance_id,
+            instance);
+  return instance;
+}
+
+static struct backlog_item *
+item_get (struct backlog_instance *instance, const struct backlog_key *key)
+{
+  struct backlog_item *item = NULL;
+
+  HASH_FIND (hh, instance->items, key, sizeof *key, item);
+  if (item != NULL)
+    return item;
+  item = calloc (1, sizeof *item);
+  if (item == NULL)
+    return NULL;
+  item->key = *key;
+  HASH_ADD (hh, instance->items, key, sizeof item->key, item);
+  return item;
+}
+
+static int
+set_waiting (struct backlog *backlog, struct backlog_item *item,
+             uint32_t waiting)
+{
+  struct backlog_service *service;
+  struct backlog_pair *pair;
+  uint32_t before;
+
+  if (waiting == item->waiting)
+    return 0;
+  pair = pair_get (backlog, &item->key);
+  service = service_get (backlog, item->key.service_id);
+  if (pair == NULL || service == NULL)
+    return ERR_NO_MEMORY;
+  before = pair->waiting;
+  pair->waiting += waiting - item->waiting;
+  service->waiting += waiting - item->waiting;
+  item->waiting = waiting;
+  if (before == 0)
+    DL_APPEND (service->pairs, pair);
+  else if (pair->waiting == 0)
+    DL_DELETE (service->pairs, pair);
+  return 0;
+}
+
+static struct backlog_pair *
+pair_get (struct backlog *backlog, const struct backlog_key *key)
+{
+  struct backlog_pair *pair = NULL;
+
+  HASH_FIND (hh, backlog->pairs, key, sizeof *key, pair);
+  if (pair != NULL)
+    return pair;
+  pair = calloc (1, sizeof *pair);
+  if (pair == NULL)
+    return NULL;
+  pair->key = *key;
+  HASH_ADD (hh, backlog->pairs, key, sizeof pair->key, pair);
+  return pair;
+}
+
+static struct backlog_service *
+service_get (struct backlog *backlog, uint64_t service_id)
+{
+  struct backlog_service *service = service_find (backlog, service_id);
+
+  if (service != NULL)
+    return service;
+  service = calloc (1, sizeof *service);
+  if (service == NULL)
+    return NULL;
+  service->service_id = service_id;
+  HASH_ADD (hh, backlog->services, service_id, sizeof service->service_id,
+            service);
+  return service;
+}
+
+static struct backlog_service *
+service_find (const struct backlog *backlog, uint64_t service_id)
+{
+  struct backlog_service *service = NULL;
+
+  HASH_FIND (hh, backlog->services, &service_id, sizeof service_id, service);
+  return service;
+}
+
+/** Drops the items that a full heartbeat did not name. */
+static void
+clear_unnamed (struct backlog *backlog, struct backlog_instance *instance,
+               uint64_t sequence)
+{
+  struct backlog_item *item;
+  struct backlog_item *next;
+
+  for (item = instance->items; item != NULL; item = next)
+    {
+      next = item->hh.next;
+      if (item->sequence == sequence)
+        continue;
+      set_waiting (backlog, item, 0);
+      HASH_DEL (instance->items, item);
+      free (item);
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.c
@@ -0,0 +1,388 @@
+/**
+ * @file fleet.c
+ * Composition and timing of what instances do together.
+ */
+#include "coordination/fleet_int.h"
+#include "state/err.h"
+#include <stdlib.h>
+
+#define RUNS_MAX 4 /**< rounds of own grants and holds in one call */
+
+static int exchange (struct fleet *fleet);
+static int look (struct fleet *fleet);
+static void release_idle (struct fleet *fleet);
+static int run_leases (struct fleet *fleet, bool full);
+static void age_members (struct fleet *fleet);
+static void member_lost (struct fleet *fleet, const struct member *member);
+static void come_alive (struct fleet *fleet);
+static void note_ended (struct fleet *fleet, struct ledger_origin origin);
+static void fold_ended (struct fleet *fleet);
+static uint64_t interval_ns (const struct fleet *fleet);
+
+struct fleet *
+fleet_new (const struct fleet_config *config)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct lessor_config lessor = {
+    .lease_ms = config->lease_ms,
+    .grace_ms = config->lease_ms / FLEET_LEASE_GRACE_DIV,
+    .payback = config->payback,
+    .members_expected = config->members_expected,
+    .policy = config->policy,
+    .catalog = config->catalog,
+    .ledger = config->ledger,
+  };
+
+  if (fleet == NULL)
+    return NULL;
+  fleet->config = *config;
+  if (fleet->config.policy == NULL)
+    fleet->config.policy = &share_fleet;
+  fleet->link = (struct message_link){ fleet_loop, fleet };
+  fleet->config.self.state = MESSAGE_STARTING;
+  if (member_init (&fleet->members, &fleet->config.self,
+                   config->exchange_interval_ms)
+      != 0)
+    {
+      free (fleet);
+      return NULL;
+    }
+  lessor.members = &fleet->members;
+  fleet->lessor = lessor_new (&lessor);
+  fleet->lessee = lessee_new (config->slots, config->catalog, &fleet->members);
+  if (fleet->lessor != NULL && fleet->lessee != NULL)
+    return fleet;
+  fleet_free (fleet);
+  return NULL;
+}
+
+void
+fleet_free (struct fleet *fleet)
+{
+  struct fleet_peer *peer = fleet->peers;
+  struct fleet_peer *next_peer;
+  struct fleet_ended *ended = fleet->ended;
+  struct fleet_ended *next_ended;
+
+  HASH_CLEAR (hh, fleet->peers);
+  for (; peer != NULL; peer = next_peer)
+    {
+      next_peer = peer->hh.next;
+      free (peer);
+    }
+  for (; ended != NULL; ended = next_ended)
+    {
+      next_ended = ended->next;
+      free (ended);
+    }
+  if (fleet->lessor != NULL)
+    lessor_free (fleet->lessor);
+  if (fleet->lessee != NULL)
+    lessee_free (fleet->lessee);
+  report_finish (&fleet->report);
+  backlog_finish (&fleet->elsewhere);
+  member_finish (&fleet->members);
+  free (fleet);
+}
+
+int
+fleet_peer_up (struct fleet *fleet, const struct message_hello *hello,
+               uint64_t now_ns)
+{
+  const uint64_t id = catalog_id (hello->instance);
+  const struct member *known = member_find (&fleet->members, id);
+  uint64_t before = known != NULL ? known->incarnation : 0;
+  struct fleet_peer *peer = NULL;
+  int rc = member_hello (&fleet->members, hello, now_ns);
+
+  fleet->now_ns = now_ns;
+  if (rc != 0)
+    return rc;
+  if (before != 0 && before != hello->incarnation)
+    {
+      lessor_instance_gone (fleet->lessor, id);
+      backlog_drop (&fleet->elsewhere, id);
+      note_ended (fleet, (struct ledger_origin){ id, before });
+    }
+  HASH_FIND (hh, fleet->peers, &id, sizeof id, peer);
+  if (peer == NULL)
+    {
+      peer = calloc (1, sizeof *peer);
+      if (peer == NULL)
+        return ERR_NO_MEMORY;
+      peer->instance_id = id;
+      HASH_ADD (hh, fleet->peers, instance_id, sizeof peer->instance_id, peer);
+    }
+  peer->sequence = 0;
+  return fleet_send_snapshot (fleet, id);
+}
+
+void
+fleet_peer_down (struct fleet *fleet, uint64_t instance_id, uint64_t now_ns)
+{
+  struct fleet_peer *peer = NULL;
+
+  fleet->now_ns = now_ns;
+  HASH_FIND (hh, fleet->peers, &instance_id, sizeof instance_id, peer);
+  if (peer == NULL)
+    return;
+  HASH_DEL (fleet->peers, peer);
+  free (peer);
+}
+
+int
+fleet_run (struct fleet *fleet, uint64_t now_ns)
+{
+  bool full = now_ns >= fleet->exchange_ns;
+  bool changed;
+  int rc = 0;
+
+  fleet->now_ns = now_ns;
+  if (full)
+    rc = exchange (fleet);
+  else if (now_ns >= fleet->look_ns)
+    rc = look (fleet);
+  if (rc == 0)
+    rc = run_leases (fleet, full);
+  if (rc < 0)
+    return rc;
+  changed = fleet->slots_changed;
+  fleet->slots_changed = false;
+  return changed ? 1 : 0;
+}
+
+void
+fleet_drain (struct fleet *fleet, uint64_t now_ns)
+{
+  fleet->now_ns = now_ns;
+  fleet->draining = true;
+  member_set_state (&fleet->members, MESSAGE_DRAINING);
+  fleet->exchange_ns = now_ns;
+}
+
+void
+fleet_catalog_changed (struct fleet *fleet, uint64_t now_ns)
+{
+  fleet->now_ns = now_ns;
+  fleet->exchange_ns = now_ns;
+}
+
+void
+fleet_config_changed (struct fleet *fleet)
+{
+  fleet->exchange_ns = 0;
+}
+
+void
+fleet_set_confsync (struct fleet *fleet, struct confsync *confsync)
+{
+  fleet->config.confsync = confsync;
+}
+
+void
+fleet_backlog (const void *user, uint64_t customer_id, uint64_t service_id,
+               struct dispatch_backlog *out)
+{
+  const struct fleet *fleet = user;
+
+  *out = (struct dispatch_backlog){ .customer_waits = false };
+  if (fleet->config.policy->exchanges)
+    backlog_of (&fleet->elsewhere, fleet->config.ledger, customer_id,
+                service_id, out);
+}
+
+const struct lessor *
+fleet_lessor (const struct fleet *fleet)
+{
+  return fleet->lessor;
+}
+
+const struct member_table *
+fleet_members (const struct fleet *fleet)
+{
+  return &fleet->members;
+}
+
+/** The regular exchange. */
+static int
+exchange (struct fleet *fleet)
+{
+  bool full = fleet->now_ns >= fleet->full_ns;
+  int rc;
+
+  fleet->exchange_ns = fleet->now_ns + interval_ns (fleet);
+  fleet->look_ns = fleet->now_ns + FLEET_LOOK_MS * FLEET_NS_PER_MS;
+  if (full)
+    fleet->full_ns = fleet->now_ns + FLEET_FULL_MS * FLEET_NS_PER_MS;
+  come_alive (fleet);
+  age_members (fleet);
+  fold_ended (fleet);
+  rc = report_refresh (&fleet->report, fleet->config.dispatch);
+  if (rc == 0)
+    rc = fleet_send_heartbeat (fleet, full ? REPORT_FULL : REPORT_CHANGES);
+  if (rc == 0 && fleet->config.policy->exchanges)
+    rc = fleet_send_accounts (fleet);
+  release_idle (fleet);
+  fleet->lessor_due = true;
+  fleet->lessee_due = true;
+  return rc;
+}
+
+/** Between exchanges: what cannot wait for the next one. */
+static int
+look (struct fleet *fleet)
+{
+  int rc;
+
+  fleet->look_ns = fleet->now_ns + FLEET_LOOK_MS * FLEET_NS_PER_MS;
+  if (!fleet->config.policy->moves)
+    return 0;
+  release_idle (fleet);
+  if (dispatch_waiting (fleet->config.dispatch) == 0
+      || fleet->now_ns < fleet->urgent_ns)
+    return 0;
+  rc = report_refresh (&fleet->report, fleet->config.dispatch);
+  if (rc != 0 || !report_urgent (&fleet->report))
+    return rc;
+  fleet->urgent_ns = fleet->now_ns + FLEET_URGENT_MS * FLEET_NS_PER_MS;
+  return fleet_send_heartbeat (fleet, REPORT_CHANGES);
+}
+
+/** Gives back slots that nobody waits for here and somebody does elsewhere. */
+static void
+release_idle (struct fleet *fleet)
+{
+  const struct catalog_service *service;
+  uint32_t wanted;
+
+  if (fleet->draining && dispatch_waiting (fleet->config.dispatch) == 0)
+    {
+      lessee_drain (fleet->lessee);
+      fleet->lessee_due = true;
+      return;
+    }
+  if (!fleet->config.policy->moves)
+    return;
+  for (service = fleet->config.catalog->services; service != NULL;
+       service = service->hh.next)
+    {
+      wanted = backlog_waiting (&fleet->elsewhere, service->id);
+      if (wanted > 0
+          && dispatch_waiting_service (fleet->config.dispatch, service->id)
+                 == 0
+          && lessee_release (fleet->lessee, service->id, wanted, fleet->now_ns)
+                 > 0)
+        fleet->lessee_due = true;
+    }
+}
+
+/** Grants to this instance itself lead to holds, and these to grants. */
+static int
+run_leases (struct fleet *fleet, bool full)
+{
+  int round;
+  int rc = 0;
+
+  for (round = 0; rc >= 0 && round < RUNS_MAX; round++)
+    {
+      if (fleet->lessor_due)
+        {
+          fleet->lessor_due = false;
+          rc = lessor_run (fleet->lessor, fleet->now_ns, full && round == 0,
+                           &fleet->link);
+        }
+      if (rc >= 0 && fleet->lessee_due)
+        {
+          fleet->lessee_due = false;
+          rc = lessee_run (fleet->lessee, fleet->now_ns, &fleet->link);
+        }
+      if (!fleet->lessor_due && !fleet->lessee_due)
+        break;
+    }
+  return rc;
+}
+
+static void
+age_members (struct fleet *fleet)
+{
+  const struct fleet_observer *observer = &fleet->config.observer;
+  const struct member *member;
+  const struct member *next;
+  enum member_status status;
+
+  for (member = fleet->members.members; member != NULL; member = next)
+    {
+      next = member->hh.next;
+      status = member->status;
+      if (member_age (&fleet->members, member->instance_id, fleet->now_ns))
+        {
+          if (observer->member_status != NULL)
+            observer->member_status (observer->user, member);
+          if (member->status == MEMBER_GONE)
+            member_lost (fleet, member);
+        }
+      else if (status == MEMBER_GONE
+               && fleet->now_ns - member->heard_ns
+                      > FLEET_FORGET_MS * FLEET_NS_PER_MS)
+        member_remove (&fleet->members, member->instance_id);
+    }
+}
+
+static void
+member_lost (struct fleet *fleet, const struct member *member)
+{
+  lessor_instance_gone (fleet->lessor, member->instance_id);
+  backlog_drop (&fleet->elsewhere, member->instance_id);
+}
+
+/** An instance leases and grants once it holds a configuration. */
+static void
+come_alive (struct fleet *fleet)
+{
+  const struct member *self
+      = member_find (&fleet->members, fleet->members.self_id);
+
+  if (self->state == MESSAGE_STARTING
+      && (fleet->config.confsync == NULL
+          || confsync_ready (fleet->config.confsync)))
+    member_set_state (&fleet->members, MESSAGE_LIVE);
+}
+
+static void
+note_ended (struct fleet *fleet, struct ledger_origin origin)
+{
+  struct fleet_ended *ended = calloc (1, sizeof *ended);
+
+  if (ended == NULL)
+    return;
+  ended->origin = origin;
+  ended->due_ns = fleet->now_ns + FLEET_FOLD_MS * FLEET_NS_PER_MS;
+  ended->next = fleet->ended;
+  fleet->ended = ended;
+}
+
+static void
+fold_ended (struct fleet *fleet)
+{
+  struct fleet_ended **slot = &fleet->ended;
+  struct fleet_ended *ended;
+
+  while (*slot != NULL)
+    {
+      ended = *slot;
+      if (fleet->now_ns < ended->due_ns
+          || ledger_fold (fleet->config.ledger, ended->origin) != 0)
+        {
+          slot = &ended->next;
+          continue;
+        }
+      *slot = ended->next;
+      free (ended);
+    }
+}
+
+static uint64_t
+interval_ns (const struct fleet *fleet)
+{
+  return fleet->config.exchange_interval_ms * FLEET_NS_PER_MS;
+}
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -18,18 +18,29 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Told of what the coordination layer itself does not log. */
+struct fleet_observer
+{
+  /** An instance became alive, suspect or gone. */
+  void (*member_status) (void *user, const struct member *member);
+  void *user;
+};
+
 struct fleet_config
 {
   struct member self;
   uint32_t exchange_interval_ms; /**< between heartbeats */
   uint32_t lease_ms;
   uint64_t payback;
-  struct catalog *catalog;   /**< not owned */
-  struct ledger *ledger;     /**< not owned */
-  struct slots *slots;       /**< not owned */
-  struct dispatch *dispatch; /**< not owned; source of demand */
-  struct confsync *confsync; /**< not owned; NULL in some tests */
-  struct message_link link;  /**< to peers */
+  uint32_t members_expected;         /**< other instances, see lessor_config */
+  const struct share_policy *policy; /**< NULL: share_fleet */
+  struct catalog *catalog;           /**< not owned */
+  struct ledger *ledger;             /**< not owned */
+  struct slots *slots;               /**< not owned */
+  struct dispatch *dispatch;         /**< not owned; source of demand */
+  struct confsync *confsync;         /**< not owned; NULL in some tests */
+  struct message_link link;          /**< to peers */
+  struct fleet_observer observer;    /**< its function may be NULL */
 };
 
 struct fleet;
@@ -59,6 +70,18 @@
 /** The catalog or the set of upstreams changed. */
 void fleet_catalog_changed (struct fleet *fleet, uint64_t now_ns);
 
+/** Configuration here became newer: the next run tells peers. */
+void fleet_config_changed (struct fleet *fleet);
+
+/** Replaces the source of configuration; NULL for none. */
+void fleet_set_confsync (struct fleet *fleet, struct confsync *confsync);
+
+/** What waits elsewhere in the fleet; for dispatch_config.
+    @param user struct fleet. */
+void fleet_backlog (const void *user, uint64_t customer_id,
+                    uint64_t service_id, struct dispatch_backlog *out);
+
+const struct lessor *fleet_lessor (const struct fleet *fleet);
 const struct member_table *fleet_members (const struct fleet *fleet);
 
 #endif
--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -111,26 +111,32 @@
 }
 
 bool
-member_tick (struct member_table *table, uint64_t now_ns)
+member_age (struct member_table *table, uint64_t instance_id, uint64_t now_ns)
 {
-  struct member *member;
+  struct member *member = find (table, instance_id);
   enum member_status status;
-  bool changed = false;
   bool before;
 
+  if (member == NULL || instance_id == table->self_id)
+    return false;
+  status = status_after (table, member, now_ns);
+  if (status <= member->status)
+    return false;
+  before = leases (member);
+  member->status = status;
+  if (leases (member) != before)
+    table->generation++;
+  return true;
+}
+
+bool
+member_tick (struct member_table *table, uint64_t now_ns)
+{
+  const struct member *member;
+  bool changed = false;
+
   for (member = table->members; member != NULL; member = member->hh.next)
-    {
-      if (member->instance_id == table->self_id)
-        continue;
-      status = status_after (table, member, now_ns);
-      if (status <= member->status)
-        continue;
-      before = leases (member);
-      member->status = status;
-      changed = true;
-      if (leases (member) != before)
-        table->generation++;
-    }
+    changed = member_age (table, member->instance_id, now_ns) || changed;
   return changed;
 }
 
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -60,6 +60,10 @@
                       const struct message_heartbeat *heartbeat,
                       uint64_t now_ns);
 
+/** Ages one member. @return true when its status changed. */
+bool member_age (struct member_table *table, uint64_t instance_id,
+                 uint64_t now_ns);
+
 /** Ages members. @return true when any status changed. */
 bool member_tick (struct member_table *table, uint64_t now_ns);
 
--- a/tests/test_hist.c
+++ b/tests/test_hist.c
@@ -23,7 +23,7 @@
   for (i = 1; i + 1 < HIST_BUCKETS; i++)
     CU_ASSERT_EQUAL (hist.buckets[i], 2);
   CU_ASSERT_EQUAL (hist.buckets[HIST_BUCKETS - 1], 1);
-  CU_ASSERT_EQUAL (hist.count, 2 * (HIST_BUCKETS - 1));
+  CU_ASSERT_EQUAL (hist.count, 2ULL * (HIST_BUCKETS - 1));
   hist_observe (&hist, UINT64_MAX);
   CU_ASSERT_EQUAL (hist.buckets[HIST_BUCKETS - 1], 2);
 }
