Add the load program and show that its checks can fail

Seeded clients in closed or open loop check every response byte for byte, and afterwards ask the stand-ins how often each request id ran. Samples of the stand-ins give the fairness gap, utilisation and starvation from outside. The regression script runs it against stand-ins that cut, cross, double, mislabel or drop one response, and wants each caught.

Also clears the linter's findings in the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,10 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 MAIN_OBJ = $(MAIN_SRC:%.c=$(BUILD)/%.o)
 STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
-LOAD_OBJ = $(LOAD_SRC:%.c=$(BUILD)/%.o)
+# The load program checks responses with the stand-ins' own texts.
+LOAD_SHARED_SRC = tests/standin/address.c tests/standin/record.c \
+	tests/standin/text.c
+LOAD_OBJ = $(LOAD_SRC:%.c=$(BUILD)/%.o) $(LOAD_SHARED_SRC:%.c=$(BUILD)/%.o)
 SUPPORT_OBJ = $(SUPPORT_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 
--- /dev/null
+++ b/bench/client.c
@@ -0,0 +1,412 @@
+/**
+ * @file client.c
+ * One client of a flow.
+ */
+#include "client.h"
+#include "check.h"
+#include "load.h"
+#include "standin/address.h"
+#include "standin/interval.h"
+#include "standin/record.h"
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_OVERHEAD       256 /**< bytes of JSON around a prompt */
+#define REQUEST_TIMEOUT_S   120
+#define REFUSED_BODY_MAX    4096 /**< bytes kept of a refusal */
+#define RECONNECT_US        100000
+#define PROMPT_RANDOM_BYTES 16
+
+struct client
+{
+  struct load *load;
+  const struct flow *flow;
+  struct evhttp_connection *connection;
+  struct evhttp_request *request;
+  struct event *wake;
+  struct check check;
+  uint32_t router; /**< position in the flow's list */
+  uint32_t sent;
+  uint64_t sent_ns;
+  uint64_t first_ns; /**< of the first body byte; 0: none yet */
+  char request_id[RECORD_NAME_SIZE];
+  char *prompt;
+  char *body;
+  bool reconnect;
+};
+
+static void on_wake (evutil_socket_t fd, short events, void *user);
+static void on_chunk (struct evhttp_request *request, void *user);
+static void on_done (struct evhttp_request *request, void *user);
+static void wake_in (struct client *client, uint64_t delay_us);
+static uint64_t pause_ms (const struct client *client);
+static uint32_t router_index (const struct client *client);
+static void connect_router (struct client *client);
+static void send_request (struct client *client);
+static void make_engine (struct client *client);
+static void make_plain (struct client *client);
+static void add_headers (struct client *client,
+                         struct evhttp_request *request);
+static enum flow_outcome judge (struct client *client,
+                                struct evhttp_request *request);
+static enum flow_outcome judge_refusal (struct evhttp_request *request);
+static void settle (struct client *client, enum flow_outcome outcome);
+static void next_request (struct client *client, enum flow_outcome outcome);
+
+struct client *
+client_new (struct load *load, const struct flow *flow, uint32_t index)
+{
+  struct client *client = calloc (1, sizeof (*client));
+
+  client->load = load;
+  client->flow = flow;
+  client->router = index;
+  client->wake = evtimer_new (load->base, on_wake, client);
+  client->prompt = malloc ((size_t)flow->prompt_bytes + PROMPT_RANDOM_BYTES
+                           + RECORD_NAME_SIZE + 1);
+  client->body = malloc ((size_t)flow->prompt_bytes + PROMPT_RANDOM_BYTES
+                         + RECORD_NAME_SIZE + BODY_OVERHEAD);
+  check_init (&client->check);
+  return client;
+}
+
+void
+client_free (struct client *client)
+{
+  if (client->connection != NULL)
+    evhttp_connection_free (client->connection);
+  event_free (client->wake);
+  check_finish (&client->check);
+  free (client->prompt);
+  free (client->body);
+  free (client);
+}
+
+int
+client_busy (const struct client *client)
+{
+  return client->request != NULL;
+}
+
+/* Clients of an open loop start spread evenly over their interval. */
+void
+client_start (struct client *client)
+{
+  const struct flow *flow = client->flow;
+  uint64_t delay_us = (uint64_t)flow->start_ms * 1000;
+
+  if (flow->rate > 0)
+    delay_us += load_random (client->load)
+                % ((uint64_t)flow->concurrency * 1000000 / flow->rate + 1);
+  wake_in (client, delay_us);
+}
+
+void
+client_give_up (struct client *client)
+{
+  if (client->request == NULL)
+    return;
+  client->request = NULL;
+  settle (client, FLOW_MISSING);
+}
+
+static void
+on_wake (evutil_socket_t fd, short events, void *user)
+{
+  struct client *client = user;
+  uint64_t wait_ms;
+
+  (void)fd;
+  (void)events;
+  if (client->load->stopping || client->request != NULL)
+    return;
+  if (client->flow->limit > 0 && client->sent >= client->flow->limit)
+    return;
+  if (client->flow->stop_ms > 0
+      && load_elapsed_ms (client->load) >= client->flow->stop_ms)
+    return;
+  wait_ms = pause_ms (client);
+  if (wait_ms > 0)
+    wake_in (client, wait_ms * 1000);
+  else
+    send_request (client);
+}
+
+/* Time until the flow's next pulse; 0 while it is on. */
+static uint64_t
+pause_ms (const struct client *client)
+{
+  const struct flow *flow = client->flow;
+  uint64_t period_ms = (uint64_t)flow->on_ms + flow->off_ms;
+  uint64_t phase_ms;
+
+  if (flow->on_ms == 0 || flow->off_ms == 0)
+    return 0;
+  phase_ms = (load_elapsed_ms (client->load) - flow->start_ms) % period_ms;
+  return phase_ms < flow->on_ms ? 0 : period_ms - phase_ms;
+}
+
+static void
+wake_in (struct client *client, uint64_t delay_us)
+{
+  const struct timeval delay = interval_us (delay_us);
+
+  evtimer_add (client->wake, &delay);
+}
+
+static uint32_t
+router_index (const struct client *client)
+{
+  const struct flow *flow = client->flow;
+
+  if (flow->router_count == 0)
+    return client->router % client->load->options.router_count;
+  return flow->routers[client->router % flow->router_count];
+}
+
+static void
+connect_router (struct client *client)
+{
+  const char *address = client->load->options.routers[router_index (client)];
+  char host[ADDRESS_HOST_SIZE];
+  uint16_t port;
+
+  if (client->connection != NULL)
+    evhttp_connection_free (client->connection);
+  client->connection = NULL;
+  client->reconnect = false;
+  if (address_parse (address, host, &port) != 0)
+    return;
+  client->connection
+      = evhttp_connection_base_new (client->load->base, NULL, host, port);
+  evhttp_connection_set_timeout (client->connection, REQUEST_TIMEOUT_S);
+}
+
+static void
+send_request (struct client *client)
+{
+  const struct flow *flow = client->flow;
+  struct load *load = client->load;
+  struct evhttp_request *request;
+  char path[FLOW_NAME_SIZE + 32] = "/v1/completions";
+
+  if (client->connection == NULL || client->reconnect)
+    connect_router (client);
+  snprintf (client->request_id, sizeof (client->request_id),
+            "%.32s-%" PRIu32 "-%" PRIu64, flow->name, load->options.seed,
+            load->next_id++);
+  if (flow->kind == FLOW_PLAIN)
+    {
+      make_plain (client);
+      snprintf (path, sizeof (path), "%s%s/check",
+                flow->service[0] == '\0' ? "" : "/services/", flow->service);
+    }
+  else
+    {
+      make_engine (client);
+      if (flow->chat)
+        snprintf (path, sizeof (path), "/v1/chat/completions");
+    }
+  request = evhttp_request_new (on_done, client);
+  evhttp_request_set_chunked_cb (request, on_chunk);
+  add_headers (client, request);
+  evbuffer_add (evhttp_request_get_output_buffer (request), client->body,
+                strlen (client->body));
+  client->request = request;
+  client->sent++;
+  client->sent_ns = record_now_ns ();
+  client->first_ns = 0;
+  flow->customer->sent++;
+  flow->customer->outstanding[flow->kind]++;
+  if (flow->streamed)
+    sample_head_sent (load, flow->customer, router_index (client));
+  evhttp_make_request (client->connection, request, EVHTTP_REQ_POST, path);
+}
+
+static void
+make_engine (struct client *client)
+{
+  const struct flow *flow = client->flow;
+  uint64_t number = load_random (client->load);
+  uint32_t output = flow->output_min;
+  int used;
+
+  if (flow->output_max > flow->output_min)
+    output += (uint32_t)(number % (flow->output_max - flow->output_min + 1));
+  if (flow->long_permille > 0
+      && load_random (client->load) % 1000 < flow->long_permille)
+    output = flow->long_tokens;
+  used = snprintf (client->prompt, PROMPT_RANDOM_BYTES + 1, "%016" PRIx64,
+                   number);
+  if (flow->prompt_bytes > (uint32_t)used)
+    memset (client->prompt + used, 'p', flow->prompt_bytes - (uint32_t)used);
+  client->prompt[flow->prompt_bytes > (uint32_t)used ? flow->prompt_bytes
+                                                     : (uint32_t)used]
+      = '\0';
+  if (flow->chat)
+    sprintf (client->body,
+             "{\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}],"
+             "\"max_tokens\":%" PRIu32 ",\"stream\":%s}",
+             client->prompt, output, flow->streamed ? "true" : "false");
+  else
+    sprintf (client->body,
+             "{\"prompt\":\"%s\",\"max_tokens\":%" PRIu32 ",\"stream\":%s}",
+             client->prompt, output, flow->streamed ? "true" : "false");
+  check_expect_engine (&client->check, flow, client->request_id,
+                       client->prompt, strlen (client->prompt), output);
+}
+
+static void
+make_plain (struct client *client)
+{
+  sprintf (client->body, "{\"check\":\"%016" PRIx64 "\"}",
+           load_random (client->load));
+  check_expect_plain (&client->check, client->request_id, "POST", "/check",
+                      client->body, strlen (client->body));
+}
+
+static void
+add_headers (struct client *client, struct evhttp_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  const struct flow *flow = client->flow;
+  char authorization[FLOW_NAME_SIZE + 16];
+
+  snprintf (authorization, sizeof (authorization), "Bearer %s", flow->key);
+  evhttp_add_header (headers, "Host", "localhost");
+  evhttp_add_header (headers, "Authorization", authorization);
+  /* Without a profile, the requests go straight to an upstream. */
+  if (flow->profile[0] == '\0')
+    evhttp_add_header (headers, "Cherrylanding-Customer", flow->name);
+  else
+    evhttp_add_header (headers, "Cherrylanding-Profile", flow->profile);
+  evhttp_add_header (headers, "Cherrylanding-Request-Id", client->request_id);
+  evhttp_add_header (headers, "Content-Type", "application/json");
+}
+
+static void
+on_chunk (struct evhttp_request *request, void *user)
+{
+  struct client *client = user;
+  struct evbuffer *data = evhttp_request_get_input_buffer (request);
+
+  if (evhttp_request_get_response_code (request) != HTTP_OK)
+    {
+      evbuffer_drain (data, evbuffer_get_length (data));
+      return;
+    }
+  if (client->first_ns == 0)
+    {
+      client->first_ns = record_now_ns ();
+      if (client->flow->streamed)
+        sample_head_start (client->load, client->flow->customer,
+                           router_index (client));
+    }
+  check_feed (&client->check, data);
+}
+
+static void
+on_done (struct evhttp_request *request, void *user)
+{
+  struct client *client = user;
+  enum flow_outcome outcome = judge (client, request);
+
+  client->request = NULL;
+  settle (client, outcome);
+  next_request (client, outcome);
+}
+
+static enum flow_outcome
+judge (struct client *client, struct evhttp_request *request)
+{
+  const char *id;
+
+  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+    {
+      if (client->first_ns == 0)
+        return FLOW_MISSING;
+      return client->check.differs ? FLOW_CROSSED : FLOW_CUT;
+    }
+  if (evhttp_request_get_response_code (request) != HTTP_OK)
+    return judge_refusal (request);
+  id = evhttp_find_header (evhttp_request_get_input_headers (request),
+                           "Cherrylanding-Request-Id");
+  if (id == NULL || strcmp (id, client->request_id) != 0)
+    return FLOW_CROSSED;
+  return check_result (&client->check);
+}
+
+static enum flow_outcome
+judge_refusal (struct evhttp_request *request)
+{
+  const char *verdict = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Cherrylanding-Verdict");
+
+  if (verdict == NULL)
+    return FLOW_UNCLEAR;
+  if (strcmp (verdict, "not-run") == 0)
+    return FLOW_REFUSED_NOT_RUN;
+  if (strcmp (verdict, "may-have-run") == 0)
+    return FLOW_REFUSED_MAY_HAVE_RUN;
+  return strcmp (verdict, "ran") == 0 ? FLOW_REFUSED_RAN : FLOW_UNCLEAR;
+}
+
+static void
+settle (struct client *client, enum flow_outcome outcome)
+{
+  const struct flow *flow = client->flow;
+  struct flow_customer *customer = flow->customer;
+  struct load *load = client->load;
+  uint64_t now_ns = record_now_ns ();
+  bool failed = outcome == FLOW_CUT || outcome == FLOW_MISSING;
+
+  customer->outstanding[flow->kind]--;
+  if (failed && router_index (client) == load->options.lost_router
+      && load_elapsed_ms (load) >= load->options.fault_ms)
+    customer->tolerated++;
+  else
+    customer->outcomes[outcome]++;
+  if (!load->options.no_verify)
+    verify_add (&load->verify, client->request_id, flow->kind, outcome,
+                flow->idempotent);
+  if (flow->streamed && client->first_ns == 0)
+    sample_head_gone (load, customer, router_index (client));
+  if (outcome != FLOW_WHOLE
+      || load_elapsed_ms (load) < load->options.warmup_ms)
+    return;
+  series_add (&customer->total_us, (now_ns - client->sent_ns) / 1000);
+  series_add (
+      &customer->first_us,
+      ((client->first_ns == 0 ? now_ns : client->first_ns) - client->sent_ns)
+          / 1000);
+}
+
+static void
+next_request (struct client *client, enum flow_outcome outcome)
+{
+  const struct flow *flow = client->flow;
+  uint64_t now_ns = record_now_ns ();
+  uint64_t due_ns;
+
+  if (outcome == FLOW_CUT || outcome == FLOW_MISSING)
+    {
+      client->router++;
+      client->reconnect = true;
+      wake_in (client, RECONNECT_US);
+    }
+  else if (outcome != FLOW_WHOLE)
+    wake_in (client, (uint64_t)client->load->options.retry_ms * 1000);
+  else if (flow->rate > 0)
+    {
+      due_ns = client->sent_ns
+               + (uint64_t)flow->concurrency * 1000000000 / flow->rate;
+      wake_in (client, due_ns > now_ns ? (due_ns - now_ns) / 1000 : 0);
+    }
+  else
+    wake_in (client, (uint64_t)flow->think_ms * 1000);
+}
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -5,6 +5,7 @@
  * tokens.  Requests beyond the slots wait inside, first come, first served.
  */
 #include "standin/engine_int.h"
+#include "standin/interval.h"
 #include <event2/buffer.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -33,17 +34,17 @@
 int
 engine_init (struct server *server, const struct standin_options *options)
 {
-  struct engine *engine = calloc (1, sizeof (*engine));
-  const struct timeval lag
-      = { options->load_lag_ms / 1000, (options->load_lag_ms % 1000) * 1000 };
+  const struct timeval lag = interval_ms (options->load_lag_ms);
+  struct engine *engine;
   uint32_t i;
 
-  engine->options = *options;
-  engine->server = server;
   if (server_init (server, options->listen, options->workers, options->control,
                    options->slots, &handler)
       != 0)
     return -1;
+  engine = calloc (1, sizeof (*engine));
+  engine->options = *options;
+  engine->server = server;
   server->data = engine;
   engine->scratch = evbuffer_new ();
   for (i = 0; i < server->listener_count; i++)
@@ -82,8 +83,7 @@
   struct engine_worker *worker = calloc (1, sizeof (*worker));
   uint64_t phase_us = (uint64_t)engine->options.token_ms * 1000
                       * listener->index / engine->server->listener_count;
-  const struct timeval phase
-      = { (time_t)(phase_us / 1000000), (suseconds_t)(phase_us % 1000000) };
+  const struct timeval phase = interval_us (phase_us);
 
   worker->engine = engine;
   worker->listener = listener;
@@ -97,8 +97,8 @@
 on_first_tick (evutil_socket_t fd, short events, void *user)
 {
   struct engine_worker *worker = user;
-  uint32_t tick_ms = worker->engine->options.token_ms;
-  const struct timeval interval = { tick_ms / 1000, (tick_ms % 1000) * 1000 };
+  const struct timeval interval
+      = interval_ms (worker->engine->options.token_ms);
 
   (void)fd;
   (void)events;
@@ -147,8 +147,7 @@
 {
   struct engine_worker *worker = listener->data;
   struct engine_job *job = calloc (1, sizeof (*job));
-  const struct timeval none = { 0, 0 };
-  struct timeval delay = none;
+  struct timeval delay;
   const char *customer;
 
   job->worker = worker;
@@ -157,7 +156,10 @@
   customer = exchange_header (&job->exchange, "Cherrylanding-Customer");
   job->customer = record_customer (&listener->server->record,
                                    customer == NULL ? "-" : customer);
-  if (job->exchange.fault.kind == FAULT_NOT_RUN)
+  if (job->exchange.fault.kind == FAULT_UNTRUE_NOT_RUN)
+    record_execute (&listener->server->record, job->exchange.request_id);
+  if (job->exchange.fault.kind == FAULT_NOT_RUN
+      || job->exchange.fault.kind == FAULT_UNTRUE_NOT_RUN)
     {
       exchange_add_header (&job->exchange, "Cherrylanding-Verdict", "not-run");
       refuse (job, HTTP_SERVUNAVAIL, "not-run");
@@ -173,8 +175,7 @@
       admit (job);
       return;
     }
-  delay.tv_sec = (time_t)(job->exchange.fault.value / 1000);
-  delay.tv_usec = (suseconds_t)(job->exchange.fault.value % 1000 * 1000);
+  delay = interval_ms (job->exchange.fault.value);
   job->delay = evtimer_new (listener->server->base, on_delay, job);
   evtimer_add (job->delay, &delay);
 }
--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -188,7 +188,7 @@
   (void)events;
   /* Connecting to no address makes the kernel send a reset at once. */
   if (exchange->fault.kind == FAULT_RESET)
-    connect (bufferevent_getfd (bev), &none, sizeof (none));
+    (void)connect (bufferevent_getfd (bev), &none, sizeof (none));
   evhttp_connection_free (exchange->connection);
 }
 
--- a/tests/standin/fault.c
+++ b/tests/standin/fault.c
@@ -6,14 +6,23 @@
 #include <string.h>
 
 static const char *const names[FAULT_MAX] = {
-  [FAULT_NONE] = "none",         [FAULT_REFUSE] = "refuse",
-  [FAULT_RESET] = "reset",       [FAULT_CUT] = "cut",
-  [FAULT_DELAY] = "delay",       [FAULT_WRONG_LENGTH] = "wrong-length",
-  [FAULT_WRONG_ID] = "wrong-id", [FAULT_CROSSED] = "crossed",
-  [FAULT_DOUBLE] = "double",     [FAULT_NOT_RUN] = "not-run",
-  [FAULT_DRAINING] = "draining", [FAULT_SLOW] = "slow",
-  [FAULT_DOWN] = "down",         [FAULT_LOSE_ANSWER] = "lose-answer",
-  [FAULT_SNAPSHOT] = "snapshot", [FAULT_RESTORE] = "restore",
+  [FAULT_NONE] = "none",
+  [FAULT_REFUSE] = "refuse",
+  [FAULT_RESET] = "reset",
+  [FAULT_CUT] = "cut",
+  [FAULT_DELAY] = "delay",
+  [FAULT_WRONG_LENGTH] = "wrong-length",
+  [FAULT_WRONG_ID] = "wrong-id",
+  [FAULT_CROSSED] = "crossed",
+  [FAULT_DOUBLE] = "double",
+  [FAULT_NOT_RUN] = "not-run",
+  [FAULT_UNTRUE_NOT_RUN] = "untrue-not-run",
+  [FAULT_DRAINING] = "draining",
+  [FAULT_SLOW] = "slow",
+  [FAULT_DOWN] = "down",
+  [FAULT_LOSE_ANSWER] = "lose-answer",
+  [FAULT_SNAPSHOT] = "snapshot",
+  [FAULT_RESTORE] = "restore",
 };
 
 enum fault_kind
--- a/tests/standin/fault.h
+++ b/tests/standin/fault.h
@@ -12,21 +12,22 @@
 enum fault_kind
 {
   FAULT_NONE,
-  FAULT_REFUSE,       /**< listener closed */
-  FAULT_RESET,        /**< connection reset after `value` body bytes */
-  FAULT_CUT,          /**< connection closed after `value` body bytes */
-  FAULT_DELAY,        /**< request starts `value` ms late */
-  FAULT_WRONG_LENGTH, /**< Content-Length states `value` bytes too many */
-  FAULT_WRONG_ID,     /**< response names another request */
-  FAULT_CROSSED,      /**< right id, body of another request */
-  FAULT_DOUBLE,       /**< the request runs twice */
-  FAULT_NOT_RUN,      /**< 503, refused before running */
-  FAULT_DRAINING,     /**< responses say that the upstream is draining */
-  FAULT_SLOW,         /**< `value` times slower */
-  FAULT_DOWN,         /**< store: 500 to each call */
-  FAULT_LOSE_ANSWER,  /**< store: applied, then the connection is reset */
-  FAULT_SNAPSHOT,     /**< store: remembers its contents */
-  FAULT_RESTORE,      /**< store: returns to the contents remembered */
+  FAULT_REFUSE,         /**< listener closed */
+  FAULT_RESET,          /**< connection reset after `value` body bytes */
+  FAULT_CUT,            /**< connection closed after `value` body bytes */
+  FAULT_DELAY,          /**< request starts `value` ms late */
+  FAULT_WRONG_LENGTH,   /**< Content-Length states `value` bytes too many */
+  FAULT_WRONG_ID,       /**< response names another request */
+  FAULT_CROSSED,        /**< right id, body of another request */
+  FAULT_DOUBLE,         /**< the request runs twice */
+  FAULT_NOT_RUN,        /**< 503, refused before running */
+  FAULT_UNTRUE_NOT_RUN, /**< 503 not-run of a request that ran */
+  FAULT_DRAINING,       /**< responses say that the upstream is draining */
+  FAULT_SLOW,           /**< `value` times slower */
+  FAULT_DOWN,           /**< store: 500 to each call */
+  FAULT_LOSE_ANSWER,    /**< store: applied, then the connection is reset */
+  FAULT_SNAPSHOT,       /**< store: remembers its contents */
+  FAULT_RESTORE,        /**< store: returns to the contents remembered */
   FAULT_MAX
 };
 
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -2,6 +2,7 @@
  * @file plain.c
  * Stand-in plain service: counts each execution per request id.
  */
+#include "standin/interval.h"
 #include "standin/standin.h"
 #include "standin/text.h"
 #include <event2/buffer.h>
@@ -38,13 +39,14 @@
 int
 plain_init (struct server *server, const struct standin_options *options)
 {
-  struct plain *plain = calloc (1, sizeof (*plain));
+  struct plain *plain;
 
-  plain->options = *options;
   if (server_init (server, options->listen, options->workers, options->control,
                    options->slots, &handler)
       != 0)
     return -1;
+  plain = calloc (1, sizeof (*plain));
+  plain->options = *options;
   server->data = plain;
   return 0;
 }
@@ -87,8 +89,7 @@
       respond (job);
       return;
     }
-  delay.tv_sec = service_ms / 1000;
-  delay.tv_usec = service_ms % 1000 * 1000;
+  delay = interval_ms (service_ms);
   job->timer = evtimer_new (server->base, on_served, job);
   evtimer_add (job->timer, &delay);
 }
@@ -136,7 +137,8 @@
                            : exchange->request_id);
   if (exchange->fault.kind == FAULT_DRAINING)
     exchange_add_header (exchange, "Cherrylanding-Upstream-State", "draining");
-  if (exchange->fault.kind == FAULT_NOT_RUN)
+  if (exchange->fault.kind == FAULT_NOT_RUN
+      || exchange->fault.kind == FAULT_UNTRUE_NOT_RUN)
     {
       exchange_add_header (exchange, "Cherrylanding-Verdict", "not-run");
       status = HTTP_SERVUNAVAIL;
--- a/tests/standin/record.c
+++ b/tests/standin/record.c
@@ -20,19 +20,21 @@
 void
 record_finish (struct record *record)
 {
-  struct record_customer *customer;
-  struct record_customer *next_customer;
-  struct record_execution *execution;
-  struct record_execution *next_execution;
-
-  HASH_ITER (hh, record->customers, customer, next_customer)
+  struct record_customer *customer = record->customers;
+  struct record_execution *execution = record->executions;
+  void *next;
+
+  /* The nodes outlive their tables, which hold no key of their own. */
+  HASH_CLEAR (hh, record->customers);
+  HASH_CLEAR (hh, record->executions);
+  for (; customer != NULL; customer = next)
     {
-      HASH_DEL (record->customers, customer);
+      next = customer->hh.next;
       free (customer);
     }
-  HASH_ITER (hh, record->executions, execution, next_execution)
+  for (; execution != NULL; execution = next)
     {
-      HASH_DEL (record->executions, execution);
+      next = execution->hh.next;
       free (execution);
     }
 }
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -14,6 +14,8 @@
 #define CONTROL_PREFIX "/_standin/"
 #define ID_LINE_MAX    128 /**< bytes */
 
+static int listen_all (struct server *server, const char *addresses,
+                       uint32_t workers);
 static int listener_init (struct server_listener *listener,
                           struct server *server, const char *address,
                           uint32_t index);
@@ -50,34 +52,18 @@
              const char *control_address, uint32_t slots,
              const struct server_handler *handler)
 {
-  char *copy = strdup (addresses);
-  char *save = NULL;
-  char *address;
-  char host[64];
+  char host[ADDRESS_HOST_SIZE];
   uint16_t port;
-  uint32_t i = 0;
 
   memset (server, 0, sizeof (*server));
   server->base = event_base_new ();
   server->handler = handler;
-  server->listener_count = strchr (addresses, ',') == NULL ? workers : 1;
-  for (address = copy; (address = strchr (address, ',')) != NULL; address++)
-    server->listener_count++;
+  if (listen_all (server, addresses, workers) != 0)
+    return -1;
   record_init (&server->record, slots * server->listener_count);
-  server->listeners
-      = calloc (server->listener_count, sizeof (*server->listeners));
-  address = strtok_r (copy, ",", &save);
-  for (i = 0; i < server->listener_count && address != NULL; i++)
-    {
-      if (listener_init (&server->listeners[i], server, address, i) != 0)
-        return -1;
-      if (strchr (addresses, ',') != NULL)
-        address = strtok_r (NULL, ",", &save);
-    }
-  free (copy);
   server->control = evhttp_new (server->base);
   evhttp_set_gencb (server->control, on_control, server);
-  if (server_parse_address (control_address, host, &port) != 0
+  if (address_parse (control_address, host, &port) != 0
       || bind_http (server->control, host, &port, NULL) != 0)
     return -1;
   printf ("control %s:%u\n", host, (unsigned)port);
@@ -98,16 +84,30 @@
   event_base_free (server->base);
 }
 
-int
-server_parse_address (const char *address, char host[64], uint16_t *port)
+/* One address alone is listened at by all workers; its port is then 0. */
+static int
+listen_all (struct server *server, const char *addresses, uint32_t workers)
 {
-  const char *colon = strrchr (address, ':');
+  bool several = strchr (addresses, ',') != NULL;
+  const char *next = addresses;
+  char address[ADDRESS_HOST_SIZE + 8];
+  uint32_t i;
 
-  if (colon == NULL || colon - address >= 64)
-    return -1;
-  memcpy (host, address, (size_t)(colon - address));
-  host[colon - address] = '\0';
-  *port = (uint16_t)strtoul (colon + 1, NULL, 10);
+  server->listener_count = several ? 1 : workers;
+  for (; (next = strchr (next, ',')) != NULL; next++)
+    server->listener_count++;
+  server->listeners
+      = calloc (server->listener_count, sizeof (*server->listeners));
+  next = addresses;
+  for (i = 0; i < server->listener_count; i++)
+    {
+      snprintf (address, sizeof (address), "%.*s", (int)strcspn (next, ","),
+                next);
+      if (listener_init (&server->listeners[i], server, address, i) != 0)
+        return -1;
+      if (several)
+        next += strcspn (next, ",") + 1;
+    }
   return 0;
 }
 
@@ -123,7 +123,7 @@
                               EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
                                   | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD
                                   | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
-  if (server_parse_address (address, listener->host, &listener->port) != 0
+  if (address_parse (address, listener->host, &listener->port) != 0
       || bind_http (listener->http, listener->host, &listener->port,
                     &listener->socket)
              != 0)
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -8,6 +8,7 @@
 #ifndef TESTS_STANDIN_SERVER_H
 #define TESTS_STANDIN_SERVER_H
 
+#include "standin/address.h"
 #include "standin/exchange.h"
 #include "standin/fault.h"
 #include "standin/record.h"
@@ -22,7 +23,7 @@
   struct server *server;
   struct evhttp *http;
   struct evhttp_bound_socket *socket; /**< NULL while it refuses */
-  char host[64];
+  char host[ADDRESS_HOST_SIZE];
   uint16_t port;
   uint32_t index;
   struct fault fault;
@@ -60,7 +61,4 @@
                  const struct server_handler *handler);
 void server_finish (struct server *server);
 
-/** Splits HOST:PORT. @return 0 or -1. */
-int server_parse_address (const char *address, char host[64], uint16_t *port);
-
 #endif
