--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -122,8 +122,11 @@
       && ++worker->skipped < fault->value)
     return;
   worker->skipped = 0;
-  DL_FOREACH_SAFE (worker->running, job, next)
-    advance (job);
+  for (job = worker->running; job != NULL; job = next)
+    {
+      next = job->next;
+      advance (job);
+    }
 }
 
 static void
