--- a/src/check.c
+++ b/src/check.c
@@ -1,6 +1,6 @@
 /**
  * @file check.c
- * The `check` subcommand: says what is wrong with a settings file.
+ * The `check` subcommand: says what is wrong with settings files.
  */
 #include "command.h"
 #include "protocol/settings.h"
@@ -8,51 +8,57 @@
 #include <stdio.h>
 
 static error_t parse_option (int key, char *arg, struct argp_state *state);
+static int check_file (const char *path);
 
 static const struct argp parser
     = { .parser = parse_option,
-        .args_doc = "FILE",
-        .doc = "Check a settings file and print every fault as "
-               "FILE:LINE: PATH: reason." };
+        .args_doc = "FILE...",
+        .doc = "Check files of settings and objects, and print every fault "
+               "as FILE:LINE: PATH: reason." };
 
 int
 command_check (int argc, char **argv)
 {
-  const char *path = NULL;
-  struct settings *settings = NULL;
-  int error;
+  int first = 0;
+  int code = COMMAND_DONE;
 
-  if (argp_parse (&parser, argc, argv, 0, NULL, &path) != 0)
+  if (argp_parse (&parser, argc, argv, ARGP_IN_ORDER, &first, NULL) != 0)
     return COMMAND_USAGE;
-  error = settings_load (path, &settings, stderr);
-  if (error == 0)
-    error = settings_validate (settings, path, stderr);
-  if (error == 0)
-    printf ("%s: %u customers, %u profiles, %u services%s\n", path,
-            settings->customers_count, settings->profiles_count,
-            settings->services_count,
-            settings->router == NULL ? "" : ", router settings");
-  settings_free (settings);
-  return error == 0 ? COMMAND_DONE : COMMAND_FAILED;
+  for (; first < argc; first++)
+    if (check_file (argv[first]) != 0)
+      code = COMMAND_FAILED;
+  return code;
 }
 
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
-  const char **path = state->input;
-
+  (void)arg;
   switch (key)
     {
     case ARGP_KEY_ARG:
-      if (*path != NULL)
-        argp_error (state, "more than one FILE");
-      *path = arg;
-      return 0;
-    case ARGP_KEY_END:
-      if (*path == NULL)
-        argp_error (state, "no FILE given");
+      return ARGP_ERR_UNKNOWN; /* ends the options; `first` is set here */
+    case ARGP_KEY_NO_ARGS:
+      argp_error (state, "no FILE given");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
 }
+
+static int
+check_file (const char *path)
+{
+  struct settings *settings = NULL;
+  int error = settings_load (path, &settings, stderr);
+
+  if (error == 0)
+    error = settings_validate (settings, path, stderr);
+  if (error == 0)
+    printf ("%s: %u customers, %u profiles, %u services%s\n", path,
+            settings->customers_count, settings->profiles_count,
+            settings->services_count,
+            settings->router == NULL ? "" : ", router settings");
+  settings_free (settings);
+  return error;
+}
--- a/src/command.c
+++ b/src/command.c
@@ -12,6 +12,11 @@
 {
   COMMAND_SERVE,
   COMMAND_CHECK,
+  COMMAND_APPLY,
+  COMMAND_GET,
+  COMMAND_AUDIT,
+  COMMAND_STATUS,
+  COMMAND_DRAIN,
   COMMAND_MAX
 };
 
@@ -26,7 +31,17 @@
 
 static const struct command_entry commands[COMMAND_MAX] = {
   [COMMAND_SERVE] = { "serve", "run a router", command_serve },
-  [COMMAND_CHECK] = { "check", "check a settings file", command_check },
+  [COMMAND_CHECK]
+  = { "check", "check files of settings and objects", command_check },
+  [COMMAND_APPLY]
+  = { "apply", "send the objects of a file to an instance", command_apply },
+  [COMMAND_GET] = { "get", "print objects in force", command_get },
+  [COMMAND_AUDIT]
+  = { "audit", "print who changed what, when and why", command_audit },
+  [COMMAND_STATUS]
+  = { "status", "print the state of an instance", command_status },
+  [COMMAND_DRAIN]
+  = { "drain", "let an instance finish and exit", command_drain },
 };
 
 const char *argp_program_version = "cherrylanding " CHERRYLANDING_VERSION;
--- /dev/null
+++ b/tests/support/fakestore.c
@@ -0,0 +1,261 @@
+/**
+ * @file fakestore.c
+ * A store with faults, upon kvmem.
+ */
+#include "support/fakestore.h"
+#include "state/err.h"
+#include "transport/kvmem.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int fake_get (struct platform *platform, const char *key,
+                     platform_items_fn done, void *user);
+static int fake_list (struct platform *platform, const char *prefix,
+                      platform_items_fn done, void *user);
+static int fake_cas (struct platform *platform, const char *key,
+                     const char *value, size_t value_size, uint64_t expected,
+                     platform_write_fn done, void *user);
+static int fake_watch (struct platform *platform, const char *prefix,
+                       uint64_t since, uint32_t wait_ms,
+                       platform_items_fn done, void *user);
+static int apply (struct fakestore *store, const char *key, const char *value,
+                  uint64_t expected, uint64_t *index);
+static void note_result (void *user, int error, uint64_t index);
+static void note_index (void *user, int error, uint64_t index,
+                        const struct platform_item *items, size_t count);
+static enum fakestore_fault next_fault (struct fakestore *store);
+
+/** Result of an inner call, which ends at once. */
+struct result
+{
+  int error;
+  uint64_t index;
+};
+
+static const struct platform_ops fake_ops = { .name = "fake",
+                                              .get = fake_get,
+                                              .list = fake_list,
+                                              .cas = fake_cas,
+                                              .watch = fake_watch };
+
+int
+fakestore_init (struct fakestore *store, const struct clock *clock)
+{
+  memset (store, 0, sizeof *store);
+  store->platform.ops = &fake_ops;
+  store->clock = clock;
+  store->inner = kvmem_new (NULL, clock);
+  return store->inner == NULL ? ERR_NO_MEMORY : 0;
+}
+
+void
+fakestore_finish (struct fakestore *store)
+{
+  size_t i;
+
+  for (i = 0; i < store->write_count; i++)
+    {
+      free (store->writes[i].key);
+      free (store->writes[i].value);
+    }
+  free (store->delayed.key);
+  free (store->delayed.value);
+  store->inner->ops->finish (store->inner);
+}
+
+void
+fakestore_fault (struct fakestore *store, enum fakestore_fault fault)
+{
+  store->faults[store->fault_count++] = fault;
+}
+
+void
+fakestore_down (struct fakestore *store, bool down)
+{
+  size_t count = store->waiter_count;
+  size_t i;
+
+  store->down = down;
+  if (!down)
+    return;
+  store->waiter_count = 0;
+  for (i = 0; i < count; i++)
+    store->waiters[i].done (store->waiters[i].user, ERR_UNAVAILABLE, 0, NULL,
+                            0);
+}
+
+void
+fakestore_restore (struct fakestore *store, size_t count)
+{
+  struct result result;
+  size_t i;
+
+  store->inner->ops->finish (store->inner);
+  store->inner = kvmem_new (NULL, store->clock);
+  for (i = 0; i < store->write_count; i++)
+    {
+      const struct fakestore_write *write = &store->writes[i];
+
+      if (i < count)
+        store->inner->ops->cas (store->inner, write->key, write->value,
+                                strlen (write->value), write->expected,
+                                note_result, &result);
+      else
+        {
+          free (write->key);
+          free (write->value);
+        }
+    }
+  if (count < store->write_count)
+    store->write_count = count;
+  fakestore_wake (store);
+}
+
+int
+fakestore_arrive (struct fakestore *store)
+{
+  uint64_t index;
+  int error = apply (store, store->delayed.key, store->delayed.value,
+                     store->delayed.expected, &index);
+
+  fakestore_wake (store);
+  return error;
+}
+
+void
+fakestore_wake (struct fakestore *store)
+{
+  struct fakestore_waiter waiters[FAKESTORE_WAITERS];
+  size_t count = store->waiter_count;
+  size_t i;
+
+  memcpy (waiters, store->waiters, sizeof waiters);
+  store->waiter_count = 0;
+  for (i = 0; i < count; i++)
+    store->inner->ops->list (store->inner, waiters[i].prefix, waiters[i].done,
+                             waiters[i].user);
+}
+
+static int
+fake_get (struct platform *platform, const char *key, platform_items_fn done,
+          void *user)
+{
+  struct fakestore *store = (struct fakestore *)platform;
+
+  store->calls++;
+  if (!store->down)
+    return store->inner->ops->get (store->inner, key, done, user);
+  done (user, ERR_UNAVAILABLE, 0, NULL, 0);
+  return 0;
+}
+
+static int
+fake_list (struct platform *platform, const char *prefix,
+           platform_items_fn done, void *user)
+{
+  struct fakestore *store = (struct fakestore *)platform;
+
+  store->calls++;
+  if (!store->down)
+    return store->inner->ops->list (store->inner, prefix, done, user);
+  done (user, ERR_TIMEOUT, 0, NULL, 0);
+  return 0;
+}
+
+static int
+fake_watch (struct platform *platform, const char *prefix, uint64_t since,
+            uint32_t wait_ms, platform_items_fn done, void *user)
+{
+  struct fakestore *store = (struct fakestore *)platform;
+  struct result result = { 0, 0 };
+  struct fakestore_waiter *waiter = &store->waiters[store->waiter_count];
+
+  (void)wait_ms;
+  store->inner->ops->get (store->inner, "none", note_index, &result);
+  if (store->down || result.index > since
+      || store->waiter_count == FAKESTORE_WAITERS)
+    return fake_list (platform, prefix, done, user);
+  store->calls++;
+  snprintf (waiter->prefix, sizeof waiter->prefix, "%s", prefix);
+  waiter->done = done;
+  waiter->user = user;
+  store->waiter_count++;
+  return 0;
+}
+
+static int
+fake_cas (struct platform *platform, const char *key, const char *value,
+          size_t value_size, uint64_t expected, platform_write_fn done,
+          void *user)
+{
+  struct fakestore *store = (struct fakestore *)platform;
+  enum fakestore_fault fault
+      = store->down ? FAKESTORE_NONE : next_fault (store);
+  uint64_t index = 0;
+  int error = ERR_UNAVAILABLE;
+
+  (void)value_size;
+  store->calls++;
+  if (fault == FAKESTORE_RACE)
+    store->race (store->race_user);
+  if (fault == FAKESTORE_DELAY_REQUEST)
+    store->delayed
+        = (struct fakestore_write){ strdup (key), strdup (value), expected };
+  else if (!store->down && fault != FAKESTORE_LOSE_REQUEST)
+    error = apply (store, key, value, expected, &index);
+  if (fault == FAKESTORE_LOSE_REQUEST || fault == FAKESTORE_LOSE_ANSWER
+      || fault == FAKESTORE_DELAY_REQUEST)
+    error = ERR_UNKNOWN_OUTCOME;
+  done (user, error, index);
+  if (!store->down)
+    fakestore_wake (store);
+  return 0;
+}
+
+static int
+apply (struct fakestore *store, const char *key, const char *value,
+       uint64_t expected, uint64_t *index)
+{
+  struct result result = { ERR_IO, 0 };
+
+  store->inner->ops->cas (store->inner, key, value, strlen (value), expected,
+                          note_result, &result);
+  *index = result.index;
+  if (result.error == 0 && store->write_count < FAKESTORE_WRITES_MAX)
+    store->writes[store->write_count++]
+        = (struct fakestore_write){ strdup (key), strdup (value), expected };
+  return result.error;
+}
+
+static void
+note_result (void *user, int error, uint64_t index)
+{
+  struct result *result = user;
+
+  result->error = error;
+  result->index = index;
+}
+
+static void
+note_index (void *user, int error, uint64_t index,
+            const struct platform_item *items, size_t count)
+{
+  (void)items;
+  (void)count;
+  note_result (user, error, index);
+}
+
+static enum fakestore_fault
+next_fault (struct fakestore *store)
+{
+  enum fakestore_fault fault = FAKESTORE_NONE;
+
+  if (store->fault_count == 0)
+    return fault;
+  fault = store->faults[0];
+  store->fault_count--;
+  memmove (store->faults, store->faults + 1,
+           store->fault_count * sizeof store->faults[0]);
+  return fault;
+}
