--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -29,7 +29,7 @@
 static void finish_job (struct engine_job *job);
 static void release (struct engine_job *job);
 
-static const struct server_handler handler = { on_request, NULL };
+static const struct server_handler handler = { on_request, NULL, NULL };
 
 int
 engine_init (struct server *server, const struct standin_options *options)
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -43,6 +43,7 @@
 static const struct role roles[] = {
   { "engine", engine_init, engine_finish },
   { "plain", plain_init, plain_finish },
+  { "store", store_init, store_finish },
 };
 
 static const struct argp_option options[] = {
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -34,7 +34,7 @@
 static void release (struct plain_job *job);
 static const char *method_name (enum evhttp_cmd_type command);
 
-static const struct server_handler handler = { on_request, NULL };
+static const struct server_handler handler = { on_request, NULL, NULL };
 
 int
 plain_init (struct server *server, const struct standin_options *options)
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -194,9 +194,12 @@
 control_stats (struct server *server, struct evhttp_request *request)
 {
   json_t *stats = record_stats (&server->record);
-  char *text = json_dumps (stats, JSON_COMPACT);
   struct evbuffer *body = evbuffer_new ();
+  char *text;
 
+  if (server->handler->stats != NULL)
+    server->handler->stats (server, stats);
+  text = json_dumps (stats, JSON_COMPACT);
   evbuffer_add_printf (body, "%s\n", text);
   evhttp_send_reply (request, HTTP_OK, NULL, body);
   evbuffer_free (body);
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -36,6 +36,8 @@
                    struct evhttp_request *request);
   /** Told of a new fault; may be NULL. */
   void (*fault) (struct server_listener *listener);
+  /** Adds to the statistics; may be NULL. */
+  void (*stats) (struct server *server, json_t *stats);
 };
 
 struct server
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -30,5 +30,7 @@
 void engine_finish (struct server *server);
 int plain_init (struct server *server, const struct standin_options *options);
 void plain_finish (struct server *server);
+int store_init (struct server *server, const struct standin_options *options);
+void store_finish (struct server *server);
 
 #endif
