Lease slots: lessor, lessee and fleet-wide demand

A lessor keeps for each lease what is granted, what the lessee last said and the largest grant not yet confirmed; the larger of the last two is reserved, and a raise comes only out of what no lease reserves. For one grant a lessee's capacity only falls, so late, repeated and reordered holds change nothing. Grants that go unconfirmed are repeated by the second next full run.

A lessor that becomes responsible asks; it does not wait to be told, because a lessee that sees the change first would report to a lessor that does not yet know it is one. What is held is granted as it is, so leases go on.

After a pause of half a lease, as after a cold start, an instance that sees fewer members than it knows of grants nothing for a lease time and the grace: else it would share out every upstream to itself before its first heartbeat arrives.

--- a/src/coordination/lessee.h
+++ b/src/coordination/lessee.h
@@ -41,7 +41,8 @@
 /** Gives back idle slots of a service that nobody waits for here while
     `wanted` requests wait elsewhere: at most `wanted`, once in
     LESSEE_RELEASE_MS, so that instances which all hear of one waiting request
-    do not all empty themselves.  @return number of slots given back. */
+    do not all empty themselves.  Not for a policy that moves no slots.
+    @return number of slots given back. */
 uint32_t lessee_release (struct lessee *lessee, uint64_t service_id,
                          uint32_t wanted, uint64_t now_ns);
 
--- /dev/null
+++ b/src/coordination/lessor.c
@@ -0,0 +1,317 @@
+/**
+ * @file lessor.c
+ * Messages of the lessor, and the ends of leases.
+ */
+#include "coordination/lessor.h"
+#include "coordination/lessor_int.h"
+#include "state/err.h"
+#include <stdlib.h>
+
+#define RENEWALS_PER_LEASE 4
+#define PAUSES_PER_LEASE   2 /* half a lease without a run is a pause */
+
+static uint64_t own_incarnation (const struct lessor *lessor);
+static void end_expired (struct lessor *lessor, uint64_t now_ns);
+static int adopt (struct lessor *lessor, struct lessor_peer *peer,
+                  const struct message_hold_item *item);
+static bool may_renew (const struct lessor *lessor,
+                       const struct lessor_peer *peer, uint64_t now_ns);
+static void send_grants (struct lessor *lessor, struct lessor_peer *peer,
+                         uint64_t now_ns, const struct message_link *link);
+static bool ask (struct lessor *lessor, const struct lessor_peer *peer,
+                 const struct message_link *link);
+static void ask_all (struct lessor *lessor, const struct message_link *link);
+
+struct lessor *
+lessor_new (const struct lessor_config *config)
+{
+  struct lessor *lessor = calloc (1, sizeof *lessor);
+
+  if (lessor == NULL)
+    return NULL;
+  lessor->config = *config;
+  if (lessor->config.policy == NULL)
+    lessor->config.policy = &share_fleet;
+  return lessor;
+}
+
+void
+lessor_free (struct lessor *lessor)
+{
+  struct lessor_upstream *upstream;
+  struct lessor_service *service;
+  struct lessor_peer *peer;
+  void *next;
+
+  if (lessor == NULL)
+    return;
+  upstream = lessor->upstreams;
+  HASH_CLEAR (hh, lessor->upstreams);
+  for (; upstream != NULL; upstream = next)
+    {
+      next = upstream->hh.next;
+      free (upstream->leases);
+      free (upstream);
+    }
+  service = lessor->services;
+  HASH_CLEAR (hh, lessor->services);
+  for (; service != NULL; service = next)
+    {
+      next = service->hh.next;
+      free (service->targets);
+      free (service);
+    }
+  peer = lessor->peers;
+  HASH_CLEAR (hh, lessor->peers);
+  for (; peer != NULL; peer = next)
+    {
+      next = peer->hh.next;
+      free (peer->items);
+      free (peer);
+    }
+  demand_finish (&lessor->demand);
+  free (lessor);
+}
+
+struct lessor_peer *
+lessor_peer_find (const struct lessor *lessor, uint64_t instance_id)
+{
+  struct lessor_peer *peer;
+
+  HASH_FIND (hh, lessor->peers, &instance_id, sizeof instance_id, peer);
+  return peer;
+}
+
+static uint64_t
+own_incarnation (const struct lessor *lessor)
+{
+  const struct member *self
+      = member_find (lessor->config.members, lessor->config.members->self_id);
+
+  return self == NULL ? 0 : self->incarnation;
+}
+
+int
+lessor_demand (struct lessor *lessor, uint64_t instance_id,
+               const struct message_heartbeat *heartbeat)
+{
+  struct lessor_peer *peer = lessor_peer_find (lessor, instance_id);
+
+  if (peer != NULL && heartbeat->sequence > peer->heartbeat_sequence)
+    peer->heartbeat_sequence = heartbeat->sequence;
+  if (heartbeat->demand_count > 0 || heartbeat->full)
+    lessor->stirred = true;
+  return demand_apply (&lessor->demand, instance_id, heartbeat);
+}
+
+void
+lessor_instance_gone (struct lessor *lessor, uint64_t instance_id)
+{
+  demand_forget (&lessor->demand, instance_id);
+}
+
+/* What a lessee held before this lessor became responsible is granted to it
+   as it is, so that its lease goes on. */
+static int
+adopt (struct lessor *lessor, struct lessor_peer *peer,
+       const struct message_hold_item *item)
+{
+  struct lessor_upstream *upstream;
+  struct lessor_lease *lease;
+  bool was_known;
+
+  HASH_FIND (hh, lessor->upstreams, &item->upstream_id,
+             sizeof item->upstream_id, upstream);
+  if (upstream == NULL)
+    return 0;
+  lease = lessor_lease_get (upstream, peer->instance_id);
+  if (lease == NULL)
+    return ERR_NO_MEMORY;
+  was_known = lease->known;
+  if (lessor_lease_hold (lease, item))
+    lessor->stirred = true;
+  if (was_known || lease->capacity == 0)
+    return 0;
+  return lessor_lease_grant (lessor, upstream, peer, lease, lease->capacity);
+}
+
+int
+lessor_hold (struct lessor *lessor, uint64_t instance_id,
+             const struct message_hold *hold, uint64_t now_ns)
+{
+  struct lessor_peer *peer = lessor_peer_find (lessor, instance_id);
+  size_t i;
+  int result = 0;
+
+  if (hold->lessor_incarnation != own_incarnation (lessor))
+    return ERR_STALE;
+  if (peer == NULL)
+    return ERR_NOT_FOUND;
+  if (peer->expires_ns == 0)
+    peer->expires_ns = now_ns + lessor_lease_ns (lessor);
+  for (i = 0; i < hold->item_count && result == 0; i++)
+    result = adopt (lessor, peer, &hold->items[i]);
+  return result;
+}
+
+static void
+end_expired (struct lessor *lessor, uint64_t now_ns)
+{
+  struct lessor_peer *peer;
+
+  for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->expires_ns != 0 && now_ns >= peer->expires_ns)
+      {
+        lessor_lease_end (lessor, peer->instance_id);
+        peer->expires_ns = 0;
+        peer->item_count = 0;
+        lessor->asking = true;
+      }
+}
+
+static bool
+may_renew (const struct lessor *lessor, const struct lessor_peer *peer,
+           uint64_t now_ns)
+{
+  return peer->expires_ns != 0
+         && now_ns - peer->renewed_ns >= lessor->config.lease_ms
+                                             * LESSOR_NS_PER_MS
+                                             / RENEWALS_PER_LEASE;
+}
+
+/* The lessee counts the lease from the heartbeat that the grant names, and
+   that was heard no later than heard_ns. */
+static void
+send_grants (struct lessor *lessor, struct lessor_peer *peer, uint64_t now_ns,
+             const struct message_link *link)
+{
+  const struct member *member
+      = member_find (lessor->config.members, peer->instance_id);
+  uint64_t from_ns = now_ns;
+  uint64_t ends_ns;
+  struct message message
+      = { .kind = MESSAGE_GRANT,
+          .u.grant = { .lessor_incarnation = own_incarnation (lessor),
+                       .lease_ms = lessor->config.lease_ms,
+                       .item_count = peer->item_count,
+                       .items = peer->items,
+                       .heartbeat_sequence = peer->heartbeat_sequence } };
+
+  if (member != NULL && peer->heartbeat_sequence != 0
+      && peer->instance_id != lessor->config.members->self_id)
+    from_ns = member->heard_ns;
+  ends_ns = from_ns + lessor_lease_ns (lessor);
+  if (ends_ns > peer->expires_ns)
+    peer->expires_ns = ends_ns;
+  peer->renewed_ns = now_ns;
+  link->send (link->user, peer->instance_id, &message);
+  peer->item_count = 0;
+}
+
+/* Asks what an instance holds. @return true when it has been asked. */
+static bool
+ask (struct lessor *lessor, const struct lessor_peer *peer,
+     const struct message_link *link)
+{
+  struct message message
+      = { .kind = MESSAGE_GRANT,
+          .u.grant = { .lessor_incarnation = own_incarnation (lessor) } };
+  struct message_grant *grant = &message.u.grant;
+  struct lessor_upstream *upstream;
+  const struct lessor_lease *lease;
+
+  grant->items
+      = calloc (HASH_COUNT (lessor->upstreams) + 1, sizeof *grant->items);
+  if (grant->items == NULL)
+    return true;
+  for (upstream = lessor->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      lease = lessor_lease_find (upstream, peer->instance_id);
+      if (lease == NULL || !lease->known)
+        grant->items[grant->item_count++].upstream_id = upstream->id;
+    }
+  if (grant->item_count > 0)
+    link->send (link->user, peer->instance_id, &message);
+  free (grant->items);
+  return grant->item_count > 0;
+}
+
+static void
+ask_all (struct lessor *lessor, const struct message_link *link)
+{
+  struct lessor_peer *peer;
+
+  lessor->asking = false;
+  for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->alive)
+      ask (lessor, peer, link);
+}
+
+int
+lessor_run (struct lessor *lessor, uint64_t now_ns, bool full,
+            const struct message_link *link)
+{
+  struct lessor_peer *peer;
+  int result;
+
+  /* After a pause the others may have shared out what this one forgot. */
+  if (lessor->run_ns == 0
+      || now_ns - lessor->run_ns
+             > lessor->config.lease_ms * LESSOR_NS_PER_MS / PAUSES_PER_LEASE)
+    lessor->started_ns = now_ns;
+  lessor->run_ns = now_ns;
+  result = lessor_refresh (lessor, now_ns);
+  end_expired (lessor, now_ns);
+  if (result == 0 && full)
+    {
+      lessor->turn++;
+      result = lessor_plan_full (lessor, now_ns);
+    }
+  if (result == 0 && lessor->stirred)
+    result = lessor_plan_free (lessor, now_ns);
+  lessor->stirred = false;
+  if (full || lessor->asking)
+    ask_all (lessor, link);
+  for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->alive
+        && (peer->item_count > 0
+            || (full && may_renew (lessor, peer, now_ns))))
+      send_grants (lessor, peer, now_ns, link);
+  return result;
+}
+
+uint32_t
+lessor_reserved (const struct lessor *lessor, uint64_t upstream_id)
+{
+  const struct lessor_upstream *upstream;
+  uint32_t reserved = 0;
+  uint32_t i;
+
+  HASH_FIND (hh, lessor->upstreams, &upstream_id, sizeof upstream_id,
+             upstream);
+  if (upstream == NULL)
+    return 0;
+  for (i = 0; i < upstream->lease_count; i++)
+    reserved += lessor_lease_reserved (&upstream->leases[i]);
+  return reserved;
+}
+
+uint32_t
+lessor_fleet_waiting (const struct lessor *lessor, uint64_t service_id)
+{
+  const struct demand_service *service
+      = demand_find (&lessor->demand, service_id);
+  uint32_t waiting = 0;
+  uint32_t i;
+
+  for (i = 0; service != NULL && i < service->instance_count; i++)
+    {
+      const struct lessor_peer *peer
+          = lessor_peer_find (lessor, service->instances[i].instance_id);
+
+      if (peer != NULL && peer->eligible)
+        waiting += service->instances[i].waiting;
+    }
+  return waiting;
+}
--- /dev/null
+++ b/src/coordination/lessor_plan.c
@@ -0,0 +1,391 @@
+/**
+ * @file lessor_plan.c
+ * Which slots go where.  A full run shrinks leases towards the targets and
+ * raises others into what is free; between full runs free slots go to the
+ * waiting instance that is furthest below its target.
+ */
+#include "coordination/lessor_int.h"
+#include "state/err.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define TARGET_STEP 1000 /* millislots; a smaller change moves no slot */
+
+/* A service's targets in a full run, and room for one upstream's slots. */
+struct plan
+{
+  struct lessor *lessor;
+  const struct lessor_service *service;
+  struct demand_service *demand;
+  uint32_t *desired;
+};
+
+static int compare_targets (const void *a, const void *b);
+static size_t collect_targets (const struct lessor *lessor,
+                               struct share_target *targets);
+static bool is_settled (const struct lessor_service *service,
+                        const struct demand_service *demand,
+                        const struct share_target *targets, size_t count);
+static int compute_targets (struct lessor *lessor,
+                            struct lessor_service *service,
+                            const struct demand_service *demand);
+static bool is_known (const struct lessor_upstream *upstream,
+                      uint64_t instance_id);
+static int shrink (struct plan *plan, struct lessor_upstream *upstream);
+static int repeat_unconfirmed (struct lessor *lessor,
+                               struct lessor_upstream *upstream);
+static int raise_to_desired (struct plan *plan,
+                             struct lessor_upstream *upstream);
+static int plan_service (struct lessor *lessor, struct lessor_service *service,
+                         uint64_t now_ns);
+static uint32_t held (const struct lessor *lessor, uint64_t service_id,
+                      uint64_t instance_id);
+static struct demand_instance *
+neediest (const struct lessor *lessor, const struct lessor_service *service,
+          const struct lessor_upstream *upstream,
+          const struct demand_service *demand);
+static int hand_out (struct lessor *lessor, struct lessor_service *service,
+                     struct lessor_upstream *upstream);
+
+static int
+compare_targets (const void *a, const void *b)
+{
+  const struct share_target *one = a;
+  const struct share_target *other = b;
+
+  return one->instance_id < other->instance_id   ? -1
+         : one->instance_id > other->instance_id ? 1
+                                                 : 0;
+}
+
+bool
+lessor_plan_ready (const struct lessor *lessor,
+                   const struct lessor_upstream *upstream, uint64_t now_ns)
+{
+  const struct member_table *members = lessor->config.members;
+  const struct member *member;
+  uint64_t lease_ns = lessor_lease_ns (lessor);
+  uint32_t expected = HASH_COUNT (members->members);
+
+  if (lessor->config.members_expected + 1 > expected)
+    expected = lessor->config.members_expected + 1;
+  if (lessor->alive_count < expected && now_ns < lessor->started_ns + lease_ns)
+    return false;
+  if (now_ns >= upstream->since_ns + lease_ns)
+    return true;
+  for (member = members->members; member != NULL; member = member->hh.next)
+    if (member->status == MEMBER_ALIVE
+            ? !is_known (upstream, member->instance_id)
+            : now_ns < member->heard_ns + lease_ns)
+      return false;
+  return true;
+}
+
+static bool
+is_known (const struct lessor_upstream *upstream, uint64_t instance_id)
+{
+  const struct lessor_lease *lease = lessor_lease_find (upstream, instance_id);
+
+  return lease != NULL && lease->known;
+}
+
+static size_t
+collect_targets (const struct lessor *lessor, struct share_target *targets)
+{
+  const struct lessor_peer *peer;
+  size_t count = 0;
+
+  for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->eligible)
+      targets[count++].instance_id = peer->instance_id;
+  if (count > 1)
+    qsort (targets, count, sizeof *targets, compare_targets);
+  return count;
+}
+
+/* Whether the targets in force may stay: no instance's has changed by a slot,
+   or nobody waits and every instance has some. */
+static bool
+is_settled (const struct lessor_service *service,
+            const struct demand_service *demand,
+            const struct share_target *targets, size_t count)
+{
+  bool close = true;
+  bool some = true;
+  bool waiting = false;
+  size_t i;
+
+  if (service->target_count != count)
+    return false;
+  for (i = 0; i < count; i++)
+    {
+      uint64_t old = service->targets[i].millislots;
+      uint64_t new = targets[i].millislots;
+
+      if (service->targets[i].instance_id != targets[i].instance_id)
+        return false;
+      if ((old > new ? old - new : new - old) >= TARGET_STEP)
+        close = false;
+      if (old < TARGET_STEP)
+        some = false;
+    }
+  for (i = 0; demand != NULL && i < demand->instance_count; i++)
+    if (demand->instances[i].waiting > 0)
+      waiting = true;
+  return close || (some && !waiting);
+}
+
+static int
+compute_targets (struct lessor *lessor, struct lessor_service *service,
+                 const struct demand_service *demand)
+{
+  size_t peers = HASH_COUNT (lessor->peers);
+  size_t rows = demand == NULL ? 0 : demand->row_count;
+  struct share_target *targets = calloc (peers + 1, sizeof *targets);
+  struct share_demand *demands = calloc (rows + 1, sizeof *demands);
+  size_t count;
+  int result = ERR_NO_MEMORY;
+
+  if (targets != NULL && demands != NULL)
+    {
+      count = collect_targets (lessor, targets);
+      if (demand != NULL)
+        rows = demand_rows (demand, lessor->config.catalog,
+                            lessor->config.ledger, targets, count, demands);
+      result = lessor->config.policy->compute (demands, rows, service->slots,
+                                               lessor->config.payback, targets,
+                                               count);
+      if (result == 0 && !is_settled (service, demand, targets, count))
+        {
+          free (service->targets);
+          service->targets = targets;
+          service->target_count = (uint32_t)count;
+          targets = NULL;
+        }
+    }
+  free (demands);
+  free (targets);
+  return result;
+}
+
+/* Takes back what is above the target.  Instances that are alive but take no
+   requests keep only what is busy. */
+static int
+shrink (struct plan *plan, struct lessor_upstream *upstream)
+{
+  struct lessor *lessor = plan->lessor;
+  uint32_t i;
+  int result = 0;
+
+  for (i = 0; i < upstream->lease_count && result == 0; i++)
+    {
+      struct lessor_lease *lease = &upstream->leases[i];
+      struct lessor_peer *peer = lessor_peer_find (lessor, lease->instance_id);
+      uint32_t desired = 0;
+      uint32_t t;
+
+      if (peer == NULL || !peer->alive || !lease->known)
+        continue;
+      for (t = 0; t < plan->service->target_count; t++)
+        if (plan->service->targets[t].instance_id == lease->instance_id)
+          desired = plan->desired[t];
+      if (lease->granted > desired)
+        result = lessor_lease_grant (lessor, upstream, peer, lease, desired);
+    }
+  return result;
+}
+
+static int
+repeat_unconfirmed (struct lessor *lessor, struct lessor_upstream *upstream)
+{
+  uint32_t i;
+  int result = 0;
+
+  for (i = 0; i < upstream->lease_count && result == 0; i++)
+    {
+      struct lessor_lease *lease = &upstream->leases[i];
+      struct lessor_peer *peer = lessor_peer_find (lessor, lease->instance_id);
+
+      if (peer != NULL && peer->alive && lease->known
+          && lease->confirmed < lease->sequence
+          && lease->sent_turn + 1 < lessor->turn)
+        result = lessor_lease_repeat (lessor, upstream, peer, lease);
+    }
+  return result;
+}
+
+static int
+raise_to_desired (struct plan *plan, struct lessor_upstream *upstream)
+{
+  struct lessor *lessor = plan->lessor;
+  uint32_t unused = lessor_upstream_free (upstream);
+  uint32_t i;
+  int result = 0;
+
+  for (i = 0; i < plan->service->target_count && unused > 0 && result == 0;
+       i++)
+    {
+      uint64_t id = plan->service->targets[i].instance_id;
+      struct lessor_lease *lease = lessor_lease_find (upstream, id);
+      struct lessor_peer *peer = lessor_peer_find (lessor, id);
+      struct demand_instance *instance;
+      uint32_t more;
+
+      if (lease == NULL || !lease->known || lease->granted >= plan->desired[i])
+        continue;
+      more = plan->desired[i] - lease->granted;
+      if (more > unused)
+        more = unused;
+      unused -= more;
+      instance = demand_instance_find (plan->demand, id);
+      if (instance != NULL)
+        instance->given += more;
+      result = lessor_lease_grant (lessor, upstream, peer, lease,
+                                   lease->granted + more);
+    }
+  return result;
+}
+
+static int
+plan_service (struct lessor *lessor, struct lessor_service *service,
+              uint64_t now_ns)
+{
+  struct plan plan
+      = { lessor, service, demand_find (&lessor->demand, service->id), NULL };
+  struct lessor_upstream *upstream;
+  int result = compute_targets (lessor, service, plan.demand);
+
+  plan.desired = calloc (service->target_count + 1, sizeof *plan.desired);
+  if (plan.desired == NULL)
+    return ERR_NO_MEMORY;
+  for (upstream = lessor->upstreams; upstream != NULL && result == 0;
+       upstream = upstream->hh.next)
+    {
+      if (upstream->service_id != service->id)
+        continue;
+      share_round (service->targets, service->target_count, service->slots,
+                   upstream->first, upstream->slots, plan.desired);
+      result = shrink (&plan, upstream);
+      if (result == 0 && lessor_plan_ready (lessor, upstream, now_ns))
+        result = raise_to_desired (&plan, upstream);
+      if (result == 0)
+        result = repeat_unconfirmed (lessor, upstream);
+    }
+  free (plan.desired);
+  return result;
+}
+
+int
+lessor_plan_full (struct lessor *lessor, uint64_t now_ns)
+{
+  struct lessor_service *service;
+  int result = 0;
+
+  for (service = lessor->services; service != NULL && result == 0;
+       service = service->hh.next)
+    if (service->own_slots > 0)
+      result = plan_service (lessor, service, now_ns);
+  return result;
+}
+
+/* Slots of a service that an instance has from this lessor. */
+static uint32_t
+held (const struct lessor *lessor, uint64_t service_id, uint64_t instance_id)
+{
+  const struct lessor_upstream *upstream;
+  const struct lessor_lease *lease;
+  uint32_t slots = 0;
+
+  for (upstream = lessor->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      lease = lessor_lease_find (upstream, instance_id);
+      if (upstream->service_id == service_id && lease != NULL)
+        slots += lease->granted;
+    }
+  return slots;
+}
+
+/* The waiting instance that is furthest below its target here. */
+static struct demand_instance *
+neediest (const struct lessor *lessor, const struct lessor_service *service,
+          const struct lessor_upstream *upstream,
+          const struct demand_service *demand)
+{
+  struct demand_instance *best = NULL;
+  int64_t best_lack = 0;
+  uint32_t i;
+  uint32_t t;
+
+  for (i = 0; i < demand->instance_count; i++)
+    {
+      struct demand_instance *instance = &demand->instances[i];
+      const struct lessor_peer *peer
+          = lessor_peer_find (lessor, instance->instance_id);
+      int64_t lack = 0;
+
+      if (instance->waiting <= instance->given || peer == NULL
+          || !peer->eligible || !is_known (upstream, instance->instance_id))
+        continue;
+      for (t = 0; t < service->target_count; t++)
+        if (service->targets[t].instance_id == instance->instance_id)
+          lack = (int64_t)(service->targets[t].millislots * service->own_slots
+                           / service->slots);
+      lack -= (int64_t)TARGET_STEP
+              * held (lessor, service->id, instance->instance_id);
+      if (best == NULL || lack > best_lack)
+        {
+          best = instance;
+          best_lack = lack;
+        }
+    }
+  return best;
+}
+
+static int
+hand_out (struct lessor *lessor, struct lessor_service *service,
+          struct lessor_upstream *upstream)
+{
+  struct demand_service *demand = demand_find (&lessor->demand, service->id);
+  uint32_t unused = lessor_upstream_free (upstream);
+  int result = 0;
+
+  if (demand == NULL)
+    return 0;
+  for (; unused > 0 && result == 0; unused--)
+    {
+      struct demand_instance *instance
+          = neediest (lessor, service, upstream, demand);
+      struct lessor_lease *lease;
+
+      if (instance == NULL)
+        break;
+      lease = lessor_lease_find (upstream, instance->instance_id);
+      instance->given++;
+      result = lessor_lease_grant (
+          lessor, upstream, lessor_peer_find (lessor, instance->instance_id),
+          lease, lease->granted + 1);
+    }
+  return result;
+}
+
+int
+lessor_plan_free (struct lessor *lessor, uint64_t now_ns)
+{
+  struct lessor_upstream *upstream;
+  struct lessor_service *service;
+  int result = 0;
+
+  if (!lessor->config.policy->moves)
+    return 0;
+  for (upstream = lessor->upstreams; upstream != NULL && result == 0;
+       upstream = upstream->hh.next)
+    {
+      HASH_FIND (hh, lessor->services, &upstream->service_id,
+                 sizeof upstream->service_id, service);
+      if (service != NULL && lessor_upstream_free (upstream) > 0
+          && lessor_plan_ready (lessor, upstream, now_ns))
+        result = hand_out (lessor, service, upstream);
+    }
+  return result;
+}
