--- a/src/request_intake.c
+++ b/src/request_intake.c
@@ -117,6 +117,9 @@
 
   if (router->draining)
     return REFUSAL_DRAINING;
+  /* Without chunks a cut response could not be told from a whole one. */
+  if (http->proto != EVHTP_PROTO_11)
+    return REFUSAL_HTTP_VERSION;
   if (!router_ready (router))
     return REFUSAL_NOT_READY;
   if (client_key_digest (evhtp_header_find (http->headers_in, "Authorization"),
--- a/src/state/refusal.c
+++ b/src/state/refusal.c
@@ -11,6 +11,7 @@
   [REFUSAL_NO_PROFILE] = { 404, 0, "no_profile", "profile unknown" },
   [REFUSAL_NO_SERVICE]
   = { 404, 0, "no_service", "service unknown or not the profile's" },
+  [REFUSAL_HTTP_VERSION] = { 505, 0, "http_version", "HTTP/1.1 is required" },
   [REFUSAL_HEADERS_TOO_LARGE]
   = { 431, 0, "headers_too_large", "header section over its limit" },
   [REFUSAL_BODY_TOO_LARGE]
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -15,6 +15,7 @@
   REFUSAL_NO_KEY,            /**< 401 key missing or unknown */
   REFUSAL_NO_PROFILE,        /**< 404 profile unknown */
   REFUSAL_NO_SERVICE,        /**< 404 service unknown or not the profile's */
+  REFUSAL_HTTP_VERSION,      /**< 505 HTTP before 1.1 */
   REFUSAL_HEADERS_TOO_LARGE, /**< 431 header section over its limit */
   REFUSAL_BODY_TOO_LARGE,    /**< 413 body over its limit */
   REFUSAL_READ_TIMEOUT,      /**< 408 request did not arrive whole in time */
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -13,13 +13,13 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utlist.h>
 
 #define CONNECTIONS_SPARE 64   /**< over the limit, to be told so */
 #define LISTEN_BACKLOG    1024 /**< connections not yet accepted */
 #define HEADER_OVERHEAD   4    /**< bytes of ": " and the end of a line */
 #define FORM_TYPE         "application/x-www-form-urlencoded"
-#define REFUSAL_BYTES_MAX 1024 /**< of a response sent without a loop */
 
 /** What a connection is doing. */
 enum conn_state
@@ -61,8 +61,7 @@
                              void *arg);
 static evhtp_res on_body (evhtp_request_t *http, struct evbuffer *data,
                           void *arg);
-static void on_error (evhtp_request_t *http, evhtp_error_flags error,
-                      void *arg);
+static void on_event (evhtp_connection_t *evhtp, short events, void *arg);
 static evhtp_res on_write (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res on_request_fini (evhtp_request_t *http, void *arg);
 static evhtp_res on_connection_fini (evhtp_connection_t *evhtp, void *arg);
@@ -77,6 +76,7 @@
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
 static void refuse_broken (struct httpd_conn *conn);
 static void tell_gone (struct httpd_conn *conn);
+static bool framing_valid (evhtp_headers_t *headers);
 static int hide_form_type (evhtp_headers_t *headers);
 static const char *request_id (const struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
@@ -178,6 +178,9 @@
 httpd_hold (evhtp_request_t *http)
 {
   evhtp_request_pause (http);
+  /* A paused connection reads nothing, not even that the client closed it;
+     what it reads now waits in the input buffer. */
+  bufferevent_enable (http->conn->bev, EV_READ);
 }
 
 void
@@ -269,8 +272,8 @@
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_header, on_header, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_headers, on_headers, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_read, on_body, conn);
-  evhtp_connection_set_hook (evhtp, evhtp_hook_on_error,
-                             (evhtp_hook)(void (*) (void))on_error, conn);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_event,
+                             (evhtp_hook)(void (*) (void))on_event, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_write, on_write, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_request_fini,
                              on_request_fini, conn);
@@ -307,7 +310,8 @@
 {
   struct httpd_conn *conn = arg;
 
-  (void)evhtp;
+  /* libevhtp ends the request after its connection. */
+  evhtp_connection_unset_hook (evhtp, evhtp_hook_on_request_fini);
   tell_gone (conn);
   if (conn->state <= CONN_READING)
     refuse_broken (conn);
@@ -315,31 +319,29 @@
   return EVHTP_RES_OK;
 }
 
-/* Input that libevhtp cannot parse makes it close at once; the client is told
-   why if the socket takes it without waiting. */
+/* Input that libevhtp cannot parse makes it close at once.  A second
+   descriptor of the socket outlives that, to tell the client why. */
 static void
 refuse_broken (struct httpd_conn *conn)
 {
+  const struct httpd_config *config = &conn->httpd->config;
   htpparse_error broken = htparser_get_error (conn->evhtp->parser);
-  enum refusal refusal = broken == htparse_error_too_big
-                             ? REFUSAL_HEADERS_TOO_LARGE
-                             : REFUSAL_BAD_REQUEST;
-  char text[REFUSAL_BYTES_MAX];
-  struct evbuffer *out;
-  int size;
+  struct bufferevent *bev;
+  int fd;
 
   if (broken == htparse_error_none || conn->evhtp->bev == NULL)
     return;
-  out = evbuffer_new ();
-  if (out == NULL)
+  fd = dup (bufferevent_getfd (conn->evhtp->bev));
+  bev = fd < 0
+            ? NULL
+            : bufferevent_socket_new (config->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  if (bev == NULL)
     return;
-  conn->httpd->config.refuse (conn->httpd->config.user, refusal,
-                              request_id (conn), out);
-  size = evbuffer_remove (out, text, sizeof (text));
-  evbuffer_free (out);
-  if (size > 0)
-    send (bufferevent_getfd (conn->evhtp->bev), text, (size_t)size,
-          MSG_DONTWAIT | MSG_NOSIGNAL);
+  config->refuse (config->user,
+                  broken == htparse_error_too_big ? REFUSAL_HEADERS_TOO_LARGE
+                                                  : REFUSAL_BAD_REQUEST,
+                  request_id (conn), bufferevent_get_output (bev));
+  linger_close (bev);
 }
 
 /* Takes the socket away from libevhtp, whose own structures remain. */
@@ -431,6 +433,8 @@
 
   if (conn->over_limit)
     return refuse (conn, REFUSAL_CONNECTIONS);
+  if (!framing_valid (headers))
+    return refuse (conn, REFUSAL_BAD_REQUEST);
   if (hide_form_type (headers) != 0)
     return refuse (conn, REFUSAL_ROUTER_FULL);
   if (evhtp_request_content_len (http)
@@ -439,6 +443,32 @@
   return EVHTP_RES_OK;
 }
 
+/* A request whose end can be read in two ways could hide another one. */
+static bool
+framing_valid (evhtp_headers_t *headers)
+{
+  const evhtp_header_t *header;
+  uint32_t lengths = 0;
+  uint32_t codings = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (strcasecmp (header->key, "Content-Length") == 0)
+      {
+        lengths++;
+        if (header->val[strspn (header->val, "0123456789")] != '\0')
+          return false;
+      }
+    else if (strcasecmp (header->key, "Transfer-Encoding") == 0)
+      {
+        codings++;
+        if (strcasecmp (header->val, "chunked") != 0)
+          return false;
+      }
+  }
+  return lengths + codings <= 1;
+}
+
 /* libevhtp takes the body of a form for the query of the path, whose place it
    is given.  A space before the value, which means nothing, prevents that. */
 static int
@@ -490,14 +520,15 @@
 /* The connection broke.  libevhtp would not free one that is paused before it
    is resumed. */
 static void
-on_error (evhtp_request_t *http, evhtp_error_flags error, void *arg)
+on_event (evhtp_connection_t *evhtp, short events, void *arg)
 {
   struct httpd_conn *conn = arg;
 
-  (void)error;
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
+    return;
   tell_gone (conn);
-  if ((http->conn->flags & EVHTP_CONN_FLAG_PAUSED) != 0)
-    evhtp_request_resume (http);
+  if ((evhtp->flags & EVHTP_CONN_FLAG_PAUSED) != 0)
+    evhtp_connection_resume (evhtp);
 }
 
 static evhtp_res
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -33,6 +33,7 @@
   bool has_length;
   bool chunked;
   bool body_absent; /**< by its status or the request's method */
+  bool begun;       /**< past any 1xx responses */
   bool started;     /**< `responding` has been called */
   bool whole;
   int error; /**< enum err, once broken */
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -11,7 +11,10 @@
 #include <strings.h>
 
 #define ARENA_FIRST_BYTES 512
+#define STATUS_LINE_MIN   12 /**< bytes of "HTTP/1.1 200" */
 
+static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
+                            size_t size);
 static int on_header_name (htparser *parser, const char *data, size_t size);
 static int on_header_value (htparser *parser, const char *data, size_t size);
 static int on_headers (htparser *parser);
@@ -53,10 +56,14 @@
                               const char *data, size_t size)
 {
   struct response *response = &conn->attempt->response;
-  size_t used;
+  size_t used = 0;
 
+  if (!response->begun)
+    used = skip_interim (conn, data, size);
+  if (!response->begun || response->error != 0)
+    return used;
   conn->parsing = true;
-  used = htparser_run (conn->parser, &hooks, data, size);
+  used += htparser_run (conn->parser, &hooks, data + used, size - used);
   conn->parsing = false;
   if (conn->doomed || response->whole || response->error != 0)
     return used;
@@ -65,6 +72,41 @@
   return used;
 }
 
+/* Skips 1xx responses, which the parser stops at.  Sets `begun` once the
+   final one's first bytes are there. @return bytes skipped. */
+static size_t
+skip_interim (struct upstream_http_conn *conn, const char *data, size_t size)
+{
+  struct response *response = &conn->attempt->response;
+  static const char prefix[] = "HTTP/1.1 1";
+  size_t used = 0;
+  size_t known;
+  const char *end;
+
+  while (used < size)
+    {
+      known = size - used < sizeof (prefix) - 1 ? size - used
+                                                : sizeof (prefix) - 1;
+      if (memcmp (data + used, prefix, known) != 0)
+        {
+          response->begun = true;
+          break;
+        }
+      if (size - used < STATUS_LINE_MIN)
+        break;
+      /* Nobody asked to switch protocols. */
+      if (strncmp (data + used + 9, "101", 3) == 0)
+        response->error = ERR_PROTOCOL;
+      end = memmem (data + used, size - used, "\r\n\r\n", 4);
+      if (end == NULL && size - used > RESPONSE_HEADER_BYTES_MAX)
+        response->error = ERR_TOO_LARGE;
+      if (end == NULL || response->error != 0)
+        break;
+      used = (size_t)(end + 4 - data);
+    }
+  return used;
+}
+
 const char *
 upstream_http_response_header (const struct response *response,
                                const char *name)
@@ -115,10 +157,8 @@
   int status = (int)htparser_get_status (parser);
   int error;
 
-  if (status == 101 || status < 100)
-    return fail (conn, ERR_PROTOCOL);
   if (status < 200)
-    return 0;
+    return fail (conn, ERR_PROTOCOL);
   response->body_absent = attempt->head || status == 204 || status == 304;
   error = check_framing (response);
   if (error == 0)
@@ -164,12 +204,6 @@
   struct upstream_http_conn *conn = htparser_get_userdata (parser);
   struct response *response = &conn->attempt->response;
 
-  if (htparser_get_status (parser) < 200)
-    {
-      response->count = 0;
-      response->arena_used = 0;
-      return 0;
-    }
   if (response->has_length && response->received != response->length)
     return fail (conn, ERR_TRUNCATED);
   response->whole = true;
