--- a/src/state/dispatch_run.c
+++ b/src/state/dispatch_run.c
@@ -264,8 +264,10 @@
     return REFUSAL_UPSTREAM_FAILED;
   if (service == NULL || !dispatch_usable (context->dispatch, service))
     return REFUSAL_NO_UPSTREAM;
-  if (budget_spend (&context->dispatch->budgets, request->node.customer_id)
-      != 0)
+  /* An upstream drains once, so moving on cannot become a storm. */
+  if (!context->event->u.failure.draining
+      && budget_spend (&context->dispatch->budgets, request->node.customer_id)
+             != 0)
     return REFUSAL_RETRY_BUDGET;
   return REFUSAL_NONE;
 }
