--- /dev/null
+++ b/bench/lib.sh
@@ -0,0 +1,197 @@
+# Common parts of the benches: starts and ends stand-ins and routers.  Sourced
+# by scripts that set `build`; processes are ended by their id on exit.
+
+work=$(mktemp -d)
+pids=
+router_pids=
+
+finish ()
+{
+  # A stopped process takes no other signal until it goes on.
+  for pid in $router_pids $pids; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null
+  done
+  sleep 0.3
+  for pid in $router_pids $pids; do
+    kill -KILL "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null
+  done
+  [ -n "${KEEP:-}" ] && echo "kept $work" >&2 || rm -rf "$work"
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+die ()
+{
+  echo "$0: $*" >&2
+  exit 1
+}
+
+# wait_line FILE PATTERN: until the file has a line of the pattern.
+wait_line ()
+{
+  tries=0
+  until grep -q "$2" "$1" 2>/dev/null; do
+    tries=$((tries + 1))
+    [ $tries -lt 200 ] || die "no $2 in $1"
+    sleep 0.05
+  done
+}
+
+# start_standin NAME ROLE [OPTION...]: leaves $work/NAME.
+start_standin ()
+{
+  name=$1
+  shift
+  "$build/standin" "$@" > "$work/$name" 2> "$work/$name.err" &
+  pids="$pids $!"
+  wait_line "$work/$name" '^control'
+}
+
+addresses_of ()
+{
+  awk '$1 == "listen" { print $2 }' "$work/$1"
+}
+
+control_of ()
+{
+  awk '$1 == "control" { print $2 }' "$work/$1"
+}
+
+fault ()
+{
+  curl -s -o /dev/null -X POST "http://$(control_of "$1")/_standin/faults?$2"
+}
+
+# put_upstreams NAME SLOTS: the upstream list of a stand-in, spread over the
+# availability zones.
+put_upstreams ()
+{
+  addresses_of "$1" | awk -v slots="$2" '
+    { printf "      - { address: %s, availability_zone: zone-%c, slots: %d }\n",
+        $1, substr ("abc", (NR - 1) % 3 + 1, 1), slots }'
+}
+
+# put_customer NAME WEIGHT [WAITING_MAX]
+put_customer ()
+{
+  echo "  - { name: $1, weight: $2, waiting_max: ${3:-5000}, keys: [key-of-$1-0000] }"
+}
+
+# Router I takes three ports of $work/ports.
+port_of ()
+{
+  sed -n "$(($1 * 3 + $2 + 1))p" "$work/ports"
+}
+client_port ()
+{
+  port_of "$1" 0
+}
+admin_port ()
+{
+  port_of "$1" 1
+}
+peer_port ()
+{
+  port_of "$1" 2
+}
+
+# peer_address FROM TO: where router FROM dials TO.
+peer_address ()
+{
+  echo "127.0.0.1:$(peer_port "$2")"
+}
+
+# put_router I COUNT: settings of one router; $router_extra is added to it.
+put_router ()
+{
+  echo "router:"
+  echo "  instance: router-$1"
+  echo "  fleet: bench"
+  echo "  availability_zone: zone-$(echo abc | cut -c $(($1 % 3 + 1)))"
+  echo "  client_address: 127.0.0.1:$(client_port "$1")"
+  echo "  admin_address: 127.0.0.1:$(admin_port "$1")"
+  echo "  peer_address: 127.0.0.1:$(peer_port "$1")"
+  echo "  peer_secret: a-secret-of-the-bench"
+  if [ "$2" -gt 1 ]; then
+    echo "  peers:"
+    peer=0
+    while [ $peer -lt "$2" ]; do
+      [ $peer -eq "$1" ] || echo "    - $(peer_address "$1" $peer)"
+      peer=$((peer + 1))
+    done
+  fi
+  echo "  exchange_interval_ms: ${exchange_ms:-100}"
+  echo "  lease_ms: ${lease_ms:-1000}"
+  echo "  log_level: ${log_level:-warn}"
+  echo "  share_policy: ${policy:-fleet}"
+  echo "  platform:"
+  echo "    kind: ${platform_kind:-memory}"
+  [ -z "${platform_address:-}" ] || echo "    address: $platform_address"
+}
+
+# start_router I COUNT: with $work/objects.yaml; its id is $work/router-I.pid.
+start_router ()
+{
+  { put_router "$1" "$2"; cat "$work/objects.yaml"; } > "$work/router-$1.yaml"
+  "$build/cherrylanding" serve "$work/router-$1.yaml" 2>> "$work/router-$1.log" &
+  router_pids="$router_pids $!"
+  echo $! > "$work/router-$1.pid"
+}
+
+# wait_router I: until it answers at its clients' address.
+wait_router ()
+{
+  tries=0
+  until curl -s -o /dev/null -m 1 "http://127.0.0.1:$(client_port "$1")/"; do
+    tries=$((tries + 1))
+    if [ $tries -ge 100 ]; then
+      tail -5 "$work/router-$1.log" >&2
+      die "router $1 did not start"
+    fi
+    sleep 0.05
+  done
+}
+
+# start_routers COUNT
+start_routers ()
+{
+  "$build/standin" ports --workers $(($1 * 3)) > "$work/ports"
+  index=0
+  while [ $index -lt "$1" ]; do
+    start_router $index "$1"
+    index=$((index + 1))
+  done
+  index=0
+  while [ $index -lt "$1" ]; do
+    wait_router $index
+    index=$((index + 1))
+  done
+}
+
+# router_arguments COUNT: for the load program.
+router_arguments ()
+{
+  index=0
+  while [ $index -lt "$1" ]; do
+    echo "--router 127.0.0.1:$(client_port $index)"
+    index=$((index + 1))
+  done
+}
+
+# metrics I: the router's own counters.
+metrics ()
+{
+  curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/metrics"
+}
+
+# Kilobytes of resident memory, and processor time in clock ticks.
+rss_kb ()
+{
+  awk '$1 == "VmRSS:" { print $2 }' "/proc/$1/status"
+}
+cpu_ticks ()
+{
+  awk '{ sub (/^.*\) /, ""); print $12 + $13 }' "/proc/$1/stat"
+}
--- a/tests/standin/fault.c
+++ b/tests/standin/fault.c
@@ -23,6 +23,7 @@
   [FAULT_LOSE_ANSWER] = "lose-answer",
   [FAULT_SNAPSHOT] = "snapshot",
   [FAULT_RESTORE] = "restore",
+  [FAULT_PARTITION] = "partition",
 };
 
 enum fault_kind
--- a/tests/standin/fault.h
+++ b/tests/standin/fault.h
@@ -28,6 +28,7 @@
   FAULT_LOSE_ANSWER,    /**< store: applied, then the connection is reset */
   FAULT_SNAPSHOT,       /**< store: remembers its contents */
   FAULT_RESTORE,        /**< store: returns to the contents remembered */
+  FAULT_PARTITION,      /**< relay: bytes stand still, both ways */
   FAULT_MAX
 };
 
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -1,6 +1,7 @@
 /**
  * @file main.c
- * Stand-ins for what the platform gives: `standin engine|plain|store|relay`.
+ * Stand-ins for what the platform gives, `standin engine|plain|store|relay`;
+ * `standin ports --workers N` prints free ports.
  */
 #include "standin/standin.h"
 #include <argp.h>
@@ -44,6 +45,8 @@
   { "engine", engine_init, engine_finish },
   { "plain", plain_init, plain_finish },
   { "store", store_init, store_finish },
+  { "relay", relay_init, relay_finish },
+  { "ports", ports_init, NULL },
 };
 
 static const struct argp_option options[] = {
@@ -66,7 +69,7 @@
 {
   static const struct argp argp = { options,
                                     parse,
-                                    "engine|plain|store|relay",
+                                    "engine|plain|store|relay|ports",
                                     "Stand-ins for upstreams and platform.",
                                     NULL,
                                     NULL,
@@ -83,12 +86,14 @@
                                    .output_cost = 2 } };
   struct server server;
   struct event *stops[2];
+  int status;
 
   signal (SIGPIPE, SIG_IGN);
   if (argp_parse (&argp, argc, argv, 0, NULL, &arguments) != 0)
     return 2;
-  if (arguments.role->init (&server, &arguments.options) != 0)
-    return 1;
+  status = arguments.role->init (&server, &arguments.options);
+  if (status != 0)
+    return status == STANDIN_DONE ? 0 : 1;
   stops[0] = evsignal_new (server.base, SIGTERM, on_signal, server.base);
   stops[1] = evsignal_new (server.base, SIGINT, on_signal, server.base);
   event_add (stops[0], NULL);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -24,13 +24,18 @@
   uint32_t service_ms; /**< plain: time that a request takes */
 };
 
+#define STANDIN_DONE 1 /**< returned by a role that needs no loop */
+
 /** Each runs its role on `server` until the loop is told to stop.
-    @return 0 or -1. */
+    @return 0, STANDIN_DONE or -1. */
 int engine_init (struct server *server, const struct standin_options *options);
 void engine_finish (struct server *server);
 int plain_init (struct server *server, const struct standin_options *options);
 void plain_finish (struct server *server);
 int store_init (struct server *server, const struct standin_options *options);
 void store_finish (struct server *server);
+int relay_init (struct server *server, const struct standin_options *options);
+void relay_finish (struct server *server);
+int ports_init (struct server *server, const struct standin_options *options);
 
 #endif
