--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -48,6 +48,7 @@
 static void on_read (struct bufferevent *bev, void *user);
 static void on_event (struct bufferevent *bev, short what, void *user);
 static void set_cut (struct relay_port *port, bool cut);
+static void close_all (struct relay_port *port);
 static void close_pair (struct relay_pair *pair);
 
 static const struct server_handler handler = { on_request, on_fault, NULL };
@@ -89,8 +90,7 @@
     {
       struct relay_port *port = server->listeners[i].data;
 
-      while (port->pairs != NULL)
-        close_pair (port->pairs);
+      close_all (port);
       evconnlistener_free (port->socket);
       free (port);
     }
@@ -148,8 +148,7 @@
 
   set_cut (port, kind == FAULT_PARTITION);
   if (kind == FAULT_RESET)
-    while (port->pairs != NULL)
-      close_pair (port->pairs);
+    close_all (port);
 }
 
 static void
@@ -226,6 +225,19 @@
         bufferevent_enable (pair->sides[i], EV_READ | EV_WRITE);
 }
 
+static void
+close_all (struct relay_port *port)
+{
+  struct relay_pair *pair;
+  struct relay_pair *next;
+
+  for (pair = port->pairs; pair != NULL; pair = next)
+    {
+      next = pair->next;
+      close_pair (pair);
+    }
+}
+
 static void
 close_pair (struct relay_pair *pair)
 {
