--- a/src/router.c
+++ b/src/router.c
@@ -3,6 +3,7 @@
  * Assembles the runtime, runs its loop, and shuts it down.
  */
 #include "router.h"
+#include "peers.h"
 #include "request.h"
 #include "state/err.h"
 #include "transport/log.h"
@@ -31,7 +32,7 @@
 
 /* Parts that plug in; a NULL entry is not built in. */
 static const struct router_module *const modules[ROUTER_MODULE_MAX] = {
-  [ROUTER_PEERS] = NULL,
+  [ROUTER_PEERS] = &peers_module,
   [ROUTER_CONFSTORE] = NULL,
   [ROUTER_ADMIN] = NULL,
 };
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -6,6 +6,7 @@
 #include "state/err.h"
 #include "transport/clock.h"
 #include "transport/linger.h"
+#include "transport/sock.h"
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <stdio.h>
@@ -112,14 +113,12 @@
 static int
 listen_on (struct httpd *httpd, const char *address)
 {
-  struct sockaddr_storage where;
-  int size = sizeof (where);
+  struct sock_address where;
 
-  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&where, &size)
-      != 0)
+  if (sock_parse (address, &where) != 0)
     return ERR_INVALID;
-  if (evhtp_bind_sockaddr (httpd->evhtp, (struct sockaddr *)&where,
-                           (size_t)size, LISTEN_BACKLOG)
+  if (evhtp_bind_sockaddr (httpd->evhtp, (struct sockaddr *)&where.storage,
+                           where.size, LISTEN_BACKLOG)
       != 0)
     return ERR_IO;
   return 0;
