--- a/src/coordination/demand.c
+++ b/src/coordination/demand.c
@@ -6,7 +6,8 @@
 #include "state/err.h"
 #include <stdlib.h>
 
-#define ROWS_MIN 4 /* rows of a customer at first */
+#define ROWS_MIN        4    /* rows of a customer at first */
+#define SPREAD_PERMILLE 1000 /* a spread over one instance */
 
 struct demand_row
 {
@@ -336,3 +337,31 @@
     }
   return count;
 }
+
+void
+demand_spread (const struct demand_service *service, uint64_t instance_id,
+               struct ledger *ledger)
+{
+  const struct demand_customer *customer;
+  uint32_t i;
+
+  for (customer = service->customers; customer != NULL;
+       customer = customer->hh.next)
+    {
+      uint64_t all = 0;
+      uint64_t own = 0;
+
+      for (i = 0; i < customer->row_count; i++)
+        {
+          const struct demand_row *row = &customer->rows[i];
+          uint32_t requests = row->waiting + row->running;
+
+          all += requests;
+          if (row->instance_id == instance_id)
+            own += requests;
+        }
+      if (own > 0 && all > own)
+        ledger_spread (ledger, customer->id, service->id,
+                       (uint32_t)(all * SPREAD_PERMILLE / own));
+    }
+}
--- a/src/coordination/demand.h
+++ b/src/coordination/demand.h
@@ -57,6 +57,11 @@
 demand_instance_find (const struct demand_service *service,
                       uint64_t instance_id);
 
+/** Tells the ledger how each customer's requests are spread, as seen from an
+    instance. */
+void demand_spread (const struct demand_service *service, uint64_t instance_id,
+                    struct ledger *ledger);
+
 /**
  * Input of share_compute, grouped by customer; rows of instances that are not
  * among the targets (sorted by instance) are left out.
--- a/src/coordination/lessor.c
+++ b/src/coordination/lessor.c
@@ -21,6 +21,7 @@
 static bool ask (struct lessor *lessor, const struct lessor_peer *peer,
                  const struct message_link *link);
 static void ask_all (struct lessor *lessor, const struct message_link *link);
+static void spread (struct lessor *lessor);
 
 struct lessor *
 lessor_new (const struct lessor_config *config)
@@ -248,6 +249,18 @@
       ask (lessor, peer, link);
 }
 
+static void
+spread (struct lessor *lessor)
+{
+  const struct demand_service *service;
+
+  ledger_interval (lessor->config.ledger);
+  for (service = lessor->demand.services; service != NULL;
+       service = service->hh.next)
+    demand_spread (service, lessor->config.members->self_id,
+                   lessor->config.ledger);
+}
+
 int
 lessor_run (struct lessor *lessor, uint64_t now_ns, bool full,
             const struct message_link *link)
@@ -266,6 +279,8 @@
   if (result == 0 && full)
     {
       lessor->turn++;
+      if (lessor->config.policy->exchanges)
+        spread (lessor);
       result = lessor_plan_full (lessor, now_ns);
     }
   if (result == 0 && lessor->stirred)
--- a/src/coordination/lessor.h
+++ b/src/coordination/lessor.h
@@ -34,7 +34,7 @@
   uint32_t members_expected;
   const struct share_policy *policy; /**< NULL: share_fleet */
   const struct catalog *catalog;
-  const struct ledger *ledger;
+  struct ledger *ledger;
   const struct member_table *members;
 };
 
--- a/src/coordination/lessor_plan.c
+++ b/src/coordination/lessor_plan.c
@@ -17,7 +17,8 @@
   struct lessor *lessor;
   const struct lessor_service *service;
   struct demand_service *demand;
-  uint32_t *desired;
+  uint32_t *desired; /* of one upstream's slots, by target */
+  int64_t *excess;   /* slots held above the share here, by target */
 };
 
 static int compare_targets (const void *a, const void *b);
@@ -31,11 +32,17 @@
                             const struct demand_service *demand);
 static bool is_known (const struct lessor_upstream *upstream,
                       uint64_t instance_id);
+static uint32_t desired_of (const struct plan *plan, uint64_t instance_id);
+static void round_targets (struct plan *plan,
+                           const struct lessor_upstream *upstream);
+static void count_excess (struct plan *plan);
+static int64_t *excess_of (const struct plan *plan, uint64_t instance_id);
 static int shrink (struct plan *plan, struct lessor_upstream *upstream);
 static int repeat_unconfirmed (struct lessor *lessor,
                                struct lessor_upstream *upstream);
-static int raise_to_desired (struct plan *plan,
-                             struct lessor_upstream *upstream);
+static int raise_shares (struct plan *plan, struct lessor_upstream *upstream,
+                         bool anywhere);
+static int move_slots (struct plan *plan, uint64_t now_ns);
 static int plan_service (struct lessor *lessor, struct lessor_service *service,
                          uint64_t now_ns);
 static uint32_t held (const struct lessor *lessor, uint64_t service_id,
@@ -168,29 +175,98 @@
   return result;
 }
 
-/* Takes back what is above the target.  Instances that are alive but take no
-   requests keep only what is busy. */
+/* How many of an upstream's slots an instance should have. */
+static uint32_t
+desired_of (const struct plan *plan, uint64_t instance_id)
+{
+  uint32_t t;
+
+  for (t = 0; t < plan->service->target_count; t++)
+    if (plan->service->targets[t].instance_id == instance_id)
+      return plan->desired[t];
+  return 0;
+}
+
+static void
+round_targets (struct plan *plan, const struct lessor_upstream *upstream)
+{
+  share_round (plan->service->targets, plan->service->target_count,
+               plan->service->slots, upstream->first, upstream->slots,
+               plan->desired);
+}
+
+/* What each instance holds above its share, over all upstreams here.  Only
+   this is moved: which of them it holds its slots at makes no difference to
+   shares, and moving a slot costs its idle time. */
+static void
+count_excess (struct plan *plan)
+{
+  const struct lessor *lessor = plan->lessor;
+  const struct lessor_upstream *upstream;
+  uint32_t t;
+
+  for (upstream = lessor->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      if (upstream->service_id != plan->service->id)
+        continue;
+      round_targets (plan, upstream);
+      for (t = 0; t < plan->service->target_count; t++)
+        {
+          const struct lessor_lease *lease = lessor_lease_find (
+              upstream, plan->service->targets[t].instance_id);
+
+          plan->excess[t] -= plan->desired[t];
+          if (lease != NULL && upstream->slots > 0)
+            plan->excess[t] += lease->granted;
+        }
+    }
+}
+
+static int64_t *
+excess_of (const struct plan *plan, uint64_t instance_id)
+{
+  uint32_t t;
+
+  for (t = 0; t < plan->service->target_count; t++)
+    if (plan->service->targets[t].instance_id == instance_id)
+      return &plan->excess[t];
+  return NULL;
+}
+
+/* Takes back excess slots; of an upstream that drains or is granted beyond
+   its slots, and from instances that take no requests, whatever is too much
+   there. */
 static int
 shrink (struct plan *plan, struct lessor_upstream *upstream)
 {
   struct lessor *lessor = plan->lessor;
+  uint32_t granted = 0;
   uint32_t i;
   int result = 0;
 
+  for (i = 0; i < upstream->lease_count; i++)
+    granted += upstream->leases[i].granted;
   for (i = 0; i < upstream->lease_count && result == 0; i++)
     {
       struct lessor_lease *lease = &upstream->leases[i];
       struct lessor_peer *peer = lessor_peer_find (lessor, lease->instance_id);
-      uint32_t desired = 0;
-      uint32_t t;
+      uint32_t desired = desired_of (plan, lease->instance_id);
+      int64_t *excess = excess_of (plan, lease->instance_id);
+      uint32_t cut;
 
-      if (peer == NULL || !peer->alive || !lease->known)
+      if (peer == NULL || !peer->alive || !lease->known
+          || lease->granted <= desired)
         continue;
-      for (t = 0; t < plan->service->target_count; t++)
-        if (plan->service->targets[t].instance_id == lease->instance_id)
-          desired = plan->desired[t];
-      if (lease->granted > desired)
-        result = lessor_lease_grant (lessor, upstream, peer, lease, desired);
+      cut = lease->granted - desired;
+      if (excess != NULL && granted <= upstream->slots && cut > *excess)
+        cut = *excess > 0 ? (uint32_t)*excess : 0;
+      if (cut == 0)
+        continue;
+      if (excess != NULL && upstream->slots > 0)
+        *excess -= cut;
+      result = lessor_lease_grant (lessor, upstream, peer, lease,
+                                   lease->granted - cut);
     }
   return result;
 }
@@ -214,64 +290,87 @@
   return result;
 }
 
+/* Gives instances that are below their share free slots, first where the
+   rounding puts them, then anywhere. */
 static int
-raise_to_desired (struct plan *plan, struct lessor_upstream *upstream)
+raise_shares (struct plan *plan, struct lessor_upstream *upstream,
+              bool anywhere)
 {
   struct lessor *lessor = plan->lessor;
   uint32_t unused = lessor_upstream_free (upstream);
-  uint32_t i;
+  uint32_t t;
   int result = 0;
 
-  for (i = 0; i < plan->service->target_count && unused > 0 && result == 0;
-       i++)
+  for (t = 0; t < plan->service->target_count && unused > 0 && result == 0;
+       t++)
     {
-      uint64_t id = plan->service->targets[i].instance_id;
+      uint64_t id = plan->service->targets[t].instance_id;
       struct lessor_lease *lease = lessor_lease_find (upstream, id);
-      struct lessor_peer *peer = lessor_peer_find (lessor, id);
       struct demand_instance *instance;
-      uint32_t more;
+      uint32_t more = plan->excess[t] < 0 ? (uint32_t)-plan->excess[t] : 0;
 
-      if (lease == NULL || !lease->known || lease->granted >= plan->desired[i])
+      if (lease == NULL || !lease->known || more == 0
+          || (!anywhere && lease->granted >= plan->desired[t]))
         continue;
-      more = plan->desired[i] - lease->granted;
+      if (!anywhere && more > plan->desired[t] - lease->granted)
+        more = plan->desired[t] - lease->granted;
       if (more > unused)
         more = unused;
       unused -= more;
+      plan->excess[t] += more;
       instance = demand_instance_find (plan->demand, id);
       if (instance != NULL)
         instance->given += more;
-      result = lessor_lease_grant (lessor, upstream, peer, lease,
+      result = lessor_lease_grant (lessor, upstream,
+                                   lessor_peer_find (lessor, id), lease,
                                    lease->granted + more);
     }
   return result;
 }
 
+static int
+move_slots (struct plan *plan, uint64_t now_ns)
+{
+  struct lessor *lessor = plan->lessor;
+  struct lessor_upstream *upstream;
+  int pass;
+  int result = 0;
+
+  count_excess (plan);
+  for (pass = 0; pass < 3; pass++)
+    for (upstream = lessor->upstreams; upstream != NULL && result == 0;
+         upstream = upstream->hh.next)
+      {
+        if (upstream->service_id != plan->service->id)
+          continue;
+        round_targets (plan, upstream);
+        if (pass == 0)
+          result = shrink (plan, upstream);
+        else if (lessor_plan_ready (lessor, upstream, now_ns))
+          result = raise_shares (plan, upstream, pass == 2);
+        if (result == 0 && pass == 2)
+          result = repeat_unconfirmed (lessor, upstream);
+      }
+  return result;
+}
+
 static int
 plan_service (struct lessor *lessor, struct lessor_service *service,
               uint64_t now_ns)
 {
   struct plan plan
-      = { lessor, service, demand_find (&lessor->demand, service->id), NULL };
-  struct lessor_upstream *upstream;
+      = { lessor, service, demand_find (&lessor->demand, service->id), NULL,
+          NULL };
   int result = compute_targets (lessor, service, plan.demand);
 
   plan.desired = calloc (service->target_count + 1, sizeof *plan.desired);
-  if (plan.desired == NULL)
-    return ERR_NO_MEMORY;
-  for (upstream = lessor->upstreams; upstream != NULL && result == 0;
-       upstream = upstream->hh.next)
-    {
-      if (upstream->service_id != service->id)
-        continue;
-      share_round (service->targets, service->target_count, service->slots,
-                   upstream->first, upstream->slots, plan.desired);
-      result = shrink (&plan, upstream);
-      if (result == 0 && lessor_plan_ready (lessor, upstream, now_ns))
-        result = raise_to_desired (&plan, upstream);
-      if (result == 0)
-        result = repeat_unconfirmed (lessor, upstream);
-    }
+  plan.excess = calloc (service->target_count + 1, sizeof *plan.excess);
+  if (plan.desired == NULL || plan.excess == NULL)
+    result = ERR_NO_MEMORY;
+  if (result == 0)
+    result = move_slots (&plan, now_ns);
   free (plan.desired);
+  free (plan.excess);
   return result;
 }
 
--- a/src/state/ledger.c
+++ b/src/state/ledger.c
@@ -13,6 +13,7 @@
 
 #define RECORDS_MIN 2 /* records of an account at first */
 #define ORIGINS_MIN 16
+#define SPREAD_NONE 1000 /* permille: all requests are here */
 
 struct ledger_key
 {
@@ -37,7 +38,9 @@
 {
   struct ledger_key key;
   uint64_t floor;
-  uint64_t sum; /* charged - refunded, of all records and own counters */
+  uint64_t sum;      /* charged - refunded, of all records and own counters */
+  uint64_t expected; /* charged elsewhere, as guessed, not reported */
+  uint32_t spread_permille; /* fleet's requests / own requests */
   struct ledger_counters own;
   uint64_t change; /* number of the last own change; 0 for none */
   struct ledger_account *prev;
@@ -62,6 +65,7 @@
 static uint64_t normalise (uint64_t cost, uint32_t weight);
 static uint64_t max_of (uint64_t a, uint64_t b);
 static uint64_t life (uint64_t incarnation);
+static void expect_less (struct ledger_account *account, uint64_t amount);
 static struct ledger_account *account_find (const struct ledger *ledger,
                                             uint64_t customer_id,
                                             uint64_t service_id);
@@ -107,6 +111,12 @@
   return incarnation & ~LEDGER_FOLDED;
 }
 
+static void
+expect_less (struct ledger_account *account, uint64_t amount)
+{
+  account->expected -= amount < account->expected ? amount : account->expected;
+}
+
 struct ledger *
 ledger_new (struct ledger_origin self)
 {
@@ -161,6 +171,7 @@
     return NULL;
   account->key.customer_id = customer_id;
   account->key.service_id = service_id;
+  account->spread_permille = SPREAD_NONE;
   HASH_ADD (hh, ledger->accounts, key, sizeof account->key, account);
   return account;
 }
@@ -187,6 +198,8 @@
     return ERR_NO_MEMORY;
   account->own.charged += amount;
   account->sum += amount;
+  account->expected
+      += amount * (account->spread_permille - SPREAD_NONE) / SPREAD_NONE;
   account_changed (ledger, account);
   return 0;
 }
@@ -207,6 +220,8 @@
     amount = account->own.charged - account->own.refunded;
   account->own.refunded += amount;
   account->sum -= amount;
+  expect_less (account, amount * (account->spread_permille - SPREAD_NONE)
+                            / SPREAD_NONE);
   account_changed (ledger, account);
   return 0;
 }
@@ -232,7 +247,31 @@
   const struct ledger_account *account
       = account_find (ledger, customer_id, service_id);
 
-  return account == NULL ? 0 : account->floor + account->sum;
+  return account == NULL ? 0
+                         : account->floor + account->sum + account->expected;
+}
+
+void
+ledger_interval (struct ledger *ledger)
+{
+  struct ledger_account *account;
+
+  for (account = ledger->accounts; account != NULL; account = account->hh.next)
+    {
+      account->expected /= 2;
+      account->spread_permille = SPREAD_NONE;
+    }
+}
+
+void
+ledger_spread (struct ledger *ledger, uint64_t customer_id,
+               uint64_t service_id, uint32_t spread_permille)
+{
+  struct ledger_account *account
+      = account_find (ledger, customer_id, service_id);
+
+  if (account != NULL && spread_permille >= SPREAD_NONE)
+    account->spread_permille = spread_permille;
 }
 
 int
@@ -333,6 +372,8 @@
   counters->refunded = refunded;
   counters->cost = cost;
   account->sum += charged - refunded - before;
+  if (charged - refunded > before)
+    expect_less (account, charged - refunded - before);
   return news;
 }
 
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -8,6 +8,12 @@
  * position of a customer is floor + sum(charged - refunded); the
  * customer with the least position is served next.  The floor is a maximum
  * register that lifts a customer which was idle, so idleness earns no credit.
+ *
+ * Between reports the other instances serve a customer too.  What they will
+ * have charged is expected from the own charges and the customer's spread over
+ * instances, and counts in its position until they report it.  Without that
+ * all instances at once serve the customer with the least position as if each
+ * were alone, and it is ahead by many turns when they learn of each other.
  */
 #ifndef STATE_LEDGER_H
 #define STATE_LEDGER_H
@@ -72,6 +78,15 @@
 int ledger_lift (struct ledger *ledger, uint64_t customer_id,
                  uint64_t service_id, uint64_t position);
 
+/** Starts an exchange interval: what was expected and not reported is halved,
+    and every spread is 1 until set again. */
+void ledger_interval (struct ledger *ledger);
+
+/** Sets a customer's spread over instances until the next interval: requests
+    in the fleet / requests here, in thousandths, at least 1000. */
+void ledger_spread (struct ledger *ledger, uint64_t customer_id,
+                    uint64_t service_id, uint32_t spread_permille);
+
 /** Own entries changed after `*cursor`; advances the cursor.
     @return number of entries written to `out`, at most `capacity`. */
 size_t ledger_changes (const struct ledger *ledger, uint64_t *cursor,
