--- /dev/null
+++ b/tests/golden.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Replays the golden sessions; --rewrite writes them anew.
+# usage: golden.sh BUILD [--rewrite]
+set -eu
+cd "$(dirname "$0")/.."
+exec "$1/test_golden" ${2+"$2"}
--- /dev/null
+++ b/tests/support/stage.c
@@ -0,0 +1,485 @@
+/**
+ * @file stage.c
+ * Instances, links and time of the test stage.
+ */
+#include "support/stage.h"
+#include "protocol/peercodec.h"
+#include "state/err.h"
+#include "support/stage_int.h"
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int link_send (void *user, uint64_t instance_id,
+                      const struct message *message);
+static int copy_message (struct message *out, const struct message *message);
+static void deliver_messages (struct stage *stage);
+static void run_instances (struct stage *stage);
+static void join (struct stage *stage, uint32_t a, uint32_t b);
+static void instance_stop (struct stage_instance *instance);
+static void fill_catalog (struct stage *stage,
+                          struct stage_instance *instance);
+static void check_request (struct stage *stage,
+                           const struct stage_request *request);
+static void check_upstream (struct stage *stage, uint64_t upstream_id,
+                            uint32_t slots);
+
+static const char *const fault_names[STAGE_FAULT_MAX] = {
+  [STAGE_FAULT_NONE] = "none",         [STAGE_FAULT_REFUSED] = "refused",
+  [STAGE_FAULT_RESET] = "reset",       [STAGE_FAULT_HALF_OPEN] = "half-open",
+  [STAGE_FAULT_SLOW] = "slow",         [STAGE_FAULT_TRUNCATED] = "truncated",
+  [STAGE_FAULT_LATE] = "late",         [STAGE_FAULT_CROSSED] = "crossed",
+  [STAGE_FAULT_REPEATED] = "repeated", [STAGE_FAULT_DRAINING] = "draining",
+};
+
+static const char *const outcome_names[STAGE_OUTCOME_MAX] = {
+  [STAGE_PENDING] = "pending", [STAGE_FINISHED] = "finished",
+  [STAGE_REFUSED] = "refused", [STAGE_ABORTED] = "aborted",
+  [STAGE_GONE] = "gone",
+};
+
+void
+stage_init (struct stage *stage, FILE *transcript)
+{
+  memset (stage, 0, sizeof *stage);
+  stage->now_ns = STAGE_NS_PER_MS;
+  stage->transcript = transcript;
+  stage->service_ms = 1;
+}
+
+void
+stage_finish (struct stage *stage)
+{
+  uint32_t i;
+
+  for (i = 0; i < stage->instance_count; i++)
+    if (stage->instances[i].running)
+      instance_stop (&stage->instances[i]);
+  for (i = 0; i < stage->message_count; i++)
+    message_finish (&stage->messages[i].message);
+  for (i = 0; i < stage->service_count; i++)
+    free (stage->services[i].upstreams);
+}
+
+void
+stage_service (struct stage *stage, const char *name, enum catalog_kind kind,
+               uint32_t upstreams, uint32_t slots)
+{
+  struct catalog_service *service = &stage->services[stage->service_count++];
+  uint32_t i;
+
+  snprintf (service->name, sizeof service->name, "%s", name);
+  service->id = catalog_id (name);
+  service->kind = kind;
+  service->input_cost = 1;
+  service->output_cost = 2;
+  service->idle_timeout_ms = 60000;
+  service->resumable = kind == CATALOG_ENGINE;
+  service->upstream_count = upstreams;
+  service->upstreams = calloc (upstreams, sizeof *service->upstreams);
+  for (i = 0; i < upstreams; i++)
+    {
+      struct catalog_upstream *upstream = &service->upstreams[i];
+
+      snprintf (upstream->address, sizeof upstream->address, "127.0.0.1:%u",
+                9001 + i);
+      upstream->id = catalog_upstream_id (name, upstream->address);
+      upstream->slots = slots;
+    }
+}
+
+void
+stage_customer (struct stage *stage, const char *name, uint32_t weight,
+                uint32_t waiting_max)
+{
+  struct catalog_customer *customer
+      = &stage->customers[stage->customer_count++];
+
+  snprintf (customer->name, sizeof customer->name, "%s", name);
+  customer->weight = weight;
+  customer->waiting_max = waiting_max;
+}
+
+void
+stage_profile (struct stage *stage, const char *name, const char *service,
+               enum catalog_class request_class, bool idempotent,
+               uint32_t deadline_ms, uint32_t attempts_max)
+{
+  struct catalog_profile *profile = &stage->profiles[stage->profile_count++];
+
+  snprintf (profile->name, sizeof profile->name, "%s", name);
+  snprintf (profile->service, sizeof profile->service, "%s", service);
+  profile->request_class = request_class;
+  profile->idempotent = idempotent;
+  profile->deadline_ms = deadline_ms;
+  profile->queue_limit = STAGE_REQUESTS_MAX;
+  profile->attempts_max = attempts_max;
+  profile->cost_hint = 100;
+}
+
+uint32_t
+stage_start (struct stage *stage, const char *name)
+{
+  struct stage_instance *instance;
+  struct fleet_config config;
+  struct dispatch_config dispatch;
+  struct ledger_origin origin;
+  uint32_t i;
+
+  for (i = 0; i < stage->instance_count; i++)
+    if (strcmp (stage->instances[i].name, name) == 0)
+      break;
+  instance = &stage->instances[i];
+  if (i == stage->instance_count)
+    stage->instance_count++;
+  snprintf (instance->name, sizeof instance->name, "%s", name);
+  instance->stage = stage;
+  instance->id = catalog_id (name);
+  instance->incarnation++;
+  instance->running = true;
+  instance->paused = false;
+  instance->index_seen = 0;
+  catalog_init (&instance->catalog);
+  slots_init (&instance->slots);
+  fill_catalog (stage, instance);
+  origin.instance_id = instance->id;
+  origin.incarnation = instance->incarnation;
+  instance->ledger = ledger_new (origin);
+  instance->confsync = NULL;
+  memset (&dispatch, 0, sizeof dispatch);
+  dispatch.availability_zone = "a";
+  dispatch.limits.waiting_max = STAGE_REQUESTS_MAX;
+  dispatch.limits.quick_permille = 250;
+  dispatch.placement = &place_least_busy;
+  dispatch.catalog = &instance->catalog;
+  dispatch.ledger = instance->ledger;
+  dispatch.slots = &instance->slots;
+  instance->dispatch = dispatch_new (&dispatch);
+  memset (&config, 0, sizeof config);
+  config.self.instance_id = instance->id;
+  snprintf (config.self.instance, sizeof config.self.instance, "%s", name);
+  snprintf (config.self.availability_zone,
+            sizeof config.self.availability_zone, "a");
+  config.self.incarnation = instance->incarnation;
+  config.self.state = MESSAGE_LIVE;
+  config.exchange_interval_ms = STAGE_INTERVAL_MS;
+  config.lease_ms = STAGE_LEASE_MS;
+  config.catalog = &instance->catalog;
+  config.ledger = instance->ledger;
+  config.slots = &instance->slots;
+  config.dispatch = instance->dispatch;
+  config.link.send = link_send;
+  config.link.user = instance;
+  instance->fleet = fleet_new (&config);
+  dispatch_set_fleet (instance->dispatch, fleet_backlog, instance->fleet);
+  fleet_catalog_changed (instance->fleet, stage->now_ns);
+  stage_note (stage, "%s start incarnation=%llu", name,
+              (unsigned long long)instance->incarnation);
+  for (uint32_t peer = 0; peer < stage->instance_count; peer++)
+    if (peer != i && stage->instances[peer].running)
+      join (stage, i, peer);
+  return i;
+}
+
+void
+stage_crash (struct stage *stage, uint32_t instance)
+{
+  struct stage_instance *self = &stage->instances[instance];
+  uint32_t i;
+
+  stage_note (stage, "%s crash", self->name);
+  instance_stop (self);
+  for (i = 0; i < stage->request_count; i++)
+    if (stage->requests[i].instance == instance
+        && stage->requests[i].outcome == STAGE_PENDING)
+      stage_end (stage, &stage->requests[i], STAGE_GONE);
+  for (i = 0; i < stage->instance_count; i++)
+    if (i != instance && stage->instances[i].running)
+      fleet_peer_down (stage->instances[i].fleet, self->id, stage->now_ns);
+}
+
+void
+stage_pause (struct stage *stage, uint32_t instance, bool paused)
+{
+  stage->instances[instance].paused = paused;
+  stage_note (stage, "%s %s", stage->instances[instance].name,
+              paused ? "pause" : "resume");
+}
+
+void
+stage_cut (struct stage *stage, uint32_t from, uint32_t to, bool cut)
+{
+  stage->cut[from][to] = cut;
+  stage_note (stage, "link %s->%s %s", stage->instances[from].name,
+              stage->instances[to].name, cut ? "cut" : "healed");
+  if (!cut && !stage->cut[to][from])
+    join (stage, from, to);
+}
+
+void
+stage_drain (struct stage *stage, uint32_t instance)
+{
+  struct dispatch_event event = { .kind = DISPATCH_DRAIN };
+
+  stage_note (stage, "%s drain", stage->instances[instance].name);
+  stage_handle (stage, instance, &event);
+  fleet_drain (stage->instances[instance].fleet, stage->now_ns);
+}
+
+void
+stage_run (struct stage *stage, uint64_t duration_ms)
+{
+  uint64_t i;
+
+  for (i = 0; i < duration_ms; i++)
+    {
+      stage->now_ns += STAGE_NS_PER_MS;
+      deliver_messages (stage);
+      stage_run_attempts (stage);
+      run_instances (stage);
+    }
+}
+
+bool
+stage_check (struct stage *stage)
+{
+  uint32_t i;
+  uint32_t j;
+
+  for (i = 0; i < stage->request_count; i++)
+    check_request (stage, &stage->requests[i]);
+  for (i = 0; i < stage->service_count; i++)
+    for (j = 0; j < stage->services[i].upstream_count; j++)
+      check_upstream (stage, stage->services[i].upstreams[j].id,
+                      stage->services[i].upstreams[j].slots);
+  for (i = 0; i < stage->instance_count; i++)
+    if (stage->instances[i].running
+        && dispatch_total (stage->instances[i].dispatch) != 0)
+      stage_violation (stage, "%s still knows %u requests",
+                       stage->instances[i].name,
+                       dispatch_total (stage->instances[i].dispatch));
+  return stage->violation[0] == '\0';
+}
+
+const char *
+stage_fault_name (enum stage_fault fault)
+{
+  return fault_names[fault];
+}
+
+const char *
+stage_outcome_name (enum stage_outcome outcome)
+{
+  return outcome_names[outcome];
+}
+
+void
+stage_note (struct stage *stage, const char *format, ...)
+{
+  va_list ap;
+
+  if (stage->transcript == NULL)
+    return;
+  fprintf (stage->transcript, "  %llu ",
+           (unsigned long long)(stage->now_ns / STAGE_NS_PER_MS));
+  va_start (ap, format);
+  vfprintf (stage->transcript, format, ap);
+  va_end (ap);
+  fputc ('\n', stage->transcript);
+}
+
+void
+stage_violation (struct stage *stage, const char *format, ...)
+{
+  va_list ap;
+
+  if (stage->violation[0] != '\0')
+    return;
+  va_start (ap, format);
+  vsnprintf (stage->violation, sizeof stage->violation, format, ap);
+  va_end (ap);
+  stage_note (stage, "VIOLATION %s", stage->violation);
+}
+
+static int
+link_send (void *user, uint64_t instance_id, const struct message *message)
+{
+  struct stage_instance *self = user;
+  struct stage *stage = self->stage;
+  uint32_t from = (uint32_t)(self - stage->instances);
+  struct stage_message *slot;
+  uint32_t to;
+  int error;
+
+  for (to = 0; to < stage->instance_count; to++)
+    if (stage->instances[to].id == instance_id)
+      break;
+  if (to == stage->instance_count || !stage->instances[to].running)
+    return ERR_NOT_FOUND;
+  if (stage->cut[from][to])
+    return 0;
+  if (stage->message_count == STAGE_MESSAGES_MAX)
+    return ERR_FULL;
+  slot = &stage->messages[stage->message_count];
+  slot->from = from;
+  slot->to = to;
+  slot->due_ns = stage->now_ns + STAGE_NS_PER_MS;
+  error = copy_message (&slot->message, message);
+  if (error == 0)
+    stage->message_count++;
+  return error;
+}
+
+/* Through the wire form, so that what cannot be sent is found out here. */
+static int
+copy_message (struct message *out, const struct message *message)
+{
+  struct peercodec_encoder encoder = { 0 };
+  struct peercodec_decoder decoder = { 0 };
+  struct peercodec_buffer buffer = { 0 };
+  int error = peercodec_encode (&encoder, message, &buffer);
+
+  if (error == 0)
+    error = peercodec_decode (&decoder, buffer.data, buffer.size, out);
+  peercodec_encoder_finish (&encoder);
+  peercodec_decoder_finish (&decoder);
+  peercodec_buffer_finish (&buffer);
+  return error;
+}
+
+static void
+deliver_messages (struct stage *stage)
+{
+  uint32_t count = stage->message_count;
+  uint32_t kept = 0;
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      struct stage_message entry = stage->messages[i];
+      struct stage_instance *to = &stage->instances[entry.to];
+
+      if (to->running && (to->paused || entry.due_ns > stage->now_ns))
+        {
+          stage->messages[kept++] = entry;
+          continue;
+        }
+      if (to->running
+          && fleet_receive (to->fleet, stage->instances[entry.from].id,
+                            &entry.message, stage->now_ns)
+                 > 0)
+        stage_capacity (stage, entry.to);
+      message_finish (&entry.message);
+    }
+  memmove (&stage->messages[kept], &stage->messages[count],
+           (stage->message_count - count) * sizeof stage->messages[0]);
+  stage->message_count = kept + stage->message_count - count;
+}
+
+static void
+run_instances (struct stage *stage)
+{
+  struct dispatch_event tick = { .kind = DISPATCH_TICK };
+  uint32_t i;
+
+  for (i = 0; i < stage->instance_count; i++)
+    {
+      if (!stage->instances[i].running || stage->instances[i].paused)
+        continue;
+      stage_handle (stage, i, &tick);
+      if (fleet_run (stage->instances[i].fleet, stage->now_ns) > 0)
+        stage_capacity (stage, i);
+    }
+}
+
+static void
+join (struct stage *stage, uint32_t a, uint32_t b)
+{
+  const uint32_t ends[2] = { a, b };
+  int i;
+
+  for (i = 0; i < 2; i++)
+    {
+      const struct stage_instance *peer = &stage->instances[ends[1 - i]];
+      struct message_hello hello;
+
+      memset (&hello, 0, sizeof hello);
+      hello.version = MESSAGE_VERSION;
+      snprintf (hello.fleet, sizeof hello.fleet, "test");
+      snprintf (hello.instance, sizeof hello.instance, "%s", peer->name);
+      snprintf (hello.availability_zone, sizeof hello.availability_zone, "a");
+      hello.incarnation = peer->incarnation;
+      fleet_peer_up (stage->instances[ends[i]].fleet, &hello, stage->now_ns);
+    }
+}
+
+static void
+instance_stop (struct stage_instance *instance)
+{
+  instance->running = false;
+  fleet_free (instance->fleet);
+  dispatch_free (instance->dispatch);
+  ledger_free (instance->ledger);
+  slots_finish (&instance->slots);
+  catalog_finish (&instance->catalog);
+}
+
+static void
+fill_catalog (struct stage *stage, struct stage_instance *instance)
+{
+  uint32_t i;
+
+  for (i = 0; i < stage->service_count; i++)
+    catalog_put_service (&instance->catalog, &stage->services[i]);
+  for (i = 0; i < stage->customer_count; i++)
+    catalog_put_customer (&instance->catalog, &stage->customers[i]);
+  for (i = 0; i < stage->profile_count; i++)
+    catalog_put_profile (&instance->catalog, &stage->profiles[i]);
+}
+
+static void
+check_request (struct stage *stage, const struct stage_request *request)
+{
+  const char *name = request->name;
+
+  if (!request->idempotent && request->executions > 1)
+    stage_violation (stage, "%s is not idempotent and ran %u times", name,
+                     request->executions);
+  if (request->outcome == STAGE_REFUSED && request->verdict == VERDICT_NOT_RUN
+      && (request->executions > 0 || request->bytes_sent))
+    stage_violation (stage, "%s was refused as not-run but was sent", name);
+  if (request->corrupted)
+    stage_violation (stage, "%s: client saw a byte out of place", name);
+  if (request->outcome == STAGE_FINISHED
+      && request->delivered_bytes != STAGE_BODY_BYTES)
+    stage_violation (stage, "%s ended cleanly after %u bytes", name,
+                     request->delivered_bytes);
+  if (request->outcome == STAGE_PENDING)
+    stage_violation (stage, "%s never ended", name);
+}
+
+static void
+check_upstream (struct stage *stage, uint64_t upstream_id, uint32_t slots)
+{
+  uint32_t capacity = 0;
+  uint32_t i;
+
+  for (i = 0; i < stage->instance_count; i++)
+    {
+      const struct stage_instance *instance = &stage->instances[i];
+      const struct slots_entry *entry;
+
+      if (!instance->running)
+        continue;
+      entry = slots_find (&instance->slots, upstream_id);
+      if (entry == NULL)
+        continue;
+      if (entry->busy != 0)
+        stage_violation (stage, "%s leaks %u busy slots", instance->name,
+                         entry->busy);
+      if (entry->expiry_ns > stage->now_ns)
+        capacity += entry->capacity;
+    }
+  if (capacity > slots)
+    stage_violation (stage, "%u slots leased of %u", capacity, slots);
+}
--- /dev/null
+++ b/tests/support/stage_upstream.c
@@ -0,0 +1,361 @@
+/**
+ * @file stage_upstream.c
+ * Requests of the test stage: dispatch actions, and fake upstreams that walk
+ * an attempt through its steps.
+ */
+#include "state/err.h"
+#include "support/stage_int.h"
+#include <string.h>
+
+static void perform (struct stage *stage,
+                     const struct dispatch_action *action);
+static void attempt_open (struct stage *stage, struct stage_request *request,
+                          const struct dispatch_action *action);
+static void attempt_step_due (struct stage *stage, uint32_t number);
+static void attempt_fail (struct stage *stage, uint32_t number, int error);
+static bool attempt_meets_fault (struct stage *stage,
+                                 struct stage_attempt *attempt);
+static void attempt_fault (struct stage *stage, uint32_t number);
+static void deliver (struct stage *stage, struct stage_request *request);
+static void emit (struct stage *stage, uint32_t number,
+                  enum dispatch_event_kind kind);
+static const char *upstream_name (const struct stage *stage, uint64_t id);
+
+static const char *const event_names[DISPATCH_EVENT_MAX] = {
+  [DISPATCH_ARRIVED] = "arrived",
+  [DISPATCH_CONNECTING] = "connecting",
+  [DISPATCH_SENDING] = "sending",
+  [DISPATCH_SENT] = "sent",
+  [DISPATCH_RESPONDING] = "responding",
+  [DISPATCH_PROGRESS] = "progress",
+  [DISPATCH_COMPLETED] = "completed",
+  [DISPATCH_FAILED] = "failed",
+  [DISPATCH_CLIENT_GONE] = "client-gone",
+  [DISPATCH_CAPACITY] = "capacity",
+  [DISPATCH_TICK] = "tick",
+  [DISPATCH_DRAIN] = "drain",
+};
+
+static const enum dispatch_event_kind step_events[ATTEMPT_STEP_MAX] = {
+  [ATTEMPT_CONNECTING] = DISPATCH_CONNECTING,
+  [ATTEMPT_SENDING] = DISPATCH_SENDING,
+  [ATTEMPT_SENT] = DISPATCH_SENT,
+  [ATTEMPT_RESPONDING] = DISPATCH_RESPONDING,
+  [ATTEMPT_DONE] = DISPATCH_COMPLETED,
+};
+
+uint32_t
+stage_arrive (struct stage *stage, uint32_t instance, const char *name,
+              const char *customer, const char *profile)
+{
+  uint32_t number = stage->request_count++;
+  struct stage_request *request = &stage->requests[number];
+  struct dispatch_event event = { .kind = DISPATCH_ARRIVED };
+  const struct catalog_profile *found;
+
+  snprintf (request->name, sizeof request->name, "%s", name);
+  request->used = true;
+  request->instance = instance;
+  found = catalog_profile (&stage->instances[instance].catalog,
+                           catalog_id (profile));
+  request->idempotent = found->idempotent;
+  event.request = number + 1;
+  event.u.arrival.customer_id = catalog_id (customer);
+  event.u.arrival.profile_id = found->id;
+  event.u.arrival.input_units = 10;
+  stage_note (stage, "%s arrive %s %s %s", stage->instances[instance].name,
+              name, customer, profile);
+  stage_handle (stage, instance, &event);
+  return number;
+}
+
+void
+stage_client_gone (struct stage *stage, uint32_t number)
+{
+  struct stage_request *request = &stage->requests[number];
+
+  if (request->outcome != STAGE_PENDING)
+    return;
+  stage_end (stage, request, STAGE_GONE);
+  emit (stage, number, DISPATCH_CLIENT_GONE);
+}
+
+void
+stage_fault (struct stage *stage, enum attempt_step step,
+             enum stage_fault fault, uint32_t uses)
+{
+  stage->fault_step = step;
+  stage->fault = fault;
+  stage->fault_uses = uses;
+}
+
+int
+stage_handle (struct stage *stage, uint32_t instance,
+              const struct dispatch_event *event)
+{
+  struct dispatch_actions actions = { 0 };
+  size_t i;
+  int error;
+
+  error = dispatch_handle (stage->instances[instance].dispatch, event,
+                           stage->now_ns, &actions);
+  for (i = 0; i < actions.count; i++)
+    perform (stage, &actions.items[i]);
+  dispatch_actions_finish (&actions);
+  return error;
+}
+
+void
+stage_capacity (struct stage *stage, uint32_t instance)
+{
+  struct dispatch_event event = { .kind = DISPATCH_CAPACITY };
+
+  stage_handle (stage, instance, &event);
+}
+
+void
+stage_end (struct stage *stage, struct stage_request *request,
+           enum stage_outcome outcome)
+{
+  if (request->outcome != STAGE_PENDING)
+    stage_violation (stage, "%s ended twice", request->name);
+  request->outcome = outcome;
+  request->ended_ns = stage->now_ns;
+  stage_note (stage, "-> %s %s", request->name, stage_outcome_name (outcome));
+}
+
+void
+stage_run_attempts (struct stage *stage)
+{
+  uint32_t i;
+
+  for (i = 0; i < stage->request_count; i++)
+    {
+      const struct stage_request *request = &stage->requests[i];
+      const struct stage_instance *instance
+          = &stage->instances[request->instance];
+
+      if (request->attempt.active && instance->running && !instance->paused
+          && request->attempt.due_ns <= stage->now_ns)
+        attempt_step_due (stage, i);
+    }
+}
+
+static void
+perform (struct stage *stage, const struct dispatch_action *action)
+{
+  struct stage_request *request;
+
+  if (action->kind == DISPATCH_IDLE)
+    return;
+  request = &stage->requests[action->request - 1];
+  switch (action->kind)
+    {
+    case DISPATCH_CONNECT:
+      attempt_open (stage, request, action);
+      break;
+    case DISPATCH_CANCEL:
+      stage_note (stage, "-> cancel %s attempt=%u", request->name,
+                  action->attempt);
+      request->attempt.cancelled = true;
+      request->attempt.active = request->attempt.fault == STAGE_FAULT_LATE;
+      break;
+    case DISPATCH_REFUSE:
+      request->refusal = action->refusal;
+      request->verdict = action->verdict;
+      stage_note (stage, "-> refuse %s %u %s %s retry-after=%u", request->name,
+                  refusal_info (action->refusal)->status,
+                  refusal_info (action->refusal)->code,
+                  verdict_name (action->verdict),
+                  refusal_info (action->refusal)->retry_after_s);
+      stage_end (stage, request, STAGE_REFUSED);
+      break;
+    case DISPATCH_ABORT:
+      request->verdict = action->verdict;
+      stage_end (stage, request, STAGE_ABORTED);
+      break;
+    case DISPATCH_FINISH:
+      stage_end (stage, request, STAGE_FINISHED);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+attempt_open (struct stage *stage, struct stage_request *request,
+              const struct dispatch_action *action)
+{
+  struct stage_attempt *attempt = &request->attempt;
+
+  memset (attempt, 0, sizeof *attempt);
+  attempt->active = true;
+  attempt->number = action->attempt;
+  attempt->upstream_id = action->upstream_id;
+  attempt->next = ATTEMPT_CONNECTING;
+  attempt->sent_before = request->bytes_sent;
+  attempt->offset_bytes = action->resume ? request->delivered_bytes : 0;
+  attempt->due_ns = stage->now_ns + STAGE_NS_PER_MS;
+  stage_note (stage, "-> connect %s attempt=%u %s offset=%u", request->name,
+              action->attempt, upstream_name (stage, action->upstream_id),
+              attempt->offset_bytes);
+}
+
+static void
+attempt_step_due (struct stage *stage, uint32_t number)
+{
+  struct stage_request *request = &stage->requests[number];
+  struct stage_attempt *attempt = &request->attempt;
+  enum attempt_step step = attempt->next;
+  uint64_t pace = stage->service_ms;
+
+  if (attempt_meets_fault (stage, attempt))
+    {
+      attempt_fault (stage, number);
+      if (!attempt->active || attempt->fault == STAGE_FAULT_HALF_OPEN)
+        return;
+    }
+  if (attempt->fault == STAGE_FAULT_SLOW)
+    pace *= 20;
+  attempt->due_ns = stage->now_ns + pace * STAGE_NS_PER_MS;
+  if (step == ATTEMPT_SENDING && !attempt->cancelled)
+    request->bytes_sent = true;
+  if (step == ATTEMPT_SENT && !attempt->cancelled)
+    request->executions++;
+  if (step == ATTEMPT_DONE && attempt->offset_bytes < STAGE_BODY_BYTES)
+    {
+      deliver (stage, request);
+      emit (stage, number, DISPATCH_PROGRESS);
+      return;
+    }
+  attempt->next = (enum attempt_step) (step + 1);
+  attempt->active = step != ATTEMPT_DONE;
+  emit (stage, number, step_events[step]);
+}
+
+static bool
+attempt_meets_fault (struct stage *stage, struct stage_attempt *attempt)
+{
+  if (stage->fault_uses == 0 || attempt->next != stage->fault_step
+      || attempt->fault != STAGE_FAULT_NONE)
+    return false;
+  if (attempt->next == ATTEMPT_DONE && attempt->offset_bytes == 0)
+    return false; /* let some of the body through first */
+  stage->fault_uses--;
+  attempt->fault = stage->fault;
+  return true;
+}
+
+static void
+attempt_fault (struct stage *stage, uint32_t number)
+{
+  struct stage_request *request = &stage->requests[number];
+  struct stage_attempt *attempt = &request->attempt;
+
+  stage_note (stage, "fault %s on %s before %s",
+              stage_fault_name (attempt->fault), request->name,
+              attempt_step_name (attempt->next));
+  switch (attempt->fault)
+    {
+    case STAGE_FAULT_REFUSED:
+      attempt_fail (stage, number, ERR_REFUSED);
+      break;
+    case STAGE_FAULT_RESET:
+      attempt_fail (stage, number, ERR_RESET);
+      break;
+    case STAGE_FAULT_TRUNCATED:
+      attempt_fail (stage, number, ERR_TRUNCATED);
+      break;
+    case STAGE_FAULT_CROSSED:
+      attempt_fail (stage, number, ERR_MISMATCH);
+      break;
+    case STAGE_FAULT_DRAINING: /* the upstream vouches that it did not run */
+      request->executions--;
+      request->bytes_sent = attempt->sent_before;
+      attempt_fail (stage, number, ERR_UNAVAILABLE);
+      break;
+    case STAGE_FAULT_HALF_OPEN:
+      request->executions += attempt->next == ATTEMPT_SENT;
+      attempt->due_ns = UINT64_MAX;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+attempt_fail (struct stage *stage, uint32_t number, int error)
+{
+  struct stage_request *request = &stage->requests[number];
+  struct dispatch_event event = { .kind = DISPATCH_FAILED };
+
+  request->attempt.active = false;
+  if (request->attempt.next == ATTEMPT_SENT)
+    request->executions++; /* an upstream may run part of a request */
+  event.request = number + 1;
+  event.attempt = request->attempt.number;
+  event.u.failure.error = error;
+  event.u.failure.resumable = error != ERR_MISMATCH;
+  event.u.failure.client_started = request->delivered_bytes > 0;
+  event.u.failure.draining = error == ERR_UNAVAILABLE;
+  stage_note (stage, "failed %s attempt=%u %s", request->name, event.attempt,
+              err_name (error));
+  stage_handle (stage, request->instance, &event);
+}
+
+static void
+deliver (struct stage *stage, struct stage_request *request)
+{
+  struct stage_attempt *attempt = &request->attempt;
+
+  if (attempt->cancelled || request->outcome != STAGE_PENDING)
+    {
+      attempt->offset_bytes += STAGE_CHUNK_BYTES;
+      return;
+    }
+  if (attempt->offset_bytes != request->delivered_bytes)
+    request->corrupted = true;
+  attempt->offset_bytes += STAGE_CHUNK_BYTES;
+  request->delivered_bytes += STAGE_CHUNK_BYTES;
+  (void)stage;
+}
+
+static void
+emit (struct stage *stage, uint32_t number, enum dispatch_event_kind kind)
+{
+  struct stage_request *request = &stage->requests[number];
+  struct dispatch_event event = { .kind = kind };
+  uint32_t repeat = request->attempt.fault == STAGE_FAULT_REPEATED ? 2 : 1;
+  int error;
+
+  event.request = number + 1;
+  event.attempt = request->attempt.number;
+  if (kind == DISPATCH_PROGRESS || kind == DISPATCH_COMPLETED)
+    {
+      event.u.progress.output_units = request->attempt.offset_bytes;
+      event.u.progress.client_started = request->delivered_bytes > 0;
+    }
+  while (repeat-- > 0)
+    {
+      error = stage_handle (stage, request->instance, &event);
+      stage_note (stage, "%s %s%s%s", event_names[kind], request->name,
+                  error != 0 ? " ignored: " : "",
+                  error != 0 ? err_name (error) : "");
+    }
+}
+
+static const char *
+upstream_name (const struct stage *stage, uint64_t id)
+{
+  uint32_t i;
+
+  for (i = 0; i < stage->service_count; i++)
+    {
+      const struct catalog_upstream *upstream
+          = catalog_upstream (&stage->services[i], id);
+
+      if (upstream != NULL)
+        return upstream->address;
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/tests/test_matrix.c
@@ -0,0 +1,256 @@
+/**
+ * @file test_matrix.c
+ * Fault matrix of the request path and of leases: every step of an attempt by
+ * every fault, alone and in pairs, for both kinds of service and for
+ * idempotent and other requests.  A cell that cannot happen says why.
+ * The stage's invariants are checked in each cell.
+ */
+#include "support/stage.h"
+#include "support/suite.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define CELL_DEADLINE_MS 1500
+#define CELL_RUN_MS      2500 /**< longer than any deadline of the cell */
+#define CELL_LOAD        6    /**< requests at each instance */
+#define STEP_PROBE_MS    1
+
+/** Faults of the fleet around the attempt. */
+enum event
+{
+  EVENT_NONE,
+  EVENT_CLIENT_GONE,
+  EVENT_LEASE_LAPSED, /**< paused past its lease, then resumed */
+  EVENT_CUT_ONE_WAY,
+  EVENT_CUT_BOTH_WAYS,
+  EVENT_CRASH,
+  EVENT_CRASH_AND_RESTART,
+  EVENT_PEER_CRASH,
+  EVENT_DRAIN,
+  EVENT_FLOOD,
+  EVENT_MAX
+};
+
+/** What one cell is made of. */
+struct cell
+{
+  enum attempt_step step;
+  enum stage_fault fault;
+  enum event event;
+  bool engine;
+  bool idempotent;
+  uint32_t uses; /**< attempts that meet the fault: 1, or every one */
+};
+
+/** Totals printed at the end. */
+struct tally
+{
+  uint32_t run;
+  uint32_t impossible;
+  uint32_t failed;
+};
+
+static const char *impossible (const struct cell *cell);
+static void cell_run (const struct cell *cell, struct tally *tally);
+static void cell_setup (struct stage *stage, const struct cell *cell);
+static void cell_event (struct stage *stage, enum event event,
+                        uint32_t request);
+static void sweep (bool pairs, struct tally *tally);
+static void test_single (void);
+static void test_pairs (void);
+
+static const char *const event_names[EVENT_MAX] = {
+  [EVENT_NONE] = "none",
+  [EVENT_CLIENT_GONE] = "client-gone",
+  [EVENT_LEASE_LAPSED] = "lease-lapsed-while-paused",
+  [EVENT_CUT_ONE_WAY] = "partition-one-way",
+  [EVENT_CUT_BOTH_WAYS] = "partition-two-ways",
+  [EVENT_CRASH] = "crash",
+  [EVENT_CRASH_AND_RESTART] = "crash-and-cold-restart",
+  [EVENT_PEER_CRASH] = "peer-crash",
+  [EVENT_DRAIN] = "drain",
+  [EVENT_FLOOD] = "flood",
+};
+
+static const struct suite_test tests[] = {
+  { "every fault at every step", test_single },
+  { "every fault with every event of the fleet", test_pairs },
+};
+
+SUITE_MAIN ("test_matrix", tests)
+
+static void
+test_single (void)
+{
+  struct tally tally = { 0 };
+
+  sweep (false, &tally);
+  printf ("cells run %u, impossible %u, failed %u\n", tally.run,
+          tally.impossible, tally.failed);
+  CU_ASSERT (tally.run > 0);
+  CU_ASSERT (tally.failed == 0);
+}
+
+static void
+test_pairs (void)
+{
+  struct tally tally = { 0 };
+
+  sweep (true, &tally);
+  printf ("cells run %u, impossible %u, failed %u\n", tally.run,
+          tally.impossible, tally.failed);
+  CU_ASSERT (tally.run > 0);
+  CU_ASSERT (tally.failed == 0);
+}
+
+static void
+sweep (bool pairs, struct tally *tally)
+{
+  struct cell cell;
+  int step;
+  int fault;
+  int event;
+  int variant;
+
+  for (step = ATTEMPT_QUEUED; step < ATTEMPT_STEP_MAX; step++)
+    for (fault = STAGE_FAULT_NONE; fault < STAGE_FAULT_MAX; fault++)
+      for (event = EVENT_NONE; event < EVENT_MAX; event++)
+        for (variant = 0; variant < 8; variant++)
+          {
+            bool pair = fault != STAGE_FAULT_NONE && event != EVENT_NONE;
+
+            if (pair != pairs)
+              continue;
+            cell.step = (enum attempt_step)step;
+            cell.fault = (enum stage_fault)fault;
+            cell.event = (enum event)event;
+            cell.engine = (variant & 1) != 0;
+            cell.idempotent = (variant & 2) != 0;
+            cell.uses = (variant & 4) != 0 ? UINT32_MAX : 1;
+            if (impossible (&cell) != NULL)
+              tally->impossible++;
+            else
+              cell_run (&cell, tally);
+          }
+}
+
+static const char *
+impossible (const struct cell *cell)
+{
+  bool at_upstream = cell->step >= ATTEMPT_CONNECTING;
+
+  if (cell->fault != STAGE_FAULT_NONE && !at_upstream)
+    return "no upstream is involved before connecting";
+  if (cell->fault == STAGE_FAULT_REFUSED && cell->step != ATTEMPT_CONNECTING
+      && at_upstream)
+    return "a connection is refused only while connecting";
+  if ((cell->fault == STAGE_FAULT_CROSSED
+       || cell->fault == STAGE_FAULT_DRAINING)
+      && cell->step != ATTEMPT_RESPONDING)
+    return "told by the response head only";
+  if (cell->fault == STAGE_FAULT_TRUNCATED && cell->step < ATTEMPT_RESPONDING)
+    return "no response to truncate yet";
+  return NULL;
+}
+
+static void
+cell_run (const struct cell *cell, struct tally *tally)
+{
+  struct stage *stage = malloc (sizeof *stage);
+  uint32_t probe;
+  int i;
+
+  cell_setup (stage, cell);
+  stage_run (stage, 2 * STAGE_INTERVAL_MS);
+  stage_fault (stage, cell->step, cell->fault, cell->uses);
+  probe = stage_arrive (stage, 0, "probe", "acme", "call");
+  for (i = 0; i < CELL_LOAD; i++)
+    {
+      stage_arrive (stage, 0, "load0", "bolt", "call");
+      stage_arrive (stage, 1, "load1", "acme", "call");
+    }
+  for (i = 0; i < 50 && stage->requests[probe].attempt.next < cell->step; i++)
+    stage_run (stage, STEP_PROBE_MS);
+  cell_event (stage, cell->event, probe);
+  stage_run (stage, CELL_RUN_MS);
+  tally->run++;
+  if (!stage_check (stage))
+    {
+      tally->failed++;
+      printf ("FAILED step=%s fault=%s event=%s %s %s uses=%s: %s\n",
+              attempt_step_name (cell->step), stage_fault_name (cell->fault),
+              event_names[cell->event], cell->engine ? "engine" : "plain",
+              cell->idempotent ? "idempotent" : "not-idempotent",
+              cell->uses == 1 ? "1" : "all", stage->violation);
+    }
+  stage_finish (stage);
+  free (stage);
+}
+
+static void
+cell_setup (struct stage *stage, const struct cell *cell)
+{
+  stage_init (stage, NULL);
+  stage_service (stage, "svc", cell->engine ? CATALOG_ENGINE : CATALOG_PLAIN,
+                 2, 2);
+  stage_customer (stage, "acme", 1, 1000);
+  stage_customer (stage, "bolt", 2, 1000);
+  stage_profile (stage, "call", "svc", CATALOG_DURABLE, cell->idempotent,
+                 CELL_DEADLINE_MS, 3);
+  stage_profile (stage, "cheap", "svc", CATALOG_DISPOSABLE, true,
+                 CELL_DEADLINE_MS, 1);
+  stage_start (stage, "r1");
+  stage_start (stage, "r2");
+  stage_start (stage, "r3");
+}
+
+static void
+cell_event (struct stage *stage, enum event event, uint32_t request)
+{
+  int i;
+
+  switch (event)
+    {
+    case EVENT_CLIENT_GONE:
+      stage_client_gone (stage, request);
+      break;
+    case EVENT_LEASE_LAPSED:
+      stage_pause (stage, 0, true);
+      stage_run (stage, 3 * STAGE_LEASE_MS);
+      stage_pause (stage, 0, false);
+      break;
+    case EVENT_CUT_ONE_WAY:
+    case EVENT_CUT_BOTH_WAYS:
+      for (i = 1; i < 3; i++)
+        {
+          stage_cut (stage, 0, i, true);
+          stage_cut (stage, i, 0, event == EVENT_CUT_BOTH_WAYS);
+        }
+      stage_run (stage, 3 * STAGE_LEASE_MS);
+      for (i = 1; i < 3; i++)
+        {
+          stage_cut (stage, 0, i, false);
+          stage_cut (stage, i, 0, false);
+        }
+      break;
+    case EVENT_CRASH:
+    case EVENT_CRASH_AND_RESTART:
+      stage_crash (stage, 0);
+      if (event == EVENT_CRASH_AND_RESTART)
+        stage_start (stage, "r1");
+      break;
+    case EVENT_PEER_CRASH:
+      stage_crash (stage, 1);
+      stage_start (stage, "r2");
+      break;
+    case EVENT_DRAIN:
+      stage_drain (stage, 0);
+      break;
+    case EVENT_FLOOD:
+      for (i = 0; i < 500; i++)
+        stage_arrive (stage, 0, "flood", "bolt", "cheap");
+      break;
+    default:
+      break;
+    }
+}
