--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -35,7 +35,7 @@
                         const struct peernet_slot *slot, uint64_t peer_id);
 static size_t unproved (const struct peernet *net);
 static void note_address (struct peernet *net,
-                          const struct message_hello *hello, uint64_t peer_id);
+                          const struct message_hello *hello);
 
 int
 peernet_new (const struct peernet_config *config, struct peernet **out)
@@ -206,9 +206,9 @@
   struct peernet_slot *old = NULL;
   uint64_t peer_id = catalog_id (hello->instance);
 
-  note_address (net, hello, peer_id);
+  note_address (net, hello);
   if (slot->target != NULL)
-    peernet_target_up (slot->target, peer_id);
+    peernet_target_up (slot->target, hello);
   HASH_FIND (hh, net->peers, &peer_id, sizeof peer_id, old);
   if (old != NULL && !replaces (net, slot, old, peer_id))
     {
@@ -314,8 +314,7 @@
 
 /** So that a broken link is dialed again, whoever dialed it first. */
 static void
-note_address (struct peernet *net, const struct message_hello *hello,
-              uint64_t peer_id)
+note_address (struct peernet *net, const struct message_hello *hello)
 {
   struct peernet_target *target = NULL;
 
@@ -323,5 +322,5 @@
     return;
   HASH_FIND_STR (net->targets, hello->address, target);
   if (target != NULL)
-    target->peer_id = peer_id;
+    peernet_target_up (target, hello);
 }
--- a/src/transport/peernet_dial.c
+++ b/src/transport/peernet_dial.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 static bool wanted (struct peernet *net, const struct peernet_target *target);
+static bool has_seed (const struct peernet *net,
+                      const struct peernet_target *target);
 static bool dialing (const struct peernet *net,
                      const struct peernet_target *target);
 static void dial (struct peernet *net, struct peernet_target *target);
@@ -78,9 +80,11 @@
 }
 
 void
-peernet_target_up (struct peernet_target *target, uint64_t peer_id)
+peernet_target_up (struct peernet_target *target,
+                   const struct message_hello *hello)
 {
-  target->peer_id = peer_id;
+  target->peer_id = catalog_id (hello->instance);
+  target->peer_incarnation = hello->incarnation;
   target->backoff_ms = PEERNET_BACKOFF_MIN_MS;
 }
 
@@ -94,7 +98,23 @@
     return false;
   if (target->peer_id != 0)
     HASH_FIND (hh, net->peers, &target->peer_id, sizeof target->peer_id, slot);
-  return slot == NULL;
+  return slot == NULL && !has_seed (net, target);
+}
+
+/** Whether a seed leads to the same process: the operator's address goes
+    before the one that the peer itself tells. */
+static bool
+has_seed (const struct peernet *net, const struct peernet_target *target)
+{
+  const struct peernet_target *other;
+
+  if (target->seed || target->peer_id == 0)
+    return false;
+  for (other = net->targets; other != NULL; other = other->hh.next)
+    if (other->seed && other->peer_id == target->peer_id
+        && other->peer_incarnation == target->peer_incarnation)
+      return true;
+  return false;
 }
 
 static bool
--- a/src/transport/peernet_int.h
+++ b/src/transport/peernet_int.h
@@ -16,6 +16,7 @@
   bool seed;
   bool self;        /**< leads back to this instance */
   uint64_t peer_id; /**< instance last met there; 0 for none */
+  uint64_t peer_incarnation;
   uint64_t dial_ns; /**< not before */
   uint64_t offered_ns;
   uint32_t backoff_ms;
@@ -57,6 +58,7 @@
 void peernet_target_failed (struct peernet *net,
                             struct peernet_target *target);
 /** The connection to a target is up. */
-void peernet_target_up (struct peernet_target *target, uint64_t peer_id);
+void peernet_target_up (struct peernet_target *target,
+                        const struct message_hello *hello);
 
 #endif
