Leave empty columns and small changes out of reports

Columns of accounts that are zero in all rows are not sent, the plain cost, which decides nothing, once a minute; a demand that changed by less than half waits up to 500 ms.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -8,6 +8,7 @@
 
 #define RUNS_MAX 4 /**< rounds of own grants and holds in one call */
 
+static enum report_scope exchange_scope (struct fleet *fleet);
 static int exchange (struct fleet *fleet);
 static int look (struct fleet *fleet);
 static void release_idle (struct fleet *fleet);
@@ -203,30 +204,41 @@
   return &fleet->members;
 }
 
+/** What the next regular heartbeat tells. */
+static enum report_scope
+exchange_scope (struct fleet *fleet)
+{
+  if (fleet->now_ns >= fleet->full_ns)
+    {
+      fleet->full_ns = fleet->now_ns + FLEET_FULL_MS * FLEET_NS_PER_MS;
+      return REPORT_FULL;
+    }
+  if (fleet->now_ns < fleet->details_ns)
+    return REPORT_CHANGES;
+  fleet->details_ns = fleet->now_ns + FLEET_DETAILS_MS * FLEET_NS_PER_MS;
+  return REPORT_DETAILS;
+}
+
 /** The regular exchange. */
 static int
 exchange (struct fleet *fleet)
 {
-  bool full = fleet->now_ns >= fleet->full_ns;
+  enum report_scope scope = exchange_scope (fleet);
+  bool accounts = fleet->now_ns >= fleet->accounts_ns;
   int rc;
 
   fleet->exchange_ns = fleet->now_ns + interval_ns (fleet);
   fleet->look_ns = fleet->now_ns + FLEET_LOOK_MS * FLEET_NS_PER_MS;
-  if (full)
-    fleet->full_ns = fleet->now_ns + FLEET_FULL_MS * FLEET_NS_PER_MS;
+  if (accounts)
+    fleet->accounts_ns = fleet->now_ns + FLEET_ACCOUNTS_MS * FLEET_NS_PER_MS;
   come_alive (fleet);
   age_members (fleet);
   fold_ended (fleet);
   rc = report_refresh (&fleet->report, fleet->config.dispatch);
   if (rc == 0)
-    rc = fleet_send_heartbeat (fleet, full ? REPORT_FULL : REPORT_CHANGES);
-  if (fleet->now_ns >= fleet->accounts_ns)
-    {
-      fleet->accounts_ns = fleet->now_ns + FLEET_ACCOUNTS_MS * FLEET_NS_PER_MS;
-      fleet->ledger_cursor = 0;
-    }
+    rc = fleet_send_heartbeat (fleet, scope);
   if (rc == 0 && fleet->config.policy->exchanges)
-    rc = fleet_send_accounts (fleet);
+    rc = fleet_send_accounts (fleet, accounts);
   release_idle (fleet);
   fleet->lessor_due = true;
   return rc;
--- a/src/coordination/fleet_int.h
+++ b/src/coordination/fleet_int.h
@@ -14,6 +14,7 @@
 #define FLEET_NS_PER_MS       1000000ULL /**< nanoseconds */
 #define FLEET_LOOK_MS         2          /**< between looks at own demand */
 #define FLEET_URGENT_MS       20         /**< between urgent heartbeats */
+#define FLEET_DETAILS_MS      500        /**< between fine changes of demand */
 #define FLEET_FULL_MS         10000      /**< between full heartbeats */
 #define FLEET_ACCOUNTS_MS     60000 /**< between sending all own accounts */
 #define FLEET_FOLD_MS         60000 /**< after a restart, until accounts fold */
@@ -53,6 +54,7 @@
   uint64_t sequence;      /**< of the newest heartbeat sent */
   uint64_t ledger_cursor; /**< own changes up to here were sent */
   uint64_t exchange_ns;   /**< next regular exchange */
+  uint64_t details_ns;    /**< next fine changes of demand */
   uint64_t full_ns;       /**< next full heartbeat */
   uint64_t accounts_ns;   /**< all own accounts are next sent */
   uint64_t look_ns;       /**< next look at own demand */
@@ -65,8 +67,9 @@
 
 /** Sends a heartbeat to all peers, and this instance's own tables. */
 int fleet_send_heartbeat (struct fleet *fleet, enum report_scope scope);
-/** Sends own changed accounts to all peers. */
-int fleet_send_accounts (struct fleet *fleet);
+/** Sends own changed accounts to all peers, or all of them with the plain
+    costs. */
+int fleet_send_accounts (struct fleet *fleet, bool full);
 /** Sends a peer that just came up all that is known. */
 int fleet_send_snapshot (struct fleet *fleet, uint64_t instance_id);
 /** Asks a peer for configuration newer than what is held here. */
--- a/src/coordination/fleet_send.c
+++ b/src/coordination/fleet_send.c
@@ -42,23 +42,30 @@
 }
 
 int
-fleet_send_accounts (struct fleet *fleet)
+fleet_send_accounts (struct fleet *fleet, bool full)
 {
   struct ledger_entry entries[FLEET_ACCOUNTS_MAX];
   struct message message = { .kind = MESSAGE_ACCOUNTS };
-
-  message.u.accounts.origin.instance_id = fleet->members.self_id;
-  message.u.accounts.origin.incarnation = fleet->config.self.incarnation;
-  message.u.accounts.entries = entries;
+  struct message_accounts *accounts = &message.u.accounts;
+  size_t i;
+
+  accounts->origin.instance_id = fleet->members.self_id;
+  accounts->origin.incarnation = fleet->config.self.incarnation;
+  accounts->entries = entries;
+  if (full)
+    fleet->ledger_cursor = 0;
   do
     {
-      message.u.accounts.entry_count
+      accounts->entry_count
           = ledger_changes (fleet->config.ledger, &fleet->ledger_cursor,
                             entries, FLEET_ACCOUNTS_MAX);
-      if (message.u.accounts.entry_count > 0)
+      /* Plain costs decide nothing; a maximum register takes 0 for no news. */
+      for (i = 0; !full && i < accounts->entry_count; i++)
+        entries[i].cost = 0;
+      if (accounts->entry_count > 0)
         broadcast (fleet, &message);
     }
-  while (message.u.accounts.entry_count == FLEET_ACCOUNTS_MAX);
+  while (accounts->entry_count == FLEET_ACCOUNTS_MAX);
   return 0;
 }
 
--- a/src/coordination/report.c
+++ b/src/coordination/report.c
@@ -43,8 +43,8 @@
 static struct report_service *service_get (struct report *report,
                                            uint64_t service_id);
 static void note_told (struct report *report, struct report_entry *entry);
-static bool differs (uint32_t value, uint32_t told);
-static bool changed (const struct report_entry *entry);
+static bool differs (uint32_t value, uint32_t told, uint32_t part);
+static bool changed (const struct report_entry *entry, uint32_t part);
 static bool is_idle (const struct report_entry *entry);
 
 void
@@ -122,6 +122,7 @@
 report_write (struct report *report, enum report_scope scope,
               struct message_heartbeat *heartbeat)
 {
+  const uint32_t part = scope == REPORT_DETAILS ? REPORT_FINE : REPORT_COARSE;
   struct report_entry *entry;
   struct report_entry *next;
 
@@ -136,7 +137,7 @@
       next = entry->hh.next;
       if (scope == REPORT_URGENT && !entry->service->urgent)
         continue;
-      if (heartbeat->full ? !is_idle (entry) : changed (entry))
+      if (heartbeat->full ? !is_idle (entry) : changed (entry, part))
         heartbeat->demands[heartbeat->demand_count++]
             = (struct message_demand){ entry->key.customer_id,
                                        entry->key.service_id, entry->waiting,
@@ -235,21 +236,20 @@
   return entry->waiting == 0 && entry->running == 0;
 }
 
+/** @param part changes by more than this part of a count are told. */
 static bool
-changed (const struct report_entry *entry)
+changed (const struct report_entry *entry, uint32_t part)
 {
-  return differs (entry->waiting, entry->told_waiting)
-         || differs (entry->running, entry->told_running);
+  return differs (entry->waiting, entry->told_waiting, part)
+         || differs (entry->running, entry->told_running, part);
 }
 
-/** Whether a count is news: it became or ceased to be zero, or moved by more
-    than the tolerance. */
 static bool
-differs (uint32_t value, uint32_t told)
+differs (uint32_t value, uint32_t told, uint32_t part)
 {
   uint32_t distance = value > told ? value - told : told - value;
 
   if ((value == 0) != (told == 0))
     return true;
-  return distance > told / REPORT_TOLERANCE;
+  return distance > told / part;
 }
--- a/src/coordination/report.h
+++ b/src/coordination/report.h
@@ -10,8 +10,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define REPORT_TOLERANCE 8 /**< a change below an 8th of a count can wait */
-#define REPORT_GROWTH    4 /**< requests; growth below is never urgent */
+#define REPORT_COARSE 2 /**< changes by more than a half of a count */
+#define REPORT_FINE   8 /**< changes by more than an 8th */
+#define REPORT_GROWTH 4 /**< requests; growth below is never urgent */
 
 /** Zero-initialise. */
 struct report
@@ -37,8 +38,9 @@
 /** What a heartbeat tells, and whom. */
 enum report_scope
 {
-  REPORT_CHANGES,  /**< what changed, to all peers */
-  REPORT_URGENT,   /**< what changed at services found urgent, to all peers */
+  REPORT_CHANGES,  /**< coarse changes, to all peers */
+  REPORT_DETAILS,  /**< fine changes, to all peers */
+  REPORT_URGENT,   /**< coarse changes at urgent services, to all peers */
   REPORT_FULL,     /**< everything, to all peers */
   REPORT_SNAPSHOT, /**< everything, to one peer: the others know no more */
   REPORT_SCOPE_MAX
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -714,7 +714,7 @@
   (ProtobufCMessageInit) peer__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__accounts__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__accounts__field_descriptors[5] =
 {
   {
     "origin_instance_id",
@@ -764,8 +764,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "columns",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Accounts, columns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__accounts__field_indices_by_name[] = {
+  4,   /* field[4] = columns */
   3,   /* field[3] = items */
   2,   /* field[2] = names */
   1,   /* field[1] = origin_incarnation */
@@ -774,7 +787,7 @@
 static const ProtobufCIntRange peer__accounts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__accounts__descriptor =
 {
@@ -784,7 +797,7 @@
   "Peer__Accounts",
   "peer",
   sizeof(Peer__Accounts),
-  4,
+  5,
   peer__accounts__field_descriptors,
   peer__accounts__field_indices_by_name,
   1,  peer__accounts__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -79,8 +79,9 @@
 
 
 /*
- * Rows: pair, charged, refunded, floor, cost.  Without an origin they are the
- * sender's own, as increases since the last row of the pair on this link.
+ * Rows: pair, and those of charged, refunded, floor and cost whose bit is set
+ * in `columns` (1, 2, 4, 8).  Without an origin they are the sender's own, as
+ * increases since the last row of the pair on this link.
  */
 struct  Peer__Accounts
 {
@@ -91,10 +92,11 @@
   uint64_t *names;
   size_t n_items;
   uint64_t *items;
+  uint32_t columns;
 };
 #define PEER__ACCOUNTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__accounts__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -6,10 +6,11 @@
 #include "protocol/peer.pb-c.h"
 #include "state/err.h"
 #include "state/hash.h"
+#include <stdbool.h>
 #include <stdlib.h>
 
 #define HEARTBEAT_COLUMNS 3
-#define ACCOUNT_COLUMNS   5
+#define ACCOUNT_COLUMNS   4 /* besides the pair */
 #define GRANT_COLUMNS     3
 #define HOLD_COLUMNS      4
 
@@ -70,6 +71,10 @@
                                         uint64_t second);
 static void add (struct encoding *out, uint64_t value);
 static uint64_t increase (uint64_t *last, uint64_t value);
+static void account_values (struct peercodec_name *name,
+                            const struct ledger_entry *entry, bool own,
+                            uint64_t values[ACCOUNT_COLUMNS]);
+static uint32_t drop_zero_columns (struct encoding *out);
 static int pack (const Peer__Frame *frame, struct peercodec_buffer *buffer);
 
 static int (*const encoders[MESSAGE_KIND_MAX]) (const struct message *message,
@@ -265,35 +270,67 @@
   return rc;
 }
 
+/** Values of a row: increases for the sender's own accounts. */
+static void
+account_values (struct peercodec_name *name, const struct ledger_entry *entry,
+                bool own, uint64_t values[ACCOUNT_COLUMNS])
+{
+  struct peercodec_name zero = { .index = 0 };
+  struct peercodec_name *last = own ? name : &zero;
+
+  values[0] = increase (&last->charged, entry->charged);
+  values[1] = increase (&last->refunded, entry->refunded);
+  values[2] = increase (&last->floor, entry->floor);
+  values[3] = increase (&last->cost, entry->cost);
+}
+
+/** Drops the columns that are zero in all rows. @return the columns left. */
+static uint32_t
+drop_zero_columns (struct encoding *out)
+{
+  const size_t width = ACCOUNT_COLUMNS + 1;
+  size_t count = out->item_count;
+  uint32_t columns = 0;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    if (i % width != 0 && out->items[i] != 0)
+      columns |= 1U << (i % width - 1);
+  out->item_count = 0;
+  for (i = 0; i < count; i++)
+    if (i % width == 0 || (columns & 1U << (i % width - 1)) != 0)
+      add (out, out->items[i]);
+  return columns;
+}
+
 static int
 encode_accounts (const struct message *message, struct encoding *out)
 {
   const struct message_accounts *accounts = &message->u.accounts;
   const struct ledger_origin *sender = &out->encoder->sender;
-  const struct ledger_entry *entry;
   Peer__Accounts *wire = &out->body.accounts;
   bool own = accounts->origin.instance_id == sender->instance_id
              && accounts->origin.incarnation == sender->incarnation;
   struct peercodec_name *name;
+  uint64_t values[ACCOUNT_COLUMNS];
+  size_t column;
   size_t i;
-  int rc = rows_new (out, accounts->entry_count, ACCOUNT_COLUMNS);
+  int rc = rows_new (out, accounts->entry_count, ACCOUNT_COLUMNS + 1);
 
   for (i = 0; rc == 0 && i < accounts->entry_count; i++)
     {
-      entry = &accounts->entries[i];
-      name = name_row (out, entry->customer_id, entry->service_id);
+      name = name_row (out, accounts->entries[i].customer_id,
+                       accounts->entries[i].service_id);
       if (name == NULL)
         return ERR_FULL;
-      add (out,
-           own ? increase (&name->charged, entry->charged) : entry->charged);
-      add (out, own ? increase (&name->refunded, entry->refunded)
-                    : entry->refunded);
-      add (out, own ? increase (&name->floor, entry->floor) : entry->floor);
-      add (out, own ? increase (&name->cost, entry->cost) : entry->cost);
+      account_values (name, &accounts->entries[i], own, values);
+      for (column = 0; column < ACCOUNT_COLUMNS; column++)
+        add (out, values[column]);
     }
   peer__accounts__init (wire);
   wire->origin_instance_id = own ? 0 : accounts->origin.instance_id;
   wire->origin_incarnation = own ? 0 : accounts->origin.incarnation;
+  wire->columns = rc == 0 ? drop_zero_columns (out) : 0;
   wire->n_names = out->name_count;
   wire->names = out->names;
   wire->n_items = out->item_count;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define HEARTBEAT_COLUMNS 3
-#define ACCOUNT_COLUMNS   5
+#define ACCOUNT_COLUMNS   4 /* besides the pair */
 #define GRANT_COLUMNS     3
 #define HOLD_COLUMNS      4
 #define ROWS_MIN          64 /* of a dictionary, at first */
@@ -69,8 +69,8 @@
 static uint64_t cell (const struct rows *rows, size_t row, size_t column);
 static int small_cell (const struct rows *rows, size_t row, size_t column,
                        uint32_t *out);
-static int account_row (const struct rows *rows, size_t row, bool own,
-                        struct ledger_entry *entry);
+static int account_row (const struct rows *rows, size_t row, uint32_t columns,
+                        bool own, struct ledger_entry *entry);
 static int raise (uint64_t *last, uint64_t distance);
 
 static const struct
@@ -302,9 +302,9 @@
 
   if (rc == 0)
     rc = rows_init (&rows, decoder, wire->items, wire->n_items,
-                    ACCOUNT_COLUMNS);
-  if (rc != 0)
-    return rc;
+                    1 + (size_t)__builtin_popcount (wire->columns));
+  if (rc != 0 || wire->columns >= 1U << ACCOUNT_COLUMNS)
+    return rc != 0 ? rc : ERR_PROTOCOL;
   accounts->origin.instance_id
       = own ? decoder->sender.instance_id : wire->origin_instance_id;
   accounts->origin.incarnation
@@ -313,26 +313,35 @@
                   sizeof *accounts->entries);
   accounts->entry_count = rc == 0 ? rows.count : 0;
   for (i = 0; rc == 0 && i < rows.count; i++)
-    rc = account_row (&rows, i, own, &accounts->entries[i]);
+    rc = account_row (&rows, i, wire->columns, own, &accounts->entries[i]);
   return rc;
 }
 
+/** @param columns bits of those on the wire. */
 static int
-account_row (const struct rows *rows, size_t row, bool own,
+account_row (const struct rows *rows, size_t row, uint32_t columns, bool own,
              struct ledger_entry *entry)
 {
   struct peercodec_row *name = row_name (rows, row);
   struct peercodec_row values = { 0 };
+  uint64_t *const fields[ACCOUNT_COLUMNS] = {
+    &values.charged,
+    &values.refunded,
+    &values.floor,
+    &values.cost,
+  };
+  size_t column = 1;
+  size_t i;
 
   if (name == NULL)
     return ERR_PROTOCOL;
   if (own)
     values = *name;
-  if (raise (&values.charged, cell (rows, row, 1)) != 0
-      || raise (&values.refunded, cell (rows, row, 2)) != 0
-      || raise (&values.floor, cell (rows, row, 3)) != 0
-      || raise (&values.cost, cell (rows, row, 4)) != 0
-      || values.refunded > values.charged)
+  for (i = 0; i < ACCOUNT_COLUMNS; i++)
+    if ((columns & 1U << i) != 0
+        && raise (fields[i], cell (rows, row, column++)) != 0)
+      return ERR_PROTOCOL;
+  if (values.refunded > values.charged)
     return ERR_PROTOCOL;
   if (own)
     *name = values;
