Lease slots to a draining instance until its queue is empty

It now takes slots as long as its heartbeats say that requests wait, and gives them all back then. The last instance of a fleet leases to itself.

--- a/src/coordination/lessor_refresh.c
+++ b/src/coordination/lessor_refresh.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 
 static int refresh_peer (struct lessor *lessor, const struct member *member);
+static bool takes_slots (const struct lessor *lessor,
+                         const struct member *member);
 static bool is_forgettable (const struct lessor *lessor,
                             struct lessor_peer *peer);
 static void forget_peers (struct lessor *lessor);
@@ -49,7 +51,7 @@
     }
   was_alive = peer->alive;
   peer->alive = member->status == MEMBER_ALIVE;
-  peer->eligible = peer->alive && member->state == MESSAGE_LIVE;
+  peer->eligible = peer->alive && takes_slots (lessor, member);
   if (!peer->alive)
     peer->item_count = 0;
   if (peer->alive)
@@ -59,6 +61,26 @@
   return 0;
 }
 
+/* An instance that drains takes slots until its last waiting request, which
+   it has accepted, has one. */
+static bool
+takes_slots (const struct lessor *lessor, const struct member *member)
+{
+  const struct demand_service *service;
+  const struct demand_instance *instance;
+
+  if (member->state != MESSAGE_DRAINING)
+    return member->state == MESSAGE_LIVE;
+  for (service = lessor->demand.services; service != NULL;
+       service = service->hh.next)
+    {
+      instance = demand_instance_find (service, member->instance_id);
+      if (instance != NULL && instance->waiting > 0)
+        return true;
+    }
+  return false;
+}
+
 /* A peer that is no member any more, once its leases have ended. */
 static bool
 is_forgettable (const struct lessor *lessor, struct lessor_peer *peer)
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -304,11 +304,9 @@
   const struct peernet_slot *slot;
   size_t count = 0;
 
-  DL_FOREACH (net->slots, slot)
-    {
-      if (slot->target == NULL && slot->peer_id == 0)
-        count++;
-    }
+  for (slot = net->slots; slot != NULL; slot = slot->next)
+    if (slot->target == NULL && slot->peer_id == 0)
+      count++;
   return count;
 }
 
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -117,6 +117,18 @@
   down (&world->nodes[number]);
 }
 
+void
+world_drain (struct world *world, uint32_t number)
+{
+  const struct dispatch_event event = { .kind = DISPATCH_DRAIN };
+  struct world_node *node = &world->nodes[number];
+
+  world->clients[number][0] = 0;
+  world->clients[number][1] = 0;
+  handle (node, &event);
+  fleet_drain (node->fleet, now_ns (world));
+}
+
 void
 world_join (struct world *world, uint32_t a, uint32_t b)
 {
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -79,6 +79,8 @@
 void world_kill (struct world *world, uint32_t node);
 /** Starts a node cold, as a new incarnation. */
 void world_start (struct world *world, uint32_t node);
+/** Takes no more requests, and ends once those accepted are done. */
+void world_drain (struct world *world, uint32_t node);
 /** Brings the link of two nodes up anew. */
 void world_join (struct world *world, uint32_t a, uint32_t b);
 /** Cuts or mends both ways between a node and all others. */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -220,6 +220,37 @@
   world_finish (&world);
 }
 
+/* What an instance has accepted is served; then its slots go to the others. */
+static void
+test_drain (void)
+{
+  static struct world world;
+  uint32_t waiting;
+  uint32_t i;
+
+  world_init (&world, 7);
+  load_all (&world);
+  world_run_ms (&world, SETTLE_MS);
+  waiting = dispatch_total (world.nodes[0].dispatch);
+  CU_ASSERT (waiting > world_busy (&world, 0));
+  world.nodes[0].completed = 0;
+  world_drain (&world, 0);
+  world_run_ms (&world, 3000);
+  CU_ASSERT_EQUAL (world.nodes[0].completed, waiting);
+  CU_ASSERT_EQUAL (dispatch_total (world.nodes[0].dispatch), 0);
+  CU_ASSERT_EQUAL (world_capacity (&world, 0), 0);
+  assert_all_slots_used (&world);
+  /* The last one has nobody to lease from but itself. */
+  waiting = dispatch_total (world.nodes[1].dispatch);
+  world.nodes[1].completed = 0;
+  for (i = 1; i < WORLD_NODES; i++)
+    world_drain (&world, i);
+  world_run_ms (&world, 6000);
+  CU_ASSERT_EQUAL (world.nodes[1].completed, waiting);
+  CU_ASSERT_EQUAL (busy_total (&world), 0);
+  world_finish (&world);
+}
+
 static void
 test_bad_network (void)
 {
@@ -251,6 +282,7 @@
   { "partition one way", test_one_way_partition },
   { "cold restart of one", test_cold_restart },
   { "cold restart of all", test_restart_of_all },
+  { "drain", test_drain },
   { "lost, repeated, reordered and late", test_bad_network },
 };
 
