--- a/src/request_reply.c
+++ b/src/request_reply.c
@@ -87,11 +87,15 @@
       break;
     case REQUEST_REPLY_LENGTH:
       request->delivered_bytes += size;
+      httpd_cork (request->http);
       evhtp_send_reply_body (request->http, data);
+      httpd_uncork (request->http);
       break;
     case REQUEST_REPLY_CHUNKED:
       request->delivered_bytes += size;
+      httpd_cork (request->http);
       evhtp_send_reply_chunk (request->http, data);
+      httpd_uncork (request->http);
       break;
     case REQUEST_REPLY_NONE:
     case REQUEST_REPLY_OVER:
@@ -111,9 +115,11 @@
       evhtp_send_reply (request->http, (evhtp_res)request->status);
       break;
     case REQUEST_REPLY_LENGTH:
+      httpd_uncork_last (request->http);
       evhtp_send_reply_end (request->http);
       break;
     case REQUEST_REPLY_CHUNKED:
+      httpd_uncork_last (request->http);
       evhtp_send_reply_chunk_end (request->http);
       break;
     case REQUEST_REPLY_NONE:
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -194,6 +194,33 @@
   evhtp_request_resume (http);
 }
 
+void
+httpd_cork (evhtp_request_t *http)
+{
+  bufferevent_disable (http->conn->bev, EV_WRITE);
+}
+
+void
+httpd_uncork (evhtp_request_t *http)
+{
+  struct bufferevent *bev = http->conn->bev;
+  struct evbuffer *output = bufferevent_get_output (bev);
+
+  /* A bufferevent keeps the start of its output to itself. */
+  evbuffer_unfreeze (output, 1);
+  evbuffer_write (output, bufferevent_getfd (bev));
+  evbuffer_freeze (output, 1);
+  /* Enabled for nothing it would cost two calls of epoll_ctl a write. */
+  if (evbuffer_get_length (output) > 0)
+    bufferevent_enable (bev, EV_WRITE);
+}
+
+void
+httpd_uncork_last (evhtp_request_t *http)
+{
+  bufferevent_enable (http->conn->bev, EV_WRITE);
+}
+
 void
 httpd_abort (evhtp_request_t *http)
 {
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -71,6 +71,13 @@
 /** The response has been written whole; the connection may go on. */
 void httpd_release (evhtp_request_t *http);
 
+/** Between these, what is added to the response waits; then it is written at
+    once as far as the socket takes it, without a turn of the loop. */
+void httpd_cork (evhtp_request_t *http);
+void httpd_uncork (evhtp_request_t *http);
+/** Call before the end of a response that was corked. */
+void httpd_uncork_last (evhtp_request_t *http);
+
 /** Resets the connection, so that the client sees an incomplete response. */
 void httpd_abort (evhtp_request_t *http);
 
