--- a/src/request.c
+++ b/src/request.c
@@ -104,11 +104,8 @@
   request->status = refusal_info (action->refusal)->status;
   log_end (request, METRICS_REFUSED, action->verdict, action->refusal);
   request_reply_reset (request);
-  request->http = NULL;
-  request->reply = REQUEST_REPLY_OVER;
   request_reply_refuse (http, request->id, action->refusal, action->verdict);
-  httpd_bind (http, NULL);
-  httpd_release (http);
+  request_reply_release (request);
 }
 
 static enum verdict
--- a/src/request_int.h
+++ b/src/request_int.h
@@ -63,6 +63,8 @@
 /** Passes body bytes on and drains the buffer. */
 void request_reply_body (struct request *request, struct evbuffer *data);
 void request_reply_finish (struct request *request);
+/** Gives libevhtp's request back once its response has been written. */
+void request_reply_release (struct request *request);
 void request_reply_abort (struct request *request);
 /** True once the client has been sent bytes of the response. */
 bool request_reply_started (const struct request *request);
--- a/src/request_reply.c
+++ b/src/request_reply.c
@@ -15,7 +15,6 @@
                                         int status,
                                         const struct upstream_header *headers,
                                         size_t count);
-static void let_go (struct request *request);
 
 void
 request_reply_start (struct request *request, int status,
@@ -25,6 +24,8 @@
   bool body_absent = http->method == htp_method_HEAD;
   size_t i;
 
+  if (request->router->draining)
+    evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   request->reply = choose_reply (request, status, headers, count);
   request->status = status;
   for (i = 0; i < count; i++)
@@ -126,7 +127,7 @@
     case REQUEST_REPLY_OVER:
       return;
     }
-  let_go (request);
+  request_reply_release (request);
 }
 
 void
@@ -168,13 +169,15 @@
   evhtp_send_reply (http, info->status);
 }
 
-static void
-let_go (struct request *request)
+void
+request_reply_release (struct request *request)
 {
   evhtp_request_t *http = request->http;
 
   request->http = NULL;
   request->reply = REQUEST_REPLY_OVER;
+  if (request->router->draining)
+    evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd_bind (http, NULL);
   httpd_release (http);
 }
--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -5,14 +5,14 @@
 #include "request_int.h"
 #include "state/err.h"
 #include "transport/log.h"
-#include "transport/upstream_http.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-#define FORWARDED_MAX 64 /**< headers passed on to an upstream */
-#define LOAD_HEADER   "Cherrylanding-Upstream-Load"
+#define READ_AHEAD_PART 2  /**< of the response buffer is left unfilled */
+#define FORWARDED_MAX   64 /**< headers passed on to an upstream */
+#define LOAD_HEADER     "Cherrylanding-Upstream-Load"
 
 static size_t forward_headers (const struct request *request,
                                struct upstream_header *out, size_t count);
@@ -29,6 +29,7 @@
 static void on_responding (void *user, int status,
                            const struct upstream_header *headers,
                            size_t count);
+static void pause_if_behind (struct request *request);
 static void on_body (void *user, struct evbuffer *data);
 static void on_completed (void *user);
 static void on_failed (void *user, int error);
@@ -209,26 +210,36 @@
   request_reply_start (request, status, headers, count);
 }
 
+/* Leaves room for what the driver may have read already. */
 static void
-on_body (void *user, struct evbuffer *data)
+pause_if_behind (struct request *request)
 {
-  struct request *request = user;
   struct router *router = request->router;
   size_t limit = router->settings->router->limits.response_buffer_bytes;
+  size_t pending;
+
+  if (!request_reply_started (request) || request->paused)
+    return;
+  pending = httpd_pending_bytes (request->http);
+  if (pending == 0 || pending <= limit - limit / READ_AHEAD_PART)
+    return;
+  request->paused = true;
+  router->driver->pause (request->attempt, true);
+}
+
+static void
+on_body (void *user, struct evbuffer *data)
+{
+  struct request *request = user;
   size_t size = evbuffer_get_length (data);
 
   if (request->first_body_ns == 0)
-    request->first_body_ns = router_now_ns (router);
+    request->first_body_ns = router_now_ns (request->router);
   if (request->engine)
     usage_feed (&request->usage, (const char *)evbuffer_pullup (data, -1),
                 size);
   request_reply_body (request, data);
-  if (request_reply_started (request) && !request->paused
-      && httpd_pending_bytes (request->http) + UPSTREAM_HTTP_READ_MAX > limit)
-    {
-      request->paused = true;
-      router->driver->pause (request->attempt, true);
-    }
+  pause_if_behind (request);
   if (request->engine)
     raise_progress (request, DISPATCH_PROGRESS);
 }
--- a/src/router.c
+++ b/src/router.c
@@ -77,8 +77,8 @@
   for (i = ROUTER_MODULE_MAX; i-- > 0;)
     if (modules[i] != NULL && modules[i]->finish != NULL)
       modules[i]->finish (router);
-  if (router->driver_state != NULL)
-    upstream_http_free (router->driver_state);
+  if (router->http != NULL)
+    upstream_http_free (router->http);
   if (router->dispatch != NULL)
     dispatch_free (router->dispatch);
   if (router->ledger != NULL)
@@ -94,8 +94,11 @@
   for (i = 0; i < ROUTER_SIGNALS; i++)
     if (router->signals[i] != NULL)
       event_free (router->signals[i]);
-  if (router->base != NULL)
-    event_base_free (router->base);
+  if (router->base == NULL)
+    return;
+  /* libevent frees bufferevents from the loop. */
+  event_base_loop (router->base, EVLOOP_NONBLOCK);
+  event_base_free (router->base);
 }
 
 int
@@ -176,7 +179,8 @@
   };
   struct upstream_http_config client
       = { .clock = &router->clock,
-          .connect_timeout_ms = own->connect_timeout_ms };
+          .connect_timeout_ms = own->connect_timeout_ms,
+          .read_max_bytes = own->limits.response_buffer_bytes / 4 };
   char port[8];
   int error;
 
@@ -185,9 +189,10 @@
     return ERR_NO_MEMORY;
   server.base = client.base = router->base;
   router->driver = &upstream_http_driver;
-  router->driver_state = upstream_http_new (&client);
-  if (router->driver_state == NULL)
+  router->http = upstream_http_new (&client);
+  if (router->http == NULL)
     return ERR_NO_MEMORY;
+  router->driver_state = router->http;
   error = httpd_new (&router->httpd, &server);
   if (error != 0)
     {
@@ -383,7 +388,7 @@
   if (now_ns - router->sweep_ns >= SWEEP_NS)
     {
       router->sweep_ns = now_ns;
-      upstream_http_sweep (router->driver_state);
+      upstream_http_sweep (router->http);
     }
   if (router->draining)
     check_drain (router, now_ns);
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -36,6 +36,7 @@
   struct httpd *httpd;
   evhtp_connection_t *evhtp;
   struct event *timer;
+  struct evbuffer_cb_entry *output_cb;
   enum conn_state state;
   bool over_limit; /**< one connection too many */
   uint32_t header_bytes;
@@ -50,6 +51,7 @@
   struct httpd_config config;
   evhtp_t *evhtp;
   struct httpd_conn *conns;
+  struct linger_list linger;
   uint32_t count;
   bool draining;
 };
@@ -63,7 +65,8 @@
 static evhtp_res on_body (evhtp_request_t *http, struct evbuffer *data,
                           void *arg);
 static void on_event (evhtp_connection_t *evhtp, short events, void *arg);
-static evhtp_res on_write (evhtp_connection_t *evhtp, void *arg);
+static void on_output (struct evbuffer *output,
+                       const struct evbuffer_cb_info *info, void *arg);
 static evhtp_res on_request_fini (evhtp_request_t *http, void *arg);
 static evhtp_res on_connection_fini (evhtp_connection_t *evhtp, void *arg);
 static void on_request (evhtp_request_t *http, void *arg);
@@ -73,6 +76,7 @@
 static void set_timer (struct httpd_conn *conn, uint32_t timeout_ms);
 static struct httpd_conn *conn_of (const evhtp_request_t *http);
 static void conn_free (struct httpd_conn *conn);
+static void conn_discard (struct httpd_conn *conn);
 static struct bufferevent *take_over (struct httpd_conn *conn);
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
 static void refuse_broken (struct httpd_conn *conn);
@@ -135,6 +139,7 @@
       next = conn->next;
       evhtp_connection_free (conn->evhtp);
     }
+  linger_finish (&httpd->linger);
   if (httpd->evhtp->server != NULL)
     evhtp_unbind_socket (httpd->evhtp);
   evhtp_free (httpd->evhtp);
@@ -278,9 +283,11 @@
   conn->httpd = httpd;
   conn->evhtp = evhtp;
   conn->timer = event_new (httpd->config.base, -1, 0, on_timer, conn);
-  if (conn->timer == NULL)
+  conn->output_cb
+      = evbuffer_add_cb (bufferevent_get_output (evhtp->bev), on_output, conn);
+  if (conn->timer == NULL || conn->output_cb == NULL)
     {
-      free (conn);
+      conn_discard (conn);
       return EVHTP_RES_ERROR;
     }
   conn->over_limit = httpd->count >= limits->connections_max;
@@ -288,7 +295,6 @@
   DL_APPEND (httpd->conns, conn);
   set_hooks (conn);
   bufferevent_set_timeouts (evhtp->bev, NULL, &write_timeout);
-  bufferevent_setwatermark (evhtp->bev, EV_WRITE, limits->low_water_bytes, 0);
   bufferevent_setwatermark (evhtp->bev, EV_READ, 0, HTTPD_READ_MAX);
   set_timer (conn, limits->idle_timeout_ms);
   return EVHTP_RES_OK;
@@ -306,7 +312,6 @@
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_read, on_body, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_event,
                              (evhtp_hook)(void (*) (void))on_event, conn);
-  evhtp_connection_set_hook (evhtp, evhtp_hook_on_write, on_write, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_request_fini,
                              on_request_fini, conn);
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_connection_fini,
@@ -333,7 +338,14 @@
 {
   DL_DELETE (conn->httpd->conns, conn);
   conn->httpd->count--;
-  event_free (conn->timer);
+  conn_discard (conn);
+}
+
+static void
+conn_discard (struct httpd_conn *conn)
+{
+  if (conn->timer != NULL)
+    event_free (conn->timer);
   free (conn);
 }
 
@@ -373,7 +385,7 @@
                   broken == htparse_error_too_big ? REFUSAL_HEADERS_TOO_LARGE
                                                   : REFUSAL_BAD_REQUEST,
                   request_id (conn), bufferevent_get_output (bev));
-  linger_close (bev);
+  linger_close (&conn->httpd->linger, bev);
 }
 
 /* Takes the socket away from libevhtp, whose own structures remain. */
@@ -383,6 +395,8 @@
   evhtp_connection_t *evhtp = conn->evhtp;
 
   conn->request_user = NULL;
+  evbuffer_remove_cb_entry (bufferevent_get_output (evhtp->bev),
+                            conn->output_cb);
   conn_free (conn);
   return evhtp_connection_take_ownership (evhtp);
 }
@@ -391,19 +405,19 @@
 static evhtp_res
 refuse (struct httpd_conn *conn, enum refusal refusal)
 {
-  const struct httpd_config *config = &conn->httpd->config;
+  struct httpd *httpd = conn->httpd;
   struct evbuffer *out = evbuffer_new ();
   struct bufferevent *bev;
 
   if (out != NULL)
-    config->refuse (config->user, refusal, request_id (conn), out);
+    httpd->config.refuse (httpd->config.user, refusal, request_id (conn), out);
   bev = take_over (conn);
   if (out != NULL)
     {
       bufferevent_write_buffer (bev, out);
       evbuffer_free (out);
     }
-  linger_close (bev);
+  linger_close (&httpd->linger, bev);
   return EVHTP_RES_ERROR;
 }
 
@@ -545,7 +559,7 @@
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
   if (httpd->draining)
-    evhtp_request_set_keepalive (http, 0);
+    evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd->config.request (httpd->config.user, http);
 }
 
@@ -563,16 +577,17 @@
     evhtp_connection_resume (evhtp);
 }
 
-static evhtp_res
-on_write (evhtp_connection_t *evhtp, void *arg)
+/* libevhtp's own hook is silent while a connection is paused. */
+static void
+on_output (struct evbuffer *output, const struct evbuffer_cb_info *info,
+           void *arg)
 {
   struct httpd_conn *conn = arg;
   const struct httpd_config *config = &conn->httpd->config;
 
-  (void)evhtp;
-  if (conn->request_user != NULL)
+  if (info->n_deleted > 0 && conn->request_user != NULL
+      && evbuffer_get_length (output) <= config->limits.low_water_bytes)
     config->drained (config->user, conn->request_user);
-  return EVHTP_RES_OK;
 }
 
 static evhtp_res
--- a/src/transport/linger.c
+++ b/src/transport/linger.c
@@ -1,29 +1,71 @@
 /**
  * @file linger.c
- * Lingering close of a connection.
+ * Lingering close of connections.
  */
 #include "transport/linger.h"
 #include "transport/clock.h"
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <stdlib.h>
 #include <sys/socket.h>
+#include <utlist.h>
+
+struct linger_conn
+{
+  struct linger_list *list;
+  struct bufferevent *bev;
+  struct linger_conn *prev;
+  struct linger_conn *next;
+};
 
 static void on_read (struct bufferevent *bev, void *arg);
 static void on_written (struct bufferevent *bev, void *arg);
 static void on_event (struct bufferevent *bev, short what, void *arg);
+static void conn_free (struct linger_conn *conn);
 
 void
-linger_close (struct bufferevent *bev)
+linger_close (struct linger_list *list, struct bufferevent *bev)
 {
   const struct timeval timeout = clock_timeval (LINGER_MS);
+  struct linger_conn *conn = calloc (1, sizeof (*conn));
 
-  bufferevent_setcb (bev, on_read, on_written, on_event, NULL);
+  if (conn == NULL)
+    {
+      bufferevent_free (bev);
+      return;
+    }
+  conn->list = list;
+  conn->bev = bev;
+  DL_APPEND (list->conns, conn);
+  bufferevent_setcb (bev, on_read, on_written, on_event, conn);
   bufferevent_setwatermark (bev, EV_READ, 0, 0);
-  bufferevent_setwatermark (bev, EV_WRITE, 0, 0);
   bufferevent_set_timeouts (bev, &timeout, &timeout);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
 }
 
+void
+linger_finish (struct linger_list *list)
+{
+  struct linger_conn *conn = list->conns;
+  struct linger_conn *next;
+
+  list->conns = NULL;
+  for (; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      bufferevent_free (conn->bev);
+      free (conn);
+    }
+}
+
+static void
+conn_free (struct linger_conn *conn)
+{
+  DL_DELETE (conn->list->conns, conn);
+  bufferevent_free (conn->bev);
+  free (conn);
+}
+
 static void
 on_read (struct bufferevent *bev, void *arg)
 {
@@ -43,7 +85,7 @@
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
+  (void)bev;
   (void)what;
-  (void)arg;
-  bufferevent_free (bev);
+  conn_free (arg);
 }
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -215,6 +215,7 @@
   const struct upstream_events *events = attempt->events;
   void *user = attempt->user;
 
+  http_pause (attempt, false);
   conn->attempt = NULL;
   attempt_free (attempt);
   if (error == 0 && conn->keep)
@@ -331,7 +332,8 @@
   if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &size) != 0)
     return ERR_INVALID;
   bufferevent_setcb (conn->bev, on_read, NULL, on_event, conn);
-  bufferevent_setwatermark (conn->bev, EV_READ, 0, UPSTREAM_HTTP_READ_MAX);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0,
+                            conn->http->config.read_max_bytes);
   bufferevent_set_timeouts (conn->bev, NULL, &timeout);
   conn->output_cb
       = evbuffer_add_cb (bufferevent_get_output (conn->bev), on_output, conn);
--- a/src/transport/upstream_http.h
+++ b/src/transport/upstream_http.h
@@ -14,14 +14,12 @@
     it has been idle for longer; the upstream may be about to close it. */
 #define UPSTREAM_HTTP_FRESH_MS 1000
 
-/** Response bytes read ahead of a paused attempt. */
-#define UPSTREAM_HTTP_READ_MAX 65536
-
 struct upstream_http_config
 {
   struct event_base *base;
   const struct clock *clock;
   uint32_t connect_timeout_ms;
+  uint32_t read_max_bytes; /**< read at once, and ahead of a paused attempt */
 };
 
 extern const struct upstream_driver upstream_http_driver;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -215,7 +215,8 @@
   clock_init_manual (&world->clock, 0, 0);
   config = (struct upstream_http_config){ .base = world->base,
                                           .clock = &world->clock,
-                                          .connect_timeout_ms = 1000 };
+                                          .connect_timeout_ms = 1000,
+                                          .read_max_bytes = 65536 };
   world->http = upstream_http_new (&config);
   world->listener = evconnlistener_new_bind (
       world->base, on_accept, world, LEV_OPT_CLOSE_ON_FREE, 8,
