--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -489,9 +489,7 @@
   world_init (&world);
   fd = client_connect (&world);
   client_send (fd, "GET / HTTP/1.1\r\n");
-  memset (line, 'a', sizeof (line));
-  memcpy (line, "X: ", 3);
-  memcpy (line + sizeof (line) - 3, "\r\n", 3);
+  snprintf (line, sizeof (line), "X: %0*d\r\n", 500, 0);
   for (i = 0; i < 5; i++)
     client_send (fd, line);
   in = client_receive (&world, fd, NULL);
