Tell who joins where other instances are

An instance that restarted at another address met only its own seeds: in a trial with seven routers, two that were not among them never linked to it again, and chose other lessors than it did. Each side of a new link now tells up to 64 addresses of its peers, so one address that works leads to all. A seed still goes first: an address told is dialed a second later.

--- a/src/coordination/message.c
+++ b/src/coordination/message.c
@@ -16,6 +16,7 @@
   [MESSAGE_HOLD] = "hold",
   [MESSAGE_CONFIG_REQUEST] = "config_request",
   [MESSAGE_CONFIG] = "config",
+  [MESSAGE_ADDRESSES] = "addresses",
 };
 
 void
@@ -46,6 +47,11 @@
     case MESSAGE_CONFIG:
       finish_config (&message->u.config);
       break;
+    case MESSAGE_ADDRESSES:
+      free (message->u.addresses.items);
+      message->u.addresses.items = NULL;
+      message->u.addresses.count = 0;
+      break;
     default:
       break;
     }
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -29,6 +29,7 @@
   MESSAGE_HOLD,     /**< lessee to lessor */
   MESSAGE_CONFIG_REQUEST,
   MESSAGE_CONFIG,
+  MESSAGE_ADDRESSES, /**< of other instances, for who joins */
   MESSAGE_KIND_MAX
 };
 
@@ -137,6 +138,13 @@
   struct message_object *objects;
 };
 
+/** Where some instances accept peers. */
+struct message_addresses
+{
+  size_t count;
+  char (*items)[CATALOG_ADDRESS_SIZE];
+};
+
 struct message
 {
   enum message_kind kind;
@@ -150,6 +158,7 @@
     struct message_hold hold;
     struct message_config_request config_request;
     struct message_config config;
+    struct message_addresses addresses;
   } u;
 };
 
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &peer__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__addresses__init
+                     (Peer__Addresses         *message)
+{
+  static const Peer__Addresses init_value = PEER__ADDRESSES__INIT;
+  *message = init_value;
+}
+size_t peer__addresses__get_packed_size
+                     (const Peer__Addresses *message)
+{
+  assert(message->base.descriptor == &peer__addresses__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__addresses__pack
+                     (const Peer__Addresses *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__addresses__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__addresses__pack_to_buffer
+                     (const Peer__Addresses *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__addresses__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Addresses *
+       peer__addresses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Addresses *)
+     protobuf_c_message_unpack (&peer__addresses__descriptor,
+                                allocator, len, data);
+}
+void   peer__addresses__free_unpacked
+                     (Peer__Addresses *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__addresses__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -1137,7 +1182,45 @@
   (ProtobufCMessageInit) peer__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__addresses__field_descriptors[1] =
+{
+  {
+    "addresses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__Addresses, n_addresses),
+    offsetof(Peer__Addresses, addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__addresses__field_indices_by_name[] = {
+  0,   /* field[0] = addresses */
+};
+static const ProtobufCIntRange peer__addresses__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__addresses__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Addresses",
+  "Addresses",
+  "Peer__Addresses",
+  "peer",
+  sizeof(Peer__Addresses),
+  1,
+  peer__addresses__field_descriptors,
+  peer__addresses__field_indices_by_name,
+  1,  peer__addresses__number_ranges,
+  (ProtobufCMessageInit) peer__addresses__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[9] =
 {
   {
     "hello",
@@ -1235,9 +1318,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addresses",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, addresses),
+    &peer__addresses__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   3,   /* field[3] = accounts */
+  8,   /* field[8] = addresses */
   7,   /* field[7] = config */
   6,   /* field[6] = config_request */
   4,   /* field[4] = grant */
@@ -1249,7 +1345,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -1259,7 +1355,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  8,
+  9,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Peer__ConfigRequest Peer__ConfigRequest;
 typedef struct Peer__Object Peer__Object;
 typedef struct Peer__Config Peer__Config;
+typedef struct Peer__Addresses Peer__Addresses;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -171,6 +172,20 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * Where instances accept peers.
+ */
+struct  Peer__Addresses
+{
+  ProtobufCMessage base;
+  size_t n_addresses;
+  char **addresses;
+};
+#define PEER__ADDRESSES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__addresses__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_HELLO = 1,
@@ -180,7 +195,8 @@
   PEER__FRAME__BODY_GRANT = 5,
   PEER__FRAME__BODY_HOLD = 6,
   PEER__FRAME__BODY_CONFIG_REQUEST = 7,
-  PEER__FRAME__BODY_CONFIG = 8
+  PEER__FRAME__BODY_CONFIG = 8,
+  PEER__FRAME__BODY_ADDRESSES = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -197,6 +213,7 @@
     Peer__Hold *hold;
     Peer__ConfigRequest *config_request;
     Peer__Config *config;
+    Peer__Addresses *addresses;
   };
 };
 #define PEER__FRAME__INIT \
@@ -375,6 +392,25 @@
 void   peer__config__free_unpacked
                      (Peer__Config *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Addresses methods */
+void   peer__addresses__init
+                     (Peer__Addresses         *message);
+size_t peer__addresses__get_packed_size
+                     (const Peer__Addresses   *message);
+size_t peer__addresses__pack
+                     (const Peer__Addresses   *message,
+                      uint8_t             *out);
+size_t peer__addresses__pack_to_buffer
+                     (const Peer__Addresses   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Addresses *
+       peer__addresses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__addresses__free_unpacked
+                     (Peer__Addresses *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -423,6 +459,9 @@
 typedef void (*Peer__Config_Closure)
                  (const Peer__Config *message,
                   void *closure_data);
+typedef void (*Peer__Addresses_Closure)
+                 (const Peer__Addresses *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -441,6 +480,7 @@
 extern const ProtobufCMessageDescriptor peer__config_request__descriptor;
 extern const ProtobufCMessageDescriptor peer__object__descriptor;
 extern const ProtobufCMessageDescriptor peer__config__descriptor;
+extern const ProtobufCMessageDescriptor peer__addresses__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -47,12 +47,13 @@
     Peer__Hold hold;
     Peer__ConfigRequest config_request;
     Peer__Config config;
+    Peer__Addresses addresses;
   } body;
   uint64_t *names; /**< new pairs, flattened */
   size_t name_count;
   uint64_t *items; /**< rows, flattened */
   size_t item_count;
-  void **objects; /**< pointers to objects, then the objects */
+  void **objects; /**< pointers to what is not in rows, then objects */
 };
 
 static int encode_hello (const struct message *message, struct encoding *out);
@@ -66,6 +67,8 @@
 static int encode_config_request (const struct message *message,
                                   struct encoding *out);
 static int encode_config (const struct message *message, struct encoding *out);
+static int encode_addresses (const struct message *message,
+                             struct encoding *out);
 static int rows_new (struct encoding *out, size_t count, size_t columns);
 static struct peercodec_name *name_row (struct encoding *out, uint64_t first,
                                         uint64_t second);
@@ -88,6 +91,7 @@
         [MESSAGE_HOLD] = encode_hold,
         [MESSAGE_CONFIG_REQUEST] = encode_config_request,
         [MESSAGE_CONFIG] = encode_config,
+        [MESSAGE_ADDRESSES] = encode_addresses,
       };
 
 void
@@ -443,3 +447,25 @@
   out->frame.config = wire;
   return 0;
 }
+
+static int
+encode_addresses (const struct message *message, struct encoding *out)
+{
+  const struct message_addresses *addresses = &message->u.addresses;
+  Peer__Addresses *wire = &out->body.addresses;
+  size_t i;
+
+  if (addresses->count > PEERCODEC_ITEMS_MAX)
+    return ERR_TOO_LARGE;
+  out->objects = calloc (addresses->count + 1, sizeof (void *));
+  if (out->objects == NULL)
+    return ERR_NO_MEMORY;
+  for (i = 0; i < addresses->count; i++)
+    out->objects[i] = addresses->items[i];
+  peer__addresses__init (wire);
+  wire->n_addresses = addresses->count;
+  wire->addresses = (char **)out->objects;
+  out->frame.body_case = PEER__FRAME__BODY_ADDRESSES;
+  out->frame.addresses = wire;
+  return 0;
+}
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -56,6 +56,9 @@
                                   struct message *message);
 static int decode_config (struct peercodec_decoder *decoder,
                           const Peer__Frame *frame, struct message *message);
+static int decode_addresses (struct peercodec_decoder *decoder,
+                             const Peer__Frame *frame,
+                             struct message *message);
 static int decode_object (const Peer__Object *wire,
                           struct message_object *object);
 static int copy_name (char *out, size_t size, const char *text,
@@ -87,6 +90,7 @@
   [PEER__FRAME__BODY_CONFIG_REQUEST]
   = { MESSAGE_CONFIG_REQUEST, decode_config_request },
   [PEER__FRAME__BODY_CONFIG] = { MESSAGE_CONFIG, decode_config },
+  [PEER__FRAME__BODY_ADDRESSES] = { MESSAGE_ADDRESSES, decode_addresses },
 };
 
 void
@@ -480,3 +484,22 @@
   object->value_size = wire->value.len;
   return 0;
 }
+
+static int
+decode_addresses (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+                  struct message *message)
+{
+  const Peer__Addresses *wire = frame->addresses;
+  struct message_addresses *addresses = &message->u.addresses;
+  size_t i;
+  int rc;
+
+  (void)decoder;
+  rc = items_new ((void **)&addresses->items, wire->n_addresses,
+                  sizeof *addresses->items);
+  addresses->count = rc == 0 ? wire->n_addresses : 0;
+  for (i = 0; rc == 0 && i < addresses->count; i++)
+    rc = copy_name (addresses->items[i], sizeof *addresses->items,
+                    wire->addresses[i], 1);
+  return rc;
+}
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -33,6 +33,10 @@
                       const struct peernet_slot *old, uint64_t peer_id);
 static uint64_t dialer (const struct peernet *net,
                         const struct peernet_slot *slot, uint64_t peer_id);
+static void tell_addresses (struct peernet *net,
+                            const struct peernet_slot *slot);
+static void take_addresses (struct peernet *net,
+                            const struct message_addresses *addresses);
 static size_t unproved (const struct peernet *net);
 static void note_address (struct peernet *net,
                           const struct message_hello *hello);
@@ -220,6 +224,7 @@
   slot->peer_id = peer_id;
   HASH_ADD (hh, net->peers, peer_id, sizeof slot->peer_id, slot);
   net->config.events->up (net->config.user, hello);
+  tell_addresses (net, slot);
 }
 
 static void
@@ -227,8 +232,12 @@
 {
   struct peernet *net = user;
 
-  net->config.events->message (
-      net->config.user, catalog_id (peerlink_hello (link)->instance), message);
+  if (message->kind == MESSAGE_ADDRESSES)
+    take_addresses (net, &message->u.addresses);
+  else
+    net->config.events->message (net->config.user,
+                                 catalog_id (peerlink_hello (link)->instance),
+                                 message);
 }
 
 static void
@@ -310,6 +319,39 @@
   return count;
 }
 
+/** Tells a new peer where others are, a different part of them each time. */
+static void
+tell_addresses (struct peernet *net, const struct peernet_slot *slot)
+{
+  char items[PEERNET_HINTS_MAX][CATALOG_ADDRESS_SIZE];
+  struct message message
+      = { .kind = MESSAGE_ADDRESSES, .u.addresses = { .items = items } };
+  size_t *count = &message.u.addresses.count;
+  size_t skip = 0;
+  const struct peernet_slot *other;
+
+  if (HASH_COUNT (net->peers) > PEERNET_HINTS_MAX)
+    skip = net->random % (HASH_COUNT (net->peers) - PEERNET_HINTS_MAX);
+  for (other = net->peers; other != NULL && *count < PEERNET_HINTS_MAX;
+       other = other->hh.next)
+    if (skip > 0)
+      skip--;
+    else if (other != slot)
+      memcpy (items[(*count)++], peerlink_hello (other->link)->address,
+              CATALOG_ADDRESS_SIZE);
+  if (*count > 0)
+    peerlink_send (slot->link, &message);
+}
+
+static void
+take_addresses (struct peernet *net, const struct message_addresses *addresses)
+{
+  size_t i;
+
+  for (i = 0; i < addresses->count; i++)
+    peernet_hint (net, addresses->items[i]);
+}
+
 /** So that a broken link is dialed again, whoever dialed it first. */
 static void
 note_address (struct peernet *net, const struct message_hello *hello)
--- a/src/transport/peernet.h
+++ b/src/transport/peernet.h
@@ -1,7 +1,9 @@
 /**
  * @file peernet.h
  * Links to all peers of an instance: a listener, dialing with jittered
- * backoff, and one link for each pair of instances.
+ * backoff, and one link for each pair of instances.  Each side of a new link
+ * tells the other where some of its peers are, so that one address that works
+ * is enough to join a fleet.
  */
 #ifndef TRANSPORT_PEERNET_H
 #define TRANSPORT_PEERNET_H
@@ -16,6 +18,8 @@
 #define PEERNET_TARGETS_MAX    4096  /**< addresses known */
 #define PEERNET_BACKOFF_MIN_MS 50    /**< before the second dial */
 #define PEERNET_BACKOFF_MAX_MS 2000  /**< between dials */
+#define PEERNET_HINTS_MAX      64    /**< addresses told to who joins */
+#define PEERNET_HINT_WAIT_MS   1000  /**< until an address told is dialed */
 #define PEERNET_FORGET_MS      60000 /**< an offered address without a link */
 
 struct peernet;
--- a/src/transport/peernet_dial.c
+++ b/src/transport/peernet_dial.c
@@ -45,6 +45,20 @@
   return 0;
 }
 
+void
+peernet_hint (struct peernet *net, const char *address)
+{
+  struct peernet_target *target = NULL;
+
+  HASH_FIND_STR (net->targets, address, target);
+  if (target != NULL || peernet_offer (net, address, false) != 0)
+    return;
+  HASH_FIND_STR (net->targets, address, target);
+  if (target != NULL)
+    target->dial_ns = clock_now_ns (net->config.clock)
+                      + PEERNET_HINT_WAIT_MS * CLOCK_NS_PER_MS;
+}
+
 void
 peernet_dial_due (struct peernet *net)
 {
--- a/src/transport/peernet_int.h
+++ b/src/transport/peernet_int.h
@@ -51,6 +51,9 @@
 
 /** Dials every target whose time has come. */
 void peernet_dial_due (struct peernet *net);
+/** Notes an address that a peer told.  It is not dialed at once: it may well
+    be that of an instance which a seed leads to. */
+void peernet_hint (struct peernet *net, const char *address);
 /** Adds a connection. @return NULL without memory; the socket is closed. */
 struct peernet_slot *peernet_slot_new (struct peernet *net, int fd,
                                        struct peernet_target *target);
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -23,6 +23,8 @@
     = { { "customer/ana", 12, false, 2, (char *)"{}" },
         { "service/model", 13, true, 0, NULL } };
 
+static char addresses[][CATALOG_ADDRESS_SIZE]
+    = { "127.0.0.1:7000", "[::1]:7001" };
 static const struct ledger_origin sender = { 3, 4 };
 
 static const struct message samples[] = {
@@ -45,6 +47,7 @@
   { .kind = MESSAGE_HOLD, .u.hold = { 4, 2, holds } },
   { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
   { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
+  { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
--- a/tests/test_peernet.c
+++ b/tests/test_peernet.c
@@ -132,6 +132,29 @@
   peernet_free (b.net);
 }
 
+/* One address that works is enough to meet all. */
+static void
+test_join (void)
+{
+  struct node nodes[4];
+  char name[24];
+  int i;
+
+  for (i = 0; i < 4; i++)
+    {
+      snprintf (name, sizeof name, "router-%d", i);
+      start (&nodes[i], name, 1, "127.0.0.1:0");
+      if (i > 0)
+        CU_ASSERT_EQUAL (
+            peernet_offer (nodes[i].net, peernet_address (nodes[0].net), true),
+            0);
+    }
+  for (i = 0; i < 4; i++)
+    turn_until_links (&nodes[i], 3);
+  for (i = 0; i < 4; i++)
+    peernet_free (nodes[i].net);
+}
+
 /* An accepted peer is dialed again after it comes back at its address. */
 static void
 test_restart (void)
@@ -179,6 +202,7 @@
 
 static const struct suite_test tests[] = {
   { "one link for each pair", test_one_link_per_pair },
+  { "join by one address", test_join },
   { "restart at the same address", test_restart },
   { "own name", test_own_name },
 };
