--- /dev/null
+++ b/src/admin_change.c
@@ -0,0 +1,310 @@
+/**
+ * @file admin_change.c
+ * Changing objects: checks, the write, and its outcome as a response.
+ */
+#include "admin_int.h"
+#include "confstore_module.h"
+#include "state/err.h"
+#include "state/verdict.h"
+#include "transport/log.h"
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_SIZE 160 /* bytes */
+
+/** A change waiting for its outcome. */
+struct outcome
+{
+  struct admin_change *change;
+  char key[KEY_SIZE];
+  char operator_name[CATALOG_NAME_SIZE];
+};
+
+static bool read_target (struct admin_request *request,
+                         struct confstore_write *write);
+static bool read_if_match (struct admin_request *request,
+                           struct confstore_write *write);
+static json_t *read_object (struct admin_request *request,
+                            const struct confstore_write *write);
+static bool check_references (struct admin_request *request,
+                              const struct confstore_write *write,
+                              const json_t *object);
+static void begin (struct admin_request *request,
+                   const struct confstore_write *write);
+static void done (void *user, const struct confstore_result *result);
+static void log_outcome (const struct outcome *outcome,
+                         const struct confstore_result *result);
+static void reply (struct evhttp_request *http, const char *key,
+                   const struct confstore_result *result);
+static void reply_conflict (struct evhttp_request *http,
+                            const struct confstore_result *result);
+static void reply_fault (struct evhttp_request *http,
+                         const struct object_fault *fault);
+static void add_verdict (struct evhttp_request *http, enum verdict verdict);
+
+static const char *const effects[CONFSTORE_EFFECT_MAX] = {
+  [CONFSTORE_UNCHANGED] = "unchanged",
+  [CONFSTORE_CREATED] = "created",
+  [CONFSTORE_CHANGED] = "changed",
+  [CONFSTORE_DELETED] = "deleted",
+};
+
+void
+admin_put_object (struct admin_request *request)
+{
+  struct confstore_write write = { .object = NULL };
+
+  if (!read_target (request, &write) || !read_if_match (request, &write))
+    return;
+  write.object = read_object (request, &write);
+  if (write.object != NULL && check_references (request, &write, write.object))
+    begin (request, &write);
+  json_decref (write.object);
+}
+
+void
+admin_delete_object (struct admin_request *request)
+{
+  struct confstore_write write = { .object = NULL };
+
+  if (read_target (request, &write) && read_if_match (request, &write)
+      && check_references (request, &write, NULL))
+    begin (request, &write);
+}
+
+/* Each reader ends the request itself when it returns false or NULL. */
+static bool
+read_target (struct admin_request *request, struct confstore_write *write)
+{
+  const char *reason
+      = evhttp_find_header (evhttp_request_get_input_headers (request->http),
+                            "Cherrylanding-Reason");
+  size_t length = strcspn (request->rest, "/");
+  const char *name = request->rest + length;
+  int kind;
+
+  for (kind = 0; kind < OBJECT_KIND_MAX; kind++)
+    {
+      const char *collection = object_collection ((enum object_kind)kind);
+
+      if (strlen (collection) == length
+          && strncmp (collection, request->rest, length) == 0)
+        break;
+    }
+  if (kind == OBJECT_KIND_MAX || *name == '\0'
+      || strlen (name + 1) >= sizeof write->name)
+    {
+      admin_reply_error (request->http, HTTP_NOTFOUND, "path", "no such path",
+                         NULL);
+      return false;
+    }
+  write->kind = (enum object_kind)kind;
+  snprintf (write->name, sizeof write->name, "%s", name + 1);
+  snprintf (write->operator_name, sizeof write->operator_name, "%s",
+            request->token->operator_name);
+  snprintf (write->reason, sizeof write->reason, "%s",
+            reason == NULL ? "" : reason);
+  return true;
+}
+
+static bool
+read_if_match (struct admin_request *request, struct confstore_write *write)
+{
+  const char *text = evhttp_find_header (
+      evhttp_request_get_input_headers (request->http), "If-Match");
+  char *end = NULL;
+
+  if (text == NULL)
+    return true;
+  write->conditional = true;
+  errno = 0;
+  write->if_match = strtoull (text, &end, 10);
+  if (*text >= '0' && *text <= '9' && *end == '\0' && errno == 0)
+    return true;
+  admin_reply_error (request->http, HTTP_BADREQUEST, "if_match",
+                     "If-Match is not an index", NULL);
+  return false;
+}
+
+static json_t *
+read_object (struct admin_request *request,
+             const struct confstore_write *write)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request->http);
+  size_t size = evbuffer_get_length (body);
+  const char *text = size == 0 ? "" : (const char *)evbuffer_pullup (body, -1);
+  struct object_fault fault;
+  json_t *object
+      = object_normalise (write->kind, write->name, text, size, &fault);
+
+  if (object == NULL)
+    reply_fault (request->http, &fault);
+  return object;
+}
+
+static bool
+check_references (struct admin_request *request,
+                  const struct confstore_write *write, const json_t *object)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request->http);
+  size_t size = evbuffer_get_length (body);
+  struct object_fault fault = { .line = 0 };
+
+  if (admin_check_references (&request->router->catalog, write->kind,
+                              write->name, object, &fault)
+      == 0)
+    return true;
+  if (size > 0)
+    fault.line = object_line ((const char *)evbuffer_pullup (body, -1), size,
+                              fault.path);
+  reply_fault (request->http, &fault);
+  return false;
+}
+
+static void
+begin (struct admin_request *request, const struct confstore_write *write)
+{
+  struct confstore *confstore = confstore_module_get (request->router);
+  struct outcome *outcome = calloc (1, sizeof *outcome);
+
+  if (outcome != NULL)
+    outcome->change = admin_change_new (request->admin, request->http);
+  if (outcome == NULL || outcome->change == NULL)
+    {
+      free (outcome);
+      add_verdict (request->http, VERDICT_NOT_RUN);
+      admin_reply_error (request->http, HTTP_SERVUNAVAIL, "memory",
+                         "no memory", NULL);
+      return;
+    }
+  snprintf (outcome->key, sizeof outcome->key, "%s/%s",
+            object_kind_name (write->kind), write->name);
+  snprintf (outcome->operator_name, sizeof outcome->operator_name, "%s",
+            write->operator_name);
+  if (confstore_write (confstore, write, done, outcome) != 0)
+    {
+      const struct confstore_result result = { .error = ERR_UNAVAILABLE };
+
+      done (outcome, &result);
+    }
+}
+
+static void
+done (void *user, const struct confstore_result *result)
+{
+  struct outcome *outcome = user;
+  struct evhttp_request *http = admin_change_end (outcome->change);
+
+  log_outcome (outcome, result);
+  if (http != NULL)
+    reply (http, outcome->key, result);
+  free (outcome);
+}
+
+static void
+log_outcome (const struct outcome *outcome,
+             const struct confstore_result *result)
+{
+  if (result->error == 0 && result->effect == CONFSTORE_UNCHANGED)
+    return;
+  if (result->error == 0)
+    LOG (LOG_ADMIN_CHANGE, NULL, LOG_S ("key", outcome->key),
+         LOG_S ("operator", outcome->operator_name),
+         LOG_S ("result", effects[result->effect]),
+         LOG_U ("index", result->index),
+         LOG_S ("change_id", result->change_id));
+  else
+    LOG (LOG_ADMIN_REFUSED, NULL, LOG_S ("key", outcome->key),
+         LOG_S ("operator", outcome->operator_name),
+         LOG_S ("code", err_name (result->error)),
+         LOG_S ("change_id", result->change_id));
+}
+
+static void
+reply (struct evhttp_request *http, const char *key,
+       const struct confstore_result *result)
+{
+  switch (result->error)
+    {
+    case 0:
+      admin_reply (http, result->effect == CONFSTORE_CREATED ? 201 : 200,
+                   json_pack ("{s:s, s:I, s:s, s:s}", "key", key, "index",
+                              (json_int_t)result->index, "result",
+                              effects[result->effect], "change_id",
+                              result->change_id));
+      break;
+    case ERR_CONFLICT:
+      reply_conflict (http, result);
+      break;
+    case ERR_NOT_FOUND:
+      admin_reply_error (http, HTTP_NOTFOUND, "not_found", "no such object",
+                         NULL);
+      break;
+    case ERR_TOO_LARGE:
+      admin_reply_error (http, HTTP_ENTITYTOOLARGE, "too_large",
+                         "the object is too large for the store", NULL);
+      break;
+    case ERR_UNKNOWN_OUTCOME:
+      add_verdict (http, VERDICT_MAY_HAVE_RUN);
+      admin_reply_error (http, 504, "unknown_outcome",
+                         "the store did not say whether the change was made; "
+                         "look for the change id in the audit trail",
+                         json_pack ("{s:s, s:s}", "verdict",
+                                    verdict_name (VERDICT_MAY_HAVE_RUN),
+                                    "change_id", result->change_id));
+      break;
+    default:
+      add_verdict (http, VERDICT_NOT_RUN);
+      evhttp_add_header (evhttp_request_get_output_headers (http),
+                         "Retry-After", ADMIN_RETRY_AFTER);
+      admin_reply_error (
+          http, HTTP_SERVUNAVAIL, "store_unavailable",
+          "the store is not available; nothing was changed",
+          json_pack ("{s:s}", "verdict", verdict_name (VERDICT_NOT_RUN)));
+      break;
+    }
+}
+
+static void
+reply_conflict (struct evhttp_request *http,
+                const struct confstore_result *result)
+{
+  char message[160];
+
+  snprintf (message, sizeof message,
+            "the object was changed by '%s' and has index %" PRIu64,
+            result->other_operator, result->index);
+  add_verdict (http, VERDICT_NOT_RUN);
+  admin_reply_error (http, 409, "conflict", message,
+                     json_pack ("{s:I, s:s, s:I}", "index",
+                                (json_int_t)result->index, "operator",
+                                result->other_operator, "time_ms",
+                                (json_int_t)result->other_time_ms));
+}
+
+static void
+reply_fault (struct evhttp_request *http, const struct object_fault *fault)
+{
+  bool syntax = fault->path[0] == '\0';
+
+  add_verdict (http, VERDICT_NOT_RUN);
+  admin_reply_error (
+      http, syntax ? HTTP_BADREQUEST : 422, syntax ? "syntax" : "invalid",
+      fault->reason,
+      json_pack ("{s:s, s:i}", "path", fault->path, "line", (int)fault->line));
+}
+
+static void
+add_verdict (struct evhttp_request *http, enum verdict verdict)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (http);
+
+  evhttp_add_header (headers, "Cherrylanding-Verdict", verdict_name (verdict));
+  if (verdict == VERDICT_NOT_RUN)
+    evhttp_add_header (headers, "Retry-After", ADMIN_RETRY_AFTER);
+}
--- /dev/null
+++ b/src/admin_references.c
@@ -0,0 +1,90 @@
+/**
+ * @file admin_references.c
+ * What objects say of each other, checked against those in force.
+ */
+#include "admin_int.h"
+#include "protocol/settings_int.h"
+#include "state/err.h"
+#include <stdio.h>
+#include <string.h>
+
+static int check_profile (const struct catalog *catalog, const json_t *object,
+                          struct object_fault *fault);
+static int check_customer (const struct catalog *catalog, const char *name,
+                           const json_t *object, struct object_fault *fault);
+static int check_unused (const struct catalog *catalog, const char *name,
+                         struct object_fault *fault);
+
+int
+admin_check_references (const struct catalog *catalog, enum object_kind kind,
+                        const char *name, const json_t *object,
+                        struct object_fault *fault)
+{
+  if (kind == OBJECT_PROFILE && object != NULL)
+    return check_profile (catalog, object, fault);
+  if (kind == OBJECT_CUSTOMER && object != NULL)
+    return check_customer (catalog, name, object, fault);
+  if (kind == OBJECT_SERVICE && object == NULL)
+    return check_unused (catalog, name, fault);
+  return 0;
+}
+
+static int
+check_profile (const struct catalog *catalog, const json_t *object,
+               struct object_fault *fault)
+{
+  const char *service
+      = json_string_value (json_object_get (object, "service"));
+
+  if (service != NULL
+      && catalog_service (catalog, catalog_id (service)) != NULL)
+    return 0;
+  snprintf (fault->path, sizeof fault->path, "service");
+  snprintf (fault->reason, sizeof fault->reason, "no service '%.64s'",
+            service == NULL ? "" : service);
+  return ERR_INVALID;
+}
+
+static int
+check_customer (const struct catalog *catalog, const char *name,
+                const json_t *object, struct object_fault *fault)
+{
+  const json_t *digests = json_object_get (object, "key_sha256");
+  size_t i;
+
+  for (i = 0; i < json_array_size (digests); i++)
+    {
+      const char *text = json_string_value (json_array_get (digests, i));
+      uint8_t digest[CATALOG_KEY_HASH_SIZE];
+      const struct catalog_customer *owner = NULL;
+
+      if (text != NULL && settings_digest (text, digest) == 0)
+        owner = catalog_customer_by_key (catalog, digest);
+      if (owner == NULL || strcmp (owner->name, name) == 0)
+        continue;
+      snprintf (fault->path, sizeof fault->path, "keys");
+      snprintf (fault->reason, sizeof fault->reason,
+                "a key belongs to customer '%s'", owner->name);
+      return ERR_INVALID;
+    }
+  return 0;
+}
+
+static int
+check_unused (const struct catalog *catalog, const char *name,
+              struct object_fault *fault)
+{
+  const struct catalog_profile *profile;
+
+  for (profile = catalog->profiles; profile != NULL;
+       profile = profile->hh.next)
+    {
+      if (strcmp (profile->service, name) != 0)
+        continue;
+      snprintf (fault->path, sizeof fault->path, "name");
+      snprintf (fault->reason, sizeof fault->reason,
+                "the service is in use by profile '%s'", profile->name);
+      return ERR_INVALID;
+    }
+  return 0;
+}
--- /dev/null
+++ b/src/admin_server.c
@@ -0,0 +1,271 @@
+/**
+ * @file admin_server.c
+ * Listens, authenticates and routes.
+ */
+#include "admin_server.h"
+#include "admin_int.h"
+#include "state/err.h"
+#include "transport/log.h"
+#include "transport/sock.h"
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#define API "/admin/v1/"
+
+enum access
+{
+  ACCESS_OPEN, /* no token needed */
+  ACCESS_READ,
+  ACCESS_WRITE
+};
+
+struct route
+{
+  enum evhttp_cmd_type method;
+  const char *path; /* one that ends in '/' takes what follows */
+  enum access access;
+  void (*handle) (struct admin_request *request);
+};
+
+struct admin_change
+{
+  struct admin *admin;
+  struct evhttp_request *http; /* NULL when its connection has ended */
+  struct admin_change *prev;
+  struct admin_change *next;
+};
+
+struct admin
+{
+  struct router *router;
+  struct evhttp *server;
+  struct admin_change *changes;
+  char address[CATALOG_ADDRESS_SIZE];
+};
+
+static int start (struct router *router);
+static void finish (struct router *router);
+static int listen_at (struct admin *admin, const char *address);
+static void on_request (struct evhttp_request *http, void *arg);
+static void route (struct admin *admin, struct evhttp_request *http,
+                   const char *path, const char *query);
+static const struct route *find_route (enum evhttp_cmd_type method,
+                                       const char *path, bool *path_known);
+static bool may (const struct settings_token *token, enum access access);
+static void on_close (struct evhttp_connection *connection, void *arg);
+
+const struct router_module admin_module
+    = { .name = "admin", .start = start, .finish = finish };
+
+static const struct route routes[] = {
+  { EVHTTP_REQ_GET, "/healthz", ACCESS_OPEN, admin_healthz },
+  { EVHTTP_REQ_GET, "/readyz", ACCESS_OPEN, admin_readyz },
+  { EVHTTP_REQ_GET, "/metrics", ACCESS_OPEN, admin_metrics },
+  { EVHTTP_REQ_GET, API "audit", ACCESS_READ, admin_audit },
+  { EVHTTP_REQ_GET, API "status", ACCESS_READ, admin_status },
+  { EVHTTP_REQ_GET, API "instances", ACCESS_READ, admin_instances },
+  { EVHTTP_REQ_POST, API "drain", ACCESS_WRITE, admin_drain },
+  { EVHTTP_REQ_GET, API, ACCESS_READ, admin_get_objects },
+  { EVHTTP_REQ_PUT, API, ACCESS_WRITE, admin_put_object },
+  { EVHTTP_REQ_DELETE, API, ACCESS_WRITE, admin_delete_object },
+};
+
+static int
+start (struct router *router)
+{
+  const char *address = router->settings->router->admin_address;
+  struct admin *admin;
+  int error;
+
+  if (address == NULL)
+    return 0;
+  admin = calloc (1, sizeof *admin);
+  if (admin == NULL)
+    return ERR_NO_MEMORY;
+  admin->router = router;
+  router->module_state[ROUTER_ADMIN] = admin;
+  admin->server = evhttp_new (router->base);
+  if (admin->server == NULL)
+    return ERR_NO_MEMORY;
+  evhttp_set_max_body_size (admin->server, ADMIN_BODY_MAX);
+  evhttp_set_max_headers_size (admin->server, ADMIN_HEADER_MAX);
+  evhttp_set_timeout (admin->server, ADMIN_TIMEOUT_S);
+  evhttp_set_allowed_methods (admin->server, EVHTTP_REQ_GET | EVHTTP_REQ_PUT
+                                                 | EVHTTP_REQ_DELETE
+                                                 | EVHTTP_REQ_POST);
+  evhttp_set_gencb (admin->server, on_request, admin);
+  error = listen_at (admin, address);
+  if (error == 0)
+    LOG (LOG_LISTENING, NULL, LOG_S ("for", "admin"),
+         LOG_S ("address", admin->address));
+  else
+    LOG (LOG_LISTEN_FAILED, NULL, LOG_S ("for", "admin"),
+         LOG_S ("address", address), LOG_S ("error", err_name (error)));
+  return error;
+}
+
+static int
+listen_at (struct admin *admin, const char *address)
+{
+  int fd;
+  int error = sock_listen (address, ADMIN_BACKLOG, &fd);
+
+  if (error != 0)
+    return error;
+  if (evhttp_accept_socket (admin->server, fd) != 0)
+    {
+      close (fd);
+      return ERR_IO;
+    }
+  return sock_local (fd, admin->address, sizeof admin->address);
+}
+
+static void
+finish (struct router *router)
+{
+  struct admin *admin = router->module_state[ROUTER_ADMIN];
+  struct admin_change *change;
+  struct admin_change *next;
+
+  if (admin == NULL)
+    return;
+  if (admin->server != NULL)
+    evhttp_free (admin->server);
+  for (change = admin->changes; change != NULL; change = next)
+    {
+      next = change->next;
+      free (change);
+    }
+  free (admin);
+  router->module_state[ROUTER_ADMIN] = NULL;
+}
+
+const char *
+admin_server_address (const struct router *router)
+{
+  const struct admin *admin = router->module_state[ROUTER_ADMIN];
+
+  return admin == NULL ? NULL : admin->address;
+}
+
+static void
+on_request (struct evhttp_request *http, void *arg)
+{
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (http);
+  const char *raw = uri == NULL ? NULL : evhttp_uri_get_path (uri);
+  char *path = raw == NULL ? NULL : evhttp_uridecode (raw, 0, NULL);
+
+  if (path == NULL)
+    admin_reply_error (http, HTTP_BADREQUEST, "bad_path",
+                       "the path cannot be read", NULL);
+  else
+    route (arg, http, path, evhttp_uri_get_query (uri));
+  free (path);
+}
+
+static void
+route (struct admin *admin, struct evhttp_request *http, const char *path,
+       const char *query)
+{
+  const struct settings_router *settings = admin->router->settings->router;
+  bool path_known = false;
+  const struct route *found
+      = find_route (evhttp_request_get_command (http), path, &path_known);
+  struct admin_request request = {
+    .router = admin->router, .admin = admin, .http = http, .query = query
+  };
+
+  if (found == NULL || found->access != ACCESS_OPEN)
+    request.token = admin_auth (settings, http);
+  if (request.token == NULL && (found == NULL || found->access != ACCESS_OPEN))
+    {
+      LOG (LOG_ADMIN_REFUSED, NULL, LOG_S ("path", path),
+           LOG_S ("code", "token"));
+      admin_reply_error (http, 401, "token", "token missing or unknown", NULL);
+    }
+  else if (found == NULL)
+    admin_reply_error (http, path_known ? HTTP_BADMETHOD : HTTP_NOTFOUND,
+                       path_known ? "method" : "path",
+                       path_known ? "method not allowed here" : "no such path",
+                       NULL);
+  else if (!may (request.token, found->access))
+    {
+      LOG (LOG_ADMIN_REFUSED, NULL, LOG_S ("path", path),
+           LOG_S ("operator", request.token->operator_name),
+           LOG_S ("code", "role"));
+      admin_reply_error (http, 403, "role", "this token may only read", NULL);
+    }
+  else
+    {
+      request.rest = path + strlen (found->path);
+      found->handle (&request);
+    }
+}
+
+static const struct route *
+find_route (enum evhttp_cmd_type method, const char *path, bool *path_known)
+{
+  size_t i;
+
+  for (i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    {
+      size_t length = strlen (routes[i].path);
+      bool whole = routes[i].path[length - 1] != '/';
+
+      if (strncmp (path, routes[i].path, length) != 0
+          || (whole && path[length] != '\0'))
+        continue;
+      *path_known = true;
+      if (routes[i].method == method)
+        return &routes[i];
+    }
+  return NULL;
+}
+
+static bool
+may (const struct settings_token *token, enum access access)
+{
+  return access != ACCESS_WRITE || token->role == SETTINGS_ROLE_WRITE;
+}
+
+struct admin_change *
+admin_change_new (struct admin *admin, struct evhttp_request *http)
+{
+  struct admin_change *change = calloc (1, sizeof *change);
+
+  if (change == NULL)
+    return NULL;
+  change->admin = admin;
+  change->http = http;
+  DL_APPEND (admin->changes, change);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (http),
+                                 on_close, change);
+  return change;
+}
+
+struct evhttp_request *
+admin_change_end (struct admin_change *change)
+{
+  struct evhttp_request *http = change->http;
+
+  if (http != NULL)
+    evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL,
+                                   NULL);
+  DL_DELETE (change->admin->changes, change);
+  free (change);
+  return http;
+}
+
+static void
+on_close (struct evhttp_connection *connection, void *arg)
+{
+  struct admin_change *change = arg;
+
+  (void)connection;
+  change->http = NULL;
+}
--- a/src/confstore.h
+++ b/src/confstore.h
@@ -38,6 +38,7 @@
   uint32_t watch_wait_ms;
   uint64_t seed;       /**< of the jitter and of change ids */
   bool peers_expected; /**< peers may hold newer objects at a cold start */
+  bool private_store;  /**< in memory: other instances do not write to it */
   /** Objects of the catalog changed. */
   void (*changed) (void *user);
   /** True when this instance is one that watches; NULL for always. */
@@ -107,7 +108,8 @@
                   ERR_TOO_LARGE; ERR_UNAVAILABLE: it was not made;
                   ERR_UNKNOWN_OUTCOME: it may have been made */
   enum confstore_effect effect;
-  uint64_t index; /**< of the object now; on a conflict, the current one */
+  uint64_t index; /**< of the object now, 0 when it is not known yet; on a
+                       conflict, the current one */
   char change_id[OBJECT_CHANGE_ID_SIZE];
   char other_operator[CATALOG_NAME_SIZE]; /**< on a conflict: who was first */
   uint64_t other_time_ms;                 /**< and when */
@@ -116,6 +118,14 @@
 typedef void (*confstore_write_fn) (void *user,
                                     const struct confstore_result *result);
 
+/** Puts the objects of a settings file into the store, when they are not
+    there, and offers them. @return 0 or an error. */
+int confstore_seed (struct confstore *confstore,
+                    const struct settings *settings);
+
+/** Number of changes under way. */
+uint32_t confstore_writing (const struct confstore *confstore);
+
 /** Starts a change; `done` is called once, maybe before this returns.
     @return 0 or ERR_NO_MEMORY. */
 int confstore_write (struct confstore *confstore,
--- /dev/null
+++ b/src/confstore_module.c
@@ -0,0 +1,216 @@
+/**
+ * @file confstore_module.c
+ * Starts the configuration store of an instance and ties it to the peers.
+ */
+#include "confstore_module.h"
+#include "coordination/fleet.h"
+#include "peers.h"
+#include "state/err.h"
+#include "transport/kvhttp.h"
+#include "transport/kvmem.h"
+#include "transport/log.h"
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct state
+{
+  struct platform *platform;
+  struct confstore *confstore;
+};
+
+static int start (struct router *router);
+static void finish (struct router *router);
+static void run (struct router *router, uint64_t now_ns);
+static bool drained (const struct router *router);
+static bool ready (const struct router *router);
+static struct platform *make_platform (struct router *router);
+static void on_changed (void *user);
+static bool on_watcher (void *user);
+static bool on_peers_index (void *user, uint64_t *index);
+static const struct member_table *members_of (const struct router *router);
+static uint64_t score (uint64_t instance_id);
+
+const struct router_module confstore_module = { .name = "confstore",
+                                                .start = start,
+                                                .finish = finish,
+                                                .run = run,
+                                                .drained = drained,
+                                                .ready = ready };
+
+static int
+start (struct router *router)
+{
+  const struct settings_router *own = router->settings->router;
+  struct state *state = calloc (1, sizeof *state);
+  struct confstore_config config
+      = { .catalog = &router->catalog,
+          .clock = &router->clock,
+          .prefix = own->platform.prefix,
+          .watch_wait_ms = own->platform.watch_wait_ms,
+          .seed = router->self.instance_id ^ router->self.incarnation,
+          .peers_expected = own->peers_count > 0,
+          .private_store = own->platform.kind == SETTINGS_PLATFORM_MEMORY,
+          .changed = on_changed,
+          .watcher = on_watcher,
+          .peers_index = on_peers_index,
+          .user = router };
+  int error = 0;
+
+  if (state == NULL)
+    return ERR_NO_MEMORY;
+  router->module_state[ROUTER_CONFSTORE] = state;
+  state->platform = make_platform (router);
+  config.platform = state->platform;
+  if (state->platform != NULL)
+    state->confstore = confstore_new (&config);
+  if (state->confstore == NULL)
+    return ERR_NO_MEMORY;
+  if (config.private_store)
+    error = confstore_seed (state->confstore, router->settings);
+  if (router->module_state[ROUTER_PEERS] != NULL)
+    peers_set_confsync (router, confstore_sync (state->confstore));
+  return error;
+}
+
+static struct platform *
+make_platform (struct router *router)
+{
+  const struct settings_platform *own = &router->settings->router->platform;
+  struct kvhttp_config config
+      = { .base = router->base,
+          .clock = &router->clock,
+          .address = own->address,
+          .timeout_ms = own->timeout_ms,
+          .calls_per_second_max = own->calls_per_second_max };
+
+  if (own->kind == SETTINGS_PLATFORM_HTTP)
+    return kvhttp_new (&config);
+  return kvmem_new (router->base, &router->clock);
+}
+
+static void
+finish (struct router *router)
+{
+  struct state *state = router->module_state[ROUTER_CONFSTORE];
+
+  if (state == NULL)
+    return;
+  if (router->module_state[ROUTER_PEERS] != NULL)
+    peers_set_confsync (router, NULL);
+  if (state->platform != NULL)
+    state->platform->ops->finish (state->platform);
+  confstore_free (state->confstore);
+  free (state);
+  router->module_state[ROUTER_CONFSTORE] = NULL;
+}
+
+static void
+run (struct router *router, uint64_t now_ns)
+{
+  (void)now_ns;
+  confstore_run (confstore_module_get (router));
+}
+
+static bool
+drained (const struct router *router)
+{
+  return confstore_writing (confstore_module_get (router)) == 0;
+}
+
+static bool
+ready (const struct router *router)
+{
+  return confstore_ready (confstore_module_get (router));
+}
+
+struct confstore *
+confstore_module_get (const struct router *router)
+{
+  const struct state *state = router->module_state[ROUTER_CONFSTORE];
+
+  return state->confstore;
+}
+
+const struct platform *
+confstore_module_platform (const struct router *router)
+{
+  const struct state *state = router->module_state[ROUTER_CONFSTORE];
+
+  return state->platform;
+}
+
+static void
+on_changed (void *user)
+{
+  struct router *router = user;
+
+  router_catalog_changed (router);
+  if (router->module_state[ROUTER_PEERS] != NULL)
+    peers_config_changed (router);
+}
+
+static bool
+on_watcher (void *user)
+{
+  const struct router *router = user;
+
+  return confstore_module_watches (members_of (router),
+                                   router->self.instance_id);
+}
+
+bool
+confstore_module_watches (const struct member_table *members, uint64_t self_id)
+{
+  const struct member *self
+      = members == NULL ? NULL : member_find (members, self_id);
+  const struct member *member;
+  uint32_t lower = 0;
+
+  if (self == NULL)
+    return true;
+  for (member = members->members; member != NULL; member = member->hh.next)
+    lower
+        += member->instance_id != self_id && member->status == MEMBER_ALIVE
+           && member->state != MESSAGE_DRAINING
+           && strcmp (member->availability_zone, self->availability_zone) == 0
+           && score (member->instance_id) < score (self_id);
+  return lower < CONFSTORE_WATCHERS;
+}
+
+static uint64_t
+score (uint64_t instance_id)
+{
+  return XXH3_64bits (&instance_id, sizeof instance_id);
+}
+
+static bool
+on_peers_index (void *user, uint64_t *index)
+{
+  const struct router *router = user;
+  const struct member_table *members = members_of (router);
+  const struct member *member;
+  bool heard = false;
+
+  *index = 0;
+  for (member = members == NULL ? NULL : members->members; member != NULL;
+       member = member->hh.next)
+    {
+      if (member->instance_id == router->self.instance_id
+          || member->status != MEMBER_ALIVE
+          || member->state == MESSAGE_STARTING)
+        continue;
+      heard = true;
+      if (member->config_index > *index)
+        *index = member->config_index;
+    }
+  return heard;
+}
+
+static const struct member_table *
+members_of (const struct router *router)
+{
+  if (router->module_state[ROUTER_PEERS] == NULL)
+    return NULL;
+  return fleet_members (peers_fleet (router));
+}
--- /dev/null
+++ b/src/confstore_module.h
@@ -0,0 +1,25 @@
+/**
+ * @file confstore_module.h
+ * The configuration store as a part of the runtime; see router.h.
+ */
+#ifndef CONFSTORE_MODULE_H
+#define CONFSTORE_MODULE_H
+
+#include "confstore.h"
+#include "router.h"
+
+#define CONFSTORE_WATCHERS 2 /**< instances of a zone that watch the store */
+
+extern const struct router_module confstore_module;
+
+/** The configuration store of a running instance. */
+struct confstore *confstore_module_get (const struct router *router);
+/** Its platform, for counters. */
+const struct platform *confstore_module_platform (const struct router *router);
+
+/** True when `self_id` is one of the CONFSTORE_WATCHERS lowest by rendezvous
+    hash among the members of its zone that are alive and not draining. */
+bool confstore_module_watches (const struct member_table *members,
+                               uint64_t self_id);
+
+#endif
--- a/src/confstore_write.c
+++ b/src/confstore_write.c
@@ -34,6 +34,7 @@
   void *user;
   enum step step;
   bool in_doubt; /* a swap was sent and its outcome is not known */
+  bool made;     /* the store said so, but not at which index */
   uint32_t failed_reads;
   uint32_t conflicts;
   uint64_t next_ns;
@@ -74,6 +75,7 @@
 static void swapped (void *user, int error, uint64_t index);
 static void succeed (struct confstore_pending *pending, uint64_t index);
 static void retry (struct confstore_pending *pending);
+static void give_up (struct confstore_pending *pending);
 static void finish (struct confstore_pending *pending, int error);
 static void make_change_id (struct confstore *confstore, char *out,
                             size_t size);
@@ -116,8 +118,7 @@
       struct confstore_pending *pending = *link;
 
       if (pending->step == STEP_READ && now_ns >= pending->limit_ns)
-        finish (pending,
-                pending->in_doubt ? ERR_UNKNOWN_OUTCOME : ERR_UNAVAILABLE);
+        give_up (pending);
       else if (pending->step == STEP_READ && now_ns >= pending->next_ns)
         read_key (pending);
       if (pending->step != STEP_DONE)
@@ -132,6 +133,17 @@
     }
 }
 
+uint32_t
+confstore_writing (const struct confstore *confstore)
+{
+  const struct confstore_pending *pending;
+  uint32_t count = 0;
+
+  for (pending = confstore->pending; pending != NULL; pending = pending->next)
+    count += pending->step != STEP_DONE;
+  return count;
+}
+
 void
 confstore_write_finish (struct confstore *confstore)
 {
@@ -208,6 +220,12 @@
       succeed (pending, pending->index_base + item->index);
       return true;
     }
+  if (pending->made)
+    {
+      /* Replaced already, and its record with it. */
+      succeed (pending, 0);
+      return true;
+    }
   if ((item == NULL ? 0 : item->index) == pending->expected)
     {
       swap (pending);
@@ -375,6 +393,7 @@
       return;
     }
   /* A success without an index is read back like a lost answer. */
+  pending->made = pending->made || error == 0;
   if (error == 0 || error == ERR_UNKNOWN_OUTCOME || error == ERR_TIMEOUT)
     pending->in_doubt = true;
   if (error == ERR_CONFLICT)
@@ -393,8 +412,14 @@
 static void
 succeed (struct confstore_pending *pending, uint64_t index)
 {
+  struct confstore *confstore = pending->confstore;
+
   pending->result.index = index;
-  confstore_notify (pending->confstore);
+  confstore_notify (confstore);
+  /* A listing tells that nothing older is missing here; then the peers are
+     told of the new index. */
+  if (!confstore->busy)
+    confstore->next_ns = clock_now_ns (confstore->config.clock);
   finish (pending, 0);
 }
 
@@ -410,6 +435,16 @@
   pending->next_ns = now_ns + delay_ms * CLOCK_NS_PER_MS;
 }
 
+static void
+give_up (struct confstore_pending *pending)
+{
+  if (pending->made)
+    succeed (pending, 0);
+  else
+    finish (pending,
+            pending->in_doubt ? ERR_UNKNOWN_OUTCOME : ERR_UNAVAILABLE);
+}
+
 /* The entry is released by the next confstore_write_run. */
 static void
 finish (struct confstore_pending *pending, int error)
--- a/src/protocol/object.c
+++ b/src/protocol/object.c
@@ -119,6 +119,21 @@
   return normal;
 }
 
+uint32_t
+object_line (const char *text, size_t size, const char *path)
+{
+  struct settings_source *source = NULL;
+  char unused[SETTINGS_REASON_SIZE];
+  uint32_t line = 0;
+
+  if (settings_source_parse (text, size, &source, &line, unused, sizeof unused)
+      != 0)
+    return 0;
+  line = settings_source_line (source, path);
+  settings_source_free (source);
+  return line;
+}
+
 /* Only the first fault is told. */
 static void
 keep_fault (void *user, const char *path, uint32_t line, const char *reason)
--- a/src/protocol/object.h
+++ b/src/protocol/object.h
@@ -68,6 +68,9 @@
                           const char *text, size_t size,
                           struct object_fault *fault);
 
+/** Line of the value at a path of a submitted text; 0 when unknown. */
+uint32_t object_line (const char *text, size_t size, const char *path);
+
 /** Normal form of one object of a settings file; the index is that within
     its kind. @return new reference, or NULL without memory. */
 json_t *object_from_settings (const struct settings *settings,
--- /dev/null
+++ b/src/protocol/platform_http.c
@@ -0,0 +1,148 @@
+/**
+ * @file platform_http.c
+ * Paths and JSON of the key-value service's HTTP interface.
+ */
+#include "protocol/platform_http.h"
+#include "state/err.h"
+#include <jansson.h>
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int decode_item (const json_t *json, struct platform_item *item);
+static int decode_base64 (const char *text, char **value, size_t *size);
+
+int
+platform_http_decode (const char *text, size_t size,
+                      struct platform_http_items *items)
+{
+  json_t *json = json_loadb (text, size, 0, NULL);
+  size_t count = json_array_size (json);
+  int error = 0;
+  size_t i;
+
+  items->count = 0;
+  items->items = calloc (count + 1, sizeof *items->items);
+  if (items->items == NULL)
+    error = ERR_NO_MEMORY;
+  else if (!json_is_array (json))
+    error = ERR_PROTOCOL;
+  for (i = 0; i < count && error == 0; i++)
+    {
+      error = decode_item (json_array_get (json, i), &items->items[i]);
+      items->count++;
+    }
+  json_decref (json);
+  if (error != 0)
+    platform_http_items_finish (items);
+  return error;
+}
+
+static int
+decode_item (const json_t *json, struct platform_item *item)
+{
+  const char *key = json_string_value (json_object_get (json, "Key"));
+  const json_t *value = json_object_get (json, "Value");
+  const json_t *index = json_object_get (json, "ModifyIndex");
+  char *copy = NULL;
+  int error = 0;
+
+  if (key == NULL || !json_is_integer (index)
+      || json_integer_value (index) <= 0)
+    return ERR_PROTOCOL;
+  item->index = (uint64_t)json_integer_value (index);
+  item->key = strdup (key);
+  if (item->key == NULL)
+    return ERR_NO_MEMORY;
+  if (json_is_string (value))
+    error
+        = decode_base64 (json_string_value (value), &copy, &item->value_size);
+  else if (value != NULL && !json_is_null (value))
+    error = ERR_PROTOCOL;
+  item->value = copy;
+  return error;
+}
+
+static int
+decode_base64 (const char *text, char **value, size_t *size)
+{
+  size_t length = strlen (text);
+  size_t padding = 0;
+  int decoded;
+
+  while (padding < 2 && padding < length && text[length - 1 - padding] == '=')
+    padding++;
+  if (length % 4 != 0 || length / 4 * 3 > (size_t)2 * PLATFORM_VALUE_MAX)
+    return ERR_PROTOCOL;
+  *value = malloc (length / 4 * 3 + 1);
+  if (*value == NULL)
+    return ERR_NO_MEMORY;
+  decoded = EVP_DecodeBlock ((unsigned char *)*value,
+                             (const unsigned char *)text, (int)length);
+  if (decoded < 0 || (size_t)decoded < padding)
+    {
+      free (*value);
+      *value = NULL;
+      return ERR_PROTOCOL;
+    }
+  *size = (size_t)decoded - padding;
+  (*value)[*size] = '\0';
+  return 0;
+}
+
+void
+platform_http_items_finish (struct platform_http_items *items)
+{
+  size_t i;
+
+  for (i = 0; i < items->count; i++)
+    {
+      free ((char *)items->items[i].key);
+      free ((char *)items->items[i].value);
+    }
+  free (items->items);
+  items->items = NULL;
+  items->count = 0;
+}
+
+int
+platform_http_decode_bool (const char *text, size_t size, bool *value)
+{
+  json_t *json = json_loadb (text, size, JSON_DECODE_ANY, NULL);
+  int error = json_is_boolean (json) ? 0 : ERR_PROTOCOL;
+
+  *value = json_is_true (json);
+  json_decref (json);
+  return error;
+}
+
+int
+platform_http_decode_session (const char *text, size_t size, char *id,
+                              size_t id_size)
+{
+  json_t *json = json_loadb (text, size, 0, NULL);
+  const char *found = json_string_value (json_object_get (json, "ID"));
+  int error = found != NULL && strlen (found) < id_size ? 0 : ERR_PROTOCOL;
+
+  if (error == 0)
+    snprintf (id, id_size, "%s", found);
+  json_decref (json);
+  return error;
+}
+
+int
+platform_http_path (char *out, size_t size, const char *key, const char *query)
+{
+  static const char safe[] = "abcdefghijklmnopqrstuvwxyz"
+                             "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~/";
+  size_t length = (size_t)snprintf (out, size, "%s", PLATFORM_HTTP_KEY);
+
+  for (; *key != '\0' && length < size; key++)
+    length += (size_t)snprintf (out + length, size - length,
+                                strchr (safe, *key) != NULL ? "%c" : "%%%02X",
+                                (unsigned char)*key);
+  if (length < size)
+    length += (size_t)snprintf (out + length, size - length, "%s", query);
+  return length < size ? 0 : ERR_TOO_LARGE;
+}
--- a/src/router.c
+++ b/src/router.c
@@ -3,6 +3,8 @@
  * Assembles the runtime, runs its loop, and shuts it down.
  */
 #include "router.h"
+#include "admin_server.h"
+#include "confstore_module.h"
 #include "peers.h"
 #include "request.h"
 #include "state/err.h"
@@ -33,8 +35,8 @@
 /* Parts that plug in; a NULL entry is not built in. */
 static const struct router_module *const modules[ROUTER_MODULE_MAX] = {
   [ROUTER_PEERS] = &peers_module,
-  [ROUTER_CONFSTORE] = NULL,
-  [ROUTER_ADMIN] = NULL,
+  [ROUTER_CONFSTORE] = &confstore_module,
+  [ROUTER_ADMIN] = &admin_module,
 };
 
 #define FOR_EACH_MODULE(i)                                                    \
--- /dev/null
+++ b/src/transport/kvhttp.c
@@ -0,0 +1,462 @@
+/**
+ * @file kvhttp.c
+ * Operations of the store over HTTP.
+ */
+#include "transport/kvhttp.h"
+#include "protocol/platform_http.h"
+#include "state/err.h"
+#include "transport/kvhttp_int.h"
+#include <event2/util.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define QUERY_SIZE 128 /* bytes */
+#define STATUS_OK  200
+#define NOT_FOUND  404
+
+static int http_get (struct platform *platform, const char *key,
+                     platform_items_fn done, void *user);
+static int http_list (struct platform *platform, const char *prefix,
+                      platform_items_fn done, void *user);
+static int http_cas (struct platform *platform, const char *key,
+                     const char *value, size_t value_size, uint64_t expected,
+                     platform_write_fn done, void *user);
+static int http_watch (struct platform *platform, const char *prefix,
+                       uint64_t since, uint32_t wait_ms,
+                       platform_items_fn done, void *user);
+static int http_lease (struct platform *platform, const char *key,
+                       const char *holder, uint32_t ttl_ms,
+                       platform_write_fn done, void *user);
+static int http_renew (struct platform *platform, const char *key,
+                       const char *holder, platform_write_fn done, void *user);
+static void http_finish (struct platform *platform);
+static int read_items (struct kvhttp *store, const char *key,
+                       const char *query, uint32_t timeout_ms, bool single,
+                       platform_items_fn done, void *user);
+static void item_read (struct kvhttp_call *call, int error, int status,
+                       uint64_t index, const char *body, size_t size);
+static void items_read (struct kvhttp_call *call, int error, int status,
+                        uint64_t index, const char *body, size_t size);
+static void pass_items (struct kvhttp_call *call, uint64_t index,
+                        const char *body, size_t size);
+static int read_error (int error, int status);
+static int write_error (int error, int status);
+static void value_written (struct kvhttp_call *call, int error, int status,
+                           uint64_t index, const char *body, size_t size);
+static void session_made (struct kvhttp_call *call, int error, int status,
+                          uint64_t index, const char *body, size_t size);
+static void lease_taken (struct kvhttp_call *call, int error, int status,
+                         uint64_t index, const char *body, size_t size);
+static void session_renewed (struct kvhttp_call *call, int error, int status,
+                             uint64_t index, const char *body, size_t size);
+static const struct kvhttp_lease *find_lease (const struct kvhttp *store,
+                                              const char *key);
+static int keep_lease (struct kvhttp *store, const char *key,
+                       const char *session);
+static int set_address (struct kvhttp *store);
+
+static const struct platform_ops kvhttp_ops = { .name = "http",
+                                                .get = http_get,
+                                                .list = http_list,
+                                                .cas = http_cas,
+                                                .watch = http_watch,
+                                                .lease = http_lease,
+                                                .renew = http_renew,
+                                                .finish = http_finish };
+
+struct platform *
+kvhttp_new (const struct kvhttp_config *config)
+{
+  struct kvhttp *store = calloc (1, sizeof *store);
+
+  if (store == NULL)
+    return NULL;
+  store->platform.ops = &kvhttp_ops;
+  store->config = *config;
+  store->filled_ns = clock_now_ns (config->clock);
+  store->tokens_us = (uint64_t)config->calls_per_second_max * 1000000;
+  store->reap = event_new (config->base, -1, 0, kvhttp_call_reap, store);
+  if (store->reap != NULL && set_address (store) == 0)
+    return &store->platform;
+  if (store->reap != NULL)
+    event_free (store->reap);
+  free (store);
+  return NULL;
+}
+
+static int
+set_address (struct kvhttp *store)
+{
+  struct sockaddr_storage storage;
+  struct sockaddr *any = (struct sockaddr *)&storage;
+  struct sockaddr_in *v4 = (struct sockaddr_in *)&storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&storage;
+  int size = (int)sizeof storage;
+  bool four;
+
+  memset (&storage, 0, sizeof storage);
+  if (store->config.address == NULL
+      || evutil_parse_sockaddr_port (store->config.address, any, &size) != 0)
+    return ERR_INVALID;
+  four = any->sa_family == AF_INET;
+  store->port = ntohs (four ? v4->sin_port : v6->sin6_port);
+  if (evutil_inet_ntop (any->sa_family,
+                        four ? (const void *)&v4->sin_addr
+                             : (const void *)&v6->sin6_addr,
+                        store->host, sizeof store->host)
+      == NULL)
+    return ERR_INVALID;
+  return 0;
+}
+
+static void
+http_finish (struct platform *platform)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  struct kvhttp_lease *lease;
+
+  kvhttp_call_drop_all (store);
+  while ((lease = store->leases) != NULL)
+    {
+      store->leases = lease->next;
+      free (lease);
+    }
+  event_free (store->reap);
+  free (store);
+}
+
+static int
+http_get (struct platform *platform, const char *key, platform_items_fn done,
+          void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  int error = kvhttp_admit (store);
+
+  if (error != 0)
+    return error;
+  platform->counters.reads++;
+  return read_items (store, key, "", store->config.timeout_ms, true, done,
+                     user);
+}
+
+static int
+http_list (struct platform *platform, const char *prefix,
+           platform_items_fn done, void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  int error = kvhttp_admit (store);
+
+  if (error != 0)
+    return error;
+  platform->counters.reads++;
+  return read_items (store, prefix, "?recurse=true", store->config.timeout_ms,
+                     false, done, user);
+}
+
+static int
+http_watch (struct platform *platform, const char *prefix, uint64_t since,
+            uint32_t wait_ms, platform_items_fn done, void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  char query[QUERY_SIZE];
+  int error = kvhttp_admit (store);
+
+  if (error != 0)
+    return error;
+  platform->counters.watches++;
+  snprintf (query, sizeof query,
+            "?recurse=true&index=%" PRIu64 "&wait=%" PRIu32 "ms", since,
+            wait_ms);
+  return read_items (store, prefix, query, wait_ms + store->config.timeout_ms,
+                     false, done, user);
+}
+
+static int
+read_items (struct kvhttp *store, const char *key, const char *query,
+            uint32_t timeout_ms, bool single, platform_items_fn done,
+            void *user)
+{
+  char path[KVHTTP_PATH_SIZE];
+  struct kvhttp_call *call;
+
+  if (platform_http_path (path, sizeof path, key, query) != 0)
+    return ERR_INVALID;
+  call = kvhttp_call_new (store);
+  if (call == NULL)
+    return ERR_NO_MEMORY;
+  call->finished = single ? item_read : items_read;
+  call->items_done = done;
+  call->user = user;
+  return kvhttp_call_start (call, EVHTTP_REQ_GET, path, NULL, 0, timeout_ms);
+}
+
+static void
+item_read (struct kvhttp_call *call, int error, int status, uint64_t index,
+           const char *body, size_t size)
+{
+  error = read_error (error, status);
+  if (error == 0 && status == NOT_FOUND)
+    error = ERR_NOT_FOUND;
+  if (error != 0)
+    call->items_done (call->user, error, index, NULL, 0);
+  else
+    pass_items (call, index, body, size);
+}
+
+/* No key under the prefix is an empty list. */
+static void
+items_read (struct kvhttp_call *call, int error, int status, uint64_t index,
+            const char *body, size_t size)
+{
+  error = read_error (error, status);
+  if (error != 0 || status == NOT_FOUND)
+    call->items_done (call->user, error, index, NULL, 0);
+  else
+    pass_items (call, index, body, size);
+}
+
+static void
+pass_items (struct kvhttp_call *call, uint64_t index, const char *body,
+            size_t size)
+{
+  struct platform_http_items items;
+  int error = platform_http_decode (body, size, &items);
+
+  if (error != 0)
+    {
+      call->items_done (call->user, error, index, NULL, 0);
+      return;
+    }
+  call->items_done (call->user, 0, index, items.items, items.count);
+  platform_http_items_finish (&items);
+}
+
+static int
+read_error (int error, int status)
+{
+  if (error == ERR_TIMEOUT)
+    return ERR_TIMEOUT;
+  if (error != 0)
+    return ERR_UNAVAILABLE;
+  if (status == 429)
+    return ERR_RATE_LIMITED;
+  if (status / 100 == 5)
+    return ERR_UNAVAILABLE;
+  return status == STATUS_OK || status == NOT_FOUND ? 0 : ERR_PROTOCOL;
+}
+
+/* Of a write only a refused connection and a refusal for its rate are known
+   to have had no effect. */
+static int
+write_error (int error, int status)
+{
+  if (error == ERR_UNAVAILABLE)
+    return ERR_UNAVAILABLE;
+  if (error != 0 || status / 100 == 5)
+    return ERR_UNKNOWN_OUTCOME;
+  if (status == 429)
+    return ERR_RATE_LIMITED;
+  return status == STATUS_OK ? 0 : ERR_PROTOCOL;
+}
+
+static int
+http_cas (struct platform *platform, const char *key, const char *value,
+          size_t value_size, uint64_t expected, platform_write_fn done,
+          void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  char path[KVHTTP_PATH_SIZE];
+  char query[QUERY_SIZE];
+  struct kvhttp_call *call;
+  int error;
+
+  if (value_size > PLATFORM_VALUE_MAX)
+    return ERR_TOO_LARGE;
+  snprintf (query, sizeof query, "?cas=%" PRIu64, expected);
+  if (platform_http_path (path, sizeof path, key, query) != 0)
+    return ERR_INVALID;
+  error = kvhttp_admit (store);
+  if (error != 0)
+    return error;
+  call = kvhttp_call_new (store);
+  if (call == NULL)
+    return ERR_NO_MEMORY;
+  platform->counters.writes++;
+  call->finished = value_written;
+  call->write_done = done;
+  call->user = user;
+  return kvhttp_call_start (call, EVHTTP_REQ_PUT, path, value, value_size,
+                            store->config.timeout_ms);
+}
+
+/* The interface does not tell the new index of the key: X-Index is that of
+   the store, where other writes may have come since.  So 0 is passed on, and
+   the caller reads the key back. */
+static void
+value_written (struct kvhttp_call *call, int error, int status, uint64_t index,
+               const char *body, size_t size)
+{
+  bool written = false;
+
+  (void)index;
+  error = write_error (error, status);
+  if (error == 0 && platform_http_decode_bool (body, size, &written) != 0)
+    error = ERR_UNKNOWN_OUTCOME;
+  if (error == 0 && !written)
+    error = ERR_CONFLICT;
+  call->write_done (call->user, error, 0);
+}
+
+static int
+http_lease (struct platform *platform, const char *key, const char *holder,
+            uint32_t ttl_ms, platform_write_fn done, void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  char body[QUERY_SIZE];
+  struct kvhttp_call *call;
+  int error;
+
+  (void)holder; /* the session stands for the holder */
+  if (strlen (key) >= sizeof call->key)
+    return ERR_INVALID;
+  error = kvhttp_admit (store);
+  if (error != 0)
+    return error;
+  call = kvhttp_call_new (store);
+  if (call == NULL)
+    return ERR_NO_MEMORY;
+  platform->counters.writes++;
+  call->finished = session_made;
+  call->write_done = done;
+  call->user = user;
+  snprintf (call->key, sizeof call->key, "%s", key);
+  snprintf (body, sizeof body, "{\"TTL\":\"%" PRIu32 "ms\"}", ttl_ms);
+  return kvhttp_call_start (call, EVHTTP_REQ_PUT, "/v1/session/create", body,
+                            strlen (body), store->config.timeout_ms);
+}
+
+static void
+session_made (struct kvhttp_call *call, int error, int status, uint64_t index,
+              const char *body, size_t size)
+{
+  struct kvhttp *store = call->store;
+  char path[KVHTTP_PATH_SIZE];
+  char query[QUERY_SIZE];
+  struct kvhttp_call *next = NULL;
+
+  (void)index;
+  error = write_error (error, status);
+  if (error == 0)
+    error = platform_http_decode_session (body, size, call->holder,
+                                          sizeof call->holder);
+  if (error == 0)
+    {
+      snprintf (query, sizeof query, "?acquire=%s", call->holder);
+      error = platform_http_path (path, sizeof path, call->key, query);
+    }
+  if (error == 0)
+    next = kvhttp_call_new (store);
+  if (next == NULL)
+    {
+      call->write_done (call->user, error == 0 ? ERR_NO_MEMORY : error, 0);
+      return;
+    }
+  store->platform.counters.writes++;
+  next->finished = lease_taken;
+  next->write_done = call->write_done;
+  next->user = call->user;
+  memcpy (next->key, call->key, sizeof next->key);
+  memcpy (next->holder, call->holder, sizeof next->holder);
+  error = kvhttp_call_start (next, EVHTTP_REQ_PUT, path, "", 0,
+                             store->config.timeout_ms);
+  if (error != 0)
+    call->write_done (call->user, error, 0);
+}
+
+static void
+lease_taken (struct kvhttp_call *call, int error, int status, uint64_t index,
+             const char *body, size_t size)
+{
+  bool taken = false;
+
+  error = write_error (error, status);
+  if (error == 0 && platform_http_decode_bool (body, size, &taken) != 0)
+    error = ERR_UNKNOWN_OUTCOME;
+  if (error == 0 && !taken)
+    error = ERR_CONFLICT;
+  if (error == 0)
+    error = keep_lease (call->store, call->key, call->holder);
+  call->write_done (call->user, error, index);
+}
+
+static int
+http_renew (struct platform *platform, const char *key, const char *holder,
+            platform_write_fn done, void *user)
+{
+  struct kvhttp *store = (struct kvhttp *)platform;
+  const struct kvhttp_lease *lease = find_lease (store, key);
+  char path[KVHTTP_PATH_SIZE];
+  struct kvhttp_call *call;
+  int error;
+
+  (void)holder;
+  if (lease == NULL)
+    return ERR_NOT_FOUND;
+  error = kvhttp_admit (store);
+  if (error != 0)
+    return error;
+  call = kvhttp_call_new (store);
+  if (call == NULL)
+    return ERR_NO_MEMORY;
+  platform->counters.writes++;
+  call->finished = session_renewed;
+  call->write_done = done;
+  call->user = user;
+  snprintf (path, sizeof path, "/v1/session/renew/%s", lease->session);
+  return kvhttp_call_start (call, EVHTTP_REQ_PUT, path, "", 0,
+                            store->config.timeout_ms);
+}
+
+static void
+session_renewed (struct kvhttp_call *call, int error, int status,
+                 uint64_t index, const char *body, size_t size)
+{
+  (void)body;
+  (void)size;
+  error = write_error (error, status);
+  if (error == 0 || status != NOT_FOUND)
+    call->write_done (call->user, error, index);
+  else
+    call->write_done (call->user, ERR_CONFLICT, index);
+}
+
+static const struct kvhttp_lease *
+find_lease (const struct kvhttp *store, const char *key)
+{
+  const struct kvhttp_lease *lease = store->leases;
+
+  while (lease != NULL && strcmp (lease->key, key) != 0)
+    lease = lease->next;
+  return lease;
+}
+
+static int
+keep_lease (struct kvhttp *store, const char *key, const char *session)
+{
+  struct kvhttp_lease *lease = (struct kvhttp_lease *)find_lease (store, key);
+
+  if (lease == NULL)
+    {
+      lease = calloc (1, sizeof *lease);
+      if (lease == NULL)
+        return ERR_NO_MEMORY;
+      snprintf (lease->key, sizeof lease->key, "%s", key);
+      lease->next = store->leases;
+      store->leases = lease;
+    }
+  snprintf (lease->session, sizeof lease->session, "%s", session);
+  return 0;
+}
