--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -489,7 +489,7 @@
   world_init (&world);
   fd = client_connect (&world);
   client_send (fd, "GET / HTTP/1.1\r\n");
-  snprintf (line, sizeof (line), "X: %0*d\r\n", 500, 0);
+  snprintf (line, sizeof (line), "X: %0*d\r\n", 550, 0);
   for (i = 0; i < 5; i++)
     client_send (fd, line);
   in = client_receive (&world, fd, NULL);
