Hold shares through kills, partitions, pauses and lost reports

A lessor that had lost an upstream renewed its grants there, as one renewal is for all that it granted.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -115,6 +115,7 @@
       HASH_ADD (hh, fleet->peers, instance_id, sizeof peer->instance_id, peer);
     }
   peer->sequence = 0;
+  lessee_link_up (fleet->lessee, id);
   return fleet_send_snapshot (fleet, id);
 }
 
@@ -129,6 +130,9 @@
     return;
   HASH_DEL (fleet->peers, peer);
   free (peer);
+  member_link_down (&fleet->members, instance_id);
+  lessor_link_down (fleet->lessor, instance_id, now_ns);
+  fleet->lessor_due = true;
 }
 
 int
--- a/src/coordination/fleet_send.c
+++ b/src/coordination/fleet_send.c
@@ -154,6 +154,8 @@
 
   heartbeat->sequence = ++fleet->sequence;
   heartbeat->state = self->state;
+  if (self->state == MESSAGE_LIVE && lessor_is_alone (fleet->lessor))
+    heartbeat->state = MESSAGE_STARTING;
   if (fleet->config.confsync != NULL)
     heartbeat->config_index = confsync_index (fleet->config.confsync);
   lessee_heartbeat (fleet->lessee, heartbeat->sequence, fleet->now_ns);
--- a/src/coordination/lessee.c
+++ b/src/coordination/lessee.c
@@ -9,6 +9,7 @@
 #define NS_PER_MS  UINT64_C (1000000)
 #define HEARTBEATS 128 /* heartbeats whose sending is remembered */
 #define ITEMS_MAX  256 /* items of one hold message */
+#define ASKERS_MAX 128 /* instances that are to be told everything */
 
 /* What is held at one upstream, besides the entry in the slot table. */
 struct lessee_lease
@@ -21,8 +22,11 @@
   uint64_t sequence;
   uint32_t granted;
   uint32_t kept; /* as last reported: granted, or busy where that is more */
-  uint64_t report_to; /* instance that is to be told; 0 for none */
-  bool draining;      /* configured to drain */
+  uint64_t report_to;  /* instance that is to be told; 0 for none */
+  bool again;          /* a fall was told once */
+  bool draining;       /* configured to drain */
+  uint64_t current;    /* member_lessor of the upstream */
+  uint64_t generation; /* of the members when that was looked up */
   UT_hash_handle hh;
 };
 
@@ -43,11 +47,15 @@
   uint64_t catalog_generation;
   uint64_t sequences[HEARTBEATS]; /* ring of heartbeats by sequence */
   uint64_t sent_ns[HEARTBEATS];
-  uint64_t newest; /* sequence of the newest heartbeat; 0 for none */
-  uint64_t due_ns; /* nothing is to be settled before */
+  uint64_t newest;   /* sequence of the newest heartbeat; 0 for none */
+  uint64_t full_ns;  /* everything is next reported */
+  uint64_t again_ns; /* falls are next told a second time */
+  uint64_t due_ns;   /* nothing is to be settled before */
   bool synced;
   bool draining;
   bool reporting; /* some lease is to be reported */
+  uint64_t askers[ASKERS_MAX];
+  uint32_t asker_count;
 };
 
 static struct lessee_lease *lease_find (const struct lessee *lessee,
@@ -63,13 +71,18 @@
 static void settle_all (struct lessee *lessee, uint64_t now_ns);
 static uint64_t lease_end (const struct lessee *lessee,
                            const struct message_grant *grant, uint64_t now_ns);
-static void answer (struct lessee *lessee, uint64_t lessor_id,
-                    const struct message_grant *grant);
+static void answer (struct lessee *lessee, uint64_t lessor_id);
+static uint64_t lessor_of (const struct lessee *lessee,
+                           struct lessee_lease *lease);
+static void tell_again (struct lessee *lessee, uint64_t now_ns);
 static bool apply (struct lessee *lessee, uint64_t lessor_id,
                    uint64_t incarnation,
                    const struct message_grant_item *item);
-static bool send_one (struct lessee *lessee, uint64_t lessor_id,
-                      const struct message_link *link);
+static void fill_item (const struct lessee_lease *lease,
+                       const struct member *lessor,
+                       struct message_hold_item *item);
+static int send_to (struct lessee *lessee, uint64_t lessor_id, bool all,
+                    const struct message_link *link);
 
 struct lessee *
 lessee_new (struct slots *slots, const struct catalog *catalog,
@@ -238,8 +251,8 @@
   if (lease->kept == keep)
     return changed;
   lease->kept = keep;
-  if (lease->lessor_id != 0)
-    report (lessee, lease);
+  lease->again = true;
+  report (lessee, lease);
   return changed;
 }
 
@@ -261,6 +274,12 @@
     }
 }
 
+void
+lessee_link_up (struct lessee *lessee, uint64_t instance_id)
+{
+  answer (lessee, instance_id);
+}
+
 void
 lessee_heartbeat (struct lessee *lessee, uint64_t sequence, uint64_t now_ns)
 {
@@ -288,22 +307,48 @@
   return from_ns + grant->lease_ms * NS_PER_MS;
 }
 
+/* One that finds no room asks again. */
 static void
-answer (struct lessee *lessee, uint64_t lessor_id,
-        const struct message_grant *grant)
+answer (struct lessee *lessee, uint64_t lessor_id)
 {
-  size_t i;
+  uint32_t i = 0;
 
-  for (i = 0; i < grant->item_count; i++)
+  while (i < lessee->asker_count && lessee->askers[i] != lessor_id)
+    i++;
+  if (i == lessee->asker_count && i < ASKERS_MAX)
+    lessee->askers[lessee->asker_count++] = lessor_id;
+}
+
+/* The lessor as seen here.  One that has ceased to be it for this upstream
+   may still be it for others, and its renewals are for those only. */
+static uint64_t
+lessor_of (const struct lessee *lessee, struct lessee_lease *lease)
+{
+  if (lease->current == 0 || lease->generation != lessee->members->generation)
     {
-      struct lessee_lease *lease
-          = lease_find (lessee, grant->items[i].upstream_id);
+      lease->current = member_lessor (lessee->members, lease->upstream_id);
+      lease->generation = lessee->members->generation;
+    }
+  return lease->current;
+}
 
-      if (lease == NULL)
-        continue;
-      lease->report_to = lessor_id;
-      lessee->reporting = true;
+/* A grant that is lost is repeated, as it is not confirmed; nothing confirms
+   that a fall was heard of, so it is told twice, and all is in a while. */
+static void
+tell_again (struct lessee *lessee, uint64_t now_ns)
+{
+  struct lessee_lease *lease;
+  bool all = now_ns >= lessee->full_ns;
+
+  for (lease = lessee->leases; lease != NULL; lease = lease->hh.next)
+    {
+      if (all || lease->again)
+        report (lessee, lease);
+      lease->again = false;
     }
+  lessee->again_ns = now_ns + LESSEE_AGAIN_MS * NS_PER_MS;
+  if (all)
+    lessee->full_ns = now_ns + LESSEE_FULL_MS * NS_PER_MS;
 }
 
 /* @return true when capacity changed. */
@@ -315,8 +360,7 @@
   struct slots_entry *entry;
   uint32_t before;
 
-  if (lease == NULL
-      || member_lessor (lessee->members, item->upstream_id) != lessor_id)
+  if (lease == NULL || lessor_of (lessee, lease) != lessor_id)
     return false;
   if (lease->lessor_id == lessor_id && lease->lessor_incarnation == incarnation
       && item->sequence <= lease->sequence)
@@ -355,7 +399,7 @@
   sync_catalog (lessee);
   if (grant->lease_ms == 0)
     {
-      answer (lessee, lessor_id, grant);
+      answer (lessee, lessor_id);
       return 0;
     }
   if (end_ns <= now_ns)
@@ -370,6 +414,7 @@
   for (lease = lessee->leases; lease != NULL; lease = lease->hh.next)
     if (lease->lessor_id == lessor_id
         && lease->lessor_incarnation == grant->lessor_incarnation
+        && lessor_of (lessee, lease) == lessor_id
         && end_ns > lease->entry->expiry_ns)
       lease->entry->expiry_ns = end_ns;
   lessee->due_ns = 0;
@@ -413,6 +458,7 @@
       lease->granted = entry->capacity;
       lease->kept = lease->granted;
       released += idle;
+      lease->again = true;
       report (lessee, lease);
     }
   if (released > 0)
@@ -420,46 +466,55 @@
   return released;
 }
 
-/* Sends one lessor one message of what it is to be told.
-   @return true when some was sent. */
-static bool
-send_one (struct lessee *lessee, uint64_t lessor_id,
-          const struct message_link *link)
+static void
+fill_item (const struct lessee_lease *lease, const struct member *lessor,
+           struct message_hold_item *item)
+{
+  item->upstream_id = lease->upstream_id;
+  item->sequence = lease->lessor_id == lessor->instance_id
+                           && lease->lessor_incarnation == lessor->incarnation
+                       ? lease->sequence
+                       : 0;
+  item->capacity = lease->granted > lease->entry->busy ? lease->granted
+                                                       : lease->entry->busy;
+  item->busy = lease->entry->busy;
+}
+
+/* Tells one lessor what it is to be told, or all that is held anywhere.
+   @return number of messages sent. */
+static int
+send_to (struct lessee *lessee, uint64_t lessor_id, bool all,
+         const struct message_link *link)
 {
   const struct member *lessor = member_find (lessee->members, lessor_id);
   struct message_hold_item items[ITEMS_MAX];
-  struct message message
-      = { .kind = MESSAGE_HOLD,
-          .u.hold
-          = { .lessor_incarnation = 0, .item_count = 0, .items = items } };
+  struct message message = { .kind = MESSAGE_HOLD, .u.hold = { 0, 0, items } };
+  struct message_hold *hold = &message.u.hold;
   struct lessee_lease *lease;
+  int sent = 0;
 
-  for (lease = lessee->leases;
-       lease != NULL && message.u.hold.item_count < ITEMS_MAX;
-       lease = lease->hh.next)
+  if (lessor != NULL)
+    hold->lessor_incarnation = lessor->incarnation;
+  for (lease = lessee->leases; lease != NULL; lease = lease->hh.next)
     {
-      struct message_hold_item *item = &items[message.u.hold.item_count];
-
-      if (lease->report_to != lessor_id)
+      if (!all && lease->report_to != lessor_id)
+        continue;
+      if (lease->report_to == lessor_id)
+        lease->report_to = 0;
+      if (lessor == NULL)
         continue;
-      lease->report_to = 0;
-      item->upstream_id = lease->upstream_id;
-      item->sequence
-          = lessor != NULL && lease->lessor_id == lessor_id
-                    && lease->lessor_incarnation == lessor->incarnation
-                ? lease->sequence
-                : 0;
-      item->capacity = lease->granted > lease->entry->busy
-                           ? lease->granted
-                           : lease->entry->busy;
-      item->busy = lease->entry->busy;
-      message.u.hold.item_count++;
+      fill_item (lease, lessor, &items[hold->item_count++]);
+      if (hold->item_count == ITEMS_MAX)
+        {
+          link->send (link->user, lessor_id, &message);
+          hold->item_count = 0;
+          sent++;
+        }
     }
-  if (lessor == NULL || message.u.hold.item_count == 0)
-    return false;
-  message.u.hold.lessor_incarnation = lessor->incarnation;
+  if (hold->item_count == 0)
+    return sent;
   link->send (link->user, lessor_id, &message);
-  return true;
+  return sent + 1;
 }
 
 int
@@ -472,12 +527,16 @@
   sync_catalog (lessee);
   if (now_ns >= lessee->due_ns)
     settle_all (lessee, now_ns);
+  if (now_ns >= lessee->again_ns)
+    tell_again (lessee, now_ns);
+  while (lessee->asker_count > 0)
+    sent
+        += send_to (lessee, lessee->askers[--lessee->asker_count], true, link);
   if (!lessee->reporting)
-    return 0;
+    return sent;
   for (lease = lessee->leases; lease != NULL; lease = lease->hh.next)
-    while (lease->report_to != 0)
-      if (send_one (lessee, lease->report_to, link))
-        sent++;
+    if (lease->report_to != 0)
+      sent += send_to (lessee, lease->report_to, false, link);
   lessee->reporting = false;
   return sent;
 }
--- a/src/coordination/lessee.h
+++ b/src/coordination/lessee.h
@@ -21,7 +21,9 @@
 #include "state/slots.h"
 #include <stdint.h>
 
-#define LESSEE_RELEASE_MS 10 /**< between releases of a service */
+#define LESSEE_RELEASE_MS 10    /**< between releases of a service */
+#define LESSEE_AGAIN_MS   200   /**< until a fall is told again */
+#define LESSEE_FULL_MS    10000 /**< between reports of everything held */
 
 struct lessee;
 
@@ -38,6 +40,10 @@
 void lessee_heartbeat (struct lessee *lessee, uint64_t sequence,
                        uint64_t now_ns);
 
+/** A link is up anew: messages on the old one may be lost, so everything is
+    reported again. */
+void lessee_link_up (struct lessee *lessee, uint64_t instance_id);
+
 /** Gives back idle slots of a service that nobody waits for here while
     `wanted` requests wait elsewhere: at most `wanted`, once in
     LESSEE_RELEASE_MS, so that instances which all hear of one waiting request
--- a/src/coordination/lessor.c
+++ b/src/coordination/lessor.c
@@ -100,11 +100,26 @@
 
   if (peer != NULL && heartbeat->sequence > peer->heartbeat_sequence)
     peer->heartbeat_sequence = heartbeat->sequence;
+  if (peer != NULL)
+    peer->closed = false;
   if (heartbeat->demand_count > 0 || heartbeat->full)
     lessor->stirred = true;
   return demand_apply (&lessor->demand, instance_id, heartbeat);
 }
 
+void
+lessor_link_down (struct lessor *lessor, uint64_t instance_id, uint64_t now_ns)
+{
+  struct lessor_peer *peer = lessor_peer_find (lessor, instance_id);
+  uint64_t ends_ns = now_ns + lessor->config.grace_ms * LESSOR_NS_PER_MS;
+
+  if (peer == NULL)
+    return;
+  peer->closed = true;
+  if (peer->expires_ns > ends_ns)
+    peer->expires_ns = ends_ns;
+}
+
 void
 lessor_instance_gone (struct lessor *lessor, uint64_t instance_id)
 {
@@ -112,7 +127,8 @@
 }
 
 /* What a lessee held before this lessor became responsible is granted to it
-   as it is, so that its lease goes on. */
+   as it is, so that its lease goes on; even if that is nothing, as the lessor
+   before may grant it some until the lessee sees the change too. */
 static int
 adopt (struct lessor *lessor, struct lessor_peer *peer,
        const struct message_hold_item *item)
@@ -131,7 +147,7 @@
   was_known = lease->known;
   if (lessor_lease_hold (lease, item))
     lessor->stirred = true;
-  if (was_known || lease->capacity == 0)
+  if (was_known)
     return 0;
   return lessor_lease_grant (lessor, upstream, peer, lease, lease->capacity);
 }
@@ -148,6 +164,8 @@
     return ERR_STALE;
   if (peer == NULL)
     return ERR_NOT_FOUND;
+  peer->unanswered_ns = 0;
+  peer->deaf = false;
   if (peer->expires_ns == 0)
     peer->expires_ns = now_ns + lessor_lease_ns (lessor);
   for (i = 0; i < hold->item_count && result == 0; i++)
@@ -205,6 +223,8 @@
   if (ends_ns > peer->expires_ns)
     peer->expires_ns = ends_ns;
   peer->renewed_ns = now_ns;
+  if (peer->item_count > 0)
+    lessor_peer_sent (peer, now_ns);
   link->send (link->user, peer->instance_id, &message);
   peer->item_count = 0;
 }
@@ -245,8 +265,16 @@
 
   lessor->asking = false;
   for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
-    if (peer->alive)
-      ask (lessor, peer, link);
+    if (peer->alive || peer->deaf)
+      {
+        if (ask (lessor, peer, link))
+          lessor_peer_sent (peer, lessor->run_ns);
+        else if (!lessor_peer_owes (lessor, peer))
+          {
+            peer->unanswered_ns = 0;
+            peer->deaf = false;
+          }
+      }
 }
 
 static void
@@ -296,6 +324,12 @@
   return result;
 }
 
+bool
+lessor_is_alone (const struct lessor *lessor)
+{
+  return lessor->alive_count == 1 && lessor->known_count > 1;
+}
+
 uint32_t
 lessor_reserved (const struct lessor *lessor, uint64_t upstream_id)
 {
--- a/src/coordination/lessor.h
+++ b/src/coordination/lessor.h
@@ -10,6 +10,15 @@
  * all have answered or a lease time and the grace have passed.  An instance
  * that becomes alive is asked before its first grant.
  *
+ * An instance whose link was closed has most likely ended: its leases run out
+ * after the grace unless it is heard again.  One that is silent keeps its
+ * leases to their time, since it may be cut off and at work.  One that is
+ * heard but answers no grant does not hear, and counts as silent from the
+ * first grant that it did not answer.  A lessor that
+ * hears half of the members or fewer is likely on the smaller side of a
+ * partition: for LESSOR_RESTRAINT_MS it leases out only that part of the
+ * slots, so that the two sides together do not use them twice.
+ *
  * Messages to this instance itself go through the link too; the caller loops
  * them back.
  */
@@ -21,8 +30,11 @@
 #include "state/catalog.h"
 #include "state/ledger.h"
 #include "state/share.h"
+#include <stdbool.h>
 #include <stdint.h>
 
+#define LESSOR_RESTRAINT_MS 30000 /**< after members were last heard */
+
 struct lessor_config
 {
   uint32_t lease_ms; /**< that a lessee may use a grant */
@@ -52,6 +64,10 @@
 int lessor_hold (struct lessor *lessor, uint64_t instance_id,
                  const struct message_hold *hold, uint64_t now_ns);
 
+/** The link to an instance was closed. */
+void lessor_link_down (struct lessor *lessor, uint64_t instance_id,
+                       uint64_t now_ns);
+
 /** An instance is gone or restarted; its leases end at their time. */
 void lessor_instance_gone (struct lessor *lessor, uint64_t instance_id);
 
@@ -63,6 +79,10 @@
 int lessor_run (struct lessor *lessor, uint64_t now_ns, bool full,
                 const struct message_link *link);
 
+/** Whether no other instance hears this one or is heard by it, though some
+    were not long ago.  Such an instance should not be lessor to others. */
+bool lessor_is_alone (const struct lessor *lessor);
+
 /** Slots of an upstream that lessees may still use; for tests and status. */
 uint32_t lessor_reserved (const struct lessor *lessor, uint64_t upstream_id);
 
--- a/src/coordination/lessor_int.h
+++ b/src/coordination/lessor_int.h
@@ -56,6 +56,9 @@
   uint64_t incarnation;
   bool alive;    /**< messages reach it, as far as is known */
   bool eligible; /**< alive and taking requests */
+  bool closed;   /**< its link was closed and it was not heard since */
+  bool deaf;     /**< heard, but it answered nothing for too long */
+  uint64_t unanswered_ns; /**< first message without an answer; 0: none */
   uint64_t heartbeat_sequence;
   uint64_t expires_ns; /**< its leases end, unless renewed; 0: has none */
   uint64_t renewed_ns; /**< last grant sent */
@@ -80,8 +83,10 @@
   uint64_t started_ns; /**< first run, or first after a pause */
   uint64_t run_ns;     /**< last run; 0 before */
   uint32_t alive_count;
-  bool stirred; /**< something changed since the last run */
-  bool asking;  /**< some live instance is to be asked what it holds */
+  uint32_t known_count; /**< alive, or silent for not too long */
+  bool restrained;      /**< on the smaller side of a partition, it seems */
+  bool stirred;         /**< something changed since the last run */
+  bool asking;          /**< some live instance is to be asked what it holds */
 };
 
 /** Lease of an instance; NULL when none. */
@@ -92,6 +97,11 @@
                                        uint64_t instance_id);
 /** Slots that the lessee may still use. */
 uint32_t lessor_lease_reserved (const struct lessor_lease *lease);
+/** Notes that an instance was sent something that it is to answer. */
+void lessor_peer_sent (struct lessor_peer *peer, uint64_t now_ns);
+/** Whether an instance has not confirmed some grant. */
+bool lessor_peer_owes (const struct lessor *lessor,
+                       const struct lessor_peer *peer);
 /** Slots that nobody may use. */
 uint32_t lessor_upstream_free (const struct lessor_upstream *upstream);
 /** Applies a hold item. @return true when it freed slots or was news. */
--- a/src/coordination/lessor_lease.c
+++ b/src/coordination/lessor_lease.c
@@ -50,6 +50,29 @@
                                             : lease->unsettled;
 }
 
+void
+lessor_peer_sent (struct lessor_peer *peer, uint64_t now_ns)
+{
+  if (peer->unanswered_ns == 0)
+    peer->unanswered_ns = now_ns;
+}
+
+bool
+lessor_peer_owes (const struct lessor *lessor, const struct lessor_peer *peer)
+{
+  const struct lessor_upstream *upstream;
+  const struct lessor_lease *lease;
+
+  for (upstream = lessor->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      lease = lessor_lease_find (upstream, peer->instance_id);
+      if (lease != NULL && lease->known && lease->confirmed < lease->sequence)
+        return true;
+    }
+  return false;
+}
+
 uint32_t
 lessor_upstream_free (const struct lessor_upstream *upstream)
 {
--- a/src/coordination/lessor_plan.c
+++ b/src/coordination/lessor_plan.c
@@ -18,6 +18,7 @@
   const struct lessor_service *service;
   struct demand_service *demand;
   uint32_t *desired; /* of one upstream's slots, by target */
+  bool ready;        /* the upstream at hand may be granted from */
   int64_t *excess;   /* slots held above the share here, by target */
 };
 
@@ -70,6 +71,7 @@
                    const struct lessor_upstream *upstream, uint64_t now_ns)
 {
   const struct member_table *members = lessor->config.members;
+  const struct lessor_peer *peer;
   const struct member *member;
   uint64_t lease_ns = lessor_lease_ns (lessor);
   uint32_t expected = HASH_COUNT (members->members);
@@ -80,11 +82,16 @@
     return false;
   if (now_ns >= upstream->since_ns + lease_ns)
     return true;
-  for (member = members->members; member != NULL; member = member->hh.next)
-    if (member->status == MEMBER_ALIVE
-            ? !is_known (upstream, member->instance_id)
-            : now_ns < member->heard_ns + lease_ns)
-      return false;
+  for (peer = lessor->peers; peer != NULL; peer = peer->hh.next)
+    {
+      member = member_find (members, peer->instance_id);
+      if (peer->alive && !is_known (upstream, peer->instance_id))
+        return false;
+      if (!peer->alive && !peer->closed && member != NULL
+          && now_ns < (peer->deaf ? peer->unanswered_ns : member->heard_ns)
+                          + lease_ns)
+        return false;
+    }
   return true;
 }
 
@@ -259,6 +266,9 @@
           || lease->granted <= desired)
         continue;
       cut = lease->granted - desired;
+      /* What cannot be raised elsewhere yet is better kept in use. */
+      if (excess != NULL && granted <= upstream->slots && !plan->ready)
+        continue;
       if (excess != NULL && granted <= upstream->slots && cut > *excess)
         cut = *excess > 0 ? (uint32_t)*excess : 0;
       if (cut == 0)
@@ -284,7 +294,7 @@
 
       if (peer != NULL && peer->alive && lease->known
           && lease->confirmed < lease->sequence
-          && lease->sent_turn + 1 < lessor->turn)
+          && lease->sent_turn < lessor->turn)
         result = lessor_lease_repeat (lessor, upstream, peer, lease);
     }
   return result;
@@ -344,9 +354,10 @@
         if (upstream->service_id != plan->service->id)
           continue;
         round_targets (plan, upstream);
+        plan->ready = lessor_plan_ready (lessor, upstream, now_ns);
         if (pass == 0)
           result = shrink (plan, upstream);
-        else if (lessor_plan_ready (lessor, upstream, now_ns))
+        else if (plan->ready)
           result = raise_shares (plan, upstream, pass == 2);
         if (result == 0 && pass == 2)
           result = repeat_unconfirmed (lessor, upstream);
@@ -358,9 +369,9 @@
 plan_service (struct lessor *lessor, struct lessor_service *service,
               uint64_t now_ns)
 {
-  struct plan plan
-      = { lessor, service, demand_find (&lessor->demand, service->id), NULL,
-          NULL };
+  struct plan plan = { .lessor = lessor,
+                       .service = service,
+                       .demand = demand_find (&lessor->demand, service->id) };
   int result = compute_targets (lessor, service, plan.demand);
 
   plan.desired = calloc (service->target_count + 1, sizeof *plan.desired);
--- a/src/coordination/lessor_refresh.c
+++ b/src/coordination/lessor_refresh.c
@@ -7,7 +7,10 @@
 #include "state/err.h"
 #include <stdlib.h>
 
-static int refresh_peer (struct lessor *lessor, const struct member *member);
+static int refresh_peer (struct lessor *lessor, const struct member *member,
+                         uint64_t now_ns);
+static uint32_t usable_slots (const struct lessor *lessor,
+                              const struct catalog_upstream *upstream);
 static bool takes_slots (const struct lessor *lessor,
                          const struct member *member);
 static bool is_forgettable (const struct lessor *lessor,
@@ -24,7 +27,8 @@
 static void forget_upstreams (struct lessor *lessor);
 
 static int
-refresh_peer (struct lessor *lessor, const struct member *member)
+refresh_peer (struct lessor *lessor, const struct member *member,
+              uint64_t now_ns)
 {
   struct lessor_peer *peer = lessor_peer_find (lessor, member->instance_id);
   bool was_alive;
@@ -48,14 +52,30 @@
       peer->heartbeat_sequence = 0;
       peer->expires_ns = 0;
       peer->item_count = 0;
+      peer->deaf = false;
+      peer->unanswered_ns = 0;
     }
   was_alive = peer->alive;
-  peer->alive = member->status == MEMBER_ALIVE;
+  if (peer->unanswered_ns != 0 && !peer->deaf
+      && now_ns - peer->unanswered_ns
+             > LESSOR_NS_PER_MS * MEMBER_SUSPECT_INTERVALS
+                   * lessor->config.members->interval_ms)
+    {
+      peer->deaf = true;
+      if (peer->expires_ns > peer->unanswered_ns + lessor_lease_ns (lessor))
+        peer->expires_ns = peer->unanswered_ns + lessor_lease_ns (lessor);
+    }
+  peer->alive = member->status == MEMBER_ALIVE && !peer->closed && !peer->deaf;
   peer->eligible = peer->alive && takes_slots (lessor, member);
   if (!peer->alive)
     peer->item_count = 0;
   if (peer->alive)
     lessor->alive_count++;
+  if (peer->alive
+      || (!peer->closed && member->state == MESSAGE_LIVE
+          && now_ns
+                 < member->heard_ns + LESSOR_RESTRAINT_MS * LESSOR_NS_PER_MS))
+    lessor->known_count++;
   if (peer->alive && !was_alive)
     lessor->asking = true;
   return 0;
@@ -130,6 +150,19 @@
   return service;
 }
 
+static uint32_t
+usable_slots (const struct lessor *lessor,
+              const struct catalog_upstream *upstream)
+{
+  uint64_t slots = upstream->draining ? 0 : upstream->slots;
+
+  if (!lessor->restrained || lessor->known_count == 0)
+    return (uint32_t)slots;
+  if (slots * lessor->alive_count < lessor->known_count)
+    return slots > 0 ? 1 : 0;
+  return (uint32_t)(slots * lessor->alive_count / lessor->known_count);
+}
+
 static int
 refresh_upstream (struct lessor *lessor, const struct catalog_service *service,
                   const struct catalog_upstream *configured, uint32_t first,
@@ -151,7 +184,7 @@
       lessor->asking = true;
     }
   upstream->epoch = lessor->epoch;
-  upstream->slots = configured->draining ? 0 : configured->slots;
+  upstream->slots = usable_slots (lessor, configured);
   upstream->first = first;
   return 0;
 }
@@ -171,7 +204,7 @@
   for (i = 0; i < service->upstream_count && result == 0; i++)
     {
       const struct catalog_upstream *upstream = &service->upstreams[i];
-      uint32_t usable = upstream->draining ? 0 : upstream->slots;
+      uint32_t usable = usable_slots (lessor, upstream);
 
       if (member_lessor (lessor->config.members, upstream->id)
           == lessor->config.members->self_id)
@@ -215,18 +248,25 @@
   const struct catalog *catalog = lessor->config.catalog;
   const struct member *member;
   const struct catalog_service *service;
+  uint32_t alive = lessor->alive_count;
+  bool restrained;
   int result = 0;
 
   lessor->alive_count = 0;
+  lessor->known_count = 0;
   for (member = members->members; member != NULL && result == 0;
        member = member->hh.next)
-    result = refresh_peer (lessor, member);
+    result = refresh_peer (lessor, member, now_ns);
   forget_peers (lessor);
+  restrained = 2 * lessor->alive_count <= lessor->known_count;
   if (result != 0
-      || (lessor->epoch != 0
+      || (restrained == lessor->restrained
+          && (!restrained || alive == lessor->alive_count)
+          && lessor->epoch != 0
           && lessor->member_generation == members->generation
           && lessor->catalog_generation == catalog->generation))
     return result;
+  lessor->restrained = restrained;
   lessor->epoch++;
   lessor->member_generation = members->generation;
   lessor->catalog_generation = catalog->generation;
--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -79,6 +79,7 @@
       member->config_index = 0;
     }
   member->incarnation = hello->incarnation;
+  member->link_down = false;
   memcpy (member->instance, hello->instance, sizeof member->instance);
   memcpy (member->availability_zone, hello->availability_zone,
           sizeof member->availability_zone);
@@ -163,6 +164,15 @@
   table->generation++;
 }
 
+void
+member_link_down (struct member_table *table, uint64_t instance_id)
+{
+  struct member *member = find (table, instance_id);
+
+  if (member != NULL)
+    member->link_down = true;
+}
+
 const struct member *
 member_find (const struct member_table *table, uint64_t instance_id)
 {
@@ -231,7 +241,7 @@
   if (silent_ns > MEMBER_GONE_INTERVALS * interval_ns)
     return MEMBER_GONE;
   if (silent_ns > MEMBER_SUSPECT_INTERVALS * interval_ns)
-    return MEMBER_SUSPECT;
+    return member->link_down ? MEMBER_GONE : MEMBER_SUSPECT;
   return MEMBER_ALIVE;
 }
 
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -32,6 +32,7 @@
   uint64_t incarnation;
   enum message_state state;
   enum member_status status;
+  bool link_down;        /**< its link was closed: gone as soon as suspect */
   uint64_t heard_ns;     /**< time of the last heartbeat */
   uint64_t config_index; /**< newest that it said it holds */
   UT_hash_handle hh;
@@ -64,6 +65,9 @@
 bool member_age (struct member_table *table, uint64_t instance_id,
                  uint64_t now_ns);
 
+/** Notes that the link to an instance was closed. */
+void member_link_down (struct member_table *table, uint64_t instance_id);
+
 /** Ages members. @return true when any status changed. */
 bool member_tick (struct member_table *table, uint64_t now_ns);
 
--- a/tests/support/fakefleet.h
+++ b/tests/support/fakefleet.h
@@ -78,6 +78,7 @@
   size_t job_count;
   struct fake_packet *packets;
   size_t packet_count;
+  uint64_t settled[FAKE_CUSTOMERS_MAX]; /**< cost units, since the start */
   /* Measured since fake_measure. */
   double service[FAKE_CUSTOMERS_MAX]; /**< cost units / weight */
   double low[FAKE_CUSTOMERS_MAX][FAKE_CUSTOMERS_MAX];
@@ -107,6 +108,9 @@
 void fake_configure (struct fakefleet *world, uint32_t upstream_count);
 /** Slots of an upstream that instances may use, or do. */
 uint32_t fake_capacity (const struct fakefleet *world, uint32_t upstream);
+/** Cost charged to a customer, as an instance's ledger has it. */
+uint64_t fake_accounted (const struct fakefleet *world, uint32_t node,
+                         uint32_t customer);
 /** Slots in use by one instance. */
 uint32_t fake_busy (const struct fakefleet *world, uint32_t node);
 
--- a/tests/test_fairness.c
+++ b/tests/test_fairness.c
@@ -8,18 +8,21 @@
 #include "support/suite.h"
 #include <stdio.h>
 
-#define COUNT(array)  (sizeof (array) / sizeof ((array)[0]))
-#define NODES         4
-#define UPSTREAMS     4
-#define SLOTS         8
-#define ALL_NODES     15
-#define NS_PER_MS     1000000.0
-#define WARM_UP_MS    2000
-#define RUN_MS        12000
-#define LEASE_END_MS  (FAKE_LEASE_MS + FAKE_LEASE_MS / 5) /* with the grace */
-#define UTILISATION   0.98
-#define TURNS_MAX     3
-#define SERVICE_COUNT 4 /* customers of most cases */
+#define COUNT(array)      (sizeof (array) / sizeof ((array)[0]))
+#define NODES             7
+#define UPSTREAMS         5
+#define SLOTS             8
+#define ALL_NODES         127
+#define NS_PER_MS         1000000.0
+#define WARM_UP_MS        2000
+#define RUN_MS            12000
+#define LEASE_END_MS      (FAKE_LEASE_MS + FAKE_LEASE_MS / 5) /* with the grace */
+#define UTILISATION       0.98
+#define FAULT_UTILISATION 0.95 /* in FAULT_MS after a fault */
+#define FAULT_MS          5000
+#define TURNS_MAX         3
+#define SERVICE_COUNT     4 /* customers of most cases */
+#define SEEDS             3 /* runs of each case with a fault */
 
 struct bounds
 {
@@ -35,8 +38,10 @@
 static const struct fake_customer flood[SERVICE_COUNT]
     = { { 1, 1, 1000, 200, 0, 0, 0 },
         { 1, ALL_NODES, 20, 200, 0, 0, 0 },
-        { 1, 8, 60, 200, 0, 0, 0 },
-        { 1, 6, 40, 200, 0, 0, 0 } };
+        { 1, 96, 60, 200, 0, 0, 0 },
+        { 1, 30, 40, 200, 0, 0, 0 } };
+
+static uint64_t seed = 1;
 
 static struct bounds bounds_of (const struct fakefleet *world);
 static struct fakefleet *start (const struct fake_customer *customers,
@@ -45,6 +50,11 @@
 static void show (const struct fakefleet *world, const char *name);
 static void check_fair (const struct fakefleet *world, const char *name);
 static void check_settled (struct fakefleet *world);
+static void check_accounts (const struct fakefleet *world, bool killed);
+static void cut_off (struct fakefleet *world, bool out, bool in, bool cut);
+static void run_fault (struct fakefleet *world, const char *name);
+static void run_partition (const char *name, bool out, bool in);
+static void with_seeds (void (*run) (void));
 static void run_case (const char *name, const struct fake_customer *customers,
                       uint32_t count, uint32_t ms);
 
@@ -89,7 +99,7 @@
                                 .customer_count = count,
                                 .customers = customers,
                                 .policy = policy,
-                                .seed = 1 };
+                                .seed = seed };
   struct fakefleet *world = fake_new (&config);
 
   fake_run (world, WARM_UP_MS);
@@ -169,7 +179,7 @@
   static const struct fake_customer customers[]
       = { { 1, 1, 60, 200, 0, 22, 0 },
           { 1, ALL_NODES, 20, 200, 0, 0, 0 },
-          { 1, 14, 20, 200, 0, 0, 0 } };
+          { 1, 62, 20, 200, 0, 0, 0 } };
 
   run_case ("hint 20 times too low", customers, COUNT (customers), RUN_MS);
 }
@@ -180,7 +190,7 @@
   static const struct fake_customer customers[]
       = { { 1, ALL_NODES, 30, 200, 0, 0, 700 },
           { 1, 1, 60, 200, 0, 0, 0 },
-          { 1, 14, 20, 200, 0, 0, 0 } };
+          { 1, 62, 20, 200, 0, 0, 0 } };
 
   run_case ("pulse", customers, COUNT (customers), RUN_MS);
 }
@@ -237,6 +247,252 @@
   fake_free (world);
 }
 
+/* Every instance has the same accounts, and they are what was served; but for
+   what a killed instance had not reported, or not finished. */
+static void
+check_accounts (const struct fakefleet *world, bool killed)
+{
+  struct bounds bounds = bounds_of (world);
+  double unreported = killed ? bounds.cost_per_ms * FAKE_INTERVAL_MS : 0;
+  double unfinished = killed ? UPSTREAMS * SLOTS * bounds.cost : 0;
+  uint32_t c;
+  uint32_t n;
+
+  for (c = 0; c < world->config.customer_count; c++)
+    for (n = 0; n < NODES; n++)
+      {
+        double accounted = (double)fake_accounted (world, n, c);
+        double served = (double)world->settled[c];
+
+        CU_ASSERT_EQUAL (accounted, (double)fake_accounted (world, 0, c));
+        CU_ASSERT (accounted >= served - unreported);
+        CU_ASSERT (accounted <= served + unfinished);
+      }
+}
+
+static void
+with_seeds (void (*run) (void))
+{
+  for (seed = 1; seed <= SEEDS; seed++)
+    run ();
+  seed = 1;
+}
+
+/* Cuts instance 1 off, or mends its links. */
+static void
+cut_off (struct fakefleet *world, bool out, bool in, bool cut)
+{
+  uint32_t n;
+
+  for (n = 0; n < NODES; n++)
+    {
+      if (n != 1 && out)
+        fake_cut (world, 1, n, cut);
+      if (n != 1 && in)
+        fake_cut (world, n, 1, cut);
+    }
+}
+
+/* The time after a fault, and after it is mended. */
+static void
+run_fault (struct fakefleet *world, const char *name)
+{
+  fake_run (world, FAULT_MS);
+  show (world, name);
+  CU_ASSERT (fake_utilisation (world) >= FAULT_UTILISATION);
+}
+
+static void
+run_partition (const char *name, bool out, bool in)
+{
+  struct fakefleet *world = start (flood, COUNT (flood), &share_fleet);
+
+  cut_off (world, out, in, true);
+  run_fault (world, name);
+  cut_off (world, out, in, false);
+  fake_run (world, RUN_MS);
+  check_fair (world, "  and mended");
+  fake_measure (world);
+  fake_run (world, RUN_MS);
+  check_fair (world, "  later");
+  CU_ASSERT_EQUAL (world->oversubscribed, 0);
+  check_settled (world);
+  check_accounts (world, false);
+  fake_free (world);
+}
+
+static void
+run_cut_off_both_ways (void)
+{
+  run_partition ("cut off both ways", true, true);
+}
+
+static void
+test_cut_off_both_ways (void)
+{
+  with_seeds (run_cut_off_both_ways);
+}
+
+static void
+run_cut_off_outwards (void)
+{
+  run_partition ("cut off outwards", true, false);
+}
+
+static void
+test_cut_off_outwards (void)
+{
+  with_seeds (run_cut_off_outwards);
+}
+
+static void
+run_cut_off_inwards (void)
+{
+  run_partition ("cut off inwards", false, true);
+}
+
+static void
+test_cut_off_inwards (void)
+{
+  with_seeds (run_cut_off_inwards);
+}
+
+static void
+run_kill_and_cold_restart (void)
+{
+  struct fakefleet *world = start (flood, COUNT (flood), &share_fleet);
+
+  fake_kill (world, 1);
+  run_fault (world, "killed");
+  fake_start (world, 1);
+  fake_run (world, FAULT_MS);
+  check_fair (world, "  and restarted cold");
+  CU_ASSERT_EQUAL (world->oversubscribed, 0);
+  check_settled (world);
+  check_accounts (world, true);
+  fake_free (world);
+}
+
+static void
+test_kill_and_cold_restart (void)
+{
+  with_seeds (run_kill_and_cold_restart);
+}
+
+static void
+run_pause_past_the_lease (void)
+{
+  struct fakefleet *world = start (flood, COUNT (flood), &share_fleet);
+
+  world->nodes[1].paused = true;
+  fake_run (world, 2 * LEASE_END_MS);
+  show (world, "paused");
+  world->nodes[1].paused = false;
+  run_fault (world, "  and resumed");
+  fake_run (world, RUN_MS);
+  CU_ASSERT (fake_gap (world) <= bounds_of (world).gap);
+  fake_measure (world);
+  fake_run (world, FAULT_MS);
+  check_fair (world, "  later");
+  check_settled (world);
+  check_accounts (world, false);
+  fake_free (world);
+}
+
+static void
+test_pause_past_the_lease (void)
+{
+  with_seeds (run_pause_past_the_lease);
+}
+
+static void
+run_reports_lost_repeated_reordered_late (void)
+{
+  struct fakefleet *world = start (flood, COUNT (flood), &share_fleet);
+
+  world->config.loss_percent = 5;
+  world->config.repeat_percent = 5;
+  world->config.delay_ms = 20;
+  fake_run (world, RUN_MS);
+  show (world, "reports lost, repeated, reordered, late");
+  CU_ASSERT (fake_gap (world) <= bounds_of (world).gap);
+  CU_ASSERT (fake_utilisation (world) >= FAULT_UTILISATION);
+  CU_ASSERT_EQUAL (world->oversubscribed, 0);
+  world->config.loss_percent = 0;
+  check_settled (world);
+  check_accounts (world, false);
+  fake_free (world);
+}
+
+static void
+test_reports_lost_repeated_reordered_late (void)
+{
+  with_seeds (run_reports_lost_repeated_reordered_late);
+}
+
+/* All slots to the only instance with work, and back to the others. */
+static void
+test_capacity_follows_work (void)
+{
+  static const struct fake_customer customers[]
+      = { { 1, 1, 200, 50, 0, 0, 0 }, { 1, 126, 60, 50, 0, 0, 0 } };
+  struct fakefleet *world = start (customers, COUNT (customers), &share_fleet);
+  uint32_t n;
+  uint32_t others = 0;
+
+  world->customers[1].outstanding = 0;
+  fake_run (world, WARM_UP_MS);
+  world->customers[0].outstanding = 0;
+  fake_run (world, WARM_UP_MS);
+  world->customers[0].outstanding = 200;
+  fake_run (world, 2 * FAKE_INTERVAL_MS);
+  CU_ASSERT_EQUAL (fake_busy (world, 0), UPSTREAMS * SLOTS);
+  fake_run (world, WARM_UP_MS);
+  CU_ASSERT_EQUAL (fake_busy (world, 0), UPSTREAMS * SLOTS);
+  world->customers[1].outstanding = 60;
+  fake_run (world, 2 * FAKE_INTERVAL_MS + 50);
+  for (n = 1; n < NODES; n++)
+    others += fake_busy (world, n);
+  CU_ASSERT (others >= UPSTREAMS * SLOTS / 2 - 1);
+  check_settled (world);
+  fake_free (world);
+}
+
+static void
+test_upstreams_change (void)
+{
+  struct fakefleet *world = start (flood, COUNT (flood), &share_fleet);
+
+  world->slowness[0] = 4;
+  fake_run (world, FAULT_MS);
+  show (world, "an upstream is slower");
+  CU_ASSERT (fake_utilisation (world) >= UTILISATION);
+  world->upstreams[1].slots = SLOTS / 2;
+  fake_configure (world, UPSTREAMS);
+  fake_run (world, 1000);
+  fake_measure (world);
+  fake_run (world, FAULT_MS);
+  show (world, "  another has fewer slots");
+  CU_ASSERT_EQUAL (world->oversubscribed, 0);
+  CU_ASSERT (fake_utilisation (world) >= UTILISATION);
+  fake_configure (world, UPSTREAMS - 1);
+  fake_run (world, 1000);
+  CU_ASSERT_EQUAL (fake_capacity (world, UPSTREAMS - 1), 0);
+  world->upstreams[2].draining = true;
+  fake_configure (world, UPSTREAMS + 1);
+  fake_run (world, 1000);
+  CU_ASSERT_EQUAL (fake_capacity (world, 2), 0);
+  world->upstreams[2].draining = false;
+  fake_configure (world, UPSTREAMS + 1);
+  fake_run (world, 1000);
+  fake_measure (world);
+  fake_run (world, FAULT_MS);
+  show (world, "  one gone, two new");
+  CU_ASSERT (fake_utilisation (world) >= UTILISATION);
+  check_settled (world);
+  fake_free (world);
+}
+
 static const struct suite_test tests[] = {
   { "a customer floods one instance", test_flood },
   { "a customer's cost is 20 times its hint", test_wrong_hint },
@@ -245,6 +501,15 @@
   { "many customers, three of them large", test_many_customers },
   { "requests of very different sizes", test_mixed_sizes },
   { "a static split is unfair", test_static_is_unfair },
+  { "capacity follows work", test_capacity_follows_work },
+  { "an instance is killed and restarted cold", test_kill_and_cold_restart },
+  { "an instance is cut off both ways", test_cut_off_both_ways },
+  { "an instance is not heard", test_cut_off_outwards },
+  { "an instance does not hear", test_cut_off_inwards },
+  { "an instance pauses past its lease", test_pause_past_the_lease },
+  { "reports lost, repeated, reordered, late",
+    test_reports_lost_repeated_reordered_late },
+  { "upstreams slower, smaller, gone, new", test_upstreams_change },
 };
 
 SUITE_MAIN ("test_fairness", tests)
