--- /dev/null
+++ b/bench/fair_targets.awk
@@ -0,0 +1,32 @@
+# Compares the figures of one run with the targets, which were set before any
+# run; exits 1 when one is missed.  The baselines are only measured.
+{ value[$1] = $2 }
+
+function want (key, relation, limit,    missed)
+{
+  missed = !(key in value) || (relation == "<=" && value[key] + 0 > limit) \
+    || (relation == ">=" && value[key] + 0 < limit)
+  printf "target %s %s %s %s\n", key, relation, limit, missed ? "MISSED" : "met"
+  if (missed)
+    failed = 1
+}
+
+END {
+  want("load_exit", "<=", 0)
+  if (value["policy"] == "fleet")
+    {
+      want("gap_ratio", "<=", value["fault"] == "none" ? 0.5 : 1.0)
+      if (value["fault"] == "none")
+        {
+          want("gap_fair_turns", "<=", 1.0)
+          want("utilisation", ">=", 0.98)
+        }
+      else
+        want("utilisation_after_fault", ">=", 0.95)
+      want("starved_customers", "<=", 0)
+      want("control_bytes_per_second_per_node", "<=", 9216)
+      want("control_cpu_percent_per_node", "<=", 4.6)
+      want("rss_mb", "<=", 32)
+    }
+  exit failed
+}
