--- a/bench/fair.sh
+++ b/bench/fair.sh
@@ -215,6 +215,7 @@
   echo "exchange_ms $exchange_ms"
   echo "lease_ms $lease_ms"
   cat "$work/load"
+  [ ! -f "$work/notes" ] || cat "$work/notes"
   echo "control_bytes_per_second_per_node $(growth cherrylanding_control_bytes_total out)"
   echo "control_cpu_percent_per_node $(percent cherrylanding_control_cpu_seconds_total)"
   echo "cpu_percent_per_node $(percent process_cpu_seconds_total)"
--- a/bench/fair_faults.sh
+++ b/bench/fair_faults.sh
@@ -20,10 +20,54 @@
   case $fault in
     none | pause | flood) ;;
     kill) lost="--lost-router $victim" ;;
+    partition) prepare_partition ;;
+    store-down) prepare_store ;;
     *) die "unknown fault $fault" ;;
   esac
 }
 
+# All links of the victim go through relays: one in front of it, and one in
+# front of each other router for the victim's own dialling.
+prepare_partition ()
+{
+  choose_ports $routers
+  targets=127.0.0.1:$(peer_port $victim)
+  index=0
+  while [ $index -lt $routers ]; do
+    targets=$targets,127.0.0.1:$(peer_port $index)
+    index=$((index + 1))
+  done
+  start_standin relay relay --workers $((routers + 1)) --target "$targets"
+  wait_line "$work/relay" '^control'
+  relay_address ()
+  {
+    awk '$1 == "relay" { print $2 }' "$work/relay" | sed -n "$1p"
+  }
+  peer_address ()
+  {
+    if [ "$2" -eq $victim ]; then
+      relay_address 1
+    elif [ "$1" -eq $victim ]; then
+      relay_address $(($2 + 2))
+    else
+      echo "127.0.0.1:$(peer_port "$2")"
+    fi
+  }
+}
+
+# The configuration comes from the store instead of the file.
+prepare_store ()
+{
+  start_standin store store
+  platform_kind=http
+  platform_address=$(addresses_of store)
+}
+
+links_of ()
+{
+  metrics "$1" | awk '$1 == "cherrylanding_peer_links" { print $2 }'
+}
+
 run_fault ()
 {
   [ "$fault" != none ] || return 0
@@ -36,6 +80,18 @@
       start_router $victim $routers
       wait_router $victim
       ;;
+    # Cuts a router off from all others, both ways, and lets it rejoin.
+    partition)
+      fault relay kind=partition
+      pause_s 4
+      echo "links_during_partition $(links_of $victim)" >> "$work/notes"
+      fault relay kind=none
+      ;;
+    store-down)
+      fault store kind=refuse
+      pause_s 6
+      fault store kind=none
+      ;;
     # Stops a router past its leases, then lets it go on.
     pause)
       kill -STOP "$(victim_pid)"
--- /dev/null
+++ b/bench/fair_matrix.sh
@@ -0,0 +1,62 @@
+# Runs the fairness bench over its cases, faults and baselines, prints one
+# line for each, and compares the mechanism with the baselines.  Sourced by
+# fair.sh for --matrix.
+
+status=0
+lines=$(mktemp)
+trap 'rm -f "$lines"' EXIT
+
+# one POLICY FAULT CASE
+one ()
+{
+  figures=$(mktemp)
+  sh "$here/fair.sh" "$build" --shape "$shape" --seconds "$seconds" \
+    --seed "$seed" --policy "$1" --fault "$2" --case "$3" $record \
+    > "$figures" 2>&1
+  code=$?
+  [ $code -eq 0 ] || status=1
+  awk -v policy="$1" -v fault="$2" -v name="$3" -v code=$code '
+    { value[$1] = $2 }
+    $1 == "target" && $NF == "MISSED" { missed = missed " " $2 }
+    END {
+      printf "%-7s %-10s %-8s ratio %.3f turns %6.3f utilisation %.4f after %s starved %s control %s cpu %s rss %s %s%s\n",
+        policy, fault, name, value["gap_ratio"], value["gap_fair_turns"],
+        value["utilisation"],
+        ("utilisation_after_fault" in value) ? value["utilisation_after_fault"] : "-",
+        value["starved_customers"], value["control_bytes_per_second_per_node"],
+        value["control_cpu_percent_per_node"], value["rss_mb"],
+        code == 0 ? "met" : "MISSED", missed
+    }' "$figures" | tee -a "$lines"
+  rm -f "$figures"
+}
+
+for name in base single hint pulse weights mixed; do
+  one fleet none $name
+done
+for name in kill partition pause flood store-down; do
+  one fleet $name base
+done
+one static none base
+one fcfs none base
+one static flood base
+one fcfs flood base
+
+# The mechanism has to beat each baseline on the gap by this factor.
+awk -v factor=5 '
+  { ratio[$1 " " $2 " " $3] = $5; utilisation[$1 " " $2 " " $3] = $9 }
+  END {
+    for (run in ratio) {
+      split (run, part, " ")
+      if (part[1] == "fleet")
+        continue
+      own = "fleet " part[2] " " part[3]
+      gain = ratio[own] > 0 ? ratio[run] / ratio[own] : 0
+      good = gain >= factor && utilisation[own] >= utilisation[run] - 0.005
+      printf "target gap_gain_over_%s_%s >= %d %.1f %s\n", part[1], part[2],
+        factor, gain, good ? "met" : "MISSED"
+      if (!good)
+        failed = 1
+    }
+    exit failed
+  }' "$lines" || status=1
+exit $status
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -154,10 +154,16 @@
   done
 }
 
+# choose_ports COUNT: of that many routers.
+choose_ports ()
+{
+  "$build/standin" ports --workers $(($1 * 3)) > "$work/ports"
+}
+
 # start_routers COUNT
 start_routers ()
 {
-  "$build/standin" ports --workers $(($1 * 3)) > "$work/ports"
+  [ -f "$work/ports" ] || choose_ports "$1"
   index=0
   while [ $index -lt "$1" ]; do
     start_router $index "$1"
