--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -245,6 +245,8 @@
       += (uint64_t)job->text.input_tokens * options->input_cost;
   if (job->streamed)
     start_response (job);
+  if (options->instant)
+    advance (job);
 }
 
 static void
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -22,7 +22,8 @@
   OPTION_LOAD_LAG_MS,
   OPTION_INPUT_COST,
   OPTION_OUTPUT_COST,
-  OPTION_SERVICE_MS
+  OPTION_SERVICE_MS,
+  OPTION_INSTANT
 };
 
 struct role
@@ -61,6 +62,7 @@
   { "input-cost", OPTION_INPUT_COST, "N", 0, "cost of an input token", 0 },
   { "output-cost", OPTION_OUTPUT_COST, "N", 0, "cost of an output token", 0 },
   { "service-ms", OPTION_SERVICE_MS, "MS", 0, "plain: time of a request", 0 },
+  { "instant", OPTION_INSTANT, NULL, 0, "engine: first tokens at once", 0 },
   { 0 }
 };
 
@@ -147,6 +149,9 @@
     case OPTION_SERVICE_MS:
       o->service_ms = (uint32_t)strtoul (arg, NULL, 10);
       return 0;
+    case OPTION_INSTANT:
+      o->instant = true;
+      return 0;
     case ARGP_KEY_ARG:
       for (i = 0; i < sizeof (roles) / sizeof (roles[0]); i++)
         if (strcmp (arg, roles[i].name) == 0)
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -6,6 +6,7 @@
 #define TESTS_STANDIN_STANDIN_H
 
 #include "standin/server.h"
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Arguments of all roles; each uses its own. */
@@ -21,6 +22,7 @@
   uint32_t load_lag_ms;
   uint32_t input_cost;
   uint32_t output_cost;
+  bool instant; /**< engine: the first tokens come before the first tick */
   uint32_t service_ms; /**< plain: time that a request takes */
 };
 
