Add objects of both users; drive the fleet's configuration against the store

Three routers and the stand-in store over sockets: changes, races, lost answers, a store that is down or went back, a cold restart, no secret in a log or response. It showed that a store which went back while no watch was waiting was noticed only at the end of the next watch; the reads of a change now notice it too.

--- a/src/confstore.c
+++ b/src/confstore.c
@@ -22,7 +22,6 @@
                       const struct platform_item *items, size_t count);
 static void take_listing (struct confstore *confstore, uint64_t index,
                           const struct platform_item *items, size_t count);
-static void check_reverted (struct confstore *confstore, uint64_t index);
 static void schedule (struct confstore *confstore, int error);
 static void check_ready (struct confstore *confstore, uint64_t now_ns);
 static bool peers_ahead (const struct confstore *confstore, uint64_t now_ns);
@@ -86,7 +85,7 @@
 
   (void)now_ns;
   confstore->busy = true;
-  confstore->asked_newest = confsync_newest (confstore->confsync);
+  confstore->asked = confstore_ask_state (confstore);
   /* After a failure a listing tells sooner than a watch that all is well. */
   if (confstore->listed && confstore->up && is_watcher (confstore))
     error = platform->ops->watch (platform, config->prefix,
@@ -132,7 +131,7 @@
       if (held != NULL && held->index > newest)
         newest = held->index;
     }
-  check_reverted (confstore, index);
+  confstore_check_index (confstore, index, &confstore->asked);
   confstore->store_index = index;
   if (!confstore->listed)
     LOG (LOG_CONFIG_READY, NULL, LOG_S ("source", "store"),
@@ -145,22 +144,37 @@
     confsync_complete (confstore->confsync, 0);
 }
 
-/* A listing that was asked for after an object was held has an index that is
-   at least as great, unless the store went back. */
-static void
-check_reverted (struct confstore *confstore, uint64_t index)
+/* A response to what was asked for after an object was held has an index
+   that is at least as great, unless the store went back. */
+void
+confstore_check_index (struct confstore *confstore, uint64_t index,
+                       const struct confstore_asked *asked)
 {
-  bool behind = confstore->index_base + index < confstore->asked_newest
-                || (confstore->listed && index < confstore->store_index);
+  uint64_t reached = confstore->index_base + index;
+  bool behind = reached < asked->newest || index < asked->store_index;
 
-  if (behind && (!confstore->reverted || index < confstore->store_index))
+  if (confstore->config.private_store)
+    return;
+  if (!behind)
+    {
+      confstore->reverted = false;
+      return;
+    }
+  if (!confstore->reverted || index < asked->store_index)
     {
       confstore->counters.reverted++;
       LOG (LOG_STORE_REVERTED, NULL, LOG_U ("store_index", index),
-           LOG_U ("held_index", confstore->asked_newest));
+           LOG_U ("held_index", asked->newest));
     }
-  confstore->reverted
-      = confstore->index_base + index < confstore->asked_newest;
+  confstore->reverted = reached < asked->newest;
+  confstore->store_index = index;
+}
+
+struct confstore_asked
+confstore_ask_state (const struct confstore *confstore)
+{
+  return (struct confstore_asked){ confsync_newest (confstore->confsync),
+                                   confstore->store_index };
 }
 
 static void
--- a/src/confstore_int.h
+++ b/src/confstore_int.h
@@ -10,6 +10,13 @@
 
 struct confstore_pending;
 
+/** What was known when the store was asked for something. */
+struct confstore_asked
+{
+  uint64_t newest;      /**< greatest index held */
+  uint64_t store_index; /**< of the last response; 0 for none */
+};
+
 struct confstore
 {
   struct confstore_config config;
@@ -17,9 +24,9 @@
   struct confstore_counters counters;
   struct confstore_pending *pending; /**< writes under way */
   uint64_t random;
-  uint64_t index_base;   /**< greatest seen in any value */
-  uint64_t store_index;  /**< of the last listing */
-  uint64_t asked_newest; /**< held when the listing was asked for */
+  uint64_t index_base;          /**< greatest seen in any value */
+  uint64_t store_index;         /**< of the last listing */
+  struct confstore_asked asked; /**< for the listing under way */
   uint64_t start_ns;
   uint64_t next_ns; /**< when the store is asked next */
   uint32_t backoff_ms;
@@ -35,6 +42,11 @@
 /** Offers an item of the store. @return as confsync_offer. */
 int confstore_offer (struct confstore *confstore,
                      const struct platform_item *item);
+/** Checks that the store did not go back: `index` is that of a response to
+    what was asked for in the state `asked`. */
+void confstore_check_index (struct confstore *confstore, uint64_t index,
+                            const struct confstore_asked *asked);
+struct confstore_asked confstore_ask_state (const struct confstore *confstore);
 /** Tells `changed` when objects were installed. */
 void confstore_notify (struct confstore *confstore);
 /** Notes a failure or a success of a call. */
--- a/src/confstore_write.c
+++ b/src/confstore_write.c
@@ -39,9 +39,10 @@
   uint32_t conflicts;
   uint64_t next_ns;
   uint64_t limit_ns;
-  uint64_t expected;   /* modify index that the swap replaces */
-  uint64_t index_base; /* of the value being written */
-  char *value;         /* being written */
+  struct confstore_asked asked; /* for the key under way */
+  uint64_t expected;            /* modify index that the swap replaces */
+  uint64_t index_base;          /* of the value being written */
+  char *value;                  /* being written */
   char key[KEY_SIZE];
   struct confstore_result result;
 };
@@ -165,6 +166,7 @@
   int error;
 
   pending->step = STEP_WAIT;
+  pending->asked = confstore_ask_state (pending->confstore);
   error = platform->ops->get (platform, pending->key, key_read, pending);
   if (error != 0)
     key_read (pending, error, 0, NULL, 0);
@@ -186,6 +188,8 @@
       return;
     }
   pending->failed_reads = 0;
+  if (index > 0 && index < pending->asked.store_index)
+    confstore_check_index (pending->confstore, index, &pending->asked);
   if (pending->in_doubt && settle_doubt (pending, item))
     return;
   decide (pending, index, item);
--- /dev/null
+++ b/tests/regress_config.sh
@@ -0,0 +1,268 @@
+#!/bin/sh
+# Three routers and a stand-in store: changes reach all of them, and stay in
+# force through lost answers, races, a store that is down or went back, and a
+# cold restart.
+# usage: regress_config.sh BUILD
+set -u
+
+build=$1
+work=$(mktemp -d)
+passed=0
+failed=0
+store=
+r0=
+r1=
+r2=
+CHERRYLANDING_TOKEN=write-token-of-ana
+export CHERRYLANDING_TOKEN
+
+stop ()
+{
+  for pid in $r0 $r1 $r2 $store; do
+    kill -KILL "$pid" 2>/dev/null && wait "$pid" 2>/dev/null
+  done
+  rm -rf "$work"
+}
+trap stop EXIT
+
+result ()
+{
+  if [ "$2" = "$3" ]; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED $1: wanted '$2', got '$3'"
+  fi
+}
+
+# Waits until a command prints a text.
+await ()
+{
+  what=$1
+  text=$2
+  shift 2
+  i=0
+  until "$@" 2>/dev/null | grep -q -- "$text"; do
+    i=$((i + 1))
+    if [ $i -ge 200 ]; then
+      result "$what" "$text" "$("$@" 2>&1 | tail -c 600)"
+      return 1
+    fi
+    sleep 0.05
+  done
+  result "$what" yes yes
+}
+
+field ()
+{
+  sed -n "/$2/s/.* $3=\"*\([^ \"]*\).*/\1/p" "$1" | tail -1
+}
+
+digest ()
+{
+  printf %s "$1" | sha256sum | cut -d' ' -f1
+}
+
+# start N SEEDS: writes the settings of router N and starts it.
+start ()
+{
+  cat > "$work/r$1.yaml" <<YAML
+router:
+  instance: r$1
+  fleet: farm
+  availability_zone: a
+  client_address: 127.0.0.1:0
+  admin_address: 127.0.0.1:0
+  peer_address: 127.0.0.1:0
+  peers: [$2]
+  peer_secret: open-sesame-open-sesame
+  exchange_interval_ms: 100
+  lease_ms: 1000
+  platform:
+    kind: http
+    address: $store_address
+    timeout_ms: 500
+    calls_per_second_max: 200
+  tokens:
+    - operator: ana
+      role: write
+      token_sha256: $(digest write-token-of-ana)
+    - operator: bruno
+      role: write
+      token_sha256: $(digest write-token-of-bruno)
+YAML
+  "$build/cherrylanding" serve "$work/r$1.yaml" 2>> "$work/r$1.log" &
+}
+
+admin ()
+{
+  field "$work/r$1.log" 'for=admin' address
+}
+
+peer ()
+{
+  field "$work/r$1.log" 'for=peers' address
+}
+
+# at N COMMAND...: a command at router N.
+at ()
+{
+  CHERRYLANDING_ADMIN=$(admin "$1")
+  export CHERRYLANDING_ADMIN
+  shift
+  "$build/cherrylanding" "$@"
+}
+
+# put N WEIGHT [curl options]: status and body of a change at router N.
+put ()
+{
+  router=$1
+  weight=$2
+  shift 2
+  curl -s -m 20 -X PUT -H "Authorization: Bearer $CHERRYLANDING_TOKEN" "$@" \
+    -d "{\"weight\": $weight}" -w ' status=%{http_code}' \
+    "http://$(admin "$router")/admin/v1/customers/studio"
+}
+
+weight ()
+{
+  at "$1" get customers studio | sed -n 's/.*"weight": \([0-9]*\).*/\1/p' \
+    | head -1
+}
+
+index ()
+{
+  at "$1" get customers studio | sed -n 's/.*"index": \([0-9]*\).*/\1/p' \
+    | head -1
+}
+
+# everywhere WHAT WEIGHT
+everywhere ()
+{
+  for n in 0 1 2; do
+    await "$1 at r$n" "^$2\$" weight $n
+  done
+}
+
+fault ()
+{
+  curl -s -m 5 -X POST "http://$control/_standin/faults?$1" > /dev/null
+}
+
+ready ()
+{
+  curl -s -m 5 "http://$(admin "$1")/readyz"
+}
+
+"$build/standin" store > "$work/store" & store=$!
+await "store" '^control' cat "$work/store"
+store_address=$(awk '/^listen/ { print $2; exit }' "$work/store")
+control=$(awk '/^control/ { print $2 }' "$work/store")
+
+start 0 ""; r0=$!
+await "r0 starts" 'msg=started' cat "$work/r0.log"
+start 1 "$(peer 0)"; r1=$!
+await "r1 starts" 'msg=started' cat "$work/r1.log"
+start 2 "$(peer 0), $(peer 1)"; r2=$!
+await "r2 starts" 'msg=started' cat "$work/r2.log"
+for n in 0 1 2; do
+  await "r$n is ready" '^ready' ready $n
+done
+
+cat > "$work/objects.yaml" <<'YAML'
+customers:
+  - name: studio
+    weight: 3
+    keys: [plain-key-of-studio]
+profiles:
+  - name: review
+    service: model
+services:
+  - name: model
+    kind: engine
+    upstreams:
+      - { address: "127.0.0.1:9001", availability_zone: a, slots: 4 }
+YAML
+result "first apply" "service/model created profile/review created customer/studio created" \
+  "$(at 0 apply --reason first "$work/objects.yaml" | tr '\n' ' ' | sed 's/ $//')"
+everywhere "a change" 3
+result "second apply" 3 \
+  "$(at 1 apply "$work/objects.yaml" | grep -c unchanged)"
+
+# Operators racing: the second one is told who was first.
+seen=$(index 0)
+CHERRYLANDING_TOKEN=write-token-of-bruno put 1 4 -H "If-Match: $seen" \
+  > /dev/null
+answer=$(put 2 5 -H "If-Match: $seen")
+result "race: status" 409 "${answer##*status=}"
+result "race: the other" 1 "$(echo "$answer" | grep -c '"operator":"bruno"')"
+everywhere "the first of two" 4
+
+# An answer lost after it took effect.
+fault 'kind=lose-answer&count=2'
+answer=$(put 0 6)
+result "lost answer: status" 200 "${answer##*status=}"
+everywhere "a change whose answer was lost" 6
+fault 'kind=none'
+result "lost answer: one change record" 1 \
+  "$(at 0 audit customer/studio | grep -c 'weight: 4 -> 6')"
+
+# The store goes back.
+fault 'kind=snapshot'
+put 0 7 > /dev/null
+put 0 8 > /dev/null
+everywhere "newest before the store goes back" 8
+seen=$(index 0)
+fault 'kind=restore'
+sleep 0.5
+everywhere "newest after the store went back" 8
+put 1 9 > /dev/null
+await "the log says so" 'older state' \
+  cat "$work/r0.log" "$work/r1.log" "$work/r2.log"
+everywhere "a change after the store went back" 9
+result "its index is greater" yes \
+  "$([ "$(index 1)" -gt "$seen" ] && echo yes || echo no)"
+
+# The store is down: changes are refused as not made, the rest goes on.
+fault 'kind=down&count=1000000'
+answer=$(put 2 10)
+result "store down: status" 503 "${answer##*status=}"
+result "store down: not run" 1 \
+  "$(echo "$answer" | grep -c '"verdict":"not-run"')"
+everywhere "store down" 9
+
+# A cold router learns from its peers.
+kill -KILL "$r2" && wait "$r2" 2>/dev/null
+: > "$work/r2.log"
+start 2 "$(peer 0), $(peer 1)"; r2=$!
+await "r2 starts again" 'msg=started' cat "$work/r2.log"
+await "r2 is ready without the store" '^ready' ready 2
+everywhere "cold restart without the store" 9
+
+fault 'kind=none'
+i=0
+until [ "$(put 2 11 | sed 's/.*status=//')" = 200 ] || [ $i -ge 20 ]; do
+  i=$((i + 1))
+  sleep 0.5
+done
+everywhere "store up again" 11
+result "audit tells who and what" 1 \
+  "$(at 0 audit customer/studio | grep -c 'weight: 9 -> 11')"
+
+result "no secret in a log" 0 \
+  "$(cat "$work"/r?.log | grep -c -e plain-key -e write-token -e open-sesame)"
+result "no secret in a response" 0 \
+  "$( (at 0 get; at 0 audit; at 0 status) | grep -c -e plain-key -e token-of)"
+result "a wrong token" 1 \
+  "$(CHERRYLANDING_TOKEN=guess at 0 get 2>/dev/null > /dev/null; echo $?)"
+
+for n in 0 1 2; do
+  at $n drain > /dev/null
+done
+wait "$r0"; result "r0 drains" 0 $?
+wait "$r1"; result "r1 drains" 0 $?
+wait "$r2"; result "r2 drains" 0 $?
+r0=; r1=; r2=
+
+echo "regress_config: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
