Let quick requests go ahead of turn within their share; charge plain ones as they run

quick_permille had no effect. It now earns credit from service in turn, which saves up to one largest request; a quick request that goes ahead spends its estimate and is charged to its customer all the same. A request that could not be queued for want of memory is refused instead of left unanswered.

--- a/src/state/dispatch.c
+++ b/src/state/dispatch.c
@@ -30,6 +30,7 @@
 static struct dispatch_demand_entry *demand_entry (struct dispatch *dispatch,
                                                    uint64_t customer_id,
                                                    uint64_t service_id);
+static void count_quick (struct dispatch_request *request, int change);
 static enum refusal check_limits (struct dispatch_context *context,
                                   const struct dispatch_request *request);
 static int make_room (struct dispatch_context *context,
@@ -248,16 +249,24 @@
     return 0;
   request = request_new (context, customer, profile, service);
   if (request == NULL)
-    return ERR_NO_MEMORY;
+    {
+      *refusal = REFUSAL_ROUTER_FULL;
+      return 0;
+    }
   error = dispatch_wait (context, request, false);
   if (error == 0)
     error = dispatch_lift (dispatch, request);
   if (error == 0)
     error = dispatch_pump (context, request->node.service_id);
-  if (error != 0)
-    return error;
-  /* The dispatch_pump may have sent it on; limits are for those that must
-   * wait. */
+  if (error != 0 && !request->running)
+    {
+      /* Out of memory: the request is refused, and not kept half. */
+      dispatch_leave (dispatch, request);
+      dispatch_request_free (dispatch, request);
+      *refusal = REFUSAL_ROUTER_FULL;
+      return 0;
+    }
+  /* It may have been sent on; limits are for those that must wait. */
   if (!request->node.queued)
     return 0;
   *refusal = check_limits (context, request);
@@ -349,7 +358,8 @@
     return NULL;
   request->demand
       = demand_entry (context->dispatch, customer->id, service->id);
-  if (request->demand == NULL)
+  request->service = dispatch_service_entry (context->dispatch, service->id);
+  if (request->demand == NULL || request->service == NULL)
     {
       free (request);
       return NULL;
@@ -392,9 +402,9 @@
   free (request);
 }
 
-static struct dispatch_demand_entry *
-demand_entry (struct dispatch *dispatch, uint64_t customer_id,
-              uint64_t service_id)
+struct dispatch_demand_entry *
+dispatch_demand_find (const struct dispatch *dispatch, uint64_t customer_id,
+                      uint64_t service_id)
 {
   struct dispatch_demand_key key;
   struct dispatch_demand_entry *entry;
@@ -403,12 +413,23 @@
   key.customer_id = customer_id;
   key.service_id = service_id;
   HASH_FIND (hh, dispatch->demands, &key, sizeof (key), entry);
+  return entry;
+}
+
+static struct dispatch_demand_entry *
+demand_entry (struct dispatch *dispatch, uint64_t customer_id,
+              uint64_t service_id)
+{
+  struct dispatch_demand_entry *entry
+      = dispatch_demand_find (dispatch, customer_id, service_id);
+
   if (entry != NULL)
     return entry;
   entry = calloc (1, sizeof (*entry));
   if (entry == NULL)
     return NULL;
-  entry->key = key;
+  entry->key.customer_id = customer_id;
+  entry->key.service_id = service_id;
   HASH_ADD (hh, dispatch->demands, key, sizeof (entry->key), entry);
   return entry;
 }
@@ -421,9 +442,11 @@
   int error = first ? queue_push_front (queue, &request->node)
                     : queue_push (queue, &request->node);
 
-  if (error == 0)
-    request->demand->waiting++;
-  return error;
+  if (error != 0)
+    return error;
+  request->demand->waiting++;
+  count_quick (request, 1);
+  return 0;
 }
 
 void
@@ -433,6 +456,16 @@
     return;
   queue_remove (dispatch->queue, &request->node);
   request->demand->waiting--;
+  count_quick (request, -1);
+}
+
+static void
+count_quick (struct dispatch_request *request, int change)
+{
+  if (request->node.request_class != CATALOG_QUICK)
+    return;
+  request->demand->quick_waiting += (uint32_t)change;
+  request->service->quick_waiting += (uint32_t)change;
 }
 
 static int
--- a/src/state/dispatch_cost.c
+++ b/src/state/dispatch_cost.c
@@ -7,7 +7,14 @@
 #include "state/err.h"
 
 #define NS_PER_MS 1000000ULL /**< nanoseconds */
+#define PERMILLE  1000
 
+static uint64_t quick_position (const void *user, uint64_t customer_id,
+                                uint64_t service_id);
+static void account_quick (struct dispatch *dispatch,
+                           struct dispatch_request *request, uint64_t cost);
+static uint64_t estimate (const struct dispatch *dispatch,
+                          const struct dispatch_request *request);
 static uint64_t cost_so_far (const struct dispatch_request *request,
                              uint64_t now_ns);
 static int charge_more (struct dispatch *dispatch,
@@ -24,6 +31,75 @@
   return ledger_position (dispatch->config.ledger, customer_id, service_id);
 }
 
+/* Like dispatch_position, last for customers with no quick request. */
+static uint64_t
+quick_position (const void *user, uint64_t customer_id, uint64_t service_id)
+{
+  const struct dispatch *dispatch = user;
+  const struct dispatch_demand_entry *entry
+      = dispatch_demand_find (dispatch, customer_id, service_id);
+
+  if (entry == NULL || entry->quick_waiting == 0)
+    return UINT64_MAX;
+  return dispatch_position (user, customer_id, service_id);
+}
+
+struct dispatch_request *
+dispatch_next (struct dispatch *dispatch, uint64_t service_id)
+{
+  struct dispatch_request *turn = (struct dispatch_request *)queue_next (
+      dispatch->queue, service_id, dispatch_position, dispatch);
+  struct dispatch_request *quick;
+
+  if (turn == NULL || turn->node.request_class == CATALOG_QUICK
+      || turn->service->quick_waiting == 0 || turn->service->quick_credit == 0)
+    return turn;
+  quick = (struct dispatch_request *)queue_next (dispatch->queue, service_id,
+                                                 quick_position, dispatch);
+  if (quick == NULL || quick->node.request_class != CATALOG_QUICK)
+    return turn;
+  if (estimate (dispatch, quick) * PERMILLE > quick->service->quick_credit)
+    return turn;
+  quick->ahead = true;
+  return quick;
+}
+
+/* Service out of turn is paid from a share of the service in turn, which
+   saves up to no more than one of the largest requests. */
+static void
+account_quick (struct dispatch *dispatch, struct dispatch_request *request,
+               uint64_t cost)
+{
+  struct dispatch_service *service = request->service;
+  uint64_t most;
+
+  if (cost > service->largest_cost)
+    service->largest_cost = cost;
+  if (request->ahead)
+    {
+      service->quick_credit -= cost * PERMILLE < service->quick_credit
+                                   ? cost * PERMILLE
+                                   : service->quick_credit;
+      return;
+    }
+  most = service->largest_cost * PERMILLE;
+  service->quick_credit += cost * dispatch->config.limits.quick_permille;
+  if (service->quick_credit > most)
+    service->quick_credit = most;
+}
+
+static uint64_t
+estimate (const struct dispatch *dispatch,
+          const struct dispatch_request *request)
+{
+  uint64_t cost
+      = estimate_cost (&dispatch->estimates, request->node.customer_id,
+                       request->node.profile_id, request->hint);
+  uint64_t input = request->input_units * request->input_cost;
+
+  return cost < input ? input : cost;
+}
+
 int
 dispatch_lift (struct dispatch *dispatch, struct dispatch_request *request)
 {
@@ -49,7 +125,6 @@
              const struct dispatch_backlog *elsewhere)
 {
   const struct dispatch_demand_entry *entry;
-  const struct dispatch_service *service;
   uint64_t least = UINT64_MAX;
   uint64_t position;
 
@@ -65,30 +140,24 @@
       }
   if (least != UINT64_MAX)
     return least;
-  service = dispatch_service_entry (dispatch, request->node.service_id);
-  return service == NULL ? 0 : service->virtual_position;
+  return request->service->virtual_position;
 }
 
 int
 dispatch_charge (struct dispatch *dispatch, struct dispatch_request *request)
 {
-  struct dispatch_service *service;
+  struct dispatch_service *service = request->service;
   uint64_t position;
   uint64_t cost;
 
   if (request->charged_once)
     return 0;
-  service = dispatch_service_entry (dispatch, request->node.service_id);
-  if (service == NULL)
-    return ERR_NO_MEMORY;
   position = dispatch_position (dispatch, request->node.customer_id,
                                 request->node.service_id);
   if (position > service->virtual_position)
     service->virtual_position = position;
-  cost = estimate_cost (&dispatch->estimates, request->node.customer_id,
-                        request->node.profile_id, request->hint);
-  if (cost < request->input_units * request->input_cost)
-    cost = request->input_units * request->input_cost;
+  cost = estimate (dispatch, request);
+  account_quick (dispatch, request, cost);
   request->charged_once = true;
   return charge_more (dispatch, request, cost);
 }
@@ -104,6 +173,22 @@
   return charge_more (dispatch, request, cost - request->charged);
 }
 
+int
+dispatch_charge_running (struct dispatch *dispatch, uint64_t now_ns)
+{
+  struct dispatch_request *request;
+  int error = 0;
+
+  if (now_ns - dispatch->charge_ns < DISPATCH_CHARGE_MS * NS_PER_MS)
+    return 0;
+  dispatch->charge_ns = now_ns;
+  for (request = dispatch->requests; request != NULL && error == 0;
+       request = request->hh.next)
+    if (request->running && !request->engine)
+      error = dispatch_charge_progress (dispatch, request, now_ns);
+  return error;
+}
+
 static int
 charge_more (struct dispatch *dispatch, struct dispatch_request *request,
              uint64_t cost)
--- a/src/state/dispatch_int.h
+++ b/src/state/dispatch_int.h
@@ -14,10 +14,12 @@
   uint64_t handle;
   struct attempt attempt;
   struct dispatch_demand_entry *demand;
+  struct dispatch_service *service;
   uint32_t weight;
   bool engine;
   bool running;
   bool client_started;
+  bool ahead;            /**< chosen out of turn */
   bool charged_once;     /**< an estimate has been charged */
   uint32_t input_cost;   /**< cost units of an input token */
   uint32_t output_cost;  /**< cost units of an output token */
@@ -44,14 +46,19 @@
   struct dispatch_demand_key key;
   uint32_t waiting;
   uint32_t running;
+  uint32_t quick_waiting; /**< of class CATALOG_QUICK */
   UT_hash_handle hh;
 };
 
-/** What is kept of a service: the position of the customer served last. */
+/** What is kept of a service. */
 struct dispatch_service
 {
   uint64_t service_id;
-  uint64_t virtual_position; /**< never goes down */
+  uint64_t virtual_position; /**< of the customer served last; never falls */
+  uint32_t quick_waiting;    /**< of class CATALOG_QUICK */
+  uint64_t
+      quick_credit; /**< thousandths of cost units, served ahead of turn */
+  uint64_t largest_cost; /**< largest estimate charged, in cost units */
   UT_hash_handle hh;
 };
 
@@ -77,6 +84,7 @@
   uint64_t generation; /**< of the catalog when last looked at */
   /** No running request's deadline lies before this. */
   uint64_t running_deadline_ns;
+  uint64_t charge_ns; /**< when running requests were last charged */
   bool draining;
 };
 
@@ -106,6 +114,11 @@
 void dispatch_request_free (struct dispatch *dispatch,
                             struct dispatch_request *request);
 
+/** Counts of a pair; NULL when there are none. */
+struct dispatch_demand_entry *
+dispatch_demand_find (const struct dispatch *dispatch, uint64_t customer_id,
+                      uint64_t service_id);
+
 /** Queues a request, in turn or first. @return 0 or an error. */
 int dispatch_wait (struct dispatch_context *context,
                    struct dispatch_request *request, bool first);
@@ -131,6 +144,11 @@
 uint64_t dispatch_position (const void *user, uint64_t customer_id,
                             uint64_t service_id);
 
+/** The request to serve next: in turn, or a quick one ahead of its turn when
+    the service's quick credit covers it. NULL when none waits. */
+struct dispatch_request *dispatch_next (struct dispatch *dispatch,
+                                        uint64_t service_id);
+
 /** Lifts a customer that had nothing waiting and now has, so that the time it
     was idle earns it nothing. @return 0 or an error. */
 int dispatch_lift (struct dispatch *dispatch,
@@ -140,6 +158,12 @@
 int dispatch_charge (struct dispatch *dispatch,
                      struct dispatch_request *request);
 
+#define DISPATCH_CHARGE_MS 100 /**< between charges of running requests */
+
+/** Charges plain requests that run past their estimate; engines' are charged
+    as their responses advance. @return 0 or an error. */
+int dispatch_charge_running (struct dispatch *dispatch, uint64_t now_ns);
+
 /** Charges what has passed the estimate. @return 0 or an error. */
 int dispatch_charge_progress (struct dispatch *dispatch,
                               struct dispatch_request *request,
--- a/src/state/dispatch_run.c
+++ b/src/state/dispatch_run.c
@@ -35,7 +35,6 @@
     .now_ns = context->now_ns,
   };
   struct dispatch_request *request;
-  struct queue_node *node;
   uint64_t upstream_id;
   int error;
 
@@ -43,17 +42,18 @@
     return 0;
   for (;;)
     {
-      node = queue_next (dispatch->queue, service_id, dispatch_position,
-                         dispatch);
-      if (node == NULL)
+      request = dispatch_next (dispatch, service_id);
+      if (request == NULL)
         return 0;
-      request = (struct dispatch_request *)node;
       place.prefix_hash = request->prefix_hash;
       place.avoid_upstream_id = request->avoid_upstream_id;
       upstream_id = dispatch->config.placement->choose (dispatch->config.slots,
                                                         &place);
       if (upstream_id == 0)
-        return 0;
+        {
+          request->ahead = false;
+          return 0;
+        }
       error = start_attempt (context, request, upstream_id);
       if (error != 0)
         return error;
@@ -91,6 +91,7 @@
   if (error != 0)
     {
       slots_put (dispatch->config.slots, upstream_id);
+      dispatch_wait (context, request, true);
       return error;
     }
   request->running = true;
@@ -378,6 +379,8 @@
   if (error == 0 && dispatch->running_deadline_ns <= context->now_ns)
     error = expire_running (context);
   dispatch_rejoin (dispatch, context->now_ns);
+  if (error == 0)
+    error = dispatch_charge_running (dispatch, context->now_ns);
   /* Backoffs and leases end without an event of their own. */
   if (error == 0 && queue_total (dispatch->queue) > 0)
     error = dispatch_pump_all (context);
--- a/tests/regress_entry.sh
+++ b/tests/regress_entry.sh
@@ -189,7 +189,7 @@
 # SIGTERM: readiness fails, what is in flight finishes, exit code 0.
 request stream '{"prompt":"a","max_tokens":150,"stream":true}' > "$work/long" &
 long=$!
-sleep 0.3
+wait_for "$work/long" '^data'
 kill -TERM "$router"
 wait_for "$work/router" 'drain started'
 result "draining: not ready" 503 \
@@ -210,7 +210,7 @@
 address=127.0.0.1:$(sed -n 's/.*for=clients.* port=\([0-9]*\).*/\1/p' "$work/router")
 request stream '{"prompt":"a","max_tokens":2000,"stream":true}' > "$work/long" 2>&1 &
 long=$!
-sleep 0.3
+wait_for "$work/long" '^data'
 kill -TERM "$router"
 wait_for "$work/router" 'drain started'
 kill -TERM "$router"
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -66,9 +66,10 @@
                                      .resumable = true,
                                      .upstream_count = (uint32_t)upstreams,
                                      .upstreams = list };
-  struct dispatch_config config = { .availability_zone = "a",
-                                    .limits = { .waiting_max = WAITING_MAX },
-                                    .placement = &place_least_busy };
+  struct dispatch_config config
+      = { .availability_zone = "a",
+          .limits = { .waiting_max = WAITING_MAX, .quick_permille = 250 },
+          .placement = &place_least_busy };
   struct slots_entry *entry;
   size_t i;
 
@@ -333,6 +334,45 @@
   world_finish (&world);
 }
 
+/* Of ten slots that come free, a quarter's worth of service may go to quick
+   requests of a customer that is far ahead; its account is charged all the
+   same. */
+static void
+test_quick_requests_ahead_of_turn (void)
+{
+  struct world world;
+  uint64_t request;
+  uint64_t next = 1;
+  unsigned int quick = 0;
+
+  world_init (&world, 1);
+  for (request = 1; request <= 4; request++)
+    {
+      arrive (&world, request, "ben", "retry");
+      send_whole (&world, request, 1);
+      complete (&world, request, 1, 45);
+    }
+  ledger_charge (world.ledger, catalog_id ("ben"), world.pool_id, 100000, 1);
+  request = 10;
+  arrive (&world, request, "ana", "retry");
+  for (next = 11; next <= 30; next++)
+    {
+      arrive (&world, next, "ana", "retry");
+      arrive (&world, next + 100, "ben", "quick");
+      send_whole (&world, request, 1);
+      complete (&world, request, 1, 45);
+      CU_ASSERT_EQUAL (world.actions.items[2].kind, DISPATCH_CONNECT);
+      request = world.actions.items[2].request;
+      quick += request > 100;
+      if (request > 100)
+        step (&world, next, 0, DISPATCH_CLIENT_GONE);
+      else
+        step (&world, next + 100, 0, DISPATCH_CLIENT_GONE);
+    }
+  CU_ASSERT (quick >= 3 && quick <= 6);
+  world_finish (&world);
+}
+
 static void
 test_deadlines (void)
 {
@@ -506,6 +546,45 @@
   world_finish (&world);
 }
 
+/* A plain service is paid for in slot time, while it runs. */
+static void
+test_plain_service_is_charged_by_time (void)
+{
+  struct catalog_upstream upstream
+      = { .address = "127.0.0.1:3", .availability_zone = "a", .slots = 1 };
+  struct catalog_service service = { .name = "farm",
+                                     .kind = CATALOG_PLAIN,
+                                     .upstream_count = 1,
+                                     .upstreams = &upstream };
+  struct catalog_profile profile = { .name = "job",
+                                     .service = "farm",
+                                     .deadline_ms = 10 * DEADLINE_MS,
+                                     .queue_limit = 4,
+                                     .attempts_max = 1,
+                                     .cost_hint = 50 };
+  const uint64_t ana = catalog_id ("ana");
+  const uint64_t farm = catalog_id ("farm");
+  struct slots_entry *entry;
+  struct world world;
+
+  world_init (&world, 1);
+  catalog_put_service (&world.catalog, &service);
+  catalog_put_profile (&world.catalog, &profile);
+  entry = slots_add (&world.slots,
+                     catalog_upstream_id ("farm", upstream.address), farm);
+  entry->capacity = 1;
+  entry->expiry_ns = UINT64_MAX;
+  arrive (&world, 1, "ana", "job");
+  CU_ASSERT_EQUAL (ledger_position (world.ledger, ana, farm), 50 * SCALE);
+  send_whole (&world, 1, 1);
+  tick (&world, 400);
+  CU_ASSERT_EQUAL (ledger_position (world.ledger, ana, farm), 400 * SCALE);
+  world.now_ns += 20 * MS;
+  complete (&world, 1, 1, 0);
+  CU_ASSERT_EQUAL (ledger_position (world.ledger, ana, farm), 420 * SCALE);
+  world_finish (&world);
+}
+
 static void
 test_idleness_earns_no_credit (void)
 {
@@ -579,6 +658,7 @@
   { "limits", test_limits },
   { "class orders one customer's requests",
     test_class_orders_one_customers_requests },
+  { "quick requests ahead of turn", test_quick_requests_ahead_of_turn },
   { "deadlines", test_deadlines },
   { "no retry storm", test_no_retry_storm },
   { "backoff after refused connections",
@@ -589,6 +669,8 @@
     test_waiting_requests_of_a_removed_service },
   { "client gone frees its slot", test_client_gone_frees_its_slot },
   { "account is settled", test_account_is_settled },
+  { "a plain service is charged by time",
+    test_plain_service_is_charged_by_time },
   { "idleness earns no credit", test_idleness_earns_no_credit },
   { "resume", test_resume },
   { "drain", test_drain },
