--- a/src/confstore_write.c
+++ b/src/confstore_write.c
@@ -198,10 +198,10 @@
 static void
 read_failed (struct confstore_pending *pending, int error)
 {
-  pending->failed_reads++;
-  if (!pending->in_doubt
-      && (error == ERR_RATE_LIMITED
-          || pending->failed_reads >= CONFSTORE_WRITE_READS))
+  /* The limit of rate is this instance's own: it passes. */
+  if (error != ERR_RATE_LIMITED)
+    pending->failed_reads++;
+  if (!pending->in_doubt && pending->failed_reads >= CONFSTORE_WRITE_READS)
     finish (pending, ERR_UNAVAILABLE);
   else
     retry (pending);
@@ -417,13 +417,15 @@
 succeed (struct confstore_pending *pending, uint64_t index)
 {
   struct confstore *confstore = pending->confstore;
+  uint64_t soon_ns = clock_now_ns (confstore->config.clock)
+                     + CONFSTORE_WATCH_GAP_MS * CLOCK_NS_PER_MS;
 
   pending->result.index = index;
   confstore_notify (confstore);
   /* A listing tells that nothing older is missing here; then the peers are
      told of the new index. */
-  if (!confstore->busy)
-    confstore->next_ns = clock_now_ns (confstore->config.clock);
+  if (!confstore->busy && confstore->next_ns > soon_ns)
+    confstore->next_ns = soon_ns;
   finish (pending, 0);
 }
 
--- a/src/router.c
+++ b/src/router.c
@@ -317,7 +317,9 @@
   sync_slots (router, true);
 }
 
-/* Makes the slot table name the catalog's upstreams and no others. */
+/* Makes the slot table name the catalog's upstreams and, when this instance
+   owns all slots, no others; else the lessee removes entries, for its leases
+   point at them. */
 static void
 sync_slots (struct router *router, bool own_all)
 {
@@ -335,13 +337,15 @@
         entry = slots_add (&router->slots, upstream->id, service->id);
         if (entry == NULL)
           return;
-        entry->draining = upstream->draining;
+        if (own_all || upstream->draining)
+          entry->draining = upstream->draining;
         if (!own_all)
           continue;
         entry->capacity = upstream->slots;
         entry->expiry_ns = UINT64_MAX;
       }
-  for (entry = router->slots.entries; entry != NULL; entry = next)
+  for (entry = own_all ? router->slots.entries : NULL; entry != NULL;
+       entry = next)
     {
       next = entry->hh.next;
       service = catalog_service (&router->catalog, entry->service_id);
--- a/tests/test_confstore.c
+++ b/tests/test_confstore.c
@@ -4,6 +4,7 @@
  * silent after taking effect, or restored to an older state.
  */
 #include "confstore.h"
+#include "confstore_module.h"
 #include "state/err.h"
 #include "support/fakestore.h"
 #include "support/suite.h"
@@ -444,6 +445,62 @@
   stop ();
 }
 
+/* Adds a member, or changes its status. */
+static void
+put_member (struct member_table *table, uint32_t number, const char *zone,
+            enum member_status status)
+{
+  struct message_hello hello
+      = { .version = MESSAGE_VERSION, .incarnation = 1 };
+  uint64_t id;
+  struct member *member;
+
+  snprintf (hello.instance, sizeof hello.instance, "r%u", number);
+  snprintf (hello.availability_zone, sizeof hello.availability_zone, "%s",
+            zone);
+  id = catalog_id (hello.instance);
+  member_hello (table, &hello, 1);
+  HASH_FIND (hh, table->members, &id, sizeof id, member);
+  CU_ASSERT_PTR_NOT_NULL (member);
+  if (member != NULL)
+    member->status = status;
+}
+
+static uint32_t
+watchers_of (const struct member_table *table, const char *zone)
+{
+  const struct member *member;
+  uint32_t count = 0;
+
+  for (member = table->members; member != NULL; member = member->hh.next)
+    count += member->status == MEMBER_ALIVE
+             && strcmp (member->availability_zone, zone) == 0
+             && confstore_module_watches (table, member->instance_id);
+  return count;
+}
+
+static void
+test_two_watch_in_each_zone (void)
+{
+  struct member_table table;
+  struct member self = { .instance = "r0", .availability_zone = "a" };
+  uint32_t i;
+
+  self.instance_id = catalog_id (self.instance);
+  CU_ASSERT_EQUAL (member_init (&table, &self, 500), 0);
+  for (i = 1; i < 40; i++)
+    put_member (&table, i, i % 3 == 0 ? "a" : "b", MEMBER_ALIVE);
+  put_member (&table, 40, "c", MEMBER_ALIVE);
+  CU_ASSERT_EQUAL (watchers_of (&table, "a"), CONFSTORE_WATCHERS);
+  CU_ASSERT_EQUAL (watchers_of (&table, "b"), CONFSTORE_WATCHERS);
+  CU_ASSERT_EQUAL (watchers_of (&table, "c"), 1);
+  for (i = 1; i < 30; i++)
+    put_member (&table, i, i % 3 == 0 ? "a" : "b", MEMBER_GONE);
+  CU_ASSERT_EQUAL (watchers_of (&table, "a"), CONFSTORE_WATCHERS);
+  CU_ASSERT_EQUAL (watchers_of (&table, "b"), CONFSTORE_WATCHERS);
+  member_finish (&table);
+}
+
 static const struct suite_test tests[] = {
   { "a write is in force everywhere", test_a_write_is_in_force_everywhere },
   { "deletion is a tombstone", test_deletion_is_a_tombstone },
@@ -457,6 +514,7 @@
   { "cold start without store or peers",
     test_cold_start_without_store_or_peers },
   { "load without watching", test_load_without_watching },
+  { "two watch in each zone", test_two_watch_in_each_zone },
 };
 
 SUITE_MAIN ("test_confstore", tests)
--- /dev/null
+++ b/tests/test_kvhttp.c
@@ -0,0 +1,284 @@
+/**
+ * @file test_kvhttp.c
+ * The store over HTTP: what each end of a call says of its effect, limits of
+ * rate and time, and the JSON of the interface.
+ */
+#include "protocol/platform_http.h"
+#include "state/err.h"
+#include "support/suite.h"
+#include "transport/kvhttp.h"
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TIMEOUT_MS 200
+
+/** What the server does with a request. */
+enum behaviour
+{
+  BEHAVE_REPLY,
+  BEHAVE_CLOSE, /**< takes the request and closes */
+  BEHAVE_HANG,
+  BEHAVE_REFUSE /**< nobody listens */
+};
+
+struct fixture
+{
+  struct event_base *base;
+  struct evhttp *server;
+  struct clock clock;
+  struct platform *store;
+  enum behaviour behaviour;
+  int status;
+  const char *body;
+  char seen[256]; /**< method, path and query of the last request */
+  int error;
+  uint64_t index;
+  uint32_t calls;
+  size_t items;
+  char value[64]; /**< of the first item */
+};
+
+static struct fixture fixture;
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  struct evbuffer *body = evbuffer_new ();
+
+  (void)user;
+  snprintf (fixture.seen, sizeof fixture.seen, "%s %s",
+            evhttp_request_get_command (request) == EVHTTP_REQ_PUT ? "PUT"
+                                                                   : "GET",
+            evhttp_request_get_uri (request));
+  evhttp_add_header (evhttp_request_get_output_headers (request), "X-Index",
+                     "77");
+  evbuffer_add (body, fixture.body, strlen (fixture.body));
+  if (fixture.behaviour == BEHAVE_REPLY)
+    evhttp_send_reply (request, fixture.status, "status", body);
+  else if (fixture.behaviour == BEHAVE_CLOSE)
+    evhttp_connection_free (evhttp_request_get_connection (request));
+  evbuffer_free (body);
+}
+
+static void
+start (uint32_t calls_per_second_max)
+{
+  struct kvhttp_config config
+      = { .clock = &fixture.clock,
+          .timeout_ms = TIMEOUT_MS,
+          .calls_per_second_max = calls_per_second_max };
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address = { .sin_port = 0 };
+  socklen_t size = sizeof address;
+  static char text[32];
+
+  memset (&fixture, 0, sizeof fixture);
+  clock_init_manual (&fixture.clock, 1, 1);
+  fixture.base = event_base_new ();
+  fixture.server = evhttp_new (fixture.base);
+  evhttp_set_gencb (fixture.server, on_request, NULL);
+  bound = evhttp_bind_socket_with_handle (fixture.server, "127.0.0.1", 0);
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  snprintf (text, sizeof text, "127.0.0.1:%u", ntohs (address.sin_port));
+  config.base = fixture.base;
+  config.address = text;
+  fixture.store = kvhttp_new (&config);
+}
+
+static void
+stop (void)
+{
+  fixture.store->ops->finish (fixture.store);
+  if (fixture.server != NULL)
+    evhttp_free (fixture.server);
+  event_base_free (fixture.base);
+}
+
+static void
+on_written (void *user, int error, uint64_t index)
+{
+  (void)user;
+  fixture.error = error;
+  fixture.index = index;
+  fixture.calls++;
+  event_base_loopbreak (fixture.base);
+}
+
+static void
+on_items (void *user, int error, uint64_t index,
+          const struct platform_item *items, size_t count)
+{
+  on_written (user, error, index);
+  fixture.items = count;
+  if (count > 0)
+    snprintf (fixture.value, sizeof fixture.value, "%s", items[0].value);
+}
+
+struct write_case
+{
+  enum behaviour behaviour;
+  int status;
+  const char *body;
+  int error;
+};
+
+static void
+test_verdicts_of_writes (void)
+{
+  static const struct write_case cases[] = {
+    { BEHAVE_REPLY, 200, "true", 0 },
+    { BEHAVE_REPLY, 200, "false\n", ERR_CONFLICT },
+    { BEHAVE_REPLY, 200, "maybe", ERR_UNKNOWN_OUTCOME },
+    { BEHAVE_REPLY, 500, "", ERR_UNKNOWN_OUTCOME },
+    { BEHAVE_REPLY, 429, "", ERR_RATE_LIMITED },
+    { BEHAVE_CLOSE, 0, "", ERR_UNKNOWN_OUTCOME },
+    { BEHAVE_HANG, 0, "", ERR_UNKNOWN_OUTCOME },
+    { BEHAVE_REFUSE, 0, "", ERR_UNAVAILABLE },
+  };
+  size_t i;
+
+  for (i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      start (10);
+      fixture.behaviour = cases[i].behaviour;
+      fixture.status = cases[i].status;
+      fixture.body = cases[i].body;
+      if (cases[i].behaviour == BEHAVE_REFUSE)
+        {
+          evhttp_free (fixture.server);
+          fixture.server = NULL;
+        }
+      CU_ASSERT_EQUAL (fixture.store->ops->cas (fixture.store, "a/b c", "v", 1,
+                                                12, on_written, NULL),
+                       0);
+      event_base_dispatch (fixture.base);
+      CU_ASSERT_EQUAL (fixture.calls, 1);
+      CU_ASSERT_EQUAL (fixture.error, cases[i].error);
+      if (cases[i].behaviour != BEHAVE_REFUSE)
+        CU_ASSERT_STRING_EQUAL (fixture.seen, "PUT /v1/kv/a/b%20c?cas=12");
+      stop ();
+    }
+}
+
+static void
+read_once (int status, const char *body, bool watch)
+{
+  int error;
+
+  fixture.status = status;
+  fixture.body = body;
+  fixture.items = 0;
+  error = watch
+              ? fixture.store->ops->watch (fixture.store, "p/", 9, 500,
+                                           on_items, NULL)
+              : fixture.store->ops->get (fixture.store, "p/k", on_items, NULL);
+  CU_ASSERT_EQUAL (error, 0);
+  event_base_dispatch (fixture.base);
+}
+
+static void
+test_reads (void)
+{
+  start (100);
+  read_once (200,
+             "[{\"Key\":\"p/k\",\"Value\":\"aGVsbG8=\","
+             "\"ModifyIndex\":5}]",
+             false);
+  CU_ASSERT_EQUAL (fixture.error, 0);
+  CU_ASSERT_EQUAL (fixture.index, 77);
+  CU_ASSERT_EQUAL (fixture.items, 1);
+  CU_ASSERT_STRING_EQUAL (fixture.value, "hello");
+  CU_ASSERT_STRING_EQUAL (fixture.seen, "GET /v1/kv/p/k");
+  read_once (404, "", false);
+  CU_ASSERT_EQUAL (fixture.error, ERR_NOT_FOUND);
+  read_once (500, "", false);
+  CU_ASSERT_EQUAL (fixture.error, ERR_UNAVAILABLE);
+  read_once (404, "", true);
+  CU_ASSERT_EQUAL (fixture.error, 0);
+  CU_ASSERT_EQUAL (fixture.items, 0);
+  CU_ASSERT_STRING_EQUAL (fixture.seen,
+                          "GET /v1/kv/p/?recurse=true&index=9&wait=500ms");
+  stop ();
+}
+
+static void
+test_broken_json_is_refused (void)
+{
+  static const char *const broken[]
+      = { "",
+          "{}",
+          "[1]",
+          "[{\"Key\":\"k\",\"ModifyIndex\":0}]",
+          "[{\"Key\":\"k\",\"ModifyIndex\":-4}]",
+          "[{\"Value\":\"aGVsbG8=\",\"ModifyIndex\":1}]",
+          "[{\"Key\":\"k\",\"Value\":5,\"ModifyIndex\":1}]",
+          "[{\"Key\":\"k\",\"Value\":\"abc\",\"ModifyIndex\":1}]",
+          "[{\"Key\":\"k\",\"Value\":\"a!c=\",\"ModifyIndex\":1}]",
+          "[{\"Key\":\"k\",\"Value\":\"\",\"ModifyIndex\":1},{}]" };
+  struct platform_http_items items;
+  size_t i;
+
+  for (i = 0; i < sizeof broken / sizeof broken[0]; i++)
+    CU_ASSERT_EQUAL (
+        platform_http_decode (broken[i], strlen (broken[i]), &items),
+        ERR_PROTOCOL);
+}
+
+static void
+test_rate_is_limited (void)
+{
+  uint32_t allowed = 0;
+  uint32_t i;
+
+  start (5);
+  fixture.status = 200;
+  fixture.body = "true";
+  for (i = 0; i < 20; i++)
+    allowed += fixture.store->ops->cas (fixture.store, "k", "v", 1, 0,
+                                        on_written, NULL)
+               == 0;
+  CU_ASSERT_EQUAL (allowed, 5);
+  CU_ASSERT_EQUAL (fixture.store->counters.rate_limited, 15);
+  CU_ASSERT_EQUAL (fixture.store->counters.writes, 5);
+  clock_advance_ms (&fixture.clock, 400);
+  for (i = 0; i < 20; i++)
+    allowed += fixture.store->ops->cas (fixture.store, "k", "v", 1, 0,
+                                        on_written, NULL)
+               == 0;
+  CU_ASSERT_EQUAL (allowed, 7);
+  stop ();
+}
+
+static void
+test_leases (void)
+{
+  start (100);
+  fixture.status = 200;
+  fixture.body = "{\"ID\":\"s-1\"}";
+  CU_ASSERT_EQUAL (
+      fixture.store->ops->renew (fixture.store, "k", "r1", on_written, NULL),
+      ERR_NOT_FOUND);
+  /* The session's answer is no truth value: the lease stays unknown. */
+  CU_ASSERT_EQUAL (fixture.store->ops->lease (fixture.store, "k", "r1", 5000,
+                                              on_written, NULL),
+                   0);
+  event_base_dispatch (fixture.base);
+  CU_ASSERT_EQUAL (fixture.error, ERR_UNKNOWN_OUTCOME);
+  CU_ASSERT_STRING_EQUAL (fixture.seen, "PUT /v1/kv/k?acquire=s-1");
+  stop ();
+}
+
+static const struct suite_test tests[] = {
+  { "verdicts of writes", test_verdicts_of_writes },
+  { "reads", test_reads },
+  { "broken JSON is refused", test_broken_json_is_refused },
+  { "rate is limited", test_rate_is_limited },
+  { "leases", test_leases },
+};
+
+SUITE_MAIN ("test_kvhttp", tests)
