--- a/bench/evaluate.c
+++ b/bench/evaluate.c
@@ -12,6 +12,8 @@
 
 static void pair_gap (const struct load *load, uint32_t a, uint32_t b,
                       struct sample_result *result);
+static double pair_gap_settled (const struct load *load, uint32_t a,
+                                uint32_t b);
 static bool backlogged (const struct sample *sample, uint32_t customer);
 static double service (const struct load *load, const struct sample *sample,
                        uint32_t customer);
@@ -36,7 +38,11 @@
     for (b = a + 1; b < load->customer_count; b++)
       if (load->customers[a].has_kind[FLOW_ENGINE]
           && load->customers[b].has_kind[FLOW_ENGINE])
-        pair_gap (load, a, b, result);
+        {
+          pair_gap (load, a, b, result);
+          result->gap_settled
+              = fmax (result->gap_settled, pair_gap_settled (load, a, b));
+        }
   evaluate_utilisation (load, result);
   evaluate_waits (load, result);
 }
@@ -87,6 +93,38 @@
     }
 }
 
+/* Before the first fair turn is over, requests run that were admitted while
+   the fleet was idle. */
+static double
+pair_gap_settled (const struct load *load, uint32_t a, uint32_t b)
+{
+  const struct sample_log *log = &load->samples;
+  double low = 0;
+  double high = 0;
+  double worst = 0;
+  bool inside = false;
+  size_t i;
+
+  for (i = 0; i < log->count; i++)
+    {
+      const struct sample *sample = &log->samples[i];
+      double difference
+          = service (load, sample, a) - service (load, sample, b);
+
+      if (sample->time_us < report_fair_turn_ms (load) * 1000
+          || !backlogged (sample, a) || !backlogged (sample, b))
+        {
+          inside = false;
+          continue;
+        }
+      low = inside ? fmin (low, difference) : difference;
+      high = inside ? fmax (high, difference) : difference;
+      inside = true;
+      worst = fmax (worst, high - low);
+    }
+  return worst;
+}
+
 static bool
 backlogged (const struct sample *sample, uint32_t customer)
 {
--- a/bench/load.h
+++ b/bench/load.h
@@ -53,7 +53,8 @@
   uint64_t random; /**< state of the generator */
   uint64_t next_id;
   uint64_t head_wait_us[LOAD_CUSTOMERS_MAX]; /**< longest, of a queue's head */
-  bool stopping;                             /**< no new requests */
+  uint32_t head_wait_router[LOAD_CUSTOMERS_MAX]; /**< and where */
+  bool stopping;                                 /**< no new requests */
   bool quiet; /**< nothing was in flight at the last look */
   struct event *end;
   struct sample_log samples;
--- a/bench/report.c
+++ b/bench/report.c
@@ -10,6 +10,7 @@
 static void print_outcomes (const struct load *load);
 static void print_latencies (const struct load *load);
 static void print_fairness (struct load *load);
+static void print_customers (const struct load *load);
 static void print_table (struct load *load);
 static void print_row (struct load *load, struct flow_customer *customer,
                        double total);
@@ -33,7 +34,10 @@
   print_outcomes (load);
   print_latencies (load);
   if (load->options.control[FLOW_ENGINE] != NULL)
-    print_fairness (load);
+    {
+      print_fairness (load);
+      print_customers (load);
+    }
   printf ("verified %" PRIu64 "\nverified_repeated %" PRIu64
           "\nverified_untrue_not_run %" PRIu64
           "\nverified_unaccounted %" PRIu64 "\n",
@@ -189,6 +193,8 @@
   printf ("gap_ratio %.3f\n",
           result.gap_worst / (double)report_gap_bound (load));
   printf ("gap_fair_turns %.3f\n", turn > 0 ? result.gap_worst / turn : 0);
+  printf ("gap_settled %.0f\ngap_settled_fair_turns %.3f\n",
+          result.gap_settled, turn > 0 ? result.gap_settled / turn : 0);
   printf ("gap_pair %s %s\n", result.gap_pair[0], result.gap_pair[1]);
   printf ("gap_interval_ms %" PRIu64 " %" PRIu64 "\n", result.gap_from_ms,
           result.gap_to_ms);
@@ -208,6 +214,31 @@
           sample_total (load, FLOW_ENGINE, "resumed"));
 }
 
+/* One line a customer: weight, service for its weight while the load ran,
+   requests answered, and the longest wait of a queue's head. */
+static void
+print_customers (const struct load *load)
+{
+  const struct sample_log *log = &load->samples;
+  uint32_t i;
+
+  for (i = 0; i < load->customer_count && log->count > 0; i++)
+    {
+      const struct flow_customer *customer = &load->customers[i];
+
+      if (!customer->has_kind[FLOW_ENGINE])
+        continue;
+      printf ("customer %s weight %" PRIu32 " normalised_service %" PRIu64
+              " whole %" PRIu64 " head_wait_ms %" PRIu64 " at_router %" PRIu32
+              "\n",
+              customer->name, customer->weight,
+              log->samples[log->count - 1].customers[i].cost
+                  / customer->weight,
+              customer->outcomes[FLOW_WHOLE], load->head_wait_us[i] / 1000,
+              load->head_wait_router[i]);
+    }
+}
+
 static void
 print_table (struct load *load)
 {
--- a/bench/sample.c
+++ b/bench/sample.c
@@ -28,7 +28,7 @@
                                     const struct flow_customer *customer,
                                     uint32_t router);
 static void note_wait (struct load *load, const struct flow_customer *customer,
-                       const struct sample_head *head);
+                       uint32_t router);
 
 int
 sample_start (struct load *load)
@@ -98,7 +98,7 @@
 {
   struct sample_head *head = head_of (load, customer, router);
 
-  note_wait (load, customer, head);
+  note_wait (load, customer, router);
   head->waiting--;
   head->since_ns = record_now_ns ();
 }
@@ -109,7 +109,7 @@
 {
   struct sample_head *head = head_of (load, customer, router);
 
-  note_wait (load, customer, head);
+  note_wait (load, customer, router);
   head->waiting--;
 }
 
@@ -240,11 +240,14 @@
 
 static void
 note_wait (struct load *load, const struct flow_customer *customer,
-           const struct sample_head *head)
+           uint32_t router)
 {
+  const struct sample_head *head = head_of (load, customer, router);
   uint64_t wait_us = (record_now_ns () - head->since_ns) / 1000;
   uint64_t *longest = &load->head_wait_us[customer - load->customers];
 
-  if (wait_us > *longest)
-    *longest = wait_us;
+  if (wait_us <= *longest)
+    return;
+  *longest = wait_us;
+  load->head_wait_router[customer - load->customers] = router;
 }
--- a/bench/sample.h
+++ b/bench/sample.h
@@ -53,7 +53,8 @@
 /** Figures of a run. */
 struct sample_result
 {
-  double gap_worst; /**< cost units for weight 1 */
+  double gap_worst;   /**< cost units for weight 1 */
+  double gap_settled; /**< likewise, after the first fair turn */
   const char *gap_pair[2];
   uint64_t gap_from_ms;
   uint64_t gap_to_ms;
