--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -3,6 +3,7 @@
 
 work=$(mktemp -d)
 pids=
+token=token-of-the-bench
 router_pids=
 
 finish ()
@@ -129,12 +130,44 @@
   echo "  platform:"
   echo "    kind: ${platform_kind:-memory}"
   [ -z "${platform_address:-}" ] || echo "    address: $platform_address"
+  echo "    watch_wait_ms: ${watch_wait_ms:-5000}"
+  echo "    calls_per_second_max: ${calls_per_second:-200}"
+  echo "  tokens:"
+  echo "    - operator: bench"
+  echo "      role: write"
+  echo "      token_sha256: $(printf %s "$token" | sha256sum | cut -d ' ' -f 1)"
+}
+
+# apply_objects I FILE: sends a file's objects to router I.
+apply_objects ()
+{
+  tries=0
+  until "$build/cherrylanding" apply --admin "127.0.0.1:$(admin_port "$1")" \
+    --token "$token" --reason bench "$2" > "$work/apply.log" 2>&1; do
+    tries=$((tries + 1))
+    [ $tries -lt 20 ] || die "apply: $(cat "$work/apply.log")"
+    sleep 0.5
+  done
+}
+
+# wait_ready I: until the router holds a whole configuration.
+wait_ready ()
+{
+  tries=0
+  until curl -s -f -o /dev/null -m 1 "http://127.0.0.1:$(admin_port "$1")/readyz"; do
+    tries=$((tries + 1))
+    [ $tries -lt 200 ] || die "router $1 is not ready"
+    sleep 0.05
+  done
 }
 
 # start_router I COUNT: with $work/objects.yaml; its id is $work/router-I.pid.
 start_router ()
 {
-  { put_router "$1" "$2"; cat "$work/objects.yaml"; } > "$work/router-$1.yaml"
+  {
+    put_router "$1" "$2"
+    [ "${platform_kind:-memory}" = http ] || cat "$work/objects.yaml"
+  } > "$work/router-$1.yaml"
   "$build/cherrylanding" serve "$work/router-$1.yaml" 2>> "$work/router-$1.log" &
   router_pids="$router_pids $!"
   echo $! > "$work/router-$1.pid"
