--- a/src/admin_change.c
+++ b/src/admin_change.c
@@ -27,6 +27,8 @@
 
 static bool read_target (struct admin_request *request,
                          struct confstore_write *write);
+static bool read_reason (struct admin_request *request,
+                         struct confstore_write *write);
 static bool read_if_match (struct admin_request *request,
                            struct confstore_write *write);
 static json_t *read_object (struct admin_request *request,
@@ -81,9 +83,6 @@
 static bool
 read_target (struct admin_request *request, struct confstore_write *write)
 {
-  const char *reason
-      = evhttp_find_header (evhttp_request_get_input_headers (request->http),
-                            "Cherrylanding-Reason");
   size_t length = strcspn (request->rest, "/");
   const char *name = request->rest + length;
   int kind;
@@ -107,9 +106,34 @@
   snprintf (write->name, sizeof write->name, "%s", name + 1);
   snprintf (write->operator_name, sizeof write->operator_name, "%s",
             request->token->operator_name);
-  snprintf (write->reason, sizeof write->reason, "%s",
-            reason == NULL ? "" : reason);
-  return true;
+  return read_reason (request, write);
+}
+
+static bool
+read_reason (struct admin_request *request, struct confstore_write *write)
+{
+  const char *reason
+      = evhttp_find_header (evhttp_request_get_input_headers (request->http),
+                            "Cherrylanding-Reason");
+  json_t *text;
+  bool plain;
+  const char *at;
+
+  if (reason == NULL)
+    return true;
+  for (at = reason; *at != '\0' && (unsigned char)*at >= ' '; at++)
+    ;
+  text = json_string (reason); /* NULL when it is not UTF-8 */
+  plain = *at == '\0' && text != NULL;
+  json_decref (text);
+  if (plain && strlen (reason) < sizeof write->reason)
+    {
+      snprintf (write->reason, sizeof write->reason, "%s", reason);
+      return true;
+    }
+  admin_reply_error (request->http, HTTP_BADREQUEST, "reason",
+                     "the reason is too long or not plain UTF-8", NULL);
+  return false;
 }
 
 static bool
--- a/src/confstore.c
+++ b/src/confstore.c
@@ -225,9 +225,15 @@
 {
   struct message_object object = { .value_size = item->value_size };
   const char *key = item->key + strlen (confstore->config.prefix);
-  json_t *value = object_parse_value (item->value, item->value_size);
+  const struct message_object *held = confsync_find (confstore->confsync, key);
+  json_t *value;
   int result = ERR_INVALID;
 
+  /* A listing repeats what is held; spare it the parsing. */
+  if (held != NULL && held->value_size == item->value_size && held->value
+      && memcmp (held->value, item->value, item->value_size) == 0)
+    return 0;
+  value = object_parse_value (item->value, item->value_size);
   if (value != NULL && strlen (key) < sizeof object.key)
     {
       snprintf (object.key, sizeof object.key, "%s", key);
--- a/tests/regress_admin.sh
+++ b/tests/regress_admin.sh
@@ -101,6 +101,10 @@
   'If-Match: 2'
 expect "right index" 200 '"result":"changed"' $ana PUT $customer \
   '{"weight":4}' 'If-Match: 3'
+expect "a reason that is not UTF-8" 400 '"code":"reason"' $ana PUT $customer \
+  '{"weight":5}' "$(printf 'Cherrylanding-Reason: \377')"
+expect "a reason that is too long" 400 '"code":"reason"' $ana PUT $customer \
+  '{"weight":5}' "Cherrylanding-Reason: $(printf %0300d 0)"
 expect "unchanged" 200 '"result":"unchanged"' $ana PUT $customer '{"weight":4}'
 expect "reason and fields in the trail" 200 \
   '"path":"weight","old":3,"new":4' $ana GET '/admin/v1/audit?key=customer/studio'
