Fill idle slots step by step, and expect others' service at once

When many requests arrive together, each instance filled its whole share of idle slots before it heard what waited elsewhere, so a customer at four instances had three times the slots of one at a single instance for as long as the first requests ran, and the ledger then held it back for many seconds. A customer's spread over instances is also taken up with each heartbeat of changed demand, not only each exchange.

--- a/src/coordination/lessor.c
+++ b/src/coordination/lessor.c
@@ -282,7 +282,6 @@
 {
   const struct demand_service *service;
 
-  ledger_interval (lessor->config.ledger);
   for (service = lessor->demand.services; service != NULL;
        service = service->hh.next)
     demand_spread (service, lessor->config.members->self_id,
@@ -304,11 +303,16 @@
   lessor->run_ns = now_ns;
   result = lessor_refresh (lessor, now_ns);
   end_expired (lessor, now_ns);
+  if (result == 0 && (full || lessor->stirred)
+      && lessor->config.policy->exchanges)
+    {
+      if (full)
+        ledger_interval (lessor->config.ledger);
+      spread (lessor);
+    }
   if (result == 0 && full)
     {
       lessor->turn++;
-      if (lessor->config.policy->exchanges)
-        spread (lessor);
       result = lessor_plan_full (lessor, now_ns);
     }
   if (result == 0 && lessor->stirred)
--- a/src/peers.c
+++ b/src/peers.c
@@ -240,7 +240,8 @@
   peers->fleet = fleet_new (&config);
   if (peers->fleet == NULL)
     return ERR_NO_MEMORY;
-  dispatch_set_fleet (router->dispatch, fleet_backlog, peers->fleet);
+  if (peers->net != NULL)
+    dispatch_set_fleet (router->dispatch, fleet_backlog, peers->fleet);
   return 0;
 }
 
--- a/src/state/dispatch_int.h
+++ b/src/state/dispatch_int.h
@@ -59,6 +59,8 @@
   uint64_t
       quick_credit; /**< thousandths of cost units, served ahead of turn */
   uint64_t largest_cost; /**< largest estimate charged, in cost units */
+  uint64_t pace_ns;      /**< end of the step in which slots are filled */
+  uint32_t pace_busy;    /**< slots in use at its start */
   UT_hash_handle hh;
 };
 
@@ -126,6 +128,11 @@
 void dispatch_leave (struct dispatch *dispatch,
                      struct dispatch_request *request);
 
+/** Whether another idle slot may be filled now.  Slots that become free are
+    filled again at once. */
+bool dispatch_pace (struct dispatch *dispatch, uint64_t service_id,
+                    uint64_t now_ns);
+
 /** Starts attempts while there are a request and a slot. */
 int dispatch_pump (struct dispatch_context *context, uint64_t service_id);
 int dispatch_pump_all (struct dispatch_context *context);
--- a/src/state/dispatch_run.c
+++ b/src/state/dispatch_run.c
@@ -47,8 +47,10 @@
         return 0;
       place.prefix_hash = request->prefix_hash;
       place.avoid_upstream_id = request->avoid_upstream_id;
-      upstream_id = dispatch->config.placement->choose (dispatch->config.slots,
-                                                        &place);
+      upstream_id = 0;
+      if (dispatch_pace (dispatch, service_id, context->now_ns))
+        upstream_id = dispatch->config.placement->choose (
+            dispatch->config.slots, &place);
       if (upstream_id == 0)
         {
           request->ahead = false;
--- /dev/null
+++ b/tests/test_dispatch_pace.c
@@ -0,0 +1,140 @@
+/**
+ * @file test_dispatch_pace.c
+ * Idle slots are filled step by step in a fleet, and at once when alone.
+ */
+#include "state/dispatch.h"
+#include "support/suite.h"
+
+#define SLOTS    80
+#define REQUESTS 60
+#define STEP     (SLOTS / DISPATCH_PACE_PART)
+#define STEP_NS  (DISPATCH_PACE_MS * 1000000ULL)
+
+static struct catalog catalog;
+static struct slots slots;
+static struct ledger *ledger;
+static struct dispatch *dispatch;
+static uint32_t started;
+static uint64_t last_request;
+
+static void
+nobody_waits (const void *user, uint64_t customer_id, uint64_t service_id,
+              struct dispatch_backlog *out)
+{
+  (void)user;
+  (void)customer_id;
+  (void)service_id;
+  *out = (struct dispatch_backlog){ .customer_waits = false };
+}
+
+static void
+handle (const struct dispatch_event *event, uint64_t now_ns)
+{
+  struct dispatch_actions actions = { 0 };
+  size_t i;
+
+  CU_ASSERT_EQUAL (dispatch_handle (dispatch, event, now_ns, &actions), 0);
+  for (i = 0; i < actions.count; i++)
+    if (actions.items[i].kind == DISPATCH_CONNECT)
+      {
+        started++;
+        last_request = actions.items[i].request;
+      }
+  dispatch_actions_finish (&actions);
+}
+
+static void
+set_up (void)
+{
+  struct catalog_upstream upstream
+      = { .address = "127.0.0.1:1", .slots = SLOTS };
+  struct catalog_service service = { .name = "model",
+                                     .kind = CATALOG_ENGINE,
+                                     .upstream_count = 1,
+                                     .upstreams = &upstream };
+  struct catalog_profile profile = { .name = "chat",
+                                     .service = "model",
+                                     .deadline_ms = 1000000,
+                                     .queue_limit = REQUESTS,
+                                     .attempts_max = 1 };
+  struct catalog_customer customer
+      = { .name = "ana", .weight = 1, .waiting_max = REQUESTS };
+  struct dispatch_config config = { .limits = { .waiting_max = REQUESTS },
+                                    .placement = &place_least_busy,
+                                    .catalog = &catalog,
+                                    .slots = &slots };
+  struct slots_entry *entry;
+
+  catalog_init (&catalog);
+  slots_init (&slots);
+  CU_ASSERT_EQUAL (catalog_put_service (&catalog, &service), 0);
+  CU_ASSERT_EQUAL (catalog_put_profile (&catalog, &profile), 0);
+  CU_ASSERT_EQUAL (catalog_put_customer (&catalog, &customer), 0);
+  entry = slots_add (&slots, catalog_upstream_id ("model", upstream.address),
+                     catalog_id ("model"));
+  entry->capacity = SLOTS;
+  entry->expiry_ns = UINT64_MAX;
+  ledger = ledger_new ((struct ledger_origin){ 1, 1 });
+  config.ledger = ledger;
+  dispatch = dispatch_new (&config);
+  started = 0;
+}
+
+static void
+tear_down (void)
+{
+  dispatch_free (dispatch);
+  ledger_free (ledger);
+  slots_finish (&slots);
+  catalog_finish (&catalog);
+}
+
+static void
+arrive_all (uint64_t now_ns)
+{
+  struct dispatch_event event = { .kind = DISPATCH_ARRIVED };
+
+  event.u.arrival.customer_id = catalog_id ("ana");
+  event.u.arrival.profile_id = catalog_id ("chat");
+  for (event.request = 1; event.request <= REQUESTS; event.request++)
+    handle (&event, now_ns);
+}
+
+static void
+test_alone (void)
+{
+  set_up ();
+  arrive_all (0);
+  CU_ASSERT_EQUAL (started, REQUESTS);
+  tear_down ();
+}
+
+static void
+test_in_a_fleet (void)
+{
+  const struct dispatch_event tick = { .kind = DISPATCH_TICK };
+  struct dispatch_event gone = { .kind = DISPATCH_CLIENT_GONE };
+  uint32_t turn;
+
+  set_up ();
+  dispatch_set_fleet (dispatch, nobody_waits, NULL);
+  arrive_all (0);
+  CU_ASSERT_EQUAL (started, STEP);
+  handle (&tick, STEP_NS - 1);
+  CU_ASSERT_EQUAL (started, STEP);
+  /* A slot that becomes free is filled again at once. */
+  gone.request = last_request;
+  handle (&gone, STEP_NS - 1);
+  CU_ASSERT_EQUAL (started, STEP + 1);
+  for (turn = 1; turn <= REQUESTS / STEP; turn++)
+    handle (&tick, turn * STEP_NS);
+  CU_ASSERT_EQUAL (started, REQUESTS);
+  tear_down ();
+}
+
+static const struct suite_test tests[] = {
+  { "alone", test_alone },
+  { "in a fleet", test_in_a_fleet },
+};
+
+SUITE_MAIN ("test_dispatch_pace", tests)
