--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -26,6 +26,7 @@
 static int check_framing (struct response *response);
 static int check_length (struct response *response, const char *value);
 static int check_identity (const struct upstream_attempt *attempt, int status);
+static void tell_body (struct upstream_http_conn *conn);
 static void tell_draining (struct upstream_attempt *attempt);
 static void tell_responding (struct upstream_attempt *attempt, int status);
 
@@ -64,6 +65,8 @@
     return used;
   conn->parsing = true;
   used += htparser_run (conn->parser, &hooks, data + used, size - used);
+  if (!conn->doomed)
+    tell_body (conn);
   conn->parsing = false;
   if (conn->doomed || response->whole || response->error != 0)
     return used;
@@ -191,13 +194,23 @@
   attempt->response.received += size;
   if (evbuffer_add (conn->scratch, data, size) != 0)
     return fail (conn, ERR_NO_MEMORY);
-  attempt->events->body (attempt->user, conn->scratch);
-  if (conn->doomed)
-    return -1;
-  evbuffer_drain (conn->scratch, evbuffer_get_length (conn->scratch));
   return 0;
 }
 
+/* Hands on what one read has brought of the body: many small chunks would
+   otherwise cost a write each when the loop is behind. */
+static void
+tell_body (struct upstream_http_conn *conn)
+{
+  struct upstream_attempt *attempt = conn->attempt;
+
+  if (evbuffer_get_length (conn->scratch) == 0)
+    return;
+  attempt->events->body (attempt->user, conn->scratch);
+  if (!conn->doomed)
+    evbuffer_drain (conn->scratch, evbuffer_get_length (conn->scratch));
+}
+
 static int
 on_message (htparser *parser)
 {
