--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -81,6 +81,7 @@
                                          request->customer };
   headers[1] = (struct upstream_header){ "Cherrylanding-Attempt", number };
   start.header_count = forward_headers (request, headers, 2);
+  raise_event (request, DISPATCH_CONNECTING);
   if (upstream != NULL)
     request->attempt = router->driver->start (router->driver_state, &start,
                                               &upstream_events, request);
@@ -88,8 +89,6 @@
        LOG_S ("upstream", upstream == NULL ? "" : upstream->address));
   if (request->attempt == NULL)
     raise_failure (request, ERR_REFUSED);
-  else
-    raise_event (request, DISPATCH_CONNECTING);
 }
 
 static size_t
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -36,8 +36,8 @@
 };
 
 /** Callbacks of an attempt, in the order of the attempt's steps.  After
-    `completed` or `failed`, none comes.  None comes before start returns.
-    Each may cancel the attempt. */
+    `completed` or `failed`, none comes.  Only `sending` and
+    `sent` may come before start returns; the others may cancel the attempt. */
 struct upstream_events
 {
   void (*sending) (void *user); /**< first byte handed to the socket */
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -45,6 +45,7 @@
            const struct upstream_request *request);
 static int conn_connect (struct upstream_http_conn *conn, const char *address);
 static void conn_free (struct upstream_http_conn *conn);
+static void write_now (struct upstream_http_conn *conn);
 static void conn_keep (struct upstream_http_conn *conn);
 static int write_request (struct evbuffer *out,
                           const struct upstream_request *request);
@@ -148,9 +149,25 @@
       conn_free (conn);
       return NULL;
     }
+  if (conn->connected)
+    write_now (conn);
   return attempt;
 }
 
+/* Writes what an open connection takes at once, without a turn of the loop.
+   A bufferevent keeps the start of its output to itself. */
+static void
+write_now (struct upstream_http_conn *conn)
+{
+  struct evbuffer *output = bufferevent_get_output (conn->bev);
+
+  evbuffer_unfreeze (output, 1);
+  evbuffer_write (output, bufferevent_getfd (conn->bev));
+  evbuffer_freeze (output, 1);
+  if (evbuffer_get_length (output) > 0)
+    bufferevent_enable (conn->bev, EV_WRITE);
+}
+
 static void
 http_cancel (struct upstream_attempt *attempt)
 {
@@ -374,6 +391,8 @@
 static void
 conn_keep (struct upstream_http_conn *conn)
 {
+  /* Enabled for nothing it would cost two calls of epoll_ctl a request. */
+  bufferevent_disable (conn->bev, EV_WRITE);
   conn->idle_ns = clock_now_ns (conn->http->config.clock);
   DL_PREPEND (conn->pool->idle, conn);
 }
