--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -5,14 +5,13 @@
 #include "transport/httpd.h"
 #include "state/err.h"
 #include "transport/clock.h"
+#include "transport/httpd_int.h"
 #include "transport/linger.h"
 #include "transport/sock.h"
 #include <event2/bufferevent.h>
 #include <event2/util.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -20,7 +19,6 @@
 #define CONNECTIONS_SPARE 64   /**< over the limit, to be told so */
 #define LISTEN_BACKLOG    1024 /**< connections not yet accepted */
 #define HEADER_OVERHEAD   4    /**< bytes of ": " and the end of a line */
-#define FORM_TYPE         "application/x-www-form-urlencoded"
 
 /** What a connection is doing. */
 enum conn_state
@@ -81,8 +79,6 @@
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
 static void refuse_broken (struct httpd_conn *conn);
 static void tell_gone (struct httpd_conn *conn);
-static bool framing_valid (evhtp_headers_t *headers);
-static int hide_form_type (evhtp_headers_t *headers);
 static const char *request_id (const struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
 
@@ -479,9 +475,9 @@
 
   if (conn->over_limit)
     return refuse (conn, REFUSAL_CONNECTIONS);
-  if (!framing_valid (headers))
+  if (!httpd_framing_valid (headers))
     return refuse (conn, REFUSAL_BAD_REQUEST);
-  if (hide_form_type (headers) != 0)
+  if (httpd_hide_form_type (headers) != 0)
     return refuse (conn, REFUSAL_ROUTER_FULL);
   if (evhtp_request_content_len (http)
       > conn->httpd->config.limits.body_bytes_max)
@@ -489,55 +485,6 @@
   return EVHTP_RES_OK;
 }
 
-/* A request whose end can be read in two ways could hide another one. */
-static bool
-framing_valid (evhtp_headers_t *headers)
-{
-  const evhtp_header_t *header;
-  uint32_t lengths = 0;
-  uint32_t codings = 0;
-
-  TAILQ_FOREACH (header, headers, next)
-  {
-    if (strcasecmp (header->key, "Content-Length") == 0)
-      {
-        lengths++;
-        if (header->val[strspn (header->val, "0123456789")] != '\0')
-          return false;
-      }
-    else if (strcasecmp (header->key, "Transfer-Encoding") == 0)
-      {
-        codings++;
-        if (strcasecmp (header->val, "chunked") != 0)
-          return false;
-      }
-  }
-  return lengths + codings <= 1;
-}
-
-/* libevhtp takes the body of a form for the query of the path, whose place it
-   is given.  A space before the value, which means nothing, prevents that. */
-static int
-hide_form_type (evhtp_headers_t *headers)
-{
-  evhtp_kv_t *header = evhtp_headers_find_header (headers, "Content-Type");
-  char *value = NULL;
-  int length;
-
-  if (header == NULL
-      || strncasecmp (header->val, FORM_TYPE, strlen (FORM_TYPE)) != 0)
-    return 0;
-  length = asprintf (&value, " %s", header->val);
-  if (length < 0)
-    return ERR_NO_MEMORY;
-  if (header->v_heaped)
-    free (header->val);
-  header->val = value;
-  header->vlen = (size_t)length;
-  header->v_heaped = 1;
-  return 0;
-}
-
 static evhtp_res
 on_body (evhtp_request_t *http, struct evbuffer *data, void *arg)
 {
--- /dev/null
+++ b/src/transport/httpd_headers.c
@@ -0,0 +1,60 @@
+/**
+ * @file httpd_headers.c
+ * Checks of a request's headers that libevhtp does not make.
+ */
+#include "state/err.h"
+#include "transport/httpd_int.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define FORM_TYPE "application/x-www-form-urlencoded"
+
+bool
+httpd_framing_valid (evhtp_headers_t *headers)
+{
+  const evhtp_header_t *header;
+  uint32_t lengths = 0;
+  uint32_t codings = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (strcasecmp (header->key, "Content-Length") == 0)
+      {
+        lengths++;
+        if (header->val[strspn (header->val, "0123456789")] != '\0')
+          return false;
+      }
+    else if (strcasecmp (header->key, "Transfer-Encoding") == 0)
+      {
+        codings++;
+        if (strcasecmp (header->val, "chunked") != 0)
+          return false;
+      }
+  }
+  return lengths + codings <= 1;
+}
+
+/* libevhtp takes the body of a form for the query of the path, whose place it
+   is given.  A space before the value, which means nothing, prevents that. */
+int
+httpd_hide_form_type (evhtp_headers_t *headers)
+{
+  evhtp_kv_t *header = evhtp_headers_find_header (headers, "Content-Type");
+  char *value = NULL;
+  int length;
+
+  if (header == NULL
+      || strncasecmp (header->val, FORM_TYPE, strlen (FORM_TYPE)) != 0)
+    return 0;
+  length = asprintf (&value, " %s", header->val);
+  if (length < 0)
+    return ERR_NO_MEMORY;
+  if (header->v_heaped)
+    free (header->val);
+  header->val = value;
+  header->vlen = (size_t)length;
+  header->v_heaped = 1;
+  return 0;
+}
