--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -42,8 +42,6 @@
 };
 
 static char *read_file (const char *path, size_t *size, int *error);
-static int load_text (const char *path, const char *text, size_t size,
-                      struct settings **settings, FILE *errors);
 static void log_line (cyaml_log_t level, void *ctx, const char *format,
                       va_list arguments)
     __attribute__ ((format (printf, 3, 0)));
@@ -73,7 +71,7 @@
                error == ERR_NOT_FOUND ? strerror (errno) : err_name (error));
       return error;
     }
-  error = load_text (path, text, size, settings, errors);
+  error = settings_load_text (path, text, size, settings, errors);
   free (text);
   return error;
 }
@@ -121,9 +119,9 @@
   return text;
 }
 
-static int
-load_text (const char *path, const char *text, size_t size,
-           struct settings **settings, FILE *errors)
+int
+settings_load_text (const char *path, const char *text, size_t size,
+                    struct settings **settings, FILE *errors)
 {
   struct settings_source *source = NULL;
   struct backtrace trace = { .line = 0 };
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -143,6 +143,9 @@
  * @return 0, ERR_NOT_FOUND, ERR_INVALID, ERR_NO_MEMORY.
  */
 int settings_load (const char *path, struct settings **settings, FILE *errors);
+/** The same of a text; `path` is only named in faults. */
+int settings_load_text (const char *path, const char *text, size_t size,
+                        struct settings **settings, FILE *errors);
 void settings_free (struct settings *settings);
 
 /** Cross-checks: ranges, names that refer to nothing, duplicates.  Reports
--- /dev/null
+++ b/tests/support/parsers.c
@@ -0,0 +1,209 @@
+/**
+ * @file parsers.c
+ * Each parser, with the promises that hold for all bytes.
+ */
+#include "support/parsers.h"
+#include "coordination/message.h"
+#include "protocol/client.h"
+#include "protocol/object.h"
+#include "protocol/peercodec.h"
+#include "protocol/platform_http.h"
+#include "protocol/settings.h"
+#include "protocol/usage.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NAME "studio"
+
+static void run_settings (const uint8_t *data, size_t size);
+static void run_object (const uint8_t *data, size_t size);
+static void run_value (const uint8_t *data, size_t size);
+static void run_listing (const uint8_t *data, size_t size);
+static void run_frame (const uint8_t *data, size_t size);
+static void run_request (const uint8_t *data, size_t size);
+static void install_again (enum object_kind kind, const json_t *object);
+static void promise (int held, const char *what);
+
+const struct parser parsers[PARSER_MAX] = {
+  [PARSER_SETTINGS] = { "settings", run_settings },
+  [PARSER_OBJECT] = { "object", run_object },
+  [PARSER_VALUE] = { "value", run_value },
+  [PARSER_LISTING] = { "listing", run_listing },
+  [PARSER_FRAME] = { "frame", run_frame },
+  [PARSER_REQUEST] = { "request", run_request },
+};
+
+/* A file that passes every check can be applied; one that does not says why.
+ */
+static void
+run_settings (const uint8_t *data, size_t size)
+{
+  struct settings *settings = NULL;
+  struct catalog catalog;
+  char *said = NULL;
+  size_t said_size = 0;
+  FILE *errors = open_memstream (&said, &said_size);
+  int error = settings_load_text ("file", (const char *)data, size, &settings,
+                                  errors);
+
+  if (error == 0)
+    error = settings_validate (settings, "/nonexistent", errors);
+  fclose (errors);
+  promise (error == 0 || said_size > 0, "a refusal has a reason");
+  catalog_init (&catalog);
+  if (error == 0)
+    promise (settings_apply (settings, &catalog) == 0, "valid can be applied");
+  catalog_finish (&catalog);
+  settings_free (settings);
+  free (said);
+}
+
+/* The first byte chooses the kind. */
+static void
+run_object (const uint8_t *data, size_t size)
+{
+  struct object_fault fault;
+  enum object_kind kind;
+  json_t *object;
+
+  if (size == 0)
+    return;
+  kind = (enum object_kind) (data[0] % OBJECT_KIND_MAX);
+  object = object_normalise (kind, NAME, (const char *)data + 1, size - 1,
+                             &fault);
+  if (object == NULL)
+    promise (fault.reason[0] != '\0', "a refusal has a reason");
+  else
+    install_again (kind, object);
+  json_decref (object);
+}
+
+/* A normal form stays as it is, and can be installed. */
+static void
+install_again (enum object_kind kind, const json_t *object)
+{
+  const struct object_change change = { .change_id = "c" };
+  struct object_fault fault;
+  struct catalog catalog;
+  char key[64];
+  char *text = json_dumps (object, 0);
+  char *value = object_store_value (object, NULL, &change);
+  json_t *again = object_normalise (kind, NAME, text, strlen (text), &fault);
+
+  promise (again != NULL && json_equal (object, again),
+           "a normal form is stable");
+  snprintf (key, sizeof key, "%s/" NAME, object_kind_name (kind));
+  catalog_init (&catalog);
+  promise (value != NULL
+               && object_install (&catalog, key, value, strlen (value)) == 0,
+           "a normal form can be installed");
+  catalog_finish (&catalog);
+  json_decref (again);
+  free (value);
+  free (text);
+}
+
+static void
+run_value (const uint8_t *data, size_t size)
+{
+  static const char *const keys[]
+      = { "customer/" NAME, "profile/" NAME, "service/" NAME };
+  struct catalog catalog;
+  json_t *value = object_parse_value ((const char *)data, size);
+  json_t *differences;
+  size_t i;
+
+  catalog_init (&catalog);
+  for (i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    object_install (&catalog, keys[i], (const char *)data, size);
+  catalog_finish (&catalog);
+  object_has_change (value, "c");
+  object_index_base (value);
+  differences = object_differences (object_of_value (value), NULL);
+  json_decref (differences);
+  differences = object_redact (object_of_value (value));
+  json_decref (differences);
+  json_decref (value);
+}
+
+static void
+run_listing (const uint8_t *data, size_t size)
+{
+  struct platform_http_items items;
+  char session[16];
+  bool written;
+  size_t i;
+
+  if (platform_http_decode ((const char *)data, size, &items) == 0)
+    {
+      for (i = 0; i < items.count; i++)
+        promise (items.items[i].key != NULL && items.items[i].index > 0,
+                 "an item has a key and an index");
+      platform_http_items_finish (&items);
+    }
+  platform_http_decode_bool ((const char *)data, size, &written);
+  platform_http_decode_session ((const char *)data, size, session,
+                                sizeof session);
+}
+
+/* Frames of one direction, each after its length in one byte; what one was
+   decoded to can be encoded again. */
+static void
+run_frame (const uint8_t *data, size_t size)
+{
+  struct peercodec_decoder decoder = { .row_count = 0 };
+  struct peercodec_encoder encoder = { .names = NULL };
+  struct peercodec_buffer buffer = { .size = 0 };
+  struct message message;
+
+  while (size > 0)
+    {
+      size_t length = data[0] < size ? data[0] : size - 1;
+
+      if (peercodec_decode (&decoder, data + 1, length, &message) != 0)
+        break;
+      peercodec_encode (&encoder, &message, &buffer);
+      message_finish (&message);
+      data += length + 1;
+      size -= length + 1;
+    }
+  peercodec_buffer_finish (&buffer);
+  peercodec_encoder_finish (&encoder);
+  peercodec_decoder_finish (&decoder);
+}
+
+static void
+run_request (const uint8_t *data, size_t size)
+{
+  struct client_prompt prompt;
+  struct client_path path;
+  struct usage usage = { .events = 0 };
+  uint8_t digest[CATALOG_KEY_HASH_SIZE];
+  char *text = malloc (size + 1);
+
+  if (text == NULL)
+    return;
+  memcpy (text, data, size);
+  text[size] = '\0';
+  client_parse_prompt (text, size, &prompt);
+  client_parse_path (text, &path);
+  promise (path.target != CLIENT_PLAIN || strcmp (path.rest, "/") == 0
+               || (path.rest > text && path.rest < text + size
+                   && path.rest[0] == '/'),
+           "the rest of a path is a path within it");
+  client_key_digest (text, digest);
+  client_request_id_valid (text);
+  usage_feed (&usage, text, size / 2);
+  usage_feed (&usage, text + size / 2, size - size / 2);
+  free (text);
+}
+
+static void
+promise (int held, const char *what)
+{
+  if (held)
+    return;
+  fprintf (stderr, "broken promise: %s\n", what);
+  abort ();
+}
