--- a/bench/fair_faults.sh
+++ b/bench/fair_faults.sh
@@ -63,9 +63,11 @@
   platform_address=$(addresses_of store)
 }
 
-links_of ()
+# Heartbeats that a router has received.
+heartbeats_of ()
 {
-  metrics "$1" | awk '$1 == "cherrylanding_peer_links" { print $2 }'
+  metrics "$1" | awk '
+    /^cherrylanding_control_messages_total.*heartbeat.*"in"/ { print $NF }'
 }
 
 run_fault ()
@@ -83,8 +85,11 @@
     # Cuts a router off from all others, both ways, and lets it rejoin.
     partition)
       fault relay kind=partition
-      pause_s 4
-      echo "links_during_partition $(links_of $victim)" >> "$work/notes"
+      pause_s 1
+      heard=$(heartbeats_of $victim)
+      pause_s 3
+      heard=$(($(heartbeats_of $victim) - heard))
+      echo "heartbeats_through_partition $heard" >> "$work/notes"
       fault relay kind=none
       ;;
     store-down)
--- a/bench/fair_targets.awk
+++ b/bench/fair_targets.awk
@@ -13,6 +13,8 @@
 
 END {
   want("load_exit", "<=", 0)
+  if (value["fault"] == "partition")
+    want("heartbeats_through_partition", "<=", 0)
   if (value["policy"] == "fleet")
     {
       want("gap_ratio", "<=", value["fault"] == "none" ? 0.5 : 1.0)
