--- a/bench/fair.sh
+++ b/bench/fair.sh
@@ -157,7 +157,7 @@
 "$build/load" $(router_arguments $routers) --engine "$(control_of engine)" \
   --plain "$(control_of plain)" --seconds "$seconds" --seed "$seed" \
   --slots $((workers * slots)) --token-ms $token_ms --tokens $tokens \
-  --exchange-ms "$exchange_ms" --fault-ms "$fault_ms" $lost $(put_flows) \
+  --drain-ms 60000 --exchange-ms "$exchange_ms" --fault-ms "$fault_ms" $lost $(put_flows) \
   > "$work/load" 2> "$work/load.err" &
 load_pid=$!
 pids="$pids $load_pid"
