Tell peers of a change made soon after the store went back

Cause: a writer tells its peers a new index once a listing has shown that nothing older is missing. A watch that waited for an index which the store had before it was restored does not answer for up to 30 s, so the change stayed at its writer, beyond the 7 s that a change may take. Ruled out: the write itself (answered 200, index above all seen), and the peers' request for objects (never sent, since no heartbeat showed the index). Change: after a change, an instance that knows of a restored store lists it beside the waiting watch. Conclusion: the promise holds after a restore too.

--- a/src/confstore.c
+++ b/src/confstore.c
@@ -20,6 +20,9 @@
 static void ask (struct confstore *confstore, uint64_t now_ns);
 static void answered (void *user, int error, uint64_t index,
                       const struct platform_item *items, size_t count);
+static void list_aside (struct confstore *confstore);
+static void listed_aside (void *user, int error, uint64_t index,
+                          const struct platform_item *items, size_t count);
 static void take_listing (struct confstore *confstore, uint64_t index,
                           const struct platform_item *items, size_t count);
 static void schedule (struct confstore *confstore, int error);
@@ -72,6 +75,8 @@
   confstore_write_run (confstore, now_ns);
   if (!confstore->busy && now_ns >= confstore->next_ns)
     ask (confstore, now_ns);
+  if (confstore->relist)
+    list_aside (confstore);
   check_ready (confstore, now_ns);
   confstore_notify (confstore);
 }
@@ -98,6 +103,30 @@
     answered (confstore, error, 0, NULL, 0);
 }
 
+/* Lists beside a watch that waits for an index which the store had before it
+   went back, and so would not hear of a change until its wait ends. */
+static void
+list_aside (struct confstore *confstore)
+{
+  struct platform *platform = confstore->config.platform;
+
+  confstore->relist = false;
+  confstore->asked = confstore_ask_state (confstore);
+  platform->ops->list (platform, confstore->config.prefix, listed_aside,
+                       confstore);
+}
+
+static void
+listed_aside (void *user, int error, uint64_t index,
+              const struct platform_item *items, size_t count)
+{
+  struct confstore *confstore = user;
+
+  confstore_note (confstore, error);
+  if (error == 0)
+    take_listing (confstore, index, items, count);
+}
+
 static void
 answered (void *user, int error, uint64_t index,
           const struct platform_item *items, size_t count)
--- a/src/confstore_int.h
+++ b/src/confstore_int.h
@@ -35,6 +35,7 @@
   bool listed;       /**< one listing has been received */
   bool up;
   bool reverted; /**< the store is behind what is held */
+  bool relist;   /**< list now, whatever watch is waiting */
   bool changed;  /**< objects were installed since the last notice */
   bool ready;
 };
--- a/src/confstore_write.c
+++ b/src/confstore_write.c
@@ -421,6 +421,8 @@
                      + CONFSTORE_WATCH_GAP_MS * CLOCK_NS_PER_MS;
 
   pending->result.index = index;
+  if (confstore->index_base > 0)
+    confstore->relist = true;
   confstore_notify (confstore);
   /* A listing tells that nothing older is missing here; then the peers are
      told of the new index. */
--- a/tests/support/fakestore.c
+++ b/tests/support/fakestore.c
@@ -130,6 +130,8 @@
   size_t count = store->waiter_count;
   size_t i;
 
+  if (store->mute)
+    return;
   memcpy (waiters, store->waiters, sizeof waiters);
   store->waiter_count = 0;
   for (i = 0; i < count; i++)
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -54,6 +54,7 @@
   void (*race) (void *user);
   void *race_user;
   bool down;
+  bool mute;      /**< watches that wait are not answered */
   uint32_t calls; /**< while up or down */
 };
 
--- a/tests/test_confstore.c
+++ b/tests/test_confstore.c
@@ -353,6 +353,22 @@
   stop ();
 }
 
+/* Watches that wait for an index which the store had before it went back do
+   not answer; the writer tells its peers all the same. */
+static void
+test_a_change_soon_after_the_store_went_back (void)
+{
+  start ();
+  CU_ASSERT_EQUAL (write_weight (&instances[0], "studio", 1, 0), 0);
+  CU_ASSERT_EQUAL (write_weight (&instances[0], "late", 8, 0), 0);
+  store.mute = true;
+  fakestore_restore (&store, 1);
+  CU_ASSERT_EQUAL (write_weight (&instances[0], "studio", 2, -1), 0);
+  CU_ASSERT (confsync_index (confstore_sync (instances[0].confstore))
+             >= instances[0].result.index);
+  stop ();
+}
+
 static void
 test_a_store_that_went_back (void)
 {
@@ -509,6 +525,8 @@
   { "a late write never reverts", test_a_late_write_never_reverts },
   { "refusals are truthful", test_refusals_are_truthful },
   { "an hour without the store", test_an_hour_without_the_store },
+  { "a change soon after the store went back",
+    test_a_change_soon_after_the_store_went_back },
   { "a store that went back", test_a_store_that_went_back },
   { "cold start waits for the newest", test_cold_start_waits_for_the_newest },
   { "cold start without store or peers",
