Charge a common reserve for running requests in place of an estimate

Cause: an estimate per customer and profile, charged at dispatch and topped up once passed, made a customer's number of running requests depend on the sizes it happened to run, and its noise (a mean of 8) moved slots about. With long and short requests mixed a customer was ahead by four turns. Also a customer was lifted to positions that held others' estimates, so it was held back for seconds after the start of contention. Ruled out: late reports (the fake fleet shows the same with none), the order of arrival alone (the same with clients started one by one). Change: true cost is charged as it arises; besides, each running request holds a reserve until its end, the service's mean cost weighted by cost, the same for all. Equal positions then run equally many requests. Customers are lifted by what was served, without reserves; half of its own reserve is left, as lifting on each error of a late report ratcheted. Requests out of turn do not move the position that the idle are lifted to. The learned estimate still bounds quick requests ahead of turn.

--- a/src/coordination/backlog.c
+++ b/src/coordination/backlog.c
@@ -19,6 +19,7 @@
 {
   struct backlog_key key;
   uint32_t waiting;
+  uint32_t running;
   struct backlog_pair *prev; /**< pairs of the service that wait */
   struct backlog_pair *next;
   UT_hash_handle hh;
@@ -37,6 +38,7 @@
 {
   struct backlog_key key;
   uint32_t waiting;
+  uint32_t running;
   uint64_t sequence; /**< of the last heartbeat that named it */
   UT_hash_handle hh;
 };
@@ -52,8 +54,11 @@
                                               uint64_t instance_id);
 static struct backlog_item *item_get (struct backlog_instance *instance,
                                       const struct backlog_key *key);
-static int set_waiting (struct backlog *backlog, struct backlog_item *item,
-                        uint32_t waiting);
+static int set_demand (struct backlog *backlog, struct backlog_item *item,
+                       uint32_t waiting, uint32_t running);
+static uint64_t served (const struct ledger *ledger,
+                        const struct catalog *catalog,
+                        const struct backlog_pair *pair, uint64_t reserve);
 static struct backlog_pair *pair_get (struct backlog *backlog,
                                       const struct backlog_key *key);
 static struct backlog_service *service_get (struct backlog *backlog,
@@ -110,7 +115,8 @@
       if (item == NULL)
         return ERR_NO_MEMORY;
       item->sequence = heartbeat->sequence;
-      rc = set_waiting (backlog, item, heartbeat->demands[i].waiting);
+      rc = set_demand (backlog, item, heartbeat->demands[i].waiting,
+                       heartbeat->demands[i].running);
       if (rc != 0)
         return rc;
     }
@@ -135,7 +141,7 @@
   for (; item != NULL; item = next)
     {
       next = item->hh.next;
-      set_waiting (backlog, item, 0);
+      set_demand (backlog, item, 0, 0);
       free (item);
     }
   HASH_DEL (backlog->instances, instance);
@@ -144,30 +150,44 @@
 
 void
 backlog_of (const struct backlog *backlog, const struct ledger *ledger,
-            uint64_t customer_id, uint64_t service_id,
+            const struct catalog *catalog, uint64_t customer_id,
+            uint64_t service_id, uint64_t reserve,
             struct dispatch_backlog *out)
 {
+  const struct backlog_key key = { customer_id, service_id };
   const struct backlog_service *service = service_find (backlog, service_id);
-  const struct backlog_pair *pair;
+  struct backlog_pair *pair = NULL;
   uint64_t position;
 
   *out = (struct dispatch_backlog){ .least_position = UINT64_MAX };
   if (service == NULL)
     return;
+  HASH_FIND (hh, backlog->pairs, &key, sizeof key, pair);
+  out->customer_waits = pair != NULL && pair->waiting > 0;
+  out->customer_running = pair != NULL ? pair->running : 0;
   for (pair = service->pairs; pair != NULL; pair = pair->next)
     {
       if (pair->key.customer_id == customer_id)
-        {
-          out->customer_waits = true;
-          continue;
-        }
+        continue;
       out->others_wait = true;
-      position = ledger_position (ledger, pair->key.customer_id, service_id);
+      position = served (ledger, catalog, pair, reserve);
       if (position < out->least_position)
         out->least_position = position;
     }
 }
 
+static uint64_t
+served (const struct ledger *ledger, const struct catalog *catalog,
+        const struct backlog_pair *pair, uint64_t reserve)
+{
+  const struct catalog_customer *customer
+      = catalog_customer (catalog, pair->key.customer_id);
+
+  return ledger_served (ledger, pair->key.customer_id, pair->key.service_id,
+                        reserve * pair->running,
+                        customer == NULL ? 1 : customer->weight);
+}
+
 uint32_t
 backlog_waiting (const struct backlog *backlog, uint64_t service_id)
 {
@@ -211,19 +231,23 @@
 }
 
 static int
-set_waiting (struct backlog *backlog, struct backlog_item *item,
-             uint32_t waiting)
+set_demand (struct backlog *backlog, struct backlog_item *item,
+            uint32_t waiting, uint32_t running)
 {
   struct backlog_service *service;
   struct backlog_pair *pair;
   uint32_t before;
 
-  if (waiting == item->waiting)
+  if (waiting == item->waiting && running == item->running)
     return 0;
   pair = pair_get (backlog, &item->key);
   service = service_get (backlog, item->key.service_id);
   if (pair == NULL || service == NULL)
     return ERR_NO_MEMORY;
+  pair->running += running - item->running;
+  item->running = running;
+  if (waiting == item->waiting)
+    return 0;
   before = pair->waiting;
   pair->waiting += waiting - item->waiting;
   service->waiting += waiting - item->waiting;
@@ -289,7 +313,7 @@
       next = item->hh.next;
       if (item->sequence == sequence)
         continue;
-      set_waiting (backlog, item, 0);
+      set_demand (backlog, item, 0, 0);
       HASH_DEL (instance->items, item);
       free (item);
     }
--- a/src/coordination/backlog.h
+++ b/src/coordination/backlog.h
@@ -1,7 +1,7 @@
 /**
  * @file backlog.h
- * What the other instances have waiting, as their heartbeats tell it, summed
- * by customer and service.
+ * What the other instances have waiting and running, as their heartbeats tell
+ * it, summed by customer and service.
  */
 #ifndef COORDINATION_BACKLOG_H
 #define COORDINATION_BACKLOG_H
@@ -29,9 +29,11 @@
 /** Forgets an instance's demand. */
 void backlog_drop (struct backlog *backlog, uint64_t instance_id);
 
-/** What waits elsewhere, seen from one customer. */
+/** What waits elsewhere, seen from one customer.
+    @param reserve cost units charged for each running request. */
 void backlog_of (const struct backlog *backlog, const struct ledger *ledger,
-                 uint64_t customer_id, uint64_t service_id,
+                 const struct catalog *catalog, uint64_t customer_id,
+                 uint64_t service_id, uint64_t reserve,
                  struct dispatch_backlog *out);
 
 /** Requests of a service that wait elsewhere. */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -186,14 +186,14 @@
 
 void
 fleet_backlog (const void *user, uint64_t customer_id, uint64_t service_id,
-               struct dispatch_backlog *out)
+               uint64_t reserve, struct dispatch_backlog *out)
 {
   const struct fleet *fleet = user;
 
   *out = (struct dispatch_backlog){ .customer_waits = false };
   if (fleet->config.policy->exchanges)
-    backlog_of (&fleet->elsewhere, fleet->config.ledger, customer_id,
-                service_id, out);
+    backlog_of (&fleet->elsewhere, fleet->config.ledger, fleet->config.catalog,
+                customer_id, service_id, reserve, out);
 }
 
 const struct lessor *
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -79,7 +79,8 @@
 /** What waits elsewhere in the fleet; for dispatch_config.
     @param user struct fleet. */
 void fleet_backlog (const void *user, uint64_t customer_id,
-                    uint64_t service_id, struct dispatch_backlog *out);
+                    uint64_t service_id, uint64_t reserve,
+                    struct dispatch_backlog *out);
 
 const struct lessor *fleet_lessor (const struct fleet *fleet);
 const struct member_table *fleet_members (const struct fleet *fleet);
--- a/src/state/dispatch.c
+++ b/src/state/dispatch.c
@@ -66,6 +66,7 @@
   dispatch->running_deadline_ns = UINT64_MAX;
   dispatch->queue = queue_new ();
   estimate_init (&dispatch->estimates);
+  reserve_init (&dispatch->reserves);
   budget_init (&dispatch->budgets);
   if (dispatch->queue == NULL)
     {
@@ -102,6 +103,7 @@
   if (dispatch->queue != NULL)
     queue_free (dispatch->queue);
   estimate_finish (&dispatch->estimates);
+  reserve_finish (&dispatch->reserves);
   budget_finish (&dispatch->budgets);
   free (dispatch);
 }
@@ -140,6 +142,7 @@
                     void (*fleet_backlog) (const void *user,
                                            uint64_t customer_id,
                                            uint64_t service_id,
+                                           uint64_t reserve,
                                            struct dispatch_backlog *out),
                     const void *user)
 {
--- a/src/state/dispatch.h
+++ b/src/state/dispatch.h
@@ -16,6 +16,7 @@
 #include "state/place.h"
 #include "state/queue.h"
 #include "state/refusal.h"
+#include "state/reserve.h"
 #include "state/slots.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -116,17 +117,20 @@
 /** What the rest of the fleet has waiting at a service. */
 struct dispatch_backlog
 {
-  bool customer_waits;     /**< the customer itself waits elsewhere */
-  bool others_wait;        /**< some other customer waits elsewhere */
-  uint64_t least_position; /**< of those others, in the ledger */
+  bool customer_waits;       /**< the customer itself waits elsewhere */
+  uint32_t customer_running; /**< its requests that run elsewhere */
+  bool others_wait;          /**< some other customer waits elsewhere */
+  uint64_t least_position;   /**< least that those others were served */
 };
 
 struct dispatch_config
 {
   const char *availability_zone;
-  /** Asked when a customer becomes backlogged here; NULL when alone. */
+  /** Asked when a customer becomes backlogged here, with the cost units
+      reserved for each running request; NULL when alone. */
   void (*fleet_backlog) (const void *user, uint64_t customer_id,
-                         uint64_t service_id, struct dispatch_backlog *out);
+                         uint64_t service_id, uint64_t reserve,
+                         struct dispatch_backlog *out);
   const void *fleet_user;
   bool by_arrival; /**< serve in order of arrival; a baseline */
   struct dispatch_limits limits;
@@ -172,6 +176,7 @@
                          void (*fleet_backlog) (const void *user,
                                                 uint64_t customer_id,
                                                 uint64_t service_id,
+                                                uint64_t reserve,
                                                 struct dispatch_backlog *out),
                          const void *user);
 
--- a/src/state/dispatch_cost.c
+++ b/src/state/dispatch_cost.c
@@ -1,7 +1,7 @@
 /**
  * @file dispatch_cost.c
- * What a request costs its customer: an estimate at dispatch, corrected as
- * the response advances, settled at the end.
+ * What a request costs its customer: its true cost as the response advances
+ * and, while it runs, a reserve for what is still to come.
  */
 #include "state/dispatch_int.h"
 #include "state/err.h"
@@ -22,6 +22,15 @@
 static uint64_t lift_target (struct dispatch *dispatch,
                              const struct dispatch_request *request,
                              const struct dispatch_backlog *elsewhere);
+static void look_elsewhere (struct dispatch *dispatch,
+                            const struct dispatch_request *request,
+                            struct dispatch_backlog *elsewhere);
+static uint64_t reserve_of (struct dispatch *dispatch,
+                            const struct dispatch_request *request);
+static uint64_t served (struct dispatch *dispatch,
+                        const struct dispatch_request *request,
+                        const struct dispatch_backlog *elsewhere,
+                        uint64_t part);
 
 uint64_t
 dispatch_position (const void *user, uint64_t customer_id, uint64_t service_id)
@@ -106,29 +115,67 @@
 dispatch_lift (struct dispatch *dispatch, struct dispatch_request *request)
 {
   struct dispatch_backlog elsewhere = { .customer_waits = false };
+  uint64_t target;
+  uint64_t now;
 
   if (request->demand->waiting > 1)
     return 0;
-  if (dispatch->config.fleet_backlog != NULL)
-    dispatch->config.fleet_backlog (dispatch->config.fleet_user,
-                                    request->node.customer_id,
-                                    request->node.service_id, &elsewhere);
+  look_elsewhere (dispatch, request, &elsewhere);
   if (elsewhere.customer_waits)
     return 0;
+  target = lift_target (dispatch, request, &elsewhere);
+  /* Half of its running requests' reserve is left as credit: reports are
+     late, and lifting on each of their errors would only ever lift. */
+  now = served (dispatch, request, &elsewhere, 2);
+  if (now >= target)
+    return 0;
   return ledger_lift (dispatch->config.ledger, request->node.customer_id,
-                      request->node.service_id,
-                      lift_target (dispatch, request, &elsewhere));
+                      request->node.service_id, target - now);
+}
+
+static void
+look_elsewhere (struct dispatch *dispatch,
+                const struct dispatch_request *request,
+                struct dispatch_backlog *elsewhere)
+{
+  if (dispatch->config.fleet_backlog != NULL)
+    dispatch->config.fleet_backlog (
+        dispatch->config.fleet_user, request->node.customer_id,
+        request->node.service_id, reserve_of (dispatch, request), elsewhere);
 }
 
-/* The least position among those already waiting; when none waits, that of
-   the customer served last. */
+static uint64_t
+reserve_of (struct dispatch *dispatch, const struct dispatch_request *request)
+{
+  return reserve_cost (&dispatch->reserves, request->node.service_id,
+                       request->hint);
+}
+
+/* What the request's customer has been served, without the share `1/part` of
+   reserves. */
+static uint64_t
+served (struct dispatch *dispatch, const struct dispatch_request *request,
+        const struct dispatch_backlog *elsewhere, uint64_t part)
+{
+  uint64_t running = request->demand->running + elsewhere->customer_running;
+
+  return ledger_served (dispatch->config.ledger, request->node.customer_id,
+                        request->node.service_id,
+                        running * reserve_of (dispatch, request) / part,
+                        request->weight);
+}
+
+/* The least that those already waiting were served; when none waits, the most
+   that any customer had been served when a request of it started. */
 static uint64_t
 lift_target (struct dispatch *dispatch, const struct dispatch_request *request,
              const struct dispatch_backlog *elsewhere)
 {
   const struct dispatch_demand_entry *entry;
+  const struct catalog_customer *customer;
+  uint64_t reserve = reserve_of (dispatch, request);
   uint64_t least = UINT64_MAX;
-  uint64_t position;
+  uint64_t here;
 
   if (elsewhere->others_wait)
     least = elsewhere->least_position;
@@ -136,9 +183,12 @@
     if (entry->key.service_id == request->node.service_id && entry->waiting > 0
         && entry->key.customer_id != request->node.customer_id)
       {
-        position = dispatch_position (dispatch, entry->key.customer_id,
-                                      entry->key.service_id);
-        least = position < least ? position : least;
+        customer = catalog_customer (dispatch->config.catalog,
+                                     entry->key.customer_id);
+        here = ledger_served (dispatch->config.ledger, entry->key.customer_id,
+                              entry->key.service_id, reserve * entry->running,
+                              customer == NULL ? 1 : customer->weight);
+        least = here < least ? here : least;
       }
   if (least != UINT64_MAX)
     return least;
@@ -148,20 +198,22 @@
 int
 dispatch_charge (struct dispatch *dispatch, struct dispatch_request *request)
 {
+  struct dispatch_backlog elsewhere = { .customer_waits = false };
   struct dispatch_service *service = request->service;
   uint64_t position;
-  uint64_t cost;
 
   if (request->charged_once)
     return 0;
-  position = dispatch_position (dispatch, request->node.customer_id,
-                                request->node.service_id);
-  if (position > service->virtual_position)
+  look_elsewhere (dispatch, request, &elsewhere);
+  position = served (dispatch, request, &elsewhere, 1);
+  if (!request->ahead && position > service->virtual_position)
     service->virtual_position = position;
-  cost = estimate (dispatch, request);
-  account_quick (dispatch, request, cost);
+  account_quick (dispatch, request, estimate (dispatch, request));
+  request->reserved = reserve_of (dispatch, request);
   request->charged_once = true;
-  return charge_more (dispatch, request, cost);
+  return ledger_charge (dispatch->config.ledger, request->node.customer_id,
+                        request->node.service_id, request->reserved,
+                        request->weight);
 }
 
 int
@@ -220,10 +272,15 @@
   else if (cost < request->charged)
     ledger_refund (ledger, customer_id, service_id, request->charged - cost,
                    request->weight);
+  ledger_refund (ledger, customer_id, service_id, request->reserved,
+                 request->weight);
+  request->reserved = 0;
   ledger_settle (ledger, customer_id, service_id, cost);
-  if (completed)
-    estimate_observe (&dispatch->estimates, customer_id,
-                      request->node.profile_id, request->hint, cost);
+  if (!completed)
+    return;
+  reserve_observe (&dispatch->reserves, service_id, cost);
+  estimate_observe (&dispatch->estimates, customer_id,
+                    request->node.profile_id, request->hint, cost);
 }
 
 /* A request that no upstream began to run has cost nothing. */
--- a/src/state/dispatch_int.h
+++ b/src/state/dispatch_int.h
@@ -20,7 +20,7 @@
   bool running;
   bool client_started;
   bool ahead;            /**< chosen out of turn */
-  bool charged_once;     /**< an estimate has been charged */
+  bool charged_once;     /**< the reserve has been charged */
   uint32_t input_cost;   /**< cost units of an input token */
   uint32_t output_cost;  /**< cost units of an output token */
   uint64_t hint;         /**< cost units */
@@ -29,6 +29,7 @@
   uint64_t prefix_hash;
   uint64_t avoid_upstream_id; /**< where the last attempt failed */
   uint64_t charged;           /**< cost units charged so far */
+  uint64_t reserved;          /**< cost units charged besides, until the end */
   uint64_t started_ns;        /**< of the current attempt */
   uint64_t slot_ns;           /**< slot time of earlier attempts */
   UT_hash_handle hh;
@@ -78,6 +79,7 @@
   char availability_zone[CATALOG_NAME_SIZE];
   struct queue *queue;
   struct estimate_table estimates;
+  struct reserve_table reserves;
   struct budget_table budgets;
   struct dispatch_request *requests; /**< by handle */
   struct dispatch_demand_entry *demands;
@@ -161,17 +163,18 @@
 int dispatch_lift (struct dispatch *dispatch,
                    struct dispatch_request *request);
 
-/** Charges the estimate at the start of an attempt. @return 0 or an error. */
+/** Charges the reserve at the start of the first attempt. @return 0 or an
+ * error. */
 int dispatch_charge (struct dispatch *dispatch,
                      struct dispatch_request *request);
 
 #define DISPATCH_CHARGE_MS 100 /**< between charges of running requests */
 
-/** Charges plain requests that run past their estimate; engines' are charged
-    as their responses advance. @return 0 or an error. */
+/** Charges plain requests as they run; engines' are charged as their
+    responses advance. @return 0 or an error. */
 int dispatch_charge_running (struct dispatch *dispatch, uint64_t now_ns);
 
-/** Charges what has passed the estimate. @return 0 or an error. */
+/** Charges what has been produced since. @return 0 or an error. */
 int dispatch_charge_progress (struct dispatch *dispatch,
                               struct dispatch_request *request,
                               uint64_t now_ns);
--- a/src/state/ledger.c
+++ b/src/state/ledger.c
@@ -253,6 +253,16 @@
                          : account->floor + account->sum + account->expected;
 }
 
+uint64_t
+ledger_served (const struct ledger *ledger, uint64_t customer_id,
+               uint64_t service_id, uint64_t reserved, uint32_t weight)
+{
+  uint64_t position = ledger_position (ledger, customer_id, service_id);
+  uint64_t amount = normalise (reserved, weight);
+
+  return position > amount ? position - amount : 0;
+}
+
 void
 ledger_interval (struct ledger *ledger)
 {
@@ -278,16 +288,14 @@
 
 int
 ledger_lift (struct ledger *ledger, uint64_t customer_id, uint64_t service_id,
-             uint64_t position)
+             uint64_t amount)
 {
   struct ledger_account *account
       = account_get (ledger, customer_id, service_id);
 
   if (account == NULL)
     return ERR_NO_MEMORY;
-  if (account->floor + account->sum >= position)
-    return 0;
-  account->floor = position - account->sum;
+  account->floor += amount;
   account_changed (ledger, account);
   return 0;
 }
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -74,9 +74,17 @@
 uint64_t ledger_position (const struct ledger *ledger, uint64_t customer_id,
                           uint64_t service_id);
 
-/** Lifts a customer that becomes backlogged to `position` if it is lower. */
+/** Position less what is reserved for running requests: what the customer has
+    been served, so far as reports tell.
+    @param reserved cost units over the whole fleet. */
+uint64_t ledger_served (const struct ledger *ledger, uint64_t customer_id,
+                        uint64_t service_id, uint64_t reserved,
+                        uint32_t weight);
+
+/** Lifts a customer that becomes backlogged by `amount` normalised units.
+    @return 0 or ERR_NO_MEMORY. */
 int ledger_lift (struct ledger *ledger, uint64_t customer_id,
-                 uint64_t service_id, uint64_t position);
+                 uint64_t service_id, uint64_t amount);
 
 /** Starts an exchange interval: what was expected and not reported is halved,
     and every spread is 1 until set again. */
