Say which header is missing when no profile is named

Cause: a first request without Cherrylanding-Profile was answered with "malformed request", which left a newcomer guessing. Change: a refusal of its own, profile_missing.

--- a/src/request_intake.c
+++ b/src/request_intake.c
@@ -134,7 +134,7 @@
   if (intake->path.target == CLIENT_UNKNOWN)
     return REFUSAL_NO_SERVICE;
   if (profile == NULL)
-    return REFUSAL_BAD_REQUEST;
+    return REFUSAL_PROFILE_MISSING;
   intake->profile = catalog_profile (&router->catalog, catalog_id (profile));
   if (intake->profile == NULL)
     return REFUSAL_NO_PROFILE;
--- a/src/state/refusal.c
+++ b/src/state/refusal.c
@@ -7,6 +7,9 @@
 static const struct refusal_info refusals[REFUSAL_MAX] = {
   [REFUSAL_NONE] = { 500, 0, "none", "no refusal" },
   [REFUSAL_BAD_REQUEST] = { 400, 0, "bad_request", "malformed request" },
+  [REFUSAL_PROFILE_MISSING]
+  = { 400, 0, "profile_missing",
+      "the Cherrylanding-Profile header is missing" },
   [REFUSAL_NO_KEY] = { 401, 0, "unauthorized", "key missing or unknown" },
   [REFUSAL_NO_PROFILE] = { 404, 0, "no_profile", "profile unknown" },
   [REFUSAL_NO_SERVICE]
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -12,6 +12,7 @@
 {
   REFUSAL_NONE,
   REFUSAL_BAD_REQUEST,       /**< 400 malformed request */
+  REFUSAL_PROFILE_MISSING,   /**< 400 no profile named */
   REFUSAL_NO_KEY,            /**< 401 key missing or unknown */
   REFUSAL_NO_PROFILE,        /**< 404 profile unknown */
   REFUSAL_NO_SERVICE,        /**< 404 service unknown or not the profile's */
