--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -53,11 +53,11 @@
 struct ledger *ledger_new (struct ledger_origin self);
 void ledger_free (struct ledger *ledger);
 
-/** Charges an estimate at dispatch, in cost units. @return 0 or an error. */
+/** Charges a cost or a reserve, in cost units. @return 0 or an error. */
 int ledger_charge (struct ledger *ledger, uint64_t customer_id,
                    uint64_t service_id, uint64_t cost, uint32_t weight);
 
-/** Takes back part of an estimate that was too high, in cost units. */
+/** Takes back a reserve, or cost that was not used after all. */
 int ledger_refund (struct ledger *ledger, uint64_t customer_id,
                    uint64_t service_id, uint64_t cost, uint32_t weight);
 
