Deliver whole responses that extra bytes follow; let dialects name the headers

Cause: a whole response with bytes behind it ended as ERR_PROTOCOL, so that the client of a request that had run got 502. Change: the driver delivers and closes. Its header names are a table now, as are responses that end with their connection (a reset of it is not an end).

--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -63,9 +63,10 @@
     .body = request->body,
     .body_size = request->body_size,
     .idempotent = request->idempotent,
-    .resume_offset = action->resume ? request->delivered_bytes : 0,
-    .service = service,
-    .upstream = upstream,
+    .resume_after = action->resume ? request->delivered_bytes : 0,
+    .upstream_id = action->upstream_id,
+    .address = upstream == NULL ? NULL : upstream->address,
+    .idle_timeout_ms = service == NULL ? 0 : service->idle_timeout_ms,
   };
 
   request->attempt_number = action->attempt;
--- /dev/null
+++ b/src/state/prompt.c
@@ -0,0 +1,32 @@
+/**
+ * @file prompt.c
+ * Chains of prompt parts.
+ */
+#include "state/prompt.h"
+#include <xxhash.h>
+
+void
+prompt_add (struct prompt *prompt, uint64_t identifier, uint32_t tokens)
+{
+  uint32_t last = prompt->part_count == 0 ? 0 : prompt->part_count - 1;
+  uint64_t pair[2]
+      = { prompt->part_count == 0 ? 0 : prompt->parts[last].hash, identifier };
+
+  if (prompt->part_count == PROMPT_PARTS_MAX)
+    {
+      prompt->parts[last].tokens += tokens;
+      prompt->parts[last].hash = XXH3_64bits (pair, sizeof (pair));
+      return;
+    }
+  prompt->parts[prompt->part_count].hash = XXH3_64bits (pair, sizeof (pair));
+  prompt->parts[prompt->part_count++].tokens = tokens;
+}
+
+uint64_t
+prompt_home (const struct prompt *prompt)
+{
+  if (prompt->part_count == 0)
+    return 0;
+  return prompt->parts[prompt->part_count > 1 ? prompt->part_count - 2 : 0]
+      .hash;
+}
--- /dev/null
+++ b/src/state/roster.c
@@ -0,0 +1,175 @@
+/**
+ * @file roster.c
+ * The table of upstreams.
+ */
+#include "state/roster.h"
+#include "state/err.h"
+#include "state/hash.h"
+#include <stdlib.h>
+#include <string.h>
+
+static struct roster_upstream *find_identity (const struct roster *roster,
+                                              const char *identity);
+static uint64_t life_id (const struct roster_record *record);
+static int add (struct roster *roster, const struct roster_record *record);
+static void remove_upstream (struct roster *roster,
+                             struct roster_upstream *upstream);
+static void set_missing (struct roster *roster,
+                         struct roster_upstream *upstream, uint64_t grace_ns,
+                         uint64_t now_ns);
+
+void
+roster_init (struct roster *roster)
+{
+  memset (roster, 0, sizeof (*roster));
+}
+
+void
+roster_finish (struct roster *roster)
+{
+  while (roster->upstreams != NULL)
+    remove_upstream (roster, roster->upstreams);
+}
+
+static struct roster_upstream *
+find_identity (const struct roster *roster, const char *identity)
+{
+  struct roster_upstream *upstream;
+
+  HASH_FIND (hh, roster->upstreams, identity, strlen (identity), upstream);
+  return upstream;
+}
+
+struct roster_upstream *
+roster_find (const struct roster *roster, uint64_t id)
+{
+  struct roster_upstream *upstream;
+
+  HASH_FIND (hh_id, roster->by_id, &id, sizeof (id), upstream);
+  return upstream;
+}
+
+bool
+roster_usable (const struct roster_upstream *upstream, uint64_t service_id)
+{
+  return upstream->record.service_id == service_id
+         && !upstream->record.draining;
+}
+
+/* One identity that starts again is another upstream: it holds nothing of
+   what the life before it held. */
+static uint64_t
+life_id (const struct roster_record *record)
+{
+  return XXH3_64bits_withSeed (record->identity, strlen (record->identity),
+                               record->born_ms);
+}
+
+int
+roster_put (struct roster *roster, const struct roster_record *record)
+{
+  struct roster_upstream *known = find_identity (roster, record->identity);
+
+  if (known == NULL)
+    return add (roster, record);
+  known->seen = true;
+  if (record->revision < known->record.revision)
+    return ERR_STALE;
+  if (known->id != life_id (record)
+      || known->record.service_id != record->service_id
+      || strcmp (known->record.address, record->address) != 0)
+    {
+      remove_upstream (roster, known);
+      return add (roster, record);
+    }
+  if (known->record.draining != record->draining || known->missing_ns != 0)
+    roster->generation++;
+  known->record = *record;
+  known->missing_ns = 0;
+  return 0;
+}
+
+static int
+add (struct roster *roster, const struct roster_record *record)
+{
+  struct roster_upstream *upstream = calloc (1, sizeof (*upstream));
+
+  if (upstream == NULL)
+    return ERR_NO_MEMORY;
+  upstream->record = *record;
+  upstream->id = life_id (record);
+  upstream->seen = true;
+  HASH_ADD (hh, roster->upstreams, record.identity[0],
+            strlen (upstream->record.identity), upstream);
+  HASH_ADD (hh_id, roster->by_id, id, sizeof (upstream->id), upstream);
+  roster->generation++;
+  return 0;
+}
+
+static void
+remove_upstream (struct roster *roster, struct roster_upstream *upstream)
+{
+  HASH_DELETE (hh, roster->upstreams, upstream);
+  HASH_DELETE (hh_id, roster->by_id, upstream);
+  free (upstream);
+  roster->generation++;
+}
+
+void
+roster_drop (struct roster *roster, const char *identity, uint64_t revision,
+             uint64_t grace_ns, uint64_t now_ns)
+{
+  struct roster_upstream *upstream = find_identity (roster, identity);
+
+  if (upstream != NULL && upstream->record.revision <= revision)
+    set_missing (roster, upstream, grace_ns, now_ns);
+}
+
+static void
+set_missing (struct roster *roster, struct roster_upstream *upstream,
+             uint64_t grace_ns, uint64_t now_ns)
+{
+  if (grace_ns == 0 || upstream->record.draining)
+    {
+      remove_upstream (roster, upstream);
+      return;
+    }
+  if (upstream->missing_ns != 0)
+    return;
+  upstream->missing_ns = now_ns;
+  upstream->grace_ns = grace_ns;
+}
+
+void
+roster_listing_begin (struct roster *roster)
+{
+  struct roster_upstream *upstream;
+
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    upstream->seen = false;
+}
+
+void
+roster_listing_end (struct roster *roster, uint64_t revision,
+                    uint64_t grace_ns, uint64_t now_ns)
+{
+  struct roster_upstream *upstream;
+  struct roster_upstream *next;
+
+  HASH_ITER (hh, roster->upstreams, upstream, next)
+    if (!upstream->seen && upstream->record.revision <= revision)
+      set_missing (roster, upstream, grace_ns, now_ns);
+}
+
+void
+roster_age (struct roster *roster, uint64_t now_ns)
+{
+  struct roster_upstream *upstream;
+  struct roster_upstream *next;
+
+  HASH_ITER (hh, roster->upstreams, upstream, next)
+    if (upstream->missing_ns != 0
+        && now_ns - upstream->missing_ns >= upstream->grace_ns)
+      remove_upstream (roster, upstream);
+}
--- a/src/transport/kvhttp.c
+++ b/src/transport/kvhttp.c
@@ -6,9 +6,7 @@
 #include "protocol/platform_http.h"
 #include "state/err.h"
 #include "transport/kvhttp_int.h"
-#include <event2/util.h>
 #include <inttypes.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -56,7 +54,6 @@
                                               const char *key);
 static int keep_lease (struct kvhttp *store, const char *key,
                        const char *session);
-static int set_address (struct kvhttp *store);
 
 static const struct platform_ops kvhttp_ops = { .name = "http",
                                                 .get = http_get,
@@ -78,53 +75,25 @@
   store->config = *config;
   store->filled_ns = clock_now_ns (config->clock);
   store->tokens_us = (uint64_t)config->calls_per_second_max * 1000000;
-  store->reap = event_new (config->base, -1, 0, kvhttp_call_reap, store);
-  if (store->reap != NULL && set_address (store) == 0)
+  if (exchange_init (&store->exchange, config->base, config->address) == 0)
     return &store->platform;
-  if (store->reap != NULL)
-    event_free (store->reap);
+  exchange_finish (&store->exchange);
   free (store);
   return NULL;
 }
 
-static int
-set_address (struct kvhttp *store)
-{
-  struct sockaddr_storage storage;
-  struct sockaddr *any = (struct sockaddr *)&storage;
-  struct sockaddr_in *v4 = (struct sockaddr_in *)&storage;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&storage;
-  int size = (int)sizeof storage;
-  bool four;
-
-  memset (&storage, 0, sizeof storage);
-  if (store->config.address == NULL
-      || evutil_parse_sockaddr_port (store->config.address, any, &size) != 0)
-    return ERR_INVALID;
-  four = any->sa_family == AF_INET;
-  store->port = ntohs (four ? v4->sin_port : v6->sin6_port);
-  if (evutil_inet_ntop (any->sa_family,
-                        four ? (const void *)&v4->sin_addr
-                             : (const void *)&v6->sin6_addr,
-                        store->host, sizeof store->host)
-      == NULL)
-    return ERR_INVALID;
-  return 0;
-}
-
 static void
 http_finish (struct platform *platform)
 {
   struct kvhttp *store = (struct kvhttp *)platform;
   struct kvhttp_lease *lease;
 
-  kvhttp_call_drop_all (store);
+  exchange_finish (&store->exchange);
   while ((lease = store->leases) != NULL)
     {
       store->leases = lease->next;
       free (lease);
     }
-  event_free (store->reap);
   free (store);
 }
 
--- a/src/transport/kvhttp.h
+++ b/src/transport/kvhttp.h
@@ -11,8 +11,6 @@
 #include "transport/clock.h"
 #include <event2/event.h>
 
-#define KVHTTP_LISTING_MAX 134217728 /**< bytes of a response */
-
 struct kvhttp_config
 {
   struct event_base *base;
--- a/src/transport/kvhttp_int.h
+++ b/src/transport/kvhttp_int.h
@@ -6,26 +6,20 @@
 #ifndef TRANSPORT_KVHTTP_INT_H
 #define TRANSPORT_KVHTTP_INT_H
 
+#include "transport/exchange.h"
 #include "transport/kvhttp.h"
-#include <event2/http.h>
-#include <stdbool.h>
 
-#define KVHTTP_HOST_SIZE    64   /* bytes of an IP number */
 #define KVHTTP_PATH_SIZE    1024 /* bytes of a path with its query */
 #define KVHTTP_KEY_SIZE     256  /* bytes of a key */
 #define KVHTTP_SESSION_SIZE 64   /* bytes of a session's id */
 
 struct kvhttp;
 
-/** One HTTP exchange, on a connection of its own. */
+/** One call of the store. */
 struct kvhttp_call
 {
+  struct exchange_call exchange_call; /* first */
   struct kvhttp *store;
-  struct kvhttp_call *prev;
-  struct kvhttp_call *next;
-  struct evhttp_connection *connection;
-  bool sent; /**< bytes of the request were handed to the connection */
-  bool done; /**< the connection is released soon */
   /** Called once. `error` is 0 for any whole response, ERR_UNAVAILABLE when
       nothing was sent, ERR_TIMEOUT or ERR_RESET. */
   void (*finished) (struct kvhttp_call *call, int error, int status,
@@ -49,11 +43,8 @@
 {
   struct platform platform; /* first: the table's functions get this */
   struct kvhttp_config config;
-  char host[KVHTTP_HOST_SIZE];
-  uint16_t port;
-  struct kvhttp_call *calls;
+  struct exchange exchange;
   struct kvhttp_lease *leases;
-  struct event *reap; /**< releases connections of finished calls */
   uint64_t tokens_us; /**< of the rate limit: calls x microseconds */
   uint64_t filled_ns; /**< when tokens were last added */
 };
@@ -66,9 +57,5 @@
 int kvhttp_call_start (struct kvhttp_call *call, enum evhttp_cmd_type method,
                        const char *path, const char *body, size_t size,
                        uint32_t timeout_ms);
-/** Releases all calls, whose callbacks are not called any more. */
-void kvhttp_call_drop_all (struct kvhttp *store);
-/** Releases finished calls; the callback of `reap`. */
-void kvhttp_call_reap (evutil_socket_t fd, short events, void *arg);
 
 #endif
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -177,3 +177,19 @@
                 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   return *fd >= 0 ? 0 : ERR_IO;
 }
+
+void
+sock_notice_silence (int fd, uint32_t silence_ms)
+{
+  const int on = 1;
+  const int interval_s = 1; /* the shortest that the kernel takes */
+  const int probes = (int)(silence_ms / 1000) > 1 ? (int)(silence_ms / 1000)
+                                                  : 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s, sizeof interval_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+              sizeof silence_ms);
+}
--- a/src/transport/sock.h
+++ b/src/transport/sock.h
@@ -35,6 +35,10 @@
 /** Writes the address that a socket is bound to. @return 0 or an error. */
 int sock_local (int fd, char *out, size_t size);
 
+/** Has the kernel end a connection whose peer has been silent to probes, or
+    has not taken what was sent, for about `silence_ms`. */
+void sock_notice_silence (int fd, uint32_t silence_ms);
+
 /** Turns off Nagle's algorithm. */
 void sock_no_delay (int fd);
 
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -7,7 +7,6 @@
 #ifndef TRANSPORT_UPSTREAM_H
 #define TRANSPORT_UPSTREAM_H
 
-#include "state/catalog.h"
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <stdbool.h>
@@ -20,6 +19,29 @@
   const char *value;
 };
 
+/** How the service's upstreams tell, in headers, what the driver must know. */
+struct upstream_dialect
+{
+  const char *request_id; /**< header that names a request, and is echoed */
+  const char *resume;     /**< header that asks to go on after some bytes or
+                               events */
+  bool unframed;          /**< a response may end with its connection */
+  /** Whose response it is, and whether it is one.
+      @return 0, ERR_MISMATCH for another request's, ERR_UNAVAILABLE when the
+      upstream says that it did not run the request, ERR_PROTOCOL. */
+  int (*check) (const char *request_id, uint64_t resume_after, int status,
+                const struct upstream_header *headers, size_t count);
+  /** True when the headers say that the upstream is draining. */
+  bool (*draining) (const struct upstream_header *headers, size_t count);
+};
+
+/** The product's own. */
+extern const struct upstream_dialect upstream_own_dialect;
+
+/** Value of a header; NULL when absent. */
+const char *upstream_header_find (const struct upstream_header *headers,
+                                  size_t count, const char *name);
+
 struct upstream_request
 {
   const char *request_id;
@@ -30,9 +52,11 @@
   const char *body;       /**< must outlive the attempt */
   size_t body_size;       /**< bytes */
   bool idempotent;        /**< else only recently used connections serve */
-  uint64_t resume_offset; /**< bytes of response body already passed on */
-  const struct catalog_service *service; /**< copied fields only */
-  const struct catalog_upstream *upstream;
+  uint64_t resume_after;  /**< of the response already passed on; 0: none */
+  uint64_t upstream_id;   /**< connections are kept by it */
+  const char *address;    /**< "IP:PORT" */
+  const char *host;       /**< Host header; NULL: the address */
+  uint32_t idle_timeout_ms; /**< after which the upstream closes */
 };
 
 /** Callbacks of an attempt, in the order of the attempt's steps.  After
--- /dev/null
+++ b/src/transport/upstream_dialect.c
@@ -0,0 +1,67 @@
+/**
+ * @file upstream_dialect.c
+ * The product's own headers between a router and an upstream.
+ */
+#include "state/err.h"
+#include "state/verdict.h"
+#include "transport/upstream.h"
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+static int check (const char *request_id, uint64_t resume_after, int status,
+                  const struct upstream_header *headers, size_t count);
+static bool draining (const struct upstream_header *headers, size_t count);
+
+const struct upstream_dialect upstream_own_dialect = {
+  .request_id = "Cherrylanding-Request-Id",
+  .resume = "Cherrylanding-Resume-Offset",
+  .unframed = false,
+  .check = check,
+  .draining = draining,
+};
+
+const char *
+upstream_header_find (const struct upstream_header *headers, size_t count,
+                      const char *name)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    if (strcasecmp (headers[i].name, name) == 0)
+      return headers[i].value;
+  return NULL;
+}
+
+/* An upstream may also refuse before it runs the request. */
+static int
+check (const char *request_id, uint64_t resume_after, int status,
+       const struct upstream_header *headers, size_t count)
+{
+  const char *id = upstream_header_find (headers, count,
+                                         upstream_own_dialect.request_id);
+  const char *resumed
+      = upstream_header_find (headers, count, "Cherrylanding-Resumed");
+  const char *verdict
+      = upstream_header_find (headers, count, "Cherrylanding-Verdict");
+
+  if (id == NULL || strcmp (id, request_id) != 0)
+    return ERR_MISMATCH;
+  if (status == 503 && verdict != NULL
+      && strcmp (verdict, verdict_name (VERDICT_NOT_RUN)) == 0)
+    return ERR_UNAVAILABLE;
+  if (resume_after > 0
+      && (status != 200 || resumed == NULL
+          || strtoull (resumed, NULL, 10) != resume_after))
+    return ERR_PROTOCOL;
+  return 0;
+}
+
+static bool
+draining (const struct upstream_header *headers, size_t count)
+{
+  const char *state = upstream_header_find (headers, count,
+                                            "Cherrylanding-Upstream-State");
+
+  return state != NULL && strcasecmp (state, "draining") == 0;
+}
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -10,6 +10,7 @@
  */
 #include "transport/upstream_http.h"
 #include "state/err.h"
+#include "transport/sock.h"
 #include "transport/upstream_http_int.h"
 #include <errno.h>
 #include <event2/util.h>
@@ -47,7 +48,10 @@
 static void conn_free (struct upstream_http_conn *conn);
 static void write_now (struct upstream_http_conn *conn);
 static void conn_keep (struct upstream_http_conn *conn);
+static void pool_release (struct upstream_http *http,
+                          struct upstream_http_pool *pool);
 static int write_request (struct evbuffer *out,
+                          const struct upstream_dialect *dialect,
                           const struct upstream_request *request);
 static void on_read (struct bufferevent *bev, void *arg);
 static void on_event (struct bufferevent *bev, short what, void *arg);
@@ -67,8 +71,11 @@
 {
   struct upstream_http *http = calloc (1, sizeof (*http));
 
-  if (http != NULL)
-    http->config = *config;
+  if (http == NULL)
+    return NULL;
+  http->config = *config;
+  if (http->config.dialect == NULL)
+    http->config.dialect = &upstream_own_dialect;
   return http;
 }
 
@@ -108,6 +115,33 @@
       }
 }
 
+void
+upstream_http_forget (struct upstream_http *http, uint64_t upstream_id)
+{
+  struct upstream_http_pool *pool;
+  struct upstream_http_conn *conn;
+
+  HASH_FIND (hh, http->pools, &upstream_id, sizeof (upstream_id), pool);
+  if (pool == NULL)
+    return;
+  while ((conn = conn_take (pool)) != NULL)
+    conn_free (conn);
+  pool->gone = true;
+  HASH_FIND (hh, http->pools, &upstream_id, sizeof (upstream_id), pool);
+  if (pool != NULL)
+    pool_release (http, pool);
+}
+
+/* Frees the pool of an upstream that is gone. */
+static void
+pool_release (struct upstream_http *http, struct upstream_http_pool *pool)
+{
+  if (!pool->gone || pool->open > 0)
+    return;
+  HASH_DEL (http->pools, pool);
+  free (pool);
+}
+
 uint32_t
 upstream_http_connections (const struct upstream_http *http)
 {
@@ -121,7 +155,7 @@
             const struct upstream_events *events, void *user)
 {
   struct upstream_http *http = driver;
-  struct upstream_http_pool *pool = pool_find (http, request->upstream->id);
+  struct upstream_http_pool *pool = pool_find (http, request->upstream_id);
   struct upstream_attempt *attempt;
   struct upstream_http_conn *conn;
 
@@ -142,9 +176,10 @@
   attempt->conn = conn;
   conn->keep = false;
   conn->idle_max_ns
-      = (uint64_t)request->service->idle_timeout_ms / 2 * NS_PER_MS;
+      = (uint64_t)request->idle_timeout_ms / 2 * NS_PER_MS;
   upstream_http_response_reset (conn);
-  if (write_request (bufferevent_get_output (conn->bev), request) != 0)
+  if (write_request (bufferevent_get_output (conn->bev),
+                     http->config.dialect, request) != 0)
     {
       conn_free (conn);
       return NULL;
@@ -211,7 +246,7 @@
     }
   attempt->events = events;
   attempt->user = user;
-  attempt->resume_offset = request->resume_offset;
+  attempt->resume_after = request->resume_after;
   attempt->head = strcmp (request->method, "HEAD") == 0;
   return attempt;
 }
@@ -324,13 +359,14 @@
     return NULL;
   conn->http = http;
   conn->pool = pool;
+  pool->open++;
   http->connections++;
   conn->parser = htparser_new ();
   conn->scratch = evbuffer_new ();
   conn->bev = bufferevent_socket_new (
       http->config.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   if (conn->parser == NULL || conn->scratch == NULL || conn->bev == NULL
-      || conn_connect (conn, request->upstream->address) != 0)
+      || conn_connect (conn, request->address) != 0)
     {
       conn_free (conn);
       return NULL;
@@ -385,6 +421,8 @@
     evbuffer_free (conn->scratch);
   free (conn->parser);
   conn->http->connections--;
+  conn->pool->open--;
+  pool_release (conn->http, conn->pool);
   free (conn);
 }
 
@@ -400,22 +438,22 @@
 /* Requests. */
 
 static int
-write_request (struct evbuffer *out, const struct upstream_request *request)
+write_request (struct evbuffer *out, const struct upstream_dialect *dialect,
+               const struct upstream_request *request)
 {
   size_t i;
   int error;
 
   error = evbuffer_add_printf (
-      out,
-      "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n"
-      "Cherrylanding-Request-Id: %s\r\n",
-      request->method, request->path, request->upstream->address,
-      request->body_size, request->request_id);
+      out, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n%s: %s\r\n",
+      request->method, request->path,
+      request->host != NULL ? request->host : request->address,
+      request->body_size, dialect->request_id, request->request_id);
   if (error < 0)
     return ERR_NO_MEMORY;
-  if (request->resume_offset > 0)
-    evbuffer_add_printf (out, "Cherrylanding-Resume-Offset: %llu\r\n",
-                         (unsigned long long)request->resume_offset);
+  if (request->resume_after > 0)
+    evbuffer_add_printf (out, "%s: %llu\r\n", dialect->resume,
+                         (unsigned long long)request->resume_after);
   for (i = 0; i < request->header_count; i++)
     evbuffer_add_printf (out, "%s: %s\r\n", request->headers[i].name,
                          request->headers[i].value);
@@ -483,12 +521,11 @@
   evbuffer_drain (input, used);
   if (response->error != 0)
     attempt_end (conn, response->error);
-  else if (response->whole && !response->body_absent && used < size)
-    attempt_end (conn, ERR_PROTOCOL);
   else if (response->whole)
     {
-      /* Answered early: the rest of the request is still unsent. */
-      if (!conn->attempt->sent)
+      /* Answered early, so that the rest of the request is still unsent; or
+         bytes that nobody asked for follow. */
+      if (!conn->attempt->sent || used < size)
         conn->keep = false;
       attempt_end (conn, 0);
     }
@@ -505,6 +542,9 @@
       conn->connected = true;
       setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &one,
                   sizeof (one));
+      if (conn->http->config.silence_ms > 0)
+        sock_notice_silence (bufferevent_getfd (bev),
+                             conn->http->config.silence_ms);
       bufferevent_set_timeouts (bev, NULL, NULL);
       return;
     }
@@ -522,6 +562,11 @@
   if (!conn->connected)
     attempt_end (conn,
                  (what & BEV_EVENT_TIMEOUT) != 0 ? ERR_TIMEOUT : ERR_REFUSED);
+  else if ((what & BEV_EVENT_EOF) != 0 && conn->attempt->response.unframed)
+    {
+      conn->keep = false;
+      attempt_end (conn, 0);
+    }
   else
     attempt_end (conn,
                  conn->attempt->response.started ? ERR_TRUNCATED : ERR_RESET);
--- a/src/transport/upstream_http.h
+++ b/src/transport/upstream_http.h
@@ -18,7 +18,9 @@
 {
   struct event_base *base;
   const struct clock *clock;
+  const struct upstream_dialect *dialect; /**< NULL: the product's own */
   uint32_t connect_timeout_ms;
+  uint32_t silence_ms; /**< until a dead peer is noticed; 0: never */
   uint32_t read_max_bytes; /**< read at once, and ahead of a paused attempt */
 };
 
@@ -37,6 +39,9 @@
     timeout.  Call about once a second. */
 void upstream_http_sweep (struct upstream_http *http);
 
+/** An upstream is gone: closes its idle connections. */
+void upstream_http_forget (struct upstream_http *http, uint64_t upstream_id);
+
 /** Connections open, idle ones too. */
 uint32_t upstream_http_connections (const struct upstream_http *http);
 
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -33,6 +33,7 @@
   bool has_length;
   bool chunked;
   bool body_absent; /**< by its status or the request's method */
+  bool unframed;    /**< ends with its connection */
   bool begun;       /**< past any 1xx responses */
   bool started;     /**< `responding` has been called */
   bool whole;
@@ -46,6 +47,8 @@
 {
   uint64_t upstream_id;
   struct upstream_http_conn *idle;
+  uint32_t open; /**< connections, idle or not */
+  bool gone;     /**< the upstream is; released with its last connection */
   UT_hash_handle hh;
 };
 
@@ -62,7 +65,7 @@
   const struct upstream_events *events;
   void *user;
   char *request_id;
-  uint64_t resume_offset;
+  uint64_t resume_after;
   bool head; /**< the method is HEAD */
   bool sending;
   bool sent;
@@ -99,8 +102,4 @@
 size_t upstream_http_response_parse (struct upstream_http_conn *conn,
                                      const char *data, size_t size);
 
-/** Value of a response header; NULL when absent. */
-const char *upstream_http_response_header (const struct response *response,
-                                           const char *name);
-
 #endif
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -4,7 +4,6 @@
  * stated length and the answer to this request.
  */
 #include "state/err.h"
-#include "state/verdict.h"
 #include "transport/upstream_http_int.h"
 #include <stdlib.h>
 #include <string.h>
@@ -12,23 +11,26 @@
 
 #define ARENA_FIRST_BYTES 512
 #define STATUS_LINE_MIN   12 /**< bytes of "HTTP/1.1 200" */
+#define KEEP_ALIVE_MAX_S  3600 /**< seconds believed */
 
 static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
                             size_t size);
 static int on_header_name (htparser *parser, const char *data, size_t size);
 static int on_header_value (htparser *parser, const char *data, size_t size);
 static int on_headers (htparser *parser);
+static void list_headers (const struct response *response,
+                          struct upstream_header *headers);
 static int on_body (htparser *parser, const char *data, size_t size);
 static int on_message (htparser *parser);
 static int fail (struct upstream_http_conn *conn, int error);
 static int arena_add (struct response *response, const char *data, size_t size,
                       uint32_t *offset);
-static int check_framing (struct response *response);
+static int check_framing (struct response *response, bool unframed);
 static int check_length (struct response *response, const char *value);
-static int check_identity (const struct upstream_attempt *attempt, int status);
+static void read_keep_alive (struct upstream_http_conn *conn,
+                             const struct upstream_header *headers,
+                             size_t count);
 static void tell_body (struct upstream_http_conn *conn);
-static void tell_draining (struct upstream_attempt *attempt);
-static void tell_responding (struct upstream_attempt *attempt, int status);
 
 static htparse_hooks hooks = {
   .hdr_key = on_header_name,
@@ -64,11 +66,20 @@
   if (!response->begun || response->error != 0)
     return used;
   conn->parsing = true;
-  used += htparser_run (conn->parser, &hooks, data + used, size - used);
+  if (!response->unframed)
+    used += htparser_run (conn->parser, &hooks, data + used, size - used);
+  if (!conn->doomed && response->error == 0 && response->unframed)
+    {
+      response->received += size - used;
+      if (evbuffer_add (conn->scratch, data + used, size - used) != 0)
+        response->error = ERR_NO_MEMORY;
+      used = size;
+    }
   if (!conn->doomed)
     tell_body (conn);
   conn->parsing = false;
-  if (conn->doomed || response->whole || response->error != 0)
+  if (conn->doomed || response->whole || response->error != 0
+      || response->unframed)
     return used;
   if (htparser_get_error (conn->parser) != htparse_error_none || used < size)
     response->error = ERR_PROTOCOL;
@@ -110,18 +121,6 @@
   return used;
 }
 
-const char *
-upstream_http_response_header (const struct response *response,
-                               const char *name)
-{
-  uint32_t i;
-
-  for (i = 0; i < response->count; i++)
-    if (strcasecmp (response->arena + response->slices[i].name, name) == 0)
-      return response->arena + response->slices[i].value;
-  return NULL;
-}
-
 static int
 on_header_name (htparser *parser, const char *data, size_t size)
 {
@@ -156,35 +155,74 @@
 {
   struct upstream_http_conn *conn = htparser_get_userdata (parser);
   struct upstream_attempt *attempt = conn->attempt;
+  const struct upstream_dialect *dialect = conn->http->config.dialect;
   struct response *response = &attempt->response;
+  struct upstream_header headers[RESPONSE_HEADERS_MAX];
   int status = (int)htparser_get_status (parser);
   int error;
 
   if (status < 200)
     return fail (conn, ERR_PROTOCOL);
+  list_headers (response, headers);
   response->body_absent = attempt->head || status == 204 || status == 304;
-  error = check_framing (response);
+  error = check_framing (response, dialect->unframed);
   if (error == 0)
-    error = check_identity (attempt, status);
+    error = dialect->check (attempt->request_id, attempt->resume_after, status,
+                            headers, response->count);
   if (error == ERR_MISMATCH)
     return fail (conn, error);
-  tell_draining (attempt);
+  if (dialect->draining (headers, response->count))
+    attempt->events->draining (attempt->user);
   if (conn->doomed)
     return -1;
   if (error != 0)
     return fail (conn, error);
   conn->keep = htparser_should_keep_alive (parser) != 0;
-  tell_responding (attempt, status);
+  read_keep_alive (conn, headers, response->count);
+  response->started = true;
+  attempt->events->responding (attempt->user, status, headers,
+                               response->count);
   if (conn->doomed)
     return -1;
-  if (!response->body_absent)
+  if (!response->body_absent && !response->unframed)
     return 0;
-  /* The parser would wait for a body that never comes. */
-  response->whole = true;
+  /* The parser would wait for a body that never comes, or end a response
+     without a length at once. */
+  response->whole = response->body_absent;
   conn->keep = false;
   return -1;
 }
 
+static void
+list_headers (const struct response *response, struct upstream_header *headers)
+{
+  uint32_t i;
+
+  for (i = 0; i < response->count; i++)
+    {
+      headers[i].name = response->arena + response->slices[i].name;
+      headers[i].value = response->arena + response->slices[i].value;
+    }
+}
+
+/* The upstream says for how long it keeps a connection; a second less, for
+   the way there and its rounding. */
+static void
+read_keep_alive (struct upstream_http_conn *conn,
+                 const struct upstream_header *headers, size_t count)
+{
+  const char *value = upstream_header_find (headers, count, "Keep-Alive");
+  const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
+  uint64_t seconds;
+
+  if (timeout == NULL)
+    return;
+  seconds = strtoull (timeout + strlen ("timeout="), NULL, 10);
+  if (seconds < KEEP_ALIVE_MAX_S)
+    conn->idle_max_ns
+        = (seconds > 1 ? seconds - 1 : 0) * CLOCK_NS_PER_S;
+}
+
 static int
 on_body (htparser *parser, const char *data, size_t size)
 {
@@ -259,10 +297,10 @@
   return 0;
 }
 
-/* A body that ends with the connection cannot be told from one that was cut,
-   so a response must state its length or be chunked. */
+/* A body that ends with the connection cannot be told from one that was cut
+   but by a reset, so only a dialect that says so allows it. */
 static int
-check_framing (struct response *response)
+check_framing (struct response *response, bool unframed)
 {
   const char *name;
   const char *value;
@@ -286,9 +324,9 @@
     }
   if (response->has_length && response->chunked)
     return ERR_PROTOCOL;
-  if (!response->has_length && !response->chunked && !response->body_absent)
-    return ERR_PROTOCOL;
-  return 0;
+  response->unframed = !response->has_length && !response->chunked
+                       && !response->body_absent;
+  return response->unframed && !unframed ? ERR_PROTOCOL : 0;
 }
 
 static int
@@ -306,57 +344,3 @@
   response->length = length;
   return 0;
 }
-
-/* Whose response it is, and whether it is one: an upstream may also refuse
-   before it runs the request. */
-static int
-check_identity (const struct upstream_attempt *attempt, int status)
-{
-  const struct response *response = &attempt->response;
-  const char *id
-      = upstream_http_response_header (response, "Cherrylanding-Request-Id");
-  const char *resumed
-      = upstream_http_response_header (response, "Cherrylanding-Resumed");
-
-  const char *verdict
-      = upstream_http_response_header (response, "Cherrylanding-Verdict");
-
-  if (id == NULL || strcmp (id, attempt->request_id) != 0)
-    return ERR_MISMATCH;
-  if (status == 503 && verdict != NULL
-      && strcmp (verdict, verdict_name (VERDICT_NOT_RUN)) == 0)
-    return ERR_UNAVAILABLE;
-  if (attempt->resume_offset > 0
-      && (status != 200 || resumed == NULL
-          || strtoull (resumed, NULL, 10) != attempt->resume_offset))
-    return ERR_PROTOCOL;
-  return 0;
-}
-
-static void
-tell_draining (struct upstream_attempt *attempt)
-{
-  const char *state = upstream_http_response_header (
-      &attempt->response, "Cherrylanding-Upstream-State");
-
-  if (state == NULL || strcasecmp (state, "draining") != 0)
-    return;
-  attempt->events->draining (attempt->user);
-}
-
-static void
-tell_responding (struct upstream_attempt *attempt, int status)
-{
-  struct upstream_header headers[RESPONSE_HEADERS_MAX];
-  struct response *response = &attempt->response;
-  uint32_t i;
-
-  for (i = 0; i < response->count; i++)
-    {
-      headers[i].name = response->arena + response->slices[i].name;
-      headers[i].value = response->arena + response->slices[i].value;
-    }
-  response->started = true;
-  attempt->events->responding (attempt->user, status, headers,
-                               response->count);
-}
