--- a/src/request.c
+++ b/src/request.c
@@ -33,7 +33,7 @@
 {
   struct request *request = request_user;
 
-  request->http = NULL;
+  request->reply.http = NULL;
   log_end (request, METRICS_CANCELED, verdict_now (request), REFUSAL_NONE);
   router_handle (user, &(struct dispatch_event){
                            .kind = DISPATCH_CLIENT_GONE,
@@ -73,10 +73,10 @@
       break;
     case DISPATCH_ABORT:
       log_end (request, METRICS_ABORTED, action->verdict, action->refusal);
-      request_reply_abort (request);
+      reply_abort (&request->reply);
       break;
     case DISPATCH_FINISH:
-      request_reply_finish (request);
+      reply_finish (&request->reply, router->draining);
       log_end (request, METRICS_COMPLETED, VERDICT_RAN, REFUSAL_NONE);
       break;
     case DISPATCH_FORGET:
@@ -98,14 +98,14 @@
 static void
 refuse (struct request *request, const struct dispatch_action *action)
 {
-  evhtp_request_t *http = request->http;
+  evhtp_request_t *http = request->reply.http;
 
   metrics_refused (&request->router->metrics, action->refusal);
-  request->status = refusal_info (action->refusal)->status;
+  request->reply.status = refusal_info (action->refusal)->status;
   log_end (request, METRICS_REFUSED, action->verdict, action->refusal);
   request_reply_reset (request);
   request_reply_refuse (http, request->id, action->refusal, action->verdict);
-  request_reply_release (request);
+  reply_release (&request->reply, request->router->draining);
 }
 
 static enum verdict
@@ -129,12 +129,12 @@
   LOG (end_messages[outcome], request->id,
        LOG_S ("customer", request->customer),
        LOG_S ("profile", request->profile),
-       LOG_U ("status", (uint64_t)request->status),
+       LOG_U ("status", (uint64_t)request->reply.status),
        LOG_S ("verdict", verdict_name (verdict)),
        LOG_S ("reason",
               refusal == REFUSAL_NONE ? "none" : refusal_info (refusal)->code),
        LOG_U ("attempts", request->attempt_number),
-       LOG_U ("bytes", request->delivered_bytes),
+       LOG_U ("bytes", request->reply.delivered_bytes),
        LOG_U ("wait_ms", (start_ns - request->arrival_ns) / CLOCK_NS_PER_MS),
        LOG_U ("total_ms", (now_ns - request->arrival_ns) / CLOCK_NS_PER_MS));
 }
@@ -153,7 +153,7 @@
                    outcome);
   if (pair == NULL || service == NULL)
     return;
-  pair->response_bytes += request->delivered_bytes;
+  pair->response_bytes += request->reply.delivered_bytes;
   if (request->engine)
     pair->output_units += usage_output (&request->usage);
   if (request->first_attempt_ns != 0)
--- a/src/request_intake.c
+++ b/src/request_intake.c
@@ -186,7 +186,7 @@
       return NULL;
     }
   request->router = router;
-  request->http = http;
+  request->reply.http = http;
   memcpy (request->id, id, sizeof (request->id));
   memcpy (request->customer, intake->customer->name,
           sizeof (request->customer));
--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -57,13 +57,13 @@
   char number[12];
   struct upstream_request start = {
     .request_id = request->id,
-    .method = htparser_get_methodstr_m (request->http->method),
+    .method = htparser_get_methodstr_m (request->reply.http->method),
     .path = request->path,
     .headers = headers,
     .body = request->body,
     .body_size = request->body_size,
     .idempotent = request->idempotent,
-    .resume_after = action->resume ? request->delivered_bytes : 0,
+    .resume_after = action->resume ? request->reply.delivered_bytes : 0,
     .upstream_id = action->upstream_id,
     .address = upstream == NULL ? NULL : upstream->address,
     .idle_timeout_ms = service == NULL ? 0 : service->idle_timeout_ms,
@@ -99,7 +99,7 @@
   const evhtp_header_t *header;
   size_t end = count + FORWARDED_MAX;
 
-  TAILQ_FOREACH (header, request->http->headers_in, next)
+  TAILQ_FOREACH (header, request->reply.http->headers_in, next)
   {
     if (count < end && client_header_passes (header->key))
       out[count++] = (struct upstream_header){ header->key, header->val };
@@ -129,7 +129,7 @@
           .u.progress
           = { .output_units
               = request->engine ? usage_output (&request->usage) : 0,
-              .client_started = request_reply_started (request),
+              .client_started = reply_started (&request->reply),
               .draining = request->upstream_draining },
       });
 }
@@ -143,11 +143,11 @@
           .kind = DISPATCH_FAILED,
           .request = request_handle (request),
           .attempt = request->attempt_number,
-          .u.failure
-          = { .error = error,
-              .resumable = request->resumable && request->delivered_bytes > 0,
-              .client_started = request_reply_started (request),
-              .draining = request->upstream_draining },
+          .u.failure = { .error = error,
+                         .resumable = request->resumable
+                                      && request->reply.delivered_bytes > 0,
+                         .client_started = reply_started (&request->reply),
+                         .draining = request->upstream_draining },
       });
 }
 
@@ -201,7 +201,7 @@
   note_load (request, headers, count);
   raise_event (request, DISPATCH_RESPONDING);
   /* A resumed response goes on where the last attempt's stopped. */
-  if (request_reply_started (request))
+  if (reply_started (&request->reply))
     return;
   for (i = 0; i < count; i++)
     if (strcasecmp (headers[i].name, "Content-Type") == 0)
@@ -218,9 +218,9 @@
   size_t limit = router->settings->router->limits.response_buffer_bytes;
   size_t pending;
 
-  if (!request_reply_started (request) || request->paused)
+  if (!reply_started (&request->reply) || request->paused)
     return;
-  pending = httpd_pending_bytes (request->http);
+  pending = httpd_pending_bytes (request->reply.http);
   if (pending == 0 || pending <= limit - limit / READ_AHEAD_PART)
     return;
   request->paused = true;
@@ -238,7 +238,7 @@
   if (request->engine)
     usage_feed (&request->usage, (const char *)evbuffer_pullup (data, -1),
                 size);
-  request_reply_body (request, data);
+  reply_body (&request->reply, data);
   pause_if_behind (request);
   if (request->engine)
     raise_progress (request, DISPATCH_PROGRESS);
--- a/src/state/outlier.c
+++ b/src/state/outlier.c
@@ -23,8 +23,8 @@
     return;
   if (outlier->avoid_end_ns > now_ns)
     return;
-  outlier->avoid_ms = outlier->avoid_ms == 0 ? OUTLIER_AVOID_MIN_MS
-                                             : outlier->avoid_ms * 2;
+  outlier->avoid_ms
+      = outlier->avoid_ms == 0 ? OUTLIER_AVOID_MIN_MS : outlier->avoid_ms * 2;
   if (outlier->avoid_ms > OUTLIER_AVOID_MAX_MS)
     outlier->avoid_ms = OUTLIER_AVOID_MAX_MS;
   outlier->avoid_end_ns = now_ns + outlier->avoid_ms * NS_PER_MS;
--- a/src/state/routing.h
+++ b/src/state/routing.h
@@ -87,7 +87,7 @@
   uint32_t service_count;
   struct routing_customer *customers;
   uint32_t customer_count;
-  struct routing_key *keys;  /**< uthash, private */
+  struct routing_key *keys;   /**< uthash, private */
   struct routing_path *paths; /**< uthash, private */
   uint32_t references;
 };
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -107,8 +107,7 @@
       release (call);
       return ERR_NO_MEMORY;
     }
-  if (evhttp_make_request (call->connection, request, what->method,
-                           what->path)
+  if (evhttp_make_request (call->connection, request, what->method, what->path)
       == 0)
     return 0;
   /* evhttp has released the request. */
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -15,9 +15,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define EXCHANGE_HOST_SIZE     64        /**< bytes of an IP number */
-#define EXCHANGE_RESPONSE_MAX  134217728 /**< bytes of a response */
-#define EXCHANGE_SILENCE_MS    2500      /**< until a dead peer is noticed */
+#define EXCHANGE_HOST_SIZE    64        /**< bytes of an IP number */
+#define EXCHANGE_RESPONSE_MAX 134217728 /**< bytes of a response */
+#define EXCHANGE_SILENCE_MS   2500      /**< until a dead peer is noticed */
 
 struct exchange_call;
 
--- a/src/transport/kvhttp_call.c
+++ b/src/transport/kvhttp_call.c
@@ -67,9 +67,9 @@
              const struct evkeyvalq *headers, const char *body, size_t size)
 {
   struct kvhttp_call *call = (struct kvhttp_call *)exchange_call;
-  const char *index
-      = headers == NULL ? NULL
-                        : evhttp_find_header (headers, PLATFORM_HTTP_INDEX);
+  const char *index = headers == NULL
+                          ? NULL
+                          : evhttp_find_header (headers, PLATFORM_HTTP_INDEX);
 
   if (error != 0 || status / 100 == 5)
     call->store->platform.counters.failures++;
--- /dev/null
+++ b/src/transport/reply.c
@@ -0,0 +1,158 @@
+/**
+ * @file reply.c
+ * Responses on their way to clients.
+ */
+#include "transport/reply.h"
+#include <stdlib.h>
+#include <strings.h>
+
+static enum reply_mode choose_mode (const struct reply *reply,
+                                    const struct reply_head *head);
+
+void
+reply_start (struct reply *reply, const struct reply_head *head)
+{
+  bool body_absent = reply->http->method == htp_method_HEAD;
+  size_t i;
+
+  reply->mode = choose_mode (reply, head);
+  reply->status = head->status;
+  for (i = 0; i < head->count; i++)
+    {
+      const struct upstream_header *header = &head->headers[i];
+
+      if (head->passes (header->name)
+          || (strcasecmp (header->name, "Content-Length") == 0
+              && (body_absent || reply->mode == REPLY_LENGTH)))
+        reply_header (reply, header->name, header->value);
+    }
+}
+
+static enum reply_mode
+choose_mode (const struct reply *reply, const struct reply_head *head)
+{
+  const char *length;
+
+  if (head->status == 204 || head->status == 304
+      || reply->http->method == htp_method_HEAD)
+    return REPLY_HELD;
+  length = upstream_header_find (head->headers, head->count, "Content-Length");
+  if (length == NULL)
+    return REPLY_CHUNKED;
+  return strtoull (length, NULL, 10) <= head->held_max_bytes ? REPLY_HELD
+                                                             : REPLY_LENGTH;
+}
+
+void
+reply_header (struct reply *reply, const char *name, const char *value)
+{
+  evhtp_headers_add_header (reply->http->headers_out,
+                            evhtp_header_new (name, value, 1, 1));
+}
+
+void
+reply_send_head (struct reply *reply)
+{
+  if (reply->mode == REPLY_LENGTH)
+    evhtp_send_reply_start (reply->http, (evhtp_res)reply->status);
+  else if (reply->mode == REPLY_CHUNKED)
+    evhtp_send_reply_chunk_start (reply->http, (evhtp_res)reply->status);
+}
+
+void
+reply_reset (struct reply *reply)
+{
+  evhtp_request_t *http = reply->http;
+  evhtp_header_t *header;
+
+  if (http == NULL || reply_started (reply))
+    return;
+  while ((header = TAILQ_FIRST (http->headers_out)) != NULL)
+    evhtp_header_rm_and_free (http->headers_out, header);
+  evbuffer_drain (http->buffer_out, evbuffer_get_length (http->buffer_out));
+  reply->mode = REPLY_NONE;
+}
+
+void
+reply_body (struct reply *reply, struct evbuffer *data)
+{
+  size_t size = evbuffer_get_length (data);
+
+  switch (reply->mode)
+    {
+    case REPLY_HELD:
+      evbuffer_add_buffer (reply->http->buffer_out, data);
+      break;
+    case REPLY_LENGTH:
+      reply->delivered_bytes += size;
+      httpd_cork (reply->http);
+      evhtp_send_reply_body (reply->http, data);
+      httpd_uncork (reply->http);
+      break;
+    case REPLY_CHUNKED:
+      reply->delivered_bytes += size;
+      httpd_cork (reply->http);
+      evhtp_send_reply_chunk (reply->http, data);
+      httpd_uncork (reply->http);
+      break;
+    case REPLY_NONE:
+    case REPLY_OVER:
+      break;
+    }
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+void
+reply_finish (struct reply *reply, bool last)
+{
+  switch (reply->mode)
+    {
+    case REPLY_HELD:
+      reply->delivered_bytes = evbuffer_get_length (reply->http->buffer_out);
+      if (last)
+        evhtp_request_disable_flag (reply->http, EVHTP_REQ_FLAG_KEEPALIVE);
+      evhtp_send_reply (reply->http, (evhtp_res)reply->status);
+      break;
+    case REPLY_LENGTH:
+      httpd_uncork_last (reply->http);
+      evhtp_send_reply_end (reply->http);
+      break;
+    case REPLY_CHUNKED:
+      httpd_uncork_last (reply->http);
+      evhtp_send_reply_chunk_end (reply->http);
+      break;
+    case REPLY_NONE:
+    case REPLY_OVER:
+      return;
+    }
+  reply_release (reply, last);
+}
+
+void
+reply_release (struct reply *reply, bool last)
+{
+  evhtp_request_t *http = reply->http;
+
+  reply->http = NULL;
+  reply->mode = REPLY_OVER;
+  if (last)
+    evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
+  httpd_bind (http, NULL);
+  httpd_release (http);
+}
+
+void
+reply_abort (struct reply *reply)
+{
+  evhtp_request_t *http = reply->http;
+
+  reply->http = NULL;
+  reply->mode = REPLY_OVER;
+  httpd_abort (http);
+}
+
+bool
+reply_started (const struct reply *reply)
+{
+  return reply->mode == REPLY_LENGTH || reply->mode == REPLY_CHUNKED;
+}
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -183,8 +183,8 @@
 {
   const int on = 1;
   const int interval_s = 1; /* the shortest that the kernel takes */
-  const int probes = (int)(silence_ms / 1000) > 1 ? (int)(silence_ms / 1000)
-                                                  : 1;
+  const int probes
+      = (int)(silence_ms / 1000) > 1 ? (int)(silence_ms / 1000) : 1;
 
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s, sizeof interval_s);
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -49,13 +49,13 @@
   const char *path; /**< with its query */
   const struct upstream_header *headers;
   size_t header_count;
-  const char *body;       /**< must outlive the attempt */
-  size_t body_size;       /**< bytes */
-  bool idempotent;        /**< else only recently used connections serve */
-  uint64_t resume_after;  /**< of the response already passed on; 0: none */
-  uint64_t upstream_id;   /**< connections are kept by it */
-  const char *address;    /**< "IP:PORT" */
-  const char *host;       /**< Host header; NULL: the address */
+  const char *body;         /**< must outlive the attempt */
+  size_t body_size;         /**< bytes */
+  bool idempotent;          /**< else only recently used connections serve */
+  uint64_t resume_after;    /**< of the response already passed on; 0: none */
+  uint64_t upstream_id;     /**< connections are kept by it */
+  const char *address;      /**< "IP:PORT" */
+  const char *host;         /**< Host header; NULL: the address */
   uint32_t idle_timeout_ms; /**< after which the upstream closes */
 };
 
--- a/src/transport/upstream_dialect.c
+++ b/src/transport/upstream_dialect.c
@@ -38,8 +38,8 @@
 check (const char *request_id, uint64_t resume_after, int status,
        const struct upstream_header *headers, size_t count)
 {
-  const char *id = upstream_header_find (headers, count,
-                                         upstream_own_dialect.request_id);
+  const char *id
+      = upstream_header_find (headers, count, upstream_own_dialect.request_id);
   const char *resumed
       = upstream_header_find (headers, count, "Cherrylanding-Resumed");
   const char *verdict
@@ -60,8 +60,8 @@
 static bool
 draining (const struct upstream_header *headers, size_t count)
 {
-  const char *state = upstream_header_find (headers, count,
-                                            "Cherrylanding-Upstream-State");
+  const char *state
+      = upstream_header_find (headers, count, "Cherrylanding-Upstream-State");
 
   return state != NULL && strcasecmp (state, "draining") == 0;
 }
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -175,11 +175,11 @@
   conn->attempt = attempt;
   attempt->conn = conn;
   conn->keep = false;
-  conn->idle_max_ns
-      = (uint64_t)request->idle_timeout_ms / 2 * NS_PER_MS;
+  conn->idle_max_ns = (uint64_t)request->idle_timeout_ms / 2 * NS_PER_MS;
   upstream_http_response_reset (conn);
-  if (write_request (bufferevent_get_output (conn->bev),
-                     http->config.dialect, request) != 0)
+  if (write_request (bufferevent_get_output (conn->bev), http->config.dialect,
+                     request)
+      != 0)
     {
       conn_free (conn);
       return NULL;
--- a/src/transport/upstream_http.h
+++ b/src/transport/upstream_http.h
@@ -20,7 +20,7 @@
   const struct clock *clock;
   const struct upstream_dialect *dialect; /**< NULL: the product's own */
   uint32_t connect_timeout_ms;
-  uint32_t silence_ms; /**< until a dead peer is noticed; 0: never */
+  uint32_t silence_ms;     /**< until a dead peer is noticed; 0: never */
   uint32_t read_max_bytes; /**< read at once, and ahead of a paused attempt */
 };
 
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -10,7 +10,7 @@
 #include <strings.h>
 
 #define ARENA_FIRST_BYTES 512
-#define STATUS_LINE_MIN   12 /**< bytes of "HTTP/1.1 200" */
+#define STATUS_LINE_MIN   12   /**< bytes of "HTTP/1.1 200" */
 #define KEEP_ALIVE_MAX_S  3600 /**< seconds believed */
 
 static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
@@ -219,8 +219,7 @@
     return;
   seconds = strtoull (timeout + strlen ("timeout="), NULL, 10);
   if (seconds < KEEP_ALIVE_MAX_S)
-    conn->idle_max_ns
-        = (seconds > 1 ? seconds - 1 : 0) * CLOCK_NS_PER_S;
+    conn->idle_max_ns = (seconds > 1 ? seconds - 1 : 0) * CLOCK_NS_PER_S;
 }
 
 static int
@@ -324,8 +323,8 @@
     }
   if (response->has_length && response->chunked)
     return ERR_PROTOCOL;
-  response->unframed = !response->has_length && !response->chunked
-                       && !response->body_absent;
+  response->unframed
+      = !response->has_length && !response->chunked && !response->body_absent;
   return response->unframed && !unframed ? ERR_PROTOCOL : 0;
 }
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -216,7 +216,7 @@
 static const evhtp_request_t *
 request_http (const struct world *world)
 {
-  return ((const struct request *)world->fake.user)->http;
+  return ((const struct request *)world->fake.user)->reply.http;
 }
 
 static void
