Serve the users' platform: a gateway of routes, keys, upstreams and streams

Change: platform/ translates the platform's settings, store, configuration, announcements and headers; src/gateway is a second front end with routes by host and prefix, splits, limits, customers by key, event streams, readiness and its own drain. Decisions are in src/state (routing, roster, choose, prefixes, outlier, retryshare).

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 LINT_FLAGS = -std=gnu11 -D_GNU_SOURCE -DCHERRYLANDING_VERSION=\"$(VERSION)\" -Isrc -Itests $(PKG_CFLAGS)
 
 MAIN_SRC = src/main.c
-LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c src/*/*.c))
+LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c src/*/*.c platform/*.c))
 STANDIN_SRC = $(wildcard tests/standin/*.c)
 LOAD_SRC = $(wildcard bench/*.c)
 TEST_SRC = $(wildcard tests/test_*.c)
@@ -54,8 +54,8 @@
 SUPPORT_OBJ = $(SUPPORT_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 
-OWN_C = $(filter-out %.pb-c.c,$(wildcard src/*.c src/*/*.c tests/*.c tests/*/*.c bench/*.c))
-OWN_H = $(filter-out %.pb-c.h,$(wildcard src/*.h src/*/*.h tests/*.h tests/*/*.h bench/*.h))
+OWN_C = $(filter-out %.pb-c.c,$(wildcard src/*.c src/*/*.c platform/*.c tests/*.c tests/*/*.c bench/*.c))
+OWN_H = $(filter-out %.pb-c.h,$(wildcard src/*.h src/*/*.h platform/*.h tests/*.h tests/*/*.h bench/*.h))
 
 PROGRAMS = $(BUILD)/cherrylanding
 ifneq ($(STANDIN_SRC),)
--- a/src/command.c
+++ b/src/command.c
@@ -11,6 +11,7 @@
 enum command_id
 {
   COMMAND_SERVE,
+  COMMAND_GATEWAY,
   COMMAND_CHECK,
   COMMAND_APPLY,
   COMMAND_GET,
@@ -31,6 +32,8 @@
 
 static const struct command_entry commands[COMMAND_MAX] = {
   [COMMAND_SERVE] = { "serve", "run a router", command_serve },
+  [COMMAND_GATEWAY]
+  = { "gateway", "run an instance on the users' platform", command_gateway },
   [COMMAND_CHECK]
   = { "check", "check files of settings and objects", command_check },
   [COMMAND_APPLY]
--- a/src/command.h
+++ b/src/command.h
@@ -17,6 +17,7 @@
 int command_main (int argc, char **argv);
 
 int command_serve (int argc, char **argv);
+int command_gateway (int argc, char **argv);
 int command_check (int argc, char **argv);
 int command_apply (int argc, char **argv);
 int command_get (int argc, char **argv);
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,273 @@
+/**
+ * @file gateway.c
+ * Assembles a gateway, runs its loop, and stops it.
+ */
+#include "gateway/gateway.h"
+#include "gateway/directory.h"
+#include "gateway/flow.h"
+#include "gateway/probe.h"
+#include "state/err.h"
+#include "transport/log.h"
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#define TICK_MS     100   /* housekeeping; the finest grace is ten of it */
+#define SWEEP_TICKS 10    /* idle connections to upstreams: once a second */
+#define CONNECT_MS  1000  /* to an upstream that is a millisecond away */
+#define SILENCE_MS  2000  /* until a dead upstream or store is noticed */
+#define READ_MAX    65536 /* bytes read at once from an upstream */
+/* The balancer asks once a second and believes the second miss. */
+#define NOTICE_MS    2500
+#define END_SPARE_MS 300 /* left of the grace when the rest is cut */
+
+/* Limits until the operator's are known. */
+static const struct httpd_limits first_limits = {
+  .header_bytes_max = 16384,
+  .body_bytes_max = 4194304,
+  .connections_max = 1024,
+  .idle_timeout_ms = 15000,
+  .read_timeout_ms = 3000,
+  .write_timeout_ms = 15000,
+  .low_water_bytes = HTTPD_READ_MAX / 4,
+};
+
+static int init_tables (struct gateway *gateway);
+static int init_transport (struct gateway *gateway);
+static int init_events (struct gateway *gateway);
+static void raise_file_limit (void);
+static void on_tick (evutil_socket_t fd, short what, void *arg);
+static void on_signal (evutil_socket_t fd, short what, void *arg);
+static void on_removed (void *user, uint64_t upstream_id);
+static void check_drain (struct gateway *gateway, uint64_t now_ns);
+
+int
+gateway_init (struct gateway *gateway, const struct gateway_settings *settings,
+              const struct gateway_adapter *adapter, struct event_base *base,
+              struct platform *platform)
+{
+  int error;
+
+  memset (gateway, 0, sizeof *gateway);
+  gateway->settings = *settings;
+  gateway->adapter = adapter;
+  gateway->base = base;
+  gateway->platform = platform;
+  clock_init_real (&gateway->clock);
+  log_init (LOG_LEVEL_INFO, &gateway->clock);
+  error = init_tables (gateway);
+  if (error == 0)
+    error = init_transport (gateway);
+  if (error == 0)
+    error = init_events (gateway);
+  if (error == 0)
+    error = probe_start (gateway);
+  if (error == 0)
+    error = directory_start (gateway);
+  if (error != 0)
+    LOG (LOG_LISTEN_FAILED, NULL, LOG_S ("address", settings->client_address),
+         LOG_S ("error", err_name (error)));
+  else
+    LOG (LOG_STARTED, NULL, LOG_S ("instance", settings->instance),
+         LOG_S ("availability_zone", settings->availability_zone),
+         LOG_S ("clients", settings->client_address));
+  return error;
+}
+
+static int
+init_tables (struct gateway *gateway)
+{
+  const struct retryshare_config config = {
+    .permille = gateway->settings.retry_permille,
+    .allowance = gateway->settings.retry_allowance,
+    .window_ms = gateway->settings.retry_window_ms,
+  };
+
+  roster_init (&gateway->roster);
+  gateway->roster.removed = on_removed;
+  gateway->roster.user = gateway;
+  prefixes_init (&gateway->prefixes);
+  retryshare_init (&gateway->retryshare, &config);
+  return 0;
+}
+
+static int
+init_transport (struct gateway *gateway)
+{
+  const struct httpd_config server = {
+    .base = gateway->base,
+    .address = gateway->settings.client_address,
+    .request_id_header = gateway->adapter->dialect->request_id,
+    .idle_silent = true,
+    .limits = first_limits,
+    .request = flow_arrived,
+    .gone = flow_gone,
+    .drained = flow_drained,
+    .refuse = flow_refuse_raw,
+    .user = gateway,
+  };
+  const struct upstream_http_config client = {
+    .base = gateway->base,
+    .clock = &gateway->clock,
+    .dialect = gateway->adapter->dialect,
+    .connect_timeout_ms = CONNECT_MS,
+    .silence_ms = SILENCE_MS,
+    .read_max_bytes = READ_MAX,
+  };
+
+  gateway->http = upstream_http_new (&client);
+  if (gateway->http == NULL)
+    return ERR_NO_MEMORY;
+  return httpd_new (&gateway->httpd, &server);
+}
+
+static int
+init_events (struct gateway *gateway)
+{
+  static const int numbers[GATEWAY_SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
+  const struct timeval tick = clock_timeval (TICK_MS);
+  int i;
+
+  signal (SIGPIPE, SIG_IGN);
+  raise_file_limit ();
+  gateway->tick = event_new (gateway->base, -1, EV_PERSIST, on_tick, gateway);
+  if (gateway->tick == NULL)
+    return ERR_NO_MEMORY;
+  event_add (gateway->tick, &tick);
+  for (i = 0; i < GATEWAY_SIGNALS; i++)
+    {
+      gateway->signals[i]
+          = evsignal_new (gateway->base, numbers[i], on_signal, gateway);
+      if (gateway->signals[i] == NULL)
+        return ERR_NO_MEMORY;
+      event_add (gateway->signals[i], NULL);
+    }
+  return 0;
+}
+
+/* A stream takes two descriptors; the usual soft limit is 1,024. */
+static void
+raise_file_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
+void
+gateway_finish (struct gateway *gateway)
+{
+  int i;
+
+  if (gateway->httpd != NULL)
+    httpd_free (gateway->httpd);
+  if (gateway->platform != NULL)
+    gateway->platform->ops->finish (gateway->platform);
+  directory_finish (gateway);
+  probe_finish (gateway);
+  gateway->roster.removed = NULL;
+  roster_finish (&gateway->roster);
+  if (gateway->http != NULL)
+    upstream_http_free (gateway->http);
+  prefixes_finish (&gateway->prefixes);
+  retryshare_finish (&gateway->retryshare);
+  routing_release (gateway->routing);
+  if (gateway->tick != NULL)
+    event_free (gateway->tick);
+  for (i = 0; i < GATEWAY_SIGNALS; i++)
+    if (gateway->signals[i] != NULL)
+      event_free (gateway->signals[i]);
+  /* libevent frees bufferevents from the loop. */
+  event_base_loop (gateway->base, EVLOOP_NONBLOCK);
+}
+
+void
+gateway_run (struct gateway *gateway)
+{
+  event_base_dispatch (gateway->base);
+  LOG (LOG_STOPPED, NULL, LOG_S ("instance", gateway->settings.instance),
+       LOG_U ("requests", gateway->flow_count));
+}
+
+uint64_t
+gateway_now_ns (const struct gateway *gateway)
+{
+  return clock_now_ns (&gateway->clock);
+}
+
+bool
+gateway_ready (const struct gateway *gateway)
+{
+  return !gateway->draining && gateway->routing != NULL
+         && feed_held (&gateway->upstream_feed);
+}
+
+static void
+on_removed (void *user, uint64_t upstream_id)
+{
+  struct gateway *gateway = user;
+
+  upstream_http_forget (gateway->http, upstream_id);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct gateway *gateway = arg;
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  (void)fd;
+  (void)what;
+  roster_age (&gateway->roster, now_ns);
+  if (++gateway->ticks % SWEEP_TICKS == 0)
+    upstream_http_sweep (gateway->http);
+  if (gateway->draining)
+    check_drain (gateway, now_ns);
+}
+
+/* Stopping. */
+
+static void
+on_signal (evutil_socket_t fd, short what, void *arg)
+{
+  (void)what;
+  if (fd != SIGHUP)
+    gateway_drain (arg);
+}
+
+void
+gateway_drain (struct gateway *gateway)
+{
+  if (gateway->draining)
+    return;
+  gateway->draining = true;
+  gateway->drain_ns = gateway_now_ns (gateway);
+  LOG (LOG_DRAIN_STARTED, NULL, LOG_U ("requests", gateway->flow_count));
+  httpd_wind_down (gateway->httpd);
+}
+
+/* Serves on until the balancer has noticed; then idle connections are closed,
+   and requests in progress have the rest of the grace. */
+static void
+check_drain (struct gateway *gateway, uint64_t now_ns)
+{
+  uint64_t spent_ms = (now_ns - gateway->drain_ns) / CLOCK_NS_PER_MS;
+
+  if (spent_ms < NOTICE_MS)
+    return;
+  httpd_drain (gateway->httpd);
+  if (gateway->flow_count == 0 && httpd_active (gateway->httpd) == 0)
+    {
+      LOG (LOG_DRAIN_FINISHED, NULL, LOG_U ("ms", spent_ms));
+      event_base_loopbreak (gateway->base);
+    }
+  else if (spent_ms + END_SPARE_MS >= gateway->settings.grace_ms)
+    {
+      LOG (LOG_DRAIN_TIMEOUT, NULL, LOG_U ("requests", gateway->flow_count),
+           LOG_U ("connections", httpd_active (gateway->httpd)));
+      event_base_loopbreak (gateway->base);
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,80 @@
+/**
+ * @file gateway.h
+ * Runtime of one gateway: path-routed requests of clients, the operator's
+ * configuration and the upstreams as the platform's store tells them, and the
+ * decisions between.  One loop, one thread.
+ */
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
+
+#include "gateway/adapter.h"
+#include "gateway/feed.h"
+#include "gateway/gateway_settings.h"
+#include "state/prefixes.h"
+#include "state/retryshare.h"
+#include "state/roster.h"
+#include "state/routing.h"
+#include "transport/clock.h"
+#include "transport/httpd.h"
+#include "transport/upstream_http.h"
+#include <event2/event.h>
+#include <event2/http.h>
+
+#define GATEWAY_SIGNALS 3 /**< SIGTERM, SIGINT, SIGHUP */
+
+struct flow;
+
+struct gateway_counters
+{
+  uint64_t arrived;
+  uint64_t completed;
+  uint64_t refused;
+  uint64_t aborted;
+  uint64_t canceled;
+  uint64_t attempts;
+  uint64_t repeats;
+};
+
+struct gateway
+{
+  struct gateway_settings settings;
+  const struct gateway_adapter *adapter;
+  struct event_base *base;
+  struct clock clock;
+  struct platform *platform; /**< owned */
+  struct httpd *httpd;
+  struct upstream_http *http;
+  struct evhttp *probe; /**< readiness and metrics */
+  struct feed config_feed;
+  struct feed upstream_feed;
+  uint64_t upstream_outage_ns; /**< end of the last one; 0: none */
+  struct routing *routing;     /**< NULL until one is held */
+  struct roster roster;
+  struct prefixes prefixes;
+  struct retryshare retryshare;
+  struct flow *flows; /**< requests in progress */
+  uint32_t flow_count;
+  struct gateway_counters counters;
+  struct event *tick;
+  uint64_t ticks;
+  struct event *signals[GATEWAY_SIGNALS];
+  bool draining;
+  uint64_t drain_ns; /**< when draining began */
+};
+
+/** @param platform taken over, also on failure.
+    @return 0 or an error, which has been logged. */
+int gateway_init (struct gateway *gateway,
+                  const struct gateway_settings *settings,
+                  const struct gateway_adapter *adapter,
+                  struct event_base *base, struct platform *platform);
+void gateway_finish (struct gateway *gateway);
+/** Runs until the drain has ended. */
+void gateway_run (struct gateway *gateway);
+/** Begins to stop: not ready, but serving until the time that is left. */
+void gateway_drain (struct gateway *gateway);
+
+bool gateway_ready (const struct gateway *gateway);
+uint64_t gateway_now_ns (const struct gateway *gateway);
+
+#endif
--- /dev/null
+++ b/src/gateway/probe.h
@@ -0,0 +1,15 @@
+/**
+ * @file probe.h
+ * Answers the balancer's questions and scrapes of metrics.
+ */
+#ifndef GATEWAY_PROBE_H
+#define GATEWAY_PROBE_H
+
+#include "gateway/gateway.h"
+
+/** Listens on the probe address. @return 0, ERR_INVALID, ERR_IO or
+    ERR_NO_MEMORY. */
+int probe_start (struct gateway *gateway);
+void probe_finish (struct gateway *gateway);
+
+#endif
--- a/src/protocol/platform.h
+++ b/src/protocol/platform.h
@@ -2,9 +2,10 @@
  * @file platform.h
  * The platform's key-value service as a table of operations.  Calls are
  * asynchronous: each ends in exactly one call of its callback, which may come
- * before the operation returns; `finish` drops those still pending.
- * Implementations: transport/kvmem (in memory: one router, tests) and
- * transport/kvhttp (HTTP and JSON).
+ * before the operation returns; `finish` drops those still pending.  A store
+ * fills in what its users need: get to renew for the product's own objects
+ * (transport/kvmem in memory, transport/kvhttp over HTTP), range to keep for
+ * what operators and upstreams write (platform/).
  */
 #ifndef PROTOCOL_PLATFORM_H
 #define PROTOCOL_PLATFORM_H
@@ -35,6 +36,33 @@
     ERR_UNAVAILABLE when the call did not take effect, ERR_RATE_LIMITED. */
 typedef void (*platform_write_fn) (void *user, int error, uint64_t index);
 
+/** One page of a range, or the changes since an index. */
+struct platform_page
+{
+  uint64_t index; /**< of the store when it answered */
+  bool more;      /**< keys after the last one remain */
+  const struct platform_item *items;
+  size_t count;
+};
+
+/** Result of range and changes: errors as above, and ERR_STALE when the store
+    no longer knows what changed since that index. */
+typedef void (*platform_page_fn) (void *user, int error,
+                                  const struct platform_page *page);
+
+/** A write of several keys, all or none. */
+struct platform_commit
+{
+  /** Keys that must have these indexes (0: absent); values are ignored. */
+  const struct platform_item *conditions;
+  size_t condition_count;
+  const struct platform_item *puts; /**< indexes are ignored */
+  size_t put_count;
+  uint64_t lease; /**< that the keys put live by; 0: none */
+  const char *const *removals;
+  size_t removal_count;
+};
+
 struct platform;
 
 /** Operations of a store. Each returns 0 or an error, in which case the
@@ -59,6 +87,26 @@
                 uint32_t ttl_ms, platform_write_fn done, void *user);
   int (*renew) (struct platform *platform, const char *key, const char *holder,
                 platform_write_fn done, void *user);
+  /** One page of the keys under a prefix, from after a key (NULL: the first).
+      `cheap`: may be seconds old. */
+  int (*range) (struct platform *platform, const char *prefix,
+                const char *after, bool cheap, platform_page_fn done,
+                void *user);
+  /** Waits until some key under the prefix changes after `since`, or
+      `wait_ms` passed; then tells these changes, deletions too. */
+  int (*changes) (struct platform *platform, const char *prefix,
+                  uint64_t since, uint32_t wait_ms, platform_page_fn done,
+                  void *user);
+  /** ERR_NOT_FOUND: the lease has ended. */
+  int (*commit) (struct platform *platform,
+                 const struct platform_commit *commit, platform_write_fn done,
+                 void *user);
+  /** A lease that keys may live by; `index` is its number. */
+  int (*grant) (struct platform *platform, uint32_t ttl_ms,
+                platform_write_fn done, void *user);
+  /** Renews it; ERR_NOT_FOUND: it has ended. */
+  int (*keep) (struct platform *platform, uint64_t lease,
+               platform_write_fn done, void *user);
   void (*finish) (struct platform *platform);
 };
 
--- a/src/protocol/platform_http.c
+++ b/src/protocol/platform_http.c
@@ -3,15 +3,14 @@
  * Paths and JSON of the key-value service's HTTP interface.
  */
 #include "protocol/platform_http.h"
+#include "protocol/base64.h"
 #include "state/err.h"
 #include <jansson.h>
-#include <openssl/evp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 static int decode_item (const json_t *json, struct platform_item *item);
-static int decode_base64 (const char *text, char **value, size_t *size);
 
 int
 platform_http_decode (const char *text, size_t size,
@@ -57,40 +56,13 @@
     return ERR_NO_MEMORY;
   if (json_is_string (value))
     error
-        = decode_base64 (json_string_value (value), &copy, &item->value_size);
+        = base64_decode (json_string_value (value), &copy, &item->value_size);
   else if (value != NULL && !json_is_null (value))
     error = ERR_PROTOCOL;
   item->value = copy;
   return error;
 }
 
-static int
-decode_base64 (const char *text, char **value, size_t *size)
-{
-  size_t length = strlen (text);
-  size_t padding = 0;
-  int decoded;
-
-  while (padding < 2 && padding < length && text[length - 1 - padding] == '=')
-    padding++;
-  if (length % 4 != 0 || length / 4 * 3 > (size_t)2 * PLATFORM_VALUE_MAX)
-    return ERR_PROTOCOL;
-  *value = malloc (length / 4 * 3 + 1);
-  if (*value == NULL)
-    return ERR_NO_MEMORY;
-  decoded = EVP_DecodeBlock ((unsigned char *)*value,
-                             (const unsigned char *)text, (int)length);
-  if (decoded < 0 || (size_t)decoded < padding)
-    {
-      free (*value);
-      *value = NULL;
-      return ERR_PROTOCOL;
-    }
-  *size = (size_t)decoded - padding;
-  (*value)[*size] = '\0';
-  return 0;
-}
-
 void
 platform_http_items_finish (struct platform_http_items *items)
 {
--- /dev/null
+++ b/src/protocol/sse.c
@@ -0,0 +1,105 @@
+/**
+ * @file sse.c
+ * Whole events of a stream.
+ */
+#include "protocol/sse.h"
+#include "state/err.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEPARATOR      "\n\n"
+#define SEPARATOR_SIZE 2 /* bytes */
+
+static bool note_event (struct sse *sse, const char *event, size_t size);
+
+int
+sse_init (struct sse *sse)
+{
+  memset (sse, 0, sizeof *sse);
+  sse->partial = evbuffer_new ();
+  return sse->partial == NULL ? ERR_NO_MEMORY : 0;
+}
+
+void
+sse_finish (struct sse *sse)
+{
+  if (sse->partial != NULL)
+    evbuffer_free (sse->partial);
+  sse->partial = NULL;
+}
+
+int
+sse_feed (struct sse *sse, struct evbuffer *data, struct evbuffer *out)
+{
+  struct evbuffer_ptr end;
+  const char *event;
+  size_t size;
+
+  if (evbuffer_add_buffer (sse->partial, data) != 0)
+    return ERR_NO_MEMORY;
+  for (;;)
+    {
+      end = evbuffer_search (sse->partial, SEPARATOR, SEPARATOR_SIZE, NULL);
+      if (end.pos < 0)
+        break;
+      size = (size_t)end.pos + SEPARATOR_SIZE;
+      event = (const char *)evbuffer_pullup (sse->partial, (ev_ssize_t)size);
+      if (event == NULL)
+        return ERR_NO_MEMORY;
+      if (note_event (sse, event, size))
+        evbuffer_remove_buffer (sse->partial, out, size);
+      else
+        evbuffer_drain (sse->partial, size);
+    }
+  return evbuffer_get_length (sse->partial) > SSE_EVENT_MAX ? ERR_TOO_LARGE
+                                                            : 0;
+}
+
+/* @return false for an event that was passed on before. */
+static bool
+note_event (struct sse *sse, const char *event, size_t size)
+{
+  const char *line = event;
+  const char *end = event + size;
+  const char *next;
+  uint64_t id;
+
+  for (; line < end; line = next)
+    {
+      next = memchr (line, '\n', (size_t)(end - line));
+      next = next == NULL ? end : next + 1;
+      if ((size_t)(next - line) < strlen ("id:0")
+          || strncmp (line, "id:", strlen ("id:")) != 0)
+        continue;
+      id = strtoull (line + strlen ("id:"), NULL, 10);
+      if (sse->has_id && id <= sse->last_id)
+        return false;
+      sse->has_id = true;
+      sse->last_id = id;
+    }
+  sse->events++;
+  return true;
+}
+
+void
+sse_cut (struct sse *sse)
+{
+  evbuffer_drain (sse->partial, evbuffer_get_length (sse->partial));
+}
+
+bool
+sse_between (const struct sse *sse)
+{
+  return evbuffer_get_length (sse->partial) == 0;
+}
+
+const char *
+sse_last_id (const struct sse *sse, char text[SSE_ID_SIZE])
+{
+  if (!sse->has_id)
+    return NULL;
+  snprintf (text, SSE_ID_SIZE, "%" PRIu64, sse->last_id);
+  return text;
+}
--- /dev/null
+++ b/src/state/choose.c
@@ -0,0 +1,187 @@
+/**
+ * @file choose.c
+ * Choice of upstreams.
+ */
+#include "state/choose.h"
+#include <string.h>
+#include <xxhash.h>
+
+#define NS_PER_MS 1000000ULL /* nanoseconds */
+/* A load that an upstream told counts so long; answers come several times a
+   second from each that is in use. */
+#define TOLD_FRESH_MS 1000
+/* A part is believed kept so long after its last use: the time that a busy
+   engine takes to read its memory full once. */
+#define KEPT_FRESH_MS 15000
+/* Tokens that reading elsewhere costs beside the prompt's own, in thousandths
+   of what is read again: it also takes time from others. */
+#define REREAD_PERMILLE 1000
+/* Tokens that each running request costs: it slows the engine's steps. */
+#define RUNNING_TOKENS 60
+/* Tokens for each place that an engine stands behind the home, so that second
+   homes are the same ones at every instance. */
+#define RANK_TOKENS 100
+/* Slots in thousandths that an upstream in another zone must be freer by. */
+#define ZONE_PERMILLE 100
+
+struct candidate
+{
+  struct roster_upstream *upstream;
+  uint64_t cost;
+  uint64_t order; /* rendezvous hash; the home has the greatest */
+  uint32_t unread_tokens;
+};
+
+static bool usable (const struct roster_upstream *upstream,
+                    const struct choose_request *request, bool strict);
+static void choose_engine (const struct roster *roster,
+                           const struct prefixes *prefixes,
+                           const struct choose_request *request, bool strict,
+                           struct choose_result *result);
+static void choose_plain (const struct roster *roster,
+                          const struct choose_request *request, bool strict,
+                          struct choose_result *result);
+static uint64_t order_of (uint64_t home, uint64_t upstream_id);
+static uint64_t ahead_of (const struct roster_upstream *upstream);
+static uint64_t taken_permille (const struct roster_upstream *upstream,
+                                const struct choose_request *request);
+
+void
+choose_upstream (const struct roster *roster, const struct prefixes *prefixes,
+                 const struct choose_request *request,
+                 struct choose_result *result)
+{
+  bool engine = request->prompt != NULL && request->prompt->part_count > 0;
+  int strict;
+
+  memset (result, 0, sizeof *result);
+  /* When all have failed of late, the fault may not be theirs. */
+  for (strict = 1; strict >= 0 && result->upstream == NULL; strict--)
+    if (engine)
+      choose_engine (roster, prefixes, request, strict != 0, result);
+    else
+      choose_plain (roster, request, strict != 0, result);
+}
+
+static bool
+usable (const struct roster_upstream *upstream,
+        const struct choose_request *request, bool strict)
+{
+  size_t i;
+
+  if (!roster_usable (upstream, request->service_id))
+    return false;
+  for (i = 0; i < request->avoid_count; i++)
+    if (request->avoid[i] == upstream->id)
+      return false;
+  return !strict || !outlier_avoided (&upstream->outlier, request->now_ns);
+}
+
+static uint64_t
+order_of (uint64_t home, uint64_t upstream_id)
+{
+  const uint64_t pair[2] = { home, upstream_id };
+
+  return XXH3_64bits (pair, sizeof pair);
+}
+
+static uint64_t
+ahead_of (const struct roster_upstream *upstream)
+{
+  return upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
+}
+
+static void
+choose_engine (const struct roster *roster, const struct prefixes *prefixes,
+               const struct choose_request *request, bool strict,
+               struct choose_result *result)
+{
+  const struct prompt *prompt = request->prompt;
+  uint64_t home = prompt_home (prompt);
+  uint64_t best_order = 0;
+  uint64_t best_cost = UINT64_MAX;
+  struct roster_upstream *upstream;
+
+  /* The home is taken to keep what is shared: whoever came first went there.
+   */
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (usable (upstream, request, strict)
+        && order_of (home, upstream->id) >= best_order)
+      best_order = order_of (home, upstream->id);
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      uint64_t order = order_of (home, upstream->id);
+      uint32_t last = prompt->parts[prompt->part_count - 1].tokens;
+      uint32_t kept;
+      uint32_t unread;
+      uint64_t cost;
+
+      if (!usable (upstream, request, strict))
+        continue;
+      kept = prefixes_kept (prefixes, upstream->id, prompt,
+                            KEPT_FRESH_MS * NS_PER_MS, request->now_ns);
+      if (order == best_order && kept + last < prompt->input_tokens)
+        kept = prompt->input_tokens - last;
+      unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
+      cost = ahead_of (upstream) + unread
+             + (uint64_t)(unread > last ? unread - last : 0) * REREAD_PERMILLE
+                   / 1000
+             + (uint64_t)(upstream->load.running + upstream->load.peer_running)
+                   * RUNNING_TOKENS
+             + (order == best_order ? 0 : RANK_TOKENS * (8 - (order >> 61)));
+      if (cost >= best_cost)
+        continue;
+      best_cost = cost;
+      result->upstream = upstream;
+      result->unread_tokens = unread;
+      result->ahead_tokens = ahead_of (upstream);
+    }
+}
+
+static uint64_t
+taken_permille (const struct roster_upstream *upstream,
+                const struct choose_request *request)
+{
+  const struct roster_load *load = &upstream->load;
+  uint64_t taken = load->running + load->peer_running;
+  uint64_t told = (uint64_t)load->told_running + load->told_waiting;
+
+  if (load->told_ns != 0
+      && request->now_ns - load->told_ns < TOLD_FRESH_MS * NS_PER_MS
+      && told > taken)
+    taken = told;
+  taken = taken * 1000
+          / (upstream->record.slots == 0 ? 1 : upstream->record.slots);
+  if (strcmp (upstream->record.availability_zone, request->availability_zone)
+      != 0)
+    taken += ZONE_PERMILLE;
+  return taken;
+}
+
+static void
+choose_plain (const struct roster *roster,
+              const struct choose_request *request, bool strict,
+              struct choose_result *result)
+{
+  struct roster_upstream *upstream;
+  uint64_t best_taken = UINT64_MAX;
+  uint64_t best_order = 0;
+
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      uint64_t order = order_of (request->draw, upstream->id);
+      uint64_t taken;
+
+      if (!usable (upstream, request, strict))
+        continue;
+      taken = taken_permille (upstream, request);
+      if (taken > best_taken || (taken == best_taken && order <= best_order))
+        continue;
+      best_taken = taken;
+      best_order = order;
+      result->upstream = upstream;
+    }
+}
--- /dev/null
+++ b/src/state/choose.h
@@ -0,0 +1,48 @@
+/**
+ * @file choose.h
+ * Chooses the upstream of one request.
+ *
+ * For engines: the one that will have read the prompt first.  What an engine
+ * keeps of it counts, what it has yet to read for others counts against it,
+ * so that requests with a common beginning meet at one home while that is not
+ * crowded, spread to the next homes when it is, and come back.  Homes follow
+ * from a rendezvous hash, so that instances agree on them without a word.
+ *
+ * For plain services: the one with the smallest share of its slots taken.
+ */
+#ifndef STATE_CHOOSE_H
+#define STATE_CHOOSE_H
+
+#include "state/prefixes.h"
+#include "state/prompt.h"
+#include "state/roster.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CHOOSE_AVOID_MAX 8 /**< upstreams that one request has tried */
+
+struct choose_request
+{
+  uint64_t service_id;
+  const struct prompt *prompt;   /**< NULL or without parts: a plain request */
+  const char *availability_zone; /**< of this instance */
+  const uint64_t *avoid;         /**< upstreams that were tried */
+  size_t avoid_count;
+  uint64_t draw; /**< any number; breaks ties */
+  uint64_t now_ns;
+};
+
+struct choose_result
+{
+  struct roster_upstream *upstream; /**< NULL: none is usable */
+  uint32_t unread_tokens;           /**< of the prompt, that it has to read */
+  uint64_t ahead_tokens;            /**< that it reads before */
+};
+
+void choose_upstream (const struct roster *roster,
+                      const struct prefixes *prefixes,
+                      const struct choose_request *request,
+                      struct choose_result *result);
+
+#endif
--- a/src/state/outlier.h
+++ b/src/state/outlier.h
@@ -11,8 +11,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define OUTLIER_AVOID_MIN_MS 500 /**< first avoidance; two lost round trips   \
-                                  */
+#define OUTLIER_AVOID_MIN_MS                                                  \
+  500 /**< first avoidance; two lost round trips                              \
+       */
 #define OUTLIER_AVOID_MAX_MS                                                  \
   8000                     /**< an upstream is tried this often at least */
 #define OUTLIER_FAILURES 3 /**< in a row; fewer may be chance */
--- a/src/state/prompt.h
+++ b/src/state/prompt.h
@@ -8,8 +8,9 @@
 
 #include <stdint.h>
 
-#define PROMPT_PARTS_MAX 16 /**< parts that are told apart; more are merged   \
-                             */
+#define PROMPT_PARTS_MAX                                                      \
+  16 /**< parts that are told apart; more are merged                          \
+      */
 
 struct prompt_part
 {
--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -111,6 +111,8 @@
 {
   HASH_DELETE (hh, roster->upstreams, upstream);
   HASH_DELETE (hh_id, roster->by_id, upstream);
+  if (roster->removed != NULL)
+    roster->removed (roster->user, upstream->id);
   free (upstream);
   roster->generation++;
 }
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -61,6 +61,9 @@
   struct roster_upstream *upstreams; /**< uthash by identity */
   struct roster_upstream *by_id;
   uint64_t generation; /**< changes with the set of usable upstreams */
+  /** Called when an entry goes; may be NULL. */
+  void (*removed) (void *user, uint64_t upstream_id);
+  void *user;
 };
 
 void roster_init (struct roster *roster);
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -91,6 +91,8 @@
   if (httpd == NULL)
     return ERR_NO_MEMORY;
   httpd->config = *config;
+  if (httpd->config.request_id_header == NULL)
+    httpd->config.request_id_header = "Cherrylanding-Request-Id";
   httpd->evhtp = evhtp_new (config->base, NULL);
   if (httpd->evhtp == NULL)
     {
@@ -159,6 +161,18 @@
   return ntohs (((struct sockaddr_in *)&where)->sin_port);
 }
 
+void
+httpd_set_limits (struct httpd *httpd, const struct httpd_limits *limits)
+{
+  httpd->config.limits = *limits;
+}
+
+void
+httpd_wind_down (struct httpd *httpd)
+{
+  httpd->draining = true;
+}
+
 void
 httpd_drain (struct httpd *httpd)
 {
@@ -424,7 +438,8 @@
 
   if (http == NULL || http->headers_in == NULL)
     return NULL;
-  return evhtp_header_find (http->headers_in, "Cherrylanding-Request-Id");
+  return evhtp_header_find (http->headers_in,
+                            conn->httpd->config.request_id_header);
 }
 
 static void
@@ -435,6 +450,11 @@
 
   (void)fd;
   (void)what;
+  if (conn->state != CONN_READING && conn->httpd->config.idle_silent)
+    {
+      evhtp_connection_free (evhtp);
+      return;
+    }
   refuse (conn, conn->state == CONN_READING ? REFUSAL_READ_TIMEOUT
                                             : REFUSAL_IDLE_TIMEOUT);
   evhtp_connection_free (evhtp);
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -32,6 +32,9 @@
 {
   struct event_base *base;
   const char *address; /**< host:port; port 0 lets the system choose */
+  /** Header that names a request, for `refuse`; NULL: the product's own. */
+  const char *request_id_header;
+  bool idle_silent; /**< an idle connection is closed without a word */
   struct httpd_limits limits;
   /** A whole request arrived.  The owner answers it now or later, by evhtp's
       reply functions or httpd_abort. */
@@ -58,6 +61,12 @@
 /** Port it listens on. */
 uint16_t httpd_port (const struct httpd *httpd);
 
+/** Changes limits; connections idle or reading keep the time they had. */
+void httpd_set_limits (struct httpd *httpd, const struct httpd_limits *limits);
+
+/** From now on each response is the last of its connection. */
+void httpd_wind_down (struct httpd *httpd);
+
 /** Closes idle connections now, and others after their response.  New ones
     are still accepted, so that their requests are refused by word. */
 void httpd_drain (struct httpd *httpd);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -26,6 +26,8 @@
   [LOG_UPSTREAM_DRAINING] = { LOG_LEVEL_INFO, "upstream is draining" },
   [LOG_UPSTREAM_MISMATCH]
   = { LOG_LEVEL_ERROR, "upstream answered another request" },
+  [LOG_UPSTREAM_REJECTED]
+  = { LOG_LEVEL_WARN, "upstream's announcement rejected" },
   /* peers */
   [LOG_PEER_UP] = { LOG_LEVEL_INFO, "peer connected" },
   [LOG_PEER_DOWN] = { LOG_LEVEL_INFO, "peer disconnected" },
