--- a/src/coordination/message.c
+++ b/src/coordination/message.c
@@ -17,6 +17,7 @@
   [MESSAGE_CONFIG_REQUEST] = "config_request",
   [MESSAGE_CONFIG] = "config",
   [MESSAGE_ADDRESSES] = "addresses",
+  [MESSAGE_LOAD] = "load",
 };
 
 void
@@ -52,6 +53,11 @@
       message->u.addresses.items = NULL;
       message->u.addresses.count = 0;
       break;
+    case MESSAGE_LOAD:
+      free (message->u.load.items);
+      message->u.load.items = NULL;
+      message->u.load.item_count = 0;
+      break;
     default:
       break;
     }
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -30,6 +30,7 @@
   MESSAGE_CONFIG_REQUEST,
   MESSAGE_CONFIG,
   MESSAGE_ADDRESSES, /**< of other instances, for who joins */
+  MESSAGE_LOAD,      /**< what a gateway has in flight */
   MESSAGE_KIND_MAX
 };
 
@@ -145,6 +146,29 @@
   char (*items)[CATALOG_ADDRESS_SIZE];
 };
 
+/** What one gateway says of an upstream or a customer. */
+enum message_subject
+{
+  MESSAGE_SUBJECT_UPSTREAM, /**< running there; tokens yet to be read */
+  MESSAGE_SUBJECT_CUSTOMER, /**< waiting; tokens it was given of late */
+  MESSAGE_SUBJECT_MAX
+};
+
+struct message_load_item
+{
+  uint64_t id;
+  enum message_subject subject;
+  uint32_t requests;
+  uint64_t tokens;
+};
+
+/** Replaces what the sender said before; what is absent is zero. */
+struct message_load
+{
+  size_t item_count;
+  struct message_load_item *items;
+};
+
 struct message
 {
   enum message_kind kind;
@@ -159,6 +183,7 @@
     struct message_config_request config_request;
     struct message_config config;
     struct message_addresses addresses;
+    struct message_load load;
   } u;
 };
 
--- a/src/gateway/directory.c
+++ b/src/gateway/directory.c
@@ -60,7 +60,7 @@
     .prefix = gateway->adapter->config_key,
     .pace_ms = CONFIG_PACE_MS,
     .wait_ms = WATCH_MS,
-    .seed = routing_id (gateway->settings.instance),
+    .seed = catalog_id (gateway->settings.instance),
     .events = &config_events,
     .user = gateway,
   };
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -28,6 +28,8 @@
                              struct intake *intake);
 static enum refusal unknown (const struct gateway *gateway,
                              enum refusal refusal);
+static bool too_late (const struct gateway *gateway,
+                      const struct route *route);
 static struct flow *flow_new (struct gateway *gateway, evhtp_request_t *http,
                               const struct intake *intake);
 static char *copy_path (const evhtp_request_t *http);
@@ -77,12 +79,25 @@
       = routing_match (routing, intake->ask.host, http->uri->path->full);
   if (intake->route == NULL)
     return unknown (gateway, REFUSAL_NO_SERVICE);
-  if (intake->route->keyless)
-    return REFUSAL_NONE;
-  if (intake->ask.key != NULL)
+  if (!intake->route->keyless && intake->ask.key != NULL)
     intake->customer = routing_customer (routing, intake->ask.key);
-  return intake->customer == NULL ? unknown (gateway, REFUSAL_NO_KEY)
-                                  : REFUSAL_NONE;
+  if (!intake->route->keyless && intake->customer == NULL)
+    return unknown (gateway, REFUSAL_NO_KEY);
+  return too_late (gateway, intake->route) ? REFUSAL_DRAINING : REFUSAL_NONE;
+}
+
+/* A request that might not end before this instance does is sent away. */
+static bool
+too_late (const struct gateway *gateway, const struct route *route)
+{
+  uint64_t spent_ms
+      = (gateway_now_ns (gateway) - gateway->drain_ns) / CLOCK_NS_PER_MS;
+  uint64_t needs_ms = route->kind == ROUTE_STREAM ? route->timeout_ms
+                                                  : route->objective_ms * 4;
+
+  if (!gateway->draining || spent_ms < GATEWAY_NOTICE_MS)
+    return false;
+  return spent_ms + needs_ms > gateway->settings.grace_ms;
 }
 
 /* What is not known may be newer than the configuration held. */
@@ -110,7 +125,7 @@
   flow->route = route;
   flow->customer = intake->customer;
   flow->service
-      = routing_split (flow->routing, route, routing_id (intake->ask.id));
+      = routing_split (flow->routing, route, catalog_id (intake->ask.id));
   flow->path = copy_path (http);
   flow->body_size = evbuffer_get_length (http->buffer_in);
   flow->body = flow->body_size == 0
@@ -171,6 +186,7 @@
   (void)fd;
   (void)what;
   flow_cancel (flow);
+  flow_unwait (flow);
   if (reply_started (&flow->reply))
     flow_abort (flow);
   else
@@ -190,6 +206,7 @@
   gateway->counters.canceled++;
   flow->reply.http = NULL;
   flow_cancel (flow);
+  flow_unwait (flow);
   LOG (LOG_CLIENT_GONE, flow->ask.id, LOG_S ("route", flow->route->name),
        LOG_S ("verdict", verdict_name (attempt_verdict (&flow->record))));
   release (flow);
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -14,4 +14,11 @@
 void flow_refuse_raw (void *user, enum refusal refusal, const char *request_id,
                       struct evbuffer *out);
 
+/** An upstream has begun or ended a request, or more is known of its load:
+    waiting requests are offered soon. */
+void flow_capacity_changed (struct gateway *gateway);
+/** Offers waiting requests to upstreams, and refuses those whose time has
+    come; the callback of the gateway's `pass` event. */
+void flow_pass (evutil_socket_t fd, short what, void *arg);
+
 #endif
--- a/src/gateway/flow_attempt.c
+++ b/src/gateway/flow_attempt.c
@@ -14,15 +14,14 @@
 #define HELD_MAX 65536 /* bytes of a response that is held until whole */
 /* A refused client comes back after that when nothing says more. */
 #define RETRY_AFTER_MS   250
+#define OUTPUT_WEIGHT    2.0   /* of a token generated, against one read */
 #define UPSTREAM_IDLE_MS 30000 /* kept open so long when it does not say */
 
-static struct roster_upstream *choose (struct flow *flow);
-static void start (struct flow *flow, struct roster_upstream *upstream);
 static void charge (struct flow *flow, struct roster_upstream *upstream);
 static void discharge (struct flow *flow);
 static void began (struct flow *flow);
+static void observe (struct flow *flow);
 static void settle (struct flow *flow, int error);
-static void give_up (struct flow *flow);
 static bool repeatable_failure (const struct flow *flow, int status);
 static void pass_on (struct flow *flow, struct evbuffer *data);
 static void pause_if_behind (struct flow *flow);
@@ -47,18 +46,7 @@
 };
 
 void
-flow_try (struct flow *flow)
-{
-  struct roster_upstream *upstream = choose (flow);
-
-  if (upstream == NULL)
-    give_up (flow);
-  else
-    start (flow, upstream);
-}
-
-static struct roster_upstream *
-choose (struct flow *flow)
+flow_choose (struct flow *flow, struct choose_result *result)
 {
   struct gateway *gateway = flow->gateway;
   const struct choose_request request = {
@@ -67,20 +55,18 @@
     .availability_zone = gateway->settings.availability_zone,
     .avoid = flow->tried,
     .avoid_count = flow->tried_count,
-    .draw = routing_id (flow->ask.id),
+    .draw = catalog_id (flow->ask.id),
     .now_ns = gateway_now_ns (gateway),
   };
-  struct choose_result result;
 
-  choose_upstream (&gateway->roster, &gateway->prefixes, &request, &result);
-  flow->unread_tokens = result.unread_tokens;
-  return result.upstream;
+  choose_upstream (&gateway->roster, &gateway->prefixes, &request, result);
 }
 
-static void
-start (struct flow *flow, struct roster_upstream *upstream)
+void
+flow_start (struct flow *flow, const struct choose_result *result)
 {
   struct gateway *gateway = flow->gateway;
+  struct roster_upstream *upstream = result->upstream;
   uint64_t now_ns = gateway_now_ns (gateway);
   uint64_t end_ns = flow->timeout_ns < flow->deadline_ns ? flow->timeout_ns
                                                          : flow->deadline_ns;
@@ -113,6 +99,9 @@
   attempt_start (&flow->record, upstream->id, now_ns);
   attempt_advance (&flow->record, ATTEMPT_CONNECTING, now_ns);
   flow->upstream_id = upstream->id;
+  flow->unread_tokens = result->unread_tokens;
+  flow->begin_tokens = result->ahead_tokens + result->unread_tokens;
+  flow->start_ns = now_ns;
   flow->began = flow->discard = flow->paused = false;
   if (flow->tried_count < CHOOSE_AVOID_MAX)
     flow->tried[flow->tried_count++] = upstream->id;
@@ -136,6 +125,11 @@
 {
   upstream->load.running++;
   upstream->load.unread_tokens += flow->unread_tokens;
+  if (flow->customer != NULL)
+    usage_share_give (&flow->gateway->usage, flow->customer->id,
+                      flow->ask.prompt.input_tokens
+                          + OUTPUT_WEIGHT * flow->ask.prompt.output_tokens,
+                      gateway_now_ns (flow->gateway));
   if (flow->ask.prompt.part_count > 0)
     prefixes_note (&flow->gateway->prefixes, upstream->id, &flow->ask.prompt,
                    gateway_now_ns (flow->gateway));
@@ -150,6 +144,7 @@
   began (flow);
   if (upstream != NULL && upstream->load.running > 0)
     upstream->load.running--;
+  flow_capacity_changed (flow->gateway);
 }
 
 /* The upstream has read the prompt. */
@@ -167,6 +162,17 @@
   flow->unread_tokens = 0;
 }
 
+/* How long a prompt took to begin tells how fast engines read. */
+static void
+observe (struct flow *flow)
+{
+  struct gateway_service *service = flow_service (flow);
+
+  if (service != NULL && flow->ask.prompt.part_count > 0)
+    pace_observe (&service->pace, flow->begin_tokens,
+                  gateway_now_ns (flow->gateway) - flow->start_ns);
+}
+
 void
 flow_cancel (struct flow *flow)
 {
@@ -235,12 +241,11 @@
   if (again)
     flow_try (flow);
   else
-    give_up (flow);
+    flow_give_up (flow);
 }
 
-/* No upstream is left to try. */
-static void
-give_up (struct flow *flow)
+void
+flow_give_up (struct flow *flow)
 {
   if (reply_started (&flow->reply))
     flow_abort (flow);
@@ -304,8 +309,10 @@
 
   attempt_advance (&flow->record, ATTEMPT_RESPONDING,
                    gateway_now_ns (gateway));
+  observe (flow);
   began (flow);
   flow->began = true;
+  flow_capacity_changed (gateway);
   gateway->adapter->read_response (headers, count, &told);
   if (upstream != NULL && told.has_load)
     {
--- a/src/gateway/flow_int.h
+++ b/src/gateway/flow_int.h
@@ -9,6 +9,7 @@
 #include "protocol/sse.h"
 #include "state/attempt.h"
 #include "state/choose.h"
+#include "state/waitline.h"
 #include "transport/reply.h"
 
 #define FLOW_CONNECTS_MAX                                                     \
@@ -41,7 +42,10 @@
   bool discard;   /**< the answer is a failure that is tried again */
   bool granted;   /**< that trial was drawn from the budget */
   bool paused;
+  struct waitline_item wait;
   uint32_t unread_tokens; /**< charged to the upstream until it begins */
+  uint64_t begin_tokens;  /**< that it reads until this request begins */
+  uint64_t start_ns;      /**< of the attempt */
   uint64_t tried[CHOOSE_AVOID_MAX];
   size_t tried_count;
   bool streams; /**< the answer is a stream of events */
@@ -49,8 +53,18 @@
   uint64_t first_ns; /**< when the client was sent the first bytes */
 };
 
-/** Sends the request to the best upstream, or refuses it. */
+/** Sends the request to the best upstream, has it wait, or refuses it. */
 void flow_try (struct flow *flow);
+/** Takes it out of the line, if it waits. */
+void flow_unwait (struct flow *flow);
+/** What is learned of its service; NULL without memory. */
+struct gateway_service *flow_service (struct flow *flow);
+/** The upstream that it would go to now. */
+void flow_choose (struct flow *flow, struct choose_result *result);
+/** Starts an attempt there. */
+void flow_start (struct flow *flow, const struct choose_result *result);
+/** No upstream is left to try: refuses it, or breaks it off. */
+void flow_give_up (struct flow *flow);
 /** Ends the attempt in progress, if any. */
 void flow_cancel (struct flow *flow);
 /** Whether the request may be handed to one more upstream; draws on the
--- /dev/null
+++ b/src/gateway/flow_wait.c
@@ -0,0 +1,161 @@
+/**
+ * @file flow_wait.c
+ * Requests that wait for an upstream to have room.
+ */
+#include "gateway/flow_int.h"
+#include "state/rng.h"
+#include "transport/log.h"
+#include <stdlib.h>
+
+/* An engine is handed what it will begin within so long: enough that it never
+   idles for a round trip, and little that the order made here is undone. */
+#define ADMIT_MS 250
+/* A client that was refused comes back within this span: by then what was in
+   line has been served, and all do not come at once. */
+#define RETRY_AFTER_MIN_MS  800
+#define RETRY_AFTER_SPAN_MS 1600
+/* A request that cannot meet its objective any more waits for room so long. */
+#define LATE_HOLD_MS 1500
+
+static bool admissible (struct flow *flow, const struct choose_result *result);
+static bool take (void *user, void *owner);
+static void wait_in_line (struct flow *flow);
+
+struct gateway_service *
+flow_service (struct flow *flow)
+{
+  struct gateway *gateway = flow->gateway;
+  const struct roster_upstream *upstream;
+  struct gateway_service *service;
+  uint32_t engines = 0;
+
+  HASH_FIND (hh, gateway->services, &flow->service->id,
+             sizeof flow->service->id, service);
+  if (service != NULL)
+    return service;
+  service = calloc (1, sizeof *service);
+  if (service == NULL)
+    return NULL;
+  for (upstream = gateway->roster.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (upstream->record.service_id == flow->service->id)
+      engines++;
+  service->id = flow->service->id;
+  pace_init (&service->pace, flow->routing->limits.tokens_per_s, engines);
+  HASH_ADD (hh, gateway->services, id, sizeof service->id, service);
+  return service;
+}
+
+void
+flow_try (struct flow *flow)
+{
+  struct choose_result result;
+
+  flow_choose (flow, &result);
+  if (result.upstream == NULL)
+    flow_give_up (flow);
+  else if (flow->ask.prompt.part_count == 0 || flow->record.number > 0)
+    flow_start (flow, &result);
+  else
+    wait_in_line (flow);
+}
+
+/* Even a request that could begin at once goes through the line, so that it
+   does not overtake others. */
+static void
+wait_in_line (struct flow *flow)
+{
+  struct gateway *gateway = flow->gateway;
+  const struct prompt *prompt = &flow->ask.prompt;
+  struct gateway_service *service = flow_service (flow);
+  uint64_t begin_ns
+      = service == NULL
+            ? 0
+            : pace_begin_ns (&service->pace,
+                             prompt->parts[prompt->part_count - 1].tokens);
+  uint64_t objective_ns
+      = flow->arrival_ns + flow->route->objective_ms * CLOCK_NS_PER_MS;
+
+  flow->wait = (struct waitline_item){
+    .customer_id = flow->customer == NULL ? 0 : flow->customer->id,
+    .priority = flow->customer != NULL && flow->customer->ranked
+                    ? flow->customer->priority
+                    : flow->route->priority,
+    .objective_ns = objective_ns > begin_ns ? objective_ns - begin_ns : 0,
+    .owner = flow,
+  };
+  flow->wait.expiry_ns
+      = flow->wait.objective_ns > flow->arrival_ns
+            ? flow->wait.objective_ns
+            : flow->arrival_ns + LATE_HOLD_MS * CLOCK_NS_PER_MS;
+  if (waitline_add (&gateway->waitline, &gateway->usage, &flow->wait) != 0)
+    flow_refuse (flow, REFUSAL_ROUTER_FULL, RETRY_AFTER_MIN_MS);
+  else
+    flow_pass (-1, 0, gateway);
+}
+
+void
+flow_unwait (struct flow *flow)
+{
+  if (flow->wait.waits)
+    waitline_remove (&flow->gateway->waitline, &flow->gateway->usage,
+                     &flow->wait);
+}
+
+static bool
+admissible (struct flow *flow, const struct choose_result *result)
+{
+  const struct roster_load *load;
+  struct gateway_service *service = flow_service (flow);
+
+  if (result->upstream == NULL || service == NULL)
+    return false;
+  load = &result->upstream->load;
+  return result->ahead_tokens <= pace_tokens (&service->pace, ADMIT_MS)
+         && load->running + load->peer_running
+                < result->upstream->record.slots;
+}
+
+static bool
+take (void *user, void *owner)
+{
+  struct flow *flow = owner;
+  struct choose_result result;
+
+  (void)user;
+  flow_choose (flow, &result);
+  if (!admissible (flow, &result))
+    return false;
+  flow_unwait (flow);
+  flow_start (flow, &result);
+  return true;
+}
+
+void
+flow_capacity_changed (struct gateway *gateway)
+{
+  if (gateway->waitline.count > 0)
+    event_active (gateway->pass, EV_TIMEOUT, 0);
+}
+
+void
+flow_pass (evutil_socket_t fd, short what, void *arg)
+{
+  struct gateway *gateway = arg;
+  uint64_t now_ns = gateway_now_ns (gateway);
+  struct waitline_item *item;
+
+  (void)fd;
+  (void)what;
+  if (gateway->waitline.count == 0)
+    return;
+  waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
+  while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
+    {
+      flow_unwait (item->owner);
+      flow_refuse (
+          item->owner, REFUSAL_ROUTER_FULL,
+          RETRY_AFTER_MIN_MS
+              + (uint32_t)rng_below (&gateway->rng, RETRY_AFTER_SPAN_MS));
+    }
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,10 +5,12 @@
 #include "gateway/gateway.h"
 #include "gateway/directory.h"
 #include "gateway/flow.h"
+#include "gateway/neighbours.h"
 #include "gateway/probe.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
 
@@ -64,6 +66,8 @@
     error = probe_start (gateway);
   if (error == 0)
     error = directory_start (gateway);
+  if (error == 0)
+    error = neighbours_start (gateway);
   if (error != 0)
     LOG (LOG_LISTEN_FAILED, NULL, LOG_S ("address", settings->client_address),
          LOG_S ("error", err_name (error)));
@@ -88,6 +92,10 @@
   gateway->roster.user = gateway;
   prefixes_init (&gateway->prefixes);
   retryshare_init (&gateway->retryshare, &config);
+  usage_share_init (&gateway->usage, gateway->settings.share_window_ms);
+  waitline_init (&gateway->waitline);
+  rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
+                               ^ clock_wall_ms (&gateway->clock));
   return 0;
 }
 
@@ -131,7 +139,8 @@
   signal (SIGPIPE, SIG_IGN);
   raise_file_limit ();
   gateway->tick = event_new (gateway->base, -1, EV_PERSIST, on_tick, gateway);
-  if (gateway->tick == NULL)
+  gateway->pass = event_new (gateway->base, -1, 0, flow_pass, gateway);
+  if (gateway->tick == NULL || gateway->pass == NULL)
     return ERR_NO_MEMORY;
   event_add (gateway->tick, &tick);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
@@ -160,6 +169,8 @@
 void
 gateway_finish (struct gateway *gateway)
 {
+  struct gateway_service *service;
+  struct gateway_service *next;
   int i;
 
   if (gateway->httpd != NULL)
@@ -167,6 +178,7 @@
   if (gateway->platform != NULL)
     gateway->platform->ops->finish (gateway->platform);
   directory_finish (gateway);
+  neighbours_finish (gateway);
   probe_finish (gateway);
   gateway->roster.removed = NULL;
   roster_finish (&gateway->roster);
@@ -174,7 +186,16 @@
     upstream_http_free (gateway->http);
   prefixes_finish (&gateway->prefixes);
   retryshare_finish (&gateway->retryshare);
+  waitline_finish (&gateway->waitline);
+  usage_share_finish (&gateway->usage);
+  HASH_ITER (hh, gateway->services, service, next)
+    {
+      HASH_DEL (gateway->services, service);
+      free (service);
+    }
   routing_release (gateway->routing);
+  if (gateway->pass != NULL)
+    event_free (gateway->pass);
   if (gateway->tick != NULL)
     event_free (gateway->tick);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
@@ -222,6 +243,7 @@
   (void)fd;
   (void)what;
   roster_age (&gateway->roster, now_ns);
+  flow_pass (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     upstream_http_sweep (gateway->http);
   if (gateway->draining)
@@ -256,7 +278,7 @@
 {
   uint64_t spent_ms = (now_ns - gateway->drain_ns) / CLOCK_NS_PER_MS;
 
-  if (spent_ms < NOTICE_MS)
+  if (spent_ms < GATEWAY_NOTICE_MS)
     return;
   httpd_drain (gateway->httpd);
   if (gateway->flow_count == 0 && httpd_active (gateway->httpd) == 0)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,19 +10,33 @@
 #include "gateway/adapter.h"
 #include "gateway/feed.h"
 #include "gateway/gateway_settings.h"
+#include "state/pace.h"
 #include "state/prefixes.h"
 #include "state/retryshare.h"
 #include "state/roster.h"
 #include "state/routing.h"
+#include "state/usage_share.h"
+#include "state/waitline.h"
 #include "transport/clock.h"
 #include "transport/httpd.h"
 #include "transport/upstream_http.h"
 #include <event2/event.h>
 #include <event2/http.h>
 
-#define GATEWAY_SIGNALS 3 /**< SIGTERM, SIGINT, SIGHUP */
+/** The balancer asks once a second and believes the second miss. */
+#define GATEWAY_NOTICE_MS 2500
+#define GATEWAY_SIGNALS   3 /**< SIGTERM, SIGINT, SIGHUP */
 
 struct flow;
+struct neighbours;
+
+/** What is learned of a service. */
+struct gateway_service
+{
+  uint64_t id;
+  struct pace pace;
+  UT_hash_handle hh;
+};
 
 struct gateway_counters
 {
@@ -52,9 +66,15 @@
   struct roster roster;
   struct prefixes prefixes;
   struct retryshare retryshare;
+  struct usage_share usage;
+  struct waitline waitline;
+  struct gateway_service *services; /**< uthash by id */
+  struct neighbours *neighbours;    /**< owned */
+  struct event *pass; /**< offers waiting requests to upstreams */
   struct flow *flows; /**< requests in progress */
   uint32_t flow_count;
   struct gateway_counters counters;
+  struct rng rng;
   struct event *tick;
   uint64_t ticks;
   struct event *signals[GATEWAY_SIGNALS];
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &peer__addresses__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__load__init
+                     (Peer__Load         *message)
+{
+  static const Peer__Load init_value = PEER__LOAD__INIT;
+  *message = init_value;
+}
+size_t peer__load__get_packed_size
+                     (const Peer__Load *message)
+{
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__load__pack
+                     (const Peer__Load *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__load__pack_to_buffer
+                     (const Peer__Load *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Load *
+       peer__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Load *)
+     protobuf_c_message_unpack (&peer__load__descriptor,
+                                allocator, len, data);
+}
+void   peer__load__free_unpacked
+                     (Peer__Load *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -1220,7 +1265,58 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[2] =
+{
+  {
+    "names",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__Load, n_names),
+    offsetof(Peer__Load, names),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Peer__Load, n_items),
+    offsetof(Peer__Load, items),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__load__field_indices_by_name[] = {
+  1,   /* field[1] = items */
+  0,   /* field[0] = names */
+};
+static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Load",
+  "Load",
+  "Peer__Load",
+  "peer",
+  sizeof(Peer__Load),
+  2,
+  peer__load__field_descriptors,
+  peer__load__field_indices_by_name,
+  1,  peer__load__number_ranges,
+  (ProtobufCMessageInit) peer__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[10] =
 {
   {
     "hello",
@@ -1330,6 +1426,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, load),
+    &peer__load__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   3,   /* field[3] = accounts */
@@ -1340,12 +1448,13 @@
   2,   /* field[2] = heartbeat */
   0,   /* field[0] = hello */
   5,   /* field[5] = hold */
+  9,   /* field[9] = load */
   1,   /* field[1] = proof */
 };
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -1355,7 +1464,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  9,
+  10,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Peer__Object Peer__Object;
 typedef struct Peer__Config Peer__Config;
 typedef struct Peer__Addresses Peer__Addresses;
+typedef struct Peer__Load Peer__Load;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -186,6 +187,23 @@
     , 0,NULL }
 
 
+/*
+ * What the sender has at upstreams and has given customers.  Rows: pair
+ * (identifier, subject), running, tokens.  Replaces its earlier word.
+ */
+struct  Peer__Load
+{
+  ProtobufCMessage base;
+  size_t n_names;
+  uint64_t *names;
+  size_t n_items;
+  uint64_t *items;
+};
+#define PEER__LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_HELLO = 1,
@@ -196,7 +214,8 @@
   PEER__FRAME__BODY_HOLD = 6,
   PEER__FRAME__BODY_CONFIG_REQUEST = 7,
   PEER__FRAME__BODY_CONFIG = 8,
-  PEER__FRAME__BODY_ADDRESSES = 9
+  PEER__FRAME__BODY_ADDRESSES = 9,
+  PEER__FRAME__BODY_LOAD = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -214,6 +233,7 @@
     Peer__ConfigRequest *config_request;
     Peer__Config *config;
     Peer__Addresses *addresses;
+    Peer__Load *load;
   };
 };
 #define PEER__FRAME__INIT \
@@ -411,6 +431,25 @@
 void   peer__addresses__free_unpacked
                      (Peer__Addresses *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Load methods */
+void   peer__load__init
+                     (Peer__Load         *message);
+size_t peer__load__get_packed_size
+                     (const Peer__Load   *message);
+size_t peer__load__pack
+                     (const Peer__Load   *message,
+                      uint8_t             *out);
+size_t peer__load__pack_to_buffer
+                     (const Peer__Load   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Load *
+       peer__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__load__free_unpacked
+                     (Peer__Load *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -462,6 +501,9 @@
 typedef void (*Peer__Addresses_Closure)
                  (const Peer__Addresses *message,
                   void *closure_data);
+typedef void (*Peer__Load_Closure)
+                 (const Peer__Load *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -481,6 +523,7 @@
 extern const ProtobufCMessageDescriptor peer__object__descriptor;
 extern const ProtobufCMessageDescriptor peer__config__descriptor;
 extern const ProtobufCMessageDescriptor peer__addresses__descriptor;
+extern const ProtobufCMessageDescriptor peer__load__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -13,6 +13,7 @@
 #define ACCOUNT_COLUMNS   4 /* besides the pair */
 #define GRANT_COLUMNS     3
 #define HOLD_COLUMNS      4
+#define LOAD_COLUMNS      3
 
 struct peercodec_key
 {
@@ -48,6 +49,7 @@
     Peer__ConfigRequest config_request;
     Peer__Config config;
     Peer__Addresses addresses;
+    Peer__Load load;
   } body;
   uint64_t *names; /**< new pairs, flattened */
   size_t name_count;
@@ -69,6 +71,7 @@
 static int encode_config (const struct message *message, struct encoding *out);
 static int encode_addresses (const struct message *message,
                              struct encoding *out);
+static int encode_load (const struct message *message, struct encoding *out);
 static int rows_new (struct encoding *out, size_t count, size_t columns);
 static struct peercodec_name *name_row (struct encoding *out, uint64_t first,
                                         uint64_t second);
@@ -92,6 +95,7 @@
         [MESSAGE_CONFIG_REQUEST] = encode_config_request,
         [MESSAGE_CONFIG] = encode_config,
         [MESSAGE_ADDRESSES] = encode_addresses,
+        [MESSAGE_LOAD] = encode_load,
       };
 
 void
@@ -469,3 +473,28 @@
   out->frame.addresses = wire;
   return 0;
 }
+
+static int
+encode_load (const struct message *message, struct encoding *out)
+{
+  const struct message_load *load = &message->u.load;
+  Peer__Load *wire = &out->body.load;
+  size_t i;
+  int rc = rows_new (out, load->item_count, LOAD_COLUMNS);
+
+  for (i = 0; rc == 0 && i < load->item_count; i++)
+    {
+      if (name_row (out, load->items[i].id, load->items[i].subject) == NULL)
+        return ERR_FULL;
+      add (out, load->items[i].requests);
+      add (out, load->items[i].tokens);
+    }
+  peer__load__init (wire);
+  wire->n_names = out->name_count;
+  wire->names = out->names;
+  wire->n_items = out->item_count;
+  wire->items = out->items;
+  out->frame.body_case = PEER__FRAME__BODY_LOAD;
+  out->frame.load = wire;
+  return rc;
+}
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -13,6 +13,7 @@
 #define ACCOUNT_COLUMNS   4 /* besides the pair */
 #define GRANT_COLUMNS     3
 #define HOLD_COLUMNS      4
+#define LOAD_COLUMNS      3
 #define ROWS_MIN          64 /* of a dictionary, at first */
 
 /** A pair of the dictionary, and the sender's last account for it. */
@@ -59,6 +60,8 @@
 static int decode_addresses (struct peercodec_decoder *decoder,
                              const Peer__Frame *frame,
                              struct message *message);
+static int decode_load (struct peercodec_decoder *decoder,
+                        const Peer__Frame *frame, struct message *message);
 static int decode_object (const Peer__Object *wire,
                           struct message_object *object);
 static int copy_name (char *out, size_t size, const char *text,
@@ -91,6 +94,7 @@
   = { MESSAGE_CONFIG_REQUEST, decode_config_request },
   [PEER__FRAME__BODY_CONFIG] = { MESSAGE_CONFIG, decode_config },
   [PEER__FRAME__BODY_ADDRESSES] = { MESSAGE_ADDRESSES, decode_addresses },
+  [PEER__FRAME__BODY_LOAD] = { MESSAGE_LOAD, decode_load },
 };
 
 void
@@ -432,6 +436,38 @@
   return rc;
 }
 
+static int
+decode_load (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+             struct message *message)
+{
+  const Peer__Load *wire = frame->load;
+  struct message_load *load = &message->u.load;
+  const struct peercodec_row *name;
+  struct message_load_item *item;
+  struct rows rows;
+  size_t i;
+  int rc = add_names (decoder, wire->names, wire->n_names);
+
+  if (rc == 0)
+    rc = rows_init (&rows, decoder, wire->items, wire->n_items, LOAD_COLUMNS);
+  if (rc != 0)
+    return rc;
+  rc = items_new ((void **)&load->items, rows.count, sizeof *item);
+  load->item_count = rc == 0 ? rows.count : 0;
+  for (i = 0; rc == 0 && i < rows.count; i++)
+    {
+      name = row_name (&rows, i);
+      item = &load->items[i];
+      if (name == NULL || name->second >= MESSAGE_SUBJECT_MAX
+          || small_cell (&rows, i, 1, &item->requests) != 0)
+        return ERR_PROTOCOL;
+      item->id = name->first;
+      item->subject = (enum message_subject)name->second;
+      item->tokens = cell (&rows, i, 2);
+    }
+  return rc;
+}
+
 static int
 decode_config_request (struct peercodec_decoder *decoder,
                        const Peer__Frame *frame, struct message *message)
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -28,12 +28,6 @@
                          const struct route *route);
 static size_t put_host (char *out, size_t size, const char *host);
 
-uint64_t
-routing_id (const char *name)
-{
-  return XXH3_64bits (name, strlen (name));
-}
-
 struct routing *
 routing_new (uint64_t version)
 {
@@ -103,7 +97,7 @@
     return ERR_NO_MEMORY;
   routing->services = services;
   services[routing->service_count] = *service;
-  services[routing->service_count++].id = routing_id (service->name);
+  services[routing->service_count++].id = catalog_id (service->name);
   return 0;
 }
 
@@ -172,7 +166,7 @@
     return ERR_NO_MEMORY;
   routing->customers = customers;
   customers[routing->customer_count] = *customer;
-  customers[routing->customer_count++].id = routing_id (customer->name);
+  customers[routing->customer_count++].id = catalog_id (customer->name);
   return 0;
 }
 
--- a/src/state/routing.h
+++ b/src/state/routing.h
@@ -8,6 +8,7 @@
 #ifndef STATE_ROUTING_H
 #define STATE_ROUTING_H
 
+#include "state/catalog.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -52,7 +53,7 @@
 struct routing_service
 {
   char name[ROUTING_NAME_SIZE];
-  uint64_t id; /**< routing_id of the name */
+  uint64_t id; /**< catalog_id of the name */
   char health_path[ROUTING_NAME_SIZE];
   uint32_t connections_max; /**< of one upstream, over all callers */
   bool engine;              /**< language model engines */
@@ -63,7 +64,7 @@
 struct routing_customer
 {
   char name[ROUTING_NAME_SIZE];
-  uint64_t id; /**< routing_id of the name */
+  uint64_t id; /**< catalog_id of the name */
   bool ranked; /**< `priority` goes before the route's */
   uint32_t priority;
 };
@@ -92,9 +93,6 @@
   uint32_t references;
 };
 
-/** Stable identifier of a name. */
-uint64_t routing_id (const char *name);
-
 /** @return an empty version with one reference; NULL without memory. */
 struct routing *routing_new (uint64_t version);
 struct routing *routing_hold (struct routing *routing);
--- /dev/null
+++ b/src/state/usage_share.c
@@ -0,0 +1,83 @@
+/**
+ * @file usage_share.c
+ * Service of customers, fading.
+ */
+#include "state/usage_share.h"
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NS_PER_MS 1000000.0 /* nanoseconds */
+
+void
+usage_share_init (struct usage_share *share, uint32_t window_ms)
+{
+  memset (share, 0, sizeof *share);
+  share->window_ms = window_ms == 0 ? 1 : window_ms;
+}
+
+void
+usage_share_finish (struct usage_share *share)
+{
+  struct usage_customer *customer;
+  struct usage_customer *next;
+
+  HASH_ITER (hh, share->customers, customer, next)
+    {
+      HASH_DEL (share->customers, customer);
+      free (customer);
+    }
+}
+
+struct usage_customer *
+usage_share_customer (struct usage_share *share, uint64_t customer_id)
+{
+  struct usage_customer *customer;
+
+  HASH_FIND (hh, share->customers, &customer_id, sizeof customer_id, customer);
+  if (customer != NULL)
+    return customer;
+  customer = calloc (1, sizeof *customer);
+  if (customer == NULL)
+    return NULL;
+  customer->customer_id = customer_id;
+  HASH_ADD (hh, share->customers, customer_id, sizeof customer_id, customer);
+  return customer;
+}
+
+void
+usage_share_give (struct usage_share *share, uint64_t customer_id,
+                  double tokens, uint64_t now_ns)
+{
+  struct usage_customer *customer = usage_share_customer (share, customer_id);
+
+  if (customer == NULL)
+    return;
+  usage_share_own (share, customer, now_ns);
+  customer->own_tokens += tokens;
+  if (customer->own_tokens < 0)
+    customer->own_tokens = 0;
+}
+
+uint64_t
+usage_share_own (const struct usage_share *share,
+                 struct usage_customer *customer, uint64_t now_ns)
+{
+  double passed_ms = (double)(now_ns - customer->faded_ns) / NS_PER_MS;
+
+  customer->own_tokens *= exp (-passed_ms / share->window_ms);
+  customer->faded_ns = now_ns;
+  return (uint64_t)customer->own_tokens;
+}
+
+uint64_t
+usage_share_used (struct usage_share *share, uint64_t customer_id,
+                  uint64_t now_ns)
+{
+  struct usage_customer *customer;
+
+  HASH_FIND (hh, share->customers, &customer_id, sizeof customer_id, customer);
+  if (customer == NULL)
+    return 0;
+  return usage_share_own (share, customer, now_ns) + customer->peer_tokens;
+}
--- /dev/null
+++ b/src/state/waitline.c
@@ -0,0 +1,184 @@
+/**
+ * @file waitline.c
+ * Order of waiting requests.
+ */
+#include "state/waitline.h"
+#include "state/err.h"
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+struct waitline_queue
+{
+  uint64_t customer_id;
+  struct waitline_item *items; /* the most urgent first */
+  uint64_t used;               /* tokens of late, in this pass */
+  uint32_t tries;              /* in this pass */
+  struct waitline_item *next;  /* to be tried in this pass */
+  UT_hash_handle hh;
+};
+
+static struct waitline_queue *find (const struct waitline *line,
+                                    uint64_t customer_id);
+static int compare_items (const struct waitline_item *a,
+                          const struct waitline_item *b);
+static struct waitline_queue *poorest (const struct waitline *line);
+static struct waitline_item *first_useful (struct waitline_queue *queue,
+                                           uint64_t now_ns);
+
+void
+waitline_init (struct waitline *line)
+{
+  memset (line, 0, sizeof *line);
+}
+
+void
+waitline_finish (struct waitline *line)
+{
+  struct waitline_queue *queue;
+  struct waitline_queue *next;
+
+  HASH_ITER (hh, line->queues, queue, next)
+    {
+      HASH_DEL (line->queues, queue);
+      free (queue);
+    }
+}
+
+static struct waitline_queue *
+find (const struct waitline *line, uint64_t customer_id)
+{
+  struct waitline_queue *queue;
+
+  HASH_FIND (hh, line->queues, &customer_id, sizeof customer_id, queue);
+  return queue;
+}
+
+static int
+compare_items (const struct waitline_item *a, const struct waitline_item *b)
+{
+  if (a->priority != b->priority)
+    return a->priority < b->priority ? -1 : 1;
+  if (a->objective_ns != b->objective_ns)
+    return a->objective_ns < b->objective_ns ? -1 : 1;
+  return 0;
+}
+
+int
+waitline_add (struct waitline *line, struct usage_share *share,
+              struct waitline_item *item)
+{
+  struct usage_customer *customer
+      = usage_share_customer (share, item->customer_id);
+  struct waitline_queue *queue = find (line, item->customer_id);
+
+  if (customer == NULL)
+    return ERR_NO_MEMORY;
+  if (queue == NULL)
+    {
+      queue = calloc (1, sizeof *queue);
+      if (queue == NULL)
+        return ERR_NO_MEMORY;
+      queue->customer_id = item->customer_id;
+      HASH_ADD (hh, line->queues, customer_id, sizeof queue->customer_id,
+                queue);
+    }
+  DL_INSERT_INORDER (queue->items, item, compare_items);
+  item->waits = true;
+  customer->waiting++;
+  line->count++;
+  return 0;
+}
+
+void
+waitline_remove (struct waitline *line, struct usage_share *share,
+                 struct waitline_item *item)
+{
+  struct waitline_queue *queue = find (line, item->customer_id);
+
+  if (!item->waits)
+    return;
+  if (queue->next == item)
+    queue->next = item->next;
+  DL_DELETE (queue->items, item);
+  item->waits = false;
+  usage_share_customer (share, item->customer_id)->waiting--;
+  line->count--;
+  if (queue->items != NULL)
+    return;
+  HASH_DEL (line->queues, queue);
+  free (queue);
+}
+
+void
+waitline_pass (struct waitline *line, struct usage_share *share,
+               uint64_t now_ns, bool (*take) (void *user, void *owner),
+               void *user)
+{
+  struct waitline_queue *queue;
+  struct waitline_item *item;
+  uint64_t customer_id;
+
+  for (queue = line->queues; queue != NULL; queue = queue->hh.next)
+    {
+      queue->used = usage_share_used (share, queue->customer_id, now_ns);
+      queue->tries = 0;
+      queue->next = first_useful (queue, now_ns);
+    }
+  while ((queue = poorest (line)) != NULL)
+    {
+      item = queue->next;
+      queue->next = item->next;
+      customer_id = queue->customer_id;
+      if (!take (user, item->owner))
+        {
+          queue->tries++;
+          continue;
+        }
+      /* The queue went with its last request. */
+      queue = find (line, customer_id);
+      if (queue == NULL)
+        continue;
+      queue->used = usage_share_used (share, customer_id, now_ns);
+      if (queue->next == NULL)
+        queue->next = first_useful (queue, now_ns);
+    }
+}
+
+/* Those that are too late go last, though they are the most urgent. */
+static struct waitline_item *
+first_useful (struct waitline_queue *queue, uint64_t now_ns)
+{
+  struct waitline_item *item;
+
+  DL_FOREACH (queue->items, item)
+    if (item->objective_ns >= now_ns)
+      return item;
+  return queue->items;
+}
+
+static struct waitline_queue *
+poorest (const struct waitline *line)
+{
+  struct waitline_queue *best = NULL;
+  struct waitline_queue *queue;
+
+  for (queue = line->queues; queue != NULL; queue = queue->hh.next)
+    if (queue->next != NULL && queue->tries < WAITLINE_TRIES_MAX
+        && (best == NULL || queue->used < best->used))
+      best = queue;
+  return best;
+}
+
+struct waitline_item *
+waitline_expired (struct waitline *line, uint64_t now_ns)
+{
+  struct waitline_queue *queue;
+  struct waitline_item *item;
+
+  for (queue = line->queues; queue != NULL; queue = queue->hh.next)
+    DL_FOREACH (queue->items, item)
+      if (item->expiry_ns <= now_ns)
+        return item;
+  return NULL;
+}
