Go on with a stream only when the second upstream goes on too

Change: once the client has the head, any other status is a failed attempt. The log of attempts says whether they went home, and what was ahead.

--- a/src/gateway/flow_attempt.c
+++ b/src/gateway/flow_attempt.c
@@ -112,6 +112,8 @@
        LOG_U ("attempt", flow->record.number),
        LOG_S ("upstream", upstream->record.identity),
        LOG_U ("unread_tokens", flow->unread_tokens),
+       LOG_U ("ahead_tokens", result->ahead_tokens),
+       LOG_S ("home", result->home ? "yes" : "no"),
        LOG_U ("remaining_ms", attempt.remaining_ms));
   flow->attempt
       = upstream_http_driver.start (gateway->http, &request, &events, flow);
@@ -322,7 +324,8 @@
     }
   /* A success that no upstream vouches for is none. */
   flow->granted = repeatable_failure (flow, status) && flow_may_repeat (flow);
-  flow->discard = flow->granted || (!told.has_signature && status < 300);
+  flow->discard = flow->granted || (!told.has_signature && status < 300)
+                  || (reply_started (&flow->reply) && status != 200);
   if (flow->discard || reply_started (&flow->reply))
     return;
   if (status >= 300)
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -137,6 +137,7 @@
       result->upstream = upstream;
       result->unread_tokens = unread;
       result->ahead_tokens = ahead_of (upstream);
+      result->home = order == best_order;
     }
 }
 
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -38,6 +38,7 @@
   struct roster_upstream *upstream; /**< NULL: none is usable */
   uint32_t unread_tokens;           /**< of the prompt, that it has to read */
   uint64_t ahead_tokens;            /**< that it reads before */
+  bool home;                        /**< it is the first home of the prompt */
 };
 
 void choose_upstream (const struct roster *roster,
