Wait for a home; go elsewhere only to engines with next to nothing to read

Ruled out: eviction (0.4 M of 29 M). Change: the stated rate holds; a prompt leaves its home after half of its time, and only for an engine with at most 60 ms ahead.

--- a/src/gateway/flow_attempt.c
+++ b/src/gateway/flow_attempt.c
@@ -56,6 +56,7 @@
     .avoid = flow->tried,
     .avoid_count = flow->tried_count,
     .draw = catalog_id (flow->ask.id),
+    .reread_permille = flow_patience (flow),
     .now_ns = gateway_now_ns (gateway),
   };
 
--- a/src/gateway/flow_int.h
+++ b/src/gateway/flow_int.h
@@ -59,6 +59,8 @@
 void flow_unwait (struct flow *flow);
 /** What is learned of its service; NULL without memory. */
 struct gateway_service *flow_service (struct flow *flow);
+/** Thousandths of what would be read again that it rather waits for. */
+uint32_t flow_patience (const struct flow *flow);
 /** The upstream that it would go to now. */
 void flow_choose (struct flow *flow, struct choose_result *result);
 /** Starts an attempt there. */
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -17,6 +17,14 @@
 /* A request that cannot meet its objective any more waits for room so long. */
 #define LATE_HOLD_MS 1500
 
+/* Reading a shared part again takes an engine's time from others, so a request
+   waits for a home while it can.  From half of its time on it goes to an
+   engine that has next to nothing to read: then its home is crowded and the
+   fleet is not. */
+#define PATIENT_PERMILLE   6000
+#define IMPATIENT_PERMILLE 500
+#define IDLE_MS            60 /* of reading that an engine may have ahead */
+
 static bool admissible (struct flow *flow, const struct choose_result *result);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow);
@@ -60,6 +68,17 @@
     wait_in_line (flow);
 }
 
+uint32_t
+flow_patience (const struct flow *flow)
+{
+  uint64_t now_ns = gateway_now_ns (flow->gateway);
+  uint64_t half_ns = (flow->wait.expiry_ns - flow->arrival_ns) / 2;
+
+  return flow->wait.waits && now_ns - flow->arrival_ns < half_ns
+             ? PATIENT_PERMILLE
+             : IMPATIENT_PERMILLE;
+}
+
 /* Even a request that could begin at once goes through the line, so that it
    does not overtake others. */
 static void
@@ -107,11 +126,15 @@
 {
   const struct roster_load *load;
   struct gateway_service *service = flow_service (flow);
+  uint32_t limit_ms;
 
   if (result->upstream == NULL || service == NULL)
     return false;
   load = &result->upstream->load;
-  return result->ahead_tokens <= pace_tokens (&service->pace, ADMIT_MS)
+  limit_ms = !result->home && flow_patience (flow) == IMPATIENT_PERMILLE
+                 ? IDLE_MS
+                 : ADMIT_MS;
+  return result->ahead_tokens <= pace_tokens (&service->pace, limit_ms)
          && load->running + load->peer_running
                 < result->upstream->record.slots;
 }
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -13,9 +13,6 @@
 /* A part is believed kept so long after its last use: the time that a busy
    engine takes to read its memory full once. */
 #define KEPT_FRESH_MS 15000
-/* Tokens that reading elsewhere costs beside the prompt's own, in thousandths
-   of what is read again: it also takes time from others. */
-#define REREAD_PERMILLE 1000
 /* Tokens that each running request costs: it slows the engine's steps. */
 #define RUNNING_TOKENS 60
 /* Tokens for each place that an engine stands behind the home, so that second
@@ -126,8 +123,7 @@
         kept = prompt->input_tokens - last;
       unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
       cost = ahead_of (upstream) + unread
-             + (uint64_t)(unread > last ? unread - last : 0) * REREAD_PERMILLE
-                   / 1000
+             + (uint64_t)(unread > last ? unread - last : 0) * request->reread_permille / 1000
              + (uint64_t)(upstream->load.running + upstream->load.peer_running)
                    * RUNNING_TOKENS
              + (order == best_order ? 0 : RANK_TOKENS * (8 - (order >> 61)));
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -30,6 +30,9 @@
   const uint64_t *avoid;         /**< upstreams that were tried */
   size_t avoid_count;
   uint64_t draw; /**< any number; breaks ties */
+  /** Thousandths of what is read again that count as tokens beside: how much
+      later a prompt may begin for its engine to have read its start. */
+  uint32_t reread_permille;
   uint64_t now_ns;
 };
 
--- a/src/state/pace.c
+++ b/src/state/pace.c
@@ -19,7 +19,10 @@
   pace->begin_ms = BEGIN_MS_FIRST;
   pace->tokens_per_ms = TOKENS_PER_MS_FIRST;
   if (tokens_per_s > 0 && engines > 0)
-    pace->tokens_per_ms = (double)tokens_per_s / engines / 1000.0;
+    {
+      pace->tokens_per_ms = (double)tokens_per_s / engines / 1000.0;
+      pace->stated = true;
+    }
   if (pace->tokens_per_ms < RATE_MIN)
     pace->tokens_per_ms = RATE_MIN;
 }
@@ -37,7 +40,7 @@
         pace->begin_ms += (spent_ms - pace->begin_ms) * BEGIN_WEIGHT;
       return;
     }
-  if (tokens < LARGE_TOKENS || spent_ms <= pace->begin_ms)
+  if (pace->stated || tokens < LARGE_TOKENS || spent_ms <= pace->begin_ms)
     return;
   rate = (double)tokens / (spent_ms - pace->begin_ms);
   if (rate > pace->tokens_per_ms * 2)
--- a/src/state/pace.h
+++ b/src/state/pace.h
@@ -7,12 +7,14 @@
 #ifndef STATE_PACE_H
 #define STATE_PACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Zero-initialise. */
 struct pace
 {
   double tokens_per_ms; /**< of one engine; 0: not known yet */
+  bool stated;          /**< by the operator: not learned */
   double begin_ms;      /**< of a prompt without tokens */
 };
 
