Hold customers back that had more than one that waits anywhere

Ruled out: requests bound to a crowded home (their queues were short). Change: the room that an engine offers shrinks with what a customer has had over the poorest that waits in the fleet; usage does not fade backwards.

--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -25,7 +25,11 @@
 #define IMPATIENT_PERMILLE 500
 #define IDLE_MS            60 /* of reading that an engine may have ahead */
 
+/* Customers that differ by less than a large request are alike. */
+#define YIELD_SLACK_TOKENS 20000
+
 static bool admissible (struct flow *flow, const struct choose_result *result);
+static uint32_t yield_to_poorer (struct flow *flow, uint32_t limit_ms);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow);
 
@@ -134,11 +138,28 @@
   limit_ms = !result->home && flow_patience (flow) == IMPATIENT_PERMILLE
                  ? IDLE_MS
                  : ADMIT_MS;
+  limit_ms = yield_to_poorer (flow, limit_ms);
   return result->ahead_tokens <= pace_tokens (&service->pace, limit_ms)
          && load->running + load->peer_running
                 < result->upstream->record.slots;
 }
 
+/* A customer that has had more than one that waits, here or at another
+   gateway, leaves it room: the more, the sooner it holds back. */
+static uint32_t
+yield_to_poorer (struct flow *flow, uint32_t limit_ms)
+{
+  struct gateway *gateway = flow->gateway;
+  uint64_t used = usage_share_used (&gateway->usage, flow->wait.customer_id,
+                                    gateway_now_ns (gateway));
+  uint64_t poorest = gateway->poorest_tokens;
+
+  if (used <= poorest)
+    return limit_ms;
+  return (uint32_t)(limit_ms * (poorest + YIELD_SLACK_TOKENS)
+                    / (used + YIELD_SLACK_TOKENS));
+}
+
 static bool
 take (void *user, void *owner)
 {
@@ -172,6 +193,7 @@
   (void)what;
   if (gateway->waitline.count == 0)
     return;
+  gateway->poorest_tokens = usage_share_poorest (&gateway->usage, now_ns);
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
   while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,7 @@
   struct prefixes prefixes;
   struct retryshare retryshare;
   struct usage_share usage;
+  uint64_t poorest_tokens; /**< of the customer served least that waits */
   struct waitline waitline;
   struct gateway_service *services; /**< uthash by id */
   struct neighbours *neighbours;    /**< owned */
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -63,8 +63,12 @@
 usage_share_own (const struct usage_share *share,
                  struct usage_customer *customer, uint64_t now_ns)
 {
-  double passed_ms = (double)(now_ns - customer->faded_ns) / NS_PER_MS;
+  double passed_ms;
 
+  /* A caller's time may be that of its pass, and older than the last gift. */
+  if (now_ns <= customer->faded_ns)
+    return (uint64_t)customer->own_tokens;
+  passed_ms = (double)(now_ns - customer->faded_ns) / NS_PER_MS;
   customer->own_tokens *= exp (-passed_ms / share->window_ms);
   customer->faded_ns = now_ns;
   return (uint64_t)customer->own_tokens;
@@ -81,3 +85,22 @@
     return 0;
   return usage_share_own (share, customer, now_ns) + customer->peer_tokens;
 }
+
+uint64_t
+usage_share_poorest (struct usage_share *share, uint64_t now_ns)
+{
+  struct usage_customer *customer;
+  uint64_t least = UINT64_MAX;
+  uint64_t used;
+
+  for (customer = share->customers; customer != NULL;
+       customer = customer->hh.next)
+    {
+      if (customer->waiting + customer->peer_waiting == 0)
+        continue;
+      used = usage_share_own (share, customer, now_ns) + customer->peer_tokens;
+      if (used < least)
+        least = used;
+    }
+  return least;
+}
