--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -188,9 +188,11 @@
   retryshare_finish (&gateway->retryshare);
   waitline_finish (&gateway->waitline);
   usage_share_finish (&gateway->usage);
-  HASH_ITER (hh, gateway->services, service, next)
+  service = gateway->services;
+  HASH_CLEAR (hh, gateway->services);
+  for (; service != NULL; service = next)
     {
-      HASH_DEL (gateway->services, service);
+      next = service->hh.next;
       free (service);
     }
   routing_release (gateway->routing);
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -13,15 +13,16 @@
 #include <string.h>
 #include <uthash.h>
 
-#define STATEMENT_MS 100  /* between statements: a tenth of an objective */
-#define HANDSHAKE_MS 1000 /* of a link between machines a millisecond apart   \
-                           */
-#define IDLE_MS  1500     /* without a statement, until a link is cut */
-#define WATCH_MS 20000    /* members change rarely */
-#define PACE_MS  500      /* between reads of members */
-#define LEASE_MS 9000     /* an instance that died is forgotten after */
-#define KEEP_MS  3000     /* a third of the lease */
-#define RETRY_MS 1000     /* after a call for membership failed */
+#define STATEMENT_MS 100 /* between statements: a tenth of an objective */
+#define HANDSHAKE_MS                                                          \
+  1000                 /* of a link between near machines                     \
+                        */
+#define IDLE_MS  1500  /* without a statement, until a link is cut */
+#define WATCH_MS 20000 /* members change rarely */
+#define PACE_MS  500   /* between reads of members */
+#define LEASE_MS 9000  /* an instance that died is forgotten after */
+#define KEEP_MS  3000  /* a third of the lease */
+#define RETRY_MS 1000  /* after a call for membership failed */
 /* Links are opened on the platform's own network; the word keeps other
    programs that dial by mistake out, and hides nothing. */
 #define FLEET        "gateway"
@@ -162,6 +163,8 @@
   struct neighbours *neighbours = gateway->neighbours;
   struct neighbour *peer;
   struct neighbour *next;
+  struct member_entry *entry;
+  struct member_entry *next_entry;
 
   if (neighbours == NULL)
     return;
@@ -172,14 +175,21 @@
     event_free (neighbours->statement);
   if (neighbours->membership_timer != NULL)
     event_free (neighbours->membership_timer);
-  HASH_ITER (hh, neighbours->peers, peer, next)
+  peer = neighbours->peers;
+  HASH_CLEAR (hh, neighbours->peers);
+  for (; peer != NULL; peer = next)
     {
-      HASH_DEL (neighbours->peers, peer);
+      next = peer->hh.next;
       free (peer->load.items);
       free (peer);
     }
-  while (neighbours->members != NULL)
-    member_gone (neighbours, neighbours->members->key);
+  entry = neighbours->members;
+  HASH_CLEAR (hh, neighbours->members);
+  for (; entry != NULL; entry = next_entry)
+    {
+      next_entry = entry->hh.next;
+      free (entry);
+    }
   free (neighbours);
   gateway->neighbours = NULL;
 }
@@ -511,8 +521,11 @@
     return;
   message.u.load.item_count = compose (gateway, message.u.load.items, max);
   /* A link that fails in sending is taken away within the loop. */
-  HASH_ITER (hh, neighbours->peers, peer, next)
-    peernet_send (neighbours->net, peer->instance_id, &message);
+  for (peer = neighbours->peers; peer != NULL; peer = next)
+    {
+      next = peer->hh.next;
+      peernet_send (neighbours->net, peer->instance_id, &message);
+    }
   message_finish (&message);
 }
 
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -123,7 +123,8 @@
         kept = prompt->input_tokens - last;
       unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
       cost = ahead_of (upstream) + unread
-             + (uint64_t)(unread > last ? unread - last : 0) * request->reread_permille / 1000
+             + (uint64_t)(unread > last ? unread - last : 0)
+                   * request->reread_permille / 1000
              + (uint64_t)(upstream->load.running + upstream->load.peer_running)
                    * RUNNING_TOKENS
              + (order == best_order ? 0 : RANK_TOKENS * (8 - (order >> 61)));
--- a/src/state/prefixes.c
+++ b/src/state/prefixes.c
@@ -32,9 +32,11 @@
   struct prefixes_belief *belief;
   struct prefixes_belief *next;
 
-  HASH_ITER (hh, prefixes->beliefs, belief, next)
+  belief = prefixes->beliefs;
+  HASH_CLEAR (hh, prefixes->beliefs);
+  for (; belief != NULL; belief = next)
     {
-      HASH_DEL (prefixes->beliefs, belief);
+      next = belief->hh.next;
       free (belief);
     }
 }
--- a/src/state/retryshare.c
+++ b/src/state/retryshare.c
@@ -42,9 +42,11 @@
   struct retryshare_service *service;
   struct retryshare_service *next;
 
-  HASH_ITER (hh, share->services, service, next)
+  service = share->services;
+  HASH_CLEAR (hh, share->services);
+  for (; service != NULL; service = next)
     {
-      HASH_DEL (share->services, service);
+      next = service->hh.next;
       free (service);
     }
 }
--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -27,8 +27,16 @@
 void
 roster_finish (struct roster *roster)
 {
-  while (roster->upstreams != NULL)
-    remove_upstream (roster, roster->upstreams);
+  struct roster_upstream *upstream = roster->upstreams;
+  struct roster_upstream *next;
+
+  HASH_CLEAR (hh_id, roster->by_id);
+  HASH_CLEAR (hh, roster->upstreams);
+  for (; upstream != NULL; upstream = next)
+    {
+      next = upstream->hh.next;
+      free (upstream);
+    }
 }
 
 static struct roster_upstream *
@@ -109,8 +117,11 @@
 static void
 remove_upstream (struct roster *roster, struct roster_upstream *upstream)
 {
+  /* The analyzer takes what was freed in one call for the head in the next. */
+  /* NOLINTBEGIN(clang-analyzer-unix.Malloc) */
   HASH_DELETE (hh, roster->upstreams, upstream);
   HASH_DELETE (hh_id, roster->by_id, upstream);
+  /* NOLINTEND(clang-analyzer-unix.Malloc) */
   if (roster->removed != NULL)
     roster->removed (roster->user, upstream->id);
   free (upstream);
@@ -159,9 +170,12 @@
   struct roster_upstream *upstream;
   struct roster_upstream *next;
 
-  HASH_ITER (hh, roster->upstreams, upstream, next)
-    if (!upstream->seen && upstream->record.revision <= revision)
-      set_missing (roster, upstream, grace_ns, now_ns);
+  for (upstream = roster->upstreams; upstream != NULL; upstream = next)
+    {
+      next = upstream->hh.next;
+      if (!upstream->seen && upstream->record.revision <= revision)
+        set_missing (roster, upstream, grace_ns, now_ns);
+    }
 }
 
 void
@@ -170,8 +184,11 @@
   struct roster_upstream *upstream;
   struct roster_upstream *next;
 
-  HASH_ITER (hh, roster->upstreams, upstream, next)
-    if (upstream->missing_ns != 0
-        && now_ns - upstream->missing_ns >= upstream->grace_ns)
-      remove_upstream (roster, upstream);
+  for (upstream = roster->upstreams; upstream != NULL; upstream = next)
+    {
+      next = upstream->hh.next;
+      if (upstream->missing_ns != 0
+          && now_ns - upstream->missing_ns >= upstream->grace_ns)
+        remove_upstream (roster, upstream);
+    }
 }
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -57,15 +57,19 @@
 
   if (routing == NULL || --routing->references > 0)
     return;
-  HASH_ITER (hh, routing->keys, key, next_key)
+  key = routing->keys;
+  HASH_CLEAR (hh, routing->keys);
+  for (; key != NULL; key = next_key)
     {
-      HASH_DEL (routing->keys, key);
+      next_key = key->hh.next;
       free (key->key);
       free (key);
     }
-  HASH_ITER (hh, routing->paths, path, next_path)
+  path = routing->paths;
+  HASH_CLEAR (hh, routing->paths);
+  for (; path != NULL; path = next_path)
     {
-      HASH_DEL (routing->paths, path);
+      next_path = path->hh.next;
       free (path);
     }
   free (routing->routes);
@@ -260,8 +264,9 @@
 
   for (i = 0; i < route->target_count; i++)
     weights += route->targets[i].weight;
-  draw %= weights;
-  for (i = 0; draw >= route->targets[i].weight; i++)
+  draw %= weights > 0 ? weights : 1;
+  for (i = 0; i + 1 < route->target_count && draw >= route->targets[i].weight;
+       i++)
     draw -= route->targets[i].weight;
   return &routing->services[route->targets[i].service];
 }
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -22,9 +22,11 @@
   struct usage_customer *customer;
   struct usage_customer *next;
 
-  HASH_ITER (hh, share->customers, customer, next)
+  customer = share->customers;
+  HASH_CLEAR (hh, share->customers);
+  for (; customer != NULL; customer = next)
     {
-      HASH_DEL (share->customers, customer);
+      next = customer->hh.next;
       free (customer);
     }
 }
--- a/src/state/waitline.c
+++ b/src/state/waitline.c
@@ -38,9 +38,11 @@
   struct waitline_queue *queue;
   struct waitline_queue *next;
 
-  HASH_ITER (hh, line->queues, queue, next)
+  queue = line->queues;
+  HASH_CLEAR (hh, line->queues);
+  for (; queue != NULL; queue = next)
     {
-      HASH_DEL (line->queues, queue);
+      next = queue->hh.next;
       free (queue);
     }
 }
--- a/src/state/waitline.h
+++ b/src/state/waitline.h
@@ -17,7 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define WAITLINE_TRIES_MAX 24 /**< requests of one customer tried in a pass */
+#define WAITLINE_TRIES_MAX 24 /**< requests of a customer tried in a pass */
 
 /** One request; zero-initialise, embedded in its owner. */
 struct waitline_item
--- a/src/transport/exchange.c
+++ b/src/transport/httpcall.c
@@ -1,8 +1,8 @@
 /**
- * @file exchange.c
+ * @file httpcall.c
  * HTTP exchanges over evhttp.
  */
-#include "transport/exchange.h"
+#include "transport/httpcall.h"
 #include "state/err.h"
 #include "transport/clock.h"
 #include "transport/sock.h"
@@ -14,22 +14,22 @@
 #include <string.h>
 #include <utlist.h>
 
-static int open_connection (struct exchange_call *call, uint32_t timeout_ms);
-static int fill (struct exchange_call *call, struct evhttp_request *request,
-                 const struct exchange_request *what);
+static int open_connection (struct httpcall *call, uint32_t timeout_ms);
+static int fill (struct httpcall *call, struct evhttp_request *request,
+                 const struct httpcall_request *what);
 static void on_output (struct evbuffer *buffer,
                        const struct evbuffer_cb_info *info, void *arg);
 static void on_response (struct evhttp_request *request, void *arg);
 static void on_error (enum evhttp_request_error error, void *arg);
 static void on_reap (evutil_socket_t fd, short events, void *arg);
-static void end (struct exchange_call *call, int error, int status,
+static void end (struct httpcall *call, int error, int status,
                  const struct evkeyvalq *headers, const char *body,
                  size_t size);
-static void release (struct exchange_call *call);
-static void destroy (struct exchange_call *call);
+static void release (struct httpcall *call);
+static void destroy (struct httpcall *call);
 
 int
-exchange_init (struct exchange *exchange, struct event_base *base,
+httpcall_init (struct httpcall_server *server, struct event_base *base,
                const char *address)
 {
   struct sockaddr_storage storage;
@@ -39,56 +39,55 @@
   int size = (int)sizeof storage;
   bool four;
 
-  memset (exchange, 0, sizeof *exchange);
+  memset (server, 0, sizeof *server);
   memset (&storage, 0, sizeof storage);
-  exchange->base = base;
-  exchange->address = address;
+  server->base = base;
+  server->address = address;
   if (address == NULL || evutil_parse_sockaddr_port (address, any, &size) != 0)
     return ERR_INVALID;
   four = any->sa_family == AF_INET;
-  exchange->port = ntohs (four ? v4->sin_port : v6->sin6_port);
+  server->port = ntohs (four ? v4->sin_port : v6->sin6_port);
   if (evutil_inet_ntop (any->sa_family,
                         four ? (const void *)&v4->sin_addr
                              : (const void *)&v6->sin6_addr,
-                        exchange->host, sizeof exchange->host)
+                        server->host, sizeof server->host)
       == NULL)
     return ERR_INVALID;
-  exchange->reap = event_new (base, -1, 0, on_reap, exchange);
-  return exchange->reap == NULL ? ERR_NO_MEMORY : 0;
+  server->reap = event_new (base, -1, 0, on_reap, server);
+  return server->reap == NULL ? ERR_NO_MEMORY : 0;
 }
 
 void
-exchange_finish (struct exchange *exchange)
+httpcall_finish (struct httpcall_server *server)
 {
-  struct exchange_call *call = exchange->calls;
-  struct exchange_call *next;
+  struct httpcall *call = server->calls;
+  struct httpcall *next;
 
-  exchange->calls = NULL;
+  server->calls = NULL;
   for (; call != NULL; call = next)
     {
       next = call->next;
       destroy (call);
     }
-  if (exchange->reap != NULL)
-    event_free (exchange->reap);
-  exchange->reap = NULL;
+  if (server->reap != NULL)
+    event_free (server->reap);
+  server->reap = NULL;
 }
 
 void *
-exchange_call_new (struct exchange *exchange, size_t size)
+httpcall_new (struct httpcall_server *server, size_t size)
 {
-  struct exchange_call *call = calloc (1, size);
+  struct httpcall *call = calloc (1, size);
 
   if (call == NULL)
     return NULL;
-  call->exchange = exchange;
-  DL_APPEND (exchange->calls, call);
+  call->server = server;
+  DL_APPEND (server->calls, call);
   return call;
 }
 
 int
-exchange_start (struct exchange_call *call,
-                const struct exchange_request *what)
+httpcall_start (struct httpcall *call, const struct httpcall_request *what)
 {
   struct evhttp_request *request = NULL;
   int error = open_connection (call, what->timeout_ms);
@@ -117,12 +116,12 @@
 }
 
 static int
-fill (struct exchange_call *call, struct evhttp_request *request,
-      const struct exchange_request *what)
+fill (struct httpcall *call, struct evhttp_request *request,
+      const struct httpcall_request *what)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
 
-  if (evhttp_add_header (headers, "Host", call->exchange->address) != 0
+  if (evhttp_add_header (headers, "Host", call->server->address) != 0
       || evhttp_add_header (headers, "Connection", "close") != 0)
     return ERR_NO_MEMORY;
   if (what->content_type != NULL
@@ -137,20 +136,20 @@
 }
 
 static int
-open_connection (struct exchange_call *call, uint32_t timeout_ms)
+open_connection (struct httpcall *call, uint32_t timeout_ms)
 {
-  struct exchange *exchange = call->exchange;
+  struct httpcall_server *server = call->server;
   const struct timeval timeout = clock_timeval (timeout_ms);
   struct evbuffer *output;
 
-  call->connection = evhttp_connection_base_new (
-      exchange->base, NULL, exchange->host, exchange->port);
+  call->connection = evhttp_connection_base_new (server->base, NULL,
+                                                 server->host, server->port);
   if (call->connection == NULL)
     return ERR_NO_MEMORY;
   evhttp_connection_set_timeout_tv (call->connection, &timeout);
   evhttp_connection_set_retries (call->connection, 0);
   evhttp_connection_set_max_body_size (call->connection,
-                                       EXCHANGE_RESPONSE_MAX);
+                                       HTTPCALL_RESPONSE_MAX);
   output = bufferevent_get_output (
       evhttp_connection_get_bufferevent (call->connection));
   return evbuffer_add_cb (output, on_output, call) == NULL ? ERR_NO_MEMORY : 0;
@@ -161,7 +160,7 @@
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
            void *arg)
 {
-  struct exchange_call *call = arg;
+  struct httpcall *call = arg;
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (call->connection);
 
@@ -169,13 +168,13 @@
   if (info->n_added == 0 || call->sent)
     return;
   call->sent = true;
-  sock_notice_silence (bufferevent_getfd (bev), EXCHANGE_SILENCE_MS);
+  sock_notice_silence (bufferevent_getfd (bev), HTTPCALL_SILENCE_MS);
 }
 
 static void
 on_error (enum evhttp_request_error error, void *arg)
 {
-  struct exchange_call *call = arg;
+  struct httpcall *call = arg;
 
   if (!call->sent)
     end (call, ERR_UNAVAILABLE, 0, NULL, NULL, 0);
@@ -188,7 +187,7 @@
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
-  struct exchange_call *call = arg;
+  struct httpcall *call = arg;
   struct evbuffer *body;
   size_t size;
 
@@ -208,22 +207,22 @@
 
 /* The connection cannot be released from within its own callbacks. */
 static void
-end (struct exchange_call *call, int error, int status,
+end (struct httpcall *call, int error, int status,
      const struct evkeyvalq *headers, const char *body, size_t size)
 {
   if (call->done)
     return;
   call->done = true;
-  event_active (call->exchange->reap, EV_TIMEOUT, 0);
+  event_active (call->server->reap, EV_TIMEOUT, 0);
   call->finished (call, error, status, headers, body, size);
 }
 
 static void
 on_reap (evutil_socket_t fd, short events, void *arg)
 {
-  struct exchange *exchange = arg;
-  struct exchange_call *call = exchange->calls;
-  struct exchange_call *next;
+  struct httpcall_server *server = arg;
+  struct httpcall *call = server->calls;
+  struct httpcall *next;
 
   (void)fd;
   (void)events;
@@ -236,14 +235,14 @@
 }
 
 static void
-release (struct exchange_call *call)
+release (struct httpcall *call)
 {
-  DL_DELETE (call->exchange->calls, call);
+  DL_DELETE (call->server->calls, call);
   destroy (call);
 }
 
 static void
-destroy (struct exchange_call *call)
+destroy (struct httpcall *call)
 {
   call->done = true; /* no callback from here on */
   if (call->connection != NULL)
--- a/src/transport/kvhttp.c
+++ b/src/transport/kvhttp.c
@@ -75,9 +75,9 @@
   store->config = *config;
   store->filled_ns = clock_now_ns (config->clock);
   store->tokens_us = (uint64_t)config->calls_per_second_max * 1000000;
-  if (exchange_init (&store->exchange, config->base, config->address) == 0)
+  if (httpcall_init (&store->server, config->base, config->address) == 0)
     return &store->platform;
-  exchange_finish (&store->exchange);
+  httpcall_finish (&store->server);
   free (store);
   return NULL;
 }
@@ -88,7 +88,7 @@
   struct kvhttp *store = (struct kvhttp *)platform;
   struct kvhttp_lease *lease;
 
-  exchange_finish (&store->exchange);
+  httpcall_finish (&store->server);
   while ((lease = store->leases) != NULL)
     {
       store->leases = lease->next;
--- a/src/transport/kvhttp_call.c
+++ b/src/transport/kvhttp_call.c
@@ -1,6 +1,6 @@
 /**
  * @file kvhttp_call.c
- * Calls of the store over HTTP: their rate limit, and what an exchange told.
+ * Calls of the store over HTTP: their rate limit, and what an server told.
  */
 #include "protocol/platform_http.h"
 #include "state/err.h"
@@ -9,9 +9,9 @@
 
 #define US_PER_CALL 1000000ULL /* tokens that a call costs */
 
-static void on_finished (struct exchange_call *exchange_call, int error,
-                         int status, const struct evkeyvalq *headers,
-                         const char *body, size_t size);
+static void on_finished (struct httpcall *base, int error, int status,
+                         const struct evkeyvalq *headers, const char *body,
+                         size_t size);
 
 int
 kvhttp_admit (struct kvhttp *store)
@@ -36,13 +36,12 @@
 struct kvhttp_call *
 kvhttp_call_new (struct kvhttp *store)
 {
-  struct kvhttp_call *call
-      = exchange_call_new (&store->exchange, sizeof *call);
+  struct kvhttp_call *call = httpcall_new (&store->server, sizeof *call);
 
   if (call == NULL)
     return NULL;
   call->store = store;
-  call->exchange_call.finished = on_finished;
+  call->base.finished = on_finished;
   return call;
 }
 
@@ -51,7 +50,7 @@
                    const char *path, const char *body, size_t size,
                    uint32_t timeout_ms)
 {
-  const struct exchange_request request = {
+  const struct httpcall_request request = {
     .method = method,
     .path = path,
     .body = body,
@@ -59,14 +58,14 @@
     .timeout_ms = timeout_ms,
   };
 
-  return exchange_start (&call->exchange_call, &request);
+  return httpcall_start (&call->base, &request);
 }
 
 static void
-on_finished (struct exchange_call *exchange_call, int error, int status,
+on_finished (struct httpcall *base, int error, int status,
              const struct evkeyvalq *headers, const char *body, size_t size)
 {
-  struct kvhttp_call *call = (struct kvhttp_call *)exchange_call;
+  struct kvhttp_call *call = (struct kvhttp_call *)base;
   const char *index = headers == NULL
                           ? NULL
                           : evhttp_find_header (headers, PLATFORM_HTTP_INDEX);
--- a/src/transport/kvhttp_int.h
+++ b/src/transport/kvhttp_int.h
@@ -6,7 +6,7 @@
 #ifndef TRANSPORT_KVHTTP_INT_H
 #define TRANSPORT_KVHTTP_INT_H
 
-#include "transport/exchange.h"
+#include "transport/httpcall.h"
 #include "transport/kvhttp.h"
 
 #define KVHTTP_PATH_SIZE    1024 /* bytes of a path with its query */
@@ -18,7 +18,7 @@
 /** One call of the store. */
 struct kvhttp_call
 {
-  struct exchange_call exchange_call; /* first */
+  struct httpcall base; /* first */
   struct kvhttp *store;
   /** Called once. `error` is 0 for any whole response, ERR_UNAVAILABLE when
       nothing was sent, ERR_TIMEOUT or ERR_RESET. */
@@ -43,7 +43,7 @@
 {
   struct platform platform; /* first: the table's functions get this */
   struct kvhttp_config config;
-  struct exchange exchange;
+  struct httpcall_server server;
   struct kvhttp_lease *leases;
   uint64_t tokens_us; /**< of the rate limit: calls x microseconds */
   uint64_t filled_ns; /**< when tokens were last added */
