--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -228,6 +228,9 @@
   size_t length = strnlen (path, sizeof (text) - start);
   size_t i;
 
+  /* Else a part of the path could pass for the host's. */
+  if (strchr (host, '/') != NULL)
+    return NULL;
   memcpy (text + start, path, length);
   for (i = length; i > 0 && found == NULL; i--)
     if (path[i - 1] == '/')
--- /dev/null
+++ b/tests/test_limits.c
@@ -0,0 +1,253 @@
+/**
+ * @file test_limits.c
+ * The budget of repeats, avoidance of failing upstreams, learned pace, and
+ * cutting of event streams.
+ */
+#include "protocol/sse.h"
+#include "state/err.h"
+#include "state/outlier.h"
+#include "state/pace.h"
+#include "state/retryshare.h"
+#include "state/rng.h"
+#include "support/suite.h"
+#include <string.h>
+
+#define MS 1000000ULL /* nanoseconds */
+
+/* Six instances of a fleet under uneven load, every request of which fails:
+   in any window of the sum, repeats keep to the ratio and the allowance. */
+static void
+test_budget_holds_over_the_fleet (void)
+{
+  const struct retryshare_config config
+      = { .permille = 200, .allowance = 52, .window_ms = 10000 };
+  struct retryshare shares[6];
+  static uint32_t requests[600];
+  static uint32_t repeats[600];
+  struct rng rng;
+  unsigned int i;
+  unsigned int slice;
+  uint64_t asked;
+  uint64_t repeated;
+
+  rng_init (&rng, 7);
+  memset (requests, 0, sizeof requests);
+  memset (repeats, 0, sizeof repeats);
+  for (i = 0; i < 6; i++)
+    {
+      retryshare_init (&shares[i], &config);
+      shares[i].instances = 6;
+    }
+  for (slice = 0; slice < 600; slice++)
+    for (i = 0; i < 6; i++)
+      {
+        uint64_t count = rng_below (&rng, i == 0 ? 20 : 3);
+
+        for (; count > 0; count--)
+          {
+            retryshare_request (&shares[i], 1, slice * 100 * MS);
+            requests[slice]++;
+            if (retryshare_take (&shares[i], 1, slice * 100 * MS) == 0)
+              repeats[slice]++;
+          }
+      }
+  for (slice = 0; slice + 100 <= 600; slice++)
+    {
+      asked = repeated = 0;
+      for (i = slice; i < slice + 100; i++)
+        {
+          asked += requests[i];
+          repeated += repeats[i];
+        }
+      CU_ASSERT_TRUE (repeated * 1000 <= asked * 200 + 52 * 1000);
+    }
+  for (i = 0; i < 6; i++)
+    retryshare_finish (&shares[i]);
+}
+
+/* A budget that is spent comes back when its window has passed, and one
+   service does not spend another's. */
+static void
+test_budget_comes_back (void)
+{
+  const struct retryshare_config config
+      = { .permille = 0, .allowance = 8, .window_ms = 10000 };
+  struct retryshare share;
+  unsigned int taken = 0;
+
+  retryshare_init (&share, &config);
+  while (retryshare_take (&share, 1, 0) == 0)
+    taken++;
+  CU_ASSERT_TRUE (taken > 0);
+  CU_ASSERT_TRUE (taken <= 8);
+  CU_ASSERT_EQUAL (retryshare_take (&share, 1, 5000 * MS), ERR_FULL);
+  CU_ASSERT_EQUAL (retryshare_take (&share, 2, 5000 * MS), 0);
+  CU_ASSERT_EQUAL (retryshare_take (&share, 1, 11000 * MS), 0);
+  retryshare_finish (&share);
+}
+
+static void
+test_outlier (void)
+{
+  struct outlier outlier = { .failures = 0 };
+  uint64_t now_ns = 1000 * MS;
+  uint32_t first_ms;
+  unsigned int i;
+
+  for (i = 1; i < OUTLIER_FAILURES; i++)
+    outlier_failure (&outlier, false, now_ns);
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+  outlier_success (&outlier);
+  for (i = 1; i < OUTLIER_FAILURES; i++)
+    outlier_failure (&outlier, false, now_ns);
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+  outlier_failure (&outlier, false, now_ns);
+  CU_ASSERT_TRUE (outlier_avoided (&outlier, now_ns));
+  first_ms = outlier.avoid_ms;
+  now_ns += first_ms * MS;
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+  /* One attempt probes; others wait for what it finds. */
+  outlier_attempt (&outlier, now_ns);
+  CU_ASSERT_TRUE (outlier_avoided (&outlier, now_ns));
+  outlier_failure (&outlier, false, now_ns);
+  CU_ASSERT_TRUE (outlier.avoid_ms > first_ms);
+  for (i = 0; i < 20; i++)
+    {
+      now_ns += outlier.avoid_ms * MS;
+      outlier_attempt (&outlier, now_ns);
+      outlier_failure (&outlier, true, now_ns);
+    }
+  CU_ASSERT_EQUAL (outlier.avoid_ms, OUTLIER_AVOID_MAX_MS);
+  outlier_success (&outlier);
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+}
+
+static void
+test_pace (void)
+{
+  struct pace pace;
+  unsigned int i;
+
+  memset (&pace, 0, sizeof pace);
+  pace_init (&pace, 620000, 18);
+  CU_ASSERT_EQUAL (pace_tokens (&pace, 1000), 34444);
+  for (i = 0; i < 500; i++)
+    pace_observe (&pace, 20000, 100 * MS);
+  CU_ASSERT_EQUAL (pace_tokens (&pace, 1000), 34444);
+  for (i = 0; i < 500; i++)
+    pace_observe (&pace, 0, 200 * MS);
+  CU_ASSERT_TRUE (pace_begin_ns (&pace, 0) > 190 * MS);
+  CU_ASSERT_TRUE (pace_begin_ns (&pace, 0) < 210 * MS);
+  /* Nothing is stated: the rate is learned. */
+  memset (&pace, 0, sizeof pace);
+  pace_init (&pace, 0, 18);
+  for (i = 0; i < 1000; i++)
+    pace_observe (&pace, 20000, 1100 * MS);
+  CU_ASSERT_TRUE (pace_tokens (&pace, 1000) > 18000);
+  CU_ASSERT_TRUE (pace_tokens (&pace, 1000) < 22000);
+}
+
+static void
+feed (struct sse *sse, const char *text, struct evbuffer *out)
+{
+  struct evbuffer *data = evbuffer_new ();
+
+  evbuffer_add (data, text, strlen (text));
+  CU_ASSERT_EQUAL (sse_feed (sse, data, out), 0);
+  evbuffer_free (data);
+}
+
+static void
+assert_out (struct evbuffer *out, const char *text)
+{
+  size_t size = evbuffer_get_length (out);
+
+  CU_ASSERT_EQUAL_FATAL (size, strlen (text));
+  CU_ASSERT_EQUAL (memcmp (evbuffer_pullup (out, -1), text, size), 0);
+  evbuffer_drain (out, size);
+}
+
+/* Cut at every byte, a stream comes out in whole events only. */
+static void
+test_events_come_whole (void)
+{
+  static const char text[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  struct evbuffer *out = evbuffer_new ();
+  char head[sizeof text];
+  struct sse sse;
+  size_t cut;
+
+  for (cut = 0; cut < sizeof text; cut++)
+    {
+      CU_ASSERT_EQUAL (sse_init (&sse), 0);
+      memcpy (head, text, cut);
+      head[cut] = '\0';
+      feed (&sse, head, out);
+      CU_ASSERT_TRUE (evbuffer_get_length (out) % 15 == 0);
+      feed (&sse, text + cut, out);
+      assert_out (out, text);
+      CU_ASSERT_TRUE (sse_between (&sse));
+      CU_ASSERT_EQUAL (sse.last_id, 2);
+      sse_finish (&sse);
+    }
+  evbuffer_free (out);
+}
+
+/* After a cut in an event, another upstream goes on: nothing is missing and
+   nothing comes twice. */
+static void
+test_stream_goes_on (void)
+{
+  struct evbuffer *out = evbuffer_new ();
+  char text[SSE_ID_SIZE];
+  struct sse sse;
+
+  sse_init (&sse);
+  CU_ASSERT_PTR_NULL (sse_last_id (&sse, text));
+  feed (&sse, "id: 1\ndata: a\n\nid: 2\nda", out);
+  assert_out (out, "id: 1\ndata: a\n\n");
+  CU_ASSERT_FALSE (sse_between (&sse));
+  sse_cut (&sse);
+  CU_ASSERT_STRING_EQUAL (sse_last_id (&sse, text), "1");
+  feed (&sse, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", out);
+  assert_out (out, "id: 2\ndata: b\n\n");
+  sse_finish (&sse);
+  evbuffer_free (out);
+}
+
+static void
+test_endless_event_is_refused (void)
+{
+  struct evbuffer *data = evbuffer_new ();
+  struct evbuffer *out = evbuffer_new ();
+  struct sse sse;
+  unsigned int i;
+  int error = 0;
+
+  sse_init (&sse);
+  for (i = 0; i < 100 && error == 0; i++)
+    {
+      char bytes[1024];
+
+      memset (bytes, 'x', sizeof bytes);
+      evbuffer_add (data, bytes, sizeof bytes);
+      error = sse_feed (&sse, data, out);
+    }
+  CU_ASSERT_EQUAL (error, ERR_TOO_LARGE);
+  sse_finish (&sse);
+  evbuffer_free (data);
+  evbuffer_free (out);
+}
+
+static const struct suite_test tests[] = {
+  { "the budget of repeats holds over the fleet",
+    test_budget_holds_over_the_fleet },
+  { "the budget of repeats comes back", test_budget_comes_back },
+  { "avoidance of failing upstreams", test_outlier },
+  { "pace", test_pace },
+  { "events come whole", test_events_come_whole },
+  { "a stream goes on elsewhere", test_stream_goes_on },
+  { "an endless event is refused", test_endless_event_is_refused },
+};
+
+SUITE_MAIN ("test_limits", tests)
--- /dev/null
+++ b/tests/test_routing.c
@@ -0,0 +1,160 @@
+/**
+ * @file test_routing.c
+ * Tables of one configuration: routes, splits, keys.
+ */
+#include "state/err.h"
+#include "state/routing.h"
+#include "support/suite.h"
+#include <stdio.h>
+#include <string.h>
+
+static struct routing *
+build (void)
+{
+  static const char *const prefixes[] = { "/", "/a/", "/a/b/", "/other/" };
+  struct routing *routing = routing_new (7);
+  struct routing_service service = { .engine = false };
+  struct routing_customer customer = { .ranked = false };
+  struct route route = { .kind = ROUTE_ONCE, .target_count = 1 };
+  size_t i;
+
+  snprintf (service.name, sizeof service.name, "one");
+  CU_ASSERT_EQUAL (routing_add_service (routing, &service), 0);
+  snprintf (service.name, sizeof service.name, "two");
+  CU_ASSERT_EQUAL (routing_add_service (routing, &service), 0);
+  snprintf (route.host, sizeof route.host, "Shop.Example");
+  route.targets[0].weight = 1;
+  for (i = 0; i < sizeof prefixes / sizeof prefixes[0]; i++)
+    {
+      snprintf (route.prefix, sizeof route.prefix, "%s", prefixes[i]);
+      snprintf (route.name, sizeof route.name, "r%zu", i);
+      CU_ASSERT_EQUAL (routing_add_route (routing, &route), 0);
+    }
+  snprintf (customer.name, sizeof customer.name, "ana");
+  CU_ASSERT_EQUAL (routing_add_customer (routing, &customer), 0);
+  CU_ASSERT_EQUAL (routing_add_key (routing, "key-1"), 0);
+  CU_ASSERT_EQUAL (routing_add_key (routing, "key-2"), 0);
+  snprintf (customer.name, sizeof customer.name, "bob");
+  CU_ASSERT_EQUAL (routing_add_customer (routing, &customer), 0);
+  CU_ASSERT_EQUAL (routing_add_key (routing, "key-3"), 0);
+  return routing;
+}
+
+static const char *
+match (const struct routing *routing, const char *host, const char *path)
+{
+  const struct route *route = routing_match (routing, host, path);
+
+  return route == NULL ? "none" : route->name;
+}
+
+static void
+test_longest_prefix (void)
+{
+  struct routing *routing = build ();
+
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/x"), "r0");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/a"), "r0");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/a/"), "r1");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/a/x/y"), "r1");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/a/b/c"), "r2");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", "/ab/"), "r0");
+  CU_ASSERT_STRING_EQUAL (match (routing, "SHOP.example:8080", "/other/"),
+                          "r3");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example.org", "/"), "none");
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop", "/"), "none");
+  routing_release (routing);
+}
+
+/* A host and a prefix that only together make up another's text. */
+static void
+test_host_and_prefix_are_apart (void)
+{
+  struct routing *routing = build ();
+  char path[ROUTING_PREFIX_SIZE * 2];
+
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example/a", "/b/c"), "none");
+  memset (path, 'x', sizeof path);
+  path[0] = '/';
+  path[sizeof path - 1] = '\0';
+  CU_ASSERT_STRING_EQUAL (match (routing, "shop.example", path), "r0");
+  routing_release (routing);
+}
+
+static void
+test_keys (void)
+{
+  struct routing *routing = build ();
+
+  CU_ASSERT_STRING_EQUAL (routing_customer (routing, "key-2")->name, "ana");
+  CU_ASSERT_STRING_EQUAL (routing_customer (routing, "key-3")->name, "bob");
+  CU_ASSERT_PTR_NULL (routing_customer (routing, "key-4"));
+  CU_ASSERT_PTR_NULL (routing_customer (routing, ""));
+  CU_ASSERT_EQUAL (routing_add_key (routing, "key-1"), ERR_EXISTS);
+  routing_release (routing);
+}
+
+static void
+test_invalid_routes (void)
+{
+  struct routing *routing = build ();
+  struct route route = routing->routes[0];
+
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_EXISTS);
+  snprintf (route.prefix, sizeof route.prefix, "/no-end");
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_INVALID);
+  snprintf (route.prefix, sizeof route.prefix, "no-start/");
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_INVALID);
+  snprintf (route.prefix, sizeof route.prefix, "/new/");
+  route.targets[0].service = 2;
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_INVALID);
+  route.targets[0] = (struct route_target){ 0, 0 };
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_INVALID);
+  route.target_count = 0;
+  CU_ASSERT_EQUAL (routing_add_route (routing, &route), ERR_INVALID);
+  routing_release (routing);
+}
+
+static void
+test_split_follows_weights (void)
+{
+  struct routing *routing = build ();
+  struct route route
+      = { .target_count = 2, .targets = { { 0, 90 }, { 1, 10 } } };
+  unsigned int second = 0;
+  uint64_t draw;
+
+  for (draw = 0; draw < 1000; draw++)
+    if (strcmp (routing_split (routing, &route, draw)->name, "two") == 0)
+      second++;
+  CU_ASSERT_EQUAL (second, 100);
+  route.targets[0].weight = 0;
+  for (draw = 0; draw < 100; draw++)
+    CU_ASSERT_STRING_EQUAL (routing_split (routing, &route, draw)->name,
+                            "two");
+  routing_release (routing);
+}
+
+/* A request in flight keeps the version that it came under. */
+static void
+test_held_version_survives (void)
+{
+  struct routing *routing = build ();
+  struct routing *held = routing_hold (routing);
+
+  routing_release (routing);
+  CU_ASSERT_EQUAL (held->version, 7);
+  CU_ASSERT_STRING_EQUAL (match (held, "shop.example", "/a/b/"), "r2");
+  routing_release (held);
+}
+
+static const struct suite_test tests[] = {
+  { "the longest prefix wins", test_longest_prefix },
+  { "host and prefix are apart", test_host_and_prefix_are_apart },
+  { "keys", test_keys },
+  { "invalid routes", test_invalid_routes },
+  { "a split follows its weights", test_split_follows_weights },
+  { "a held version survives", test_held_version_survives },
+};
+
+SUITE_MAIN ("test_routing", tests)
--- /dev/null
+++ b/tests/test_waitline.c
@@ -0,0 +1,269 @@
+/**
+ * @file test_waitline.c
+ * Replays the loads that the order of waiting answers: a customer that floods
+ * one instance, customers seen elsewhere, requests that no upstream takes.
+ */
+#include "state/waitline.h"
+#include "support/suite.h"
+#include <string.h>
+
+#define MS 1000000ULL /* nanoseconds */
+
+struct fixture
+{
+  struct waitline line;
+  struct usage_share share;
+  uint64_t now_ns;
+  int room;           /* requests that upstreams still take */
+  uint64_t taken[64]; /* customers, in the order of their service */
+  unsigned int count;
+  const void *refused; /* owner that no upstream takes */
+  double cost;         /* tokens of a request */
+};
+
+struct request
+{
+  struct waitline_item item;
+  struct fixture *fixture;
+};
+
+static bool
+take (void *user, void *owner)
+{
+  struct fixture *fixture = user;
+  struct request *request = owner;
+
+  if (fixture->room == 0 || owner == fixture->refused)
+    return false;
+  fixture->room--;
+  fixture->taken[fixture->count++] = request->item.customer_id;
+  waitline_remove (&fixture->line, &fixture->share, &request->item);
+  /* The gift is given a little after the pass began. */
+  usage_share_give (&fixture->share, request->item.customer_id, fixture->cost,
+                    fixture->now_ns + MS);
+  return true;
+}
+
+static void
+fixture_init (struct fixture *fixture)
+{
+  memset (fixture, 0, sizeof *fixture);
+  waitline_init (&fixture->line);
+  usage_share_init (&fixture->share, 4000);
+  fixture->now_ns = 10000 * MS;
+  fixture->cost = 1000;
+}
+
+static void
+fixture_finish (struct fixture *fixture)
+{
+  waitline_finish (&fixture->line);
+  usage_share_finish (&fixture->share);
+}
+
+static void
+wait (struct fixture *fixture, struct request *request, uint64_t customer_id,
+      uint64_t objective_ms)
+{
+  request->fixture = fixture;
+  request->item = (struct waitline_item){
+    .customer_id = customer_id,
+    .objective_ns = fixture->now_ns + objective_ms * MS,
+    .expiry_ns = fixture->now_ns + objective_ms * MS,
+    .owner = request,
+  };
+  CU_ASSERT_EQUAL (
+      waitline_add (&fixture->line, &fixture->share, &request->item), 0);
+}
+
+static void
+pass (struct fixture *fixture, int room)
+{
+  fixture->room = room;
+  fixture->count = 0;
+  waitline_pass (&fixture->line, &fixture->share, fixture->now_ns, take,
+                 fixture);
+}
+
+/* Forty requests of a flooding customer before two of another: these are
+   served among the first four. */
+static void
+test_flood_does_not_push_out (void)
+{
+  struct fixture fixture;
+  struct request flood[40];
+  struct request small[2];
+  unsigned int i;
+  unsigned int served = 0;
+
+  fixture_init (&fixture);
+  for (i = 0; i < 40; i++)
+    wait (&fixture, &flood[i], 1, 500);
+  for (i = 0; i < 2; i++)
+    wait (&fixture, &small[i], 2, 900);
+  pass (&fixture, 4);
+  for (i = 0; i < 4; i++)
+    served += fixture.taken[i] == 2;
+  CU_ASSERT_EQUAL (fixture.count, 4);
+  CU_ASSERT_EQUAL (served, 2);
+  while (fixture.line.count > 0)
+    pass (&fixture, 8);
+  fixture_finish (&fixture);
+}
+
+/* What a customer had at other instances counts like what it had here. */
+static void
+test_service_elsewhere_counts (void)
+{
+  struct fixture fixture;
+  struct request first;
+  struct request second;
+
+  fixture_init (&fixture);
+  usage_share_customer (&fixture.share, 1)->peer_tokens = 5000;
+  wait (&fixture, &first, 1, 100);
+  wait (&fixture, &second, 2, 900);
+  pass (&fixture, 1);
+  CU_ASSERT_EQUAL (fixture.taken[0], 2);
+  pass (&fixture, 1);
+  CU_ASSERT_EQUAL (fixture.taken[0], 1);
+  fixture_finish (&fixture);
+}
+
+/* Asked for at the time of a pass that is older than the last gift, the
+   usage of a customer must not vanish. */
+static void
+test_usage_does_not_fade_backwards (void)
+{
+  struct usage_share share;
+
+  usage_share_init (&share, 4000);
+  usage_share_give (&share, 1, 8000, 2000 * MS);
+  CU_ASSERT_EQUAL (usage_share_used (&share, 1, 1999 * MS), 8000);
+  CU_ASSERT_EQUAL (usage_share_used (&share, 1, 2000 * MS), 8000);
+  CU_ASSERT_TRUE (usage_share_used (&share, 1, 6000 * MS) < 3000);
+  CU_ASSERT_TRUE (usage_share_used (&share, 1, 6000 * MS) > 2900);
+  usage_share_finish (&share);
+}
+
+/* Within a customer the most urgent goes first, but for what is too late. */
+static void
+test_urgent_first_but_late_last (void)
+{
+  struct fixture fixture;
+  struct request calm;
+  struct request urgent;
+  struct request late;
+
+  fixture_init (&fixture);
+  wait (&fixture, &late, 1, 10);
+  late.item.objective_ns = fixture.now_ns - 1;
+  waitline_remove (&fixture.line, &fixture.share, &late.item);
+  waitline_add (&fixture.line, &fixture.share, &late.item);
+  wait (&fixture, &calm, 1, 900);
+  wait (&fixture, &urgent, 1, 100);
+  pass (&fixture, 1);
+  CU_ASSERT_FALSE (urgent.item.waits);
+  pass (&fixture, 1);
+  CU_ASSERT_FALSE (calm.item.waits);
+  CU_ASSERT_TRUE (late.item.waits);
+  pass (&fixture, 1);
+  CU_ASSERT_FALSE (late.item.waits);
+  fixture_finish (&fixture);
+}
+
+/* A request whose upstream is full does not hold up those behind it, of its
+   own customer or of others. */
+static void
+test_full_upstream_holds_up_nobody (void)
+{
+  struct fixture fixture;
+  struct request blocked;
+  struct request next;
+  struct request other;
+
+  fixture_init (&fixture);
+  wait (&fixture, &blocked, 1, 100);
+  wait (&fixture, &next, 1, 200);
+  wait (&fixture, &other, 2, 300);
+  fixture.refused = &blocked;
+  pass (&fixture, 5);
+  CU_ASSERT_EQUAL (fixture.count, 2);
+  CU_ASSERT_TRUE (blocked.item.waits);
+  CU_ASSERT_EQUAL (fixture.line.count, 1);
+  waitline_remove (&fixture.line, &fixture.share, &blocked.item);
+  fixture_finish (&fixture);
+}
+
+/* A higher priority goes before urgency. */
+static void
+test_priority (void)
+{
+  struct fixture fixture;
+  struct request low;
+  struct request high;
+
+  fixture_init (&fixture);
+  wait (&fixture, &low, 1, 100);
+  waitline_remove (&fixture.line, &fixture.share, &low.item);
+  low.item.priority = 2;
+  waitline_add (&fixture.line, &fixture.share, &low.item);
+  wait (&fixture, &high, 1, 900);
+  pass (&fixture, 1);
+  CU_ASSERT_FALSE (high.item.waits);
+  CU_ASSERT_TRUE (low.item.waits);
+  waitline_remove (&fixture.line, &fixture.share, &low.item);
+  fixture_finish (&fixture);
+}
+
+static void
+test_expiry (void)
+{
+  struct fixture fixture;
+  struct request soon;
+  struct request later;
+
+  fixture_init (&fixture);
+  wait (&fixture, &soon, 1, 100);
+  wait (&fixture, &later, 2, 200);
+  CU_ASSERT_PTR_NULL (waitline_expired (&fixture.line, fixture.now_ns));
+  CU_ASSERT_PTR_EQUAL (
+      waitline_expired (&fixture.line, fixture.now_ns + 100 * MS), &soon.item);
+  waitline_remove (&fixture.line, &fixture.share, &soon.item);
+  CU_ASSERT_PTR_NULL (
+      waitline_expired (&fixture.line, fixture.now_ns + 199 * MS));
+  waitline_remove (&fixture.line, &fixture.share, &later.item);
+  CU_ASSERT_EQUAL (fixture.line.count, 0);
+  fixture_finish (&fixture);
+}
+
+/* Among those that wait, here or elsewhere, the one served least is known. */
+static void
+test_poorest_in_the_fleet (void)
+{
+  struct usage_share share;
+
+  usage_share_init (&share, 4000);
+  usage_share_give (&share, 1, 9000, 0);
+  usage_share_give (&share, 2, 100, 0);
+  CU_ASSERT_EQUAL (usage_share_poorest (&share, 0), UINT64_MAX);
+  usage_share_customer (&share, 1)->waiting = 1;
+  CU_ASSERT_EQUAL (usage_share_poorest (&share, 0), 9000);
+  usage_share_customer (&share, 3)->peer_waiting = 1;
+  usage_share_customer (&share, 3)->peer_tokens = 500;
+  CU_ASSERT_EQUAL (usage_share_poorest (&share, 0), 500);
+  usage_share_finish (&share);
+}
+
+static const struct suite_test tests[] = {
+  { "a flood does not push others out", test_flood_does_not_push_out },
+  { "service elsewhere counts", test_service_elsewhere_counts },
+  { "usage does not fade backwards", test_usage_does_not_fade_backwards },
+  { "urgent first, late last", test_urgent_first_but_late_last },
+  { "a full upstream holds up nobody", test_full_upstream_holds_up_nobody },
+  { "priority goes before urgency", test_priority },
+  { "requests leave in time", test_expiry },
+  { "the poorest in the fleet", test_poorest_in_the_fleet },
+};
+
+SUITE_MAIN ("test_waitline", tests)
