--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,6 +59,7 @@
   struct httpd *httpd;
   struct upstream_http *http;
   struct evhttp *probe; /**< readiness and metrics */
+  struct evhttp_bound_socket *probe_socket;
   struct feed config_feed;
   struct feed upstream_feed;
   uint64_t upstream_outage_ns; /**< end of the last one; 0: none */
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -7,6 +7,7 @@
 #include "transport/sock.h"
 #include <event2/buffer.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <stddef.h>
 
 #define BACKLOG 64 /* connections not yet accepted */
@@ -50,13 +51,26 @@
   gateway->probe = evhttp_new (gateway->base);
   if (gateway->probe == NULL)
     return ERR_NO_MEMORY;
-  if (evhttp_accept_socket (gateway->probe, fd) != 0)
+  gateway->probe_socket
+      = evhttp_accept_socket_with_handle (gateway->probe, fd);
+  if (gateway->probe_socket == NULL)
     return ERR_IO;
   evhttp_set_cb (gateway->probe, "/ready", on_ready, gateway);
   evhttp_set_cb (gateway->probe, "/metrics", on_metrics, gateway);
   return 0;
 }
 
+uint16_t
+probe_port (const struct gateway *gateway)
+{
+  struct sockaddr_in where = { .sin_port = 0 };
+  socklen_t size = sizeof where;
+
+  getsockname (evhttp_bound_socket_get_fd (gateway->probe_socket),
+               (struct sockaddr *)&where, &size);
+  return ntohs (where.sin_port);
+}
+
 void
 probe_finish (struct gateway *gateway)
 {
--- a/src/gateway/probe.h
+++ b/src/gateway/probe.h
@@ -11,5 +11,7 @@
     ERR_NO_MEMORY. */
 int probe_start (struct gateway *gateway);
 void probe_finish (struct gateway *gateway);
+/** Port that it listens on. */
+uint16_t probe_port (const struct gateway *gateway);
 
 #endif
--- /dev/null
+++ b/tests/support/platstore.c
@@ -0,0 +1,390 @@
+/**
+ * @file platstore.c
+ * The stand-in store.
+ */
+#include "support/platstore.h"
+#include "protocol/base64.h"
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+struct platstore_item
+{
+  char key[200];
+  char *value; /* NULL: deleted */
+  uint64_t revision;
+  uint64_t lease;
+  struct platstore_item *prev;
+  struct platstore_item *next;
+};
+
+struct platstore_watch
+{
+  struct platstore *store;
+  struct evhttp_request *request;
+  struct event *timer;
+  char prefix[200];
+  uint64_t after;
+  struct platstore_watch *prev;
+  struct platstore_watch *next;
+};
+
+static void on_call (struct evhttp_request *request, void *user);
+static void serve_range (struct platstore *store,
+                         struct evhttp_request *request,
+                         const struct evkeyvalq *query);
+static void serve_watch (struct platstore *store,
+                         struct evhttp_request *request,
+                         const struct evkeyvalq *query);
+static void serve_commit (struct platstore *store,
+                          struct evhttp_request *request);
+static void serve_keep (struct platstore *store,
+                        struct evhttp_request *request, const char *lease);
+static bool wake (struct platstore_watch *watch, bool timeout);
+static void end_watch (struct platstore_watch *watch);
+static void on_timeout (evutil_socket_t fd, short what, void *user);
+static void on_close (struct evhttp_connection *connection, void *user);
+static void answer (struct platstore *store, struct evhttp_request *request,
+                    int status, json_t *body);
+static json_t *item_json (const struct platstore_item *item);
+static int compare (const struct platstore_item *a,
+                    const struct platstore_item *b);
+static void write_item (struct platstore *store, const char *key,
+                        const char *value, uint64_t lease);
+static void wake_all (struct platstore *store);
+
+void
+platstore_init (struct platstore *store, struct event_base *base)
+{
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+
+  memset (store, 0, sizeof *store);
+  store->base = base;
+  store->revision = 10;
+  store->http = evhttp_new (base);
+  bound = evhttp_bind_socket_with_handle (store->http, "127.0.0.1", 0);
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  store->port = ntohs (address.sin_port);
+  evhttp_set_gencb (store->http, on_call, store);
+}
+
+void
+platstore_finish (struct platstore *store)
+{
+  struct platstore_item *item;
+  struct platstore_item *next;
+
+  /* Closing their connections ends the watches. */
+  evhttp_free (store->http);
+  DL_FOREACH_SAFE (store->items, item, next)
+    {
+      free (item->value);
+      free (item);
+    }
+}
+
+static void
+on_call (struct evhttp_request *request, void *user)
+{
+  struct platstore *store = user;
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
+  const char *path = evhttp_uri_get_path (uri);
+  struct evkeyvalq query;
+
+  if (store->fault == PLATSTORE_BUSY || store->fault == PLATSTORE_MANY)
+    {
+      evhttp_send_reply (request, store->fault == PLATSTORE_BUSY ? 503 : 429,
+                         "no", NULL);
+      return;
+    }
+  if (store->fault == PLATSTORE_CUT)
+    {
+      evhttp_connection_free (connection);
+      return;
+    }
+  TAILQ_INIT (&query);
+  if (evhttp_uri_get_query (uri) != NULL)
+    evhttp_parse_query_str (evhttp_uri_get_query (uri), &query);
+  if (strcmp (path, "/kv-range") == 0)
+    serve_range (store, request, &query);
+  else if (strcmp (path, "/kv-watch") == 0)
+    serve_watch (store, request, &query);
+  else if (strcmp (path, "/kv-txn") == 0)
+    serve_commit (store, request);
+  else if (strcmp (path, "/kv-lease") == 0)
+    answer (store, request, 200,
+            json_pack ("{s:I,s:i}", "lease", (json_int_t)++store->leases,
+                       "ttl_ms", 9000));
+  else if (strncmp (path, "/kv-keep/", 9) == 0)
+    serve_keep (store, request, path + 9);
+  else
+    answer (store, request, 404, json_object ());
+  evhttp_clear_headers (&query);
+}
+
+static void
+serve_keep (struct platstore *store, struct evhttp_request *request,
+            const char *lease)
+{
+  bool ended = strtoull (lease, NULL, 10) <= store->ended_lease;
+
+  answer (store, request, ended ? 404 : 200,
+          json_pack ("{s:i}", "ttl_ms", 9000));
+}
+
+static void
+answer (struct platstore *store, struct evhttp_request *request, int status,
+        json_t *body)
+{
+  struct evbuffer *out = evbuffer_new ();
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  evbuffer_add (out, store->fault == PLATSTORE_GARBAGE ? "{]" : text,
+                store->fault == PLATSTORE_GARBAGE ? 2 : strlen (text));
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "application/json");
+  evhttp_send_reply (request, status, "status", out);
+  evbuffer_free (out);
+  free (text);
+  json_decref (body);
+}
+
+static json_t *
+item_json (const struct platstore_item *item)
+{
+  char *value;
+  json_t *json;
+
+  if (item->value == NULL)
+    return json_pack ("{s:s,s:I,s:b}", "key", item->key, "revision",
+                      (json_int_t)item->revision, "deleted", 1);
+  value = base64_encode (item->value, strlen (item->value));
+  json = json_pack ("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value", value,
+                    "revision", (json_int_t)item->revision, "created",
+                    (json_int_t)1, "lease", (json_int_t)item->lease);
+  free (value);
+  return json;
+}
+
+static void
+serve_range (struct platstore *store, struct evhttp_request *request,
+             const struct evkeyvalq *query)
+{
+  const char *prefix = evhttp_find_header (query, "prefix");
+  const char *after = evhttp_find_header (query, "after");
+  json_t *entries = json_array ();
+  const struct platstore_item *item;
+  bool more = false;
+
+  store->ranges++;
+  DL_FOREACH (store->items, item)
+    {
+      if (item->value == NULL
+          || strncmp (item->key, prefix, strlen (prefix)) != 0
+          || (after != NULL && strcmp (item->key, after) <= 0))
+        continue;
+      if (json_array_size (entries) == PLATSTORE_PAGE)
+        {
+          more = true;
+          break;
+        }
+      json_array_append_new (entries, item_json (item));
+    }
+  answer (store, request, 200,
+          json_pack ("{s:o,s:b,s:I}", "entries", entries, "has_more", more,
+                     "at", (json_int_t)store->revision));
+}
+
+static void
+serve_watch (struct platstore *store, struct evhttp_request *request,
+             const struct evkeyvalq *query)
+{
+  struct platstore_watch *watch = calloc (1, sizeof *watch);
+  uint64_t wait_ms
+      = strtoull (evhttp_find_header (query, "wait_ms"), NULL, 10);
+  const struct timeval delay
+      = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000) * 1000 };
+
+  store->watch_calls++;
+  watch->store = store;
+  watch->request = request;
+  watch->after = strtoull (evhttp_find_header (query, "after"), NULL, 10);
+  snprintf (watch->prefix, sizeof watch->prefix, "%s",
+            evhttp_find_header (query, "prefix"));
+  watch->timer = event_new (store->base, -1, 0, on_timeout, watch);
+  event_add (watch->timer, &delay);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request),
+                                 on_close, watch);
+  DL_APPEND (store->watches, watch);
+  if (watch->after < store->history_since)
+    {
+      evhttp_connection_set_closecb (evhttp_request_get_connection (request),
+                                     NULL, NULL);
+      answer (store, request, 410, json_object ());
+      end_watch (watch);
+      return;
+    }
+  wake (watch, false);
+}
+
+/* Answers a watch when there is something to tell. */
+static bool
+wake (struct platstore_watch *watch, bool timeout)
+{
+  struct platstore *store = watch->store;
+  json_t *events = json_array ();
+  const struct platstore_item *item;
+
+  DL_FOREACH (store->items, item)
+    if (item->revision > watch->after
+        && strncmp (item->key, watch->prefix, strlen (watch->prefix)) == 0)
+      json_array_append_new (events, item_json (item));
+  if (json_array_size (events) == 0 && !timeout)
+    {
+      json_decref (events);
+      return false;
+    }
+  evhttp_connection_set_closecb (
+      evhttp_request_get_connection (watch->request), NULL, NULL);
+  answer (store, watch->request, 200,
+          json_pack ("{s:o,s:I}", "events", events, "at",
+                     (json_int_t)store->revision));
+  end_watch (watch);
+  return true;
+}
+
+static void
+end_watch (struct platstore_watch *watch)
+{
+  DL_DELETE (watch->store->watches, watch);
+  event_free (watch->timer);
+  free (watch);
+}
+
+static void
+on_timeout (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  wake (user, true);
+}
+
+static void
+on_close (struct evhttp_connection *connection, void *user)
+{
+  (void)connection;
+  end_watch (user);
+}
+
+static void
+serve_commit (struct platstore *store, struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+  json_t *root
+      = json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
+  const json_t *puts = json_object_get (root, "puts");
+  const json_t *put;
+  size_t i;
+
+  store->commits++;
+  json_array_foreach (puts, i, put)
+  {
+    char *value = NULL;
+    size_t value_size;
+
+    base64_decode (json_string_value (json_object_get (put, "value")), &value,
+                   &value_size);
+    write_item (store, json_string_value (json_object_get (put, "key")), value,
+                (uint64_t)json_integer_value (json_object_get (put, "lease")));
+    free (value);
+  }
+  json_decref (root);
+  if (store->fault == PLATSTORE_LOST)
+    evhttp_connection_free (evhttp_request_get_connection (request));
+  else
+    answer (store, request, 200,
+            json_pack ("{s:I}", "revision", (json_int_t)store->revision));
+  wake_all (store);
+}
+
+static int
+compare (const struct platstore_item *a, const struct platstore_item *b)
+{
+  return strcmp (a->key, b->key);
+}
+
+static void
+write_item (struct platstore *store, const char *key, const char *value,
+            uint64_t lease)
+{
+  struct platstore_item *item;
+
+  DL_FOREACH (store->items, item)
+    if (strcmp (item->key, key) == 0)
+      break;
+  if (item == NULL)
+    {
+      item = calloc (1, sizeof *item);
+      snprintf (item->key, sizeof item->key, "%s", key);
+      DL_INSERT_INORDER (store->items, item, compare);
+    }
+  free (item->value);
+  item->value = value == NULL ? NULL : strdup (value);
+  item->revision = ++store->revision;
+  item->lease = lease;
+}
+
+static void
+wake_all (struct platstore *store)
+{
+  struct platstore_watch *watch;
+  struct platstore_watch *next;
+
+  for (watch = store->watches; watch != NULL; watch = next)
+    {
+      next = watch->next;
+      wake (watch, false);
+    }
+}
+
+void
+platstore_put (struct platstore *store, const char *key, const char *value)
+{
+  write_item (store, key, value, 0);
+  wake_all (store);
+}
+
+void
+platstore_compact (struct platstore *store)
+{
+  struct platstore_watch *watch;
+
+  store->history_since = store->revision + 1;
+  store->revision++;
+  while ((watch = store->watches) != NULL)
+    evhttp_connection_free (evhttp_request_get_connection (watch->request));
+}
+
+const char *
+platstore_get (const struct platstore *store, const char *key)
+{
+  const struct platstore_item *item;
+
+  DL_FOREACH (store->items, item)
+    if (strcmp (item->key, key) == 0)
+      return item->value;
+  return NULL;
+}
--- /dev/null
+++ b/tests/support/platworker.c
@@ -0,0 +1,360 @@
+/**
+ * @file platworker.c
+ * The stand-in upstream and client.
+ */
+#include "support/platworker.h"
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#define EVENTS 4 /* of a stream */
+
+struct platworker_conn
+{
+  struct platworker *worker;
+  struct bufferevent *bev;
+  bool last; /* closed when all is written */
+  struct platworker_conn *prev;
+  struct platworker_conn *next;
+};
+
+static void on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+                       struct sockaddr *address, int size, void *user);
+static void on_read (struct bufferevent *bev, void *user);
+static void on_write (struct bufferevent *bev, void *user);
+static void on_event (struct bufferevent *bev, short what, void *user);
+static void conn_free (struct platworker_conn *conn);
+static void conn_reset (struct platworker_conn *conn);
+static size_t request_size (const char *text, size_t size);
+static void header_of (const char *text, const char *name, char *out,
+                       size_t size);
+static void act (struct platworker_conn *conn, const char *request);
+static void answer (struct platworker_conn *conn, const char *id,
+                    const char *status, const char *more, const char *body);
+static void stream (struct platworker_conn *conn, const char *id,
+                    const char *request, unsigned int events, bool chunked);
+static void client_read (struct bufferevent *bev, void *user);
+static void client_event (struct bufferevent *bev, short what, void *user);
+
+void
+platworker_init (struct platworker *worker, struct event_base *base,
+                 const char *signature)
+{
+  struct sockaddr_in any
+      = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof any;
+
+  memset (worker, 0, sizeof *worker);
+  worker->base = base;
+  worker->signature = signature;
+  worker->listener = evconnlistener_new_bind (
+      base, on_accept, worker, LEV_OPT_CLOSE_ON_FREE, 8,
+      (struct sockaddr *)&any, sizeof any);
+  getsockname (evconnlistener_get_fd (worker->listener),
+               (struct sockaddr *)&any, &size);
+  worker->port = ntohs (any.sin_port);
+}
+
+void
+platworker_finish (struct platworker *worker)
+{
+  while (worker->conns != NULL)
+    conn_free (worker->conns);
+  if (worker->listener != NULL)
+    evconnlistener_free (worker->listener);
+}
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *address, int size, void *user)
+{
+  struct platworker *worker = user;
+  struct platworker_conn *conn = calloc (1, sizeof *conn);
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  conn->worker = worker;
+  conn->bev = bufferevent_socket_new (worker->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
+  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+  DL_APPEND (worker->conns, conn);
+}
+
+static void
+conn_free (struct platworker_conn *conn)
+{
+  DL_DELETE (conn->worker->conns, conn);
+  bufferevent_free (conn->bev);
+  free (conn);
+}
+
+static void
+conn_reset (struct platworker_conn *conn)
+{
+  const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (bufferevent_getfd (conn->bev), SOL_SOCKET, SO_LINGER, &reset,
+              sizeof reset);
+  conn_free (conn);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *user)
+{
+  struct platworker_conn *conn = user;
+
+  (void)bev;
+  (void)what;
+  conn->worker->closed++;
+  conn_free (conn);
+}
+
+static void
+on_write (struct bufferevent *bev, void *user)
+{
+  struct platworker_conn *conn = user;
+
+  (void)bev;
+  if (conn->last && conn->worker->act == PLATWORKER_CUT)
+    conn_reset (conn);
+  else if (conn->last)
+    conn_free (conn);
+}
+
+static void
+on_read (struct bufferevent *bev, void *user)
+{
+  struct platworker_conn *conn = user;
+  struct platworker *worker = conn->worker;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  size_t size = evbuffer_get_length (input);
+  char text[PLATWORKER_TEXT_SIZE];
+  size_t whole;
+
+  if (size >= sizeof text)
+    size = sizeof text - 1;
+  evbuffer_copyout (input, text, size);
+  text[size] = '\0';
+  whole = request_size (text, size);
+  if (whole == 0)
+    return;
+  evbuffer_drain (input, whole);
+  text[whole] = '\0';
+  memcpy (worker->seen, text, whole + 1);
+  worker->requests++;
+  act (conn, text);
+}
+
+/* Bytes of the first whole request; 0 when there is none. */
+static size_t
+request_size (const char *text, size_t size)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  char length[16];
+  size_t whole;
+
+  if (end == NULL)
+    return 0;
+  header_of (text, "Content-Length", length, sizeof length);
+  whole = (size_t)(end + 4 - text) + strtoul (length, NULL, 10);
+  return whole <= size ? whole : 0;
+}
+
+static void
+header_of (const char *text, const char *name, char *out, size_t size)
+{
+  const char *line = strstr (text, "\r\n");
+  const char *value;
+  size_t length = strlen (name);
+
+  out[0] = '\0';
+  for (; line != NULL && strncmp (line, "\r\n\r\n", 4) != 0;
+       line = strstr (line + 2, "\r\n"))
+    {
+      if (strncasecmp (line + 2, name, length) != 0 || line[2 + length] != ':')
+        continue;
+      value = line + 2 + length + 1 + strspn (line + 2 + length + 1, " ");
+      snprintf (out, size, "%.*s", (int)strcspn (value, "\r"), value);
+      return;
+    }
+}
+
+static void
+answer (struct platworker_conn *conn, const char *id, const char *status,
+        const char *more, const char *body)
+{
+  evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                       "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s"
+                       "X-Worker-Load: 1,0,8\r\nContent-Length: %zu\r\n\r\n%s",
+                       status, id, more, strlen (body), body);
+}
+
+static void
+act (struct platworker_conn *conn, const char *request)
+{
+  struct platworker *worker = conn->worker;
+  const char *body = strstr (request, "\r\n\r\n") + 4;
+  char stamp[128];
+  char id[128];
+
+  header_of (request, "X-Attempt-Id", id, sizeof id);
+  snprintf (stamp, sizeof stamp, "X-Worker-Signature: %s\r\n",
+            worker->signature);
+  switch (worker->act)
+    {
+    case PLATWORKER_ANSWER:
+      answer (conn, id, "200 OK", stamp, body);
+      break;
+    case PLATWORKER_FULL:
+      answer (conn, id, "503 Full", "X-Not-Executed: 1\r\n", "");
+      break;
+    case PLATWORKER_OTHER:
+      evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                           "HTTP/1.1 421 Misdirected\r\nX-Instance-Id: "
+                           "other\r\nContent-Length: 0\r\n\r\n");
+      break;
+    case PLATWORKER_FAIL:
+      answer (conn, id, "500 Failed", stamp, "failed");
+      break;
+    case PLATWORKER_RESET:
+      conn_reset (conn);
+      break;
+    case PLATWORKER_FOREIGN:
+      answer (conn, "another", "200 OK", stamp, "another's");
+      break;
+    case PLATWORKER_UNSIGNED:
+      answer (conn, id, "200 OK", "", "unsigned");
+      break;
+    case PLATWORKER_EXTRA:
+      answer (conn, id, "200 OK", stamp, body);
+      answer (conn, "another", "200 OK", stamp, "another's");
+      break;
+    case PLATWORKER_STREAM:
+      stream (conn, id, request, EVENTS, true);
+      break;
+    case PLATWORKER_CUT:
+      stream (conn, id, request, 2, true);
+      conn->last = true;
+      break;
+    case PLATWORKER_UNFRAMED:
+      stream (conn, id, request, EVENTS, false);
+      conn->last = true;
+      break;
+    case PLATWORKER_HANG:
+    case PLATWORKER_ACT_MAX:
+      break;
+    }
+}
+
+static void
+stream (struct platworker_conn *conn, const char *id, const char *request,
+        unsigned int events, bool chunked)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  bool cut = conn->worker->act == PLATWORKER_CUT;
+  char after[16];
+  char event[64];
+  unsigned int i;
+
+  header_of (request, "Last-Event-Id", after, sizeof after);
+  evbuffer_add_printf (out,
+                       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+                       "X-Worker-Signature: %s\r\n"
+                       "Content-Type: text/event-stream\r\n%s\r\n",
+                       id, conn->worker->signature,
+                       chunked ? "Transfer-Encoding: chunked\r\n" : "");
+  for (i = (unsigned int)strtoul (after, NULL, 10) + 1;
+       i <= events + (cut ? 1 : 0); i++)
+    {
+      /* The event after the last whole one is cut in its middle. */
+      snprintf (event, sizeof event,
+                i <= events ? "id: %u\ndata: e%u\n\n" : "id: %u\nda", i, i);
+      if (chunked)
+        evbuffer_add_printf (out, "%zx\r\n%s\r\n", strlen (event), event);
+      else
+        evbuffer_add (out, event, strlen (event));
+    }
+  if (chunked && !cut)
+    evbuffer_add (out, "0\r\n\r\n", 5);
+}
+
+/* Clients. */
+
+void
+platclient_init (struct platclient *client, struct event_base *base,
+                 uint16_t port)
+{
+  const struct sockaddr_in to = { .sin_family = AF_INET,
+                                  .sin_port = htons (port),
+                                  .sin_addr = { htonl (INADDR_LOOPBACK) } };
+
+  memset (client, 0, sizeof *client);
+  client->bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (client->bev, client_read, NULL, client_event, client);
+  bufferevent_enable (client->bev, EV_READ | EV_WRITE);
+  bufferevent_socket_connect (client->bev, (const struct sockaddr *)&to,
+                              sizeof to);
+}
+
+void
+platclient_finish (struct platclient *client)
+{
+  if (client->bev != NULL)
+    bufferevent_free (client->bev);
+  client->bev = NULL;
+}
+
+void
+platclient_send (struct platclient *client, const char *text)
+{
+  bufferevent_write (client->bev, text, strlen (text));
+}
+
+static void
+client_read (struct bufferevent *bev, void *user)
+{
+  struct platclient *client = user;
+
+  client->size += bufferevent_read (bev, client->got + client->size,
+                                    sizeof client->got - 1 - client->size);
+}
+
+static void
+client_event (struct bufferevent *bev, short what, void *user)
+{
+  struct platclient *client = user;
+
+  (void)bev;
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    return;
+  client->closed = true;
+  client->reset = (what & BEV_EVENT_ERROR) != 0;
+}
+
+bool
+platclient_answered (const struct platclient *client)
+{
+  const char *end = strstr (client->got, "\r\n\r\n");
+  char text[32];
+
+  if (end == NULL)
+    return false;
+  header_of (client->got, "Content-Length", text, sizeof text);
+  if (text[0] != '\0')
+    return client->size
+           >= (size_t)(end + 4 - client->got) + strtoul (text, NULL, 10);
+  return strstr (end, "0\r\n\r\n") != NULL;
+}
+
+void
+platclient_reset (struct platclient *client)
+{
+  memset (client->got, 0, sizeof client->got);
+  client->size = 0;
+}
