Tell peers the address of a relay in front of an instance

Ruled out: seeds (they go before told addresses once a peer is identified). Change: the setting peer_advertised, told in place of the bound address; the bench sets it to the relays. test_peernet holds it.

--- a/bench/fair_faults.sh
+++ b/bench/fair_faults.sh
@@ -43,6 +43,15 @@
   {
     awk '$1 == "relay" { print $2 }' "$work/relay" | sed -n "$1p"
   }
+  # So that nobody learns of a way around the relays.
+  advertised_address ()
+  {
+    if [ "$1" -eq $victim ]; then
+      relay_address 1
+    else
+      relay_address $(($1 + 2))
+    fi
+  }
   peer_address ()
   {
     if [ "$2" -eq $victim ]; then
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -104,6 +104,12 @@
   echo "127.0.0.1:$(peer_port "$2")"
 }
 
+# advertised_address I: what router I tells others, when not its own address.
+advertised_address ()
+{
+  :
+}
+
 # put_router I COUNT: settings of one router; $router_extra is added to it.
 put_router ()
 {
@@ -114,6 +120,8 @@
   echo "  client_address: 127.0.0.1:$(client_port "$1")"
   echo "  admin_address: 127.0.0.1:$(admin_port "$1")"
   echo "  peer_address: 127.0.0.1:$(peer_port "$1")"
+  [ -z "$(advertised_address "$1")" ] \
+    || echo "  peer_advertised: $(advertised_address "$1")"
   echo "  peer_secret: a-secret-of-the-bench"
   if [ "$2" -gt 1 ]; then
     echo "  peers:"
--- a/src/peers.c
+++ b/src/peers.c
@@ -187,6 +187,7 @@
     .base = router->base,
     .clock = &router->clock,
     .listen_address = own->peer_address,
+    .advertised_address = own->peer_advertised,
     .secret = own->peer_secret,
     .handshake_ms = HANDSHAKE_MS,
     .idle_ms = IDLE_INTERVALS * own->exchange_interval_ms,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -65,6 +65,7 @@
   char *client_address; /**< host:port where clients connect */
   char *admin_address;
   char *peer_address;
+  char *peer_advertised; /**< told to peers; NULL: peer_address */
   char **peers; /**< addresses to try at start */
   uint32_t peers_count;
   char *peer_secret;
--- a/src/protocol/settings_schema.c
+++ b/src/protocol/settings_schema.c
@@ -95,6 +95,7 @@
   TEXT (settings_router, client_address, SETTINGS_FORM_LISTEN, true),
   TEXT (settings_router, admin_address, SETTINGS_FORM_LISTEN, false),
   TEXT (settings_router, peer_address, SETTINGS_FORM_LISTEN, false),
+  TEXT (settings_router, peer_advertised, SETTINGS_FORM_ADDRESS, false),
   SEQUENCE (settings_router, peers, SETTINGS_TEXTS, 0, PEERS_MAX,
             .form = SETTINGS_FORM_ADDRESS),
   FIELD (settings_router, "peer_secret", peer_secret, SETTINGS_TEXT,
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -7,6 +7,7 @@
 #include "transport/sock.h"
 #include <errno.h>
 #include <openssl/rand.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -56,8 +57,12 @@
       free (net);
       return rc;
     }
-  sock_local (net->fd, net->config.self.address,
-              sizeof net->config.self.address);
+  if (config->advertised_address != NULL)
+    snprintf (net->config.self.address, sizeof net->config.self.address, "%s",
+              config->advertised_address);
+  else
+    sock_local (net->fd, net->config.self.address,
+                sizeof net->config.self.address);
   net->link_events = (struct peerlink_events){ on_up, on_message, on_down };
   net->link_config = (struct peerlink_config){
     .base = config->base,
--- a/src/transport/peernet.h
+++ b/src/transport/peernet.h
@@ -41,6 +41,7 @@
   const struct clock *clock;
   struct message_hello self; /**< its address is filled in after listening */
   const char *listen_address;
+  const char *advertised_address; /**< told to peers; NULL: the one bound */
   const char *secret;
   uint32_t handshake_ms;
   uint32_t idle_ms;
--- a/tests/test_peernet.c
+++ b/tests/test_peernet.c
@@ -17,16 +17,20 @@
   uint32_t downs;
   uint32_t rejected;
   int error;
+  char told[CATALOG_ADDRESS_SIZE]; /**< by the last peer, as its address */
 };
 
 static struct event_base *base;
+static const char *advertised; /* by nodes that are started */
 static struct clock wall;
 
 static void
 on_up (void *user, const struct message_hello *hello)
 {
-  (void)hello;
-  ((struct node *)user)->ups++;
+  struct node *node = user;
+
+  node->ups++;
+  memcpy (node->told, hello->address, sizeof node->told);
 }
 
 static void
@@ -65,6 +69,7 @@
   struct peernet_config config = { .base = base,
                                    .clock = &wall,
                                    .listen_address = address,
+                                   .advertised_address = advertised,
                                    .secret = "open sesame",
                                    .handshake_ms = 2000,
                                    .idle_ms = 60000,
@@ -177,6 +182,27 @@
   peernet_free (b.net);
 }
 
+/* Behind a relay an instance tells others the relay's address and not its own,
+   so that they learn of no way around it. */
+static void
+test_advertised (void)
+{
+  struct node a;
+  struct node b;
+
+  start (&a, "router-a", 1, "127.0.0.1:0");
+  advertised = "127.0.0.1:9";
+  start (&b, "router-b", 1, "127.0.0.1:0");
+  advertised = NULL;
+  CU_ASSERT_EQUAL (peernet_offer (b.net, peernet_address (a.net), true), 0);
+  turn_until_links (&a, 1);
+  turn_until_links (&b, 1);
+  CU_ASSERT_STRING_EQUAL (a.told, "127.0.0.1:9");
+  CU_ASSERT_STRING_EQUAL (b.told, peernet_address (a.net));
+  peernet_free (b.net);
+  peernet_free (a.net);
+}
+
 static void
 test_own_name (void)
 {
@@ -204,6 +230,7 @@
   { "one link for each pair", test_one_link_per_pair },
   { "join by one address", test_join },
   { "restart at the same address", test_restart },
+  { "an advertised address", test_advertised },
   { "own name", test_own_name },
 };
 
