--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -144,20 +144,22 @@
                 < result->upstream->record.slots;
 }
 
-/* A customer that has had more than one that waits, here or at another
-   gateway, leaves it room: the more, the sooner it holds back. */
+/* A customer that has had more than those that wait, here or at another
+   gateway, have had on the mean leaves them room: the more, the sooner. */
 static uint32_t
 yield_to_poorer (struct flow *flow, uint32_t limit_ms)
 {
   struct gateway *gateway = flow->gateway;
   uint64_t used = usage_share_used (&gateway->usage, flow->wait.customer_id,
                                     gateway_now_ns (gateway));
-  uint64_t poorest = gateway->poorest_tokens;
+  uint64_t level = gateway->level_tokens;
+  double part;
 
-  if (used <= poorest)
+  if (used <= level)
     return limit_ms;
-  return (uint32_t)(limit_ms * (poorest + YIELD_SLACK_TOKENS)
-                    / (used + YIELD_SLACK_TOKENS));
+  part = (double)(level + YIELD_SLACK_TOKENS)
+         / (double)(used + YIELD_SLACK_TOKENS);
+  return (uint32_t)(limit_ms * part * part);
 }
 
 static bool
@@ -193,7 +195,7 @@
   (void)what;
   if (gateway->waitline.count == 0)
     return;
-  gateway->poorest_tokens = usage_share_poorest (&gateway->usage, now_ns);
+  gateway->level_tokens = usage_share_level (&gateway->usage, now_ns);
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
   while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,7 @@
   struct prefixes prefixes;
   struct retryshare retryshare;
   struct usage_share usage;
-  uint64_t poorest_tokens; /**< of the customer served least that waits */
+  uint64_t level_tokens; /**< of late, on the mean of those that wait */
   struct waitline waitline;
   struct gateway_service *services; /**< uthash by id */
   struct neighbours *neighbours;    /**< owned */
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -89,20 +89,19 @@
 }
 
 uint64_t
-usage_share_poorest (struct usage_share *share, uint64_t now_ns)
+usage_share_level (struct usage_share *share, uint64_t now_ns)
 {
   struct usage_customer *customer;
-  uint64_t least = UINT64_MAX;
-  uint64_t used;
+  uint64_t sum = 0;
+  uint64_t count = 0;
 
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
     {
       if (customer->waiting + customer->peer_waiting == 0)
         continue;
-      used = usage_share_own (share, customer, now_ns) + customer->peer_tokens;
-      if (used < least)
-        least = used;
+      sum += usage_share_own (share, customer, now_ns) + customer->peer_tokens;
+      count++;
     }
-  return least;
+  return count == 0 ? UINT64_MAX : sum / count;
 }
