--- a/src/command.c
+++ b/src/command.c
@@ -18,6 +18,7 @@
   COMMAND_AUDIT,
   COMMAND_STATUS,
   COMMAND_DRAIN,
+  COMMAND_EXPLAIN,
   COMMAND_MAX
 };
 
@@ -45,6 +46,8 @@
   = { "status", "print the state of an instance", command_status },
   [COMMAND_DRAIN]
   = { "drain", "let an instance finish and exit", command_drain },
+  [COMMAND_EXPLAIN]
+  = { "explain", "tell the story of a request from logs", command_explain },
 };
 
 const char *argp_program_version = "cherrylanding " CHERRYLANDING_VERSION;
--- a/src/command.h
+++ b/src/command.h
@@ -24,5 +24,6 @@
 int command_audit (int argc, char **argv);
 int command_status (int argc, char **argv);
 int command_drain (int argc, char **argv);
+int command_explain (int argc, char **argv);
 
 #endif
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -35,6 +35,7 @@
 static char *copy_path (const evhtp_request_t *http);
 static int start_timer (struct flow *flow);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
+static void log_end (const struct flow *flow, enum log_message message);
 static void release (struct flow *flow);
 
 void
@@ -207,8 +208,7 @@
   flow->reply.http = NULL;
   flow_cancel (flow);
   flow_unwait (flow);
-  LOG (LOG_CLIENT_GONE, flow->ask.id, LOG_S ("route", flow->route->name),
-       LOG_S ("verdict", verdict_name (attempt_verdict (&flow->record))));
+  log_end (flow, LOG_CLIENT_GONE);
   release (flow);
 }
 
@@ -228,8 +228,7 @@
 flow_abort (struct flow *flow)
 {
   flow->gateway->counters.aborted++;
-  LOG (LOG_REQUEST_ABORTED, flow->ask.id, LOG_S ("route", flow->route->name),
-       LOG_U ("bytes", flow->reply.delivered_bytes));
+  log_end (flow, LOG_REQUEST_ABORTED);
   reply_abort (&flow->reply);
   release (flow);
 }
@@ -237,14 +236,36 @@
 void
 flow_free (struct flow *flow)
 {
-  flow->gateway->counters.completed++;
-  LOG (LOG_REQUEST_DONE, flow->ask.id, LOG_S ("route", flow->route->name),
-       LOG_U ("status", (uint64_t)flow->reply.status),
-       LOG_U ("ms", (gateway_now_ns (flow->gateway) - flow->arrival_ns)
-                        / CLOCK_NS_PER_MS));
+  struct gateway *gateway = flow->gateway;
+  struct gateway_times *times = &gateway->counters.times[flow->route->kind];
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  gateway->counters.completed++;
+  hist_observe (&times->total, (now_ns - flow->arrival_ns) / CLOCK_NS_PER_US);
+  if (flow->first_ns != 0)
+    hist_observe (&times->first,
+                  (flow->first_ns - flow->arrival_ns) / CLOCK_NS_PER_US);
+  log_end (flow, LOG_REQUEST_DONE);
   release (flow);
 }
 
+static void
+log_end (const struct flow *flow, enum log_message message)
+{
+  uint64_t now_ns = gateway_now_ns (flow->gateway);
+  uint64_t start_ns = flow->start_ns == 0 ? now_ns : flow->start_ns;
+
+  LOG (message, flow->ask.id, LOG_S ("route", flow->route->name),
+       LOG_S ("customer", flow->customer == NULL ? "" : flow->customer->name),
+       LOG_U ("config", flow->routing->version),
+       LOG_U ("status", (uint64_t)flow->reply.status),
+       LOG_S ("verdict", verdict_name (attempt_verdict (&flow->record))),
+       LOG_U ("attempts", flow->record.number),
+       LOG_U ("bytes", flow->reply.delivered_bytes),
+       LOG_U ("waited_ms", (start_ns - flow->arrival_ns) / CLOCK_NS_PER_MS),
+       LOG_U ("total_ms", (now_ns - flow->arrival_ns) / CLOCK_NS_PER_MS));
+}
+
 static void
 release (struct flow *flow)
 {
@@ -284,6 +305,7 @@
   char seconds[16];
 
   gateway->counters.refused++;
+  gateway->counters.reasons[refusal]++;
   reply_header (&reply, "Content-Type", "application/json");
   reply_header (&reply, CLIENT_HEADER_VERDICT, verdict_name (verdict));
   if (id[0] != '\0')
@@ -303,7 +325,11 @@
   LOG (LOG_REQUEST_REFUSED, id, LOG_S ("reason", info->code),
        LOG_U ("status", info->status),
        LOG_S ("verdict", verdict_name (verdict)),
-       LOG_U ("retry_after_ms", retry_after_ms));
+       LOG_U ("retry_after_ms", retry_after_ms),
+       LOG_U ("config",
+              gateway->routing == NULL ? 0 : gateway->routing->version),
+       LOG_U ("config_age_ms",
+              feed_age_ns (&gateway->config_feed) / CLOCK_NS_PER_MS));
 }
 
 void
@@ -313,6 +339,7 @@
   struct gateway *gateway = user;
 
   gateway->counters.refused++;
+  gateway->counters.reasons[refusal]++;
   if (request_id == NULL || !client_request_id_valid (request_id))
     request_id = "none";
   client_refusal_response (out, refusal, request_id);
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -30,6 +30,7 @@
 
 static bool admissible (struct flow *flow, const struct choose_result *result);
 static uint32_t yield_to_poorer (struct flow *flow, uint32_t limit_ms);
+static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow);
 
@@ -177,6 +178,32 @@
   return true;
 }
 
+/* What had it wait: the engine that it would have gone to, and its customer
+   against the others. */
+static void
+log_wait (struct flow *flow, uint64_t now_ns)
+{
+  struct gateway *gateway = flow->gateway;
+  const struct gateway_service *service = flow_service (flow);
+  struct choose_result result;
+
+  flow_choose (flow, &result);
+  LOG (LOG_REQUEST_WAITED, flow->ask.id, LOG_S ("route", flow->route->name),
+       LOG_S ("customer", flow->customer == NULL ? "" : flow->customer->name),
+       LOG_U ("waited_ms", (now_ns - flow->arrival_ns) / CLOCK_NS_PER_MS),
+       LOG_U ("in_line", gateway->waitline.count),
+       LOG_S ("upstream", result.upstream == NULL
+                              ? "none"
+                              : result.upstream->record.identity),
+       LOG_S ("home", result.home ? "yes" : "no"),
+       LOG_U ("ahead_tokens", result.ahead_tokens),
+       LOG_U ("room_tokens",
+              service == NULL ? 0 : pace_tokens (&service->pace, ADMIT_MS)),
+       LOG_U ("had_tokens", usage_share_used (&gateway->usage,
+                                              flow->wait.customer_id, now_ns)),
+       LOG_U ("others_had_tokens", gateway->level_tokens));
+}
+
 void
 flow_capacity_changed (struct gateway *gateway)
 {
@@ -199,6 +226,7 @@
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
   while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
     {
+      log_wait (item->owner, now_ns);
       flow_unwait (item->owner);
       flow_refuse (
           item->owner, REFUSAL_ROUTER_FULL,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #define TICK_MS     100   /* housekeeping; the finest grace is ten of it */
 #define SWEEP_TICKS 10    /* idle connections to upstreams: once a second */
@@ -20,8 +21,11 @@
 #define SILENCE_MS  2000  /* until a dead upstream or store is noticed */
 #define READ_MAX    65536 /* bytes read at once from an upstream */
 /* The balancer asks once a second and believes the second miss. */
-#define NOTICE_MS    2500
-#define END_SPARE_MS 300 /* left of the grace when the rest is cut */
+#define NOTICE_MS 2500
+/* Lines of log a second: some five for each request refused or failed on a bad
+   day, at a tenth of a percent of a core. */
+#define LOG_LINES_MAX 120
+#define END_SPARE_MS  300 /* left of the grace when the rest is cut */
 
 /* Limits until the operator's are known. */
 static const struct httpd_limits first_limits = {
@@ -56,7 +60,10 @@
   gateway->base = base;
   gateway->platform = platform;
   clock_init_real (&gateway->clock);
-  log_init (LOG_LEVEL_INFO, &gateway->clock);
+  log_init (LOG_LEVEL_DEBUG, &gateway->clock);
+  log_set_sink (&(struct log_sink){ .fd = STDOUT_FILENO,
+                                    .instance = gateway->settings.instance,
+                                    .lines_max = LOG_LINES_MAX });
   error = init_tables (gateway);
   if (error == 0)
     error = init_transport (gateway);
@@ -257,9 +264,37 @@
 static void
 on_signal (evutil_socket_t fd, short what, void *arg)
 {
+  struct gateway *gateway = arg;
+
   (void)what;
   if (fd != SIGHUP)
-    gateway_drain (arg);
+    gateway_drain (gateway);
+  else if (gateway->reread != NULL)
+    gateway->reread (gateway->reread_user);
+}
+
+void
+gateway_reload (struct gateway *gateway,
+                const struct gateway_settings *settings)
+{
+  struct gateway_settings *own = &gateway->settings;
+  bool restart = strcmp (own->instance, settings->instance) != 0
+                 || strcmp (own->client_address, settings->client_address) != 0
+                 || strcmp (own->probe_address, settings->probe_address) != 0
+                 || strcmp (own->peer_address, settings->peer_address) != 0
+                 || strcmp (own->store_address, settings->store_address) != 0;
+
+  own->grace_ms = settings->grace_ms;
+  own->connections_max = settings->connections_max;
+  own->retry_permille = settings->retry_permille;
+  own->retry_allowance = settings->retry_allowance;
+  own->share_window_ms = settings->share_window_ms;
+  gateway->retryshare.config.permille = settings->retry_permille;
+  gateway->retryshare.config.allowance = settings->retry_allowance;
+  gateway->usage.window_ms = settings->share_window_ms;
+  LOG (LOG_SETTINGS_RELOADED, NULL,
+       LOG_S ("took", "grace, connections, repeats, share window"),
+       LOG_S ("needs_restart", restart ? "name or addresses" : "nothing"));
 }
 
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,8 +10,10 @@
 #include "gateway/adapter.h"
 #include "gateway/feed.h"
 #include "gateway/gateway_settings.h"
+#include "state/hist.h"
 #include "state/pace.h"
 #include "state/prefixes.h"
+#include "state/refusal.h"
 #include "state/retryshare.h"
 #include "state/roster.h"
 #include "state/routing.h"
@@ -38,6 +40,13 @@
   UT_hash_handle hh;
 };
 
+/** What is measured of one kind of route. */
+struct gateway_times
+{
+  struct hist first; /**< from arrival to the first byte sent back */
+  struct hist total; /**< from arrival to the end of a whole response */
+};
+
 struct gateway_counters
 {
   uint64_t arrived;
@@ -47,6 +56,8 @@
   uint64_t canceled;
   uint64_t attempts;
   uint64_t repeats;
+  uint64_t reasons[REFUSAL_MAX]; /**< refusals by reason */
+  struct gateway_times times[ROUTE_KIND_MAX];
 };
 
 struct gateway
@@ -80,6 +91,9 @@
   struct event *tick;
   uint64_t ticks;
   struct event *signals[GATEWAY_SIGNALS];
+  /** Reads the settings again, at SIGHUP; may be NULL. */
+  void (*reread) (void *user);
+  void *reread_user;
   bool draining;
   uint64_t drain_ns; /**< when draining began */
 };
@@ -96,6 +110,10 @@
 /** Begins to stop: not ready, but serving until the time that is left. */
 void gateway_drain (struct gateway *gateway);
 
+/** Takes over what changed in the settings, and logs what needs a restart. */
+void gateway_reload (struct gateway *gateway,
+                     const struct gateway_settings *settings);
+
 bool gateway_ready (const struct gateway *gateway);
 uint64_t gateway_now_ns (const struct gateway *gateway);
 
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -194,6 +194,12 @@
   gateway->neighbours = NULL;
 }
 
+uint32_t
+neighbours_linked (const struct gateway *gateway)
+{
+  return HASH_COUNT (gateway->neighbours->peers);
+}
+
 uint32_t
 neighbours_count (const struct gateway *gateway)
 {
--- a/src/gateway/neighbours.h
+++ b/src/gateway/neighbours.h
@@ -13,6 +13,8 @@
 /** Before the platform is finished. */
 void neighbours_finish (struct gateway *gateway);
 
+/** Other gateways with a link that is up. */
+uint32_t neighbours_linked (const struct gateway *gateway);
 /** Gateways known, this one included. */
 uint32_t neighbours_count (const struct gateway *gateway);
 
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -3,6 +3,7 @@
  * Readiness and metrics over evhttp.
  */
 #include "gateway/probe.h"
+#include "gateway/neighbours.h"
 #include "state/err.h"
 #include "transport/sock.h"
 #include <event2/buffer.h>
@@ -10,7 +11,9 @@
 #include <netinet/in.h>
 #include <stddef.h>
 
-#define BACKLOG 64 /* connections not yet accepted */
+#define PREFIX   "cherrylanding_gateway_" /* of every metric */
+#define US_PER_S 1000000.0                /* microseconds */
+#define BACKLOG  64                       /* connections not yet accepted */
 
 /** A figure of the metrics page. */
 struct figure
@@ -23,6 +26,14 @@
 static void on_ready (struct evhttp_request *request, void *arg);
 static void on_metrics (struct evhttp_request *request, void *arg);
 
+static void put_counters (const struct gateway *gateway,
+                          struct evbuffer *body);
+static void put_reasons (const struct gateway *gateway, struct evbuffer *body);
+static void put_gauges (const struct gateway *gateway, struct evbuffer *body);
+static void put_times (const struct gateway *gateway, struct evbuffer *body);
+static void put_hist (struct evbuffer *body, const char *name,
+                      const char *kind, const struct hist *hist);
+
 static const struct figure figures[] = {
   { "requests_total", "requests of clients",
     offsetof (struct gateway, counters.arrived) },
@@ -95,23 +106,127 @@
 {
   const struct gateway *gateway = arg;
   struct evbuffer *body = evbuffer_new ();
-  size_t i;
 
   if (body == NULL)
     {
       evhttp_send_reply (request, 500, "No Memory", NULL);
       return;
     }
+  put_counters (gateway, body);
+  put_reasons (gateway, body);
+  put_gauges (gateway, body);
+  put_times (gateway, body);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "text/plain; version=0.0.4");
+  evhttp_send_reply (request, 200, "OK", body);
+  evbuffer_free (body);
+}
+
+static void
+put_counters (const struct gateway *gateway, struct evbuffer *body)
+{
+  size_t i;
+
   for (i = 0; i < sizeof figures / sizeof figures[0]; i++)
     evbuffer_add_printf (
         body,
-        "# HELP cherrylanding_gateway_%s %s\n"
-        "# TYPE cherrylanding_gateway_%s counter\n"
-        "cherrylanding_gateway_%s %" PRIu64 "\n",
+        "# HELP " PREFIX "%s %s\n# TYPE " PREFIX "%s counter\n" PREFIX
+        "%s %" PRIu64 "\n",
         figures[i].name, figures[i].help, figures[i].name, figures[i].name,
         *(const uint64_t *)((const char *)gateway + figures[i].offset));
-  evhttp_add_header (evhttp_request_get_output_headers (request),
-                     "Content-Type", "text/plain; version=0.0.4");
-  evhttp_send_reply (request, 200, "OK", body);
-  evbuffer_free (body);
+}
+
+static void
+put_reasons (const struct gateway *gateway, struct evbuffer *body)
+{
+  int i;
+
+  evbuffer_add_printf (body,
+                       "# HELP " PREFIX "refusals_total refusals by "
+                       "reason\n# TYPE " PREFIX "refusals_total counter\n");
+  for (i = REFUSAL_NONE + 1; i < REFUSAL_MAX; i++)
+    if (gateway->counters.reasons[i] > 0)
+      evbuffer_add_printf (
+          body, PREFIX "refusals_total{reason=\"%s\"} %" PRIu64 "\n",
+          refusal_info ((enum refusal)i)->code, gateway->counters.reasons[i]);
+}
+
+static void
+put_gauges (const struct gateway *gateway, struct evbuffer *body)
+{
+  const struct
+  {
+    const char *name;
+    const char *help;
+    double value;
+  } gauges[] = {
+    { "in_progress", "requests in progress", gateway->flow_count },
+    { "waiting", "requests that wait for an upstream",
+      gateway->waitline.count },
+    { "upstreams", "upstreams known", HASH_COUNT (gateway->roster.upstreams) },
+    { "neighbours", "other gateways linked", neighbours_linked (gateway) },
+    { "config_version", "configuration in force",
+      gateway->routing == NULL ? 0 : (double)gateway->routing->version },
+    { "config_age_seconds", "time since the configuration was confirmed",
+      (double)feed_age_ns (&gateway->config_feed) / CLOCK_NS_PER_S },
+    { "upstreams_age_seconds", "time since the upstreams were confirmed",
+      (double)feed_age_ns (&gateway->upstream_feed) / CLOCK_NS_PER_S },
+    { "upstream_connections", "connections to upstreams",
+      upstream_http_connections (gateway->http) },
+    { "client_connections", "connections of clients",
+      httpd_connections (gateway->httpd) },
+  };
+  size_t i;
+
+  for (i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
+    evbuffer_add_printf (body,
+                         "# HELP " PREFIX "%s %s\n# TYPE " PREFIX
+                         "%s gauge\n" PREFIX "%s %g\n",
+                         gauges[i].name, gauges[i].help, gauges[i].name,
+                         gauges[i].name, gauges[i].value);
+}
+
+static void
+put_times (const struct gateway *gateway, struct evbuffer *body)
+{
+  static const char *const kinds[ROUTE_KIND_MAX] = {
+    [ROUTE_IDEMPOTENT] = "idempotent",
+    [ROUTE_ONCE] = "once",
+    [ROUTE_STREAM] = "stream",
+  };
+  int i;
+
+  evbuffer_add_printf (body, "# TYPE " PREFIX
+                             "first_seconds histogram\n# TYPE " PREFIX
+                             "total_seconds histogram\n");
+  for (i = 0; i < ROUTE_KIND_MAX; i++)
+    {
+      put_hist (body, "first_seconds", kinds[i],
+                &gateway->counters.times[i].first);
+      put_hist (body, "total_seconds", kinds[i],
+                &gateway->counters.times[i].total);
+    }
+}
+
+static void
+put_hist (struct evbuffer *body, const char *name, const char *kind,
+          const struct hist *hist)
+{
+  uint64_t sum = 0;
+  size_t i;
+
+  for (i = 0; i + 1 < HIST_BUCKETS; i++)
+    {
+      sum += hist->buckets[i];
+      evbuffer_add_printf (
+          body, PREFIX "%s_bucket{kind=\"%s\",le=\"%g\"} %" PRIu64 "\n", name,
+          kind, (double)hist_bound_us (i) / US_PER_S, sum);
+    }
+  evbuffer_add_printf (body,
+                       PREFIX "%s_bucket{kind=\"%s\",le=\"+Inf\"} %" PRIu64
+                              "\n" PREFIX "%s_sum{kind=\"%s\"} %g\n" PREFIX
+                              "%s_count{kind=\"%s\"} %" PRIu64 "\n",
+                       name, kind, hist->count, name, kind,
+                       (double)hist->sum_us / US_PER_S, name, kind,
+                       hist->count);
 }
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -1,9 +1,11 @@
 /**
  * @file log.c
- * Formats log lines and writes them to standard error.
+ * Formats log lines and writes them.
  */
 #include "transport/log.h"
+#include "transport/log_budget.h"
 #include <inttypes.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
@@ -20,6 +22,9 @@
   size_t used;
 };
 
+static void put_line (enum log_message message, const char *request_id,
+                      const struct log_field *fields, size_t count,
+                      uint64_t wall_ms);
 static void put_bytes (struct log_cursor *cursor, const char *bytes,
                        size_t count);
 static void put_text (struct log_cursor *cursor, const char *text);
@@ -39,6 +44,8 @@
 
 static enum log_level log_threshold = LOG_LEVEL_INFO;
 static const struct clock *log_clock;
+static struct log_sink log_sink = { .fd = STDERR_FILENO };
+static struct log_budget log_budget;
 
 void
 log_init (enum log_level level, const struct clock *clock)
@@ -58,26 +65,58 @@
   return (enum log_level)level;
 }
 
+void
+log_set_sink (const struct log_sink *sink)
+{
+  log_sink = *sink;
+  memset (&log_budget, 0, sizeof log_budget);
+  log_budget.lines_max = sink->lines_max;
+}
+
 void
 log_write (enum log_message message, const char *request_id,
            const struct log_field *fields, size_t count)
 {
+  uint64_t wall_ms = log_clock == NULL ? 0 : clock_wall_ms (log_clock);
+  char kinds[LOG_BUDGET_TEXT_SIZE];
+  uint32_t dropped;
+
+  if (log_messages[message].level < log_threshold)
+    return;
+  dropped = log_budget_told (&log_budget, wall_ms, kinds);
+  if (dropped > 0)
+    put_line (LOG_LINES_DROPPED, NULL,
+              (const struct log_field[]){ LOG_U ("lines", dropped),
+                                          LOG_S ("kinds", kinds) },
+              2, wall_ms);
+  if (log_budget_take (&log_budget, message, wall_ms))
+    put_line (message, request_id, fields, count, wall_ms);
+}
+
+static void
+put_line (enum log_message message, const char *request_id,
+          const struct log_field *fields, size_t count, uint64_t wall_ms)
+{
+  struct pollfd room = { .fd = log_sink.fd, .events = POLLOUT };
   char line[LOG_LINE_MAX];
   size_t length;
   size_t done;
   ssize_t n;
 
-  if (log_messages[message].level < log_threshold)
-    return;
-  length = log_format (line, sizeof (line) - 1,
-                       log_clock == NULL ? 0 : clock_wall_ms (log_clock),
-                       message, request_id, fields, count);
+  length = log_format (line, sizeof (line) - 1, wall_ms, message, request_id,
+                       fields, count);
   line[length++] = '\n';
+  /* A pipe with room takes a line of up to PIPE_BUF whole. */
+  if (log_sink.lines_max > 0 && poll (&room, 1, 0) <= 0)
+    {
+      log_budget_lost (&log_budget, message);
+      return;
+    }
   for (done = 0; done < length; done += (size_t)n)
     {
-      n = write (STDERR_FILENO, line + done, length - done);
+      n = write (log_sink.fd, line + done, length - done);
       if (n <= 0)
-        return;
+        return; /* there is nowhere left to tell it */
     }
 }
 
@@ -95,6 +134,11 @@
   put_text (&cursor, level_names[log_messages[message].level]);
   put_text (&cursor, " msg=");
   put_value (&cursor, log_messages[message].text);
+  if (log_sink.instance != NULL)
+    {
+      put_text (&cursor, " instance=");
+      put_value (&cursor, log_sink.instance);
+    }
   if (request_id != NULL)
     {
       put_text (&cursor, " request_id=");
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -8,6 +8,7 @@
 #define TRANSPORT_LOG_H
 
 #include "transport/clock.h"
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -29,11 +30,13 @@
   LOG_LISTENING,
   LOG_LISTEN_FAILED,
   LOG_SETTINGS_REFUSED,
+  LOG_SETTINGS_RELOADED,
   LOG_DRAIN_STARTED,
   LOG_DRAIN_FINISHED,
   LOG_DRAIN_TIMEOUT,
   /* requests */
   LOG_REQUEST_ACCEPTED,
+  LOG_REQUEST_WAITED,
   LOG_REQUEST_REFUSED,
   LOG_REQUEST_DONE,
   LOG_REQUEST_ABORTED,
@@ -59,6 +62,8 @@
   LOG_STORE_REVERTED,
   LOG_ADMIN_CHANGE,
   LOG_ADMIN_REFUSED,
+  /* log */
+  LOG_LINES_DROPPED,
   LOG_MESSAGE_MAX
 };
 
@@ -100,16 +105,29 @@
 {
   enum log_level level;
   const char *text;
+  bool routine; /**< told of a success; goes first when lines are short */
 };
 extern const struct log_message_info log_messages[LOG_MESSAGE_MAX];
 
+/** Where lines go; standard error without a bound until this is called. */
+struct log_sink
+{
+  int fd;
+  const char *instance; /**< named in every line; NULL: not. Must outlive it */
+  uint32_t lines_max;   /**< a second; 0: without bound */
+};
+
+/** A sink with a bound never blocks: a reader that stops costs lines. */
+void log_set_sink (const struct log_sink *sink);
+
 /** Sets the process-wide level and clock; the clock must outlive logging. */
 void log_init (enum log_level level, const struct clock *clock);
 /** @return the level of a name, or LOG_LEVEL_MAX. */
 enum log_level log_level_parse (const char *name);
 void log_write (enum log_message message, const char *request_id,
                 const struct log_field *fields, size_t count);
-/** Formats one line into `out`, NUL-terminated. @return its length. */
+/** Formats one line into `out`, NUL-terminated, with the sink's instance.
+    @return its length. */
 size_t log_format (char *out, size_t size, uint64_t wall_ms,
                    enum log_message message, const char *request_id,
                    const struct log_field *fields, size_t count);
--- /dev/null
+++ b/src/transport/log_budget.c
@@ -0,0 +1,74 @@
+/**
+ * @file log_budget.c
+ * Bounds on the volume of the log.
+ */
+#include "transport/log_budget.h"
+#include <stdio.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+
+static void roll (struct log_budget *budget, uint64_t wall_ms);
+
+static void
+roll (struct log_budget *budget, uint64_t wall_ms)
+{
+  uint64_t second = wall_ms / MS_PER_S;
+
+  if (second == budget->second)
+    return;
+  budget->second = second;
+  budget->written = 0;
+  memset (budget->kinds, 0, sizeof budget->kinds);
+}
+
+bool
+log_budget_take (struct log_budget *budget, enum log_message message,
+                 uint64_t wall_ms)
+{
+  uint32_t max = budget->lines_max;
+
+  if (max == 0)
+    return true;
+  roll (budget, wall_ms);
+  if (log_messages[message].level < LOG_LEVEL_WARN
+      && log_messages[message].routine)
+    max /= 2;
+  if (budget->written < max
+      && budget->kinds[message] < budget->lines_max / LOG_BUDGET_KIND_PART)
+    {
+      budget->written++;
+      budget->kinds[message]++;
+      return true;
+    }
+  log_budget_lost (budget, message);
+  return false;
+}
+
+void
+log_budget_lost (struct log_budget *budget, enum log_message message)
+{
+  budget->dropped[message]++;
+  budget->dropped_sum++;
+}
+
+uint32_t
+log_budget_told (struct log_budget *budget, uint64_t wall_ms,
+                 char text[LOG_BUDGET_TEXT_SIZE])
+{
+  uint32_t sum = budget->dropped_sum;
+  size_t used = 0;
+  int i;
+
+  if (sum == 0 || wall_ms / MS_PER_S == budget->second)
+    return 0;
+  text[0] = '\0';
+  for (i = 0; i < LOG_MESSAGE_MAX && used < LOG_BUDGET_TEXT_SIZE; i++)
+    if (budget->dropped[i] > 0)
+      used += (size_t)snprintf (text + used, LOG_BUDGET_TEXT_SIZE - used,
+                                "%s%s:%u", used == 0 ? "" : ",",
+                                log_messages[i].text, budget->dropped[i]);
+  memset (budget->dropped, 0, sizeof budget->dropped);
+  budget->dropped_sum = 0;
+  return sum;
+}
--- /dev/null
+++ b/tests/regress_explain.sh
@@ -0,0 +1,41 @@
+#!/bin/sh
+# The way from a request's id to its story, by the lines of OPERATIONS.md.
+# usage: regress_explain.sh BUILD
+set -u
+
+build=$1
+here=$(dirname "$0")
+passed=0
+failed=0
+
+check ()
+{
+  if [ "$2" = "$3" ]; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    printf 'FAILED %s: wanted\n%s\ngot\n%s\n' "$1" "$2" "$3"
+  fi
+}
+
+for log in "$here"/explain/*.log; do
+  name=$(basename "$log" .log)
+  id=$(cat "$here/explain/$name.id")
+  wanted=$(cat "$here/explain/$name.expected")
+  check "$name from a file" "$wanted" "$("$build/cherrylanding" explain "$id" "$log")"
+  check "$name from standard input, in another order" "$wanted" \
+    "$(sort -r -s -k 1,1 "$log" | "$build/cherrylanding" explain "$id")"
+  # Each line of the story stands in the operators' page.
+  while read -r line; do
+    grep -qF -- "$line" "$here/../docs/OPERATIONS.md"
+    check "$name in OPERATIONS.md: $line" 0 $?
+  done < "$here/explain/$name.expected"
+done
+"$build/cherrylanding" explain no-such-id "$here"/explain/*.log > /dev/null 2>&1
+check "an id that is not there" 1 $?
+"$build/cherrylanding" explain > /dev/null 2>&1
+check "no id" 2 $?
+"$build/cherrylanding" explain id "$here/no-such-file" > /dev/null 2>&1
+check "a file that is not there" 1 $?
+echo "regress_explain: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -425,6 +425,62 @@
   gatestage_finish (&stage);
 }
 
+static bool
+scraped (const struct gatestage *stage)
+{
+  return strstr (stage->client.got, "client_connections ") != NULL;
+}
+
+/* Metrics answer while requests are served, with what these did. */
+static void
+test_metrics (void)
+{
+  struct gatestage stage;
+
+  gatestage_init (&stage, true);
+  stage.workers[0].act = PLATWORKER_FULL;
+  stage.workers[1].act = PLATWORKER_FULL;
+  gatestage_ask (&stage, ONCE);
+  assert_status (&stage, "503");
+  stage.workers[0].act = PLATWORKER_ANSWER;
+  stage.workers[1].act = PLATWORKER_ANSWER;
+  gatestage_ask (&stage, ONCE);
+  assert_status (&stage, "200");
+  platclient_finish (&stage.client);
+  platclient_init (&stage.client, stage.base, probe_port (&stage.gateway));
+  platclient_send (&stage.client, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT_TRUE (gatestage_until (&stage, scraped));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (stage.client.got, "gateway_requests_total 2\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (stage.client.got, "gateway_completed_total 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (stage.client.got, "refusals_total{reason=\"no_upstream\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (stage.client.got, "gateway_upstreams 2\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (stage.client.got, "gateway_config_version 1\n"));
+  gatestage_finish (&stage);
+}
+
+/* Settings that change take effect without a restart where they can. */
+static void
+test_reload (void)
+{
+  struct gateway_settings settings;
+  struct gatestage stage;
+
+  gatestage_init (&stage, true);
+  settings = stage.gateway.settings;
+  settings.retry_permille = 0;
+  settings.retry_allowance = 0;
+  gateway_reload (&stage.gateway, &settings);
+  stage.workers[0].act = PLATWORKER_FULL;
+  gatestage_ask (&stage, ONCE);
+  assert_status (&stage, "503");
+  CU_ASSERT_EQUAL (stage.workers[1].requests, 0);
+  gatestage_finish (&stage);
+}
+
 /* Two gateways meet through the store and tell each other their load. */
 static bool
 met (const struct gatestage *stage)
@@ -468,6 +524,8 @@
   { "a client leaves", test_client_leaves },
   { "membership", test_membership },
   { "drain", test_drain },
+  { "metrics", test_metrics },
+  { "reload", test_reload },
   { "neighbours", test_neighbours },
 };
 
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -4,8 +4,11 @@
  */
 #include "support/suite.h"
 #include "transport/log.h"
+#include "transport/log_budget.h"
+#include <fcntl.h>
 #include <stdbool.h>
 #include <string.h>
+#include <unistd.h>
 
 #define WALL_MS 1700000000123ULL
 
@@ -62,7 +65,68 @@
   CU_ASSERT_EQUAL (log_level_parse ("loud"), LOG_LEVEL_MAX);
 }
 
+/* Failures are still written when successes have used up their half; what is
+   dropped is told by kind, in the next second. */
+static void
+test_budget (void)
+{
+  struct log_budget budget = { .lines_max = 40 };
+  char text[LOG_BUDGET_TEXT_SIZE];
+  unsigned int done = 0;
+  unsigned int started = 0;
+  unsigned int refused = 0;
+  unsigned int failed = 0;
+  int i;
+
+  for (i = 0; i < 100; i++)
+    {
+      done += log_budget_take (&budget, LOG_REQUEST_DONE, 5000);
+      started += log_budget_take (&budget, LOG_ATTEMPT_STARTED, 5000);
+    }
+  for (i = 0; i < 100; i++)
+    {
+      refused += log_budget_take (&budget, LOG_REQUEST_REFUSED, 5000);
+      failed += log_budget_take (&budget, LOG_ATTEMPT_FAILED, 5000);
+    }
+  CU_ASSERT_EQUAL (done + started, 20);
+  CU_ASSERT_EQUAL (refused, 10);
+  CU_ASSERT_EQUAL (failed, 10);
+  CU_ASSERT_EQUAL (log_budget_told (&budget, 5999, text), 0);
+  CU_ASSERT_EQUAL (log_budget_told (&budget, 6000, text), 360);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "request done:90"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "attempt failed:90"));
+  CU_ASSERT_EQUAL (log_budget_told (&budget, 7000, text), 0);
+  CU_ASSERT_TRUE (log_budget_take (&budget, LOG_REQUEST_DONE, 6000));
+}
+
+/* A reader that stops reading costs lines, and does not stop the process. */
+static void
+test_reader_that_stops (void)
+{
+  static struct clock manual;
+  struct log_sink sink = { .instance = "i-1", .lines_max = 1000000 };
+  char line[4096];
+  int ends[2];
+  int i;
+
+  clock_init_manual (&manual, 0, WALL_MS);
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  sink.fd = ends[1];
+  log_init (LOG_LEVEL_INFO, &manual);
+  log_set_sink (&sink);
+  for (i = 0; i < 5000; i++)
+    LOG (LOG_REQUEST_REFUSED, "id", LOG_U ("number", (uint64_t)i));
+  CU_ASSERT_TRUE (read (ends[0], line, sizeof line) > 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (line, "instance=i-1"));
+  sink = (struct log_sink){ .fd = STDERR_FILENO };
+  log_set_sink (&sink);
+  close (ends[0]);
+  close (ends[1]);
+}
+
 static const struct suite_test tests[] = {
+  { "budget of lines", test_budget },
+  { "a reader that stops", test_reader_that_stops },
   { "line", test_line },
   { "long lines are cut", test_long_lines_are_cut },
   { "every message has a text", test_every_message_has_a_text },
