--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,7 +25,10 @@
 /* Lines of log a second: some five for each request refused or failed on a bad
    day, at a tenth of a percent of a core. */
 #define LOG_LINES_MAX 120
-#define END_SPARE_MS  300 /* left of the grace when the rest is cut */
+/* Usage fades over this part of the window that shares are counted in, so that
+   who comes late has caught up within half of it. */
+#define USAGE_PART   2
+#define END_SPARE_MS 300 /* left of the grace when the rest is cut */
 
 /* Limits until the operator's are known. */
 static const struct httpd_limits first_limits = {
@@ -99,7 +102,8 @@
   gateway->roster.user = gateway;
   prefixes_init (&gateway->prefixes);
   retryshare_init (&gateway->retryshare, &config);
-  usage_share_init (&gateway->usage, gateway->settings.share_window_ms);
+  usage_share_init (&gateway->usage,
+                    gateway->settings.share_window_ms / USAGE_PART);
   waitline_init (&gateway->waitline);
   rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
                                ^ clock_wall_ms (&gateway->clock));
@@ -291,7 +295,7 @@
   own->share_window_ms = settings->share_window_ms;
   gateway->retryshare.config.permille = settings->retry_permille;
   gateway->retryshare.config.allowance = settings->retry_allowance;
-  gateway->usage.window_ms = settings->share_window_ms;
+  gateway->usage.window_ms = settings->share_window_ms / USAGE_PART;
   LOG (LOG_SETTINGS_RELOADED, NULL,
        LOG_S ("took", "grace, connections, repeats, share window"),
        LOG_S ("needs_restart", restart ? "name or addresses" : "nothing"));
