Hubs: a few gateways of a zone follow the store and sum load for the others

Change: up to 12 gateways stay a mesh; beyond, two hubs a zone are a mesh, the others hang on them, are sent copies of the store's items and sums of load, and follow the store themselves while no hub is fresh. A hub that others are ahead of for 1.2 s says so. Links learn no addresses by themselves here.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -165,6 +165,8 @@
 /** Replaces what the sender said before; what is absent is zero. */
 struct message_load
 {
+  uint64_t store_index; /**< that the sender's view of the store reaches to */
+  uint32_t age_ms;      /**< since that view was confirmed */
   size_t item_count;
   struct message_load_item *items;
 };
--- a/src/gateway/directory.c
+++ b/src/gateway/directory.c
@@ -3,8 +3,10 @@
  * Applies what the store tells.
  */
 #include "gateway/directory.h"
+#include "gateway/neighbours.h"
 #include "state/err.h"
 #include "transport/log.h"
+#include <stdio.h>
 #include <string.h>
 
 /* Upstreams announce themselves several times a second together: what they
@@ -60,6 +62,7 @@
     .prefix = gateway->adapter->config_key,
     .pace_ms = CONFIG_PACE_MS,
     .wait_ms = WATCH_MS,
+    .paused = true,
     .seed = catalog_id (gateway->settings.instance),
     .events = &config_events,
     .user = gateway,
@@ -81,10 +84,69 @@
   feed_finish (&gateway->upstream_feed);
 }
 
+void
+directory_follow (struct gateway *gateway, bool follow)
+{
+  if (follow)
+    {
+      feed_resume (&gateway->config_feed);
+      feed_resume (&gateway->upstream_feed);
+      return;
+    }
+  feed_pause (&gateway->config_feed);
+  feed_pause (&gateway->upstream_feed);
+}
+
+uint64_t
+directory_age_ns (const struct gateway *gateway)
+{
+  return gateway->config_feed.paused ? neighbours_age_ns (gateway)
+                                     : feed_age_ns (&gateway->config_feed);
+}
+
 bool
 directory_unsure (const struct gateway *gateway)
 {
-  return feed_age_ns (&gateway->config_feed) > UNSURE_MS * CLOCK_NS_PER_MS;
+  return directory_age_ns (gateway) > UNSURE_MS * CLOCK_NS_PER_MS;
+}
+
+void
+directory_copy_begin (struct gateway *gateway)
+{
+  upstream_listing (gateway);
+}
+
+void
+directory_copy_end (struct gateway *gateway, uint64_t index)
+{
+  upstream_listed (gateway, index);
+}
+
+void
+directory_take (struct gateway *gateway, const struct platform_item *item)
+{
+  const struct gateway_adapter *adapter = gateway->adapter;
+
+  if (strcmp (item->key, adapter->config_key) == 0)
+    config_item (gateway, item);
+  else if (strncmp (item->key, adapter->upstream_prefix,
+                    strlen (adapter->upstream_prefix))
+           == 0)
+    upstream_item (gateway, item);
+}
+
+void
+directory_removed (struct gateway *gateway,
+                   const struct roster_upstream *upstream)
+{
+  char key[ROSTER_IDENTITY_SIZE + GATEWAY_NAME_SIZE];
+
+  snprintf (key, sizeof key, "%s%s", gateway->adapter->upstream_prefix,
+            upstream->record.identity);
+  neighbours_pass_on (gateway,
+                      &(struct platform_item){
+                          .key = key, .index = upstream->record.revision },
+                      true);
 }
 
 static void
@@ -151,6 +213,7 @@
   routing_release (gateway->routing);
   gateway->routing = routing;
   apply_limits (gateway);
+  neighbours_pass_on (gateway, item, true);
   LOG (LOG_CONFIG_APPLIED, NULL, LOG_U ("version", routing->version),
        LOG_U ("routes", routing->route_count),
        LOG_U ("customers", routing->customer_count));
@@ -210,6 +273,7 @@
 
   roster_listing_end (&gateway->roster, index, grace_ns (gateway),
                       gateway_now_ns (gateway));
+  gateway->upstreams_held = true;
 }
 
 static void
@@ -236,7 +300,9 @@
     }
   if (error == 0)
     {
-      roster_put (&gateway->roster, &record);
+      error = roster_put (&gateway->roster, &record);
+      if (error >= 0)
+        neighbours_pass_on (gateway, item, error == ROSTER_CHANGED);
       return;
     }
   LOG (LOG_UPSTREAM_REJECTED, NULL, LOG_S ("identity", identity),
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -28,7 +28,9 @@
   feed->timer = event_new (config->base, -1, 0, on_timer, feed);
   if (feed->timer == NULL)
     return ERR_NO_MEMORY;
-  schedule (feed, 0);
+  feed->paused = config->paused;
+  if (!feed->paused)
+    schedule (feed, config->delay_ms);
   return 0;
 }
 
@@ -40,6 +42,28 @@
   feed->timer = NULL;
 }
 
+void
+feed_pause (struct feed *feed)
+{
+  feed->paused = true;
+  feed->outdated = feed->calling;
+  feed->phase = FEED_LISTING;
+  feed->after[0] = '\0';
+  feed->failed_ns = 0;
+  event_del (feed->timer);
+}
+
+void
+feed_resume (struct feed *feed)
+{
+  if (!feed->paused)
+    return;
+  feed->paused = false;
+  /* A call that is still on its way starts the next one when it ends. */
+  if (!feed->calling)
+    schedule (feed, 0);
+}
+
 bool
 feed_held (const struct feed *feed)
 {
@@ -102,6 +126,13 @@
       = (clock_now_ns (feed->config.clock) - feed->start_ns) / CLOCK_NS_PER_MS;
 
   feed->calling = false;
+  if (feed->outdated)
+    {
+      feed->outdated = false;
+      if (!feed->paused)
+        schedule (feed, 0);
+      return;
+    }
   if (error == ERR_STALE && feed->phase == FEED_FOLLOWING)
     {
       /* The history does not go back that far: an answer all the same. */
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -33,9 +33,11 @@
   const struct clock *clock;
   struct platform *platform;
   const char *prefix;
-  uint32_t pace_ms; /**< from the start of a call to that of the next */
-  uint32_t wait_ms; /**< how long a call waits for a change */
-  uint64_t seed;    /**< of the jitter */
+  uint32_t pace_ms;  /**< from the start of a call to that of the next */
+  uint32_t wait_ms;  /**< how long a call waits for a change */
+  bool paused;       /**< starts when resumed */
+  uint32_t delay_ms; /**< until the first call */
+  uint64_t seed;     /**< of the jitter */
   const struct feed_events *events;
   void *user;
 };
@@ -53,6 +55,8 @@
   struct rng rng;
   enum feed_phase phase;
   bool calling;
+  bool paused;
+  bool outdated;        /**< the call in progress began before a pause */
   char after[256];      /**< last key of the page before */
   uint64_t list_index;  /**< of the first page of the listing */
   uint64_t index;       /**< changes after it are still to come */
@@ -62,11 +66,15 @@
   uint32_t backoff_ms;
 };
 
-/** Starts at once. @return 0 or ERR_NO_MEMORY. */
+/** Starts at once unless paused. @return 0 or ERR_NO_MEMORY. */
 int feed_init (struct feed *feed, const struct feed_config *config);
 /** Finish the platform first: it may still call back. */
 void feed_finish (struct feed *feed);
 
+/** Makes no further calls, and forgets what was read, until resumed. */
+void feed_pause (struct feed *feed);
+void feed_resume (struct feed *feed);
+
 /** True once a listing has been told whole. */
 bool feed_held (const struct feed *feed);
 /** How old what it told may be: time since a call that was answered began. */
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -328,8 +328,7 @@
        LOG_U ("retry_after_ms", retry_after_ms),
        LOG_U ("config",
               gateway->routing == NULL ? 0 : gateway->routing->version),
-       LOG_U ("config_age_ms",
-              feed_age_ns (&gateway->config_feed) / CLOCK_NS_PER_MS));
+       LOG_U ("config_age_ms", directory_age_ns (gateway) / CLOCK_NS_PER_MS));
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -47,7 +47,7 @@
 static void raise_file_limit (void);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
-static void on_removed (void *user, uint64_t upstream_id);
+static void on_removed (void *user, const struct roster_upstream *upstream);
 static void check_drain (struct gateway *gateway, uint64_t now_ns);
 
 int
@@ -188,8 +188,8 @@
     httpd_free (gateway->httpd);
   if (gateway->platform != NULL)
     gateway->platform->ops->finish (gateway->platform);
-  directory_finish (gateway);
   neighbours_finish (gateway);
+  directory_finish (gateway);
   probe_finish (gateway);
   gateway->roster.removed = NULL;
   roster_finish (&gateway->roster);
@@ -236,15 +236,16 @@
 gateway_ready (const struct gateway *gateway)
 {
   return !gateway->draining && gateway->routing != NULL
-         && feed_held (&gateway->upstream_feed);
+         && gateway->upstreams_held;
 }
 
 static void
-on_removed (void *user, uint64_t upstream_id)
+on_removed (void *user, const struct roster_upstream *upstream)
 {
   struct gateway *gateway = user;
 
-  upstream_http_forget (gateway->http, upstream_id);
+  upstream_http_forget (gateway->http, upstream->id);
+  directory_removed (gateway, upstream);
 }
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
   struct evhttp_bound_socket *probe_socket;
   struct feed config_feed;
   struct feed upstream_feed;
+  bool upstreams_held;         /**< a whole listing was taken in */
   uint64_t upstream_outage_ns; /**< end of the last one; 0: none */
   struct routing *routing;     /**< NULL until one is held */
   struct roster roster;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -19,6 +19,7 @@
   char probe_address[GATEWAY_ADDRESS_SIZE]; /**< readiness and metrics */
   char peer_address[GATEWAY_ADDRESS_SIZE];  /**< of other gateways' links */
   char store_address[GATEWAY_ADDRESS_SIZE];
+  bool bootstrap;             /**< the whole fleet starts for the first time */
   uint32_t connections_max;   /**< sockets of all kinds */
   uint32_t memory_mb;         /**< of the process */
   uint32_t grace_ms;          /**< from the signal to stop to the end */
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -1,140 +1,94 @@
 /**
  * @file neighbours.c
- * Membership through the store, and statements of load over links.
+ * Links to other gateways: who hangs on whom, and what the store says passed
+ * on to those that do.
  */
 #include "gateway/neighbours.h"
-#include "coordination/message.h"
+#include "gateway/directory.h"
 #include "gateway/flow.h"
+#include "gateway/neighbours_int.h"
 #include "state/err.h"
 #include "transport/log.h"
-#include "transport/peernet.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
-
-#define STATEMENT_MS 100 /* between statements: a tenth of an objective */
-#define HANDSHAKE_MS                                                          \
-  1000                 /* of a link between near machines                     \
-                        */
-#define IDLE_MS  1500  /* without a statement, until a link is cut */
-#define WATCH_MS 20000 /* members change rarely */
-#define PACE_MS  500   /* between reads of members */
-#define LEASE_MS 9000  /* an instance that died is forgotten after */
-#define KEEP_MS  3000  /* a third of the lease */
-#define RETRY_MS 1000  /* after a call for membership failed */
+
+#define HANDSHAKE_MS 1000 /* of a link between near machines */
+#define IDLE_MS      1500 /* without a statement, until a link is cut */
+/* A hub's view of the store is followed while it is so fresh, and without one
+   an instance follows the store itself after a while, not all at once. */
+#define FRESH_MS        1000
+#define ALONE_MS        600
+#define ALONE_SPREAD_MS 400
+#define LAG_MS          1200 /* others' view of the store, ahead for so long */
 /* Links are opened on the platform's own network; the word keeps other
    programs that dial by mistake out, and hides nothing. */
 #define FLEET        "gateway"
 #define FLEET_SECRET "cherrylanding gateway fleet"
 
-struct neighbour
-{
-  uint64_t instance_id;
-  struct message_load load; /* what it said last */
-  UT_hash_handle hh;
-};
-
-struct member_entry
-{
-  char key[GATEWAY_NAME_SIZE + 64];
-  bool seen; /* in the listing being read */
-  UT_hash_handle hh;
-};
-
-enum membership
-{
-  MEMBERSHIP_NONE,
-  MEMBERSHIP_GRANTING,
-  MEMBERSHIP_WRITING,
-  MEMBERSHIP_HELD
-};
-
-struct neighbours
-{
-  struct gateway *gateway;
-  struct peernet *net;
-  struct feed feed;
-  struct event *statement;
-  struct event *membership_timer;
-  enum membership membership;
-  uint64_t lease;
-  struct member_entry *members; /* entries in the store */
-  char key[GATEWAY_NAME_SIZE + 64];
-  struct neighbour *peers;
-};
-
 static void on_up (void *user, const struct message_hello *hello);
 static void on_message (void *user, uint64_t instance_id,
                         const struct message *message);
 static void on_down (void *user, uint64_t instance_id, int error);
 static void on_rejected (void *user, const char *address, int error);
-static void member_item (void *user, const struct platform_item *item);
-static void member_listing (void *user);
-static void member_gone (struct neighbours *neighbours, const char *key);
-static int member_there (struct neighbours *neighbours, const char *key);
-static void member_listed (void *user, uint64_t index);
-static void feed_failed (void *user, int error);
-static void feed_recovered (void *user, uint64_t outage_ns);
-static void on_membership (evutil_socket_t fd, short what, void *arg);
-static void on_granted (void *user, int error, uint64_t lease);
-static void on_written (void *user, int error, uint64_t index);
-static void on_kept (void *user, int error, uint64_t index);
-static void schedule_membership (struct neighbours *neighbours,
-                                 uint32_t delay_ms);
 static void on_statement (evutil_socket_t fd, short what, void *arg);
-static size_t compose (struct gateway *gateway,
-                       struct message_load_item *items, size_t max);
-static void apply (struct gateway *gateway, const struct message_load *load,
-                   int sign);
-static void replace (struct neighbours *neighbours, struct neighbour *peer,
-                     const struct message_load *load);
+static int start_net (struct neighbours *neighbours);
+static struct neighbour *find_peer (const struct neighbours *neighbours,
+                                    uint64_t instance_id);
+static bool peer_is_hub (const struct neighbours *neighbours,
+                         uint64_t instance_id);
+static void hang_on (struct neighbours *neighbours, uint64_t instance_id);
+static void send_copy (struct neighbours *neighbours,
+                       const struct neighbour *peer);
+static void take_items (struct neighbours *neighbours,
+                        const struct message_config *config);
+static void follow_or_not (struct neighbours *neighbours, uint64_t now_ns);
+static void check_lag (struct neighbours *neighbours, uint64_t now_ns);
 
 static const struct peernet_events net_events
     = { on_up, on_message, on_down, on_rejected };
 
-static const struct feed_events member_events = {
-  .listing_begin = member_listing,
-  .listing_end = member_listed,
-  .item = member_item,
-  .failed = feed_failed,
-  .recovered = feed_recovered,
-};
-
 int
 neighbours_start (struct gateway *gateway)
 {
   struct neighbours *neighbours = calloc (1, sizeof *neighbours);
-  const struct timeval interval = clock_timeval (STATEMENT_MS);
+  const struct timeval interval = clock_timeval (NEIGHBOURS_STATEMENT_MS);
+  int error;
+
+  if (neighbours == NULL)
+    return ERR_NO_MEMORY;
+  gateway->neighbours = neighbours;
+  neighbours->gateway = gateway;
+  neighbours->start_ns = neighbours->fresh_ns = gateway_now_ns (gateway);
+  neighbours->self_id = catalog_id (gateway->settings.instance);
+  neighbours->zone_id = catalog_id (gateway->settings.availability_zone);
+  error = start_net (neighbours);
+  if (error != 0)
+    return error;
+  neighbours->statement
+      = event_new (gateway->base, -1, EV_PERSIST, on_statement, neighbours);
+  if (neighbours->statement == NULL)
+    return ERR_NO_MEMORY;
+  event_add (neighbours->statement, &interval);
+  return neighbours_members_start (neighbours);
+}
+
+static int
+start_net (struct neighbours *neighbours)
+{
+  struct gateway *gateway = neighbours->gateway;
   struct peernet_config config = {
     .base = gateway->base,
     .clock = &gateway->clock,
     .listen_address = gateway->settings.peer_address,
+    .offered_only = true,
     .secret = FLEET_SECRET,
     .handshake_ms = HANDSHAKE_MS,
     .idle_ms = IDLE_MS,
     .events = &net_events,
     .user = neighbours,
   };
-  const struct feed_config feed = {
-    .base = gateway->base,
-    .clock = &gateway->clock,
-    .platform = gateway->platform,
-    .prefix = gateway->adapter->own_prefix,
-    .pace_ms = PACE_MS,
-    .wait_ms = WATCH_MS,
-    .seed = catalog_id (gateway->settings.instance) + 1,
-    .events = &member_events,
-    .user = neighbours,
-  };
-  int error;
 
-  if (neighbours == NULL)
-    return ERR_NO_MEMORY;
-  gateway->neighbours = neighbours;
-  neighbours->gateway = gateway;
-  snprintf (neighbours->key, sizeof neighbours->key, "%s%s",
-            gateway->adapter->own_prefix, gateway->settings.instance);
   snprintf (config.self.fleet, sizeof config.self.fleet, FLEET);
   snprintf (config.self.instance, sizeof config.self.instance, "%.*s",
             (int)sizeof config.self.instance - 1, gateway->settings.instance);
@@ -143,18 +97,7 @@
             (int)sizeof config.self.availability_zone - 1,
             gateway->settings.availability_zone);
   config.self.incarnation = clock_wall_ms (&gateway->clock);
-  error = peernet_new (&config, &neighbours->net);
-  if (error != 0)
-    return error;
-  neighbours->statement
-      = event_new (gateway->base, -1, EV_PERSIST, on_statement, neighbours);
-  neighbours->membership_timer
-      = event_new (gateway->base, -1, 0, on_membership, neighbours);
-  if (neighbours->statement == NULL || neighbours->membership_timer == NULL)
-    return ERR_NO_MEMORY;
-  event_add (neighbours->statement, &interval);
-  schedule_membership (neighbours, 0);
-  return feed_init (&neighbours->feed, &feed);
+  return peernet_new (&config, &neighbours->net);
 }
 
 void
@@ -163,18 +106,15 @@
   struct neighbours *neighbours = gateway->neighbours;
   struct neighbour *peer;
   struct neighbour *next;
-  struct member_entry *entry;
-  struct member_entry *next_entry;
 
   if (neighbours == NULL)
     return;
-  feed_finish (&neighbours->feed);
+  gateway->neighbours = NULL;
+  neighbours_members_finish (neighbours);
   if (neighbours->net != NULL)
     peernet_free (neighbours->net);
   if (neighbours->statement != NULL)
     event_free (neighbours->statement);
-  if (neighbours->membership_timer != NULL)
-    event_free (neighbours->membership_timer);
   peer = neighbours->peers;
   HASH_CLEAR (hh, neighbours->peers);
   for (; peer != NULL; peer = next)
@@ -183,15 +123,8 @@
       free (peer->load.items);
       free (peer);
     }
-  entry = neighbours->members;
-  HASH_CLEAR (hh, neighbours->members);
-  for (; entry != NULL; entry = next_entry)
-    {
-      next_entry = entry->hh.next;
-      free (entry);
-    }
+  mirror_finish (&neighbours->mirror);
   free (neighbours);
-  gateway->neighbours = NULL;
 }
 
 uint32_t
@@ -203,238 +136,109 @@
 uint32_t
 neighbours_count (const struct gateway *gateway)
 {
-  const struct neighbours *neighbours = gateway->neighbours;
-  uint32_t linked = HASH_COUNT (neighbours->peers) + 1;
-  uint32_t listed = HASH_COUNT (neighbours->members);
+  uint32_t linked = neighbours_linked (gateway) + 1;
+  uint32_t listed = HASH_COUNT (gateway->neighbours->members);
 
   return linked > listed ? linked : listed;
 }
 
-/* Membership: an entry that lives by a lease tells the others where to dial.
-   Who is alive only links say. */
-
-static void
-schedule_membership (struct neighbours *neighbours, uint32_t delay_ms)
-{
-  const struct timeval delay = clock_timeval (delay_ms);
-
-  event_add (neighbours->membership_timer, &delay);
-}
-
-static void
-on_membership (evutil_socket_t fd, short what, void *arg)
-{
-  struct neighbours *neighbours = arg;
-  struct platform *platform = neighbours->gateway->platform;
-  int error;
-
-  (void)fd;
-  (void)what;
-  if (neighbours->membership == MEMBERSHIP_HELD)
-    error = platform->ops->keep (platform, neighbours->lease, on_kept,
-                                 neighbours);
-  else
-    {
-      neighbours->membership = MEMBERSHIP_GRANTING;
-      error
-          = platform->ops->grant (platform, LEASE_MS, on_granted, neighbours);
-    }
-  if (error != 0)
-    schedule_membership (neighbours, RETRY_MS);
-}
-
-static void
-on_granted (void *user, int error, uint64_t lease)
+bool
+neighbours_hub (const struct gateway *gateway)
 {
-  struct neighbours *neighbours = user;
-  struct platform *platform = neighbours->gateway->platform;
-  const char *address = peernet_address (neighbours->net);
-  const struct platform_item put = { .key = neighbours->key,
-                                     .value = address,
-                                     .value_size = strlen (address) };
-  const struct platform_commit commit
-      = { .puts = &put, .put_count = 1, .lease = lease };
-
-  neighbours->lease = lease;
-  neighbours->membership = MEMBERSHIP_WRITING;
-  if (error == 0)
-    error = platform->ops->commit (platform, &commit, on_written, neighbours);
-  if (error != 0)
-    {
-      neighbours->membership = MEMBERSHIP_NONE;
-      schedule_membership (neighbours, RETRY_MS);
-    }
+  return gateway->neighbours->hub;
 }
 
-static void
-on_written (void *user, int error, uint64_t index)
-{
-  struct neighbours *neighbours = user;
-
-  (void)index;
-  neighbours->membership = error == 0 ? MEMBERSHIP_HELD : MEMBERSHIP_NONE;
-  schedule_membership (neighbours, error == 0 ? KEEP_MS : RETRY_MS);
-}
+/* Links. */
 
-static void
-on_kept (void *user, int error, uint64_t index)
+static struct neighbour *
+find_peer (const struct neighbours *neighbours, uint64_t instance_id)
 {
-  struct neighbours *neighbours = user;
+  struct neighbour *peer;
 
-  (void)index;
-  if (error == ERR_NOT_FOUND)
-    neighbours->membership = MEMBERSHIP_NONE;
-  schedule_membership (neighbours, error == 0 ? KEEP_MS : RETRY_MS);
+  HASH_FIND (hh, neighbours->peers, &instance_id, sizeof instance_id, peer);
+  return peer;
 }
 
-static void
-member_listing (void *user)
+static bool
+peer_is_hub (const struct neighbours *neighbours, uint64_t instance_id)
 {
-  struct neighbours *neighbours = user;
-  struct member_entry *entry;
+  const struct member_entry *entry;
 
   for (entry = neighbours->members; entry != NULL; entry = entry->hh.next)
-    entry->seen = false;
+    if (entry->id == instance_id)
+      return entry->hub;
+  return false;
 }
 
 static void
-member_listed (void *user, uint64_t index)
-{
-  struct neighbours *neighbours = user;
-  struct member_entry *entry;
-  struct member_entry *next;
-
-  (void)index;
-  HASH_ITER (hh, neighbours->members, entry, next)
-    if (!entry->seen)
-      member_gone (neighbours, entry->key);
-}
-
-static void
-member_gone (struct neighbours *neighbours, const char *key)
-{
-  struct member_entry *entry;
-
-  HASH_FIND_STR (neighbours->members, key, entry);
-  if (entry == NULL)
-    return;
-  HASH_DEL (neighbours->members, entry);
-  free (entry);
-}
-
-static int
-member_there (struct neighbours *neighbours, const char *key)
-{
-  struct member_entry *entry;
-
-  if (strlen (key) >= sizeof entry->key)
-    return ERR_INVALID;
-  HASH_FIND_STR (neighbours->members, key, entry);
-  if (entry == NULL)
-    {
-      entry = calloc (1, sizeof *entry);
-      if (entry == NULL)
-        return ERR_NO_MEMORY;
-      snprintf (entry->key, sizeof entry->key, "%s", key);
-      HASH_ADD_STR (neighbours->members, key, entry);
-    }
-  entry->seen = true;
-  return 0;
-}
-
-static void
-member_item (void *user, const struct platform_item *item)
+on_up (void *user, const struct message_hello *hello)
 {
   struct neighbours *neighbours = user;
-  char address[GATEWAY_ADDRESS_SIZE];
-  int error;
+  uint64_t instance_id = catalog_id (hello->instance);
+  struct neighbour *peer = find_peer (neighbours, instance_id);
 
-  if (item->value == NULL)
-    {
-      member_gone (neighbours, item->key);
-      return;
-    }
-  error = member_there (neighbours, item->key);
-  if (strcmp (item->key, neighbours->key) == 0)
-    return;
-  if (item->value_size >= sizeof address)
-    error = ERR_INVALID;
-  if (error == 0)
+  LOG (LOG_PEER_UP, NULL, LOG_S ("peer", hello->instance),
+       LOG_S ("address", hello->address));
+  if (peer == NULL)
     {
-      memcpy (address, item->value, item->value_size);
-      address[item->value_size] = '\0';
-      error = peernet_offer (neighbours->net, address, false);
+      peer = calloc (1, sizeof *peer);
+      if (peer == NULL)
+        return;
+      peer->instance_id = instance_id;
+      HASH_ADD (hh, neighbours->peers, instance_id, sizeof instance_id, peer);
     }
-  if (error != 0)
-    LOG (LOG_PEER_REJECTED, NULL, LOG_S ("member", item->key),
-         LOG_S ("error", err_name (error)));
+  peer->hangs = false;
+  if (!neighbours->hub && peer_is_hub (neighbours, instance_id))
+    hang_on (neighbours, instance_id);
 }
 
+/* Asks a hub for what the store says, from now on. */
 static void
-feed_failed (void *user, int error)
+hang_on (struct neighbours *neighbours, uint64_t instance_id)
 {
-  (void)user;
-  LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "members"),
-       LOG_S ("error", err_name (error)));
-}
+  const struct message request = { .kind = MESSAGE_CONFIG_REQUEST };
 
-static void
-feed_recovered (void *user, uint64_t outage_ns)
-{
-  (void)user;
-  LOG (LOG_STORE_RECOVERED, NULL, LOG_S ("for", "members"),
-       LOG_U ("outage_ms", outage_ns / CLOCK_NS_PER_MS));
-}
-
-/* Links. */
-
-static void
-on_up (void *user, const struct message_hello *hello)
-{
-  struct neighbours *neighbours = user;
-  uint64_t instance_id = catalog_id (hello->instance);
-  struct neighbour *peer;
-
-  LOG (LOG_PEER_UP, NULL, LOG_S ("peer", hello->instance),
-       LOG_S ("address", hello->address));
-  HASH_FIND (hh, neighbours->peers, &instance_id, sizeof instance_id, peer);
-  if (peer != NULL)
-    return;
-  peer = calloc (1, sizeof *peer);
-  if (peer == NULL)
-    return;
-  peer->instance_id = instance_id;
-  HASH_ADD (hh, neighbours->peers, instance_id, sizeof instance_id, peer);
-  neighbours->gateway->retryshare.instances
-      = neighbours_count (neighbours->gateway);
+  peernet_send (neighbours->net, instance_id, &request);
 }
 
 static void
 on_message (void *user, uint64_t instance_id, const struct message *message)
 {
   struct neighbours *neighbours = user;
-  struct neighbour *peer;
+  struct neighbour *peer = find_peer (neighbours, instance_id);
 
-  HASH_FIND (hh, neighbours->peers, &instance_id, sizeof instance_id, peer);
-  if (peer == NULL || message->kind != MESSAGE_LOAD)
+  if (peer == NULL)
     return;
-  replace (neighbours, peer, &message->u.load);
-  flow_capacity_changed (neighbours->gateway);
+  switch (message->kind)
+    {
+    case MESSAGE_LOAD:
+      peer->heard_ns = gateway_now_ns (neighbours->gateway);
+      neighbours_hear (neighbours, peer, &message->u.load);
+      flow_capacity_changed (neighbours->gateway);
+      break;
+    case MESSAGE_CONFIG_REQUEST:
+      peer->hangs = true;
+      send_copy (neighbours, peer);
+      break;
+    case MESSAGE_CONFIG:
+      take_items (neighbours, &message->u.config);
+      break;
+    default:
+      break;
+    }
 }
 
 static void
 on_down (void *user, uint64_t instance_id, int error)
 {
   struct neighbours *neighbours = user;
-  struct neighbour *peer;
+  struct neighbour *peer = find_peer (neighbours, instance_id);
 
-  HASH_FIND (hh, neighbours->peers, &instance_id, sizeof instance_id, peer);
   LOG (LOG_PEER_DOWN, NULL, LOG_S ("error", err_name (error)));
   if (peer == NULL)
     return;
-  apply (neighbours->gateway, &peer->load, -1);
+  neighbours_hear (neighbours, peer, NULL);
   HASH_DEL (neighbours->peers, peer);
-  free (peer->load.items);
   free (peer);
 }
 
@@ -446,124 +250,173 @@
        LOG_S ("error", err_name (error)));
 }
 
-/* Statements. */
+/* What the store says. */
 
 static void
-replace (struct neighbours *neighbours, struct neighbour *peer,
-         const struct message_load *load)
+send_copy (struct neighbours *neighbours, const struct neighbour *peer)
 {
-  size_t size = load->item_count * sizeof *load->items;
-  struct message_load_item *items = size == 0 ? NULL : malloc (size);
+  const struct mirror_item *item;
+  struct message message = { .kind = MESSAGE_CONFIG };
+  struct message_config *config = &message.u.config;
+  size_t count = HASH_COUNT (neighbours->mirror.items);
 
-  if (size > 0 && items == NULL)
+  config->objects = calloc (count + 1, sizeof *config->objects);
+  if (config->objects == NULL)
     return;
-  apply (neighbours->gateway, &peer->load, -1);
-  free (peer->load.items);
-  if (size > 0)
-    memcpy (items, load->items, size);
-  peer->load.items = items;
-  peer->load.item_count = load->item_count;
-  apply (neighbours->gateway, &peer->load, 1);
+  for (item = neighbours->mirror.items; item != NULL; item = item->hh.next)
+    config->objects[config->object_count++] = item->object;
+  config->newest_index = neighbours->gateway->upstream_feed.index;
+  config->complete = true;
+  peernet_send (neighbours->net, peer->instance_id, &message);
+  free (config->objects);
 }
 
-static uint64_t
-shift (uint64_t value, uint64_t by, int sign)
+void
+neighbours_pass_on (struct gateway *gateway, const struct platform_item *item,
+                    bool news)
 {
-  if (sign > 0)
-    return value + by;
-  return value > by ? value - by : 0;
+  struct neighbours *neighbours = gateway->neighbours;
+  struct message_object object
+      = { .index = item->index, .deleted = item->value == NULL };
+  const struct message message = { .kind = MESSAGE_CONFIG,
+                                   .u.config = { .newest_index = item->index,
+                                                 .object_count = 1,
+                                                 .objects = &object } };
+  struct neighbour *peer;
+  struct neighbour *next;
+
+  if (neighbours == NULL || mirror_put (&neighbours->mirror, item) != 0
+      || !news)
+    return;
+  memcpy (object.key, item->key, strlen (item->key) + 1);
+  object.value = (char *)item->value;
+  object.value_size = item->value_size;
+  for (peer = neighbours->peers; peer != NULL; peer = next)
+    {
+      next = peer->hh.next;
+      if (peer->hangs)
+        peernet_send (neighbours->net, peer->instance_id, &message);
+    }
 }
 
-/* Adds what a peer said to the sums of all peers, or takes it back. */
 static void
-apply (struct gateway *gateway, const struct message_load *load, int sign)
+take_items (struct neighbours *neighbours, const struct message_config *config)
 {
+  struct gateway *gateway = neighbours->gateway;
+  size_t prefix = strlen (gateway->adapter->own_prefix);
   size_t i;
 
-  for (i = 0; i < load->item_count; i++)
+  /* Who follows the store has it from there. */
+  if (!gateway->upstream_feed.paused)
+    return;
+  if (config->complete)
+    {
+      directory_copy_begin (gateway);
+      neighbours_members_begin (neighbours);
+    }
+  for (i = 0; i < config->object_count; i++)
+    {
+      const struct message_object *object = &config->objects[i];
+      const struct platform_item item
+          = { .key = object->key,
+              .value = object->deleted ? NULL : object->value,
+              .value_size = object->value_size,
+              .index = object->index };
+
+      if (strncmp (item.key, gateway->adapter->own_prefix, prefix) == 0)
+        neighbours_member_item (neighbours, &item);
+      else
+        directory_take (gateway, &item);
+    }
+  if (config->complete)
     {
-      const struct message_load_item *item = &load->items[i];
-      struct roster_upstream *upstream;
-      struct usage_customer *customer;
-
-      if (item->subject == MESSAGE_SUBJECT_UPSTREAM)
-        {
-          upstream = roster_find (&gateway->roster, item->id);
-          if (upstream == NULL)
-            continue;
-          upstream->load.peer_running = (uint32_t)shift (
-              upstream->load.peer_running, item->requests, sign);
-          upstream->load.peer_unread_tokens
-              = shift (upstream->load.peer_unread_tokens, item->tokens, sign);
-          continue;
-        }
-      customer = usage_share_customer (&gateway->usage, item->id);
-      if (customer == NULL)
+      directory_copy_end (gateway, config->newest_index);
+      neighbours_members_end (neighbours);
+    }
+}
+
+uint64_t
+neighbours_age_ns (const struct gateway *gateway)
+{
+  const struct neighbours *neighbours = gateway->neighbours;
+  uint64_t now_ns = gateway_now_ns (gateway);
+  uint64_t least = UINT64_MAX;
+  const struct neighbour *peer;
+  uint64_t age_ns;
+
+  for (peer = neighbours == NULL ? NULL : neighbours->peers; peer != NULL;
+       peer = peer->hh.next)
+    {
+      if (peer->heard_ns == 0 || peer->hangs)
         continue;
-      customer->peer_tokens
-          = shift (customer->peer_tokens, item->tokens, sign);
-      customer->peer_waiting
-          = (uint32_t)shift (customer->peer_waiting, item->requests, sign);
+      age_ns = now_ns - peer->heard_ns + peer->load.age_ms * CLOCK_NS_PER_MS;
+      if (age_ns < least)
+        least = age_ns;
     }
+  return least;
 }
 
+/* The beat. */
+
 static void
 on_statement (evutil_socket_t fd, short what, void *arg)
 {
   struct neighbours *neighbours = arg;
-  struct gateway *gateway = neighbours->gateway;
-  size_t max = HASH_COUNT (gateway->roster.upstreams)
-               + HASH_COUNT (gateway->usage.customers);
-  struct message message = { .kind = MESSAGE_LOAD };
-  struct neighbour *peer;
-  struct neighbour *next;
+  uint64_t now_ns = gateway_now_ns (neighbours->gateway);
 
   (void)fd;
   (void)what;
-  if (neighbours->peers == NULL)
-    return;
-  message.u.load.items = calloc (max + 1, sizeof *message.u.load.items);
-  if (message.u.load.items == NULL)
-    return;
-  message.u.load.item_count = compose (gateway, message.u.load.items, max);
-  /* A link that fails in sending is taken away within the loop. */
-  for (peer = neighbours->peers; peer != NULL; peer = next)
+  if (neighbours->members_changed)
+    neighbours_assign (neighbours);
+  neighbours->gateway->retryshare.instances
+      = neighbours_count (neighbours->gateway);
+  check_lag (neighbours, now_ns);
+  follow_or_not (neighbours, now_ns);
+  neighbours_state (neighbours);
+}
+
+/* Others have read more of the store for a while: this one's calls hang, and
+   nobody is to rely on what it knows. */
+static void
+check_lag (struct neighbours *neighbours, uint64_t now_ns)
+{
+  const struct feed *feed = &neighbours->gateway->upstream_feed;
+  const struct neighbour *peer;
+  uint64_t newest = 0;
+
+  for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->load.store_index > newest)
+      newest = peer->load.store_index;
+  if (feed->paused || feed->index >= neighbours->aim_index)
     {
-      next = peer->hh.next;
-      peernet_send (neighbours->net, peer->instance_id, &message);
+      neighbours->lags = false;
+      neighbours->aim_index = newest;
+      neighbours->aim_ns = now_ns;
     }
-  message_finish (&message);
+  else if (now_ns - neighbours->aim_ns > LAG_MS * CLOCK_NS_PER_MS)
+    neighbours->lags = true;
 }
 
-static size_t
-compose (struct gateway *gateway, struct message_load_item *items, size_t max)
+/* Hubs follow the store; others do while no hub is fresh. */
+static void
+follow_or_not (struct neighbours *neighbours, uint64_t now_ns)
 {
-  uint64_t now_ns = gateway_now_ns (gateway);
-  const struct roster_upstream *upstream;
-  struct usage_customer *customer;
-  size_t count = 0;
-
-  for (upstream = gateway->roster.upstreams; upstream != NULL && count < max;
-       upstream = upstream->hh.next)
-    if (upstream->load.running > 0 || upstream->load.unread_tokens > 0)
-      items[count++] = (struct message_load_item){
-        .id = upstream->id,
-        .subject = MESSAGE_SUBJECT_UPSTREAM,
-        .requests = upstream->load.running,
-        .tokens = upstream->load.unread_tokens,
-      };
-  for (customer = gateway->usage.customers; customer != NULL && count < max;
-       customer = customer->hh.next)
+  struct gateway *gateway = neighbours->gateway;
+  uint64_t patience_ms = ALONE_MS + neighbours->self_id % ALONE_SPREAD_MS;
+
+  if (neighbours->hub)
+    {
+      directory_follow (gateway, true);
+      return;
+    }
+  if (neighbours_age_ns (gateway) < FRESH_MS * CLOCK_NS_PER_MS
+      && gateway->upstreams_held)
     {
-      uint64_t tokens = usage_share_own (&gateway->usage, customer, now_ns);
-
-      if (tokens > 0 || customer->waiting > 0)
-        items[count++] = (struct message_load_item){
-          .id = customer->customer_id,
-          .subject = MESSAGE_SUBJECT_CUSTOMER,
-          .requests = customer->waiting,
-          .tokens = tokens,
-        };
+      neighbours->fresh_ns = now_ns;
+      if (!gateway->upstream_feed.paused)
+        directory_follow (gateway, false);
     }
-  return count;
+  else if (neighbours->listed
+           && now_ns - neighbours->fresh_ns > patience_ms * CLOCK_NS_PER_MS)
+    directory_follow (gateway, true);
 }
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1265,7 +1265,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[4] =
 {
   {
     "names",
@@ -1291,15 +1291,41 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, store_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
   1,   /* field[1] = items */
   0,   /* field[0] = names */
+  2,   /* field[2] = store_index */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1309,7 +1335,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  2,
+  4,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -198,10 +198,12 @@
   uint64_t *names;
   size_t n_items;
   uint64_t *items;
+  uint64_t store_index;
+  uint32_t age_ms;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0 }
 
 
 typedef enum {
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -490,6 +490,8 @@
       add (out, load->items[i].tokens);
     }
   peer__load__init (wire);
+  wire->store_index = load->store_index;
+  wire->age_ms = load->age_ms;
   wire->n_names = out->name_count;
   wire->names = out->names;
   wire->n_items = out->item_count;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -452,6 +452,8 @@
     rc = rows_init (&rows, decoder, wire->items, wire->n_items, LOAD_COLUMNS);
   if (rc != 0)
     return rc;
+  load->store_index = wire->store_index;
+  load->age_ms = wire->age_ms;
   rc = items_new ((void **)&load->items, rows.count, sizeof *item);
   load->item_count = rc == 0 ? rows.count : 0;
   for (i = 0; rc == 0 && i < rows.count; i++)
--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -77,6 +77,7 @@
 roster_put (struct roster *roster, const struct roster_record *record)
 {
   struct roster_upstream *known = find_identity (roster, record->identity);
+  bool changed;
 
   if (known == NULL)
     return add (roster, record);
@@ -90,11 +91,16 @@
       remove_upstream (roster, known);
       return add (roster, record);
     }
-  if (known->record.draining != record->draining || known->missing_ns != 0)
+  changed = known->record.draining != record->draining
+            || known->record.slots != record->slots
+            || strcmp (known->record.availability_zone,
+                       record->availability_zone)
+                   != 0;
+  if (changed || known->missing_ns != 0)
     roster->generation++;
   known->record = *record;
   known->missing_ns = 0;
-  return 0;
+  return changed ? ROSTER_CHANGED : 0;
 }
 
 static int
@@ -111,7 +117,7 @@
             strlen (upstream->record.identity), upstream);
   HASH_ADD (hh_id, roster->by_id, id, sizeof (upstream->id), upstream);
   roster->generation++;
-  return 0;
+  return ROSTER_CHANGED;
 }
 
 static void
@@ -123,7 +129,7 @@
   HASH_DELETE (hh_id, roster->by_id, upstream);
   /* NOLINTEND(clang-analyzer-unix.Malloc) */
   if (roster->removed != NULL)
-    roster->removed (roster->user, upstream->id);
+    roster->removed (roster->user, upstream);
   free (upstream);
   roster->generation++;
 }
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -16,6 +16,7 @@
 
 #define ROSTER_IDENTITY_SIZE 128 /**< bytes of an identity with its NUL */
 #define ROSTER_ADDRESS_SIZE  64  /**< bytes of "IP:PORT" with its NUL */
+#define ROSTER_CHANGED 1 /**< roster_put: others must know */
 #define ROSTER_ZONE_SIZE     64  /**< bytes of a zone with its NUL */
 
 /** What an upstream announces. */
@@ -62,7 +63,7 @@
   struct roster_upstream *by_id;
   uint64_t generation; /**< changes with the set of usable upstreams */
   /** Called when an entry goes; may be NULL. */
-  void (*removed) (void *user, uint64_t upstream_id);
+  void (*removed) (void *user, const struct roster_upstream *upstream);
   void *user;
 };
 
@@ -70,7 +71,8 @@
 void roster_finish (struct roster *roster);
 
 /** Notes what an upstream announced; an older revision changes nothing.
-    @return 0, ERR_STALE or ERR_NO_MEMORY. */
+    @return ROSTER_CHANGED when others must know, 0 when only its revision or
+    nothing is new, ERR_STALE or ERR_NO_MEMORY. */
 int roster_put (struct roster *roster, const struct roster_record *record);
 
 /** The store lacks an identity as of a revision; the entry goes after
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -215,7 +215,8 @@
   struct peernet_slot *old = NULL;
   uint64_t peer_id = catalog_id (hello->instance);
 
-  note_address (net, hello);
+  if (!net->config.offered_only)
+    note_address (net, hello);
   if (slot->target != NULL)
     peernet_target_up (slot->target, hello);
   HASH_FIND (hh, net->peers, &peer_id, sizeof peer_id, old);
@@ -229,7 +230,8 @@
   slot->peer_id = peer_id;
   HASH_ADD (hh, net->peers, peer_id, sizeof slot->peer_id, slot);
   net->config.events->up (net->config.user, hello);
-  tell_addresses (net, slot);
+  if (!net->config.offered_only)
+    tell_addresses (net, slot);
 }
 
 static void
@@ -237,6 +239,8 @@
 {
   struct peernet *net = user;
 
+  if (message->kind == MESSAGE_ADDRESSES && net->config.offered_only)
+    return;
   if (message->kind == MESSAGE_ADDRESSES)
     take_addresses (net, &message->u.addresses);
   else
@@ -265,6 +269,16 @@
     net->config.events->down (net->config.user, peer_id, error);
 }
 
+void
+peernet_slot_end (struct peernet *net, struct peernet_slot *slot)
+{
+  uint64_t peer_id = slot->peer_id;
+
+  slot_free (net, slot);
+  if (peer_id != 0)
+    net->config.events->down (net->config.user, peer_id, ERR_CANCELED);
+}
+
 static struct peernet_slot *
 slot_of (const struct peernet *net, const struct peerlink *link)
 {
--- a/src/transport/peernet.h
+++ b/src/transport/peernet.h
@@ -12,6 +12,7 @@
 #include "transport/clock.h"
 #include "transport/peerlink.h"
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,6 +43,7 @@
   struct message_hello self; /**< its address is filled in after listening */
   const char *listen_address;
   const char *advertised_address; /**< told to peers; NULL: the one bound */
+  bool offered_only; /**< dials what was offered, and learns no addresses */
   const char *secret;
   uint32_t handshake_ms;
   uint32_t idle_ms;
@@ -58,6 +60,9 @@
     @return 0, ERR_INVALID, ERR_FULL, ERR_NO_MEMORY. */
 int peernet_offer (struct peernet *net, const char *address, bool seed);
 
+/** Forgets an address that was offered, and ends the link dialed there. */
+void peernet_withdraw (struct peernet *net, const char *address);
+
 /** Sends to a peer. @return 0, ERR_NOT_FOUND without a link, or an error of
     peerlink_send. */
 int peernet_send (struct peernet *net, uint64_t instance_id,
--- a/src/transport/peernet_dial.c
+++ b/src/transport/peernet_dial.c
@@ -45,6 +45,24 @@
   return 0;
 }
 
+void
+peernet_withdraw (struct peernet *net, const char *address)
+{
+  struct peernet_target *target = NULL;
+  struct peernet_slot *slot;
+
+  HASH_FIND_STR (net->targets, address, target);
+  if (target == NULL)
+    return;
+  for (slot = net->slots; slot != NULL; slot = slot->next)
+    if (slot->target == target)
+      break;
+  if (slot != NULL)
+    peernet_slot_end (net, slot);
+  HASH_DEL (net->targets, target);
+  free (target);
+}
+
 void
 peernet_hint (struct peernet *net, const char *address)
 {
--- a/src/transport/peernet_int.h
+++ b/src/transport/peernet_int.h
@@ -57,6 +57,8 @@
 /** Adds a connection. @return NULL without memory; the socket is closed. */
 struct peernet_slot *peernet_slot_new (struct peernet *net, int fd,
                                        struct peernet_target *target);
+/** Ends a connection; a link that was up is told to be down. */
+void peernet_slot_end (struct peernet *net, struct peernet_slot *slot);
 /** The connection to a target ended, or could not be made. */
 void peernet_target_failed (struct peernet *net,
                             struct peernet_target *target);
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -51,8 +51,8 @@
   { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
   { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
   { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
-  { .kind = MESSAGE_LOAD, .u.load = { 2, loads } },
-  { .kind = MESSAGE_LOAD, .u.load = { 0, NULL } },
+  { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 2, loads } },
+  { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -13,10 +13,10 @@
 static uint64_t removed_count;
 
 static void
-on_removed (void *user, uint64_t upstream_id)
+on_removed (void *user, const struct roster_upstream *upstream)
 {
   (void)user;
-  (void)upstream_id;
+  (void)upstream;
   removed_count++;
 }
 
@@ -123,10 +123,10 @@
   put (&roster, "a", 1000, 1, false);
   first = roster.upstreams->id;
   roster.upstreams->load.running = 3;
-  put (&roster, "a", 1000, 2, false);
+  CU_ASSERT_EQUAL (put (&roster, "a", 1000, 2, false), 0);
   CU_ASSERT_EQUAL (roster.upstreams->id, first);
   CU_ASSERT_EQUAL (roster.upstreams->load.running, 3);
-  put (&roster, "a", 2000, 3, false);
+  CU_ASSERT_EQUAL (put (&roster, "a", 2000, 3, false), ROSTER_CHANGED);
   CU_ASSERT_NOT_EQUAL (roster.upstreams->id, first);
   CU_ASSERT_EQUAL (roster.upstreams->load.running, 0);
   CU_ASSERT_EQUAL (removed_count, 1);
