Read nothing again while the fleet is crowded; yield by crowding; count load once

Instances that hang on two hubs took both hubs' sums of load (a customer's 2 M tokens stood as 4 M). Ruled out: slots (running at start 6 to 13 of 32), eviction. Change: one hub's sums count; what a customer had matters as far as the fleet is crowded; no prompt leaves its home while it is; hubs are the largest machines of a zone.

--- a/src/coordination/hubs.c
+++ b/src/coordination/hubs.c
@@ -31,6 +31,8 @@
 
   if (first->zone_id != second->zone_id)
     return first->zone_id < second->zone_id ? -1 : 1;
+  if (first->capacity != second->capacity)
+    return first->capacity > second->capacity ? -1 : 1;
   if (first->id != second->id)
     return first->id < second->id ? -1 : 1;
   return 0;
--- a/src/coordination/hubs.h
+++ b/src/coordination/hubs.h
@@ -22,11 +22,13 @@
 struct hubs_member
 {
   uint64_t id;
-  uint64_t zone_id; /**< of its availability zone */
-  bool hub;         /**< worked out */
+  uint64_t zone_id;  /**< of its availability zone */
+  uint32_t capacity; /**< of its processor, in thousandths of a core */
+  bool hub;          /**< worked out */
 };
 
-/** Marks the hubs among members, sorting them by zone and id. */
+/** Marks the hubs among members, the largest of each zone, sorting them by
+    zone, capacity and id. */
 void hubs_assign (struct hubs_member *members, size_t count);
 
 #endif
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -23,13 +23,15 @@
    fleet is not. */
 #define PATIENT_PERMILLE   6000
 #define IMPATIENT_PERMILLE 500
-#define IDLE_MS            60 /* of reading that an engine may have ahead */
+#define SPARE_CROWDING     0.5 /* beyond, nothing is spared for reading again */
+#define IDLE_MS            60  /* of reading that an engine may have ahead */
 
 /* Customers that differ by less than a large request are alike. */
 #define YIELD_SLACK_TOKENS 20000
 
 static bool admissible (struct flow *flow, const struct choose_result *result);
 static uint32_t yield_to_poorer (struct flow *flow, uint32_t limit_ms);
+static double crowding_of (const struct gateway *gateway);
 static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow);
@@ -79,9 +81,11 @@
   uint64_t now_ns = gateway_now_ns (flow->gateway);
   uint64_t half_ns = (flow->wait.expiry_ns - flow->arrival_ns) / 2;
 
-  return flow->wait.waits && now_ns - flow->arrival_ns < half_ns
-             ? PATIENT_PERMILLE
-             : IMPATIENT_PERMILLE;
+  if (flow->wait.waits
+      && (now_ns - flow->arrival_ns < half_ns
+          || flow->gateway->crowding > SPARE_CROWDING))
+    return PATIENT_PERMILLE;
+  return IMPATIENT_PERMILLE;
 }
 
 /* Even a request that could begin at once goes through the line, so that it
@@ -160,7 +164,37 @@
     return limit_ms;
   part = (double)(level + YIELD_SLACK_TOKENS)
          / (double)(used + YIELD_SLACK_TOKENS);
-  return (uint32_t)(limit_ms * part * part);
+  return (uint32_t)(limit_ms * (1 - (1 - part * part) * gateway->crowding));
+}
+
+/* Part of the room of all engines that is taken, doubled: what a customer had
+   matters the less, the more of the fleet is free. */
+static double
+crowding_of (const struct gateway *gateway)
+{
+  const struct gateway_service *service;
+  const struct roster_upstream *upstream;
+  double taken = 0;
+  double room = 0;
+  uint64_t ahead;
+  uint64_t most;
+
+  for (service = gateway->services; service != NULL;
+       service = service->hh.next)
+    for (upstream = gateway->roster.upstreams; upstream != NULL;
+         upstream = upstream->hh.next)
+      {
+        if (!roster_usable (upstream, service->id))
+          continue;
+        most = pace_tokens (&service->pace, ADMIT_MS);
+        ahead
+            = upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
+        taken += (double)(ahead < most ? ahead : most);
+        room += (double)most;
+      }
+  if (room <= 0)
+    return 1;
+  return taken * 2 > room ? 1 : taken * 2 / room;
 }
 
 static bool
@@ -201,7 +235,8 @@
               service == NULL ? 0 : pace_tokens (&service->pace, ADMIT_MS)),
        LOG_U ("had_tokens", usage_share_used (&gateway->usage,
                                               flow->wait.customer_id, now_ns)),
-       LOG_U ("others_had_tokens", gateway->level_tokens));
+       LOG_U ("others_had_tokens", gateway->level_tokens),
+       LOG_U ("crowding_percent", (uint64_t)(gateway->crowding * 100)));
 }
 
 void
@@ -223,6 +258,7 @@
   if (gateway->waitline.count == 0)
     return;
   gateway->level_tokens = usage_share_level (&gateway->usage, now_ns);
+  gateway->crowding = crowding_of (gateway);
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
   while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,7 @@
   struct retryshare retryshare;
   struct usage_share usage;
   uint64_t level_tokens; /**< of late, on the mean of those that wait */
+  double crowding;       /**< 0: engines are free; 1: they are not */
   struct waitline waitline;
   struct gateway_service *services; /**< uthash by id */
   struct neighbours *neighbours;    /**< owned */
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
   char store_address[GATEWAY_ADDRESS_SIZE];
   bool bootstrap;             /**< the whole fleet starts for the first time */
   uint32_t connections_max;   /**< sockets of all kinds */
+  uint32_t cpu_permille;      /**< of a core, that the process may use */
   uint32_t memory_mb;         /**< of the process */
   uint32_t grace_ms;          /**< from the signal to stop to the end */
   uint32_t upstream_leave_ms; /**< a leaving upstream still serves so long */
--- a/src/gateway/neighbours_int.h
+++ b/src/gateway/neighbours_int.h
@@ -32,6 +32,7 @@
   char address[GATEWAY_ADDRESS_SIZE];
   uint64_t id;
   uint64_t zone_id;
+  uint32_t capacity;
   bool hub;
   bool offered; /**< its address, to dial */
   bool seen;    /**< in the listing being read */
--- a/src/gateway/neighbours_load.c
+++ b/src/gateway/neighbours_load.c
@@ -45,6 +45,8 @@
 static void send_sums (struct neighbours *neighbours,
                        const struct neighbour *peer, const struct sums *sums);
 static const struct neighbour *primary (const struct neighbours *neighbours);
+static bool counts (const struct neighbours *neighbours,
+                    const struct neighbour *peer);
 
 void
 neighbours_hear (struct neighbours *neighbours, struct neighbour *peer,
@@ -62,6 +64,8 @@
     memcpy (items, load->items, size);
   peer->load = *load;
   peer->load.items = items;
+  if (!counts (neighbours, peer))
+    peer->load.item_count = 0;
   apply (neighbours->gateway, &peer->load, 1);
 }
 
@@ -113,7 +117,7 @@
 {
   uint64_t now_ns = gateway_now_ns (neighbours->gateway);
   struct sums sums = { .size = subjects (neighbours) };
-  const struct neighbour *hub = primary (neighbours);
+  const struct neighbour *hub = neighbours->hub ? NULL : primary (neighbours);
   struct neighbour *peer;
   struct neighbour *next;
 
@@ -153,28 +157,27 @@
 }
 
 /* The hub that this instance states its load to: one only, or it would be
-   counted twice.  The others' word of load is not taken. */
+   counted twice. */
 static const struct neighbour *
 primary (const struct neighbours *neighbours)
 {
   const struct neighbour *first = NULL;
-  struct neighbour *peer;
+  const struct neighbour *peer;
 
-  if (neighbours->hub)
-    return NULL;
   for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
     if (!peer->hangs
         && (first == NULL || peer->instance_id < first->instance_id))
       first = peer;
-  for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
-    if (!peer->hangs && peer != first && peer->load.item_count > 0)
-      {
-        apply (neighbours->gateway, &peer->load, -1);
-        peer->load.item_count = 0;
-      }
   return first;
 }
 
+/* What all others have is told by each hub, and taken from one. */
+static bool
+counts (const struct neighbours *neighbours, const struct neighbour *peer)
+{
+  return neighbours->hub || peer->hangs || peer == primary (neighbours);
+}
+
 static size_t
 subjects (const struct neighbours *neighbours)
 {
--- a/src/gateway/neighbours_members.c
+++ b/src/gateway/neighbours_members.c
@@ -124,13 +124,14 @@
   struct neighbours *neighbours = user;
   struct gateway *gateway = neighbours->gateway;
   struct platform *platform = gateway->platform;
-  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE];
+  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16];
   const struct platform_item put
       = { .key = neighbours->key,
           .value = value,
-          .value_size = (size_t)snprintf (
-              value, sizeof value, "%s %s", peernet_address (neighbours->net),
-              gateway->settings.availability_zone) };
+          .value_size = (size_t)snprintf (value, sizeof value, "%s %s %u",
+                                          peernet_address (neighbours->net),
+                                          gateway->settings.availability_zone,
+                                          gateway->settings.cpu_permille) };
   const struct platform_commit commit
       = { .puts = &put, .put_count = 1, .lease = lease };
 
@@ -205,14 +206,15 @@
   neighbours->members_changed = true;
 }
 
-/* Its value is "ADDRESS ZONE". */
+/* Its value is "ADDRESS ZONE CAPACITY". */
 static int
 there (struct neighbours *neighbours, const struct platform_item *item)
 {
   size_t prefix = strlen (neighbours->gateway->adapter->own_prefix);
   struct member_entry *entry;
-  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE];
+  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16];
   char *zone;
+  char *capacity;
 
   if (item->value_size >= sizeof value || strlen (item->key) < prefix
       || strlen (item->key) >= sizeof entry->key)
@@ -223,6 +225,10 @@
   if (zone == NULL || zone - value >= (ptrdiff_t)sizeof entry->address)
     return ERR_INVALID;
   *zone++ = '\0';
+  capacity = strchr (zone, ' ');
+  if (capacity == NULL)
+    return ERR_INVALID;
+  *capacity++ = '\0';
   HASH_FIND_STR (neighbours->members, item->key, entry);
   if (entry != NULL && strcmp (entry->address, value) != 0)
     {
@@ -238,6 +244,7 @@
       memcpy (entry->address, value, strlen (value) + 1);
       entry->id = catalog_id (item->key + prefix);
       entry->zone_id = catalog_id (zone);
+      entry->capacity = (uint32_t)strtoul (capacity, NULL, 10);
       HASH_ADD_STR (neighbours->members, key, entry);
       neighbours->members_changed = true;
     }
@@ -319,13 +326,17 @@
   neighbours->members_changed = false;
   for (entry = neighbours->members; entry != NULL; entry = entry->hh.next)
     {
-      members[count++]
-          = (struct hubs_member){ .id = entry->id, .zone_id = entry->zone_id };
+      members[count++] = (struct hubs_member){ .id = entry->id,
+                                               .zone_id = entry->zone_id,
+                                               .capacity = entry->capacity };
       self = self || entry->id == neighbours->self_id;
     }
   if (!self)
-    members[count++] = (struct hubs_member){ .id = neighbours->self_id,
-                                             .zone_id = neighbours->zone_id };
+    members[count++] = (struct hubs_member){
+      .id = neighbours->self_id,
+      .zone_id = neighbours->zone_id,
+      .capacity = neighbours->gateway->settings.cpu_permille,
+    };
   hubs_assign (members, count);
   for (i = 0; i < count; i++)
     if (members[i].id == neighbours->self_id)
