Look at four homes and the idlest engine; passes get a tenth of the processor

Change: a prompt's first four homes are kept while the roster stands and the idlest engine is found once a pass; passes rest nine times as long as they took; a gateway whose loop lags by 150 ms sends new requests away at once, and drops those whose clients have left while they lay unread.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -16,6 +16,9 @@
 /* Time that a client without a limit of its own is taken to wait. */
 #define WAIT_USUAL_MS 60000
 
+/* The loop's beat is 20 ms; so late, requests lie unread for as long. */
+#define LAG_MS 150
+
 /** What a request is checked into before it is taken in. */
 struct intake
 {
@@ -28,6 +31,7 @@
                              struct intake *intake);
 static enum refusal unknown (const struct gateway *gateway,
                              enum refusal refusal);
+static bool lagging (const struct gateway *gateway);
 static bool too_late (const struct gateway *gateway,
                       const struct route *route);
 static struct flow *flow_new (struct gateway *gateway, evhtp_request_t *http,
@@ -43,10 +47,18 @@
 {
   struct gateway *gateway = user;
   struct intake intake = { .route = NULL };
-  enum refusal refusal = take_in (gateway, http, &intake);
   struct flow *flow = NULL;
+  enum refusal refusal;
 
   gateway->counters.arrived++;
+  if (lagging (gateway) && httpd_closed (http))
+    {
+      /* Its client has left while it lay unread. */
+      gateway->counters.canceled++;
+      httpd_abort (http);
+      return;
+    }
+  refusal = take_in (gateway, http, &intake);
   if (refusal == REFUSAL_NONE)
     flow = flow_new (gateway, http, &intake);
   if (flow == NULL)
@@ -84,9 +96,20 @@
     intake->customer = routing_customer (routing, intake->ask.key);
   if (!intake->route->keyless && intake->customer == NULL)
     return unknown (gateway, REFUSAL_NO_KEY);
+  if (lagging (gateway))
+    return REFUSAL_CONNECTIONS;
   return too_late (gateway, intake->route) ? REFUSAL_DRAINING : REFUSAL_NONE;
 }
 
+/* This instance is behind with what has arrived: what it takes in besides
+   would be late, and others have room. */
+static bool
+lagging (const struct gateway *gateway)
+{
+  return gateway_now_ns (gateway) - gateway->tick_ns
+         > LAG_MS * CLOCK_NS_PER_MS;
+}
+
 /* A request that might not end before this instance does is sent away. */
 static bool
 too_late (const struct gateway *gateway, const struct route *route)
@@ -319,7 +342,8 @@
   if (body != NULL)
     evbuffer_add (http->buffer_out, body, strlen (body));
   free (body);
-  if (gateway->draining)
+  /* A new connection leads to another instance. */
+  if (gateway->draining || refusal == REFUSAL_CONNECTIONS)
     evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   evhtp_send_reply (http, info->status);
   LOG (LOG_REQUEST_REFUSED, id, LOG_S ("reason", info->code),
--- a/src/gateway/flow_attempt.c
+++ b/src/gateway/flow_attempt.c
@@ -18,6 +18,7 @@
 #define UPSTREAM_IDLE_MS 30000 /* kept open so long when it does not say */
 
 static void charge (struct flow *flow, struct roster_upstream *upstream);
+static uint64_t idlest (struct flow *flow);
 static void discharge (struct flow *flow);
 static void began (struct flow *flow);
 static void observe (struct flow *flow);
@@ -45,12 +46,35 @@
   .draining = on_draining,
 };
 
+/* Found once a pass: of many engines that are idle, any will do. */
+static uint64_t
+idlest (struct flow *flow)
+{
+  struct gateway *gateway = flow->gateway;
+  struct gateway_service *service;
+
+  if (flow->ask.prompt.part_count == 0)
+    return 0;
+  service = flow_service (flow);
+  if (service == NULL)
+    return 0;
+  if (service->idlest_pass != gateway->passes)
+    {
+      service->idlest_pass = gateway->passes;
+      service->idlest_id = choose_idlest (&gateway->roster, service->id,
+                                          gateway_now_ns (gateway));
+    }
+  return service->idlest_id;
+}
+
 void
 flow_choose (struct flow *flow, struct choose_result *result)
 {
   struct gateway *gateway = flow->gateway;
   const struct choose_request request = {
     .service_id = flow->service->id,
+    .homes = &flow->homes,
+    .idlest_id = idlest (flow),
     .prompt = &flow->ask.prompt,
     .availability_zone = gateway->settings.availability_zone,
     .avoid = flow->tried,
@@ -102,6 +126,7 @@
   flow->upstream_id = upstream->id;
   flow->unread_tokens = result->unread_tokens;
   flow->begin_tokens = result->ahead_tokens + result->unread_tokens;
+  gateway->passes++;
   flow->start_ns = now_ns;
   flow->began = flow->discard = flow->paused = false;
   if (flow->tried_count < CHOOSE_AVOID_MAX)
--- a/src/gateway/flow_int.h
+++ b/src/gateway/flow_int.h
@@ -43,6 +43,7 @@
   bool granted;   /**< that trial was drawn from the budget */
   bool paused;
   struct waitline_item wait;
+  struct choose_homes homes;
   uint32_t unread_tokens; /**< charged to the upstream until it begins */
   uint64_t begin_tokens;  /**< that it reads until this request begins */
   uint64_t start_ns;      /**< of the attempt */
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -26,6 +26,9 @@
 #define SPARE_CROWDING     0.5 /* beyond, nothing is spared for reading again */
 #define IDLE_MS            60  /* of reading that an engine may have ahead */
 
+/* Passes rest so many times as long as the last one took: they get a tenth of
+   the processor at most. */
+#define PASS_REST 9
 /* Customers that differ by less than a large request are alike. */
 #define YIELD_SLACK_TOKENS 20000
 
@@ -257,6 +260,10 @@
   (void)what;
   if (gateway->waitline.count == 0)
     return;
+  /* With a long line a pass costs more than what it finds is worth. */
+  if (now_ns - gateway->pass_end_ns < gateway->pass_cost_ns * PASS_REST)
+    return;
+  gateway->passes++;
   gateway->level_tokens = usage_share_level (&gateway->usage, now_ns);
   gateway->crowding = crowding_of (gateway);
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
@@ -269,4 +276,6 @@
           RETRY_AFTER_MIN_MS
               + (uint32_t)rng_below (&gateway->rng, RETRY_AFTER_SPAN_MS));
     }
+  gateway->pass_end_ns = gateway_now_ns (gateway);
+  gateway->pass_cost_ns = gateway->pass_end_ns - now_ns;
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -256,6 +256,7 @@
 
   (void)fd;
   (void)what;
+  gateway->tick_ns = now_ns;
   roster_age (&gateway->roster, now_ns);
   flow_pass (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,8 @@
 {
   uint64_t id;
   struct pace pace;
+  uint64_t idlest_id;   /**< engine with the least to read ... */
+  uint64_t idlest_pass; /**< ... as of this pass */
   UT_hash_handle hh;
 };
 
@@ -82,6 +84,9 @@
   struct usage_share usage;
   uint64_t level_tokens; /**< of late, on the mean of those that wait */
   double crowding;       /**< 0: engines are free; 1: they are not */
+  uint64_t passes;       /**< changes with what is known of load */
+  uint64_t pass_end_ns;  /**< of the last offering of waiting requests ... */
+  uint64_t pass_cost_ns; /**< ... and how long it took */
   struct waitline waitline;
   struct gateway_service *services; /**< uthash by id */
   struct neighbours *neighbours;    /**< owned */
@@ -92,6 +97,7 @@
   struct rng rng;
   struct event *tick;
   uint64_t ticks;
+  uint64_t tick_ns; /**< of the last one */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reads the settings again, at SIGHUP; may be NULL. */
   void (*reread) (void *user);
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -21,14 +21,6 @@
 /* Slots in thousandths that an upstream in another zone must be freer by. */
 #define ZONE_PERMILLE 100
 
-struct candidate
-{
-  struct roster_upstream *upstream;
-  uint64_t cost;
-  uint64_t order; /* rendezvous hash; the home has the greatest */
-  uint32_t unread_tokens;
-};
-
 static bool usable (const struct roster_upstream *upstream,
                     const struct choose_request *request, bool strict);
 static void choose_engine (const struct roster *roster,
@@ -39,6 +31,13 @@
                           const struct choose_request *request, bool strict,
                           struct choose_result *result);
 static uint64_t order_of (uint64_t home, uint64_t upstream_id);
+static void find_homes (const struct roster *roster,
+                        const struct choose_request *request);
+static void consider (const struct prefixes *prefixes,
+                      const struct choose_request *request,
+                      struct roster_upstream *upstream, uint32_t rank,
+                      uint64_t *best_cost, struct choose_result *result);
+static uint64_t running_cost (const struct roster_upstream *upstream);
 static uint64_t ahead_of (const struct roster_upstream *upstream);
 static uint64_t taken_permille (const struct roster_upstream *upstream,
                                 const struct choose_request *request);
@@ -88,56 +87,126 @@
   return upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
 }
 
+/* Only when upstreams have come or gone are all looked at. */
+static void
+find_homes (const struct roster *roster, const struct choose_request *request)
+{
+  struct choose_homes *homes = request->homes;
+  uint64_t home = prompt_home (request->prompt);
+  uint64_t orders[CHOOSE_HOMES_MAX];
+  const struct roster_upstream *upstream;
+  uint64_t order;
+  uint32_t i;
+
+  if (homes->count > 0 && homes->generation == roster->generation)
+    return;
+  homes->generation = roster->generation;
+  homes->count = 0;
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      if (!roster_usable (upstream, request->service_id))
+        continue;
+      order = order_of (home, upstream->id);
+      if (homes->count == CHOOSE_HOMES_MAX
+          && order <= orders[CHOOSE_HOMES_MAX - 1])
+        continue;
+      if (homes->count < CHOOSE_HOMES_MAX)
+        homes->count++;
+      for (i = homes->count - 1; i > 0 && orders[i - 1] < order; i--)
+        {
+          orders[i] = orders[i - 1];
+          homes->ids[i] = homes->ids[i - 1];
+        }
+      orders[i] = order;
+      homes->ids[i] = upstream->id;
+    }
+}
+
+uint64_t
+choose_idlest (const struct roster *roster, uint64_t service_id,
+               uint64_t now_ns)
+{
+  const struct roster_upstream *upstream;
+  uint64_t least = UINT64_MAX;
+  uint64_t id = 0;
+  uint64_t cost;
+
+  for (upstream = roster->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      if (!roster_usable (upstream, service_id)
+          || outlier_avoided (&upstream->outlier, now_ns))
+        continue;
+      cost = ahead_of (upstream) + running_cost (upstream);
+      if (cost >= least)
+        continue;
+      least = cost;
+      id = upstream->id;
+    }
+  return id;
+}
+
+static uint64_t
+running_cost (const struct roster_upstream *upstream)
+{
+  return (uint64_t)(upstream->load.running + upstream->load.peer_running)
+         * RUNNING_TOKENS;
+}
+
 static void
 choose_engine (const struct roster *roster, const struct prefixes *prefixes,
                const struct choose_request *request, bool strict,
                struct choose_result *result)
 {
-  const struct prompt *prompt = request->prompt;
-  uint64_t home = prompt_home (prompt);
-  uint64_t best_order = 0;
   uint64_t best_cost = UINT64_MAX;
-  struct roster_upstream *upstream;
+  uint32_t rank = 0;
+  uint32_t i;
 
-  /* The home is taken to keep what is shared: whoever came first went there.
-   */
-  for (upstream = roster->upstreams; upstream != NULL;
-       upstream = upstream->hh.next)
-    if (usable (upstream, request, strict)
-        && order_of (home, upstream->id) >= best_order)
-      best_order = order_of (home, upstream->id);
-  for (upstream = roster->upstreams; upstream != NULL;
-       upstream = upstream->hh.next)
+  find_homes (roster, request);
+  for (i = 0; i <= request->homes->count; i++)
     {
-      uint64_t order = order_of (home, upstream->id);
-      uint32_t last = prompt->parts[prompt->part_count - 1].tokens;
-      uint32_t kept;
-      uint32_t unread;
-      uint64_t cost;
+      uint64_t id = i < request->homes->count ? request->homes->ids[i]
+                                              : request->idlest_id;
+      struct roster_upstream *upstream = roster_find (roster, id);
 
-      if (!usable (upstream, request, strict))
-        continue;
-      kept = prefixes_kept (prefixes, upstream->id, prompt,
-                            KEPT_FRESH_MS * NS_PER_MS, request->now_ns);
-      if (order == best_order && kept + last < prompt->input_tokens)
-        kept = prompt->input_tokens - last;
-      unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
-      cost = ahead_of (upstream) + unread
-             + (uint64_t)(unread > last ? unread - last : 0)
-                   * request->reread_permille / 1000
-             + (uint64_t)(upstream->load.running + upstream->load.peer_running)
-                   * RUNNING_TOKENS
-             + (order == best_order ? 0 : RANK_TOKENS * (8 - (order >> 61)));
-      if (cost >= best_cost)
+      if (upstream == NULL || !usable (upstream, request, strict))
         continue;
-      best_cost = cost;
-      result->upstream = upstream;
-      result->unread_tokens = unread;
-      result->ahead_tokens = ahead_of (upstream);
-      result->home = order == best_order;
+      consider (prefixes, request, upstream, rank++, &best_cost, result);
     }
 }
 
+/* Takes an engine that would begin the prompt sooner, all told.  The first
+   home is taken to keep what is shared: whoever came first went there. */
+static void
+consider (const struct prefixes *prefixes,
+          const struct choose_request *request,
+          struct roster_upstream *upstream, uint32_t rank, uint64_t *best_cost,
+          struct choose_result *result)
+{
+  const struct prompt *prompt = request->prompt;
+  uint32_t last = prompt->parts[prompt->part_count - 1].tokens;
+  uint32_t kept = prefixes_kept (prefixes, upstream->id, prompt,
+                                 KEPT_FRESH_MS * NS_PER_MS, request->now_ns);
+  uint32_t unread;
+  uint64_t cost;
+
+  if (rank == 0 && kept + last < prompt->input_tokens)
+    kept = prompt->input_tokens - last;
+  unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
+  cost = ahead_of (upstream) + unread
+         + (uint64_t)(unread > last ? unread - last : 0)
+               * request->reread_permille / 1000
+         + running_cost (upstream) + (uint64_t)rank * RANK_TOKENS;
+  if (cost >= *best_cost)
+    return;
+  *best_cost = cost;
+  result->upstream = upstream;
+  result->unread_tokens = unread;
+  result->ahead_tokens = ahead_of (upstream);
+  result->home = rank == 0;
+}
+
 static uint64_t
 taken_permille (const struct roster_upstream *upstream,
                 const struct choose_request *request)
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -20,11 +20,25 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define CHOOSE_HOMES_MAX                                                      \
+  4                        /**< engines looked at for a prompt, beside the    \
+                                idlest: all of a large fleet cost too much */
 #define CHOOSE_AVOID_MAX 8 /**< upstreams that one request has tried */
 
+/** The first homes of a prompt, best first; the same for all instances. Holds
+    for one generation of the roster.  Zero-initialise. */
+struct choose_homes
+{
+  uint64_t generation;
+  uint64_t ids[CHOOSE_HOMES_MAX];
+  uint32_t count;
+};
+
 struct choose_request
 {
   uint64_t service_id;
+  struct choose_homes *homes;    /**< of the prompt, kept between choices */
+  uint64_t idlest_id;            /**< engine with the least to read; or 0 */
   const struct prompt *prompt;   /**< NULL or without parts: a plain request */
   const char *availability_zone; /**< of this instance */
   const uint64_t *avoid;         /**< upstreams that were tried */
@@ -44,6 +58,11 @@
   bool home;                        /**< it is the first home of the prompt */
 };
 
+/** The engine of a service that has the least to read; 0 when none is usable.
+ */
+uint64_t choose_idlest (const struct roster *roster, uint64_t service_id,
+                        uint64_t now_ns);
+
 void choose_upstream (const struct roster *roster,
                       const struct prefixes *prefixes,
                       const struct choose_request *request,
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -65,8 +65,11 @@
 choose (struct fixture *fixture, const struct prompt *prompt, uint64_t draw,
         const uint64_t *avoid, size_t avoid_count)
 {
+  struct choose_homes homes = { .count = 0 };
   const struct choose_request request = {
     .service_id = SERVICE,
+    .homes = &homes,
+    .idlest_id = choose_idlest (&fixture->roster, SERVICE, fixture->now_ns),
     .prompt = prompt,
     .availability_zone = "a",
     .avoid = avoid,
