Reject at once what the line will not reach in time

Change: a line knows how fast it moved of late; a request of a customer above the mean that it will not reach in its time is refused on arrival.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -51,13 +51,6 @@
   enum refusal refusal;
 
   gateway->counters.arrived++;
-  if (lagging (gateway) && httpd_closed (http))
-    {
-      /* Its client has left while it lay unread. */
-      gateway->counters.canceled++;
-      httpd_abort (http);
-      return;
-    }
   refusal = take_in (gateway, http, &intake);
   if (refusal == REFUSAL_NONE)
     flow = flow_new (gateway, http, &intake);
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -26,6 +26,7 @@
 #define SPARE_CROWDING     0.5 /* beyond, nothing is spared for reading again */
 #define IDLE_MS            60  /* of reading that an engine may have ahead */
 
+#define LINE_MIN 16 /* a shorter line says little of how fast it moves */
 /* Passes rest so many times as long as the last one took: they get a tenth of
    the processor at most. */
 #define PASS_REST 9
@@ -38,6 +39,8 @@
 static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow);
+static bool hopeless (struct flow *flow);
+static uint32_t retry_after_ms (struct gateway *gateway);
 
 struct gateway_service *
 flow_service (struct flow *flow)
@@ -119,12 +122,39 @@
       = flow->wait.objective_ns > flow->arrival_ns
             ? flow->wait.objective_ns
             : flow->arrival_ns + LATE_HOLD_MS * CLOCK_NS_PER_MS;
+  if (hopeless (flow))
+    {
+      flow_refuse (flow, REFUSAL_ROUTER_FULL, retry_after_ms (gateway));
+      return;
+    }
   if (waitline_add (&gateway->waitline, &gateway->usage, &flow->wait) != 0)
     flow_refuse (flow, REFUSAL_ROUTER_FULL, RETRY_AFTER_MIN_MS);
   else
     flow_pass (-1, 0, gateway);
 }
 
+static uint32_t
+retry_after_ms (struct gateway *gateway)
+{
+  return RETRY_AFTER_MIN_MS
+         + (uint32_t)rng_below (&gateway->rng, RETRY_AFTER_SPAN_MS);
+}
+
+/* More wait than will be taken before its time is over, and its customer has
+   had more than those that wait, so that it is not among the first. */
+static bool
+hopeless (struct flow *flow)
+{
+  struct gateway *gateway = flow->gateway;
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  return gateway->waitline.count >= LINE_MIN
+         && usage_share_used (&gateway->usage, flow->wait.customer_id, now_ns)
+                > usage_share_level (&gateway->usage, now_ns)
+         && waitline_ahead_ns (&gateway->waitline, now_ns)
+                > flow->wait.expiry_ns - now_ns;
+}
+
 void
 flow_unwait (struct flow *flow)
 {
--- a/src/state/waitline.c
+++ b/src/state/waitline.c
@@ -4,10 +4,15 @@
  */
 #include "state/waitline.h"
 #include "state/err.h"
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
+#define NS_PER_MS       1000000.0 /* nanoseconds */
+#define TAKEN_WINDOW_MS 1000.0    /* that the rate of taking is counted over */
+#define TAKEN_MIN_PER_S 0.1       /* below, it says nothing */
+
 struct waitline_queue
 {
   uint64_t customer_id;
@@ -22,6 +27,7 @@
                                     uint64_t customer_id);
 static int compare_items (const struct waitline_item *a,
                           const struct waitline_item *b);
+static void fade (struct waitline *line, uint64_t now_ns);
 static struct waitline_queue *poorest (const struct waitline *line);
 static struct waitline_item *first_useful (struct waitline_queue *queue,
                                            uint64_t now_ns);
@@ -137,6 +143,8 @@
           queue->tries++;
           continue;
         }
+      fade (line, now_ns);
+      line->taken_per_s += 1000.0 / TAKEN_WINDOW_MS;
       /* The queue went with its last request. */
       queue = find (line, customer_id);
       if (queue == NULL)
@@ -147,6 +155,25 @@
     }
 }
 
+static void
+fade (struct waitline *line, uint64_t now_ns)
+{
+  if (now_ns <= line->taken_ns)
+    return;
+  line->taken_per_s *= exp (-(double)(now_ns - line->taken_ns)
+                            / (TAKEN_WINDOW_MS * NS_PER_MS));
+  line->taken_ns = now_ns;
+}
+
+uint64_t
+waitline_ahead_ns (struct waitline *line, uint64_t now_ns)
+{
+  fade (line, now_ns);
+  if (line->taken_per_s < TAKEN_MIN_PER_S)
+    return line->count == 0 ? 0 : UINT64_MAX;
+  return (uint64_t)(line->count / line->taken_per_s * 1000.0 * NS_PER_MS);
+}
+
 /* Those that are too late go last, though they are the most urgent. */
 static struct waitline_item *
 first_useful (struct waitline_queue *queue, uint64_t now_ns)
--- a/src/state/waitline.h
+++ b/src/state/waitline.h
@@ -36,6 +36,8 @@
 {
   struct waitline_queue *queues; /**< uthash by customer, private */
   uint32_t count;
+  double taken_per_s; /**< requests that upstreams took of late */
+  uint64_t taken_ns;  /**< as of */
 };
 
 void waitline_init (struct waitline *line);
@@ -47,6 +49,10 @@
 void waitline_remove (struct waitline *line, struct usage_share *share,
                       struct waitline_item *item);
 
+/** Time until upstreams have taken as many requests as wait now, as fast as
+    they took them of late; UINT64_MAX when they took none. */
+uint64_t waitline_ahead_ns (struct waitline *line, uint64_t now_ns);
+
 /** Offers waiting requests in their order.
     @param take  true when it has taken the request, which it removes. */
 void waitline_pass (struct waitline *line, struct usage_share *share,
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -250,16 +250,6 @@
   evhtp_connection_free (evhtp);
 }
 
-bool
-httpd_closed (const evhtp_request_t *http)
-{
-  char byte;
-
-  return recv (bufferevent_getfd (http->conn->bev), &byte, 1,
-               MSG_PEEK | MSG_DONTWAIT)
-         == 0;
-}
-
 size_t
 httpd_pending_bytes (const evhtp_request_t *http)
 {
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -90,10 +90,6 @@
 /** Resets the connection, so that the client sees an incomplete response. */
 void httpd_abort (evhtp_request_t *http);
 
-/** True when the client has closed the connection, and the loop has not come
-    to see it. */
-bool httpd_closed (const evhtp_request_t *http);
-
 /** Bytes of response that the client has not taken yet. */
 size_t httpd_pending_bytes (const evhtp_request_t *http);
 
--- a/tests/test_waitline.c
+++ b/tests/test_waitline.c
@@ -256,7 +256,37 @@
   usage_share_finish (&share);
 }
 
+/* How long the line is, in time, follows from how fast it moved of late. */
+static void
+test_time_ahead (void)
+{
+  struct fixture fixture;
+  struct request requests[30];
+  unsigned int i;
+
+  fixture_init (&fixture);
+  CU_ASSERT_EQUAL (waitline_ahead_ns (&fixture.line, fixture.now_ns), 0);
+  for (i = 0; i < 30; i++)
+    wait (&fixture, &requests[i], i, 5000);
+  CU_ASSERT_EQUAL (waitline_ahead_ns (&fixture.line, fixture.now_ns),
+                   UINT64_MAX);
+  pass (&fixture, 10);
+  /* Ten within a moment, twenty left: two seconds of it. */
+  CU_ASSERT_EQUAL (waitline_ahead_ns (&fixture.line, fixture.now_ns),
+                   2000 * MS);
+  /* Nothing moves for a while: it takes longer and longer. */
+  CU_ASSERT_TRUE (waitline_ahead_ns (&fixture.line, fixture.now_ns + 1000 * MS)
+                  > 5000 * MS);
+  CU_ASSERT_EQUAL (
+      waitline_ahead_ns (&fixture.line, fixture.now_ns + 60000 * MS),
+      UINT64_MAX);
+  for (i = 0; i < 30; i++)
+    waitline_remove (&fixture.line, &fixture.share, &requests[i].item);
+  fixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "time ahead", test_time_ahead },
   { "a flood does not push others out", test_flood_does_not_push_out },
   { "service elsewhere counts", test_service_elsewhere_counts },
   { "usage does not fade backwards", test_usage_does_not_fade_backwards },
