--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -16,7 +16,7 @@
 
 #define ROSTER_IDENTITY_SIZE 128 /**< bytes of an identity with its NUL */
 #define ROSTER_ADDRESS_SIZE  64  /**< bytes of "IP:PORT" with its NUL */
-#define ROSTER_CHANGED 1 /**< roster_put: others must know */
+#define ROSTER_CHANGED       1   /**< roster_put: others must know */
 #define ROSTER_ZONE_SIZE     64  /**< bytes of a zone with its NUL */
 
 /** What an upstream announces. */
--- a/tests/support/platstore.c
+++ b/tests/support/platstore.c
@@ -192,7 +192,7 @@
   bool more = false;
 
   store->ranges++;
-  DL_FOREACH (store->items, item)
+  for (item = store->items; item != NULL; item = item->next)
     {
       if (item->value == NULL
           || strncmp (item->key, prefix, strlen (prefix)) != 0
