--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -3,13 +3,11 @@
  * Requests that wait for an upstream to have room.
  */
 #include "gateway/flow_int.h"
+#include "state/admit.h"
 #include "state/rng.h"
 #include "transport/log.h"
 #include <stdlib.h>
 
-/* An engine is handed what it will begin within so long: enough that it never
-   idles for a round trip, and little that the order made here is undone. */
-#define ADMIT_MS 250
 /* A client that was refused comes back within this span: by then what was in
    line has been served, and all do not come at once. */
 #define RETRY_AFTER_MIN_MS  800
@@ -17,24 +15,13 @@
 /* A request that cannot meet its objective any more waits for room so long. */
 #define LATE_HOLD_MS 1500
 
-/* Reading a shared part again takes an engine's time from others, so a request
-   waits for a home while it can.  From half of its time on it goes to an
-   engine that has next to nothing to read: then its home is crowded and the
-   fleet is not. */
-#define PATIENT_PERMILLE   6000
-#define IMPATIENT_PERMILLE 500
-#define SPARE_CROWDING     0.5 /* beyond, nothing is spared for reading again */
-#define IDLE_MS            60  /* of reading that an engine may have ahead */
-
 #define LINE_MIN 16 /* a shorter line says little of how fast it moves */
 /* Passes rest so many times as long as the last one took: they get a tenth of
    the processor at most. */
 #define PASS_REST 9
-/* Customers that differ by less than a large request are alike. */
-#define YIELD_SLACK_TOKENS 20000
-
 static bool admissible (struct flow *flow, const struct choose_result *result);
-static uint32_t yield_to_poorer (struct flow *flow, uint32_t limit_ms);
+static uint64_t room_tokens (struct flow *flow,
+                             const struct choose_result *result);
 static double crowding_of (const struct gateway *gateway);
 static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
@@ -84,14 +71,9 @@
 uint32_t
 flow_patience (const struct flow *flow)
 {
-  uint64_t now_ns = gateway_now_ns (flow->gateway);
-  uint64_t half_ns = (flow->wait.expiry_ns - flow->arrival_ns) / 2;
-
-  if (flow->wait.waits
-      && (now_ns - flow->arrival_ns < half_ns
-          || flow->gateway->crowding > SPARE_CROWDING))
-    return PATIENT_PERMILLE;
-  return IMPATIENT_PERMILLE;
+  return admit_patience_permille (
+      flow->wait.waits, gateway_now_ns (flow->gateway) - flow->arrival_ns,
+      flow->wait.expiry_ns - flow->arrival_ns, flow->gateway->crowding);
 }
 
 /* Even a request that could begin at once goes through the line, so that it
@@ -151,6 +133,7 @@
   return gateway->waitline.count >= LINE_MIN
          && usage_share_used (&gateway->usage, flow->wait.customer_id, now_ns)
                 > usage_share_level (&gateway->usage, now_ns)
+         && flow->wait.expiry_ns > now_ns
          && waitline_ahead_ns (&gateway->waitline, now_ns)
                 > flow->wait.expiry_ns - now_ns;
 }
@@ -167,67 +150,41 @@
 admissible (struct flow *flow, const struct choose_result *result)
 {
   const struct roster_load *load;
-  struct gateway_service *service = flow_service (flow);
-  uint32_t limit_ms;
 
-  if (result->upstream == NULL || service == NULL)
+  if (result->upstream == NULL)
     return false;
   load = &result->upstream->load;
-  limit_ms = !result->home && flow_patience (flow) == IMPATIENT_PERMILLE
-                 ? IDLE_MS
-                 : ADMIT_MS;
-  limit_ms = yield_to_poorer (flow, limit_ms);
-  return result->ahead_tokens <= pace_tokens (&service->pace, limit_ms)
+  return result->ahead_tokens <= room_tokens (flow, result)
          && load->running + load->peer_running
                 < result->upstream->record.slots;
 }
 
-/* A customer that has had more than those that wait, here or at another
-   gateway, have had on the mean leaves them room: the more, the sooner. */
-static uint32_t
-yield_to_poorer (struct flow *flow, uint32_t limit_ms)
+static uint64_t
+room_tokens (struct flow *flow, const struct choose_result *result)
 {
   struct gateway *gateway = flow->gateway;
-  uint64_t used = usage_share_used (&gateway->usage, flow->wait.customer_id,
-                                    gateway_now_ns (gateway));
-  uint64_t level = gateway->level_tokens;
-  double part;
+  const struct gateway_service *service = flow_service (flow);
+  const struct admit_request request = {
+    .had_tokens = usage_share_used (&gateway->usage, flow->wait.customer_id,
+                                    gateway_now_ns (gateway)),
+    .others_had_tokens = gateway->level_tokens,
+    .crowding = gateway->crowding,
+    .away = !result->home && flow_patience (flow) == ADMIT_IMPATIENT_PERMILLE,
+  };
 
-  if (used <= level)
-    return limit_ms;
-  part = (double)(level + YIELD_SLACK_TOKENS)
-         / (double)(used + YIELD_SLACK_TOKENS);
-  return (uint32_t)(limit_ms * (1 - (1 - part * part) * gateway->crowding));
+  return service == NULL ? 0 : admit_room_tokens (&service->pace, &request);
 }
 
-/* Part of the room of all engines that is taken, doubled: what a customer had
-   matters the less, the more of the fleet is free. */
 static double
 crowding_of (const struct gateway *gateway)
 {
   const struct gateway_service *service;
-  const struct roster_upstream *upstream;
-  double taken = 0;
-  double room = 0;
-  uint64_t ahead;
-  uint64_t most;
+  struct admit_room room = { .taken_tokens = 0 };
 
   for (service = gateway->services; service != NULL;
        service = service->hh.next)
-    for (upstream = gateway->roster.upstreams; upstream != NULL;
-         upstream = upstream->hh.next)
-      {
-        if (!roster_usable (upstream, service->id))
-          continue;
-        most = pace_tokens (&service->pace, ADMIT_MS);
-        ahead
-            = upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
-        taken += (double)(ahead < most ? ahead : most);
-        room += (double)most;
-      }
-  if (room <= 0)
-    return 1;
-  return taken * 2 > room ? 1 : taken * 2 / room;
+    admit_count (&room, &gateway->roster, service->id, &service->pace);
+  return admit_crowding (&room);
 }
 
 static bool
@@ -251,7 +208,6 @@
 log_wait (struct flow *flow, uint64_t now_ns)
 {
   struct gateway *gateway = flow->gateway;
-  const struct gateway_service *service = flow_service (flow);
   struct choose_result result;
 
   flow_choose (flow, &result);
@@ -264,8 +220,7 @@
                               : result.upstream->record.identity),
        LOG_S ("home", result.home ? "yes" : "no"),
        LOG_U ("ahead_tokens", result.ahead_tokens),
-       LOG_U ("room_tokens",
-              service == NULL ? 0 : pace_tokens (&service->pace, ADMIT_MS)),
+       LOG_U ("room_tokens", room_tokens (flow, &result)),
        LOG_U ("had_tokens", usage_share_used (&gateway->usage,
                                               flow->wait.customer_id, now_ns)),
        LOG_U ("others_had_tokens", gateway->level_tokens),
@@ -301,10 +256,7 @@
     {
       log_wait (item->owner, now_ns);
       flow_unwait (item->owner);
-      flow_refuse (
-          item->owner, REFUSAL_ROUTER_FULL,
-          RETRY_AFTER_MIN_MS
-              + (uint32_t)rng_below (&gateway->rng, RETRY_AFTER_SPAN_MS));
+      flow_refuse (item->owner, REFUSAL_ROUTER_FULL, retry_after_ms (gateway));
     }
   gateway->pass_end_ns = gateway_now_ns (gateway);
   gateway->pass_cost_ns = gateway->pass_end_ns - now_ns;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,10 +9,10 @@
 #include "gateway/probe.h"
 #include "state/err.h"
 #include "transport/log.h"
+#include "transport/sock.h"
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #define TICK_MS     100   /* housekeeping; the finest grace is ten of it */
@@ -44,7 +44,6 @@
 static int init_tables (struct gateway *gateway);
 static int init_transport (struct gateway *gateway);
 static int init_events (struct gateway *gateway);
-static void raise_file_limit (void);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_removed (void *user, const struct roster_upstream *upstream);
@@ -148,7 +147,7 @@
   int i;
 
   signal (SIGPIPE, SIG_IGN);
-  raise_file_limit ();
+  sock_raise_limit ();
   gateway->tick = event_new (gateway->base, -1, EV_PERSIST, on_tick, gateway);
   gateway->pass = event_new (gateway->base, -1, 0, flow_pass, gateway);
   if (gateway->tick == NULL || gateway->pass == NULL)
@@ -165,18 +164,6 @@
   return 0;
 }
 
-/* A stream takes two descriptors; the usual soft limit is 1,024. */
-static void
-raise_file_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
-    return;
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit (RLIMIT_NOFILE, &limit);
-}
-
 void
 gateway_finish (struct gateway *gateway)
 {
--- a/src/router.c
+++ b/src/router.c
@@ -10,12 +10,12 @@
 #include "state/err.h"
 #include "state/share.h"
 #include "transport/log.h"
+#include "transport/sock.h"
 #include "transport/upstream_http.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #define SWEEP_NS CLOCK_NS_PER_S /**< between sweeps of idle connections */
@@ -23,7 +23,6 @@
 static int init_tables (struct router *router);
 static int init_transport (struct router *router);
 static int init_events (struct router *router);
-static void raise_file_limit (void);
 static int start_modules (struct router *router);
 static void set_self (struct router *router);
 static void sync_slots (struct router *router, bool own_all);
@@ -221,7 +220,7 @@
   int i;
 
   signal (SIGPIPE, SIG_IGN);
-  raise_file_limit ();
+  sock_raise_limit ();
   router->tick = event_new (router->base, -1, EV_PERSIST, on_tick, router);
   router->batch = event_new (router->base, -1, 0, on_batch, router);
   if (router->tick == NULL || router->batch == NULL)
@@ -238,18 +237,6 @@
   return 0;
 }
 
-/* A stream takes two descriptors; the usual soft limit is 1,024. */
-static void
-raise_file_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
-    return;
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit (RLIMIT_NOFILE, &limit);
-}
-
 static int
 start_modules (struct router *router)
 {
--- /dev/null
+++ b/src/state/admit.h
@@ -0,0 +1,57 @@
+/**
+ * @file admit.h
+ * How much an engine may have to read when one more prompt is sent there.
+ *
+ * Answers floods: engines serve in order of arrival, so what is sent early is
+ * out of order for good.  An engine is handed what it begins soon; when the
+ * fleet is crowded, a customer that has had more than those that wait finds
+ * less room, so that they come first at every gateway.  A prompt that leaves
+ * its home has its start read again, which takes time from others: only an
+ * engine with next to nothing to read takes it, while the fleet is not
+ * crowded.
+ */
+#ifndef STATE_ADMIT_H
+#define STATE_ADMIT_H
+
+#include "state/pace.h"
+#include "state/roster.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Thousandths of what would be read again that a request rather waits for. */
+#define ADMIT_PATIENT_PERMILLE   6000
+#define ADMIT_IMPATIENT_PERMILLE 500
+
+/** Part of the room of a service's engines that is taken. */
+struct admit_room
+{
+  double taken_tokens;
+  double room_tokens;
+};
+
+/** Adds the engines of a service. */
+void admit_count (struct admit_room *room, const struct roster *roster,
+                  uint64_t service_id, const struct pace *pace);
+/** 0: engines are free; 1: half of their room is taken, or there are none. */
+double admit_crowding (const struct admit_room *room);
+
+/** What decides of one request at one engine. */
+struct admit_request
+{
+  uint64_t had_tokens;        /**< its customer, of late over the fleet */
+  uint64_t others_had_tokens; /**< those that wait, on the mean */
+  double crowding;
+  bool away; /**< the engine is not its home, and it is out of patience */
+};
+
+/** Tokens that the engine may have ahead of it. */
+uint64_t admit_room_tokens (const struct pace *pace,
+                            const struct admit_request *request);
+
+/** @param waits     it is in the line
+    @param waited_ns since it arrived
+    @param total_ns  that it has */
+uint32_t admit_patience_permille (bool waits, uint64_t waited_ns,
+                                  uint64_t total_ns, double crowding);
+
+#endif
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -38,7 +38,6 @@
                       struct roster_upstream *upstream, uint32_t rank,
                       uint64_t *best_cost, struct choose_result *result);
 static uint64_t running_cost (const struct roster_upstream *upstream);
-static uint64_t ahead_of (const struct roster_upstream *upstream);
 static uint64_t taken_permille (const struct roster_upstream *upstream,
                                 const struct choose_request *request);
 
@@ -81,12 +80,6 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
-static uint64_t
-ahead_of (const struct roster_upstream *upstream)
-{
-  return upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
-}
-
 /* Only when upstreams have come or gone are all looked at. */
 static void
 find_homes (const struct roster *roster, const struct choose_request *request)
@@ -138,7 +131,7 @@
       if (!roster_usable (upstream, service_id)
           || outlier_avoided (&upstream->outlier, now_ns))
         continue;
-      cost = ahead_of (upstream) + running_cost (upstream);
+      cost = roster_ahead_tokens (upstream) + running_cost (upstream);
       if (cost >= least)
         continue;
       least = cost;
@@ -194,7 +187,7 @@
   if (rank == 0 && kept + last < prompt->input_tokens)
     kept = prompt->input_tokens - last;
   unread = kept < prompt->input_tokens ? prompt->input_tokens - kept : 0;
-  cost = ahead_of (upstream) + unread
+  cost = roster_ahead_tokens (upstream) + unread
          + (uint64_t)(unread > last ? unread - last : 0)
                * request->reread_permille / 1000
          + running_cost (upstream) + (uint64_t)rank * RANK_TOKENS;
@@ -203,7 +196,7 @@
   *best_cost = cost;
   result->upstream = upstream;
   result->unread_tokens = unread;
-  result->ahead_tokens = ahead_of (upstream);
+  result->ahead_tokens = roster_ahead_tokens (upstream);
   result->home = rank == 0;
 }
 
--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -57,6 +57,12 @@
   return upstream;
 }
 
+uint64_t
+roster_ahead_tokens (const struct roster_upstream *upstream)
+{
+  return upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
+}
+
 bool
 roster_usable (const struct roster_upstream *upstream, uint64_t service_id)
 {
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -90,6 +90,8 @@
 
 /** NULL once it is gone. */
 struct roster_upstream *roster_find (const struct roster *roster, uint64_t id);
+/** Tokens that it has yet to read, for all instances. */
+uint64_t roster_ahead_tokens (const struct roster_upstream *upstream);
 /** True when it takes new requests. */
 bool roster_usable (const struct roster_upstream *upstream,
                     uint64_t service_id);
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #define PORT_MAX 65535
@@ -193,3 +194,14 @@
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
               sizeof silence_ms);
 }
+
+void
+sock_raise_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
--- a/src/transport/sock.h
+++ b/src/transport/sock.h
@@ -39,6 +39,10 @@
     has not taken what was sent, for about `silence_ms`. */
 void sock_notice_silence (int fd, uint32_t silence_ms);
 
+/** Lets the process open as many descriptors as it may: a stream takes two,
+    and the usual soft limit is 1,024. */
+void sock_raise_limit (void);
+
 /** Turns off Nagle's algorithm. */
 void sock_no_delay (int fd);
 
--- a/tests/test_waitline.c
+++ b/tests/test_waitline.c
@@ -3,8 +3,10 @@
  * Replays the loads that the order of waiting answers: a customer that floods
  * one instance, customers seen elsewhere, requests that no upstream takes.
  */
+#include "state/admit.h"
 #include "state/waitline.h"
 #include "support/suite.h"
+#include <stdio.h>
 #include <string.h>
 
 #define MS 1000000ULL /* nanoseconds */
@@ -285,7 +287,67 @@
   fixture_finish (&fixture);
 }
 
+/* Two engines, one full to the brim, one empty. */
+static void
+test_crowding (void)
+{
+  struct admit_room room = { .taken_tokens = 0 };
+  struct roster_record record = { .service_id = 5, .slots = 8 };
+  struct roster roster;
+  struct pace pace;
+
+  memset (&pace, 0, sizeof pace);
+  pace_init (&pace, 40000, 1);
+  roster_init (&roster);
+  CU_ASSERT_EQUAL (admit_crowding (&room), 1);
+  snprintf (record.identity, sizeof record.identity, "a");
+  roster_put (&roster, &record);
+  snprintf (record.identity, sizeof record.identity, "b");
+  roster_put (&roster, &record);
+  admit_count (&room, &roster, 5, &pace);
+  CU_ASSERT_EQUAL (admit_crowding (&room), 0);
+  roster.upstreams->load.peer_unread_tokens = 1000000;
+  room = (struct admit_room){ .taken_tokens = 0 };
+  admit_count (&room, &roster, 5, &pace);
+  CU_ASSERT_EQUAL (admit_crowding (&room), 1);
+  roster.upstreams->load.peer_unread_tokens = 2500;
+  room = (struct admit_room){ .taken_tokens = 0 };
+  admit_count (&room, &roster, 5, &pace);
+  CU_ASSERT_DOUBLE_EQUAL (admit_crowding (&room), 0.25, 0.001);
+  roster_finish (&roster);
+}
+
+/* A flooding customer finds less room than those that wait, but only as far
+   as the fleet is crowded; a prompt goes away from its home to idle engines
+   only, and not while the fleet is crowded. */
+static void
+test_room (void)
+{
+  struct admit_request flood
+      = { .had_tokens = 800000, .others_had_tokens = 200000, .crowding = 1 };
+  struct admit_request poor
+      = { .had_tokens = 100000, .others_had_tokens = 200000, .crowding = 1 };
+  struct pace pace;
+
+  memset (&pace, 0, sizeof pace);
+  pace_init (&pace, 40000, 1);
+  CU_ASSERT_EQUAL (admit_room_tokens (&pace, &poor), 10000);
+  CU_ASSERT_TRUE (admit_room_tokens (&pace, &flood) < 1000);
+  flood.crowding = 0;
+  CU_ASSERT_EQUAL (admit_room_tokens (&pace, &flood), 10000);
+  poor.away = true;
+  CU_ASSERT_EQUAL (admit_room_tokens (&pace, &poor), 2400);
+  CU_ASSERT_EQUAL (admit_patience_permille (true, 10, 100, 0),
+                   ADMIT_PATIENT_PERMILLE);
+  CU_ASSERT_EQUAL (admit_patience_permille (true, 60, 100, 0.2),
+                   ADMIT_IMPATIENT_PERMILLE);
+  CU_ASSERT_EQUAL (admit_patience_permille (true, 60, 100, 0.8),
+                   ADMIT_PATIENT_PERMILLE);
+}
+
 static const struct suite_test tests[] = {
+  { "crowding", test_crowding },
+  { "room", test_room },
   { "time ahead", test_time_ahead },
   { "a flood does not push others out", test_flood_does_not_push_out },
   { "service elsewhere counts", test_service_elsewhere_counts },
