Call a line past hope at four times a request's time

Ruled out: word of load (both saw the other's usage). Change: what has waited stays a choice until the line is four times as long as a request's time.

--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -15,6 +15,9 @@
 /* A request that cannot meet its objective any more waits for room so long. */
 #define LATE_HOLD_MS 1500
 
+/* A line so many times as long as a request's time is past hope; a shorter one
+   offers engines a choice of requests that they have room for. */
+#define HOPELESS_TIMES 4
 #define LINE_MIN 16 /* a shorter line says little of how fast it moves */
 /* Passes rest so many times as long as the last one took: they get a tenth of
    the processor at most. */
@@ -135,7 +138,7 @@
                 > usage_share_level (&gateway->usage, now_ns)
          && flow->wait.expiry_ns > now_ns
          && waitline_ahead_ns (&gateway->waitline, now_ns)
-                > flow->wait.expiry_ns - now_ns;
+                > (flow->wait.expiry_ns - now_ns) * HOPELESS_TIMES;
 }
 
 void
