Wait for a hub that is starting, and give no copy of the store before it was read whole

Cause: after all gateways were killed at once, 100 of them took 8 s to serve, 30 took 1 s: a gateway whose hub was still reading asked the next one, and a hub that had read half handed that half on. Ruled out: the platform's own start-up time (10 gateways: 0.5 s). Change: a starting hub is waited for up to 3 s; a copy is owed until the store was read whole.

Also: format of flow_wait.c.

--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -18,7 +18,7 @@
 /* A line so many times as long as a request's time is past hope; a shorter one
    offers engines a choice of requests that they have room for. */
 #define HOPELESS_TIMES 4
-#define LINE_MIN 16 /* a shorter line says little of how fast it moves */
+#define LINE_MIN       16 /* a shorter line says little of how fast it moves */
 /* Passes rest so many times as long as the last one took: they get a tenth of
    the processor at most. */
 #define PASS_REST 9
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -20,6 +20,7 @@
 #define FRESH_MS        1000
 #define ALONE_MS        600
 #define ALONE_SPREAD_MS 400
+#define STARTS_MS       3000 /* a hub's first listing of the store */
 #define LAG_MS          1200 /* others' view of the store, ahead for so long */
 /* Links are opened on the platform's own network; the word keeps other
    programs that dial by mistake out, and hides nothing. */
@@ -38,10 +39,12 @@
 static bool peer_is_hub (const struct neighbours *neighbours,
                          uint64_t instance_id);
 static void hang_on (struct neighbours *neighbours, uint64_t instance_id);
+static void send_owed (struct neighbours *neighbours);
 static void send_copy (struct neighbours *neighbours,
                        const struct neighbour *peer);
 static void take_items (struct neighbours *neighbours,
                         const struct message_config *config);
+static bool hub_starts (const struct neighbours *neighbours, uint64_t now_ns);
 static void follow_or_not (struct neighbours *neighbours, uint64_t now_ns);
 static void check_lag (struct neighbours *neighbours, uint64_t now_ns);
 
@@ -188,6 +191,7 @@
       HASH_ADD (hh, neighbours->peers, instance_id, sizeof instance_id, peer);
     }
   peer->hangs = false;
+  peer->owed = false;
   if (!neighbours->hub && peer_is_hub (neighbours, instance_id))
     hang_on (neighbours, instance_id);
 }
@@ -218,7 +222,8 @@
       break;
     case MESSAGE_CONFIG_REQUEST:
       peer->hangs = true;
-      send_copy (neighbours, peer);
+      peer->owed = true;
+      send_owed (neighbours);
       break;
     case MESSAGE_CONFIG:
       take_items (neighbours, &message->u.config);
@@ -252,6 +257,26 @@
 
 /* What the store says. */
 
+/* What has not been read whole would be taken for all that there is. */
+static void
+send_owed (struct neighbours *neighbours)
+{
+  const struct gateway *gateway = neighbours->gateway;
+  struct neighbour *peer;
+  struct neighbour *next;
+
+  if (!gateway->upstreams_held || gateway->routing == NULL
+      || !neighbours->listed)
+    return;
+  for (peer = neighbours->peers; peer != NULL; peer = next)
+    {
+      next = peer->hh.next;
+      if (peer->owed)
+        send_copy (neighbours, peer);
+      peer->owed = false;
+    }
+}
+
 static void
 send_copy (struct neighbours *neighbours, const struct neighbour *peer)
 {
@@ -372,6 +397,7 @@
       = neighbours_count (neighbours->gateway);
   check_lag (neighbours, now_ns);
   follow_or_not (neighbours, now_ns);
+  send_owed (neighbours);
   neighbours_state (neighbours);
 }
 
@@ -397,12 +423,29 @@
     neighbours->lags = true;
 }
 
+/* A hub that reads the store for the first time is waited for: with many
+   upstreams that takes seconds, and all reading at once would take longer. */
+static bool
+hub_starts (const struct neighbours *neighbours, uint64_t now_ns)
+{
+  const struct neighbour *peer;
+
+  for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
+    if (!peer->hangs && peer->load.store_index == 0
+        && now_ns - peer->heard_ns < FRESH_MS * CLOCK_NS_PER_MS
+        && peer_is_hub (neighbours, peer->instance_id))
+      return true;
+  return false;
+}
+
 /* Hubs follow the store; others do while no hub is fresh. */
 static void
 follow_or_not (struct neighbours *neighbours, uint64_t now_ns)
 {
   struct gateway *gateway = neighbours->gateway;
-  uint64_t patience_ms = ALONE_MS + neighbours->self_id % ALONE_SPREAD_MS;
+  uint64_t patience_ms
+      = (hub_starts (neighbours, now_ns) ? STARTS_MS : ALONE_MS)
+        + neighbours->self_id % ALONE_SPREAD_MS;
 
   if (neighbours->hub)
     {
--- a/src/gateway/neighbours_int.h
+++ b/src/gateway/neighbours_int.h
@@ -20,6 +20,7 @@
 {
   uint64_t instance_id;
   bool hangs;               /**< on this one: it is sent what the store says */
+  bool owed;                /**< a copy of the store's items */
   uint64_t heard_ns;        /**< its last statement */
   struct message_load load; /**< what it said last */
   UT_hash_handle hh;
--- a/tests/test_gateways.c
+++ b/tests/test_gateways.c
@@ -57,13 +57,13 @@
 }
 
 static void
-start (struct fleet_stage *stage, unsigned int number)
+start (struct fleet_stage *stage, unsigned int number, bool bootstrap)
 {
   struct gateway_settings settings = {
     .client_address = "127.0.0.1:0",
     .probe_address = "127.0.0.1:0",
     .peer_address = "127.0.0.1:0",
-    .bootstrap = true,
+    .bootstrap = bootstrap,
     .connections_max = 100,
     .cpu_permille = 120,
     .memory_mb = 100,
@@ -185,7 +185,7 @@
   put_upstream (stage, 0);
   put_config (stage);
   for (i = 0; i < GATEWAYS; i++)
-    start (stage, i);
+    start (stage, i, true);
 }
 
 static void
@@ -264,7 +264,34 @@
   stage_finish (&stage);
 }
 
+/* All are lost and start again, one after the other, while the store lists
+   them from before: a hub that has read nothing yet gives nobody a copy of
+   nothing, and all serve soon. */
+static void
+test_restart_of_all (void)
+{
+  static struct fleet_stage stage;
+  unsigned int i;
+
+  stage_init (&stage);
+  for (i = 1; i < 40; i++)
+    put_upstream (&stage, i);
+  CU_ASSERT_TRUE (until (&stage, 10000, settled));
+  for (i = 0; i < GATEWAYS; i++)
+    {
+      gateway_finish (&stage.gateways[i]);
+      stage.up[i] = false;
+    }
+  until (&stage, 300, never);
+  for (i = 0; i < GATEWAYS; i++)
+    start (&stage, i, false);
+  CU_ASSERT_TRUE (until (&stage, 2500, all_know));
+  CU_ASSERT_TRUE (until (&stage, 5000, settled));
+  stage_finish (&stage);
+}
+
 static const struct suite_test tests[] = {
+  { "restart of all", test_restart_of_all },
   { "a fleet with hubs", test_fleet },
   { "loss of all hubs", test_loss_of_all_hubs },
 };
