Ask the store for an answer at once after a call to it has failed

Two gateways were cut off from 1.0 s to 13.0 s; a call for changes waits 5 s and times out after 6.5 s, so the one that was lost shortly before the cut ended was noticed at 16.7 s, 3.7 s after it, and version 18 came late. Ruled out: compaction of the store (the four others read on), restarts (none), the upstreams' feed (it had fallen into step by luck, 0.8 s after the cut). What is left: a call lost in a short cut while none had failed is still noticed only at its time-out of 6.5 s.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -112,8 +112,10 @@
                                   feed->after[0] == '\0' ? NULL : feed->after,
                                   false, on_page, feed);
   else
+    /* While the store is silent a long wait would outlast the outage. */
     error = platform->ops->changes (platform, config->prefix, feed->index,
-                                    config->wait_ms, on_page, feed);
+                                    feed->failed_ns == 0 ? config->wait_ms : 0,
+                                    on_page, feed);
   if (error != 0)
     on_page (feed, error, NULL);
 }
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -34,7 +34,8 @@
   struct platform *platform;
   const char *prefix;
   uint32_t pace_ms;  /**< from the start of a call to that of the next */
-  uint32_t wait_ms;  /**< how long a call waits for a change */
+  uint32_t wait_ms;  /**< how long a call waits for a change, but after a
+                          failed one, which is followed by a short call */
   bool paused;       /**< starts when resumed */
   uint32_t delay_ms; /**< until the first call */
   uint64_t seed;     /**< of the jitter */
