State load forty times a second within a zone

Cause: 90 gateways see the same engine free and send to it before they hear of each other: what one sends is known to another after three tellings of 100 ms. Change: a gateway and its hub tell each other every 25 ms; hubs of different zones, whose bytes are charged, and small fleets as before every 100 ms.

--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -20,6 +20,7 @@
 #define FRESH_MS        1000
 #define ALONE_MS        600
 #define ALONE_SPREAD_MS 400
+#define STATEMENT_TICKS (NEIGHBOURS_STATEMENT_MS / NEIGHBOURS_NEAR_MS)
 #define STARTS_MS       3000 /* a hub's first listing of the store */
 #define LAG_MS          1200 /* others' view of the store, ahead for so long */
 /* Links are opened on the platform's own network; the word keeps other
@@ -55,7 +56,7 @@
 neighbours_start (struct gateway *gateway)
 {
   struct neighbours *neighbours = calloc (1, sizeof *neighbours);
-  const struct timeval interval = clock_timeval (NEIGHBOURS_STATEMENT_MS);
+  const struct timeval interval = clock_timeval (NEIGHBOURS_NEAR_MS);
   int error;
 
   if (neighbours == NULL)
@@ -388,9 +389,16 @@
 {
   struct neighbours *neighbours = arg;
   uint64_t now_ns = gateway_now_ns (neighbours->gateway);
+  bool far = neighbours->statements % STATEMENT_TICKS == 0;
 
   (void)fd;
   (void)what;
+  neighbours->statements++;
+  if (!far)
+    {
+      neighbours_state (neighbours, far);
+      return;
+    }
   if (neighbours->members_changed)
     neighbours_assign (neighbours);
   neighbours->gateway->retryshare.instances
@@ -398,7 +406,7 @@
   check_lag (neighbours, now_ns);
   follow_or_not (neighbours, now_ns);
   send_owed (neighbours);
-  neighbours_state (neighbours);
+  neighbours_state (neighbours, far);
 }
 
 /* Others have read more of the store for a while: this one's calls hang, and
--- a/src/gateway/neighbours_int.h
+++ b/src/gateway/neighbours_int.h
@@ -13,6 +13,9 @@
 #include <uthash.h>
 
 #define NEIGHBOURS_STATEMENT_MS 100 /**< a tenth of an objective */
+/* Between a hub and what hangs on it, where bytes cost little: what is on its
+   way to an engine is known in the zone before the next gateway chooses. */
+#define NEIGHBOURS_NEAR_MS  25
 #define NEIGHBOURS_KEY_SIZE     (GATEWAY_NAME_SIZE + 64)
 
 /** An instance whose link is up. */
@@ -54,6 +57,7 @@
   struct peernet *net;
   struct feed feed; /**< of members */
   struct event *statement;
+  unsigned int statements; /**< ticks of the statement's timer */
   struct event *membership_timer;
   enum membership membership;
   uint64_t lease;
@@ -86,8 +90,9 @@
 void neighbours_assign (struct neighbours *neighbours);
 
 /* neighbours_load.c */
-/** Says to each peer what it must know of the others' load. */
-void neighbours_state (struct neighbours *neighbours);
+/** Says to each peer what it must know of the others' load; `far`: to other
+    hubs, too. */
+void neighbours_state (struct neighbours *neighbours, bool far);
 /** Takes what a peer said in place of what it said before; NULL: nothing. */
 void neighbours_hear (struct neighbours *neighbours, struct neighbour *peer,
                       const struct message_load *load);
--- a/src/gateway/neighbours_load.c
+++ b/src/gateway/neighbours_load.c
@@ -44,6 +44,7 @@
                  int64_t requests, int64_t tokens);
 static void send_sums (struct neighbours *neighbours,
                        const struct neighbour *peer, const struct sums *sums);
+static bool any_hangs (const struct neighbours *neighbours);
 static const struct neighbour *primary (const struct neighbours *neighbours);
 static bool counts (const struct neighbours *neighbours,
                     const struct neighbour *peer);
@@ -113,7 +114,7 @@
 /* Composing. */
 
 void
-neighbours_state (struct neighbours *neighbours)
+neighbours_state (struct neighbours *neighbours, bool far)
 {
   uint64_t now_ns = gateway_now_ns (neighbours->gateway);
   struct sums sums = { .size = subjects (neighbours) };
@@ -121,7 +122,8 @@
   struct neighbour *peer;
   struct neighbour *next;
 
-  if (neighbours->peers == NULL)
+  if (neighbours->peers == NULL
+      || (!far && neighbours->hub && !any_hangs (neighbours)))
     return;
   sums.pool = calloc (sums.size, sizeof *sums.pool);
   if (sums.pool == NULL)
@@ -137,7 +139,7 @@
   for (peer = neighbours->peers; peer != NULL; peer = next)
     {
       next = peer->hh.next;
-      if (!peer->hangs && (neighbours->hub || peer == hub))
+      if (!peer->hangs && (neighbours->hub ? far : peer == hub))
         send_sums (neighbours, peer, &sums);
     }
   for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
@@ -156,6 +158,17 @@
   free (sums.pool);
 }
 
+static bool
+any_hangs (const struct neighbours *neighbours)
+{
+  const struct neighbour *peer;
+
+  for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
+    if (peer->hangs)
+      return true;
+  return false;
+}
+
 /* The hub that this instance states its load to: one only, or it would be
    counted twice. */
 static const struct neighbour *
