Room at engines by how much a customer had against the backlogged, more for the poor

Change: the mean weighs customers by how many of their requests wait, up to 8; room goes by the cube of the part, up to twice the room for those below it.

--- a/src/gateway/neighbours_int.h
+++ b/src/gateway/neighbours_int.h
@@ -16,7 +16,7 @@
 /* Between a hub and what hangs on it, where bytes cost little: what is on its
    way to an engine is known in the zone before the next gateway chooses. */
 #define NEIGHBOURS_NEAR_MS  25
-#define NEIGHBOURS_KEY_SIZE     (GATEWAY_NAME_SIZE + 64)
+#define NEIGHBOURS_KEY_SIZE (GATEWAY_NAME_SIZE + 64)
 
 /** An instance whose link is up. */
 struct neighbour
--- a/src/state/admit.c
+++ b/src/state/admit.c
@@ -13,6 +13,9 @@
 #define SPARE_CROWDING 0.5
 /* Customers that differ by less than a large request are alike. */
 #define SLACK_TOKENS 20000
+/* Most that one which has had less finds, in rooms: it passes what the others
+   have sent while nobody had told of it. */
+#define PART_MAX 2.0
 
 void
 admit_count (struct admit_room *room, const struct roster *roster,
@@ -46,13 +49,17 @@
                    const struct admit_request *request)
 {
   double room_ms = request->away ? IDLE_MS : ROOM_MS;
+  double most = request->away ? 1 : PART_MAX;
   double part;
 
-  if (request->had_tokens <= request->others_had_tokens)
+  if (request->others_had_tokens == UINT64_MAX)
     return pace_tokens (pace, (uint32_t)room_ms);
-  part = (double)(request->others_had_tokens + SLACK_TOKENS)
-         / (double)(request->had_tokens + SLACK_TOKENS);
-  room_ms *= 1 - (1 - part * part) * request->crowding;
+  part = ((double)request->others_had_tokens + SLACK_TOKENS)
+         / ((double)request->had_tokens + SLACK_TOKENS);
+  part = part * part * part;
+  if (part > most)
+    part = most;
+  room_ms *= 1 - (1 - part) * request->crowding;
   return pace_tokens (pace, (uint32_t)room_ms);
 }
 
--- a/src/state/admit.h
+++ b/src/state/admit.h
@@ -5,7 +5,9 @@
  * Answers floods: engines serve in order of arrival, so what is sent early is
  * out of order for good.  An engine is handed what it begins soon; when the
  * fleet is crowded, a customer that has had more than those that wait finds
- * less room, so that they come first at every gateway.  A prompt that leaves
+ * less room and one that has had less finds more, so that the poor come first
+ * at every gateway, even those that come to one gateway only, while the rich
+ * are sent on by all.  A prompt that leaves
  * its home has its start read again, which takes time from others: only an
  * engine with next to nothing to read takes it, while the fleet is not
  * crowded.
@@ -38,8 +40,9 @@
 /** What decides of one request at one engine. */
 struct admit_request
 {
-  uint64_t had_tokens;        /**< its customer, of late over the fleet */
-  uint64_t others_had_tokens; /**< those that wait, on the mean */
+  uint64_t had_tokens; /**< its customer, of late over the fleet */
+  /** Those that wait, on the mean; UINT64_MAX when none does. */
+  uint64_t others_had_tokens;
   double crowding;
   bool away; /**< the engine is not its home, and it is out of patience */
 };
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -8,6 +8,9 @@
 #include <string.h>
 
 #define NS_PER_MS 1000000.0 /* nanoseconds */
+/* Waiting requests that make a customer backlogged in full: one that has a
+   single one waiting asks for little, and is no measure of a fair share. */
+#define BACKLOG_REQUESTS 8
 
 void
 usage_share_init (struct usage_share *share, uint32_t window_ms)
@@ -93,15 +96,19 @@
 {
   struct usage_customer *customer;
   uint64_t sum = 0;
-  uint64_t count = 0;
+  uint64_t weights = 0;
+  uint64_t waiting;
+  uint64_t weight;
 
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
     {
-      if (customer->waiting + customer->peer_waiting == 0)
-        continue;
-      sum += usage_share_own (share, customer, now_ns) + customer->peer_tokens;
-      count++;
+      waiting = customer->waiting + customer->peer_waiting;
+      weight = waiting < BACKLOG_REQUESTS ? waiting : BACKLOG_REQUESTS;
+      sum += weight
+             * (usage_share_own (share, customer, now_ns)
+                + customer->peer_tokens);
+      weights += weight;
     }
-  return count == 0 ? UINT64_MAX : sum / count;
+  return weights == 0 ? UINT64_MAX : sum / weights;
 }
--- a/src/state/usage_share.h
+++ b/src/state/usage_share.h
@@ -41,7 +41,8 @@
 uint64_t usage_share_own (const struct usage_share *share,
                           struct usage_customer *customer, uint64_t now_ns);
 /** Tokens of late that a customer has had on the mean, of those that wait
-    anywhere in the fleet; UINT64_MAX when none waits. */
+    anywhere in the fleet, each by how backlogged it is; UINT64_MAX when none
+    waits. */
 uint64_t usage_share_level (struct usage_share *share, uint64_t now_ns);
 /** Tokens of late over the fleet; 0 for an unknown customer. */
 uint64_t usage_share_used (struct usage_share *share, uint64_t customer_id,
