--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -272,9 +272,10 @@
   for (peer = neighbours->peers; peer != NULL; peer = next)
     {
       next = peer->hh.next;
-      if (peer->owed)
-        send_copy (neighbours, peer);
+      if (!peer->owed)
+        continue;
       peer->owed = false;
+      send_copy (neighbours, peer);
     }
 }
 
