--- /dev/null
+++ b/tests/regress_deploy.sh
@@ -0,0 +1,62 @@
+#!/bin/sh
+# Builds with the deploy file's own line from nothing but the sources, and
+# holds its packages against those that own the headers and libraries used.
+# usage: regress_deploy.sh BUILD
+set -u
+
+top=$(cd "$(dirname "$0")/.." && pwd)
+file=$top/deploy/system.toml
+work=$(mktemp -d)
+passed=0
+failed=0
+trap 'rm -rf "$work"' EXIT
+
+result ()
+{
+  if [ "$2" = "$3" ]; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED $1: wanted '$2', got '$3'"
+  fi
+}
+
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' "$file")
+run=$(sed -n 's/^run = "\([^ "]*\).*"$/\1/p' "$file")
+sed -n 's/^packages = \[\(.*\)\]$/\1/p' "$file" | tr -d '" ' | tr ',' '\n' \
+  | sort > "$work/listed"
+
+mkdir "$work/tree"
+cp -R "$top/Makefile" "$top/proto" "$top/src" "$top/platform" "$work/tree"
+(cd "$work/tree" && env -u MAKEFLAGS -u MFLAGS -u MODE sh -c "$build") \
+  > "$work/build" 2>&1
+result "exit of the build line" 0 $?
+[ -x "$work/tree/$run" ] || sed 's/^/  /' "$work/build"
+result "the program that a role runs is built" yes \
+  "$([ -x "$work/tree/$run" ] && echo yes || echo no)"
+result "it runs" 0 "$("$work/tree/$run" --version > /dev/null 2>&1; echo $?)"
+
+# Owners of the headers that the sources include themselves, and of the
+# libraries that they are linked with.
+sed -n 's/^PACKAGES = //p' "$top/Makefile" | tr ' ' '\n' > "$work/modules"
+find "$top/src" "$top/platform" -name '*.[ch]' -exec \
+  sed -n 's/^#include <\([^>]*\)>.*/\1/p' {} + | sort -u > "$work/headers"
+{
+  while read -r header; do
+    [ -e "/usr/include/$header" ] && echo "/usr/include/$header"
+  done < "$work/headers"
+  while read -r module; do
+    echo "$(pkg-config --variable=pcfiledir "$module")/$module.pc"
+  done < "$work/modules"
+} | xargs dpkg -S 2> "$work/unowned" | sed 's/:.*//' \
+  | grep -vE '^(libc6-dev|linux-libc-dev)$' | sort -u > "$work/owners"
+result "files that no package owns" "" "$(cat "$work/unowned")"
+printf 'gcc\nmake\npkg-config\n' | sort -u - "$work/owners" > "$work/needed"
+result "packages that are needed and not listed" "" \
+  "$(comm -13 "$work/listed" "$work/needed" | tr '\n' ' ')"
+result "packages that are listed and not needed" "" \
+  "$(comm -23 "$work/listed" "$work/needed" | tr '\n' ' ')"
+
+echo
+echo "regress_deploy: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
