--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -153,6 +153,8 @@
   if (gateway->tick == NULL || gateway->pass == NULL)
     return ERR_NO_MEMORY;
   event_add (gateway->tick, &tick);
+  /* Before the first tick nothing is behind. */
+  gateway->tick_ns = gateway_now_ns (gateway);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
     {
       gateway->signals[i]
