--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,10 @@
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 MAIN_OBJ = $(MAIN_SRC:%.c=$(BUILD)/%.o)
-STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+# The stand-in for the users' platform is the one that the tests run in place.
+STANDIN_SHARED_SRC = tests/support/platscene.c tests/support/platstore.c \
+	tests/support/platworker.c
+STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o) $(STANDIN_SHARED_SRC:%.c=$(BUILD)/%.o)
 # The load program checks responses with the stand-ins' own texts.
 LOAD_SHARED_SRC = tests/standin/address.c tests/standin/record.c \
 	tests/standin/text.c
@@ -110,6 +113,7 @@
 demo: setup
 	+$(MAKE) programs
 	sh bench/demo.sh $(BUILD)
+	sh tests/regress_gateway.sh $(BUILD)
 
 bench: setup
 	+$(MAKE) programs
--- /dev/null
+++ b/tests/regress_gateway.sh
@@ -0,0 +1,119 @@
+#!/bin/sh
+# Three real gateways before the stand-in for the users' platform: they become
+# ready, serve each kind of route, take a key away, and leave when told.
+# usage: regress_gateway.sh BUILD
+set -u
+
+build=$1
+work=$(mktemp -d)
+passed=0
+failed=0
+pids=
+
+stop ()
+{
+  for pid in $pids; do
+    kill -KILL "$pid" 2>/dev/null && wait "$pid" 2>/dev/null
+  done
+  rm -rf "$work"
+}
+trap stop EXIT
+
+result ()
+{
+  if [ "$2" = "$3" ]; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED $1: wanted '$2', got '$3'"
+  fi
+}
+
+# until_is WANTED COMMAND...: runs the command until it prints that.
+until_is ()
+{
+  wanted=$1
+  shift
+  tries=0
+  until [ "$("$@")" = "$wanted" ] || [ $tries -ge 200 ]; do
+    tries=$((tries + 1))
+    sleep 0.05
+  done
+  "$@"
+}
+
+# ask GATEWAY KEY METHOD PATH: prints the status.
+ask ()
+{
+  curl -s -m 5 -o "$work/body" -w '%{http_code}' -X "$3" \
+    -H 'Host: shop.example' -H "X-Credential: $2" -H 'X-Attempt-Id: id-1' \
+    -H 'X-Deadline-Remaining-Ms: 5000' "http://$(cat "$work/front.$1")$4"
+}
+
+ready ()
+{
+  curl -s -m 5 -o /dev/null -w '%{http_code}' "http://$(cat "$work/probe.$1")/ready"
+}
+
+"$build/standin" platform --workers 3 > "$work/platform" &
+platform=$!
+pids=$platform
+tries=0
+until grep -qs '^listen' "$work/platform" || [ $tries -ge 200 ]; do
+  tries=$((tries + 1))
+  sleep 0.05
+done
+store=$(awk '/^listen/ { print $2 }' "$work/platform")
+
+"$build/standin" ports --workers 9 > "$work/ports"
+for index in 1 2 3; do
+  first=$((index * 3 - 2))
+  front=$(sed -n "${first}p" "$work/ports")
+  probe=$(sed -n "$((first + 1))p" "$work/ports")
+  peer=$(sed -n "$((first + 2))p" "$work/ports")
+  echo "127.0.0.1:$front" > "$work/front.$index"
+  echo "127.0.0.1:$probe" > "$work/probe.$index"
+  cat > "$work/settings.$index" << END
+{ "node": "gate-$index", "zone": "za", "ip": "127.0.0.1",
+  "port_range": [$peer, $peer],
+  "listen": { "front": "127.0.0.1:$front", "ready": "127.0.0.1:$probe" },
+  "platform": { "address": "$store" },
+  "limits": { "max_fds": 1024, "memory_mb": 64 } }
+END
+  CHERRYLANDING_CONFIG=$work/settings.$index "$build/cherrylanding" gateway \
+    > "$work/log.$index" 2>&1 &
+  eval "gateway_$index=$!"
+  pids="$pids $!"
+done
+
+for index in 1 2 3; do
+  result "gateway $index is ready" 200 "$(until_is 200 ready $index)"
+  result "gateway $index, idempotent" 200 "$(ask $index key-1 GET /again/a)"
+  result "gateway $index, once" 200 "$(ask $index key-1 POST /once/a)"
+  result "gateway $index, stream" 200 "$(ask $index key-1 POST /stream/a)"
+  result "gateway $index, unknown key" 401 "$(ask $index nobody GET /again/a)"
+  result "gateway $index, unknown host path" 404 \
+    "$(ask $index key-1 GET /elsewhere/a)"
+done
+
+kill -USR1 "$platform"
+for index in 1 2 3; do
+  result "gateway $index, key taken away" 401 \
+    "$(until_is 401 ask $index key-1 GET /again/a)"
+  result "gateway $index, key given" 200 "$(ask $index key-2 GET /again/a)"
+done
+
+# shellcheck disable=SC2154
+kill -TERM "$gateway_1"
+result "gateway 1 is not ready when told to leave" 503 "$(until_is 503 ready 1)"
+result "it serves on until that was seen" 200 "$(ask 1 key-2 GET /again/a)"
+wait "$gateway_1"
+result "its exit" 0 $?
+result "another serves" 200 "$(ask 2 key-2 GET /again/a)"
+result "two are connected" yes \
+  "$(grep -q 'peer connected' "$work/log.2" && echo yes || echo no)"
+
+[ "$failed" -eq 0 ] || cat "$work"/log.*
+echo
+echo "regress_gateway: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -1,7 +1,8 @@
 /**
  * @file main.c
- * Stand-ins for what the platform gives, `standin engine|plain|store|relay`;
- * `standin ports --workers N` prints free ports.
+ * Stand-ins for what the platform gives, `standin
+ * engine|plain|store|relay|platform`; `standin ports --workers N` prints free
+ * ports.
  */
 #include "standin/standin.h"
 #include <argp.h>
@@ -47,6 +48,7 @@
   { "plain", plain_init, plain_finish },
   { "store", store_init, store_finish },
   { "relay", relay_init, relay_finish },
+  { "platform", platform_init, platform_finish },
   { "ports", ports_init, NULL },
 };
 
@@ -71,7 +73,7 @@
 {
   static const struct argp argp = { options,
                                     parse,
-                                    "engine|plain|store|relay|ports",
+                                    "engine|plain|store|relay|platform|ports",
                                     "Stand-ins for upstreams and platform.",
                                     NULL,
                                     NULL,
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -38,6 +38,9 @@
 void store_finish (struct server *server);
 int relay_init (struct server *server, const struct standin_options *options);
 void relay_finish (struct server *server);
+int platform_init (struct server *server,
+                   const struct standin_options *options);
+void platform_finish (struct server *server);
 int ports_init (struct server *server, const struct standin_options *options);
 
 #endif
