--- a/tests/regress_config.sh
+++ b/tests/regress_config.sh
@@ -8,8 +8,7 @@
 build=$1
 top=$(cd "$(dirname "$0")/.." && pwd)
 work=$(mktemp -d)
-passed=0
-failed=0
+. "$(dirname "$0")/lib.sh"
 store=
 r0=
 r1=
@@ -26,16 +25,6 @@
 }
 trap stop EXIT
 
-result ()
-{
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED $1: wanted '$2', got '$3'"
-  fi
-}
-
 # Waits until a command prints a text.
 await ()
 {
--- a/tests/regress_deploy.sh
+++ b/tests/regress_deploy.sh
@@ -7,20 +7,9 @@
 top=$(cd "$(dirname "$0")/.." && pwd)
 file=$top/deploy/system.toml
 work=$(mktemp -d)
-passed=0
-failed=0
+. "$(dirname "$0")/lib.sh"
 trap 'rm -rf "$work"' EXIT
 
-result ()
-{
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED $1: wanted '$2', got '$3'"
-  fi
-}
-
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' "$file")
 run=$(sed -n 's/^run = "\([^ "]*\).*"$/\1/p' "$file")
 sed -n 's/^packages = \[\(.*\)\]$/\1/p' "$file" | tr -d '" ' | tr ',' '\n' \
--- a/tests/regress_gateway.sh
+++ b/tests/regress_gateway.sh
@@ -6,8 +6,7 @@
 
 build=$1
 work=$(mktemp -d)
-passed=0
-failed=0
+. "$(dirname "$0")/lib.sh"
 pids=
 
 stop ()
@@ -19,16 +18,6 @@
 }
 trap stop EXIT
 
-result ()
-{
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED $1: wanted '$2', got '$3'"
-  fi
-}
-
 # until_is WANTED COMMAND...: runs the command until it prints that.
 until_is ()
 {
@@ -58,11 +47,7 @@
 "$build/standin" platform --workers 3 > "$work/platform" &
 platform=$!
 pids=$platform
-tries=0
-until grep -qs '^listen' "$work/platform" || [ $tries -ge 200 ]; do
-  tries=$((tries + 1))
-  sleep 0.05
-done
+wait_for "$work/platform" '^listen'
 store=$(awk '/^listen/ { print $2 }' "$work/platform")
 
 "$build/standin" ports --workers 9 > "$work/ports"
--- a/tests/regress_peers.sh
+++ b/tests/regress_peers.sh
@@ -6,8 +6,7 @@
 
 build=$1
 work=$(mktemp -d)
-passed=0
-failed=0
+. "$(dirname "$0")/lib.sh"
 engine=
 r0=
 r1=
@@ -22,27 +21,6 @@
 }
 trap stop EXIT
 
-result ()
-{
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED $1: wanted '$2', got '$3'"
-  fi
-}
-
-# Waits until a file has a line.
-wait_for ()
-{
-  i=0
-  until grep -qs "$2" "$1"; do
-    i=$((i + 1))
-    [ $i -lt 400 ] || { echo "no '$2' in $1:"; cat "$1"; exit 1; }
-    sleep 0.05
-  done
-}
-
 # Value of a field in the first log line that has a text.
 field ()
 {
--- a/tests/regress_standin.sh
+++ b/tests/regress_standin.sh
@@ -6,8 +6,7 @@
 
 build=$1
 work=$(mktemp -d)
-passed=0
-failed=0
+. "$(dirname "$0")/lib.sh"
 engine=
 plain=
 
@@ -40,16 +39,6 @@
   awk '/^control/ { print $2 }' "$1"
 }
 
-result ()
-{
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED $1: wanted '$2', got '$3'"
-  fi
-}
-
 run_load ()
 {
   "$build/load" --router "$(listener "$work/engine")" \
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -34,6 +34,11 @@
     return -1;
   server->data = scene;
   server->base = event_base_new ();
+  if (server->base == NULL)
+    {
+      free (scene);
+      return -1;
+    }
   scene->worker_count = options->workers;
   platstore_init (&scene->store, server->base);
   for (i = 0; i < options->workers; i++)
