--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -5,6 +5,8 @@
 #include "standin/exchange.h"
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -23,6 +25,7 @@
                struct evhttp_request *request, struct fault fault,
                void (*gone) (void *user), void *user)
 {
+  const int on = 1;
   const char *id;
 
   memset (exchange, 0, sizeof (*exchange));
@@ -36,6 +39,9 @@
   snprintf (exchange->request_id, sizeof (exchange->request_id), "%s",
             id == NULL ? "" : id);
   evhttp_connection_set_closecb (exchange->connection, on_close, exchange);
+  setsockopt (bufferevent_getfd (
+                  evhttp_connection_get_bufferevent (exchange->connection)),
+              IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
   /* evhttp stops reading while a request is served, which would hide that
      the client went away. */
   bufferevent_enable (evhttp_connection_get_bufferevent (exchange->connection),
