Avoid upstreams that fail a good part of what they are sent

Cause: only failures in a row counted, so one that failed every other request with good health was sent to for ever, though the header said otherwise. Ruled out: a rate over time (it needs a clock per upstream and forgets slow services); a threshold of half of eight, which an existing check of two, one good, two contradicts. Change: a bit for each of the last sixteen attempts; six failures avoid, and a relapse costs twice as long until sixteen have gone well. Test: test_limits, an upstream that fails every other time is avoided; before, outlier_avoided stayed false for all of its 20 attempts.

--- a/src/state/dispatch.h
+++ b/src/state/dispatch.h
@@ -156,7 +156,7 @@
 #define DISPATCH_REJOIN_MS      30000 /**< until a drained upstream is tried */
 
 #define DISPATCH_PACE_MS   10 /**< between steps that fill idle slots */
-#define DISPATCH_PACE_PART 8 /**< of the slots filled in a step */
+#define DISPATCH_PACE_PART 8  /**< of the slots filled in a step */
 #define DISPATCH_PACE_MIN  4  /**< slots filled in a step, at least */
 
 struct dispatch *dispatch_new (const struct dispatch_config *config);
--- a/src/state/outlier.c
+++ b/src/state/outlier.c
@@ -6,20 +6,28 @@
 
 #define NS_PER_MS 1000000ULL /* nanoseconds */
 
+static void note (struct outlier *outlier, bool failed);
+static bool fails_often (const struct outlier *outlier);
+
+/* A relapse is punished longer until a whole window has gone well. */
 void
 outlier_success (struct outlier *outlier)
 {
+  note (outlier, false);
   outlier->failures = 0;
-  outlier->avoid_ms = 0;
   outlier->avoid_end_ns = 0;
   outlier->probing = false;
+  if (outlier->recent == 0)
+    outlier->avoid_ms = 0;
 }
 
 void
 outlier_failure (struct outlier *outlier, bool hard, uint64_t now_ns)
 {
+  note (outlier, true);
   outlier->failures++;
-  if (!hard && !outlier->probing && outlier->failures < OUTLIER_FAILURES)
+  if (!hard && !outlier->probing && outlier->failures < OUTLIER_FAILURES
+      && !fails_often (outlier))
     return;
   if (outlier->avoid_end_ns > now_ns)
     return;
@@ -31,6 +39,24 @@
   outlier->probing = false;
 }
 
+static void
+note (struct outlier *outlier, bool failed)
+{
+  outlier->recent
+      = ((outlier->recent << 1) | (failed ? 1 : 0)) & OUTLIER_WINDOW_MASK;
+}
+
+static bool
+fails_often (const struct outlier *outlier)
+{
+  uint32_t left = outlier->recent;
+  uint32_t failed = 0;
+
+  for (; left != 0; left &= left - 1)
+    failed++;
+  return failed >= OUTLIER_WINDOW_FAILURES;
+}
+
 bool
 outlier_avoided (const struct outlier *outlier, uint64_t now_ns)
 {
--- a/src/state/outlier.h
+++ b/src/state/outlier.h
@@ -2,7 +2,7 @@
  * @file outlier.h
  * Finds upstreams that fail what they are sent though they look healthy, from
  * what attempts show.  An upstream that failed several attempts in a row, or
- * most of its recent ones, is avoided for a while that grows with each
+ * a third of its recent ones, is avoided for a while that grows with each
  * relapse; then one attempt at a time probes it.
  */
 #ifndef STATE_OUTLIER_H
@@ -17,11 +17,16 @@
 #define OUTLIER_AVOID_MAX_MS                                                  \
   8000                     /**< an upstream is tried this often at least */
 #define OUTLIER_FAILURES 3 /**< in a row; fewer may be chance */
+#define OUTLIER_WINDOW_MASK                                                   \
+  0xffffU /**< the last sixteen attempts; older ones tell little of now */
+#define OUTLIER_WINDOW_FAILURES                                               \
+  6 /**< of these sixteen; one that is well fails fewer than one in ten */
 
 /** Zero-initialise. */
 struct outlier
 {
   uint32_t failures;     /**< in a row */
+  uint32_t recent;       /**< a bit for each attempt, newest lowest; failed */
   uint32_t avoid_ms;     /**< length of the last avoidance; 0: none */
   uint64_t avoid_end_ns; /**< avoided until then; 0: not */
   bool probing;          /**< an attempt is finding out */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -123,6 +123,51 @@
   CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
 }
 
+/* Load: an upstream with good health that fails every other request. */
+static void
+test_outlier_alternating (void)
+{
+  struct outlier outlier = { .failures = 0 };
+  uint64_t now_ns = 1000 * MS;
+  uint32_t first_ms;
+  unsigned int failed = 0;
+  unsigned int i;
+
+  /* One failure in ten is no outlier, however long it goes on. */
+  for (i = 0; i < 200; i++)
+    {
+      if (i % 10 == 0)
+        outlier_failure (&outlier, false, now_ns);
+      else
+        outlier_success (&outlier);
+      CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+    }
+  for (i = 0; i < 20 && !outlier_avoided (&outlier, now_ns); i++)
+    if (i % 2 == 0)
+      {
+        outlier_failure (&outlier, false, now_ns);
+        failed++;
+      }
+    else
+      outlier_success (&outlier);
+  CU_ASSERT_TRUE (outlier_avoided (&outlier, now_ns));
+  CU_ASSERT (failed <= OUTLIER_WINDOW_FAILURES);
+  /* A probe that went well clears nothing yet: the relapse costs more. */
+  first_ms = outlier.avoid_ms;
+  now_ns += first_ms * MS;
+  outlier_attempt (&outlier, now_ns);
+  outlier_success (&outlier);
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+  outlier_failure (&outlier, false, now_ns);
+  CU_ASSERT_TRUE (outlier_avoided (&outlier, now_ns));
+  CU_ASSERT_EQUAL (outlier.avoid_ms, 2 * first_ms);
+  /* A whole window that went well does. */
+  for (i = 0; i < 16; i++)
+    outlier_success (&outlier);
+  CU_ASSERT_EQUAL (outlier.avoid_ms, 0);
+  CU_ASSERT_FALSE (outlier_avoided (&outlier, now_ns));
+}
+
 static void
 test_pace (void)
 {
@@ -250,6 +295,8 @@
     test_budget_holds_over_the_fleet },
   { "the budget of repeats comes back", test_budget_comes_back },
   { "avoidance of failing upstreams", test_outlier },
+  { "an upstream that fails every other time is avoided",
+    test_outlier_alternating },
   { "pace", test_pace },
   { "events come whole", test_events_come_whole },
   { "a stream goes on elsewhere", test_stream_goes_on },
