Fault soak of real gateways

The relay lost what a side had said right before it closed; it now passes it on first. It can hold one direction only.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,8 @@
 LOAD_SHARED_SRC = tests/standin/address.c tests/standin/record.c \
 	tests/standin/text.c
 LOAD_OBJ = $(LOAD_SRC:%.c=$(BUILD)/%.o) $(LOAD_SHARED_SRC:%.c=$(BUILD)/%.o)
+SOAK_SRC = $(wildcard tests/soak/*.c)
+SOAK_OBJ = $(SOAK_SRC:%.c=$(BUILD)/%.o) $(STANDIN_SHARED_SRC:%.c=$(BUILD)/%.o)
 SUPPORT_OBJ = $(SUPPORT_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 
@@ -67,8 +69,11 @@
 ifneq ($(LOAD_SRC),)
 PROGRAMS += $(BUILD)/load
 endif
+ifneq ($(SOAK_SRC),)
+PROGRAMS += $(BUILD)/soak
+endif
 
-.PHONY: all programs tests setup demo check regress bench bench-fair \
+.PHONY: all programs tests setup demo check soak regress bench bench-fair \
 	bench-scale golden lint format format-check proto install clean fuzz
 .SECONDARY:
 
@@ -100,6 +105,9 @@
 $(BUILD)/load: $(LOAD_OBJ) $(BUILD)/libcherrylanding.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(BUILD)/soak: $(SOAK_OBJ) $(BUILD)/libcherrylanding.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(SUPPORT_OBJ) $(BUILD)/libcherrylanding.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit -lcurl
 
@@ -115,6 +123,12 @@
 	sh bench/demo.sh $(BUILD)
 	sh tests/regress_gateway.sh $(BUILD)
 
+# make soak SEED=N SOAK_ARGS="--seconds N"
+SEED = 1
+soak: setup
+	+$(MAKE) programs
+	sh tests/soak.sh $(BUILD) --seed $(SEED) $(SOAK_ARGS)
+
 bench: setup
 	+$(MAKE) programs
 	sh bench/latency.sh $(BUILD)
--- a/tests/standin/fault.c
+++ b/tests/standin/fault.c
@@ -24,6 +24,7 @@
   [FAULT_SNAPSHOT] = "snapshot",
   [FAULT_RESTORE] = "restore",
   [FAULT_PARTITION] = "partition",
+  [FAULT_ONE_WAY] = "one-way",
 };
 
 enum fault_kind
--- a/tests/standin/fault.h
+++ b/tests/standin/fault.h
@@ -29,6 +29,7 @@
   FAULT_SNAPSHOT,       /**< store: remembers its contents */
   FAULT_RESTORE,        /**< store: returns to the contents remembered */
   FAULT_PARTITION,      /**< relay: bytes stand still, both ways */
+  FAULT_ONE_WAY,        /**< relay: what the far side says stands still */
   FAULT_MAX
 };
 
--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -3,7 +3,8 @@
  * Relays TCP connections to a fixed address, one listener for each pair of
  * processes that a bench wants to be able to part.  While a listener shows
  * the fault `partition`, its bytes stand still in both directions and no
- * connection is made; `reset` closes what is open.
+ * connection is made; `one-way` holds only what the target says; `reset`
+ * closes what is open.
  */
 #include "standin/standin.h"
 #include <event2/buffer.h>
@@ -35,6 +36,7 @@
   struct sockaddr_in target;
   struct relay_pair *pairs;
   bool cut;
+  bool one_way; /* cut for what the target says only */
 };
 
 static int port_init (struct server *server, uint32_t index,
@@ -47,7 +49,9 @@
                        struct sockaddr *address, int size, void *user);
 static void on_read (struct bufferevent *bev, void *user);
 static void on_event (struct bufferevent *bev, short what, void *user);
+static void on_drained (struct bufferevent *bev, void *user);
 static void set_cut (struct relay_port *port, bool cut);
+static void let_pass (struct relay_pair *pair, int side);
 static void close_all (struct relay_port *port);
 static void close_pair (struct relay_pair *pair);
 
@@ -146,7 +150,8 @@
   struct relay_port *port = listener->data;
   enum fault_kind kind = listener->fault.kind;
 
-  set_cut (port, kind == FAULT_PARTITION);
+  port->one_way = kind == FAULT_ONE_WAY;
+  set_cut (port, kind == FAULT_PARTITION || kind == FAULT_ONE_WAY);
   if (kind == FAULT_RESET)
     close_all (port);
 }
@@ -181,8 +186,25 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof (one));
   setsockopt (bufferevent_getfd (pair->sides[1]), IPPROTO_TCP, TCP_NODELAY,
               &one, sizeof (one));
-  for (i = 0; i < 2 && !port->cut; i++)
-    bufferevent_enable (pair->sides[i], EV_READ | EV_WRITE);
+  for (i = 0; i < 2; i++)
+    let_pass (pair, i);
+}
+
+/* Lets a side read and write, as far as its port is not cut.  The side
+   towards the target is the second. */
+static void
+let_pass (struct relay_pair *pair, int side)
+{
+  const struct relay_port *port = pair->port;
+  short events = EV_READ | EV_WRITE;
+
+  if (port->cut && port->one_way)
+    events = side == 0 ? EV_READ : EV_WRITE;
+  else if (port->cut)
+    events = 0;
+  bufferevent_disable (pair->sides[side], EV_READ | EV_WRITE);
+  if (events != 0)
+    bufferevent_enable (pair->sides[side], events);
 }
 
 static void
@@ -195,12 +217,31 @@
   bufferevent_write_buffer (other, bufferevent_get_input (bev));
 }
 
+/* What one side said before its end still reaches the other. */
 static void
 on_event (struct bufferevent *bev, short what, void *user)
+{
+  struct relay_pair *pair = user;
+  struct bufferevent *other
+      = bev == pair->sides[0] ? pair->sides[1] : pair->sides[0];
+
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+    return;
+  if ((what & BEV_EVENT_ERROR) != 0
+      || evbuffer_get_length (bufferevent_get_output (other)) == 0)
+    {
+      close_pair (pair);
+      return;
+    }
+  bufferevent_disable (bev, EV_READ | EV_WRITE);
+  bufferevent_setcb (other, on_read, on_drained, on_event, pair);
+}
+
+static void
+on_drained (struct bufferevent *bev, void *user)
 {
   (void)bev;
-  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    close_pair (user);
+  close_pair (user);
 }
 
 /* Bytes that stand still are passed on when the cut ends. */
@@ -210,19 +251,14 @@
   struct relay_pair *pair;
   int i;
 
-  if (port->cut == cut)
-    return;
   port->cut = cut;
-  if (cut)
+  if (cut && !port->one_way)
     evconnlistener_disable (port->socket);
   else
     evconnlistener_enable (port->socket);
   for (pair = port->pairs; pair != NULL; pair = pair->next)
     for (i = 0; i < 2; i++)
-      if (cut)
-        bufferevent_disable (pair->sides[i], EV_READ | EV_WRITE);
-      else
-        bufferevent_enable (pair->sides[i], EV_READ | EV_WRITE);
+      let_pass (pair, i);
 }
 
 static void
--- a/tests/support/platworker.c
+++ b/tests/support/platworker.c
@@ -3,6 +3,7 @@
  * The stand-in upstream and client.
  */
 #include "support/platworker.h"
+#include "transport/clock.h"
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -18,7 +19,10 @@
 {
   struct platworker *worker;
   struct bufferevent *bev;
-  bool last; /* closed when all is written */
+  enum platworker_act act; /* of its request */
+  struct event *work;      /* runs while it works on a request */
+  char *request;           /* that it works on */
+  bool last;               /* closed when all is written */
   struct platworker_conn *prev;
   struct platworker_conn *next;
 };
@@ -31,8 +35,7 @@
 static void conn_free (struct platworker_conn *conn);
 static void conn_reset (struct platworker_conn *conn);
 static size_t request_size (const char *text, size_t size);
-static void header_of (const char *text, const char *name, char *out,
-                       size_t size);
+static void on_worked (evutil_socket_t fd, short what, void *user);
 static void act (struct platworker_conn *conn, const char *request);
 static void answer (struct platworker_conn *conn, const char *id,
                     const char *status, const char *more, const char *body);
@@ -66,12 +69,10 @@
   struct platworker_conn *conn = worker->conns;
   struct platworker_conn *next;
 
-  worker->conns = NULL;
   for (; conn != NULL; conn = next)
     {
       next = conn->next;
-      bufferevent_free (conn->bev);
-      free (conn);
+      conn_free (conn);
     }
   if (worker->listener != NULL)
     evconnlistener_free (worker->listener);
@@ -89,6 +90,7 @@
   (void)size;
   conn->worker = worker;
   conn->bev = bufferevent_socket_new (worker->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  conn->work = event_new (worker->base, -1, 0, on_worked, conn);
   bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
   bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
   DL_APPEND (worker->conns, conn);
@@ -99,6 +101,8 @@
 {
   DL_DELETE (conn->worker->conns, conn);
   bufferevent_free (conn->bev);
+  event_free (conn->work);
+  free (conn->request);
   free (conn);
 }
 
@@ -129,7 +133,7 @@
   struct platworker_conn *conn = user;
 
   (void)bev;
-  if (conn->last && conn->worker->act == PLATWORKER_CUT)
+  if (conn->last && conn->act == PLATWORKER_CUT)
     conn_reset (conn);
   else if (conn->last)
     conn_free (conn);
@@ -142,9 +146,12 @@
   struct platworker *worker = conn->worker;
   struct evbuffer *input = bufferevent_get_input (bev);
   size_t size = evbuffer_get_length (input);
+  struct timeval delay;
   char text[PLATWORKER_TEXT_SIZE];
   size_t whole;
 
+  if (conn->request != NULL)
+    return;
   if (size >= sizeof text)
     size = sizeof text - 1;
   evbuffer_copyout (input, text, size);
@@ -156,7 +163,30 @@
   text[whole] = '\0';
   memcpy (worker->seen, text, whole + 1);
   worker->requests++;
-  act (conn, text);
+  if (worker->on_request != NULL)
+    worker->on_request (worker, text);
+  conn->act = worker->act;
+  if (worker->work_ms == 0)
+    {
+      act (conn, text);
+      return;
+    }
+  conn->request = strdup (text);
+  delay = clock_timeval (worker->work_ms);
+  event_add (conn->work, &delay);
+}
+
+static void
+on_worked (evutil_socket_t fd, short what, void *user)
+{
+  struct platworker_conn *conn = user;
+  char *request = conn->request;
+
+  (void)fd;
+  (void)what;
+  conn->request = NULL;
+  act (conn, request);
+  free (request);
 }
 
 /* Bytes of the first whole request; 0 when there is none. */
@@ -169,13 +199,13 @@
 
   if (end == NULL)
     return 0;
-  header_of (text, "Content-Length", length, sizeof length);
+  platworker_header (text, "Content-Length", length, sizeof length);
   whole = (size_t)(end + 4 - text) + strtoul (length, NULL, 10);
   return whole <= size ? whole : 0;
 }
 
-static void
-header_of (const char *text, const char *name, char *out, size_t size)
+void
+platworker_header (const char *text, const char *name, char *out, size_t size)
 {
   const char *line = strstr (text, "\r\n");
   const char *value;
@@ -211,10 +241,10 @@
   char stamp[128];
   char id[128];
 
-  header_of (request, "X-Attempt-Id", id, sizeof id);
+  platworker_header (request, "X-Attempt-Id", id, sizeof id);
   snprintf (stamp, sizeof stamp, "X-Worker-Signature: %s\r\n",
             worker->signature);
-  switch (worker->act)
+  switch (conn->act)
     {
     case PLATWORKER_ANSWER:
       answer (conn, id, "200 OK", stamp, body);
@@ -265,12 +295,12 @@
         unsigned int events, bool chunked)
 {
   struct evbuffer *out = bufferevent_get_output (conn->bev);
-  bool cut = conn->worker->act == PLATWORKER_CUT;
+  bool cut = conn->act == PLATWORKER_CUT;
   char after[16];
   char event[64];
   unsigned int i;
 
-  header_of (request, "Last-Event-Id", after, sizeof after);
+  platworker_header (request, "Last-Event-Id", after, sizeof after);
   evbuffer_add_printf (out,
                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
                        "X-Worker-Signature: %s\r\n"
@@ -353,7 +383,7 @@
 
   if (end == NULL)
     return false;
-  header_of (client->got, "Content-Length", text, sizeof text);
+  platworker_header (client->got, "Content-Length", text, sizeof text);
   if (text[0] != '\0')
     return client->size
            >= (size_t)(end + 4 - client->got) + strtoul (text, NULL, 10);
--- a/tests/support/platworker.h
+++ b/tests/support/platworker.h
@@ -43,13 +43,23 @@
   unsigned int requests;           /**< that arrived whole */
   unsigned int closed;             /**< connections that the gateway closed */
   char seen[PLATWORKER_TEXT_SIZE]; /**< the last request */
-  struct platworker_conn *conns;   /**< private */
+  uint32_t work_ms;                /**< from a request to its answer */
+  /** Told of each request before it is acted on; may set `act' and `work_ms'
+      for it; NULL for none. */
+  void (*on_request) (struct platworker *worker, const char *text);
+  void *user;                    /**< of on_request */
+  struct platworker_conn *conns; /**< private */
 };
 
 void platworker_init (struct platworker *worker, struct event_base *base,
                       const char *signature);
 void platworker_finish (struct platworker *worker);
 
+/** A header's value; "" when it has none.
+    @param text of a message, from its first line. */
+void platworker_header (const char *text, const char *name, char *out,
+                        size_t size);
+
 /** A client with one connection. */
 struct platclient
 {
