Older news do not bring back upstreams that went

Cause: instances that do not follow the store hear of changes from several that do. One that lags, or was stopped and wakes, tells of an upstream from before it went; the table had forgotten it and took it for new. Ruled out: listings that overlap with copies of others (an instance that reads the store takes no copies). Change: the roster remembers for a minute what went, by identity and revision, and the revision of its newest whole listing.

--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define NS_PER_MS 1000000ULL /* nanoseconds */
+
 static struct roster_upstream *find_identity (const struct roster *roster,
                                               const char *identity);
 static uint64_t life_id (const struct roster_record *record);
@@ -15,8 +17,13 @@
 static void remove_upstream (struct roster *roster,
                              struct roster_upstream *upstream);
 static void set_missing (struct roster *roster,
-                         struct roster_upstream *upstream, uint64_t grace_ns,
-                         uint64_t now_ns);
+                         struct roster_upstream *upstream, uint64_t revision,
+                         uint64_t grace_ns, uint64_t now_ns);
+static bool is_gone (const struct roster *roster,
+                     const struct roster_record *record);
+static void note_gone (struct roster *roster, const char *identity,
+                       uint64_t revision, uint64_t now_ns);
+static void forget_gone (struct roster *roster, uint64_t now_ns);
 
 void
 roster_init (struct roster *roster)
@@ -37,6 +44,7 @@
       next = upstream->hh.next;
       free (upstream);
     }
+  forget_gone (roster, UINT64_MAX);
 }
 
 static struct roster_upstream *
@@ -86,7 +94,7 @@
   bool changed;
 
   if (known == NULL)
-    return add (roster, record);
+    return is_gone (roster, record) ? ERR_STALE : add (roster, record);
   known->seen = true;
   if (record->revision < known->record.revision)
     return ERR_STALE;
@@ -146,16 +154,21 @@
 {
   struct roster_upstream *upstream = find_identity (roster, identity);
 
-  if (upstream != NULL && upstream->record.revision <= revision)
-    set_missing (roster, upstream, grace_ns, now_ns);
+  if (upstream == NULL)
+    note_gone (roster, identity, revision, now_ns);
+  else if (upstream->record.revision <= revision)
+    set_missing (roster, upstream, revision, grace_ns, now_ns);
 }
 
 static void
 set_missing (struct roster *roster, struct roster_upstream *upstream,
-             uint64_t grace_ns, uint64_t now_ns)
+             uint64_t revision, uint64_t grace_ns, uint64_t now_ns)
 {
+  if (upstream->missing_ns == 0 || upstream->gone_revision < revision)
+    upstream->gone_revision = revision;
   if (grace_ns == 0 || upstream->record.draining)
     {
+      note_gone (roster, upstream->record.identity, revision, now_ns);
       remove_upstream (roster, upstream);
       return;
     }
@@ -186,8 +199,10 @@
     {
       next = upstream->hh.next;
       if (!upstream->seen && upstream->record.revision <= revision)
-        set_missing (roster, upstream, grace_ns, now_ns);
+        set_missing (roster, upstream, revision, grace_ns, now_ns);
     }
+  if (revision > roster->listed_revision)
+    roster->listed_revision = revision;
 }
 
 void
@@ -201,6 +216,67 @@
       next = upstream->hh.next;
       if (upstream->missing_ns != 0
           && now_ns - upstream->missing_ns >= upstream->grace_ns)
-        remove_upstream (roster, upstream);
+        {
+          note_gone (roster, upstream->record.identity,
+                     upstream->gone_revision, now_ns);
+          remove_upstream (roster, upstream);
+        }
+    }
+  forget_gone (roster, now_ns);
+}
+
+/* Instances hear of changes from several others, some of which lag: news of
+   an upstream from before it went, or from before a listing that lacks it,
+   must not bring it back. */
+static bool
+is_gone (const struct roster *roster, const struct roster_record *record)
+{
+  uint64_t identity
+      = XXH3_64bits (record->identity, strlen (record->identity));
+  const struct roster_gone *gone;
+
+  HASH_FIND (hh, roster->gone, &identity, sizeof identity, gone);
+  return (roster->listed_revision != 0
+          && record->revision <= roster->listed_revision)
+         || (gone != NULL && record->revision <= gone->revision);
+}
+
+static void
+note_gone (struct roster *roster, const char *identity, uint64_t revision,
+           uint64_t now_ns)
+{
+  uint64_t hash = XXH3_64bits (identity, strlen (identity));
+  struct roster_gone *gone;
+
+  HASH_FIND (hh, roster->gone, &hash, sizeof hash, gone);
+  if (gone == NULL)
+    {
+      gone = calloc (1, sizeof *gone);
+      /* Without it, old news would at worst be believed for a while. */
+      if (gone == NULL)
+        return;
+      gone->identity = hash;
+      HASH_ADD (hh, roster->gone, identity, sizeof gone->identity, gone);
+    }
+  if (revision > gone->revision)
+    gone->revision = revision;
+  gone->since_ns = now_ns;
+}
+
+static void
+forget_gone (struct roster *roster, uint64_t now_ns)
+{
+  struct roster_gone *gone;
+  struct roster_gone *next;
+
+  for (gone = roster->gone; gone != NULL; gone = next)
+    {
+      next = gone->hh.next;
+      if (now_ns - gone->since_ns < ROSTER_GONE_MS * NS_PER_MS)
+        continue;
+      /* The analyzer takes what was freed before for the head. */
+      /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+      HASH_DELETE (hh, roster->gone, gone);
+      free (gone);
     }
 }
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -18,6 +18,9 @@
 #define ROSTER_ADDRESS_SIZE  64  /**< bytes of "IP:PORT" with its NUL */
 #define ROSTER_CHANGED       1   /**< roster_put: others must know */
 #define ROSTER_ZONE_SIZE     64  /**< bytes of a zone with its NUL */
+#define ROSTER_GONE_MS                                                        \
+  60000 /**< older news may come so late, from an instance that was stopped   \
+         */
 
 /** What an upstream announces. */
 struct roster_record
@@ -50,18 +53,30 @@
   struct roster_record record;
   struct roster_load load;
   struct outlier outlier;
-  bool seen;           /**< in the listing being read */
-  uint64_t missing_ns; /**< since when the store lacks it; 0: it is there */
-  uint64_t grace_ns;   /**< how long it may be missing */
-  UT_hash_handle hh;   /**< by identity */
+  bool seen;              /**< in the listing being read */
+  uint64_t missing_ns;    /**< since when the store lacks it; 0: it is there */
+  uint64_t grace_ns;      /**< how long it may be missing */
+  uint64_t gone_revision; /**< as of which the store lacks it */
+  UT_hash_handle hh;      /**< by identity */
   UT_hash_handle hh_id;
 };
 
+/** An identity that has gone: what was said of it before is stale. */
+struct roster_gone
+{
+  uint64_t identity; /**< hash */
+  uint64_t revision; /**< of the store when it lacked it */
+  uint64_t since_ns;
+  UT_hash_handle hh;
+};
+
 struct roster
 {
   struct roster_upstream *upstreams; /**< uthash by identity */
   struct roster_upstream *by_id;
-  uint64_t generation; /**< changes with the set of usable upstreams */
+  struct roster_gone *gone;
+  uint64_t listed_revision; /**< of the newest whole listing */
+  uint64_t generation;      /**< changes with the set of usable upstreams */
   /** Called when an entry goes; may be NULL. */
   void (*removed) (void *user, const struct roster_upstream *upstream);
   void *user;
@@ -70,7 +85,8 @@
 void roster_init (struct roster *roster);
 void roster_finish (struct roster *roster);
 
-/** Notes what an upstream announced; an older revision changes nothing.
+/** Notes what an upstream announced; news from before what is known of it, or
+    from before it went, change nothing.
     @return ROSTER_CHANGED when others must know, 0 when only its revision or
     nothing is new, ERR_STALE or ERR_NO_MEMORY. */
 int roster_put (struct roster *roster, const struct roster_record *record);
@@ -85,7 +101,7 @@
 void roster_listing_end (struct roster *roster, uint64_t revision,
                          uint64_t grace_ns, uint64_t now_ns);
 
-/** Removes entries whose grace has passed. */
+/** Removes entries whose grace has passed, and forgets what went long ago. */
 void roster_age (struct roster *roster, uint64_t now_ns);
 
 /** NULL once it is gone. */
