Gateways send their portion of an engine's room until word has gone round

Change: gateways tell what waits for each engine, by the need of its customers; in a turn of 150 ms each sends its part of the room seen when the turn began, a larger prompt with the chance that makes the parts add up (state/portion).

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -151,6 +151,7 @@
 {
   MESSAGE_SUBJECT_UPSTREAM, /**< running there; tokens yet to be read */
   MESSAGE_SUBJECT_CUSTOMER, /**< waiting; tokens it was given of late */
+  MESSAGE_SUBJECT_WANTED,   /**< an upstream; tokens that wait for it */
   MESSAGE_SUBJECT_MAX
 };
 
--- a/src/gateway/flow_int.h
+++ b/src/gateway/flow_int.h
@@ -43,6 +43,8 @@
   bool granted;   /**< that trial was drawn from the budget */
   bool paused;
   struct waitline_item wait;
+  uint64_t wanted_id;     /**< upstream that it waits for */
+  uint32_t wanted_tokens; /**< that it would have to read */
   struct choose_homes homes;
   uint32_t unread_tokens; /**< charged to the upstream until it begins */
   uint64_t begin_tokens;  /**< that it reads until this request begins */
--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -19,6 +19,13 @@
    offers engines a choice of requests that they have room for. */
 #define HOPELESS_TIMES 4
 #define LINE_MIN       16 /* a shorter line says little of how fast it moves */
+/* Word of what was sent is everywhere by then: two statements within a zone
+   and one between zones. */
+#define TURN_MS 150
+/* A customer that has had next to nothing goes before so many requests of
+   others, all but first. */
+#define NEED_MAX   64.0
+#define DRAW_STEPS 1000000 /* that a chance is drawn in */
 /* Passes rest so many times as long as the last one took: they get a tenth of
    the processor at most. */
 #define PASS_REST 9
@@ -28,7 +35,10 @@
 static double crowding_of (const struct gateway *gateway);
 static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
-static void wait_in_line (struct flow *flow);
+static void wait_in_line (struct flow *flow,
+                          const struct choose_result *result);
+static void want (struct flow *flow, const struct choose_result *result);
+static bool portioned (struct flow *flow, const struct choose_result *result);
 static bool hopeless (struct flow *flow);
 static uint32_t retry_after_ms (struct gateway *gateway);
 
@@ -68,7 +78,7 @@
   else if (flow->ask.prompt.part_count == 0 || flow->record.number > 0)
     flow_start (flow, &result);
   else
-    wait_in_line (flow);
+    wait_in_line (flow, &result);
 }
 
 uint32_t
@@ -82,7 +92,7 @@
 /* Even a request that could begin at once goes through the line, so that it
    does not overtake others. */
 static void
-wait_in_line (struct flow *flow)
+wait_in_line (struct flow *flow, const struct choose_result *result)
 {
   struct gateway *gateway = flow->gateway;
   const struct prompt *prompt = &flow->ask.prompt;
@@ -113,9 +123,29 @@
       return;
     }
   if (waitline_add (&gateway->waitline, &gateway->usage, &flow->wait) != 0)
-    flow_refuse (flow, REFUSAL_ROUTER_FULL, RETRY_AFTER_MIN_MS);
-  else
-    flow_pass (-1, 0, gateway);
+    {
+      flow_refuse (flow, REFUSAL_ROUTER_FULL, RETRY_AFTER_MIN_MS);
+      return;
+    }
+  want (flow, result);
+  flow_pass (-1, 0, gateway);
+}
+
+/* Other gateways are told what waits for an upstream, by the need of its
+   customers. */
+static void
+want (struct flow *flow, const struct choose_result *result)
+{
+  struct gateway *gateway = flow->gateway;
+  double need
+      = admit_part (usage_share_used (&gateway->usage, flow->wait.customer_id,
+                                      gateway_now_ns (gateway)),
+                    gateway->level_tokens, NEED_MAX);
+
+  flow->wanted_id = result->upstream->id;
+  flow->wanted_tokens = (uint32_t)(result->unread_tokens * need) + 1;
+  result->upstream->load.wanted_tokens += flow->wanted_tokens;
+  gateway->wanted_tokens += flow->wanted_tokens;
 }
 
 static uint32_t
@@ -144,9 +174,39 @@
 void
 flow_unwait (struct flow *flow)
 {
-  if (flow->wait.waits)
-    waitline_remove (&flow->gateway->waitline, &flow->gateway->usage,
-                     &flow->wait);
+  struct roster_upstream *upstream;
+
+  if (!flow->wait.waits)
+    return;
+  waitline_remove (&flow->gateway->waitline, &flow->gateway->usage,
+                   &flow->wait);
+  flow->gateway->wanted_tokens -= flow->wanted_tokens;
+  upstream = roster_find (&flow->gateway->roster, flow->wanted_id);
+  if (upstream != NULL)
+    upstream->load.wanted_tokens -= flow->wanted_tokens;
+}
+
+/* At another engine than its home, a prompt competes with all that wait. */
+static bool
+portioned (struct flow *flow, const struct choose_result *result)
+{
+  struct gateway *gateway = flow->gateway;
+  const struct gateway_service *service = flow_service (flow);
+  struct roster_upstream *upstream = result->upstream;
+  bool wanted = flow->wanted_id == upstream->id;
+  const struct portion_request request = {
+    .turn = gateway_now_ns (gateway) / (TURN_MS * CLOCK_NS_PER_MS),
+    .room_tokens
+    = service == NULL ? 0 : admit_turn_tokens (&service->pace, TURN_MS),
+    .ahead_tokens = result->ahead_tokens,
+    .own_tokens
+    = wanted ? upstream->load.wanted_tokens : gateway->wanted_tokens,
+    .peer_tokens
+    = wanted ? upstream->load.peer_wanted_tokens : gateway->peer_wanted_tokens,
+    .draw = (double)rng_below (&gateway->rng, DRAW_STEPS) / DRAW_STEPS,
+  };
+
+  return portion_allows (&upstream->portion, &request, result->unread_tokens);
 }
 
 static bool
@@ -158,8 +218,8 @@
     return false;
   load = &result->upstream->load;
   return result->ahead_tokens <= room_tokens (flow, result)
-         && load->running + load->peer_running
-                < result->upstream->record.slots;
+         && load->running + load->peer_running < result->upstream->record.slots
+         && portioned (flow, result);
 }
 
 static uint64_t
@@ -201,6 +261,7 @@
   if (!admissible (flow, &result))
     return false;
   flow_unwait (flow);
+  portion_take (&result.upstream->portion, result.unread_tokens);
   flow_start (flow, &result);
   return true;
 }
--- a/src/gateway/neighbours_load.c
+++ b/src/gateway/neighbours_load.c
@@ -101,6 +101,16 @@
               = shift (upstream->load.peer_unread_tokens, item->tokens, sign);
           continue;
         }
+      if (item->subject == MESSAGE_SUBJECT_WANTED)
+        {
+          gateway->peer_wanted_tokens
+              = shift (gateway->peer_wanted_tokens, item->tokens, sign);
+          upstream = roster_find (&gateway->roster, item->id);
+          if (upstream != NULL)
+            upstream->load.peer_wanted_tokens = shift (
+                upstream->load.peer_wanted_tokens, item->tokens, sign);
+          continue;
+        }
       customer = usage_share_customer (&gateway->usage, item->id);
       if (customer == NULL)
         continue;
@@ -196,7 +206,7 @@
 {
   const struct gateway *gateway = neighbours->gateway;
   const struct neighbour *peer;
-  size_t count = HASH_COUNT (gateway->roster.upstreams)
+  size_t count = 2 * HASH_COUNT (gateway->roster.upstreams)
                  + HASH_COUNT (gateway->usage.customers) + 1;
 
   for (peer = neighbours->peers; peer != NULL; peer = peer->hh.next)
@@ -238,9 +248,14 @@
 
   for (upstream = gateway->roster.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
-    if (upstream->load.running > 0 || upstream->load.unread_tokens > 0)
-      add (sums, upstream->id, MESSAGE_SUBJECT_UPSTREAM,
-           upstream->load.running, (int64_t)upstream->load.unread_tokens);
+    {
+      if (upstream->load.running > 0 || upstream->load.unread_tokens > 0)
+        add (sums, upstream->id, MESSAGE_SUBJECT_UPSTREAM,
+             upstream->load.running, (int64_t)upstream->load.unread_tokens);
+      if (upstream->load.wanted_tokens > 0)
+        add (sums, upstream->id, MESSAGE_SUBJECT_WANTED, 0,
+             (int64_t)upstream->load.wanted_tokens);
+    }
   for (customer = gateway->usage.customers; customer != NULL;
        customer = customer->hh.next)
     {
--- a/src/state/admit.c
+++ b/src/state/admit.c
@@ -44,6 +44,19 @@
   return room->taken_tokens * 2 / room->room_tokens;
 }
 
+double
+admit_part (uint64_t had_tokens, uint64_t others_had_tokens, double most)
+{
+  double part;
+
+  if (others_had_tokens == UINT64_MAX)
+    return 1;
+  part = ((double)others_had_tokens + SLACK_TOKENS)
+         / ((double)had_tokens + SLACK_TOKENS);
+  part = part * part * part;
+  return part > most ? most : part;
+}
+
 uint64_t
 admit_room_tokens (const struct pace *pace,
                    const struct admit_request *request)
@@ -54,15 +67,17 @@
 
   if (request->others_had_tokens == UINT64_MAX)
     return pace_tokens (pace, (uint32_t)room_ms);
-  part = ((double)request->others_had_tokens + SLACK_TOKENS)
-         / ((double)request->had_tokens + SLACK_TOKENS);
-  part = part * part * part;
-  if (part > most)
-    part = most;
+  part = admit_part (request->had_tokens, request->others_had_tokens, most);
   room_ms *= 1 - (1 - part) * request->crowding;
   return pace_tokens (pace, (uint32_t)room_ms);
 }
 
+uint64_t
+admit_turn_tokens (const struct pace *pace, uint32_t turn_ms)
+{
+  return pace_tokens (pace, ROOM_MS + turn_ms);
+}
+
 uint32_t
 admit_patience_permille (bool waits, uint64_t waited_ns, uint64_t total_ns,
                          double crowding)
--- a/src/state/admit.h
+++ b/src/state/admit.h
@@ -47,10 +47,20 @@
   bool away; /**< the engine is not its home, and it is out of patience */
 };
 
+/** What a customer may have of what is to be had, 1 for one that has had as
+    much as those that wait: less for one that has had more, more for less.
+    @param most  that it is at most */
+double admit_part (uint64_t had_tokens, uint64_t others_had_tokens,
+                   double most);
+
 /** Tokens that the engine may have ahead of it. */
 uint64_t admit_room_tokens (const struct pace *pace,
                             const struct admit_request *request);
 
+/** Tokens that all instances together may have an engine be ahead of, when
+    they look at it once a turn: it reads meanwhile. */
+uint64_t admit_turn_tokens (const struct pace *pace, uint32_t turn_ms);
+
 /** @param waits     it is in the line
     @param waited_ns since it arrived
     @param total_ns  that it has */
--- /dev/null
+++ b/src/state/portion.c
@@ -0,0 +1,33 @@
+/**
+ * @file portion.c
+ * Parts of an engine's room.
+ */
+#include "state/portion.h"
+
+bool
+portion_allows (struct portion *portion, const struct portion_request *request,
+                uint32_t tokens)
+{
+  uint64_t free_tokens = request->room_tokens > request->ahead_tokens
+                             ? request->room_tokens - request->ahead_tokens
+                             : 0;
+
+  /* Nobody else is known to send there. */
+  if (request->peer_tokens == 0)
+    return true;
+  if (portion->turn != request->turn)
+    {
+      portion->turn = request->turn;
+      portion->left_tokens
+          = (double)free_tokens * (double)request->own_tokens
+            / (double)(request->own_tokens + request->peer_tokens);
+      portion->draw = request->draw;
+    }
+  return portion->left_tokens > portion->draw * tokens;
+}
+
+void
+portion_take (struct portion *portion, uint32_t tokens)
+{
+  portion->left_tokens -= tokens;
+}
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -9,6 +9,7 @@
 #define STATE_ROSTER_H
 
 #include "state/outlier.h"
+#include "state/portion.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -42,6 +43,8 @@
   uint64_t unread_tokens; /**< of prompts of those that have not begun */
   uint32_t peer_running;  /**< requests of other instances there */
   uint64_t peer_unread_tokens;
+  uint64_t wanted_tokens; /**< of prompts that wait here for it */
+  uint64_t peer_wanted_tokens;
   uint32_t told_running; /**< as it said itself, over all callers */
   uint32_t told_waiting;
   uint64_t told_ns; /**< when it said so; 0: never */
@@ -53,6 +56,7 @@
   struct roster_record record;
   struct roster_load load;
   struct outlier outlier;
+  struct portion portion;
   bool seen;              /**< in the listing being read */
   uint64_t missing_ns;    /**< since when the store lacks it; 0: it is there */
   uint64_t grace_ns;      /**< how long it may be missing */
