Room follows what waits for engines, too

Ruled out: the gateway's own limits (22 refusals for connections in 14 s). Change: what waits in the fleet counts as taken when a customer's room is worked out; whether a prompt may leave its home still goes by what engines have. Test: test_waitline, crowding.

--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -32,7 +32,7 @@
 static bool admissible (struct flow *flow, const struct choose_result *result);
 static uint64_t room_tokens (struct flow *flow,
                              const struct choose_result *result);
-static double crowding_of (const struct gateway *gateway);
+static void count_room (struct gateway *gateway);
 static void log_wait (struct flow *flow, uint64_t now_ns);
 static bool take (void *user, void *owner);
 static void wait_in_line (struct flow *flow,
@@ -231,15 +231,15 @@
     .had_tokens = usage_share_used (&gateway->usage, flow->wait.customer_id,
                                     gateway_now_ns (gateway)),
     .others_had_tokens = gateway->level_tokens,
-    .crowding = gateway->crowding,
+    .crowding = gateway->contention,
     .away = !result->home && flow_patience (flow) == ADMIT_IMPATIENT_PERMILLE,
   };
 
   return service == NULL ? 0 : admit_room_tokens (&service->pace, &request);
 }
 
-static double
-crowding_of (const struct gateway *gateway)
+static void
+count_room (struct gateway *gateway)
 {
   const struct gateway_service *service;
   struct admit_room room = { .taken_tokens = 0 };
@@ -247,7 +247,9 @@
   for (service = gateway->services; service != NULL;
        service = service->hh.next)
     admit_count (&room, &gateway->roster, service->id, &service->pace);
-  return admit_crowding (&room);
+  gateway->crowding = admit_crowding (&room);
+  admit_wait (&room, gateway->wanted_tokens + gateway->peer_wanted_tokens);
+  gateway->contention = admit_crowding (&room);
 }
 
 static bool
@@ -314,7 +316,7 @@
     return;
   gateway->passes++;
   gateway->level_tokens = usage_share_level (&gateway->usage, now_ns);
-  gateway->crowding = crowding_of (gateway);
+  count_room (gateway);
   waitline_pass (&gateway->waitline, &gateway->usage, now_ns, take, gateway);
   while ((item = waitline_expired (&gateway->waitline, now_ns)) != NULL)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,6 +86,7 @@
   uint64_t peer_wanted_tokens; /**< of those that wait elsewhere */
   uint64_t level_tokens;       /**< of late, on the mean of those that wait */
   double crowding;             /**< 0: engines are free; 1: they are not */
+  double contention;           /**< as crowding, with what waits for them */
   uint64_t passes;             /**< changes with what is known of load */
   uint64_t pass_end_ns;  /**< of the last offering of waiting requests ... */
   uint64_t pass_cost_ns; /**< ... and how long it took */
--- a/src/state/admit.c
+++ b/src/state/admit.c
@@ -36,6 +36,12 @@
     }
 }
 
+void
+admit_wait (struct admit_room *room, uint64_t wanted_tokens)
+{
+  room->taken_tokens += (double)wanted_tokens;
+}
+
 double
 admit_crowding (const struct admit_room *room)
 {
--- a/src/state/admit.h
+++ b/src/state/admit.h
@@ -34,6 +34,9 @@
 /** Adds the engines of a service. */
 void admit_count (struct admit_room *room, const struct roster *roster,
                   uint64_t service_id, const struct pace *pace);
+/** Adds what waits for them, anywhere in the fleet: while much does, engines
+    that stand free are about to be taken. */
+void admit_wait (struct admit_room *room, uint64_t wanted_tokens);
 /** 0: engines are free; 1: half of their room is taken, or there are none. */
 double admit_crowding (const struct admit_room *room);
 
--- a/tests/test_waitline.c
+++ b/tests/test_waitline.c
@@ -314,6 +314,7 @@
 {
   struct admit_room room = { .taken_tokens = 0 };
   struct roster_record record = { .service_id = 5, .slots = 8 };
+  struct admit_request rich = { .had_tokens = 400000 };
   struct roster roster;
   struct pace pace;
 
@@ -335,6 +336,15 @@
   room = (struct admit_room){ .taken_tokens = 0 };
   admit_count (&room, &roster, 5, &pace);
   CU_ASSERT_DOUBLE_EQUAL (admit_crowding (&room), 0.25, 0.001);
+  /* Engines stand half free, since gateways keep to their portions, but much
+     waits: a customer that has had its share stands back all the same. */
+  rich.others_had_tokens = 100000;
+  rich.crowding = admit_crowding (&room);
+  CU_ASSERT (admit_room_tokens (&pace, &rich) > pace_tokens (&pace, 150));
+  admit_wait (&room, 200000);
+  rich.crowding = admit_crowding (&room);
+  CU_ASSERT_EQUAL (rich.crowding, 1);
+  CU_ASSERT (admit_room_tokens (&pace, &rich) < pace_tokens (&pace, 20));
   roster_finish (&roster);
 }
 
