--- a/tests/test_portion.c
+++ b/tests/test_portion.c
@@ -101,10 +101,11 @@
   for (i = 0; i < INSTANCES; i++)
     needs[i] = 1;
   run_flood (&flood, false, needs);
-  CU_ASSERT (flood.most_ahead_tokens > 20 * ROOM_TOKENS);
+  CU_ASSERT (flood.most_ahead_tokens > UINT64_C (20) * ROOM_TOKENS);
   run_flood (&flood, true, needs);
   /* Parts add up by chance: twice the room is rare, idling is, too. */
-  CU_ASSERT (flood.most_ahead_tokens < 2 * ROOM_TOKENS + TURN_TOKENS);
+  CU_ASSERT (flood.most_ahead_tokens
+             < UINT64_C (2) * ROOM_TOKENS + TURN_TOKENS);
   CU_ASSERT (flood.idle_tokens < (uint64_t)TURNS * TURN_TOKENS / 50);
 }
 
