What waits for an upstream that went and came back cannot fall below zero

Cause, found by reading the diff: an entry that the store lost in an outage and that comes back is new and knows nothing of the prompts that still wait for it; taking them back wrapped around, and this gateway would have claimed all room of that engine. Ruled out: the sums of others (they stop at zero already). Test: test_roster, what waits for an upstream that went and came back; it fails without the bound. Conclusion: mended.

--- a/src/gateway/flow_wait.c
+++ b/src/gateway/flow_wait.c
@@ -144,7 +144,7 @@
 
   flow->wanted_id = result->upstream->id;
   flow->wanted_tokens = (uint32_t)(result->unread_tokens * need) + 1;
-  result->upstream->load.wanted_tokens += flow->wanted_tokens;
+  roster_want (result->upstream, flow->wanted_tokens);
   gateway->wanted_tokens += flow->wanted_tokens;
 }
 
@@ -183,7 +183,7 @@
   flow->gateway->wanted_tokens -= flow->wanted_tokens;
   upstream = roster_find (&flow->gateway->roster, flow->wanted_id);
   if (upstream != NULL)
-    upstream->load.wanted_tokens -= flow->wanted_tokens;
+    roster_unwant (upstream, flow->wanted_tokens);
 }
 
 /* At another engine than its home, a prompt competes with all that wait. */
--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -71,6 +71,20 @@
   return upstream->load.unread_tokens + upstream->load.peer_unread_tokens;
 }
 
+void
+roster_want (struct roster_upstream *upstream, uint64_t tokens)
+{
+  upstream->load.wanted_tokens += tokens;
+}
+
+void
+roster_unwant (struct roster_upstream *upstream, uint64_t tokens)
+{
+  upstream->load.wanted_tokens -= tokens < upstream->load.wanted_tokens
+                                      ? tokens
+                                      : upstream->load.wanted_tokens;
+}
+
 bool
 roster_usable (const struct roster_upstream *upstream, uint64_t service_id)
 {
--- a/src/state/roster.h
+++ b/src/state/roster.h
@@ -112,6 +112,10 @@
 struct roster_upstream *roster_find (const struct roster *roster, uint64_t id);
 /** Tokens that it has yet to read, for all instances. */
 uint64_t roster_ahead_tokens (const struct roster_upstream *upstream);
+/** Prompts begin to wait for it, or do no more.  An entry that went and came
+    back in between knows nothing of them. */
+void roster_want (struct roster_upstream *upstream, uint64_t tokens);
+void roster_unwant (struct roster_upstream *upstream, uint64_t tokens);
 /** True when it takes new requests. */
 bool roster_usable (const struct roster_upstream *upstream,
                     uint64_t service_id);
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -136,11 +136,32 @@
   roster_finish (&roster);
 }
 
+/* A prompt waits for an upstream whose entry goes and comes back meanwhile. */
+static void
+test_wanted_across_a_gap (void)
+{
+  struct roster roster;
+
+  roster_init (&roster);
+  put (&roster, "a", 1000, 5, false);
+  roster_want (roster.upstreams, 700);
+  CU_ASSERT_EQUAL (roster.upstreams->load.wanted_tokens, 700);
+  roster_drop (&roster, "a", 6, 0, 0);
+  CU_ASSERT_PTR_NULL (roster.upstreams);
+  put (&roster, "a", 1000, 7, false);
+  roster_want (roster.upstreams, 300);
+  roster_unwant (roster.upstreams, 700);
+  CU_ASSERT_EQUAL (roster.upstreams->load.wanted_tokens, 0);
+  roster_finish (&roster);
+}
+
 static const struct suite_test tests[] = {
   { "upstreams that leave", test_leaving },
   { "entries lost in an outage", test_outage_grace },
   { "entries lost without one", test_no_grace },
   { "a new life under an old identity", test_new_life },
+  { "what waits for an upstream that went and came back",
+    test_wanted_across_a_gap },
 };
 
 SUITE_MAIN ("test_roster", tests)
