--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -122,7 +122,7 @@
           + rng_below (&soak->rng, SOAK_ROUTE_MS) * CLOCK_NS_PER_MS;
   snprintf (text, sizeof text,
             "POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\n"
-            "X-Credential: key-%u\r\nX-Deadline-Remaining-Ms: %u\r\n"
+            "X-Credential: key-%u\r\nX-Deadline-Remaining-Ms: %d\r\n"
             "Content-Length: %zu\r\n\r\n%s",
             paths[request->kind], request->id, request->key, PATIENCE_MS,
             strlen (request->id), request->id);
