Older news do not end the grace of an upstream that went

The model check played histories without a grace only; with one it failed first at ready, gone, born again; told ready, told gone, passed on ready (4,780,310 paths). Change: what is missing comes back by newer news only. Without memory to remember what went, older news of all unknown ones are refused, in place of being believed without a word. After: 4,780,310 paths, none wrong.

--- a/src/state/roster.c
+++ b/src/state/roster.c
@@ -110,7 +110,8 @@
   if (known == NULL)
     return is_gone (roster, record) ? ERR_STALE : add (roster, record);
   known->seen = true;
-  if (record->revision < known->record.revision)
+  if (record->revision < known->record.revision
+      || (known->missing_ns != 0 && record->revision <= known->gone_revision))
     return ERR_STALE;
   if (known->id != life_id (record)
       || known->record.service_id != record->service_id
@@ -266,9 +267,14 @@
   if (gone == NULL)
     {
       gone = calloc (1, sizeof *gone);
-      /* Without it, old news would at worst be believed for a while. */
+      /* Without memory for one, older news of any that are unknown are
+         refused: the next listing tells of those that are there. */
       if (gone == NULL)
-        return;
+        {
+          if (revision > roster->listed_revision)
+            roster->listed_revision = revision;
+          return;
+        }
       gone->identity = hash;
       HASH_ADD (hh, roster->gone, identity, sizeof gone->identity, gone);
     }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -47,6 +47,7 @@
 {
   enum change history[HISTORY]; /* revision 1 and on */
   struct step path[DEPTH];
+  uint64_t grace_ns; /* for entries that the store lost */
   uint64_t paths;
   uint64_t wrong;
 };
@@ -75,7 +76,7 @@
 
   if (change == CHANGE_GONE)
     {
-      roster_drop (roster, "a", revision, 0, 0);
+      roster_drop (roster, "a", revision, world->grace_ns, 1);
       return;
     }
   record.draining = change == CHANGE_DRAINING;
@@ -104,7 +105,7 @@
     case DELIVERY_COPY:
       roster_listing_begin (roster);
       list (world, roster, step->revision);
-      roster_listing_end (roster, step->revision, 0, 0);
+      roster_listing_end (roster, step->revision, world->grace_ns, 1);
       break;
     case DELIVERY_PASSED_ON:
       tell (world, roster, step->revision);
@@ -126,8 +127,10 @@
     return upstream == NULL;
   change = world->history[newest - 1];
   if (change == CHANGE_GONE)
-    return upstream == NULL;
+    return upstream == NULL
+           || (world->grace_ns > 0 && upstream->missing_ns != 0);
   return upstream != NULL && upstream->hh.next == NULL
+         && upstream->missing_ns == 0
          && upstream->record.born_ms == born_at (world, newest)
          && roster_usable (upstream, 5) == (change != CHANGE_DRAINING);
 }
@@ -209,7 +212,9 @@
               && world.history[i] != CHANGE_REBORN)
             possible = false;
         }
-      if (possible)
+      if (!possible)
+        continue;
+      for (world.grace_ns = 0; world.grace_ns < 2; world.grace_ns++)
         explore (&world, 0, 0, 0);
     }
   printf ("%d paths ", (int)world.paths);
