Soak: one copy of a gateway's settings, names of its own, a named bound

Read as a newcomer: the settings file stood in two scripts; the plan's kinds bore the names of the stand-ins' faults; two seconds stood without a name.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -25,3 +25,18 @@
     sleep 0.05
   done
 }
+
+# put_settings NAME ZONE STORE FIRST MORE: a gateway's settings, with its three
+# ports from line FIRST of $work/ports on; MORE is added as it is.
+put_settings ()
+{
+  cat << END
+{ "node": "$1", "zone": "$2",
+  "ip": "127.0.0.1",
+  "port_range": [$(sed -n "$(($4 + 2))p" "$work/ports"), 65535],
+  "listen": { "front": "127.0.0.1:$(sed -n "$4p" "$work/ports")",
+              "ready": "127.0.0.1:$(sed -n "$(($4 + 1))p" "$work/ports")" },
+  "platform": { "address": "$3" }, $5
+  "limits": { "max_fds": 1024, "memory_mb": 64 } }
+END
+}
--- a/tests/regress_gateway.sh
+++ b/tests/regress_gateway.sh
@@ -53,18 +53,10 @@
 "$build/standin" ports --workers 9 > "$work/ports"
 for index in 1 2 3; do
   first=$((index * 3 - 2))
-  front=$(sed -n "${first}p" "$work/ports")
-  probe=$(sed -n "$((first + 1))p" "$work/ports")
-  peer=$(sed -n "$((first + 2))p" "$work/ports")
-  echo "127.0.0.1:$front" > "$work/front.$index"
-  echo "127.0.0.1:$probe" > "$work/probe.$index"
-  cat > "$work/settings.$index" << END
-{ "node": "gate-$index", "zone": "za", "ip": "127.0.0.1",
-  "port_range": [$peer, $peer],
-  "listen": { "front": "127.0.0.1:$front", "ready": "127.0.0.1:$probe" },
-  "platform": { "address": "$store" },
-  "limits": { "max_fds": 1024, "memory_mb": 64 } }
-END
+  echo "127.0.0.1:$(sed -n "${first}p" "$work/ports")" > "$work/front.$index"
+  echo "127.0.0.1:$(sed -n "$((first + 1))p" "$work/ports")" \
+    > "$work/probe.$index"
+  put_settings "gate-$index" za "$store" $first "" > "$work/settings.$index"
   CHERRYLANDING_CONFIG=$work/settings.$index "$build/cherrylanding" gateway \
     > "$work/log.$index" 2>&1 &
   eval "gateway_$index=$!"
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -114,19 +114,12 @@
 
 index=0
 while [ $index -lt $gateways ]; do
-  front=$(sed -n "$((index * 3 + 1))p" "$work/ports")
-  probe=$(sed -n "$((index * 3 + 2))p" "$work/ports")
-  peer=$(sed -n "$((index * 3 + 3))p" "$work/ports")
   store=$(sed -n "$((index + 1))p" "$work/links")
-  cat > "$work/settings.$index" << END
-{ "node": "gate-$index", "zone": "z$(echo abcd | cut -c $((index + 1)))",
-  "ip": "127.0.0.1", "port_range": [$peer, $peer],
-  "listen": { "front": "127.0.0.1:$front", "ready": "127.0.0.1:$probe" },
-  "platform": { "address": "127.0.0.1:$store" },
-  "bounds": { "retry_budget_ratio": 0.02, "budget_window_s": 10,
-              "retry_allowance": 5, "drain_ms": 2000, "grace_s": 8 },
-  "limits": { "max_fds": 1024, "memory_mb": 64 } }
-END
+  put_settings "gate-$index" "z$(echo abcd | cut -c $((index + 1)))" \
+    "127.0.0.1:$store" $((index * 3 + 1)) \
+    '"bounds": { "retry_budget_ratio": 0.02, "budget_window_s": 10,
+              "retry_allowance": 5, "drain_ms": 2000, "grace_s": 8 },' \
+    > "$work/settings.$index"
   start $index
   index=$((index + 1))
 done
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -281,7 +281,8 @@
   uint32_t i;
 
   for (i = 0; i < SOAK_GATEWAYS; i++)
-    if (soak->gateways[i].served_ns + 2 * CLOCK_NS_PER_S < soak->end_ns)
+    if (soak->gateways[i].served_ns + SOAK_SERVED_MS * CLOCK_NS_PER_MS
+        < soak->end_ns)
       {
         snprintf (text, sizeof text, "gateway %u serves nothing", i);
         soak_broken (soak, SOAK_NOT_RECOVERED, NULL, text);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -13,20 +13,20 @@
 #define GRACE_MS   8000 /* of a gateway that is told to leave */
 #define REAP_MS    1500 /* more than its grace */
 
-enum fault
+enum plan_kind
 {
-  FAULT_KILL,
-  FAULT_LEAVE,
-  FAULT_FREEZE,
-  FAULT_RELOAD,
-  FAULT_HERD,
-  FAULT_WORKER,
-  FAULT_WORKER_LEAVES,
-  FAULT_LINK,
-  FAULT_STORE,
-  FAULT_COMPACT,
-  FAULT_KEY,
-  FAULT_MAX
+  PLAN_KILL,
+  PLAN_LEAVE,
+  PLAN_FREEZE,
+  PLAN_RELOAD,
+  PLAN_HERD,
+  PLAN_WORKER,
+  PLAN_WORKER_LEAVES,
+  PLAN_LINK,
+  PLAN_STORE,
+  PLAN_COMPACT,
+  PLAN_KEY,
+  PLAN_MAX
 };
 
 /** What ends a fault, or goes on with it. */
@@ -41,7 +41,7 @@
   struct soak_pending *next;
 };
 
-struct fault_kind_entry
+struct plan_entry
 {
   uint32_t weight;
   void (*begin) (struct soak *soak);
@@ -76,18 +76,18 @@
 static struct soak_trouble *trouble_of_link (struct soak *soak,
                                              uint32_t place);
 
-static const struct fault_kind_entry kinds[FAULT_MAX] = {
-  [FAULT_KILL] = { 3, begin_kill },
-  [FAULT_LEAVE] = { 2, begin_leave },
-  [FAULT_FREEZE] = { 3, begin_freeze },
-  [FAULT_RELOAD] = { 1, begin_reload },
-  [FAULT_HERD] = { 1, begin_herd },
-  [FAULT_WORKER] = { 6, begin_worker },
-  [FAULT_WORKER_LEAVES] = { 3, begin_worker_leaves },
-  [FAULT_LINK] = { 5, begin_link },
-  [FAULT_STORE] = { 4, begin_store },
-  [FAULT_COMPACT] = { 2, begin_compact },
-  [FAULT_KEY] = { 3, begin_key },
+static const struct plan_entry kinds[PLAN_MAX] = {
+  [PLAN_KILL] = { 3, begin_kill },
+  [PLAN_LEAVE] = { 2, begin_leave },
+  [PLAN_FREEZE] = { 3, begin_freeze },
+  [PLAN_RELOAD] = { 1, begin_reload },
+  [PLAN_HERD] = { 1, begin_herd },
+  [PLAN_WORKER] = { 6, begin_worker },
+  [PLAN_WORKER_LEAVES] = { 3, begin_worker_leaves },
+  [PLAN_LINK] = { 5, begin_link },
+  [PLAN_STORE] = { 4, begin_store },
+  [PLAN_COMPACT] = { 2, begin_compact },
+  [PLAN_KEY] = { 3, begin_key },
 };
 
 void
@@ -148,7 +148,7 @@
   uint32_t drawn;
   uint32_t i;
 
-  for (i = 0; i < FAULT_MAX; i++)
+  for (i = 0; i < PLAN_MAX; i++)
     all += kinds[i].weight;
   drawn = (uint32_t)rng_below (&soak->plan_rng, all);
   for (i = 0; drawn >= kinds[i].weight; i++)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,17 +25,18 @@
 #define SOAK_ID_SIZE  24                             /**< bytes */
 
 /* What the users' platform allows, in milliseconds. */
-#define SOAK_CONTACT_MS 4000 /**< calm for so long: bounds hold again */
-#define SOAK_CONFIG_MS  3000 /**< a change is in force */
-#define SOAK_REGRESS_MS 250  /**< older rules may still be seen */
-#define SOAK_LEAVE_MS   2000 /**< nothing new to an upstream that leaves */
-#define SOAK_CANCEL_MS  500  /**< nothing more for a client that left */
-#define SOAK_ROUTE_MS   600  /**< the routes' time, as platscene writes it */
-#define SOAK_LATE_MS    500  /**< a final answer beyond it */
-#define SOAK_RECOVER_MS 15000
-#define SOAK_WINDOW_S   10   /**< of the budget of repeats */
-#define SOAK_REPEATS    5    /**< allowed in a window beside the share */
-#define SOAK_SHARE      0.02 /**< of the requests; soak.sh sets the same */
+#define SOAK_CONTACT_MS 4000  /**< calm for so long: bounds hold again */
+#define SOAK_CONFIG_MS  3000  /**< a change is in force */
+#define SOAK_REGRESS_MS 250   /**< older rules may still be seen */
+#define SOAK_LEAVE_MS   2000  /**< nothing new to an upstream that leaves */
+#define SOAK_CANCEL_MS  500   /**< nothing more for a client that left */
+#define SOAK_ROUTE_MS   600   /**< the routes' time, as platscene writes it */
+#define SOAK_LATE_MS    500   /**< a final answer beyond it */
+#define SOAK_RECOVER_MS 15000 /**< all serve again */
+#define SOAK_SERVED_MS  2000  /**< a success of each is no older in the end */
+#define SOAK_WINDOW_S   10    /**< of the budget of repeats */
+#define SOAK_REPEATS    5     /**< allowed in a window beside the share */
+#define SOAK_SHARE      0.02  /**< of the requests; soak.sh sets the same */
 
 enum soak_kind
 {
