A drain ends with answers

Ruled out: a cut link (the worker is reached); the route's time (not over yet). Change: 0.4 s before the grace is over each request without an answer gets its final one, true to its verdict; the loop ends two beats before the grace does. What is taken in while leaving counts that spare. A notice time that stood twice stands once. Test: test_gateway, a drain ends with answers; before, the answer came at the route's time, after the grace.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -39,6 +39,7 @@
 static char *copy_path (const evhtp_request_t *http);
 static int start_timer (struct flow *flow);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
+static void end_flow (struct flow *flow);
 static void log_end (const struct flow *flow, enum log_message message);
 static void release (struct flow *flow);
 
@@ -114,7 +115,8 @@
 
   if (!gateway->draining || spent_ms < GATEWAY_NOTICE_MS)
     return false;
-  return spent_ms + needs_ms > gateway->settings.grace_ms;
+  return spent_ms + needs_ms + GATEWAY_END_SPARE_MS
+         > gateway->settings.grace_ms;
 }
 
 /* What is not known may be newer than the configuration held. */
@@ -198,10 +200,25 @@
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
-  struct flow *flow = arg;
-
   (void)fd;
   (void)what;
+  end_flow (arg);
+}
+
+void
+flow_end_all (struct gateway *gateway)
+{
+  struct flow *flow;
+  struct flow *next;
+
+  DL_FOREACH_SAFE (gateway->flows, flow, next)
+    if (!reply_started (&flow->reply))
+      end_flow (flow);
+}
+
+static void
+end_flow (struct flow *flow)
+{
   flow_cancel (flow);
   flow_unwait (flow);
   if (reply_started (&flow->reply))
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -14,6 +14,9 @@
 void flow_refuse_raw (void *user, enum refusal refusal, const char *request_id,
                       struct evbuffer *out);
 
+/** Gives each request that has had no answer yet its final one. */
+void flow_end_all (struct gateway *gateway);
+
 /** An upstream has begun or ended a request, or more is known of its load:
     waiting requests are offered soon. */
 void flow_capacity_changed (struct gateway *gateway);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -20,15 +20,14 @@
 #define CONNECT_MS  1000  /* to an upstream that is a millisecond away */
 #define SILENCE_MS  2000  /* until a dead upstream or store is noticed */
 #define READ_MAX    65536 /* bytes read at once from an upstream */
-/* The balancer asks once a second and believes the second miss. */
-#define NOTICE_MS 2500
 /* Lines of log a second: some five for each request refused or failed on a bad
    day, at a tenth of a percent of a core. */
 #define LOG_LINES_MAX 120
 /* Usage fades over this part of the window that shares are counted in, so that
    who comes late has caught up within half of it. */
-#define USAGE_PART   2
-#define END_SPARE_MS 300 /* left of the grace when the rest is cut */
+#define USAGE_PART 2
+/* Left of the grace when the loop ends: two beats, as one may come late. */
+#define EXIT_SPARE_MS (2 * TICK_MS)
 
 /* Limits until the operator's are known. */
 static const struct httpd_limits first_limits = {
@@ -304,7 +303,8 @@
 }
 
 /* Serves on until the balancer has noticed; then idle connections are closed,
-   and requests in progress have the rest of the grace. */
+   and requests in progress have the rest of the grace.  Shortly before its end
+   those without an answer are given one. */
 static void
 check_drain (struct gateway *gateway, uint64_t now_ns)
 {
@@ -317,8 +317,11 @@
     {
       LOG (LOG_DRAIN_FINISHED, NULL, LOG_U ("ms", spent_ms));
       event_base_loopbreak (gateway->base);
+      return;
     }
-  else if (spent_ms + END_SPARE_MS >= gateway->settings.grace_ms)
+  if (spent_ms + GATEWAY_END_SPARE_MS >= gateway->settings.grace_ms)
+    flow_end_all (gateway);
+  if (spent_ms + EXIT_SPARE_MS >= gateway->settings.grace_ms)
     {
       LOG (LOG_DRAIN_TIMEOUT, NULL, LOG_U ("requests", gateway->flow_count),
            LOG_U ("connections", httpd_active (gateway->httpd)));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,7 +27,10 @@
 
 /** The balancer asks once a second and believes the second miss. */
 #define GATEWAY_NOTICE_MS 2500
-#define GATEWAY_SIGNALS   3 /**< SIGTERM, SIGINT, SIGHUP */
+/** Left of the grace when what has no answer is given one: a round trip of the
+    slowest client, and the two beats that the loop's end keeps. */
+#define GATEWAY_END_SPARE_MS 400
+#define GATEWAY_SIGNALS      3 /**< SIGTERM, SIGINT, SIGHUP */
 
 struct flow;
 struct neighbours;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -513,6 +513,37 @@
   gatestage_finish (&stage);
 }
 
+static bool
+answered (const struct gatestage *stage)
+{
+  return platclient_answered (&stage->client) || stage->client.closed;
+}
+
+/* A request that an instance which leaves has passed on, and whose upstream
+   is silent, is answered before the instance goes. */
+static void
+test_drain_ends_with_answers (void)
+{
+  struct gatestage stage;
+  uint64_t spent_ms;
+
+  gatestage_init (&stage, true);
+  stage.workers[0].act = stage.workers[1].act = PLATWORKER_HANG;
+  stage.gateway.settings.grace_ms = 2900;
+  gateway_drain (&stage.gateway);
+  gatestage_run (&stage, 2450);
+  platclient_init (&stage.client, stage.base,
+                   httpd_port (stage.gateway.httpd));
+  platclient_send (&stage.client, ONCE);
+  gatestage_until (&stage, answered);
+  spent_ms = (gateway_now_ns (&stage.gateway) - stage.gateway.drain_ns)
+             / CLOCK_NS_PER_MS;
+  CU_ASSERT (spent_ms < stage.gateway.settings.grace_ms);
+  assert_status (&stage, "504");
+  CU_ASSERT_EQUAL (stage.workers[0].requests + stage.workers[1].requests, 1);
+  gatestage_finish (&stage);
+}
+
 static const struct suite_test tests[] = {
   { "golden sessions", test_golden },
   { "not ready before a configuration", test_not_ready },
@@ -524,6 +555,7 @@
   { "a client leaves", test_client_leaves },
   { "membership", test_membership },
   { "drain", test_drain },
+  { "a drain ends with answers", test_drain_ends_with_answers },
   { "metrics", test_metrics },
   { "reload", test_reload },
   { "neighbours", test_neighbours },
