--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -27,7 +27,7 @@
    who comes late has caught up within half of it. */
 #define USAGE_PART 2
 /* Left of the grace when the loop ends: two beats, as one may come late. */
-#define EXIT_SPARE_MS (2 * TICK_MS)
+#define EXIT_SPARE_MS 200
 
 /* Limits until the operator's are known. */
 static const struct httpd_limits first_limits = {
