Gateways log and count what tells causes of late drains apart

The logs could not say when a gateway learned that an upstream drains, from whom, how long ready events wait for its event loop, or which peer a lost link led to.

New: `upstream is draining' with the index and the source, `event loop is late' from 250 ms on, the peer's name in `peer disconnected'; links_lost_total, loop_lag_seconds and send_delay_seconds among the metrics. No decision uses them.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -37,6 +37,8 @@
 static void on_config_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_recovered (void *user, uint64_t outage_ns);
 static uint64_t expired_entry_grace_ns (const struct gateway *gateway);
+static void log_draining (const struct gateway *gateway,
+                          const struct registry_record *record);
 static void apply_http_limits (struct gateway *gateway);
 
 static const struct store_watch_events config_events = {
@@ -307,6 +309,8 @@
   if (error == 0)
     {
       error = registry_put (&gateway->registry, &record);
+      if (error == REGISTRY_CHANGED && record.draining)
+        log_draining (gateway, &record);
       if (error >= 0)
         gateway_peers_publish_item (gateway, item, error == REGISTRY_CHANGED);
       return;
@@ -316,3 +320,12 @@
   registry_mark_missing (&gateway->registry, identity, item->index, 0,
                          gateway_now_ns (gateway));
 }
+
+static void
+log_draining (const struct gateway *gateway,
+              const struct registry_record *record)
+{
+  LOG (LOG_UPSTREAM_DRAINING, NULL, LOG_S ("upstream", record->identity),
+       LOG_U ("index", record->revision),
+       LOG_S ("from", gateway->upstream_watch.paused ? "hub" : "store"));
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -33,6 +33,9 @@
    may be late. */
 #define EXIT_MARGIN_MS 200
 
+/* Waits of a ready event for the event loop are logged from this on. */
+#define LOOP_LAG_LOGGED_MS 250
+
 /* In effect until the first configuration is applied. */
 static const struct httpd_limits default_limits = {
   .header_bytes_max = 16384,
@@ -48,6 +51,7 @@
 static int init_transport (struct gateway *gateway);
 static int init_events (struct gateway *gateway);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
+static void on_lag_probe (evutil_socket_t fd, short what, void *arg);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
@@ -155,7 +159,9 @@
   gateway->tick = event_new (gateway->base, -1, EV_PERSIST, on_tick, gateway);
   gateway->dispatch = event_new (gateway->base, -1, 0,
                                  gateway_request_dispatch_waiting, gateway);
-  if (gateway->tick == NULL || gateway->dispatch == NULL)
+  gateway->lag_probe = event_new (gateway->base, -1, 0, on_lag_probe, gateway);
+  if (gateway->tick == NULL || gateway->dispatch == NULL
+      || gateway->lag_probe == NULL)
     return ERR_NO_MEMORY;
   event_add (gateway->tick, &tick);
   /* The event loop does not count as lagging before its first tick. */
@@ -205,6 +211,8 @@
     event_free (gateway->dispatch);
   if (gateway->tick != NULL)
     event_free (gateway->tick);
+  if (gateway->lag_probe != NULL)
+    event_free (gateway->lag_probe);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
     if (gateway->signals[i] != NULL)
       event_free (gateway->signals[i]);
@@ -251,6 +259,11 @@
   (void)fd;
   (void)what;
   gateway->tick_ns = now_ns;
+  if (gateway->lag_probe_ns == 0)
+    {
+      gateway->lag_probe_ns = now_ns;
+      event_active (gateway->lag_probe, EV_TIMEOUT, 0);
+    }
   registry_expire (&gateway->registry, now_ns);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
@@ -259,6 +272,23 @@
     check_drain (gateway, now_ns);
 }
 
+/* Runs after the events that were ready when the tick made it active. */
+static void
+on_lag_probe (evutil_socket_t fd, short what, void *arg)
+{
+  struct gateway *gateway = arg;
+  uint64_t lag_ns = gateway_now_ns (gateway) - gateway->lag_probe_ns;
+
+  (void)fd;
+  (void)what;
+  gateway->lag_probe_ns = 0;
+  hist_observe (&gateway->counters.loop_lag, lag_ns / CLOCK_NS_PER_US);
+  if (lag_ns >= LOOP_LAG_LOGGED_MS * CLOCK_NS_PER_MS)
+    LOG (LOG_LOOP_LATE, NULL, LOG_U ("ms", lag_ns / CLOCK_NS_PER_MS),
+         LOG_U ("requests", gateway->request_count),
+         LOG_U ("connections", httpd_connections (gateway->httpd)));
+}
+
 /* Draining. */
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,7 +63,11 @@
   uint64_t canceled;
   uint64_t attempts;
   uint64_t retries;
+  uint64_t links_lost;           /**< links to other gateways that ended */
   uint64_t reasons[REFUSAL_MAX]; /**< refusals by reason */
+  struct hist loop_lag;   /**< waits of a ready event for the event loop */
+  struct hist send_delay; /**< from the choice of an upstream to the first
+                             byte written to it */
   struct gateway_times times[ROUTE_KIND_MAX];
 };
 
@@ -108,7 +112,9 @@
   struct rng rng;
   struct event *tick;
   uint64_t ticks;
-  uint64_t tick_ns; /**< time of the last tick */
+  uint64_t tick_ns;        /**< time of the last tick */
+  struct event *lag_probe; /**< made active by each tick */
+  uint64_t lag_probe_ns;   /**< when; 0 once it has run */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reloads the settings on SIGHUP; may be NULL. */
   void (*reload_settings) (void *user);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -194,6 +194,7 @@
       if (peer == NULL)
         return;
       peer->instance_id = instance_id;
+      memcpy (peer->instance, hello->instance, sizeof peer->instance);
       HASH_ADD (hh, peers->linked_peers, instance_id, sizeof instance_id,
                 peer);
     }
@@ -247,7 +248,9 @@
   struct gateway_peers *peers = user;
   struct gateway_peer *peer = find_peer (peers, instance_id);
 
-  LOG (LOG_PEER_DOWN, NULL, LOG_S ("error", err_name (error)));
+  peers->gateway->counters.links_lost++;
+  LOG (LOG_PEER_DOWN, NULL, LOG_S ("peer", peer == NULL ? "" : peer->instance),
+       LOG_S ("error", err_name (error)));
   if (peer == NULL)
     return;
   gateway_peers_set_report (peers, peer, NULL);
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -23,6 +23,7 @@
 struct gateway_peer
 {
   uint64_t instance_id;
+  char instance[CATALOG_NAME_SIZE];
   bool subscribed;          /**< this instance forwards store items to it */
   bool snapshot_pending;    /**< it has still to be sent all store items */
   uint64_t report_ns;       /**< time of its last load report */
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -311,10 +311,13 @@
 on_sending (void *user)
 {
   struct gateway_request *request = user;
+  struct gateway *gateway = request->gateway;
+  uint64_t now_ns = gateway_now_ns (gateway);
 
   request->sent_attempts++;
-  attempt_advance (&request->attempt_state, ATTEMPT_SENDING,
-                   gateway_now_ns (request->gateway));
+  hist_observe (&gateway->counters.send_delay,
+                (now_ns - request->attempt_start_ns) / CLOCK_NS_PER_US);
+  attempt_advance (&request->attempt_state, ATTEMPT_SENDING, now_ns);
 }
 
 static void
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -36,7 +36,7 @@
 static void write_latencies (const struct gateway *gateway,
                              struct evbuffer *body);
 static void write_histogram (struct evbuffer *body, const char *name,
-                             const char *kind, const struct hist *hist);
+                             const char *labels, const struct hist *hist);
 
 static const struct counter_metric counter_metrics[] = {
   { "requests_total", "requests of clients",
@@ -53,6 +53,8 @@
     offsetof (struct gateway, counters.attempts) },
   { "repeats_total", "attempts after one that an upstream received",
     offsetof (struct gateway, counters.retries) },
+  { "links_lost_total", "links to other gateways that ended",
+    offsetof (struct gateway, counters.links_lost) },
 };
 
 int
@@ -194,27 +196,34 @@
 static void
 write_latencies (const struct gateway *gateway, struct evbuffer *body)
 {
-  static const char *const kinds[ROUTE_KIND_MAX] = {
-    [ROUTE_IDEMPOTENT] = "idempotent",
-    [ROUTE_NON_IDEMPOTENT] = "once",
-    [ROUTE_STREAMING] = "stream",
+  static const char *const labels[ROUTE_KIND_MAX] = {
+    [ROUTE_IDEMPOTENT] = "kind=\"idempotent\",",
+    [ROUTE_NON_IDEMPOTENT] = "kind=\"once\",",
+    [ROUTE_STREAMING] = "kind=\"stream\",",
   };
   int i;
 
-  evbuffer_add_printf (body, "# TYPE " METRIC_PREFIX
-                             "first_seconds histogram\n# TYPE " METRIC_PREFIX
-                             "total_seconds histogram\n");
+  evbuffer_add_printf (body,
+                       "# TYPE " METRIC_PREFIX
+                       "first_seconds histogram\n# TYPE " METRIC_PREFIX
+                       "total_seconds histogram\n# TYPE " METRIC_PREFIX
+                       "loop_lag_seconds histogram\n# TYPE " METRIC_PREFIX
+                       "send_delay_seconds histogram\n");
   for (i = 0; i < ROUTE_KIND_MAX; i++)
     {
-      write_histogram (body, "first_seconds", kinds[i],
+      write_histogram (body, "first_seconds", labels[i],
                        &gateway->counters.times[i].first_byte);
-      write_histogram (body, "total_seconds", kinds[i],
+      write_histogram (body, "total_seconds", labels[i],
                        &gateway->counters.times[i].total);
     }
+  write_histogram (body, "loop_lag_seconds", "", &gateway->counters.loop_lag);
+  write_histogram (body, "send_delay_seconds", "",
+                   &gateway->counters.send_delay);
 }
 
+/* @param labels  each followed by a comma. */
 static void
-write_histogram (struct evbuffer *body, const char *name, const char *kind,
+write_histogram (struct evbuffer *body, const char *name, const char *labels,
                  const struct hist *hist)
 {
   uint64_t sum = 0;
@@ -224,14 +233,14 @@
     {
       sum += hist->buckets[i];
       evbuffer_add_printf (
-          body, METRIC_PREFIX "%s_bucket{kind=\"%s\",le=\"%g\"} %" PRIu64 "\n",
-          name, kind, (double)hist_bound_us (i) / US_PER_S, sum);
+          body, METRIC_PREFIX "%s_bucket{%sle=\"%g\"} %" PRIu64 "\n", name,
+          labels, (double)hist_bound_us (i) / US_PER_S, sum);
     }
   evbuffer_add_printf (
       body,
-      METRIC_PREFIX "%s_bucket{kind=\"%s\",le=\"+Inf\"} %" PRIu64
-                    "\n" METRIC_PREFIX "%s_sum{kind=\"%s\"} %g\n" METRIC_PREFIX
-                    "%s_count{kind=\"%s\"} %" PRIu64 "\n",
-      name, kind, hist->count, name, kind, (double)hist->sum_us / US_PER_S,
-      name, kind, hist->count);
+      METRIC_PREFIX "%s_bucket{%sle=\"+Inf\"} %" PRIu64 "\n" METRIC_PREFIX
+                    "%s_sum{%s} %g\n" METRIC_PREFIX "%s_count{%s} %" PRIu64
+                    "\n",
+      name, labels, hist->count, name, labels, (double)hist->sum_us / US_PER_S,
+      name, labels, hist->count);
 }
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -17,6 +17,7 @@
   [LOG_DRAIN_TIMEOUT]
   = { LOG_LEVEL_WARN, "drain timeout passed, requests still in flight",
       false },
+  [LOG_LOOP_LATE] = { LOG_LEVEL_WARN, "event loop is late", false },
   /* requests */
   [LOG_REQUEST_ACCEPTED] = { LOG_LEVEL_DEBUG, "request accepted", false },
   [LOG_REQUEST_WAITED] = { LOG_LEVEL_INFO, "request left the line", false },
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -490,6 +490,8 @@
       strstr (fixture.client.got, "gateway_requests_total 2\n"));
   CU_ASSERT_PTR_NOT_NULL (
       strstr (fixture.client.got, "gateway_completed_total 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (fixture.client.got, "gateway_links_lost_total 0\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (
       fixture.client.got, "refusals_total{reason=\"no_upstream\"} 1\n"));
   CU_ASSERT_PTR_NOT_NULL (
