--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -255,13 +255,16 @@
 {
   struct gateway *gateway = arg;
   uint64_t now_ns = gateway_now_ns (gateway);
+  uint64_t due_ns;
 
   (void)fd;
   (void)what;
+  due_ns = gateway->tick_ns + TICK_MS * CLOCK_NS_PER_MS;
   gateway->tick_ns = now_ns;
   if (gateway->lag_probe_ns == 0)
     {
-      gateway->lag_probe_ns = now_ns;
+      /* The tick itself may have waited for the loop. */
+      gateway->lag_probe_ns = due_ns < now_ns ? due_ns : now_ns;
       event_active (gateway->lag_probe, EV_TIMEOUT, 0);
     }
   registry_expire (&gateway->registry, now_ns);
--- /dev/null
+++ b/tests/test_overload.c
@@ -0,0 +1,193 @@
+/**
+ * @file test_overload.c
+ * A gateway that gets more requests than it can handle.
+ */
+#include "gateway/gateway_peers_int.h"
+#include "support/gatefixture.h"
+#include "support/suite.h"
+#include "transport/sock.h"
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CLIENTS 150 /* fewer than the fixture's limit of connections */
+#define REQUEST                                                               \
+  "GET /nowhere/ HTTP/1.1\r\nHost: shop.example\r\n"                          \
+  "X-Attempt-Id: id-1\r\n\r\n"
+#define HUB "gate-2"
+/* Index of a change that is newer than all that the fixture wrote. */
+#define NEWER_INDEX 1000
+
+/** A hub on the test's event loop, and clients that bypass the loop. */
+struct overload
+{
+  struct gatefixture fixture;
+  struct peernet *hub;
+  int clients[CLIENTS];
+};
+
+static void
+on_peer_up (void *user, const struct message_hello *hello)
+{
+  (void)user;
+  (void)hello;
+}
+
+static void
+on_peer_message (void *user, uint64_t instance_id,
+                 const struct message *message)
+{
+  (void)user;
+  (void)instance_id;
+  (void)message;
+}
+
+static void
+on_peer_down (void *user, uint64_t instance_id, int error)
+{
+  (void)user;
+  (void)instance_id;
+  (void)error;
+}
+
+static void
+on_peer_rejected (void *user, const char *address, int error)
+{
+  (void)user;
+  (void)address;
+  (void)error;
+}
+
+static bool
+linked_to_hub (const struct gatefixture *fixture)
+{
+  return gateway_peers_linked_count (&fixture->gateway) == 1;
+}
+
+static bool
+clients_accepted (const struct gatefixture *fixture)
+{
+  return httpd_connections (fixture->gateway.httpd) == CLIENTS;
+}
+
+static void
+start_hub (struct overload *overload)
+{
+  static const struct peernet_events events
+      = { on_peer_up, on_peer_message, on_peer_down, on_peer_rejected };
+  struct peernet_config config = {
+    .base = overload->fixture.base,
+    .clock = &overload->fixture.gateway.clock,
+    .self = { .fleet = "gateway", .instance = HUB, .incarnation = 1 },
+    .listen_address = "127.0.0.1:0",
+    .added_addresses_only = true,
+    .secret = "cherrylanding gateway fleet",
+    .handshake_ms = 1000,
+    .idle_ms = 60000,
+    .events = &events,
+  };
+
+  CU_ASSERT_EQUAL_FATAL (peernet_new (&config, &overload->hub), 0);
+  peernet_add_address (overload->hub,
+                       peernet_address (overload->fixture.gateway.peers->net),
+                       true);
+  CU_ASSERT_TRUE_FATAL (
+      gatefixture_run_until (&overload->fixture, linked_to_hub));
+  /* The gateway relies on the hub from here on. */
+  event_del (overload->fixture.gateway.peers->report_timer);
+  store_watch_pause (&overload->fixture.gateway.upstream_watch);
+}
+
+static void
+connect_clients (struct overload *overload)
+{
+  struct sock_address address;
+  char text[32];
+  int i;
+
+  snprintf (text, sizeof text, "127.0.0.1:%u",
+            httpd_port (overload->fixture.gateway.httpd));
+  CU_ASSERT_EQUAL_FATAL (sock_parse (text, &address), 0);
+  for (i = 0; i < CLIENTS; i++)
+    CU_ASSERT_EQUAL_FATAL (sock_connect (&address, &overload->clients[i]), 0);
+  CU_ASSERT_TRUE_FATAL (
+      gatefixture_run_until (&overload->fixture, clients_accepted));
+}
+
+static void
+overload_init (struct overload *overload)
+{
+  memset (overload, 0, sizeof *overload);
+  gatefixture_init (&overload->fixture, true);
+  start_hub (overload);
+  connect_clients (overload);
+}
+
+static void
+overload_finish (struct overload *overload)
+{
+  int i;
+
+  for (i = 0; i < CLIENTS; i++)
+    close (overload->clients[i]);
+  peernet_free (overload->hub);
+  gatefixture_finish (&overload->fixture);
+}
+
+static void
+send_drain_from_hub (struct overload *overload)
+{
+  static char value[] = "{\"service\":\"s2\",\"address\":\"127.0.0.1:1\","
+                        "\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,"
+                        "\"state\":\"draining\",\"cold_remaining_ms\":0,"
+                        "\"sequence\":1,\"born\":1000}";
+  struct message_object object = { .key = "servers/w-0",
+                                   .index = NEWER_INDEX,
+                                   .value = value,
+                                   .value_size = sizeof value - 1 };
+  const struct message message = { .kind = MESSAGE_CONFIG,
+                                   .u.config = { .newest_index = NEWER_INDEX,
+                                                 .object_count = 1,
+                                                 .objects = &object } };
+
+  CU_ASSERT_EQUAL (
+      peernet_send (overload->hub, catalog_id ("gate-1"), &message), 0);
+}
+
+static bool
+drain_known (const struct gatefixture *fixture)
+{
+  const struct registry_upstream *upstream;
+
+  for (upstream = fixture->gateway.registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (upstream->record.draining)
+      return true;
+  return false;
+}
+
+/* What a hub tells must not wait until all ready clients have been served. */
+static void
+test_drain_waits_behind_requests (void)
+{
+  static struct overload overload;
+  uint64_t arrived;
+  int i;
+
+  overload_init (&overload);
+  arrived = overload.fixture.gateway.counters.arrived;
+  send_drain_from_hub (&overload);
+  for (i = 0; i < CLIENTS; i++)
+    CU_ASSERT_EQUAL (write (overload.clients[i], REQUEST, sizeof REQUEST - 1),
+                     sizeof REQUEST - 1);
+  CU_ASSERT_TRUE (gatefixture_run_until (&overload.fixture, drain_known));
+  CU_ASSERT_EQUAL (overload.fixture.gateway.counters.arrived, arrived);
+  overload_finish (&overload);
+}
+
+static const struct suite_test tests[] = {
+  { "news of a draining upstream behind requests",
+    test_drain_waits_behind_requests },
+};
+
+SUITE_MAIN ("test_overload", tests)
--- a/tests/test_peernet.c
+++ b/tests/test_peernet.c
@@ -26,6 +26,7 @@
 /* Advertised address of instances started later; NULL: the bound address. */
 static const char *advertised;
 static struct clock real_clock;
+static uint32_t idle_ms = 60000; /* of instances started later */
 
 static void
 on_up (void *user, const struct message_hello *hello)
@@ -75,7 +76,7 @@
                                    .advertised_address = advertised,
                                    .secret = "open sesame",
                                    .handshake_ms = 2000,
-                                   .idle_ms = 60000,
+                                   .idle_ms = idle_ms,
                                    .events = &events,
                                    .user = node };
 
@@ -238,11 +239,41 @@
   peernet_free (b.net);
 }
 
+/* A subscriber of a hub that reports its load to another hub has nothing to
+   send; the hub must not take it for dead. */
+static void
+test_link_of_silent_peer (void)
+{
+  const struct message message = { .kind = MESSAGE_LOAD };
+  struct node talking;
+  struct node silent;
+  uint64_t start_ns;
+
+  idle_ms = 200;
+  start (&talking, "router-a", 1, "127.0.0.1:0");
+  start (&silent, "router-b", 1, "127.0.0.1:0");
+  idle_ms = 60000;
+  connect_pair (&talking, &silent);
+  run_until_links (&talking, 1);
+  run_until_links (&silent, 1);
+  start_ns = clock_now_ns (&real_clock);
+  while (clock_now_ns (&real_clock) - start_ns < 1000 * CLOCK_NS_PER_MS)
+    {
+      peernet_send (talking.net, catalog_id ("router-b"), &message);
+      event_base_loop (base, EVLOOP_ONCE);
+    }
+  CU_ASSERT_EQUAL (talking.downs, 0);
+  CU_ASSERT_EQUAL (silent.downs, 0);
+  peernet_free (talking.net);
+  peernet_free (silent.net);
+}
+
 static const struct suite_test tests[] = {
   { "one link for each pair", test_one_link_per_pair },
   { "join by one address", test_join_by_one_address },
   { "restart at the same address", test_peer_restart },
   { "advertised address", test_advertised_address },
+  { "link of a silent peer", test_link_of_silent_peer },
   { "own address and name conflict", test_own_address_and_name_conflict },
 };
 
