A link between instances lives while one side has nothing to send

Cause: a link without input for the idle time is closed, and liveness was left to whoever had something to send. Class of fault: silence on one subject taken for death.

Change: a link on which nothing was queued for a third of the idle time gets an empty frame, by the clock (counting ticks was tried first: on an event loop that is late, a tick of 50 ms takes 400, and the frame came too late). The same links carry `serve'; its heartbeats go both ways, so it did not show there.

--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -14,6 +14,7 @@
 
 #define READ_BYTES_MAX 65536 /**< bytes per read call */
 
+static int queue (struct peerlink *link, const uint8_t *data, size_t size);
 static int start (struct peerlink *link, bool dialed);
 static void destroy (struct peerlink *link);
 static void on_readable (evutil_socket_t fd, short what, void *arg);
@@ -109,21 +110,38 @@
 peerlink_queue_frame (struct peerlink *link, const struct message *message)
 {
   struct peerlink_counters *counters = link->config->counters;
-  uint32_t prefix;
   int rc = peercodec_encode (&link->encoder, message, &link->scratch);
 
+  if (rc == 0)
+    rc = queue (link, link->scratch.data, link->scratch.size);
   if (rc != 0)
     return rc;
-  if (evbuffer_get_length (link->output) + link->scratch.size
+  counters->frames_out[message->kind]++;
+  counters->bytes_out[message->kind] += sizeof (uint32_t) + link->scratch.size;
+  return 0;
+}
+
+void
+peerlink_keep_alive (struct peerlink *link)
+{
+  if (link->state == PEERLINK_UP && !link->closed && link->error == 0
+      && !link->queued)
+    queue (link, NULL, 0);
+  link->queued = false;
+}
+
+static int
+queue (struct peerlink *link, const uint8_t *data, size_t size)
+{
+  uint32_t prefix = htonl ((uint32_t)size);
+
+  if (evbuffer_get_length (link->output) + size
       > link->config->output_bytes_max)
     return ERR_FULL;
-  prefix = htonl ((uint32_t)link->scratch.size);
   if (evbuffer_add (link->output, &prefix, sizeof prefix) != 0
-      || evbuffer_add (link->output, link->scratch.data, link->scratch.size)
-             != 0)
+      || evbuffer_add (link->output, data, size) != 0)
     return ERR_NO_MEMORY;
-  counters->frames_out[message->kind]++;
-  counters->bytes_out[message->kind] += sizeof prefix + link->scratch.size;
+  link->queued = true;
   /* Write all frames queued in this event loop iteration at once. */
   if (!event_pending (link->write_event, EV_WRITE, NULL))
     event_active (link->write_event, EV_WRITE, 0);
@@ -261,10 +279,15 @@
     return 0;
   evbuffer_copyout (link->input, &prefix, sizeof prefix);
   size = ntohl (prefix);
-  if (size == 0 || size > size_max)
+  if (size > size_max || (size == 0 && link->state != PEERLINK_UP))
     return ERR_TOO_LARGE;
   if (length < sizeof prefix + size)
     return 0;
+  if (size == 0)
+    {
+      evbuffer_drain (link->input, sizeof prefix);
+      return 1;
+    }
   data = evbuffer_pullup (link->input, (ev_ssize_t)(sizeof prefix + size));
   if (data == NULL)
     return ERR_NO_MEMORY;
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -1,7 +1,8 @@
 /**
  * @file peerlink.h
  * One connection between two instances.  Each frame is preceded by its length,
- * 4 bytes in big-endian order.  Each side sends a hello with a fresh nonce,
+ * 4 bytes in big-endian order; an empty frame only shows that its sender is
+ * alive.  Each side sends a hello with a fresh nonce,
  * and then proves that it knows the fleet's secret by an HMAC-SHA-256 over
  * both hellos, the dialing side first.  No other message is accepted before
  * that proof.  Later frames are neither encrypted nor signed: the network
@@ -76,6 +77,11 @@
     `down` is called. */
 int peerlink_send (struct peerlink *link, const struct message *message);
 
+/** Queues an empty frame if nothing was queued since the last call.  The peer
+    expects input within `idle_ms`, so the owner calls this at a third of it.
+ */
+void peerlink_keep_alive (struct peerlink *link);
+
 /** The peer's hello; valid once the link is up. */
 const struct message_hello *peerlink_hello (const struct peerlink *link);
 bool peerlink_is_up (const struct peerlink *link);
--- a/src/transport/peerlink_int.h
+++ b/src/transport/peerlink_int.h
@@ -24,6 +24,7 @@
   int fd;
   bool dialed;
   bool closed; /**< freed once `callback_depth` is 0 */
+  bool queued; /**< a frame was queued since the last peerlink_keep_alive() */
   int error;   /**< reason for the failure; 0 if none */
   uint32_t callback_depth;
   enum peerlink_state state;
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -14,14 +14,18 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#define LISTEN_BACKLOG      512
-#define ACCEPT_BATCH        64    /**< connections accepted per event */
-#define DIAL_INTERVAL_US    50000 /**< between checks for targets to dial */
-#define UNAUTHENTICATED_MAX 256   /**< accepted connections in handshake */
+#define LISTEN_BACKLOG   512
+#define ACCEPT_BATCH     64    /**< connections accepted per event */
+#define DIAL_INTERVAL_US 50000 /**< between checks for targets to dial */
+/* Part of the idle time after which a link on which nothing was sent is kept
+   alive: two such times may pass, and the frame takes some of the third. */
+#define KEEP_ALIVE_DIVISOR  3
+#define UNAUTHENTICATED_MAX 256 /**< accepted connections in handshake */
 
 static int start_events (struct peernet *net);
 static void on_accept (evutil_socket_t fd, short what, void *arg);
 static void on_dial (evutil_socket_t fd, short what, void *arg);
+static void keep_links_alive (struct peernet *net);
 static void on_up (void *user, struct peerlink *link);
 static void on_message (void *user, struct peerlink *link,
                         const struct message *message);
@@ -205,9 +209,25 @@
   (void)what;
   cpumeter_enter (&net->counters.cpu);
   peernet_dial_due (net);
+  keep_links_alive (net);
   cpumeter_leave (&net->counters.cpu);
 }
 
+static void
+keep_links_alive (struct peernet *net)
+{
+  uint64_t now_ns = clock_now_ns (net->config.clock);
+  const struct peernet_conn *conn;
+
+  /* Rather one check early than one late. */
+  if (now_ns - net->keep_alive_ns + DIAL_INTERVAL_US * CLOCK_NS_PER_US
+      <= net->config.idle_ms / KEEP_ALIVE_DIVISOR * CLOCK_NS_PER_MS)
+    return;
+  net->keep_alive_ns = now_ns;
+  for (conn = net->conns; conn != NULL; conn = conn->next)
+    peerlink_keep_alive (conn->link);
+}
+
 static void
 on_up (void *user, struct peerlink *link)
 {
--- a/src/transport/peernet_int.h
+++ b/src/transport/peernet_int.h
@@ -43,7 +43,8 @@
   int fd;
   struct event *accept_event;
   struct event *dial_event;
-  uint64_t jitter_state; /**< random number generator of the jitter */
+  uint64_t keep_alive_ns; /**< when links were last kept alive */
+  uint64_t jitter_state;  /**< random number generator of the jitter */
   struct peernet_target *targets;
   struct peernet_conn *conns; /**< all connections */
   struct peernet_conn *peers; /**< hash table of those that are up */
