The connection of a canceled attempt is shut down at once

Cause: libevent frees a bufferevent, and closes its socket, in a later event of the connection's priority; on a flooded gateway that event waited 0.5 to 1 s behind clients, while the engine worked on.

Change: http_cancel shuts the socket down before it frees the connection.

Evidence: test_upstream, `canceled attempt runs on', failed before, passes. `serve' uses the same driver.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -210,6 +210,9 @@
 void
 httpd_resume (evhtp_request_t *http)
 {
+  /* libevhtp resumes in an event of LOOP_TRAFFIC; the next request must not be
+     read before it. */
+  bufferevent_priority_set (http->conn->bev, LOOP_TRAFFIC);
   evhtp_request_resume (http);
 }
 
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -212,6 +212,9 @@
 static void
 http_cancel (struct upstream_attempt *attempt)
 {
+  /* libevent closes the socket in a later event; the upstream is to stop
+     now. */
+  shutdown (bufferevent_getfd (attempt->conn->bev), SHUT_RDWR);
   conn_free (attempt->conn);
 }
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -323,6 +323,38 @@
   fixture_finish (&fixture);
 }
 
+static bool
+server_sees_close (const struct fixture *fixture)
+{
+  char byte;
+
+  return recv (bufferevent_getfd (fixture->server), &byte, 1,
+               MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
+/* An upstream works on for a canceled request until it sees the close, which
+   must not wait for a busy event loop. */
+static void
+test_canceled_attempt_runs_on (void)
+{
+  struct fixture fixture;
+  struct upstream_request request = { .method = "GET" };
+  int turn;
+
+  fixture_init (&fixture);
+  start_attempt (&fixture, &request);
+  run_until (&fixture, &fixture.sent);
+  for (turn = 0; turn < 5; turn++)
+    event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture.server);
+  CU_ASSERT_FALSE (server_sees_close (&fixture));
+  upstream_http_driver.cancel (fixture.attempt);
+  fixture.ended = true;
+  CU_ASSERT_TRUE (server_sees_close (&fixture));
+  fixture_finish (&fixture);
+}
+
 /** A response of the server and the expected outcome of the attempt. */
 struct response_case
 {
@@ -683,6 +715,7 @@
   { "unsolicited bytes prevent reuse", test_unsolicited_bytes_prevent_reuse },
   { "cancel closes the connection", test_cancel_closes_connection },
   { "pause withholds the body", test_pause_withholds_body },
+  { "canceled attempt runs on", test_canceled_attempt_runs_on },
 };
 
 SUITE_MAIN ("test_upstream", tests)
