Subscriptions to hubs follow the roles, not the links

Cause: a gateway asked a hub for the store's items only when a link came up and the peer was known as a hub at that moment. Roles change while links stay; as links to one hub were lost every 1.5 s, each new link hid that. Class of fault: state that is set up only in the event that usually comes first.

Change: after each assignment of hubs, and for each new link, a gateway requests the items of those that are hubs and ends the request at others; it trusts the view of those only that it has asked.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -29,6 +29,8 @@
 #define HUB_STARTUP_MS                                                        \
   3000 /* allowed for a hub's first listing of the store */
 #define STORE_LAG_MAX_MS 1200 /* peers' views may be ahead for this long */
+/* Index in a request that ends a subscription. */
+#define NO_FURTHER_ITEMS UINT64_MAX
 /* Links run on the platform's own network.  The fixed secret only rejects
    programs that connect by mistake; it provides no security. */
 #define FLEET        "gateway"
@@ -45,7 +47,8 @@
                                        uint64_t instance_id);
 static bool peer_is_hub (const struct gateway_peers *peers,
                          uint64_t instance_id);
-static void subscribe (struct gateway_peers *peers, uint64_t instance_id);
+static void update_subscription (struct gateway_peers *peers,
+                                 struct gateway_peer *peer);
 static void send_pending_snapshots (struct gateway_peers *peers);
 static void send_snapshot (struct gateway_peers *peers,
                            const struct gateway_peer *peer);
@@ -200,19 +203,37 @@
       HASH_ADD (hh, peers->linked_peers, instance_id, sizeof instance_id,
                 peer);
     }
-  peer->subscribed = false;
-  peer->snapshot_pending = false;
-  if (!peers->hub && peer_is_hub (peers, instance_id))
-    subscribe (peers, instance_id);
+  peer->requested = peer->subscribed = peer->snapshot_pending = false;
+  update_subscription (peers, peer);
 }
 
-/* Requests a snapshot of a hub's view of the store, and further changes. */
+void
+gateway_peers_update_subscriptions (struct gateway_peers *peers)
+{
+  struct gateway_peer *peer;
+  struct gateway_peer *next;
+
+  for (peer = peers->linked_peers; peer != NULL; peer = next)
+    {
+      next = peer->hh.next;
+      update_subscription (peers, peer);
+    }
+}
+
+/* Requests a snapshot of a hub's view of the store, and further changes. Roles
+   change while links stay, so a subscriber that becomes a hub ends that. */
 static void
-subscribe (struct gateway_peers *peers, uint64_t instance_id)
+update_subscription (struct gateway_peers *peers, struct gateway_peer *peer)
 {
-  const struct message request = { .kind = MESSAGE_CONFIG_REQUEST };
+  bool wanted = !peers->hub && peer_is_hub (peers, peer->instance_id);
+  const struct message request
+      = { .kind = MESSAGE_CONFIG_REQUEST,
+          .u.config_request.since_index = wanted ? 0 : NO_FURTHER_ITEMS };
 
-  peernet_send (peers->net, instance_id, &request);
+  if (wanted == peer->requested)
+    return;
+  peer->requested = wanted;
+  peernet_send (peers->net, peer->instance_id, &request);
 }
 
 static void
@@ -232,8 +253,9 @@
       gateway_request_capacity_changed (peers->gateway);
       break;
     case MESSAGE_CONFIG_REQUEST:
-      peer->subscribed = true;
-      peer->snapshot_pending = true;
+      peer->subscribed
+          = message->u.config_request.since_index != NO_FURTHER_ITEMS;
+      peer->snapshot_pending = peer->subscribed;
       send_pending_snapshots (peers);
       break;
     case MESSAGE_CONFIG:
@@ -386,7 +408,7 @@
   for (peer = peers == NULL ? NULL : peers->linked_peers; peer != NULL;
        peer = peer->hh.next)
     {
-      if (peer->report_ns == 0 || peer->subscribed)
+      if (peer->report_ns == 0 || !peer->requested)
         continue;
       age_ns = now_ns - peer->report_ns + peer->load.age_ms * CLOCK_NS_PER_MS;
       if (age_ns < lowest)
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -24,6 +24,7 @@
 {
   uint64_t instance_id;
   char instance[CATALOG_NAME_SIZE];
+  bool requested;           /**< it forwards store items to this instance */
   bool subscribed;          /**< this instance forwards store items to it */
   bool snapshot_pending;    /**< it has still to be sent all store items */
   uint64_t report_ns;       /**< time of its last load report */
@@ -93,6 +94,10 @@
 /** Determines the hubs, and dials those that this instance links to. */
 void gateway_peers_assign_hubs (struct gateway_peers *peers);
 
+/* gateway_peers.c */
+/** Brings the subscriptions on all links in line with the hubs. */
+void gateway_peers_update_subscriptions (struct gateway_peers *peers);
+
 /* gateway_peers_load.c */
 /** Sends load reports to peers; a hub reports to other hubs only if
     `to_hubs`. */
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -363,6 +363,7 @@
                        && (peers->hub || member->zone_id == peers->zone_id));
     }
   free (members);
+  gateway_peers_update_subscriptions (peers);
   if (peers->hub)
     store_watch_resume (&peers->member_watch);
   else if (peers->members_listed)
--- a/tests/support/gatefixture.c
+++ b/tests/support/gatefixture.c
@@ -61,11 +61,17 @@
 
 void
 gatefixture_finish (struct gatefixture *fixture)
+{
+  gateway_finish (&fixture->gateway);
+  gatefixture_finish_servers (fixture);
+}
+
+void
+gatefixture_finish_servers (struct gatefixture *fixture)
 {
   unsigned int i;
 
   platclient_finish (&fixture->client);
-  gateway_finish (&fixture->gateway);
   for (i = 0; i < GATEFIXTURE_UPSTREAMS; i++)
     upstreamserver_finish (&fixture->upstreams[i]);
   storeserver_finish (&fixture->store);
--- a/tests/support/gatefixture.h
+++ b/tests/support/gatefixture.h
@@ -27,6 +27,8 @@
     ready. */
 void gatefixture_init (struct gatefixture *fixture, bool configured);
 void gatefixture_finish (struct gatefixture *fixture);
+/** The same after gateway_finish() for the fixture's gateway. */
+void gatefixture_finish_servers (struct gatefixture *fixture);
 
 /** Registers an upstream in a state, such as "ready". */
 void gatefixture_register_upstream (struct gatefixture *fixture,
