--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -55,6 +55,7 @@
 static void apply_items (struct gateway_peers *peers,
                          const struct message_config *config);
 static bool hub_starting (const struct gateway_peers *peers, uint64_t now_ns);
+static void rely_on_hubs (struct gateway_peers *peers);
 static void update_watching (struct gateway_peers *peers, uint64_t now_ns);
 static void check_store_lag (struct gateway_peers *peers, uint64_t now_ns);
 
@@ -483,6 +484,19 @@
   return false;
 }
 
+/* What hubs forwarded while this instance watched the store was ignored, and
+   the watch may not have reported it yet, so snapshots are requested again. */
+static void
+rely_on_hubs (struct gateway_peers *peers)
+{
+  struct gateway_peer *peer;
+
+  discovery_set_watching (peers->gateway, false);
+  for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
+    peer->requested = false;
+  gateway_peers_update_subscriptions (peers);
+}
+
 /* Hubs watch the store; other instances only while no hub has a fresh view. */
 static void
 update_watching (struct gateway_peers *peers, uint64_t now_ns)
@@ -503,7 +517,7 @@
     {
       peers->hub_fresh_ns = now_ns;
       if (!gateway->upstream_watch.paused)
-        discovery_set_watching (gateway, false);
+        rely_on_hubs (peers);
     }
   else if (peers->members_listed
            && now_ns - peers->hub_fresh_ns > fallback_ms * CLOCK_NS_PER_MS)
--- a/tests/test_subscription.c
+++ b/tests/test_subscription.c
@@ -3,6 +3,7 @@
  * A gateway whose role changes while its links stay.
  */
 #include "../platform/store.h"
+#include "gateway/discovery.h"
 #include "gateway/gateway_peers.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
@@ -137,9 +138,35 @@
   finish_pair ();
 }
 
+static bool
+store_listed (const struct gatefixture *fixture)
+{
+  (void)fixture;
+  return pair.subscriber.upstream_watch.phase == STORE_WATCH_WATCHING;
+}
+
+/* A gateway that has watched the store itself for a short time has seen
+   neither what its hub told meanwhile nor what its next call would have. */
+static void
+test_news_while_watching_store (void)
+{
+  change_roles ();
+  /* Ends the call of the time when it was a hub. */
+  gatefixture_register_upstream (&pair.fixture, 1, "ready");
+  gatefixture_run (&pair.fixture, 100);
+  discovery_set_watching (&pair.subscriber, true);
+  CU_ASSERT_TRUE (gatefixture_run_until (&pair.fixture, store_listed));
+  CU_ASSERT_FALSE (pair.subscriber.upstream_watch.paused);
+  gatefixture_register_upstream (&pair.fixture, 0, "draining");
+  CU_ASSERT_TRUE (gatefixture_run_until (&pair.fixture, drain_known));
+  finish_pair ();
+}
+
 static const struct suite_test tests[] = {
   { "news of a draining upstream after a change of roles",
     test_news_after_role_change },
+  { "news of a draining upstream while watching the store",
+    test_news_while_watching_store },
 };
 
 SUITE_MAIN ("test_subscription", tests)
