The priority of a connection changes only when no callback is queued

Cause, suspected: the priorities of connections were changed by bufferevent_priority_set while a deferred callback of theirs could be queued; libevent then takes it from the other priority's queue and corrupts that. Not reproduced: test_loop checks the order after refused calls and passes before, too. A priority is now set where nothing can be queued only: for calls to the store, when the request is written; a client that leaves is noticed by an event of its own.

New: `control events of the loop do not run' in the log, an error, if ticks are 1 s late while requests arrive.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -34,6 +34,9 @@
    may be late. */
 #define EXIT_MARGIN_MS 200
 
+/* Ticks precede traffic, so that a tick this late shows a fault of the loop.
+ */
+#define CONTROL_LATE_MS 1000
 /* Waits of a ready event for the event loop are logged from this on. */
 #define LOOP_LAG_LOGGED_MS 250
 
@@ -295,6 +298,21 @@
          LOG_U ("connections", httpd_connections (gateway->httpd)));
 }
 
+void
+gateway_check_control (struct gateway *gateway)
+{
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  if (now_ns - gateway->tick_ns < CONTROL_LATE_MS * CLOCK_NS_PER_MS
+      || now_ns - gateway->control_late_ns < CONTROL_LATE_MS * CLOCK_NS_PER_MS)
+    return;
+  gateway->control_late_ns = now_ns;
+  LOG (LOG_CONTROL_LATE, NULL,
+       LOG_U ("ms", (now_ns - gateway->tick_ns) / CLOCK_NS_PER_MS),
+       LOG_U ("active", (uint64_t)event_base_get_num_events (
+                            gateway->base, EVENT_BASE_COUNT_ACTIVE)));
+}
+
 /* Draining. */
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,9 +112,10 @@
   struct rng rng;
   struct event *tick;
   uint64_t ticks;
-  uint64_t tick_ns;        /**< time of the last tick */
-  struct event *lag_probe; /**< made active by each tick */
-  uint64_t lag_probe_ns;   /**< when; 0 once it has run */
+  uint64_t tick_ns;         /**< time of the last tick */
+  struct event *lag_probe;  /**< made active by each tick */
+  uint64_t lag_probe_ns;    /**< when; 0 once it has run */
+  uint64_t control_late_ns; /**< when gateway_check_control() last logged */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reloads the settings on SIGHUP; may be NULL. */
   void (*reload_settings) (void *user);
@@ -140,6 +141,9 @@
 void gateway_reload (struct gateway *gateway,
                      const struct gateway_settings *settings);
 
+/** Logs, called from traffic, that control events of the loop do not run. */
+void gateway_check_control (struct gateway *gateway);
+
 bool gateway_ready (const struct gateway *gateway);
 uint64_t gateway_now_ns (const struct gateway *gateway);
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -57,6 +57,7 @@
   enum refusal refusal;
 
   gateway->counters.arrived++;
+  gateway_check_control (gateway);
   refusal = check_request (gateway, http, &validation);
   if (refusal == REFUSAL_NONE)
     request = gateway_request_new (gateway, http, &validation);
--- a/src/transport/httpcall.c
+++ b/src/transport/httpcall.c
@@ -114,12 +114,7 @@
   if (evhttp_make_request (call->connection, request, params->method,
                            params->path)
       == 0)
-    {
-      /* Connecting gave the events of the connection their default. */
-      bufferevent_priority_set (
-          evhttp_connection_get_bufferevent (call->connection), LOOP_CONTROL);
-      return 0;
-    }
+    return 0;
   /* evhttp has freed the request. */
   if (!call->done)
     remove_call (call);
@@ -182,6 +177,9 @@
   if (info->n_added == 0 || call->sent)
     return;
   call->sent = true;
+  /* Connecting gave the connection's events their default priority; it cannot
+     change earlier, as callbacks may be queued until then. */
+  bufferevent_priority_set (bev, LOOP_CONTROL);
   sock_set_keepalive (bufferevent_getfd (bev), HTTPCALL_DEAD_PEER_MS);
 }
 
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -38,6 +38,10 @@
   struct httpd *httpd;
   evhtp_connection_t *evhtp;
   struct event *timer;
+  /** While a request is in progress: the client may have left.  A control
+      event of its own, as the priority of a bufferevent must not change while
+      its callbacks may be queued. */
+  struct event *leave;
   struct evbuffer_cb_entry *output_cb;
   enum conn_state state;
   bool over_limit; /**< accepted above connections_max */
@@ -58,6 +62,7 @@
   bool draining;
 };
 
+static bool peer_closed (evutil_socket_t fd);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
 static evhtp_res on_header (evhtp_request_t *http, evhtp_header_t *header,
@@ -73,6 +78,7 @@
 static evhtp_res on_connection_fini (evhtp_connection_t *evhtp, void *arg);
 static void on_request (evhtp_request_t *http, void *arg);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
+static void on_leave (evutil_socket_t fd, short what, void *arg);
 
 static void set_hooks (struct httpd_conn *conn);
 static void set_timer (struct httpd_conn *conn, uint32_t timeout_ms);
@@ -210,9 +216,6 @@
 void
 httpd_resume (evhtp_request_t *http)
 {
-  /* libevhtp resumes in an event of LOOP_TRAFFIC; the next request must not be
-     read before it. */
-  bufferevent_priority_set (http->conn->bev, LOOP_TRAFFIC);
   evhtp_request_resume (http);
 }
 
@@ -267,14 +270,31 @@
 
 bool
 httpd_client_left (const evhtp_request_t *http)
+{
+  return peer_closed (bufferevent_getfd (http->conn->bev));
+}
+
+static bool
+peer_closed (evutil_socket_t fd)
 {
   char byte;
-  ssize_t n = recv (bufferevent_getfd (http->conn->bev), &byte, 1,
-                    MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+/* The bufferevent's own event closes the connection, when its turn comes. */
+static void
+on_leave (evutil_socket_t fd, short what, void *arg)
+{
+  struct httpd_conn *conn = arg;
+
+  (void)what;
+  event_del (conn->leave);
+  if (peer_closed (fd))
+    notify_gone (conn);
+}
+
 uint32_t
 httpd_connections (const struct httpd *httpd)
 {
@@ -314,7 +334,11 @@
   conn->timer = event_new (httpd->config.base, -1, 0, on_timer, conn);
   conn->output_cb
       = evbuffer_add_cb (bufferevent_get_output (evhtp->bev), on_output, conn);
-  if (conn->timer == NULL || conn->output_cb == NULL)
+  conn->leave = event_new (httpd->config.base, bufferevent_getfd (evhtp->bev),
+                           EV_READ | EV_PERSIST, on_leave, conn);
+  if (conn->leave != NULL)
+    loop_set_control (conn->leave);
+  if (conn->timer == NULL || conn->leave == NULL || conn->output_cb == NULL)
     {
       conn_discard (conn);
       return EVHTP_RES_ERROR;
@@ -376,6 +400,8 @@
 {
   if (conn->timer != NULL)
     event_free (conn->timer);
+  if (conn->leave != NULL)
+    event_free (conn->leave);
   free (conn);
 }
 
@@ -550,8 +576,7 @@
 
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
-  /* From here on, what arrives is that the client leaves. */
-  bufferevent_priority_set (http->conn->bev, LOOP_CONTROL);
+  event_add (conn->leave, NULL);
   if (httpd->draining)
     evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd->config.request (httpd->config.user, http);
@@ -593,7 +618,7 @@
   (void)http;
   notify_gone (conn);
   conn->state = CONN_IDLE;
-  bufferevent_priority_set (conn->evhtp->bev, LOOP_TRAFFIC);
+  event_del (conn->leave);
   set_timer (conn, conn->httpd->config.limits.idle_timeout_ms);
   return EVHTP_RES_OK;
 }
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -18,6 +18,8 @@
   = { LOG_LEVEL_WARN, "drain timeout passed, requests still in flight",
       false },
   [LOG_LOOP_LATE] = { LOG_LEVEL_WARN, "event loop is late", false },
+  [LOG_CONTROL_LATE]
+  = { LOG_LEVEL_ERROR, "control events of the loop do not run", false },
   /* requests */
   [LOG_REQUEST_ACCEPTED] = { LOG_LEVEL_DEBUG, "request accepted", false },
   [LOG_REQUEST_WAITED] = { LOG_LEVEL_INFO, "request left the line", false },
--- /dev/null
+++ b/tests/test_loop.c
@@ -0,0 +1,125 @@
+/**
+ * @file test_loop.c
+ * Order of events in a loop with priorities, also after calls to a server that
+ * refuses connections.
+ */
+#include "state/err.h"
+#include "support/suite.h"
+#include "transport/httpcall.h"
+#include "transport/loop.h"
+#include "transport/sock.h"
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TRAFFIC_EVENTS 20
+#define CALLS          20
+
+static struct event_base *base;
+static unsigned int traffic_run;
+static unsigned int traffic_run_at_control; /* when the control event ran */
+static unsigned int control_run;
+static unsigned int calls_failed;
+
+static void
+on_traffic (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  (void)user;
+  traffic_run++;
+}
+
+static void
+on_control (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  (void)user;
+  control_run++;
+  traffic_run_at_control = traffic_run;
+}
+
+/* Makes events of traffic active and then one of control. */
+static void
+assert_control_first (void)
+{
+  struct event *traffic[TRAFFIC_EVENTS];
+  struct event *control = event_new (base, -1, 0, on_control, NULL);
+  int i;
+
+  traffic_run = control_run = 0;
+  loop_set_control (control);
+  for (i = 0; i < TRAFFIC_EVENTS; i++)
+    {
+      traffic[i] = event_new (base, -1, 0, on_traffic, NULL);
+      event_active (traffic[i], EV_TIMEOUT, 0);
+    }
+  event_active (control, EV_TIMEOUT, 0);
+  for (i = 0; i < 5; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  CU_ASSERT_EQUAL (control_run, 1);
+  CU_ASSERT_EQUAL (traffic_run, TRAFFIC_EVENTS);
+  CU_ASSERT_EQUAL (traffic_run_at_control, 0);
+  for (i = 0; i < TRAFFIC_EVENTS; i++)
+    event_free (traffic[i]);
+  event_free (control);
+}
+
+static void
+test_control_first (void)
+{
+  base = loop_new ();
+  assert_control_first ();
+  event_base_free (base);
+}
+
+static void
+on_finished (struct httpcall *call, int error, int status,
+             const struct evkeyvalq *headers, const char *body, size_t size)
+{
+  (void)call;
+  (void)status;
+  (void)headers;
+  (void)body;
+  (void)size;
+  calls_failed += error != 0;
+}
+
+/* Such a call ends in a deferred callback of its connection, which must keep
+   the priority that it was queued with. */
+static void
+test_order_after_refused_calls (void)
+{
+  const struct httpcall_request request = { .path = "/", .timeout_ms = 1000 };
+  struct httpcall_server server;
+  struct httpcall *call;
+  char address[64];
+  int fd;
+  int i;
+
+  base = loop_new ();
+  CU_ASSERT_EQUAL_FATAL (sock_listen ("127.0.0.1:0", 1, &fd), 0);
+  CU_ASSERT_EQUAL (sock_local_address (fd, address, sizeof address), 0);
+  close (fd);
+  CU_ASSERT_EQUAL_FATAL (httpcall_init (&server, base, address), 0);
+  for (i = 0; i < CALLS; i++)
+    {
+      call = httpcall_new (&server, sizeof *call);
+      call->finished = on_finished;
+      httpcall_start (call, &request);
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      assert_control_first ();
+    }
+  CU_ASSERT_EQUAL (calls_failed, CALLS);
+  httpcall_finish (&server);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  event_base_free (base);
+}
+
+static const struct suite_test tests[] = {
+  { "control before traffic", test_control_first },
+  { "order after refused calls", test_order_after_refused_calls },
+};
+
+SUITE_MAIN ("test_loop", tests)
