Connections wait in the kernel while a gateway is busy with those that it has

Cause: libevent accepts all waiting connections in one event. Since the loop looks for events every 10 ms, it accepted far faster than it read; a slow gateway came to its limit of connections and closed others, some after their request had waited 0.9 s in the backlog. Idle connections of refused clients, which come back on new ones, filled the limit too.

Change: 64 connections are accepted in a turn, then the others that are ready come first; 128 may wait in the kernel, beyond them a client goes elsewhere within the second for which it tries; above half the limit of connections, those that were answered are closed.

Evidence: two tests in test_overload failed before, pass.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -131,7 +131,7 @@
     .close_idle_silently = true,
     .limits = default_limits,
     .request = gateway_request_arrived,
-    .overloaded = gateway_request_intake_overloaded,
+
     .client_closed = gateway_request_client_disconnected,
     .output_low = gateway_request_output_drained,
     .refuse = gateway_request_refuse_unparsed,
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -16,13 +16,10 @@
 /* Assumed for clients that do not state how long they wait. */
 #define DEFAULT_CLIENT_WAIT_MS 60000
 
-/* A probe waits its turn among the clients' events; as long as it has waited,
-   requests have waited unread in sockets.  From the first of these on, new
-   connections are closed, which costs least and sends clients elsewhere; from
-   the second on, requests are refused too, as most would miss their
-   objective. */
-#define LOOP_LAG_CONNECTIONS_MS 150
-#define LOOP_LAG_REQUESTS_MS    500
+/* The event loop counts as lagging when a probe that waits its turn among the
+   clients' events has waited for this long: requests then wait unread in
+   sockets for as long. */
+#define LOOP_LAG_MAX_MS 150
 
 /** Result of validating a request, before its gateway_request is allocated. */
 struct request_validation
@@ -37,7 +34,7 @@
                                    struct request_validation *validation);
 static enum refusal refuse_unknown (const struct gateway *gateway,
                                     enum refusal refusal);
-static uint64_t event_loop_lag_ms (const struct gateway *gateway);
+static bool event_loop_lagging (const struct gateway *gateway);
 static bool exceeds_grace_period (const struct gateway *gateway,
                                   const struct route *route);
 static struct gateway_request *
@@ -101,25 +98,20 @@
     validation->customer = routing_customer (routing, validation->request.key);
   if (!validation->route->without_api_key && validation->customer == NULL)
     return refuse_unknown (gateway, REFUSAL_NO_KEY);
-  if (event_loop_lag_ms (gateway) > LOOP_LAG_REQUESTS_MS)
+  if (event_loop_lagging (gateway))
     return REFUSAL_CONNECTIONS;
   return exceeds_grace_period (gateway, validation->route) ? REFUSAL_DRAINING
                                                            : REFUSAL_NONE;
 }
 
-bool
-gateway_request_intake_overloaded (void *user)
-{
-  return event_loop_lag_ms (user) > LOOP_LAG_CONNECTIONS_MS;
-}
-
-static uint64_t
-event_loop_lag_ms (const struct gateway *gateway)
+/* The event loop is overloaded: further requests would be late, and other
+   instances have capacity. */
+static bool
+event_loop_lagging (const struct gateway *gateway)
 {
-  return gateway->lag_probe_ns == 0
-             ? 0
-             : (gateway_now_ns (gateway) - gateway->lag_probe_ns)
-                   / CLOCK_NS_PER_MS;
+  return gateway->lag_probe_ns != 0
+         && gateway_now_ns (gateway) - gateway->lag_probe_ns
+                > LOOP_LAG_MAX_MS * CLOCK_NS_PER_MS;
 }
 
 /* Whether the request might not complete before this instance exits. */
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -9,7 +9,6 @@
 
 /** Callbacks of the HTTP server; `user` is a struct gateway. */
 void gateway_request_arrived (void *user, evhtp_request_t *http);
-bool gateway_request_intake_overloaded (void *user);
 void gateway_request_client_disconnected (void *user, void *request_user);
 void gateway_request_output_drained (void *user, void *request_user);
 void gateway_request_refuse_unparsed (void *user, enum refusal refusal,
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -21,8 +21,14 @@
 /** Connections accepted above the limit, to send them a refusal response. */
 #define CONNECTIONS_OVER_LIMIT_MAX 64
 
-#define LISTEN_BACKLOG  1024 /**< connections not yet accepted */
-#define HEADER_OVERHEAD 4    /**< bytes of ": " and CRLF */
+/* Connections accepted before those that are ready get their turn.  libevent
+   accepts all that wait in one event; a slow instance would then reach its
+   limit of connections and be late for each of them. */
+#define ACCEPT_BATCH 64
+/* Connections not yet accepted: what a slow instance handles in a fraction of
+   the second for which clients try to connect before they go elsewhere. */
+#define LISTEN_BACKLOG  128
+#define HEADER_OVERHEAD 4 /**< bytes of ": " and CRLF */
 
 /** State of a connection. */
 enum conn_state
@@ -56,6 +62,8 @@
 {
   struct httpd_config config;
   evhtp_t *evhtp;
+  struct event *accept_again; /**< enables the listener in its turn */
+  uint32_t accepted;          /**< connections since then */
   uint64_t shed_count;
   struct httpd_conn *conns;
   struct linger_list linger;
@@ -63,7 +71,8 @@
   bool draining;
 };
 
-static bool accepts (const struct httpd *httpd);
+static uint32_t idle_connections_max (const struct httpd *httpd);
+static void on_accept_again (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
@@ -135,7 +144,9 @@
                            parsed.size, LISTEN_BACKLOG)
       != 0)
     return ERR_IO;
-  return 0;
+  httpd->accept_again
+      = event_new (httpd->config.base, -1, 0, on_accept_again, httpd);
+  return httpd->accept_again == NULL ? ERR_NO_MEMORY : 0;
 }
 
 void
@@ -150,6 +161,8 @@
       evhtp_connection_free (conn->evhtp);
     }
   linger_finish (&httpd->linger);
+  if (httpd->accept_again != NULL)
+    event_free (httpd->accept_again);
   if (httpd->evhtp->server != NULL)
     evhtp_unbind_socket (httpd->evhtp);
   evhtp_free (httpd->evhtp);
@@ -323,14 +336,15 @@
 
 /* Connections. */
 
-static bool
-accepts (const struct httpd *httpd)
+static void
+on_accept_again (evutil_socket_t fd, short what, void *arg)
 {
-  const struct httpd_config *config = &httpd->config;
+  struct httpd *httpd = arg;
 
-  return httpd->count
-             < config->limits.connections_max + CONNECTIONS_OVER_LIMIT_MAX
-         && (config->overloaded == NULL || !config->overloaded (config->user));
+  (void)fd;
+  (void)what;
+  httpd->accepted = 0;
+  evconnlistener_enable (httpd->evhtp->server);
 }
 
 static evhtp_res
@@ -342,7 +356,12 @@
       = clock_timeval (limits->write_timeout_ms);
   struct httpd_conn *conn;
 
-  if (!accepts (httpd))
+  if (++httpd->accepted >= ACCEPT_BATCH)
+    {
+      evconnlistener_disable (httpd->evhtp->server);
+      event_active (httpd->accept_again, EV_TIMEOUT, 0);
+    }
+  if (httpd->count >= limits->connections_max + CONNECTIONS_OVER_LIMIT_MAX)
     {
       httpd->shed_count++;
       return EVHTP_RES_ERROR;
@@ -589,6 +608,14 @@
   return EVHTP_RES_OK;
 }
 
+/* With more connections, those that have been answered are closed: idle ones
+   of clients that come back on new connections must not use up the limit. */
+static uint32_t
+idle_connections_max (const struct httpd *httpd)
+{
+  return httpd->config.limits.connections_max / 2;
+}
+
 static void
 on_request (evhtp_request_t *http, void *arg)
 {
@@ -598,7 +625,7 @@
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
   event_add (conn->leave, NULL);
-  if (httpd->draining)
+  if (httpd->draining || httpd->count > idle_connections_max (httpd))
     evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd->config.request (httpd->config.user, http);
 }
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -46,9 +46,6 @@
   void (*client_closed) (void *user, void *request_user);
   /** The unsent output has fallen to low_water_bytes or less. */
   void (*output_low) (void *user, void *request_user);
-  /** Whether the owner cannot handle new connections in time; then they are
-      closed at once, so that clients go elsewhere.  May be NULL. */
-  bool (*overloaded) (void *user);
   /** Writes a complete HTTP error response for a request that is malformed, or
       for a connection or request that exceeds a limit of number, size or time.
       `request_id` is NULL if the request has none. */
