--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -34,8 +34,7 @@
    may be late. */
 #define EXIT_MARGIN_MS 200
 
-/* Ticks precede traffic, so that a tick this late shows a fault of the loop.
- */
+/* Ticks go before traffic; one that is this late shows a fault of the loop. */
 #define CONTROL_LATE_MS 1000
 /* Waits of a ready event for the event loop are logged from this on. */
 #define LOOP_LAG_LOGGED_MS 250
@@ -131,7 +130,6 @@
     .close_idle_silently = true,
     .limits = default_limits,
     .request = gateway_request_arrived,
-
     .client_closed = gateway_request_client_disconnected,
     .output_low = gateway_request_output_drained,
     .refuse = gateway_request_refuse_unparsed,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -141,7 +141,7 @@
 void gateway_reload (struct gateway *gateway,
                      const struct gateway_settings *settings);
 
-/** Logs, called from traffic, that control events of the loop do not run. */
+/** To be called from events of traffic: logs if control events do not run. */
 void gateway_check_control (struct gateway *gateway);
 
 bool gateway_ready (const struct gateway *gateway);
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -144,7 +144,7 @@
   evbuffer_add_printf (body,
                        "# HELP " METRIC_PREFIX
                        "shed_connections_total connections closed at "
-                       "once under overload\n# TYPE " METRIC_PREFIX
+                       "once, above the limit\n# TYPE " METRIC_PREFIX
                        "shed_connections_total counter\n" METRIC_PREFIX
                        "shed_connections_total %" PRIu64 "\n",
                        httpd_shed_count (gateway->httpd));
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -3,6 +3,7 @@
  * Creates event loops with two priorities.
  */
 #include "transport/loop.h"
+#include "transport/clock.h"
 #include <limits.h>
 
 /* Time for which events of traffic are handled before the loop looks for
@@ -13,7 +14,7 @@
 struct event_base *
 loop_new (void)
 {
-  const struct timeval slice = { .tv_usec = LOOP_TRAFFIC_SLICE_MS * 1000 };
+  const struct timeval slice = clock_timeval (LOOP_TRAFFIC_SLICE_MS);
   struct event_config *config = event_config_new ();
   struct event_base *base = NULL;
 
--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -15,6 +15,7 @@
 
 #define READ_BYTES_MAX 65536 /**< bytes per read call */
 
+static void fail_later (struct peerlink *link, int error);
 static int queue (struct peerlink *link, const uint8_t *data, size_t size);
 static int start (struct peerlink *link, bool dialed);
 static void destroy (struct peerlink *link);
@@ -78,16 +79,19 @@
     return ERR_RESET;
   rc = peerlink_queue_frame (link, message);
   if (rc != 0)
-    {
-      /* The peer misses a frame, so the link must be closed.  The caller may
-         be iterating over its tables, so the timer callback reports the error
-         later. */
-      link->error = rc;
-      event_active (link->timer, EV_TIMEOUT, 0);
-    }
+    fail_later (link, rc);
   return rc;
 }
 
+/* The peer misses a frame, so the link must be closed.  The caller may be
+   iterating over its tables, so the timer callback reports the error later. */
+static void
+fail_later (struct peerlink *link, int error)
+{
+  link->error = error;
+  event_active (link->timer, EV_TIMEOUT, 0);
+}
+
 const struct message_hello *
 peerlink_hello (const struct peerlink *link)
 {
@@ -125,9 +129,13 @@
 void
 peerlink_keep_alive (struct peerlink *link)
 {
+  int rc = 0;
+
   if (link->state == PEERLINK_UP && !link->closed && link->error == 0
       && !link->queued)
-    queue (link, NULL, 0);
+    rc = queue (link, NULL, 0);
+  if (rc != 0)
+    fail_later (link, rc);
   link->queued = false;
 }
 
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -2,11 +2,11 @@
  * @file peerlink.h
  * One connection between two instances.  Each frame is preceded by its length,
  * 4 bytes in big-endian order; an empty frame only shows that its sender is
- * alive.  Each side sends a hello with a fresh nonce,
- * and then proves that it knows the fleet's secret by an HMAC-SHA-256 over
- * both hellos, the dialing side first.  No other message is accepted before
- * that proof.  Later frames are neither encrypted nor signed: the network
- * between instances is trusted not to tamper with a connection.
+ * alive.  Each side sends a hello with a fresh nonce, and then proves that it
+ * knows the fleet's secret by an HMAC-SHA-256 over both hellos, the dialing
+ * side first.  No other message is accepted before that proof.  Later frames
+ * are neither encrypted nor signed: the network between instances is trusted
+ * not to tamper with a connection.
  */
 #ifndef TRANSPORT_PEERLINK_H
 #define TRANSPORT_PEERLINK_H
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -276,7 +276,7 @@
   send_drain_from_hub (&overload);
   send_requests (&overload, 0);
   CU_ASSERT_TRUE (gatefixture_run_until (&overload.fixture, drain_known));
-  CU_ASSERT_EQUAL (arrived_at_reading, WARM_UP_ROUNDS * CLIENTS);
+  CU_ASSERT_EQUAL (arrived_at_reading, (uint64_t)WARM_UP_ROUNDS * CLIENTS);
   overload_finish (&overload);
 }
 
