--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -44,10 +44,7 @@
   struct httpd *httpd;
   evhtp_connection_t *evhtp;
   struct event *timer;
-  /** While a request is in progress: the client may have left.  A control
-      event of its own, as the priority of a bufferevent must not change while
-      its callbacks may be queued. */
-  struct event *leave;
+  struct event *leave; /**< control; added while a request is in progress */
   struct evbuffer_cb_entry *output_cb;
   enum conn_state state;
   bool over_limit; /**< accepted above connections_max */
@@ -298,7 +295,9 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-/* The bufferevent's own event closes the connection, when its turn comes. */
+/* Tells the owner at once that the client has left.  The connection is closed
+   by the bufferevent's own event, whose priority stays that of traffic: it
+   must not change while callbacks may be queued. */
 static void
 on_leave (evutil_socket_t fd, short what, void *arg)
 {
@@ -608,8 +607,8 @@
   return EVHTP_RES_OK;
 }
 
-/* With more connections, those that have been answered are closed: idle ones
-   of clients that come back on new connections must not use up the limit. */
+/* Above this number, each connection closes after its response, so that idle
+   connections do not use up the limit. */
 static uint32_t
 idle_connections_max (const struct httpd *httpd)
 {
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -1,9 +1,8 @@
 /**
  * @file loop.h
- * Event loops with two priorities.  Events that keep an instance's view of the
- * fleet and of the store current go before those of clients and upstreams,
- * whose number nobody limits: an instance that is late for clients must not
- * act on old knowledge too.
+ * Event loops with two priorities.  Events of links and of the store go before
+ * those of clients and upstreams, so that an overloaded instance still knows
+ * the state of the fleet.
  */
 #ifndef TRANSPORT_LOOP_H
 #define TRANSPORT_LOOP_H
