A late gateway turns new connections away instead of letting them fail

Change: transport/looplag measures how long ready events wait; while that is 50 ms or more, connections that wait in the kernel are closed unread every 5 ms, before traffic. The backlog is 512.

Test: test_overload, new connections of a late gateway.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -38,6 +38,10 @@
 #define CONTROL_LATE_MS 1000
 /* Waits of a ready event for the event loop are logged from this on. */
 #define LOOP_LAG_LOGGED_MS 250
+/* While ready events wait this long, new connections are turned away: their
+   requests would wait several times for the loop, and other instances can
+   take them at once. */
+#define LOOP_LAG_ACCEPT_MAX_MS 50
 
 /* In effect until the first configuration is applied. */
 static const struct httpd_limits default_limits = {
@@ -54,7 +58,8 @@
 static int init_transport (struct gateway *gateway);
 static int init_events (struct gateway *gateway);
 static void on_tick (evutil_socket_t fd, short what, void *arg);
-static void on_lag_probe (evutil_socket_t fd, short what, void *arg);
+static void on_lag_measured (void *user, uint64_t lag_ns);
+static bool accepts_connections (void *user);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
@@ -132,6 +137,7 @@
     .request = gateway_request_arrived,
     .client_closed = gateway_request_client_disconnected,
     .output_low = gateway_request_output_drained,
+    .accepts = accepts_connections,
     .refuse = gateway_request_refuse_unparsed,
     .user = gateway,
   };
@@ -162,9 +168,10 @@
   gateway->tick = event_new (gateway->base, -1, EV_PERSIST, on_tick, gateway);
   gateway->dispatch = event_new (gateway->base, -1, 0,
                                  gateway_request_dispatch_waiting, gateway);
-  gateway->lag_probe = event_new (gateway->base, -1, 0, on_lag_probe, gateway);
   if (gateway->tick == NULL || gateway->dispatch == NULL
-      || gateway->lag_probe == NULL)
+      || looplag_init (&gateway->loop_lag, gateway->base, &gateway->clock,
+                       on_lag_measured, gateway)
+             != 0)
     return ERR_NO_MEMORY;
   loop_set_control (gateway->tick);
   event_add (gateway->tick, &tick);
@@ -216,8 +223,7 @@
     event_free (gateway->dispatch);
   if (gateway->tick != NULL)
     event_free (gateway->tick);
-  if (gateway->lag_probe != NULL)
-    event_free (gateway->lag_probe);
+  looplag_finish (&gateway->loop_lag);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
     if (gateway->signals[i] != NULL)
       event_free (gateway->signals[i]);
@@ -266,12 +272,8 @@
   (void)what;
   due_ns = gateway->tick_ns + TICK_MS * CLOCK_NS_PER_MS;
   gateway->tick_ns = now_ns;
-  if (gateway->lag_probe_ns == 0)
-    {
-      /* The tick itself may have waited for the loop. */
-      gateway->lag_probe_ns = due_ns < now_ns ? due_ns : now_ns;
-      event_active (gateway->lag_probe, EV_TIMEOUT, 0);
-    }
+  /* The tick itself may have waited for the loop. */
+  looplag_start (&gateway->loop_lag, due_ns < now_ns ? due_ns : now_ns);
   registry_expire (&gateway->registry, now_ns);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
@@ -280,16 +282,21 @@
     check_drain (gateway, now_ns);
 }
 
-/* Runs after the events that were ready when the tick made it active. */
+static bool
+accepts_connections (void *user)
+{
+  struct gateway *gateway = user;
+
+  looplag_start (&gateway->loop_lag, gateway_now_ns (gateway));
+  return looplag_ns (&gateway->loop_lag)
+         < LOOP_LAG_ACCEPT_MAX_MS * CLOCK_NS_PER_MS;
+}
+
 static void
-on_lag_probe (evutil_socket_t fd, short what, void *arg)
+on_lag_measured (void *user, uint64_t lag_ns)
 {
-  struct gateway *gateway = arg;
-  uint64_t lag_ns = gateway_now_ns (gateway) - gateway->lag_probe_ns;
+  struct gateway *gateway = user;
 
-  (void)fd;
-  (void)what;
-  gateway->lag_probe_ns = 0;
   hist_observe (&gateway->counters.loop_lag, lag_ns / CLOCK_NS_PER_US);
   if (lag_ns >= LOOP_LAG_LOGGED_MS * CLOCK_NS_PER_MS)
     LOG (LOG_LOOP_LATE, NULL, LOG_U ("ms", lag_ns / CLOCK_NS_PER_MS),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "state/wait_queue.h"
 #include "transport/clock.h"
 #include "transport/httpd.h"
+#include "transport/looplag.h"
 #include "transport/upstream_http.h"
 #include <event2/event.h>
 #include <event2/http.h>
@@ -113,9 +114,8 @@
   struct rng rng;
   struct event *tick;
   uint64_t ticks;
-  uint64_t tick_ns;         /**< time of the last tick */
-  struct event *lag_probe;  /**< made active by each tick */
-  uint64_t lag_probe_ns;    /**< when; 0 once it has run */
+  uint64_t tick_ns; /**< time of the last tick */
+  struct looplag loop_lag;
   uint64_t control_late_ns; /**< when gateway_check_control() last logged */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reloads the settings on SIGHUP; may be NULL. */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -109,9 +109,8 @@
 static bool
 event_loop_lagging (const struct gateway *gateway)
 {
-  return gateway->lag_probe_ns != 0
-         && gateway_now_ns (gateway) - gateway->lag_probe_ns
-                > LOOP_LAG_MAX_MS * CLOCK_NS_PER_MS;
+  return looplag_pending_ns (&gateway->loop_lag)
+         > LOOP_LAG_MAX_MS * CLOCK_NS_PER_MS;
 }
 
 /* Whether the request might not complete before this instance exits. */
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -25,10 +25,14 @@
    accepts all that wait in one event; a slow instance would then reach its
    limit of connections and be late for each of them. */
 #define ACCEPT_BATCH 64
-/* Connections not yet accepted: what a slow instance handles in a fraction of
-   the second for which clients try to connect before they go elsewhere. */
-#define LISTEN_BACKLOG  128
-#define HEADER_OVERHEAD 4 /**< bytes of ": " and CRLF */
+/* Connections not yet accepted.  A client that finds it full fails after a
+   second and may not send its request again, so it holds the connections of a
+   flood until the instance notices that it is late. */
+#define LISTEN_BACKLOG 512
+/* Pause between two times at which waiting connections are closed, in which a
+   flood gathers some; short against the lag that a client would notice. */
+#define SHED_INTERVAL_MS 5
+#define HEADER_OVERHEAD  4 /**< bytes of ": " and CRLF */
 
 /** State of a connection. */
 enum conn_state
@@ -60,6 +64,8 @@
   struct httpd_config config;
   evhtp_t *evhtp;
   struct event *accept_again; /**< enables the listener in its turn */
+  struct event *shed;         /**< control; closes waiting connections */
+  bool shedding;              /**< no connections are accepted */
   uint32_t accepted;          /**< connections since then */
   uint64_t shed_count;
   struct httpd_conn *conns;
@@ -70,6 +76,8 @@
 
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
+static bool start_shedding (struct httpd *httpd);
+static void on_shed (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
@@ -143,7 +151,11 @@
     return ERR_IO;
   httpd->accept_again
       = event_new (httpd->config.base, -1, 0, on_accept_again, httpd);
-  return httpd->accept_again == NULL ? ERR_NO_MEMORY : 0;
+  httpd->shed = event_new (httpd->config.base, -1, EV_PERSIST, on_shed, httpd);
+  if (httpd->accept_again == NULL || httpd->shed == NULL)
+    return ERR_NO_MEMORY;
+  loop_set_control (httpd->shed);
+  return 0;
 }
 
 void
@@ -160,6 +172,8 @@
   linger_finish (&httpd->linger);
   if (httpd->accept_again != NULL)
     event_free (httpd->accept_again);
+  if (httpd->shed != NULL)
+    event_free (httpd->shed);
   if (httpd->evhtp->server != NULL)
     evhtp_unbind_socket (httpd->evhtp);
   evhtp_free (httpd->evhtp);
@@ -343,7 +357,45 @@
   (void)fd;
   (void)what;
   httpd->accepted = 0;
-  evconnlistener_enable (httpd->evhtp->server);
+  if (!httpd->shedding)
+    evconnlistener_enable (httpd->evhtp->server);
+}
+
+/* @return whether connections are being closed from now on. */
+static bool
+start_shedding (struct httpd *httpd)
+{
+  const struct timeval interval = clock_timeval (SHED_INTERVAL_MS);
+
+  if (httpd->config.accepts == NULL
+      || httpd->config.accepts (httpd->config.user))
+    return false;
+  httpd->shedding = true;
+  evconnlistener_disable (httpd->evhtp->server);
+  event_add (httpd->shed, &interval);
+  return true;
+}
+
+static void
+on_shed (evutil_socket_t fd, short what, void *arg)
+{
+  struct httpd *httpd = arg;
+
+  (void)what;
+  if (httpd->config.accepts (httpd->config.user))
+    {
+      event_del (httpd->shed);
+      httpd->shedding = false;
+      evconnlistener_enable (httpd->evhtp->server);
+      return;
+    }
+  while (
+      (fd = accept (evconnlistener_get_fd (httpd->evhtp->server), NULL, NULL))
+      >= 0)
+    {
+      httpd->shed_count++;
+      close (fd);
+    }
 }
 
 static evhtp_res
@@ -355,7 +407,8 @@
       = clock_timeval (limits->write_timeout_ms);
   struct httpd_conn *conn;
 
-  if (++httpd->accepted >= ACCEPT_BATCH)
+  if (!httpd->shedding && !start_shedding (httpd)
+      && ++httpd->accepted >= ACCEPT_BATCH)
     {
       evconnlistener_disable (httpd->evhtp->server);
       event_active (httpd->accept_again, EV_TIMEOUT, 0);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -473,7 +473,60 @@
   overload_finish (&overload);
 }
 
+static bool
+all_turned_away (const struct gatefixture *fixture)
+{
+  return httpd_shed_count (fixture->gateway.httpd) == WAITING - 1;
+}
+
+/* A flood of one customer reaches a gateway that is late.  Connections that
+   wait in the kernel fail after a second, and most requests are then lost;
+   ones that are closed unread go to another gateway at once. */
+static void
+test_new_connections_of_late_gateway (void)
+{
+  static struct overload overload;
+  struct gateway *gateway = &overload.fixture.gateway;
+  int waiting[WAITING];
+  char text[1024];
+  uint64_t arrived;
+  int unanswered = 0;
+  int client;
+  int i;
+
+  overload_init (&overload);
+  arrived = gateway->counters.arrived;
+  /* A measurement that does not end. */
+  gateway->loop_lag.since_ns = gateway_now_ns (gateway) - CLOCK_NS_PER_S;
+  for (i = 0; i < WAITING; i++)
+    {
+      waiting[i] = connect_client (&overload.fixture);
+      CU_ASSERT_EQUAL (write (waiting[i], REQUEST, sizeof REQUEST - 1),
+                       sizeof REQUEST - 1);
+    }
+  /* The first one is accepted, which shows that the gateway is late. */
+  CU_ASSERT_TRUE (gatefixture_run_until (&overload.fixture, all_turned_away));
+  CU_ASSERT (gateway->counters.arrived - arrived <= 1);
+  for (i = 0; i < WAITING; i++)
+    {
+      unanswered += recv (waiting[i], text, sizeof text, MSG_DONTWAIT) <= 0;
+      close (waiting[i]);
+    }
+  CU_ASSERT (unanswered >= WAITING - 1);
+  /* It is in time again. */
+  gateway->loop_lag.since_ns = 0;
+  gatefixture_run (&overload.fixture, 20);
+  client = connect_client (&overload.fixture);
+  CU_ASSERT_EQUAL (write (client, REQUEST, sizeof REQUEST - 1),
+                   sizeof REQUEST - 1);
+  CU_ASSERT (read_response (&overload, client, text, sizeof text) > 0);
+  close (client);
+  overload_finish (&overload);
+}
+
 static const struct suite_test tests[] = {
+  { "new connections of a late gateway",
+    test_new_connections_of_late_gateway },
   { "news of a draining upstream behind requests",
     test_drain_waits_behind_requests },
   { "request of a client that has left", test_request_of_client_that_left },
