Fewer calls to the store: no fallback before the hubs had their time

Each gateway started a watch of members that it paused at once; all started two watches when no hub was fresh, also while the store answered nobody.

Change: hubs are assigned when members are listed, before the next call; a gateway waits for its hubs from then on; without a fresh hub it asks for the configuration first, and for the upstreams once that was answered. Upstreams are read four times while a draining one still serves, not every 500 ms.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -11,10 +11,12 @@
 #include <stdio.h>
 #include <string.h>
 
-/* All upstreams together update their registrations several times a second.
-   Updates within half a second are read in one batch, well within the time
-   that a draining upstream still serves. */
-#define UPSTREAM_WATCH_INTERVAL_MS 500
+/* All upstreams together update their registrations several times a second,
+   so each read of them finds some.  They are read this many times in the time
+   for which a draining upstream still serves, within the bounds. */
+#define UPSTREAM_READS_WHILE_LEAVING   4
+#define UPSTREAM_WATCH_INTERVAL_MIN_MS 500
+#define UPSTREAM_WATCH_INTERVAL_MAX_MS 1000
 #define CONFIG_WATCH_INTERVAL_MS                                              \
   20 /* updates are rare; a burst is read in batches */
 #define WATCH_TIMEOUT_MS                                                      \
@@ -38,6 +40,8 @@
 static void on_config_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_restored (void *user, uint64_t lost_index);
+static uint32_t
+upstream_watch_interval_ms (const struct gateway_settings *settings);
 static uint64_t expired_entry_grace_ns (const struct gateway *gateway);
 static void log_draining (const struct gateway *gateway,
                           const struct registry_record *record);
@@ -78,13 +82,26 @@
   int error = store_watch_init (&gateway->config_watch, &config);
 
   config.prefix = gateway->adapter->upstream_prefix;
-  config.min_interval_ms = UPSTREAM_WATCH_INTERVAL_MS;
+  config.min_interval_ms = upstream_watch_interval_ms (&gateway->settings);
   config.events = &upstream_events;
   if (error == 0)
     error = store_watch_init (&gateway->upstream_watch, &config);
   return error;
 }
 
+static uint32_t
+upstream_watch_interval_ms (const struct gateway_settings *settings)
+{
+  uint32_t interval_ms
+      = settings->upstream_leave_ms / UPSTREAM_READS_WHILE_LEAVING;
+
+  if (interval_ms < UPSTREAM_WATCH_INTERVAL_MIN_MS)
+    return UPSTREAM_WATCH_INTERVAL_MIN_MS;
+  return interval_ms > UPSTREAM_WATCH_INTERVAL_MAX_MS
+             ? UPSTREAM_WATCH_INTERVAL_MAX_MS
+             : interval_ms;
+}
+
 void
 discovery_finish (struct gateway *gateway)
 {
@@ -93,14 +110,25 @@
 }
 
 void
-discovery_set_watching (struct gateway *gateway, bool watching)
+discovery_watch (struct gateway *gateway)
+{
+  store_watch_resume (&gateway->config_watch);
+  store_watch_resume (&gateway->upstream_watch);
+}
+
+/* The configuration takes one call.  While the store does not answer it, the
+   calls of all instances for the upstreams would not help either. */
+void
+discovery_watch_if_store_answers (struct gateway *gateway)
+{
+  store_watch_resume (&gateway->config_watch);
+  if (store_watch_current (&gateway->config_watch))
+    store_watch_resume (&gateway->upstream_watch);
+}
+
+void
+discovery_stop_watching (struct gateway *gateway)
 {
-  if (watching)
-    {
-      store_watch_resume (&gateway->config_watch);
-      store_watch_resume (&gateway->upstream_watch);
-      return;
-    }
   store_watch_pause (&gateway->config_watch);
   store_watch_pause (&gateway->upstream_watch);
 }
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -13,9 +13,13 @@
 int discovery_start (struct gateway *gateway);
 void discovery_finish (struct gateway *gateway);
 
-/** Starts or stops watching the store.  While stopped, other gateways supply
-    its items. */
-void discovery_set_watching (struct gateway *gateway, bool watching);
+/** Watches the store. */
+void discovery_watch (struct gateway *gateway);
+/** Watches the configuration, and the upstreams too once the store answers; to
+    be called again until then. */
+void discovery_watch_if_store_answers (struct gateway *gateway);
+/** Stops watching the store: other gateways supply its items. */
+void discovery_stop_watching (struct gateway *gateway);
 /** Upper bound of the age of this gateway's view of the store. */
 uint64_t discovery_age_ns (const struct gateway *gateway);
 /** Bracket a complete snapshot of the store's items from another instance. */
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -492,7 +492,7 @@
 {
   struct gateway_peer *peer;
 
-  discovery_set_watching (peers->gateway, false);
+  discovery_stop_watching (peers->gateway);
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     peer->requested = false;
   gateway_peers_update_subscriptions (peers);
@@ -509,7 +509,7 @@
 
   if (peers->hub)
     {
-      discovery_set_watching (gateway, true);
+      discovery_watch (gateway);
       return;
     }
   if (gateway_peers_store_age_ns (gateway)
@@ -517,10 +517,10 @@
       && gateway->upstreams_loaded)
     {
       peers->hub_fresh_ns = now_ns;
-      if (!gateway->upstream_watch.paused)
+      if (!gateway->config_watch.paused)
         rely_on_hubs (peers);
     }
   else if (peers->members_listed
            && now_ns - peers->hub_fresh_ns > fallback_ms * CLOCK_NS_PER_MS)
-    discovery_set_watching (gateway, true);
+    discovery_watch_if_store_answers (gateway);
 }
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -220,6 +220,10 @@
         drop_member (peers, member, keep_missing);
     }
   peers->members_changed = true;
+  /* Now that it knows the hubs, it gives them time before it watches the
+     store itself. */
+  if (!peers->members_listed)
+    peers->hub_fresh_ns = gateway_now_ns (peers->gateway);
   peers->members_listed = true;
 }
 
@@ -370,6 +374,8 @@
 {
   (void)index;
   end_listing (user, missing_members_kept (user));
+  /* Before the next call: most instances need none. */
+  gateway_peers_assign_hubs (user);
 }
 
 static void
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -73,9 +73,10 @@
 }
 
 bool
-store_watch_listed (const struct store_watch *watch)
+store_watch_current (const struct store_watch *watch)
 {
-  return watch->index != 0;
+  return !watch->paused && watch->phase == STORE_WATCH_WATCHING
+         && watch->failed_ns == 0;
 }
 
 uint64_t
@@ -169,6 +170,9 @@
     handle_listing (watch, page);
   else
     handle_changes (watch, page);
+  /* A callback may have paused the watch. */
+  if (watch->paused)
+    return;
   if (watch->phase == STORE_WATCH_LISTING
       || spent_ms >= watch->config.min_interval_ms)
     schedule (watch, 0);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -85,8 +85,9 @@
 void store_watch_pause (struct store_watch *watch);
 void store_watch_resume (struct store_watch *watch);
 
-/** Whether a listing has been completed. */
-bool store_watch_listed (const struct store_watch *watch);
+/** Whether a listing was completed since the watch was last paused, and no
+    call has failed since. */
+bool store_watch_current (const struct store_watch *watch);
 /** Upper bound of the age of the reported state: 0 while calls succeed,
     otherwise the time since the last successful call began. */
 uint64_t store_watch_age_ns (const struct store_watch *watch);
--- a/tests/test_subscription.c
+++ b/tests/test_subscription.c
@@ -154,7 +154,7 @@
   /* Ends the call of the time when it was a hub. */
   gatefixture_register_upstream (&pair.fixture, 1, "ready");
   gatefixture_run (&pair.fixture, 100);
-  discovery_set_watching (&pair.subscriber, true);
+  discovery_watch (&pair.subscriber);
   CU_ASSERT_TRUE (gatefixture_run_until (&pair.fixture, store_listed));
   CU_ASSERT_FALSE (pair.subscriber.upstream_watch.paused);
   gatefixture_register_upstream (&pair.fixture, 0, "draining");
