Quotas of engines serve preferred prompts first and leave the rest

The quota went by tokens weighted up to 64-fold, so a few preferred prompts left all others nothing, and what spilled over was compared with the whole queue.

Change: load reports carry plain tokens beside weighted ones; a quota is the larger of the weighted share of one's own need and the share of what the preferred prompts leave. The least loaded engine is that of a sample. New log fields: running and slots.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -155,7 +155,8 @@
 {
   MESSAGE_SUBJECT_UPSTREAM, /**< requests running; tokens to prefill */
   MESSAGE_SUBJECT_CUSTOMER, /**< requests waiting; tokens served recently */
-  MESSAGE_SUBJECT_QUEUED,   /**< an upstream; tokens of requests queued */
+  MESSAGE_SUBJECT_QUEUED,   /**< an upstream; in place of requests the tokens
+                               queued for it, and these weighted */
   MESSAGE_SUBJECT_MAX
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -60,6 +60,7 @@
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_lag_measured (void *user, uint64_t lag_ns);
 static bool accepts_connections (void *user);
+static void log_shed_connections (struct gateway *gateway);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
@@ -277,7 +278,10 @@
   registry_expire (&gateway->registry, now_ns);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
-    upstream_http_close_idle (gateway->upstream_client);
+    {
+      upstream_http_close_idle (gateway->upstream_client);
+      log_shed_connections (gateway);
+    }
   if (gateway->draining)
     check_drain (gateway, now_ns);
 }
@@ -292,6 +296,20 @@
          < LOOP_LAG_ACCEPT_MAX_MS * CLOCK_NS_PER_MS;
 }
 
+static void
+log_shed_connections (struct gateway *gateway)
+{
+  uint64_t count = httpd_shed_count (gateway->httpd);
+
+  if (count == gateway->shed_logged)
+    return;
+  LOG (LOG_CONNECTIONS_SHED, NULL,
+       LOG_U ("count", count - gateway->shed_logged),
+       LOG_U ("connections", httpd_connections (gateway->httpd)),
+       LOG_U ("lag_ms", looplag_ns (&gateway->loop_lag) / CLOCK_NS_PER_MS));
+  gateway->shed_logged = count;
+}
+
 static void
 on_lag_measured (void *user, uint64_t lag_ns)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,9 +93,9 @@
   struct prefix_cache prefix_cache;
   struct fleet_retry_budget fleet_retry_budget;
   struct usage_share usage;
-  uint64_t queued_tokens;      /**< sum of gateway_request.queued_tokens of the
+  uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
-  uint64_t peer_queued_tokens; /**< same, at other gateways */
+  uint64_t peer_queued_weight; /**< same, at other gateways */
   uint64_t mean_usage_tokens;  /**< recent usage, mean of waiting customers */
   double utilisation;          /**< 0: free; 1: half the capacity is in use */
   double utilisation_with_waiting; /**< same, waiting requests included */
@@ -116,6 +116,7 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
+  uint64_t shed_logged;     /**< connections turned away, as logged */
   uint64_t control_late_ns; /**< when gateway_check_control() last logged */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reloads the settings on SIGHUP; may be NULL. */
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -107,12 +107,15 @@
         }
       if (item->subject == MESSAGE_SUBJECT_QUEUED)
         {
-          gateway->peer_queued_tokens = add_or_subtract (
-              gateway->peer_queued_tokens, item->tokens, sign);
+          gateway->peer_queued_weight = add_or_subtract (
+              gateway->peer_queued_weight, item->tokens, sign);
           upstream = registry_find (&gateway->registry, item->id);
-          if (upstream != NULL)
-            upstream->load.peer_queued_tokens = add_or_subtract (
-                upstream->load.peer_queued_tokens, item->tokens, sign);
+          if (upstream == NULL)
+            continue;
+          upstream->load.peer_queued_tokens = add_or_subtract (
+              upstream->load.peer_queued_tokens, item->requests, sign);
+          upstream->load.peer_queued_weight = add_or_subtract (
+              upstream->load.peer_queued_weight, item->tokens, sign);
           continue;
         }
       customer = usage_share_customer (&gateway->usage, item->id);
@@ -260,8 +263,9 @@
         add (sums, upstream->id, MESSAGE_SUBJECT_UPSTREAM,
              upstream->load.running, (int64_t)upstream->load.prefill_tokens);
       if (upstream->load.queued_tokens > 0)
-        add (sums, upstream->id, MESSAGE_SUBJECT_QUEUED, 0,
-             (int64_t)upstream->load.queued_tokens);
+        add (sums, upstream->id, MESSAGE_SUBJECT_QUEUED,
+             (int64_t)upstream->load.queued_tokens,
+             (int64_t)upstream->load.queued_weight);
     }
   for (customer = gateway->usage.customers; customer != NULL;
        customer = customer->hh.next)
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -4,6 +4,7 @@
  * response, retries.
  */
 #include "gateway/gateway_request_int.h"
+#include "state/admission.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include <string.h>
@@ -69,8 +70,9 @@
   if (service->least_loaded_generation != gateway->load_generation)
     {
       service->least_loaded_generation = gateway->load_generation;
-      service->least_loaded_id = choose_least_loaded (
-          &gateway->registry, service->id, gateway_now_ns (gateway));
+      service->least_loaded_id
+          = choose_least_loaded (&gateway->registry, service->id,
+                                 gateway_now_ns (gateway), &gateway->rng);
     }
   return service->least_loaded_id;
 }
@@ -90,6 +92,8 @@
     .excluded_count = request->tried_count,
     .tie_break = catalog_id (request->parsed.id),
     .recompute_permille = gateway_request_recompute_permille (request),
+    .recompute_no_slot_permille
+    = admission_recompute_no_slot_permille (gateway->utilisation),
     .now_ns = gateway_now_ns (gateway),
   };
 
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -48,9 +48,10 @@
   bool paused; /**< reading from the upstream is paused: the client is slow */
   struct wait_queue_item queue_entry;
   uint64_t queued_upstream_id; /**< upstream that the request waits for */
-  /** Counted as waiting for that upstream: tokens to prefill, times the
-      customer's admission_usage_factor(). */
+  /** Counted as waiting for that upstream: tokens to prefill, and these times
+      the customer's admission_usage_factor(). */
   uint32_t queued_tokens;
+  uint32_t queued_weight;
   struct choose_candidates candidates;
   uint32_t prefill_tokens; /**< prompt tokens counted as the upstream's load
                              until it responds */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -24,10 +24,7 @@
 /* Load reports reach all instances within this time: two reports within a
    zone and one between zones. */
 #define REPORT_PROPAGATION_MS 150
-/* Largest weight of a customer with little recent usage; a customer with the
-   mean usage has a weight of 1.  The largest puts a customer nearly first. */
-#define USAGE_WEIGHT_MAX  64.0
-#define RANDOM_RESOLUTION 1000000 /* steps of a random number from 0 to 1 */
+#define RANDOM_RESOLUTION     1000000 /* steps of a random number from 0 to 1 */
 /* The pause between dispatches is this many times the duration of the last
    one, which limits them to a tenth of the CPU time. */
 #define DISPATCH_REST_FACTOR 9
@@ -44,6 +41,7 @@
                      const struct choose_result *result);
 static void enqueue (struct gateway_request *request,
                      const struct choose_result *result);
+static double usage_factor (struct gateway_request *request);
 static void count_queued_tokens (struct gateway_request *request,
                                  const struct choose_result *result);
 static bool within_quota (struct gateway_request *request,
@@ -154,6 +152,17 @@
   gateway_request_dispatch_waiting (-1, 0, gateway);
 }
 
+static double
+usage_factor (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+
+  return admission_usage_factor (
+      usage_share_total (&gateway->usage, request->queue_entry.customer_id,
+                         gateway_now_ns (gateway)),
+      gateway->mean_usage_tokens, ENGINE_QUOTA_FACTOR_MAX);
+}
+
 /* Counts the request's tokens as waiting for an upstream, for the load reports
    to other gateways; customers with little recent usage weigh more. */
 static void
@@ -161,15 +170,14 @@
                      const struct choose_result *result)
 {
   struct gateway *gateway = request->gateway;
-  double weight = admission_usage_factor (
-      usage_share_total (&gateway->usage, request->queue_entry.customer_id,
-                         gateway_now_ns (gateway)),
-      gateway->mean_usage_tokens, USAGE_WEIGHT_MAX);
+  double factor = usage_factor (request);
 
   request->queued_upstream_id = result->upstream->id;
-  request->queued_tokens = (uint32_t)(result->prefill_tokens * weight) + 1;
-  registry_add_queued (result->upstream, request->queued_tokens);
-  gateway->queued_tokens += request->queued_tokens;
+  request->queued_tokens = result->prefill_tokens + 1;
+  request->queued_weight = (uint32_t)(result->prefill_tokens * factor) + 1;
+  registry_add_queued (result->upstream, request->queued_tokens,
+                       request->queued_weight);
+  gateway->queued_weight += request->queued_weight;
 }
 
 static uint32_t
@@ -208,16 +216,16 @@
     return;
   wait_queue_remove (&request->gateway->wait_queue, &request->gateway->usage,
                      &request->queue_entry);
-  request->gateway->queued_tokens -= request->queued_tokens;
+  request->gateway->queued_weight -= request->queued_weight;
   upstream = registry_find (&request->gateway->registry,
                             request->queued_upstream_id);
   if (upstream != NULL)
-    registry_remove_queued (upstream, request->queued_tokens);
+    registry_remove_queued (upstream, request->queued_tokens,
+                            request->queued_weight);
 }
 
 /* Whether the request fits this instance's quota of the upstream's capacity.
-   At an upstream that the request is not queued for, it competes with all
-   waiting requests. */
+   It competes with those queued for the upstream, as if it was one of them. */
 static bool
 within_quota (struct gateway_request *request,
               const struct choose_result *result)
@@ -225,7 +233,8 @@
   struct gateway *gateway = request->gateway;
   const struct gateway_service *service = gateway_request_service (request);
   struct registry_upstream *upstream = result->upstream;
-  bool queued_here = request->queued_upstream_id == upstream->id;
+  bool queued_here = request->queue_entry.queued
+                     && request->queued_upstream_id == upstream->id;
   const struct engine_quota_request quota_request = {
     .interval
     = gateway_now_ns (gateway) / (REPORT_PROPAGATION_MS * CLOCK_NS_PER_MS),
@@ -234,10 +243,15 @@
                            : admission_interval_tokens (&service->prefill_rate,
                                                         REPORT_PROPAGATION_MS),
     .backlog_tokens = result->backlog_tokens,
-    .local_tokens
-    = queued_here ? upstream->load.queued_tokens : gateway->queued_tokens,
-    .peer_tokens = queued_here ? upstream->load.peer_queued_tokens
-                               : gateway->peer_queued_tokens,
+    .local_tokens = upstream->load.queued_tokens
+                    + (queued_here ? 0 : result->prefill_tokens + 1),
+    .local_weight = upstream->load.queued_weight
+                    + (queued_here ? 0
+                                   : (uint64_t)(result->prefill_tokens
+                                                * usage_factor (request))
+                                         + 1),
+    .peer_tokens = upstream->load.peer_queued_tokens,
+    .peer_weight = upstream->load.peer_queued_weight,
     .random
     = (double)rng_below (&gateway->rng, RANDOM_RESOLUTION) / RANDOM_RESOLUTION,
   };
@@ -250,13 +264,10 @@
 upstream_has_capacity (struct gateway_request *request,
                        const struct choose_result *result)
 {
-  const struct registry_load *load;
-
   if (result->upstream == NULL)
     return false;
-  load = &result->upstream->load;
   return result->backlog_tokens <= permitted_backlog_tokens (request, result)
-         && load->running + load->peer_running < result->upstream->record.slots
+         && registry_has_free_slot (result->upstream)
          && within_quota (request, result);
 }
 
@@ -295,7 +306,7 @@
                            &service->prefill_rate);
   gateway->utilisation = admission_utilisation (&load);
   admission_add_queued (&load,
-                        gateway->queued_tokens + gateway->peer_queued_tokens);
+                        gateway->queued_weight + gateway->peer_queued_weight);
   gateway->utilisation_with_waiting = admission_utilisation (&load);
 }
 
@@ -346,6 +357,12 @@
        LOG_S ("home", result.primary ? "yes" : "no"),
        LOG_U ("ahead_tokens", result.backlog_tokens),
        LOG_U ("room_tokens", permitted_backlog_tokens (request, &result)),
+       LOG_U ("running", result.upstream == NULL
+                             ? 0
+                             : result.upstream->load.running
+                                   + result.upstream->load.peer_running),
+       LOG_U ("slots",
+              result.upstream == NULL ? 0 : result.upstream->record.slots),
        LOG_U ("had_tokens",
               usage_share_total (&gateway->usage,
                                  request->queue_entry.customer_id, now_ns)),
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -13,6 +13,8 @@
 #define FALLBACK_BACKLOG_MAX_MS 60
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
+/* The same for a request whose primary engine has no free slot. */
+#define RECOMPUTE_NO_SLOT_UTILISATION_MAX 0.8
 /* Added to both usages, so that differences below the size of a large request
    have little effect. */
 #define USAGE_OFFSET_TOKENS 20000
@@ -103,3 +105,11 @@
              ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
              : ADMISSION_RECOMPUTE_LOW_PERMILLE;
 }
+
+uint32_t
+admission_recompute_no_slot_permille (double utilisation)
+{
+  return utilisation > RECOMPUTE_NO_SLOT_UTILISATION_MAX
+             ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
+             : ADMISSION_RECOMPUTE_LOW_PERMILLE;
+}
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -91,4 +91,9 @@
 uint32_t admission_recompute_permille (bool queued, uint64_t waited_ns,
                                        uint64_t total_ns, double utilisation);
 
+/** The same for a request whose primary engine has no free slot, so that
+    waiting for it costs time of other slots: low until the engines are nearly
+    busy with prefill. */
+uint32_t admission_recompute_no_slot_permille (double utilisation);
+
 #endif
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -15,6 +15,12 @@
 #define CACHED_TTL_MS 15000
 /* Cost of each running request in tokens: it slows down the engine's steps. */
 #define RUNNING_COST_TOKENS 60
+/* Cost in tokens of an engine whose slots are all in use: a request waits for
+   one, as long as a response takes, unless the prefix costs more elsewhere. */
+#define NO_SLOT_COST_TOKENS 60000
+/* Expected number of engines of which the least loaded one is selected; a
+   fleet with so many upstreams has few instances. */
+#define SAMPLE_SIZE 24
 /* Cost in tokens of each rank below the primary engine, so that all instances
    spill over to the same engines. */
 #define RANK_COST_TOKENS 100
@@ -37,7 +43,7 @@
 static void consider_engine (const struct prefix_cache *prefix_cache,
                              const struct choose_request *request,
                              struct registry_upstream *upstream, uint32_t rank,
-                             uint64_t *best_cost,
+                             uint32_t recompute_permille, uint64_t *best_cost,
                              struct choose_result *result);
 static uint64_t running_cost (const struct registry_upstream *upstream);
 static uint64_t load_permille (const struct registry_upstream *upstream,
@@ -126,8 +132,9 @@
 
 uint64_t
 choose_least_loaded (const struct registry *registry, uint64_t service_id,
-                     uint64_t now_ns)
+                     uint64_t now_ns, struct rng *rng)
 {
+  const uint32_t count = HASH_COUNT (registry->upstreams);
   const struct registry_upstream *upstream;
   uint64_t least = UINT64_MAX;
   uint64_t id = 0;
@@ -137,9 +144,11 @@
        upstream = upstream->hh.next)
     {
       if (!registry_usable (upstream, service_id)
-          || outlier_ejected (&upstream->outlier, now_ns))
+          || outlier_ejected (&upstream->outlier, now_ns)
+          || (count > SAMPLE_SIZE && rng_below (rng, count) >= SAMPLE_SIZE))
         continue;
-      cost = registry_backlog_tokens (upstream) + running_cost (upstream);
+      cost = registry_backlog_tokens (upstream) + running_cost (upstream)
+             + (registry_has_free_slot (upstream) ? 0 : NO_SLOT_COST_TOKENS);
       if (cost >= least)
         continue;
       least = cost;
@@ -162,6 +171,7 @@
                struct choose_result *result)
 {
   uint64_t best_cost = UINT64_MAX;
+  uint32_t recompute_permille = request->recompute_permille;
   uint32_t rank = 0;
   uint32_t i;
 
@@ -175,8 +185,10 @@
 
       if (upstream == NULL || !eligible (upstream, request, skip_ejected))
         continue;
-      consider_engine (prefix_cache, request, upstream, rank++, &best_cost,
-                       result);
+      if (rank == 0 && !registry_has_free_slot (upstream))
+        recompute_permille = request->recompute_no_slot_permille;
+      consider_engine (prefix_cache, request, upstream, rank++,
+                       recompute_permille, &best_cost, result);
     }
 }
 
@@ -187,7 +199,8 @@
 consider_engine (const struct prefix_cache *prefix_cache,
                  const struct choose_request *request,
                  struct registry_upstream *upstream, uint32_t rank,
-                 uint64_t *best_cost, struct choose_result *result)
+                 uint32_t recompute_permille, uint64_t *best_cost,
+                 struct choose_result *result)
 {
   const struct prompt *prompt = request->prompt;
   uint32_t last_tokens = prompt->parts[prompt->part_count - 1].tokens;
@@ -202,8 +215,9 @@
   uncached = cached < prompt->input_tokens ? prompt->input_tokens - cached : 0;
   cost = registry_backlog_tokens (upstream) + uncached
          + (uint64_t)(uncached > last_tokens ? uncached - last_tokens : 0)
-               * request->recompute_permille / 1000
-         + running_cost (upstream) + (uint64_t)rank * RANK_COST_TOKENS;
+               * recompute_permille / 1000
+         + running_cost (upstream) + (uint64_t)rank * RANK_COST_TOKENS
+         + (registry_has_free_slot (upstream) ? 0 : NO_SLOT_COST_TOKENS);
   if (cost >= *best_cost)
     return;
   *best_cost = cost;
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -17,6 +17,7 @@
 #include "state/prefix_cache.h"
 #include "state/prompt.h"
 #include "state/registry.h"
+#include "state/rng.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -51,6 +52,8 @@
       to prefill again, in thousandths of a token.  The larger, the longer a
       request may be delayed in favour of an engine that has it cached. */
   uint32_t recompute_permille;
+  /** The same while all slots of the primary engine are in use. */
+  uint32_t recompute_no_slot_permille;
   uint64_t now_ns;
 };
 
@@ -63,10 +66,12 @@
 };
 
 /** The engine of a service with the lowest load: prefill backlog plus a cost
-    for each running request.  Ejected engines are skipped; 0 if none is
-    left. */
+    for each running request.  Among many engines, the lowest of a random
+    sample, so that instances with the same view do not all select the same
+    one.  Ejected engines are skipped; 0 if none is left. */
 uint64_t choose_least_loaded (const struct registry *registry,
-                              uint64_t service_id, uint64_t now_ns);
+                              uint64_t service_id, uint64_t now_ns,
+                              struct rng *rng);
 
 void choose_upstream (const struct registry *registry,
                       const struct prefix_cache *prefix_cache,
--- a/src/state/engine_quota.h
+++ b/src/state/engine_quota.h
@@ -9,9 +9,14 @@
  * many prompt tokens they have queued for each engine.  An interval lasts as
  * long as a report takes to reach all instances.  In each, the quota is a part
  * of the capacity that was free at its start, in proportion to this instance's
- * part of all queued tokens.  A prompt larger than the remaining quota is sent
- * with a probability such that the expected sum over all instances is the free
- * capacity.
+ * part of all queued tokens.
+ *
+ * Tokens of customers with little recent usage weigh more.  They are served
+ * first, and the others share what those leave: a few such prompts at other
+ * instances must not keep an engine idle while prompts of heavy users wait.
+ *
+ * A prompt larger than the remaining quota is sent with a probability such
+ * that the expected sum over all instances is the free capacity.
  */
 #ifndef STATE_ENGINE_QUOTA_H
 #define STATE_ENGINE_QUOTA_H
@@ -19,6 +24,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Largest factor of a customer with little recent usage; one with the mean
+    usage has 1.  The largest puts a customer nearly first. */
+#define ENGINE_QUOTA_FACTOR_MAX 64.0
+
 /** Quota at one engine; zero-initialise. */
 struct engine_quota
 {
@@ -34,7 +43,9 @@
       capacity_tokens; /**< largest permitted prefill backlog of the engine */
   uint64_t backlog_tokens; /**< its backlog, as far as known here */
   uint64_t local_tokens;   /**< queued for it at this instance */
+  uint64_t local_weight;   /**< the same, each times its customer's factor */
   uint64_t peer_tokens;    /**< queued for it at other instances */
+  uint64_t peer_weight;    /**< the same, each times its customer's factor */
   double random; /**< random, 0 to 1; used if first in the interval */
 };
 
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -79,17 +79,30 @@
 }
 
 void
-registry_add_queued (struct registry_upstream *upstream, uint64_t tokens)
+registry_add_queued (struct registry_upstream *upstream, uint64_t tokens,
+                     uint64_t weight)
 {
   upstream->load.queued_tokens += tokens;
+  upstream->load.queued_weight += weight;
 }
 
 void
-registry_remove_queued (struct registry_upstream *upstream, uint64_t tokens)
+registry_remove_queued (struct registry_upstream *upstream, uint64_t tokens,
+                        uint64_t weight)
 {
-  upstream->load.queued_tokens -= tokens < upstream->load.queued_tokens
-                                      ? tokens
-                                      : upstream->load.queued_tokens;
+  struct registry_load *load = &upstream->load;
+
+  load->queued_tokens
+      -= tokens < load->queued_tokens ? tokens : load->queued_tokens;
+  load->queued_weight
+      -= weight < load->queued_weight ? weight : load->queued_weight;
+}
+
+bool
+registry_has_free_slot (const struct registry_upstream *upstream)
+{
+  return upstream->load.running + upstream->load.peer_running
+         < upstream->record.slots;
 }
 
 bool
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -44,10 +44,12 @@
                               still to prefill */
   uint32_t peer_running;   /**< requests of other instances in flight there */
   uint64_t peer_prefill_tokens;
-  /** Tokens that it would have to prefill for the requests queued here for it,
-      each times its customer's admission_usage_factor(). */
+  /** Tokens that it would have to prefill for the requests queued here for
+      it, and the same, each times its customer's admission_usage_factor(). */
   uint64_t queued_tokens;
+  uint64_t queued_weight;
   uint64_t peer_queued_tokens;
+  uint64_t peer_queued_weight;
   uint32_t reported_running; /**< reported by the upstream, over all callers */
   uint32_t reported_waiting;
   uint64_t reported_ns; /**< time of that report; 0: none */
@@ -134,9 +136,12 @@
 /** Add or subtract prompt tokens queued here for an upstream.  An entry that
     was removed and added again in between has lost its count, so subtraction
     stops at 0. */
-void registry_add_queued (struct registry_upstream *upstream, uint64_t tokens);
+void registry_add_queued (struct registry_upstream *upstream, uint64_t tokens,
+                          uint64_t weight);
 void registry_remove_queued (struct registry_upstream *upstream,
-                             uint64_t tokens);
+                             uint64_t tokens, uint64_t weight);
+/** Whether one of its slots is free, as far as is known here. */
+bool registry_has_free_slot (const struct registry_upstream *upstream);
 /** True when it belongs to the service and accepts new requests. */
 bool registry_usable (const struct registry_upstream *upstream,
                       uint64_t service_id);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -17,6 +17,8 @@
   [LOG_DRAIN_TIMEOUT]
   = { LOG_LEVEL_WARN, "drain timeout passed, requests still in flight",
       false },
+  [LOG_CONNECTIONS_SHED]
+  = { LOG_LEVEL_WARN, "new connections turned away", false },
   [LOG_LOOP_LATE] = { LOG_LEVEL_WARN, "event loop is late", false },
   [LOG_CONTROL_LATE]
   = { LOG_LEVEL_ERROR, "control events of the loop do not run", false },
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -20,6 +20,7 @@
 {
   struct registry registry;
   struct prefix_cache prefix_cache;
+  struct rng rng;
   uint64_t now_ns;
 };
 
@@ -69,8 +70,8 @@
   const struct choose_request request = {
     .service_id = SERVICE,
     .candidates = &candidates,
-    .least_loaded_id
-    = choose_least_loaded (&fixture->registry, SERVICE, fixture->now_ns),
+    .least_loaded_id = choose_least_loaded (&fixture->registry, SERVICE,
+                                            fixture->now_ns, &fixture->rng),
     .prompt = prompt,
     .availability_zone = "a",
     .excluded = excluded,
--- a/tests/test_engine_quota.c
+++ b/tests/test_engine_quota.c
@@ -37,12 +37,16 @@
               const uint32_t *usage_factors)
 {
   uint64_t reported_tokens = simulation->backlog_tokens;
+  uint64_t queued_tokens = 0;
   uint64_t weighted_tokens = 0;
   uint32_t i;
 
   for (i = 0; i < INSTANCES; i++)
-    weighted_tokens
-        += simulation->queued[i] * PROMPT_TOKENS * usage_factors[i];
+    {
+      queued_tokens += simulation->queued[i] * PROMPT_TOKENS;
+      weighted_tokens
+          += simulation->queued[i] * PROMPT_TOKENS * usage_factors[i];
+    }
   for (i = 0; i < INSTANCES; i++)
     {
       uint64_t local_tokens
@@ -51,8 +55,10 @@
         .interval = interval,
         .capacity_tokens = CAPACITY_TOKENS,
         .backlog_tokens = reported_tokens,
-        .local_tokens = local_tokens,
-        .peer_tokens = weighted_tokens - local_tokens,
+        .local_tokens = local_tokens / usage_factors[i],
+        .local_weight = local_tokens,
+        .peer_tokens = queued_tokens - local_tokens / usage_factors[i],
+        .peer_weight = weighted_tokens - local_tokens,
       };
 
       while (simulation->queued[i] > 0
@@ -153,6 +159,7 @@
       = { .interval = 1,
           .capacity_tokens = CAPACITY_TOKENS,
           .local_tokens = 1,
+          .local_weight = 1,
           .random = 1 };
   uint32_t i;
 
@@ -163,7 +170,48 @@
     }
 }
 
+/* A heavy user's prompt is queued here, and one prompt of a customer with
+   little usage at another instance.  The engine has room for both. */
+static void
+test_idle_engine_beside_preferred_prompt (void)
+{
+  const struct engine_quota_request request = {
+    .interval = 1,
+    .capacity_tokens = CAPACITY_TOKENS,
+    .local_tokens = PROMPT_TOKENS,
+    .local_weight = PROMPT_TOKENS / 5,
+    .peer_tokens = PROMPT_TOKENS,
+    .peer_weight = PROMPT_TOKENS * UINT64_C (64),
+    .random = 0.99,
+  };
+  struct engine_quota quota = { .interval = 0 };
+
+  CU_ASSERT_TRUE (engine_quota_allows (&quota, &request, PROMPT_TOKENS));
+}
+
+/* The same with preferred prompts that fill the engine. */
+static void
+test_engine_full_of_preferred_prompts (void)
+{
+  const struct engine_quota_request request = {
+    .interval = 1,
+    .capacity_tokens = CAPACITY_TOKENS,
+    .local_tokens = PROMPT_TOKENS,
+    .local_weight = PROMPT_TOKENS / 5,
+    .peer_tokens = CAPACITY_TOKENS,
+    .peer_weight = CAPACITY_TOKENS * UINT64_C (64),
+    .random = 0.01,
+  };
+  struct engine_quota quota = { .interval = 0 };
+
+  CU_ASSERT_FALSE (engine_quota_allows (&quota, &request, PROMPT_TOKENS));
+}
+
 static const struct suite_test tests[] = {
+  { "idle engine beside a preferred prompt",
+    test_idle_engine_beside_preferred_prompt },
+  { "engine full of preferred prompts",
+    test_engine_full_of_preferred_prompts },
   { "many instances and one engine", test_simultaneous_prompts },
   { "a customer with low usage gets a larger quota", test_usage_factor },
   { "a single instance", test_single_instance },
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -150,13 +150,13 @@
 
   registry_init (&registry);
   put (&registry, "a", 1000, 5, false);
-  registry_add_queued (registry.upstreams, 700);
+  registry_add_queued (registry.upstreams, 700, 700);
   CU_ASSERT_EQUAL (registry.upstreams->load.queued_tokens, 700);
   registry_mark_missing (&registry, "a", 6, 0, 0);
   CU_ASSERT_PTR_NULL (registry.upstreams);
   put (&registry, "a", 1000, 7, false);
-  registry_add_queued (registry.upstreams, 300);
-  registry_remove_queued (registry.upstreams, 700);
+  registry_add_queued (registry.upstreams, 300, 300);
+  registry_remove_queued (registry.upstreams, 700, 700);
   CU_ASSERT_EQUAL (registry.upstreams->load.queued_tokens, 0);
   registry_finish (&registry);
 }
