Load reports carry which upstreams an instance has ejected

Change: a field of the load frame counts instances that have ejected an upstream; one that two others have ejected is avoided, but for one request in 16 and for an instance that it served in the last 2 s. Earlier programs ignore the field. test_peercodec has such a row.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -157,6 +157,7 @@
   MESSAGE_SUBJECT_CUSTOMER, /**< requests waiting; tokens served recently */
   MESSAGE_SUBJECT_QUEUED,   /**< an upstream; in place of requests the tokens
                                queued for it, and these weighted */
+  MESSAGE_SUBJECT_EJECTED,  /**< an upstream; instances that have ejected it */
   MESSAGE_SUBJECT_MAX
 };
 
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -118,6 +118,14 @@
               upstream->load.peer_queued_weight, item->tokens, sign);
           continue;
         }
+      if (item->subject == MESSAGE_SUBJECT_EJECTED)
+        {
+          upstream = registry_find (&gateway->registry, item->id);
+          if (upstream != NULL)
+            upstream->load.peer_ejections = (uint32_t)add_or_subtract (
+                upstream->load.peer_ejections, item->requests, sign);
+          continue;
+        }
       customer = usage_share_customer (&gateway->usage, item->id);
       if (customer == NULL)
         continue;
@@ -216,7 +224,7 @@
 {
   const struct gateway *gateway = peers->gateway;
   const struct gateway_peer *peer;
-  size_t count = 2 * HASH_COUNT (gateway->registry.upstreams)
+  size_t count = 3 * HASH_COUNT (gateway->registry.upstreams)
                  + HASH_COUNT (gateway->usage.customers) + 1;
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
@@ -266,6 +274,8 @@
         add (sums, upstream->id, MESSAGE_SUBJECT_QUEUED,
              (int64_t)upstream->load.queued_tokens,
              (int64_t)upstream->load.queued_weight);
+      if (outlier_ejected (&upstream->outlier, now_ns))
+        add (sums, upstream->id, MESSAGE_SUBJECT_EJECTED, 1, 0);
     }
   for (customer = gateway->usage.customers; customer != NULL;
        customer = customer->hh.next)
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -471,7 +471,7 @@
   if (upstream != NULL)
     {
       if (request->reply.status < 500)
-        outlier_success (&upstream->outlier);
+        outlier_success (&upstream->outlier, gateway_now_ns (gateway));
       else
         outlier_failure (&upstream->outlier, false, gateway_now_ns (gateway));
     }
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -79,8 +79,7 @@
 gateway_request_service (struct gateway_request *request);
 /** Weight, in thousandths, of prefix tokens that another upstream would have
     to recompute; see admission_recompute_permille(). */
-uint32_t
-gateway_request_recompute_permille (const struct gateway_request *request);
+uint32_t gateway_request_recompute_permille (struct gateway_request *request);
 /** Selects the best upstream at this time. */
 void gateway_request_choose (struct gateway_request *request,
                              struct choose_result *result);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1265,7 +1265,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[5] =
 {
   {
     "names",
@@ -1315,9 +1315,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ejected",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Peer__Load, n_ejected),
+    offsetof(Peer__Load, ejected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  4,   /* field[4] = ejected */
   1,   /* field[1] = items */
   0,   /* field[0] = names */
   2,   /* field[2] = store_index */
@@ -1325,7 +1338,7 @@
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1335,7 +1348,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  4,
+  5,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -189,7 +189,8 @@
 
 /*
  * What the sender has at upstreams and has given customers.  Rows: pair
- * (identifier, subject), running, tokens.  Replaces its earlier word.
+ * (identifier, subject), running, tokens; of requests queued for an upstream
+ * their tokens, and these weighted.  Replaces its earlier word.
  */
 struct  Peer__Load
 {
@@ -200,10 +201,15 @@
   uint64_t *items;
   uint64_t store_index;
   uint32_t age_ms;
+  /*
+   * Rows: pair, instances that have ejected the upstream.
+   */
+  size_t n_ejected;
+  uint64_t *ejected;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0 }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 typedef enum {
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -495,23 +495,38 @@
 {
   const struct message_load *load = &message->u.load;
   Peer__Load *wire = &out->body.load;
+  size_t load_cells;
   size_t i;
   int rc = allocate_rows (out, load->item_count, LOAD_COLUMNS);
 
   for (i = 0; rc == 0 && i < load->item_count; i++)
     {
+      if (load->items[i].subject == MESSAGE_SUBJECT_EJECTED)
+        continue;
       if (start_row (out, load->items[i].id, load->items[i].subject) == NULL)
         return ERR_FULL;
       add_cell (out, load->items[i].requests);
       add_cell (out, load->items[i].tokens);
     }
+  load_cells = out->item_count;
+  for (i = 0; rc == 0 && i < load->item_count; i++)
+    {
+      if (load->items[i].subject != MESSAGE_SUBJECT_EJECTED)
+        continue;
+      /* The pair of its load, as earlier versions know no other subject. */
+      if (start_row (out, load->items[i].id, MESSAGE_SUBJECT_UPSTREAM) == NULL)
+        return ERR_FULL;
+      add_cell (out, load->items[i].requests);
+    }
   peer__load__init (wire);
   wire->store_index = load->store_index;
   wire->age_ms = load->age_ms;
   wire->n_names = out->new_id_count;
   wire->names = out->new_ids;
-  wire->n_items = out->item_count;
+  wire->n_items = load_cells;
   wire->items = out->items;
+  wire->n_ejected = out->item_count - load_cells;
+  wire->ejected = out->items + load_cells;
   out->frame.body_case = PEER__FRAME__BODY_LOAD;
   out->frame.load = wire;
   return rc;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -10,12 +10,13 @@
 #include <string.h>
 
 /* Columns of a row, including the pair's index. */
-#define HEARTBEAT_COLUMNS 3
-#define ACCOUNT_COLUMNS   4 /* without the pair's index */
-#define GRANT_COLUMNS     3
-#define HOLD_COLUMNS      4
-#define LOAD_COLUMNS      3
-#define PAIRS_MIN         64 /* initial capacity of a dictionary */
+#define HEARTBEAT_COLUMNS    3
+#define ACCOUNT_COLUMNS      4 /* without the pair's index */
+#define GRANT_COLUMNS        3
+#define HOLD_COLUMNS         4
+#define LOAD_COLUMNS         3
+#define LOAD_EJECTED_COLUMNS 2
+#define PAIRS_MIN            64 /* initial capacity of a dictionary */
 
 /** A dictionary entry, with the counters last received for it as the sender's
     own account. */
@@ -455,28 +456,42 @@
   const struct peercodec_decoder_pair *pair;
   struct message_load_item *item;
   struct rows rows;
+  struct rows ejected;
   size_t i;
   int rc = add_pairs (decoder, wire->names, wire->n_names);
 
   if (rc == 0)
     rc = rows_init (&rows, decoder, wire->items, wire->n_items, LOAD_COLUMNS);
+  if (rc == 0)
+    rc = rows_init (&ejected, decoder, wire->ejected, wire->n_ejected,
+                    LOAD_EJECTED_COLUMNS);
   if (rc != 0)
     return rc;
   load->store_index = wire->store_index;
   load->age_ms = wire->age_ms;
-  rc = allocate_items ((void **)&load->items, rows.count, sizeof *item);
-  load->item_count = rc == 0 ? rows.count : 0;
+  rc = allocate_items ((void **)&load->items, rows.count + ejected.count,
+                       sizeof *item);
+  load->item_count = rc == 0 ? rows.count + ejected.count : 0;
   for (i = 0; rc == 0 && i < rows.count; i++)
     {
       pair = row_pair (&rows, i);
       item = &load->items[i];
-      if (pair == NULL || pair->second_id >= MESSAGE_SUBJECT_MAX
+      if (pair == NULL || pair->second_id >= MESSAGE_SUBJECT_EJECTED
           || cell_u32 (&rows, i, 1, &item->requests) != 0)
         return ERR_PROTOCOL;
       item->id = pair->first_id;
       item->subject = (enum message_subject)pair->second_id;
       item->tokens = cell (&rows, i, 2);
     }
+  for (i = 0; rc == 0 && i < ejected.count; i++)
+    {
+      pair = row_pair (&ejected, i);
+      item = &load->items[rows.count + i];
+      if (pair == NULL || cell_u32 (&ejected, i, 1, &item->requests) != 0)
+        return ERR_PROTOCOL;
+      item->id = pair->first_id;
+      item->subject = MESSAGE_SUBJECT_EJECTED;
+    }
   return rc;
 }
 
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -18,6 +18,14 @@
 /* Cost in tokens of an engine whose slots are all in use: a request waits for
    one, as long as a response takes, unless the prefix costs more elsewhere. */
 #define NO_SLOT_COST_TOKENS 60000
+/* An upstream that this many other instances have ejected is avoided, unless
+   an attempt of this instance succeeded a short time ago: a single instance
+   may be cut off itself. */
+#define PEER_EJECTIONS_MIN   2
+#define OWN_SUCCESS_VALID_MS 2000
+/* One of this many requests tries an upstream that only others have ejected:
+   this instance may reach it. */
+#define PEER_EJECTION_TRIALS 16
 /* Expected number of engines of which the least loaded one is selected; a
    fleet with so many upstreams has few instances. */
 #define SAMPLE_SIZE 24
@@ -37,6 +45,8 @@
 static void choose_plain (const struct registry *registry,
                           const struct choose_request *request,
                           bool skip_ejected, struct choose_result *result);
+static bool avoided (const struct registry_upstream *upstream,
+                     uint64_t now_ns);
 static uint64_t rendezvous_hash (uint64_t key, uint64_t upstream_id);
 static void rank_candidates (const struct registry *registry,
                              const struct choose_request *request);
@@ -81,8 +91,22 @@
   for (i = 0; i < request->excluded_count; i++)
     if (request->excluded[i] == upstream->id)
       return false;
-  return !skip_ejected
-         || !outlier_ejected (&upstream->outlier, request->now_ns);
+  return !skip_ejected || !avoided (upstream, request->now_ns)
+         || (!outlier_ejected (&upstream->outlier, request->now_ns)
+             && rendezvous_hash (request->tie_break, upstream->id)
+                        % PEER_EJECTION_TRIALS
+                    == 0);
+}
+
+/* Whether it was ejected, here or by others.  In a large fleet most instances
+   have sent a failing upstream nothing yet. */
+static bool
+avoided (const struct registry_upstream *upstream, uint64_t now_ns)
+{
+  return outlier_ejected (&upstream->outlier, now_ns)
+         || (upstream->load.peer_ejections >= PEER_EJECTIONS_MIN
+             && now_ns - upstream->outlier.success_ns
+                    > OWN_SUCCESS_VALID_MS * NS_PER_MS);
 }
 
 static uint64_t
@@ -143,8 +167,7 @@
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     {
-      if (!registry_usable (upstream, service_id)
-          || outlier_ejected (&upstream->outlier, now_ns)
+      if (!registry_usable (upstream, service_id) || avoided (upstream, now_ns)
           || (count > SAMPLE_SIZE && rng_below (rng, count) >= SAMPLE_SIZE))
         continue;
       cost = registry_backlog_tokens (upstream) + running_cost (upstream)
--- a/src/state/outlier.c
+++ b/src/state/outlier.c
@@ -12,8 +12,9 @@
 /* The ejection time keeps doubling with each new ejection until all attempts
    of a window have succeeded. */
 void
-outlier_success (struct outlier *outlier)
+outlier_success (struct outlier *outlier, uint64_t now_ns)
 {
+  outlier->success_ns = now_ns;
   record_result (outlier, false);
   outlier->failures = 0;
   outlier->ejection_end_ns = 0;
--- a/src/state/outlier.h
+++ b/src/state/outlier.h
@@ -32,9 +32,10 @@
   uint32_t ejection_ms; /**< length of the last ejection; 0: none */
   uint64_t ejection_end_ns; /**< ejected until then; 0: not ejected */
   bool probing;             /**< a probing attempt is in progress */
+  uint64_t success_ns;      /**< time of the last success; 0: none */
 };
 
-void outlier_success (struct outlier *outlier);
+void outlier_success (struct outlier *outlier, uint64_t now_ns);
 /** @param hard  the upstream could not be reached at all: it is ejected after
                  this single failure. */
 void outlier_failure (struct outlier *outlier, bool hard, uint64_t now_ns);
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -50,6 +50,7 @@
   uint64_t queued_weight;
   uint64_t peer_queued_tokens;
   uint64_t peer_queued_weight;
+  uint32_t peer_ejections;   /**< other instances that have ejected it */
   uint32_t reported_running; /**< reported by the upstream, over all callers */
   uint32_t reported_waiting;
   uint64_t reported_ns; /**< time of that report; 0: none */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -101,7 +101,7 @@
   for (i = 1; i < OUTLIER_CONSECUTIVE_FAILURES; i++)
     outlier_failure (&outlier, false, now_ns);
   CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
-  outlier_success (&outlier);
+  outlier_success (&outlier, 0);
   for (i = 1; i < OUTLIER_CONSECUTIVE_FAILURES; i++)
     outlier_failure (&outlier, false, now_ns);
   CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
@@ -123,7 +123,7 @@
       outlier_failure (&outlier, true, now_ns);
     }
   CU_ASSERT_EQUAL (outlier.ejection_ms, OUTLIER_EJECTION_MAX_MS);
-  outlier_success (&outlier);
+  outlier_success (&outlier, 0);
   CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
 }
 
@@ -144,7 +144,7 @@
       if (i % 10 == 0)
         outlier_failure (&outlier, false, now_ns);
       else
-        outlier_success (&outlier);
+        outlier_success (&outlier, 0);
       CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
     }
   for (i = 0; i < 20 && !outlier_ejected (&outlier, now_ns); i++)
@@ -154,7 +154,7 @@
         failed_count++;
       }
     else
-      outlier_success (&outlier);
+      outlier_success (&outlier, 0);
   CU_ASSERT_TRUE (outlier_ejected (&outlier, now_ns));
   CU_ASSERT (failed_count <= OUTLIER_WINDOW_FAILURES);
   /* A successful probe does not clear the history: the next failure doubles
@@ -162,14 +162,14 @@
   first_ms = outlier.ejection_ms;
   now_ns += first_ms * MS;
   outlier_attempt_started (&outlier, now_ns);
-  outlier_success (&outlier);
+  outlier_success (&outlier, 0);
   CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
   outlier_failure (&outlier, false, now_ns);
   CU_ASSERT_TRUE (outlier_ejected (&outlier, now_ns));
   CU_ASSERT_EQUAL (outlier.ejection_ms, 2 * first_ms);
   /* A whole window of successes clears it. */
   for (i = 0; i < 16; i++)
-    outlier_success (&outlier);
+    outlier_success (&outlier, 0);
   CU_ASSERT_EQUAL (outlier.ejection_ms, 0);
   CU_ASSERT_FALSE (outlier_ejected (&outlier, now_ns));
 }
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -28,7 +28,8 @@
     = { "127.0.0.1:7000", "[::1]:7001" };
 static struct message_load_item loads[]
     = { { 1, MESSAGE_SUBJECT_UPSTREAM, 3, 4000 },
-        { 1, MESSAGE_SUBJECT_CUSTOMER, 0, UINT64_MAX } };
+        { 1, MESSAGE_SUBJECT_CUSTOMER, 0, UINT64_MAX },
+        { 2, MESSAGE_SUBJECT_EJECTED, 5, 0 } };
 static const struct ledger_origin sender = { 3, 4 };
 
 static const struct message samples[] = {
@@ -52,7 +53,7 @@
   { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
   { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
   { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
-  { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 2, loads } },
+  { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 3, loads } },
   { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
