Members of the own zone are listed first; lost hubs are replaced

Cause: a gateway listed all members, three pages at 195, to learn its hubs. And a fault that a new test shows (test_gateways, loss of all hubs): when all hubs of a zone are lost for good, the others go on watching the store and never learn that the entries have expired, so no hub follows.

Change: entries are keyed by zone; a zone with more members than a full mesh has its hubs among them, which tell of the rest. Without a fresh hub a gateway watches the members as well. The back-off of that fallback is 0.8 to 3.2 s.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -27,6 +27,9 @@
 /* An entry that vanishes within this time after an outage may have expired
    because its lease could not be renewed. */
 #define RECENT_OUTAGE_MS 3000
+/* Pauses after failed calls of an instance that has lost its hubs. */
+#define FALLBACK_BACKOFF_MIN_MS 800
+#define FALLBACK_BACKOFF_MAX_MS 3200
 /* An older configuration may lack a route or key that is in effect. */
 #define STALE_CONFIG_MS 500
 
@@ -112,15 +115,20 @@
 void
 discovery_watch (struct gateway *gateway)
 {
+  store_watch_set_backoff (&gateway->config_watch, STORE_WATCH_BACKOFF_MIN_MS,
+                           STORE_WATCH_BACKOFF_MAX_MS);
   store_watch_resume (&gateway->config_watch);
   store_watch_resume (&gateway->upstream_watch);
 }
 
 /* The configuration takes one call.  While the store does not answer it, the
-   calls of all instances for the upstreams would not help either. */
+   calls of all instances for the upstreams would not help either, and hubs
+   notice the end of an outage sooner. */
 void
 discovery_watch_if_store_answers (struct gateway *gateway)
 {
+  store_watch_set_backoff (&gateway->config_watch, FALLBACK_BACKOFF_MIN_MS,
+                           FALLBACK_BACKOFF_MAX_MS);
   store_watch_resume (&gateway->config_watch);
   if (store_watch_current (&gateway->config_watch))
     store_watch_resume (&gateway->upstream_watch);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -493,6 +493,7 @@
   struct gateway_peer *peer;
 
   discovery_stop_watching (peers->gateway);
+  store_watch_pause (&peers->member_watch);
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     peer->requested = false;
   gateway_peers_update_subscriptions (peers);
@@ -520,7 +521,13 @@
       if (!gateway->config_watch.paused)
         rely_on_hubs (peers);
     }
-  else if (peers->members_listed
+  else if (peers->zone_listed
            && now_ns - peers->hub_fresh_ns > fallback_ms * CLOCK_NS_PER_MS)
-    discovery_watch_if_store_answers (gateway);
+    {
+      discovery_watch_if_store_answers (gateway);
+      /* The hubs may be lost for good: others follow once their entries
+         expire. */
+      if (!gateway->upstream_watch.paused)
+        gateway_peers_watch_members (peers);
+    }
 }
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -17,7 +17,7 @@
    way to an upstream are known in the zone before the next gateway selects
    one. */
 #define GATEWAY_PEERS_ZONE_REPORT_MS 25
-#define GATEWAY_PEERS_KEY_SIZE       (GATEWAY_NAME_SIZE + 64)
+#define GATEWAY_PEERS_KEY_SIZE       (2 * GATEWAY_NAME_SIZE + 64)
 
 /** An instance with a working link. */
 struct gateway_peer
@@ -67,11 +67,14 @@
   uint64_t lease;
   uint64_t lease_era; /**< era of the store that granted the lease */
   char key[GATEWAY_PEERS_KEY_SIZE];
+  /** Prefix of the entries of this availability zone. */
+  char zone_prefix[GATEWAY_PEERS_KEY_SIZE];
   uint64_t self_id;
   uint64_t zone_id;
   struct gateway_peers_member *members; /**< by key; includes this one */
   bool members_changed;
-  bool members_listed; /**< a listing of members was completed */
+  bool members_listed; /**< a listing of all members was completed */
+  bool zone_listed;    /**< one of those of this availability zone was */
   /** Until then, members that the store lacks are kept: after an outage or a
       restore, those that are alive register again. */
   uint64_t members_kept_until_ns;
@@ -100,6 +103,8 @@
 void gateway_peers_expire_members (struct gateway_peers *peers);
 /** Determines the hubs, and dials those that this instance links to. */
 void gateway_peers_assign_hubs (struct gateway_peers *peers);
+/** Watches the entries of all members in the store. */
+void gateway_peers_watch_members (struct gateway_peers *peers);
 
 /* gateway_peers.c */
 /** Brings the subscriptions on all links in line with the hubs. */
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -40,6 +40,7 @@
                           const struct kvstore_item *item, bool keep_missing);
 static void end_listing (struct gateway_peers *peers, bool keep_missing);
 static void keep_missing_members (struct gateway_peers *peers);
+static void list_all_members (struct gateway_peers *peers);
 static bool missing_members_kept (const struct gateway_peers *peers);
 static void drop_member (struct gateway_peers *peers,
                          struct gateway_peers_member *member,
@@ -68,7 +69,7 @@
     .base = gateway->base,
     .clock = &gateway->clock,
     .kvstore = gateway->store,
-    .prefix = gateway->adapter->gateway_prefix,
+    .prefix = peers->zone_prefix,
     .min_interval_ms = WATCH_INTERVAL_MS,
     .poll_timeout_ms = WATCH_TIMEOUT_MS,
     .delay_ms = gateway->settings.bootstrap ? BOOTSTRAP_DELAY_MS : 0,
@@ -77,8 +78,15 @@
     .user = peers,
   };
 
-  snprintf (peers->key, sizeof peers->key, "%s%s",
-            gateway->adapter->gateway_prefix, gateway->settings.instance);
+  snprintf (peers->zone_prefix, sizeof peers->zone_prefix, "%s%s/",
+            gateway->adapter->gateway_prefix,
+            gateway->settings.availability_zone);
+  snprintf (peers->key, sizeof peers->key, "%s%s/%s",
+            gateway->adapter->gateway_prefix,
+            gateway->settings.availability_zone, gateway->settings.instance);
+  /* Hubs could not forward the entry. */
+  if (strlen (peers->key) >= MESSAGE_KEY_SIZE)
+    return ERR_TOO_LARGE;
   peers->membership_timer
       = event_new (gateway->base, -1, 0, on_membership_timer, peers);
   if (peers->membership_timer == NULL)
@@ -205,6 +213,7 @@
 gateway_peers_listing_end (struct gateway_peers *peers)
 {
   end_listing (peers, false);
+  peers->members_listed = true;
 }
 
 static void
@@ -222,9 +231,9 @@
   peers->members_changed = true;
   /* Now that it knows the hubs, it gives them time before it watches the
      store itself. */
-  if (!peers->members_listed)
+  if (!peers->zone_listed)
     peers->hub_fresh_ns = gateway_now_ns (peers->gateway);
-  peers->members_listed = true;
+  peers->zone_listed = true;
 }
 
 static bool
@@ -286,6 +295,7 @@
   size_t prefix_length = strlen (peers->gateway->adapter->gateway_prefix);
   struct gateway_peers_member *member;
   char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16];
+  const char *name;
   char *zone;
   char *capacity;
   int changed = 0;
@@ -316,7 +326,9 @@
         return ERR_NO_MEMORY;
       memcpy (member->key, item->key, strlen (item->key) + 1);
       memcpy (member->address, value, strlen (value) + 1);
-      member->id = catalog_id (item->key + prefix_length);
+      name = strrchr (item->key + prefix_length, '/');
+      member->id
+          = catalog_id (name == NULL ? item->key + prefix_length : name + 1);
       member->zone_id = catalog_id (zone);
       member->capacity = (uint32_t)strtoul (capacity, NULL, 10);
       HASH_ADD_STR (peers->members, key, member);
@@ -372,10 +384,28 @@
 static void
 on_listing_end (void *user, uint64_t index)
 {
+  struct gateway_peers *peers = user;
+  bool zone_only = peers->member_watch.config.prefix == peers->zone_prefix;
+
   (void)index;
-  end_listing (user, missing_members_kept (user));
+  /* More members than in a full mesh: the hubs of this availability zone are
+     among them, and tell of the others. */
+  if (zone_only && HASH_COUNT (peers->members) <= HUBS_MESH_MAX)
+    {
+      list_all_members (peers);
+      return;
+    }
+  end_listing (peers, missing_members_kept (peers));
+  peers->members_listed = peers->members_listed || !zone_only;
   /* Before the next call: most instances need none. */
-  gateway_peers_assign_hubs (user);
+  gateway_peers_assign_hubs (peers);
+}
+
+static void
+list_all_members (struct gateway_peers *peers)
+{
+  store_watch_set_prefix (&peers->member_watch,
+                          peers->gateway->adapter->gateway_prefix);
 }
 
 static void
@@ -452,11 +482,19 @@
   free (members);
   gateway_peers_update_subscriptions (peers);
   if (peers->hub)
-    store_watch_resume (&peers->member_watch);
-  else if (peers->members_listed)
+    gateway_peers_watch_members (peers);
+  else if (peers->zone_listed && peers->gateway->config_watch.paused)
     store_watch_pause (&peers->member_watch);
 }
 
+void
+gateway_peers_watch_members (struct gateway_peers *peers)
+{
+  if (peers->member_watch.config.prefix == peers->zone_prefix)
+    list_all_members (peers);
+  store_watch_resume (&peers->member_watch);
+}
+
 static void
 set_dialing (struct gateway_peers *peers, struct gateway_peers_member *member,
              bool dialing)
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -9,8 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define BACKOFF_MIN_MS 100 /* after the first failure: a few round trips */
-#define BACKOFF_MAX_MS 800 /* the end of an outage is seen within a second */
+#define RELIST_JITTER_MS 100 /* all watches of a fleet list again at once */
 
 static void on_timer (evutil_socket_t fd, short what, void *arg);
 static void schedule (struct store_watch *watch, uint64_t delay_ms);
@@ -31,6 +30,8 @@
 {
   memset (watch, 0, sizeof *watch);
   watch->config = *config;
+  watch->backoff_min_ms = STORE_WATCH_BACKOFF_MIN_MS;
+  watch->backoff_max_ms = STORE_WATCH_BACKOFF_MAX_MS;
   rng_init (&watch->rng, config->seed);
   watch->timer = event_new (config->base, -1, 0, on_timer, watch);
   if (watch->timer == NULL)
@@ -72,6 +73,23 @@
     schedule (watch, 0);
 }
 
+void
+store_watch_set_prefix (struct store_watch *watch, const char *prefix)
+{
+  watch->config.prefix = prefix;
+  watch->discard_response = watch->call_pending;
+  watch->phase = STORE_WATCH_LISTING;
+  watch->page_after_key[0] = '\0';
+}
+
+void
+store_watch_set_backoff (struct store_watch *watch, uint32_t min_ms,
+                         uint32_t max_ms)
+{
+  watch->backoff_min_ms = min_ms;
+  watch->backoff_max_ms = max_ms;
+}
+
 bool
 store_watch_current (const struct store_watch *watch)
 {
@@ -208,17 +226,18 @@
 {
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
-  schedule (watch, rng_below (&watch->rng, BACKOFF_MIN_MS));
+  schedule (watch, rng_below (&watch->rng, RELIST_JITTER_MS));
 }
 
 static void
 on_failure (struct store_watch *watch, int error)
 {
   uint32_t backoff_ms
-      = watch->backoff_ms == 0 ? BACKOFF_MIN_MS : watch->backoff_ms * 2;
+      = watch->backoff_ms == 0 ? watch->backoff_min_ms : watch->backoff_ms * 2;
 
-  watch->backoff_ms
-      = backoff_ms > BACKOFF_MAX_MS ? BACKOFF_MAX_MS : backoff_ms;
+  watch->backoff_ms = backoff_ms > watch->backoff_max_ms
+                          ? watch->backoff_max_ms
+                          : backoff_ms;
   if (watch->failed_ns == 0)
     {
       watch->failed_ns = clock_now_ns (watch->config.clock);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -73,6 +73,8 @@
   uint64_t failed_ns;     /**< first of the current failures; 0: none */
   uint64_t last_success_ns; /**< start of the last successful call */
   uint32_t backoff_ms;
+  uint32_t backoff_min_ms; /**< after the first failure */
+  uint32_t backoff_max_ms;
 };
 
 /** Schedules the first call unless paused. @return 0 or ERR_NO_MEMORY. */
@@ -81,10 +83,22 @@
 /** The store must be finished first: it may still invoke the callback. */
 void store_watch_finish (struct store_watch *watch);
 
+/** Lists and watches another prefix from the next call on; the caller keeps
+   the string. */
+void store_watch_set_prefix (struct store_watch *watch, const char *prefix);
+/** Sets the bounds of the pause after failed calls. */
+void store_watch_set_backoff (struct store_watch *watch, uint32_t min_ms,
+                              uint32_t max_ms);
+
 /** Makes no further calls until resumed, which then lists all keys again. */
 void store_watch_pause (struct store_watch *watch);
 void store_watch_resume (struct store_watch *watch);
 
+/** The default bounds of store_watch_set_backoff(). */
+#define STORE_WATCH_BACKOFF_MIN_MS 100 /**< a few round trips */
+#define STORE_WATCH_BACKOFF_MAX_MS                                            \
+  800 /**< the end of an outage is seen within a second */
+
 /** Whether a listing was completed since the watch was last paused, and no
     call has failed since. */
 bool store_watch_current (const struct store_watch *watch);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -439,7 +439,7 @@
   gatefixture_init (&fixture, true);
   gatefixture_run (&fixture, 200);
   CU_ASSERT_PTR_NOT_NULL (
-      storeserver_get (&fixture.store, "cherrylanding/gate-1"));
+      storeserver_get (&fixture.store, "cherrylanding/za/gate-1"));
   gatefixture_finish (&fixture);
 }
 
--- a/tests/test_gateways.c
+++ b/tests/test_gateways.c
@@ -215,6 +215,13 @@
   event_base_free (fleet->base);
 }
 
+/* Key of a gateway's own entry in the store. */
+static void
+entry_key (unsigned int index, char *key, size_t size)
+{
+  snprintf (key, size, "cherrylanding/z%u/g-%u", index % ZONES, index);
+}
+
 static void
 test_fleet_with_hubs (void)
 {
@@ -263,6 +270,7 @@
 test_loss_of_all_hubs (void)
 {
   static struct gateway_fleet fleet;
+  char key[64];
   unsigned int i;
 
   fleet_init (&fleet);
@@ -276,6 +284,14 @@
   put_upstream (&fleet, 1);
   put_config (&fleet);
   CU_ASSERT_TRUE (run_until (&fleet, 4000, all_current));
+  /* The leases of the lost ones end: others are hubs then. */
+  for (i = 0; i < GATEWAYS; i++)
+    if (!fleet.started[i])
+      {
+        entry_key (i, key, sizeof key);
+        storeserver_put (&fleet.store, key, NULL);
+      }
+  CU_ASSERT_TRUE (run_until (&fleet, 5000, settled));
   fleet_finish (&fleet);
 }
 
@@ -339,12 +355,12 @@
 static bool
 all_entries_written (const struct gateway_fleet *fleet)
 {
-  char key[32];
+  char key[64];
   unsigned int i;
 
   for (i = 0; i < GATEWAYS; i++)
     {
-      snprintf (key, sizeof key, "cherrylanding/g-%u", i);
+      entry_key (i, key, sizeof key);
       if (storeserver_get (&fleet->store, key) == NULL)
         return false;
     }
--- a/tests/test_subscription.c
+++ b/tests/test_subscription.c
@@ -51,7 +51,7 @@
   memset (&pair, 0, sizeof pair);
   gatefixture_init (&pair.fixture, true);
   gateway_finish (&pair.fixture.gateway);
-  storeserver_put (&pair.fixture.store, "cherrylanding/gate-1", NULL);
+  storeserver_put (&pair.fixture.store, "cherrylanding/za/gate-1", NULL);
   start_gateway (&pair.subscriber, a_is_lower ? "gate-a" : "gate-b",
                  SMALL_CPU);
   start_gateway (&pair.hub, a_is_lower ? "gate-b" : "gate-a", LARGE_CPU);
