Attempts that did not run are refunded; a resumed watch does not wait

A watch that was resumed waited for the call pending when it was paused, up to 20 s (TODO; seen as a gateway without hubs in test_gateways).

Change: handle_attempt_failure refunds; each call of a watch has its own record, and a pause makes it obsolete.

--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -4,7 +4,6 @@
  * response, retries.
  */
 #include "gateway/gateway_request_int.h"
-#include "state/admission.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include <string.h>
@@ -25,6 +24,7 @@
                                struct registry_upstream *upstream);
 static uint64_t least_loaded_upstream_id (struct gateway_request *request);
 static void remove_upstream_load (struct gateway_request *request);
+static void refund_usage (struct gateway_request *request);
 static void remove_prefill_load (struct gateway_request *request);
 static void record_prefill_time (struct gateway_request *request);
 static void handle_attempt_failure (struct gateway_request *request,
@@ -92,8 +92,6 @@
     .excluded_count = request->tried_count,
     .tie_break = catalog_id (request->parsed.id),
     .recompute_permille = gateway_request_recompute_permille (request),
-    .recompute_no_slot_permille
-    = admission_recompute_no_slot_permille (gateway->utilisation),
     .now_ns = gateway_now_ns (gateway),
   };
 
@@ -173,11 +171,14 @@
   upstream->load.running++;
   upstream->load.prefill_tokens += request->prefill_tokens;
   if (request->customer != NULL)
-    usage_share_charge (&request->gateway->usage, request->customer->id,
-                        request->parsed.prompt.input_tokens
-                            + OUTPUT_TOKEN_COST
-                                  * request->parsed.prompt.output_tokens,
-                        gateway_now_ns (request->gateway));
+    {
+      request->charged_tokens
+          = request->parsed.prompt.input_tokens
+            + OUTPUT_TOKEN_COST * request->parsed.prompt.output_tokens;
+      usage_share_charge (&request->gateway->usage, request->customer->id,
+                          request->charged_tokens,
+                          gateway_now_ns (request->gateway));
+    }
   if (request->parsed.prompt.part_count > 0)
     prefix_cache_record (&request->gateway->prefix_cache, upstream->id,
                          &request->parsed.prompt,
@@ -196,6 +197,17 @@
   gateway_request_capacity_changed (request->gateway);
 }
 
+/* The attempt did not run: it is no usage of the customer. */
+static void
+refund_usage (struct gateway_request *request)
+{
+  if (request->customer != NULL)
+    usage_share_charge (&request->gateway->usage, request->customer->id,
+                        -request->charged_tokens,
+                        gateway_now_ns (request->gateway));
+  request->charged_tokens = 0;
+}
+
 /* The upstream has prefilled the prompt: its tokens no longer count as load.
  */
 static void
@@ -265,6 +277,9 @@
 
   request->attempt = NULL;
   remove_upstream_load (request);
+  if (error == ERR_UNAVAILABLE
+      || request->attempt_state.step < ATTEMPT_SENDING)
+    refund_usage (request);
   if (error == ERR_UNAVAILABLE)
     attempt_mark_rejected (&request->attempt_state);
   if (upstream != NULL)
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -58,6 +58,8 @@
   /** Tokens that the upstream prefills before it responds: its backlog at the
       start of the attempt, and this prompt. */
   uint64_t tokens_before_response;
+  /** Charged to the customer for the attempt; refunded if it does not run. */
+  double charged_tokens;
   uint64_t attempt_start_ns;
   uint64_t tried_ids[CHOOSE_EXCLUDED_MAX];
   size_t tried_count;
@@ -79,7 +81,8 @@
 gateway_request_service (struct gateway_request *request);
 /** Weight, in thousandths, of prefix tokens that another upstream would have
     to recompute; see admission_recompute_permille(). */
-uint32_t gateway_request_recompute_permille (struct gateway_request *request);
+uint32_t
+gateway_request_recompute_permille (const struct gateway_request *request);
 /** Selects the best upstream at this time. */
 void gateway_request_choose (struct gateway_request *request,
                              struct choose_result *result);
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -93,14 +93,13 @@
 }
 
 uint32_t
-gateway_request_recompute_permille (struct gateway_request *request)
+gateway_request_recompute_permille (const struct gateway_request *request)
 {
-  if (!request->queue_entry.queued)
-    return ADMISSION_RECOMPUTE_LOW_PERMILLE;
   return admission_recompute_permille (
-      true, gateway_now_ns (request->gateway) - request->arrival_ns,
+      request->queue_entry.queued,
+      gateway_now_ns (request->gateway) - request->arrival_ns,
       request->queue_entry.expiry_ns - request->arrival_ns,
-      request->gateway->utilisation, usage_factor (request));
+      request->gateway->utilisation);
 }
 
 /* Requests that could be sent at once are queued too, so that they do not
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -7,10 +7,20 @@
 #include "state/store_index.h"
 #include "transport/loop.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #define RELIST_JITTER_MS 100 /* all watches of a fleet list again at once */
 
+/** A call that has not been answered. */
+struct store_watch_call
+{
+  struct store_watch *watch;
+  struct store_watch_call *prev;
+  struct store_watch_call *next;
+};
+
 static void on_timer (evutil_socket_t fd, short what, void *arg);
 static void schedule (struct store_watch *watch, uint64_t delay_ms);
 static void start_call (struct store_watch *watch);
@@ -46,6 +56,12 @@
 void
 store_watch_finish (struct store_watch *watch)
 {
+  struct store_watch_call *call;
+  struct store_watch_call *next;
+
+  DL_FOREACH_SAFE (watch->calls, call, next)
+    free (call);
+  watch->calls = watch->call = NULL;
   if (watch->timer != NULL)
     event_free (watch->timer);
   watch->timer = NULL;
@@ -55,7 +71,7 @@
 store_watch_pause (struct store_watch *watch)
 {
   watch->paused = true;
-  watch->discard_response = watch->call_pending;
+  watch->call = NULL;
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
   watch->failed_ns = 0;
@@ -68,18 +84,18 @@
   if (!watch->paused)
     return;
   watch->paused = false;
-  /* A pending call schedules the next one when it completes. */
-  if (!watch->call_pending)
-    schedule (watch, 0);
+  schedule (watch, 0);
 }
 
 void
 store_watch_set_prefix (struct store_watch *watch, const char *prefix)
 {
   watch->config.prefix = prefix;
-  watch->discard_response = watch->call_pending;
+  watch->call = NULL;
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
+  if (!watch->paused)
+    schedule (watch, 0);
 }
 
 void
@@ -128,43 +144,51 @@
 {
   const struct store_watch_config *config = &watch->config;
   struct kvstore *store = config->kvstore;
+  struct store_watch_call *call;
   int error;
 
-  if (watch->call_pending)
+  if (watch->call != NULL)
     return;
-  watch->call_pending = true;
+  call = calloc (1, sizeof *call);
+  if (call == NULL)
+    {
+      on_failure (watch, ERR_NO_MEMORY);
+      return;
+    }
+  call->watch = watch;
+  DL_APPEND (watch->calls, call);
+  watch->call = call;
   watch->call_start_ns = clock_now_ns (config->clock);
   if (watch->phase == STORE_WATCH_LISTING)
     error = store->ops->list_page (
         store, config->prefix,
         watch->page_after_key[0] == '\0' ? NULL : watch->page_after_key, false,
-        on_page, watch);
+        on_page, call);
   else
     /* During an outage a long poll could delay detection of its end. */
     error = store->ops->watch_changes (
         store, config->prefix, watch->index,
-        watch->failed_ns == 0 ? config->poll_timeout_ms : 0, on_page, watch);
+        watch->failed_ns == 0 ? config->poll_timeout_ms : 0, on_page, call);
   if (error != 0)
-    on_page (watch, error, NULL);
+    on_page (call, error, NULL);
 }
 
 static void
 on_page (void *user, int error, const struct kvstore_page *page)
 {
-  struct store_watch *watch = user;
+  struct store_watch_call *call = user;
+  struct store_watch *watch = call->watch;
+  bool current = call == watch->call;
   uint64_t spent_ms
       = (clock_now_ns (watch->config.clock) - watch->call_start_ns)
         / CLOCK_NS_PER_MS;
   bool continues;
 
-  watch->call_pending = false;
-  if (watch->discard_response)
-    {
-      watch->discard_response = false;
-      if (!watch->paused)
-        schedule (watch, 0);
-      return;
-    }
+  DL_DELETE (watch->calls, call);
+  free (call);
+  if (!current)
+    return;
+  watch->call = NULL;
   if (error == ERR_STALE && watch->phase == STORE_WATCH_WATCHING)
     {
       /* The store has discarded the history since `index`; this is no failure
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -56,15 +56,18 @@
   STORE_WATCH_WATCHING
 };
 
+struct store_watch_call;
+
 struct store_watch
 {
   struct store_watch_config config;
   struct event *timer;
   struct rng rng;
   enum store_watch_phase phase;
-  bool call_pending;
+  struct store_watch_call *calls; /**< pending ones, also those that a pause
+                                       has made obsolete; private */
+  struct store_watch_call *call;  /**< the one that counts; NULL: none */
   bool paused;
-  bool discard_response;    /**< the pending call began before a pause */
   char page_after_key[256]; /**< last key of the previous page */
   uint64_t listing_index;   /**< index of the listing's first page */
   uint64_t index;         /**< store index up to which changes were reported */
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -11,13 +11,8 @@
 /* Prefill backlog up to which an engine accepts a prompt whose primary engine
    is another one. */
 #define FALLBACK_BACKLOG_MAX_MS 60
-/* Usage factor from which a customer does not wait for its primary engine:
-   it had less than four fifths of the mean usage. */
-#define RECOMPUTE_FACTOR_MIN 2.0
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
-/* The same for a request whose primary engine has no free slot. */
-#define RECOMPUTE_NO_SLOT_UTILISATION_MAX 0.8
 /* Added to both usages, so that differences below the size of a large request
    have little effect. */
 #define USAGE_OFFSET_TOKENS 20000
@@ -100,20 +95,11 @@
 
 uint32_t
 admission_recompute_permille (bool queued, uint64_t waited_ns,
-                              uint64_t total_ns, double utilisation,
-                              double usage_factor)
+                              uint64_t total_ns, double utilisation)
 {
-  return queued && usage_factor < RECOMPUTE_FACTOR_MIN
+  return queued
                  && (waited_ns < total_ns / 2
                      || utilisation > RECOMPUTE_UTILISATION_MAX)
              ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
              : ADMISSION_RECOMPUTE_LOW_PERMILLE;
 }
-
-uint32_t
-admission_recompute_no_slot_permille (double utilisation)
-{
-  return utilisation > RECOMPUTE_NO_SLOT_UTILISATION_MAX
-             ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
-             : ADMISSION_RECOMPUTE_LOW_PERMILLE;
-}
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -84,19 +84,11 @@
 
 /** Weight of recomputed prefix tokens for a request: high if it is queued and
     either in the first half of its waiting time or utilisation is high,
-    otherwise low.  Low for a customer with little recent usage: it would
-    otherwise wait for a busy engine while heavy users take the idle ones.
-    @param queued        the request is in the wait queue.
-    @param waited_ns     time since its arrival.
-    @param total_ns      time from its arrival until it expires.
-    @param usage_factor  admission_usage_factor() of its customer. */
+    otherwise low.
+    @param queued     the request is in the wait queue.
+    @param waited_ns  time since its arrival.
+    @param total_ns   time from its arrival until it expires. */
 uint32_t admission_recompute_permille (bool queued, uint64_t waited_ns,
-                                       uint64_t total_ns, double utilisation,
-                                       double usage_factor);
-
-/** The same for a request whose primary engine has no free slot, so that
-    waiting for it costs time of other slots: low until the engines are nearly
-    busy with prefill. */
-uint32_t admission_recompute_no_slot_permille (double utilisation);
+                                       uint64_t total_ns, double utilisation);
 
 #endif
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -15,9 +15,6 @@
 #define CACHED_TTL_MS 15000
 /* Cost of each running request in tokens: it slows down the engine's steps. */
 #define RUNNING_COST_TOKENS 60
-/* Cost in tokens of an engine whose slots are all in use: a request waits for
-   one, as long as a response takes, unless the prefix costs more elsewhere. */
-#define NO_SLOT_COST_TOKENS 60000
 /* An upstream that this many other instances have ejected is avoided, unless
    an attempt of this instance succeeded a short time ago: a single instance
    may be cut off itself. */
@@ -53,7 +50,7 @@
 static void consider_engine (const struct prefix_cache *prefix_cache,
                              const struct choose_request *request,
                              struct registry_upstream *upstream, uint32_t rank,
-                             uint32_t recompute_permille, uint64_t *best_cost,
+                             uint64_t *best_cost,
                              struct choose_result *result);
 static uint64_t running_cost (const struct registry_upstream *upstream);
 static uint64_t load_permille (const struct registry_upstream *upstream,
@@ -170,8 +167,7 @@
       if (!registry_usable (upstream, service_id) || avoided (upstream, now_ns)
           || (count > SAMPLE_SIZE && rng_below (rng, count) >= SAMPLE_SIZE))
         continue;
-      cost = registry_backlog_tokens (upstream) + running_cost (upstream)
-             + (registry_has_free_slot (upstream) ? 0 : NO_SLOT_COST_TOKENS);
+      cost = registry_backlog_tokens (upstream) + running_cost (upstream);
       if (cost >= least)
         continue;
       least = cost;
@@ -194,7 +190,6 @@
                struct choose_result *result)
 {
   uint64_t best_cost = UINT64_MAX;
-  uint32_t recompute_permille = request->recompute_permille;
   uint32_t rank = 0;
   uint32_t i;
 
@@ -208,10 +203,8 @@
 
       if (upstream == NULL || !eligible (upstream, request, skip_ejected))
         continue;
-      if (rank == 0 && !registry_has_free_slot (upstream))
-        recompute_permille = request->recompute_no_slot_permille;
-      consider_engine (prefix_cache, request, upstream, rank++,
-                       recompute_permille, &best_cost, result);
+      consider_engine (prefix_cache, request, upstream, rank++, &best_cost,
+                       result);
     }
 }
 
@@ -222,8 +215,7 @@
 consider_engine (const struct prefix_cache *prefix_cache,
                  const struct choose_request *request,
                  struct registry_upstream *upstream, uint32_t rank,
-                 uint32_t recompute_permille, uint64_t *best_cost,
-                 struct choose_result *result)
+                 uint64_t *best_cost, struct choose_result *result)
 {
   const struct prompt *prompt = request->prompt;
   uint32_t last_tokens = prompt->parts[prompt->part_count - 1].tokens;
@@ -238,9 +230,8 @@
   uncached = cached < prompt->input_tokens ? prompt->input_tokens - cached : 0;
   cost = registry_backlog_tokens (upstream) + uncached
          + (uint64_t)(uncached > last_tokens ? uncached - last_tokens : 0)
-               * recompute_permille / 1000
-         + running_cost (upstream) + (uint64_t)rank * RANK_COST_TOKENS
-         + (registry_has_free_slot (upstream) ? 0 : NO_SLOT_COST_TOKENS);
+               * request->recompute_permille / 1000
+         + running_cost (upstream) + (uint64_t)rank * RANK_COST_TOKENS;
   if (cost >= *best_cost)
     return;
   *best_cost = cost;
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -52,8 +52,6 @@
       to prefill again, in thousandths of a token.  The larger, the longer a
       request may be delayed in favour of an engine that has it cached. */
   uint32_t recompute_permille;
-  /** The same while all slots of the primary engine are in use. */
-  uint32_t recompute_no_slot_permille;
   uint64_t now_ns;
 };
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -5,6 +5,7 @@
 #include "../platform/adapter.h"
 #include "gateway/gateway_peers_int.h"
 #include "support/gatefixture.h"
+#include "support/storeseed.h"
 #include "support/suite.h"
 #include "transport/log.h"
 #include "transport/sock.h"
@@ -27,6 +28,10 @@
   "POST /stream/z HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: id-3\r\n"   \
   "X-Credential: key-1\r\nX-Token-Usage: 500,20\r\n"                          \
   "X-Prompt-Prefix: 5c1e07a2:500\r\nContent-Length: 0\r\n\r\n"
+#define PROMPT_WITH_PREFIX                                                    \
+  "POST /stream/z HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: id-3\r\n"   \
+  "X-Credential: key-1\r\nX-Token-Usage: 500,20\r\n"                          \
+  "X-Prompt-Prefix: %x:400,7:100\r\nContent-Length: 0\r\n\r\n"
 #define QUEUED         16 /* from here on requests may be refused at once */
 #define BUSY_SLOTS     8  /* all slots of an upstream */
 #define BUSY_TOKENS    100000 /* a backlog of seconds */
@@ -524,7 +529,50 @@
   overload_finish (&overload);
 }
 
+#define PROMPTS          20
+#define PROMPT_COST      (500 + 2 * 20) /* tokens, output counts twice */
+#define UNREACHABLE      2              /* an upstream that does not listen */
+#define UNREACHABLE_PORT 1
+
+static bool
+all_upstreams_known (const struct gatefixture *fixture)
+{
+  return HASH_COUNT (fixture->gateway.registry.upstreams) == UNREACHABLE + 1;
+}
+
+/* A customer whose prompts go to a crashed engine first has not had more than
+   others. */
+static void
+test_usage_of_failed_attempts (void)
+{
+  struct gatefixture fixture;
+  struct gateway *gateway = &fixture.gateway;
+  char request[sizeof PROMPT_WITH_PREFIX + 16];
+  uint64_t usage;
+  int i;
+
+  gatefixture_init (&fixture, true);
+  storeseed_register (&fixture.store, UNREACHABLE, UNREACHABLE_PORT, "ready");
+  CU_ASSERT_TRUE (gatefixture_run_until (&fixture, all_upstreams_known));
+  gateway->usage.window_ms = UINT32_MAX; /* no decay */
+  for (i = 0; i < PROMPTS; i++)
+    {
+      struct registry_upstream *upstream = find_upstream (&fixture, "w-2");
+
+      upstream->outlier = (struct outlier){ .failures = 0 };
+      snprintf (request, sizeof request, PROMPT_WITH_PREFIX, i);
+      gatefixture_request (&fixture, request);
+    }
+  usage = usage_share_total (&gateway->usage, catalog_id ("ana"),
+                             gateway_now_ns (gateway));
+  CU_ASSERT (gateway->counters.attempts > PROMPTS);
+  CU_ASSERT (usage / PROMPT_COST <= PROMPTS);
+  CU_ASSERT (usage / PROMPT_COST >= PROMPTS - 1);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "usage of failed attempts", test_usage_of_failed_attempts },
   { "new connections of a late gateway",
     test_new_connections_of_late_gateway },
   { "news of a draining upstream behind requests",
