Connections that are turned away get a response with a time to come back

Cause: clients whose connection a late gateway closed unread came back at once and to the same gateway, up to 4,700 a second, which took a third of its processor time; kept connections went on to bring requests.

Change: transport/turnaway accepts what waits, sends a prepared 503 with Retry-After, which is true as nothing was read, and closes the socket 100 ms later, so that the response is not lost. While connections are turned away, kept ones close after their response.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -9,6 +9,7 @@
 #include "transport/linger.h"
 #include "transport/loop.h"
 #include "transport/sock.h"
+#include "transport/turnaway.h"
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
@@ -28,11 +29,8 @@
 /* Connections not yet accepted.  A client that finds it full fails after a
    second and may not send its request again, so it holds the connections of a
    flood until the instance notices that it is late. */
-#define LISTEN_BACKLOG 512
-/* Pause between two times at which waiting connections are closed, in which a
-   flood gathers some; short against the lag that a client would notice. */
-#define SHED_INTERVAL_MS 5
-#define HEADER_OVERHEAD  4 /**< bytes of ": " and CRLF */
+#define LISTEN_BACKLOG  512
+#define HEADER_OVERHEAD 4 /**< bytes of ": " and CRLF */
 
 /** State of a connection. */
 enum conn_state
@@ -66,9 +64,11 @@
   struct httpd_config config;
   evhtp_t *evhtp;
   struct event *accept_again; /**< enables the listener in its turn */
-  struct event *shed;         /**< control; closes waiting connections */
+  struct event *shed;         /**< control; turns connections away */
   bool shedding;              /**< no connections are accepted */
-  uint32_t accepted;          /**< connections since then */
+  struct evbuffer *shed_response;
+  struct turnaway turnaway;
+  uint32_t accepted; /**< connections since then */
   uint64_t shed_count;
   struct httpd_conn *conns;
   struct linger_list linger;
@@ -179,6 +179,9 @@
     event_free (httpd->accept_again);
   if (httpd->shed != NULL)
     event_free (httpd->shed);
+  if (httpd->shed_response != NULL)
+    evbuffer_free (httpd->shed_response);
+  turnaway_finish (&httpd->turnaway);
   if (httpd->evhtp->server != NULL)
     evhtp_unbind_socket (httpd->evhtp);
   evhtp_free (httpd->evhtp);
@@ -370,11 +373,19 @@
 static bool
 start_shedding (struct httpd *httpd)
 {
-  const struct timeval interval = clock_timeval (SHED_INTERVAL_MS);
+  const struct timeval interval = clock_timeval (TURNAWAY_INTERVAL_MS);
 
   if (httpd->config.accepts == NULL
       || httpd->config.accepts (httpd->config.user))
     return false;
+  if (httpd->shed_response == NULL)
+    {
+      httpd->shed_response = evbuffer_new ();
+      if (httpd->shed_response == NULL)
+        return false;
+      httpd->config.refuse (httpd->config.user, REFUSAL_CONNECTIONS, NULL,
+                            httpd->shed_response);
+    }
   httpd->shedding = true;
   evconnlistener_disable (httpd->evhtp->server);
   event_add (httpd->shed, &interval);
@@ -385,22 +396,21 @@
 on_shed (evutil_socket_t fd, short what, void *arg)
 {
   struct httpd *httpd = arg;
+  size_t left = turnaway_close (&httpd->turnaway);
 
+  (void)fd;
   (void)what;
-  if (httpd->config.accepts (httpd->config.user))
+  if (httpd->shedding && httpd->config.accepts (httpd->config.user))
     {
-      event_del (httpd->shed);
       httpd->shedding = false;
       evconnlistener_enable (httpd->evhtp->server);
-      return;
-    }
-  while (
-      (fd = accept (evconnlistener_get_fd (httpd->evhtp->server), NULL, NULL))
-      >= 0)
-    {
-      httpd->shed_count++;
-      close (fd);
     }
+  if (httpd->shedding)
+    httpd->shed_count += turnaway_waiting (
+        &httpd->turnaway, evconnlistener_get_fd (httpd->evhtp->server),
+        httpd->shed_response);
+  else if (left == 0)
+    event_del (httpd->shed);
 }
 
 static evhtp_res
@@ -740,7 +750,10 @@
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
   event_add (conn->leave, NULL);
-  if (httpd->draining || httpd->count > idle_connections_max (httpd))
+  /* While connections are turned away, those that are kept would go on to
+     bring requests, which cost more. */
+  if (httpd->draining || httpd->shedding
+      || httpd->count > idle_connections_max (httpd))
     evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd->config.request (httpd->config.user, http);
 }
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -46,9 +46,8 @@
   void (*client_closed) (void *user, void *request_user);
   /** The unsent output has fallen to low_water_bytes or less. */
   void (*output_low) (void *user, void *request_user);
-  /** Whether new connections are accepted.  Those that are not are closed
-      unread and without a response, at little cost, so that their clients go
-      to another instance at once; NULL: all are accepted. */
+  /** Whether new connections are accepted.  Those that are not are refused
+      unread, at little cost; NULL: all are accepted. */
   bool (*accepts) (void *user);
   /** Writes a complete HTTP error response for a request that is malformed, or
       for a connection or request that exceeds a limit of number, size or time.
--- /dev/null
+++ b/src/transport/turnaway.c
@@ -0,0 +1,68 @@
+/**
+ * @file turnaway.c
+ * Responses to connections that are not read.
+ */
+#include "transport/turnaway.h"
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* For a client to read the response: some round trips. */
+#define READING_MS 100
+
+static void close_first (struct turnaway *turnaway);
+
+size_t
+turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
+                  struct evbuffer *response)
+{
+  const size_t size = evbuffer_get_length (response);
+  const unsigned char *text = evbuffer_pullup (response, -1);
+  size_t accepted = 0;
+  size_t last;
+  int fd;
+
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      accepted++;
+      if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
+          || shutdown (fd, SHUT_WR) != 0)
+        {
+          close (fd);
+          continue;
+        }
+      if (turnaway->count == TURNAWAY_SOCKETS_MAX)
+        close_first (turnaway);
+      last = (turnaway->first + turnaway->count) % TURNAWAY_SOCKETS_MAX;
+      turnaway->sockets[last]
+          = (struct turnaway_socket){ fd, turnaway->round };
+      turnaway->count++;
+    }
+  return accepted;
+}
+
+size_t
+turnaway_close (struct turnaway *turnaway)
+{
+  turnaway->round++;
+  while (turnaway->count > 0
+         && turnaway->round - turnaway->sockets[turnaway->first].round
+                >= READING_MS / TURNAWAY_INTERVAL_MS)
+    close_first (turnaway);
+  return turnaway->count;
+}
+
+void
+turnaway_finish (struct turnaway *turnaway)
+{
+  while (turnaway->count > 0)
+    close_first (turnaway);
+}
+
+static void
+close_first (struct turnaway *turnaway)
+{
+  close (turnaway->sockets[turnaway->first].fd);
+  turnaway->first = (turnaway->first + 1) % TURNAWAY_SOCKETS_MAX;
+  turnaway->count--;
+}
