--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -120,6 +120,7 @@
   fleet_retry_budget_init (&gateway->fleet_retry_budget, &config);
   usage_share_init (&gateway->usage,
                     gateway->settings.share_window_ms / USAGE_DECAY_DIVISOR);
+  gateway->usage_cap_tokens = UINT64_MAX;
   wait_queue_init (&gateway->wait_queue);
   rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
                                ^ clock_wall_ms (&gateway->clock));
@@ -276,6 +277,7 @@
   /* The tick itself may have waited for the loop. */
   looplag_start (&gateway->loop_lag, due_ns < now_ns ? due_ns : now_ns);
   registry_expire (&gateway->registry, now_ns);
+  gateway->usage_cap_tokens = usage_share_cap (&gateway->usage, now_ns);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,7 @@
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
   uint64_t mean_usage_tokens;  /**< recent usage, mean of waiting customers */
+  uint64_t usage_cap_tokens;   /**< see usage_share_cap() */
   double utilisation;          /**< 0: free; 1: half the capacity is in use */
   double utilisation_with_waiting; /**< same, waiting requests included */
   uint64_t load_generation;        /**< incremented when known load changes */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -266,7 +266,12 @@
 {
   if (result->upstream == NULL)
     return false;
-  return result->backlog_tokens <= permitted_backlog_tokens (request, result)
+  return usage_share_total (&request->gateway->usage,
+                            request->queue_entry.customer_id,
+                            gateway_now_ns (request->gateway))
+             <= request->gateway->usage_cap_tokens
+         && result->backlog_tokens
+                <= permitted_backlog_tokens (request, result)
          && registry_has_free_slot (result->upstream)
          && within_quota (request, result);
 }
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -13,6 +13,17 @@
    usage says little about the fair share. */
 #define BACKLOG_WEIGHT_MAX 8
 
+/* A customer with so many waiting requests has a backlog. */
+#define BACKLOG_MIN BACKLOG_WEIGHT_MAX
+/* Time after which the usage of a customer with a backlog shows its rate:
+   three quarters of the time constant of the decay. */
+#define BACKLOG_AGE_PERMILLE 750
+/* Usage of the best served customer, in thousandths of the least served one.
+   Below 2000, as usages are known with a delay. */
+#define CAP_PERMILLE 1500
+/* Added to the cap: the size of a few large requests. */
+#define CAP_OFFSET_TOKENS 50000
+
 void
 usage_share_init (struct usage_share *share, uint32_t window_ms)
 {
@@ -115,3 +126,43 @@
     }
   return weights == 0 ? UINT64_MAX : sum / weights;
 }
+
+uint64_t
+usage_share_cap (struct usage_share *share, uint64_t now_ns)
+{
+  const uint64_t age_ns
+      = (uint64_t)share->window_ms * BACKLOG_AGE_PERMILLE * 1000;
+  struct usage_share_entry *customer;
+  const struct usage_share_entry *least = NULL;
+  uint64_t lowest = UINT64_MAX;
+  uint64_t usage;
+  uint64_t cap;
+
+  for (customer = share->customers; customer != NULL;
+       customer = customer->hh.next)
+    {
+      if (customer->waiting + customer->peer_waiting < BACKLOG_MIN)
+        customer->backlogged_ns = 0;
+      else if (customer->backlogged_ns == 0)
+        customer->backlogged_ns = now_ns;
+      if (customer->backlogged_ns == 0
+          || now_ns - customer->backlogged_ns < age_ns)
+        continue;
+      usage = usage_share_local (share, customer, now_ns)
+              + customer->peer_tokens;
+      if (usage >= lowest)
+        continue;
+      lowest = usage;
+      least = customer;
+    }
+  if (least == NULL)
+    return UINT64_MAX;
+  cap = lowest * CAP_PERMILLE / 1000 + CAP_OFFSET_TOKENS;
+  for (customer = share->customers; customer != NULL;
+       customer = customer->hh.next)
+    if (customer != least && customer->waiting + customer->peer_waiting > 0
+        && usage_share_local (share, customer, now_ns) + customer->peer_tokens
+               <= cap)
+      return cap;
+  return UINT64_MAX;
+}
--- a/src/state/usage_share.h
+++ b/src/state/usage_share.h
@@ -18,9 +18,10 @@
   double local_tokens; /**< served by this instance, decayed up to
                             `decayed_ns` */
   uint64_t decayed_ns;
-  uint64_t peer_tokens;  /**< served by other instances, as reported */
-  uint32_t waiting;      /**< requests waiting at this instance */
-  uint32_t peer_waiting; /**< requests waiting at other instances */
+  uint64_t peer_tokens;   /**< served by other instances, as reported */
+  uint32_t waiting;       /**< requests waiting at this instance */
+  uint32_t peer_waiting;  /**< requests waiting at other instances */
+  uint64_t backlogged_ns; /**< since when many have waited; 0: few wait */
   UT_hash_handle hh;
 };
 
@@ -48,6 +49,13 @@
     request waits. */
 uint64_t usage_share_backlogged_mean (struct usage_share *share,
                                       uint64_t now_ns);
+/** Notes which customers have many waiting requests, and returns the usage
+   above which a customer is not served: a multiple of that of the least served
+    customer which has had a backlog for a while, so that no customer gets more
+    than twice as much as one that waits.  UINT64_MAX if no customer has, or if
+    no other one that waits is below that usage, and capacity would be lost.
+    To be called several times a second. */
+uint64_t usage_share_cap (struct usage_share *share, uint64_t now_ns);
 /** Recent tokens over the fleet; 0 for an unknown customer. */
 uint64_t usage_share_total (struct usage_share *share, uint64_t customer_id,
                             uint64_t now_ns);
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -397,7 +397,83 @@
                    ADMISSION_RECOMPUTE_HIGH_PERMILLE);
 }
 
+#define STEP_MS     100
+#define STEP_TOKENS 650000 /* of all engines */
+
+/** A customer that always has requests waiting, and what its gateways can send
+    in a step. */
+struct flood
+{
+  uint64_t id;
+  uint64_t step_tokens;
+  uint64_t served_tokens; /* in the last six seconds */
+};
+
+/* Serves the customers that are below the cap, until the engines are busy: the
+   first one, which finds idle engines everywhere, then the others in turn. */
+static void
+run_flood_step (struct usage_share *share, struct flood *floods, size_t count,
+                uint64_t now_ns)
+{
+  uint64_t cap = usage_share_cap (share, now_ns);
+  uint64_t left = STEP_TOKENS;
+  uint64_t tokens;
+  size_t turn;
+  size_t i;
+
+  for (turn = 0; turn < count; turn++)
+    {
+      i = turn == 0 ? 0 : 1 + (turn + now_ns / 100000000) % (count - 1);
+      if (usage_share_total (share, floods[i].id, now_ns) > cap)
+        continue;
+      tokens = floods[i].step_tokens < left ? floods[i].step_tokens : left;
+      left -= tokens;
+      floods[i].served_tokens += tokens;
+      usage_share_charge (share, floods[i].id, (double)tokens, now_ns);
+    }
+}
+
+/* One customer floods all gateways, and finds idle engines first; another
+   floods a single one, which can send a sixth of what the engines read. */
+static void
+test_customer_at_one_gateway (void)
+{
+  struct flood floods[] = {
+    { .id = 1, .step_tokens = STEP_TOKENS / 2 },
+    { .id = 2, .step_tokens = STEP_TOKENS / 6 },
+    { .id = 3, .step_tokens = STEP_TOKENS / 3 },
+    { .id = 4, .step_tokens = STEP_TOKENS / 3 },
+    { .id = 5, .step_tokens = STEP_TOKENS / 3 },
+    { .id = 6, .step_tokens = STEP_TOKENS / 3 },
+  };
+  const size_t count = sizeof floods / sizeof floods[0];
+  struct usage_share share;
+  uint64_t total = 0;
+  uint64_t step;
+  size_t i;
+
+  usage_share_init (&share, 2000);
+  for (i = 0; i < count; i++)
+    usage_share_customer (&share, floods[i].id)->waiting = 100;
+  for (step = 1; step <= 100; step++)
+    {
+      if (step == 41)
+        for (i = 0; i < count; i++)
+          floods[i].served_tokens = 0;
+      run_flood_step (&share, floods, count, step * STEP_MS * 1000000);
+    }
+  for (i = 0; i < count; i++)
+    {
+      CU_ASSERT (floods[i].served_tokens < floods[1].served_tokens * 2);
+      total += floods[i].served_tokens;
+    }
+  /* The engines are busy all the same. */
+  CU_ASSERT (total > UINT64_C (60) * STEP_TOKENS * 9 / 10);
+  usage_share_finish (&share);
+}
+
 static const struct suite_test tests[] = {
+  { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
   { "limit on the prefill backlog", test_capacity },
   { "drain time", test_drain_time },
