--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -388,8 +388,8 @@
   bool zone_only = peers->member_watch.config.prefix == peers->zone_prefix;
 
   (void)index;
-  /* More members than in a full mesh: the hubs of this availability zone are
-     among them, and tell of the others. */
+  /* With more members than a full mesh has, the fleet has hubs: those of this
+     availability zone are listed now, and send the other members. */
   if (zone_only && HASH_COUNT (peers->members) <= HUBS_MESH_MAX)
     {
       list_all_members (peers);
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -225,7 +225,7 @@
 }
 
 /* Whether the request fits this instance's quota of the upstream's capacity.
-   It competes with those queued for the upstream, as if it was one of them. */
+   It competes with the requests queued for that upstream. */
 static bool
 within_quota (struct gateway_request *request,
               const struct choose_result *result)
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -23,8 +23,8 @@
 /* One of this many requests tries an upstream that only others have ejected:
    this instance may reach it. */
 #define PEER_EJECTION_TRIALS 16
-/* Expected number of engines of which the least loaded one is selected; a
-   fleet with so many upstreams has few instances. */
+/* Expected size of the sample from which the least loaded engine is selected.
+   Smaller fleets are searched completely. */
 #define SAMPLE_SIZE 24
 /* Cost in tokens of each rank below the primary engine, so that all instances
    spill over to the same engines. */
--- a/src/state/engine_quota.c
+++ b/src/state/engine_quota.c
@@ -49,9 +49,8 @@
   return by_weight > by_tokens ? by_weight : by_tokens;
 }
 
-/* Estimates which part of the other instances' tokens goes first.  Only sums
-   are known, so they are taken for a mix of this instance's factor and the
-   largest one. */
+/* Estimates how many of the other instances' tokens have the largest factor.
+   Only sums are known: the rest is assumed to have this instance's factor. */
 static double
 preferred_peer_tokens (const struct engine_quota_request *request)
 {
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -106,11 +106,10 @@
 int registry_put (struct registry *registry,
                   const struct registry_record *record);
 
-/** Whether a record is an old copy in a restored store, that says that an
-    upstream accepts requests which had reported draining or was removed.  Its
-    first record of an era is taken for a copy, as a live upstream soon
-    registers anew.  For records read from the store; other instances forward
-    only what they have accepted themselves. */
+/** Whether a record of a restored store is an old copy: it lists an upstream
+   as ready that had reported draining or was removed.  The first record of an
+    era counts as a copy; a live upstream soon writes another one.  For records
+    read from the store, as other instances forward only accepted ones. */
 bool registry_is_copy (struct registry *registry,
                        const struct registry_record *record);
 
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -13,7 +13,7 @@
    usage says little about the fair share. */
 #define BACKLOG_WEIGHT_MAX 8
 
-/* A customer with so many waiting requests has a backlog. */
+/* Waiting requests from which a customer counts as backlogged. */
 #define BACKLOG_MIN BACKLOG_WEIGHT_MAX
 /* Time after which the usage of a customer with a backlog shows its rate:
    three quarters of the time constant of the decay. */
--- a/src/state/usage_share.h
+++ b/src/state/usage_share.h
@@ -49,12 +49,12 @@
     request waits. */
 uint64_t usage_share_backlogged_mean (struct usage_share *share,
                                       uint64_t now_ns);
-/** Notes which customers have many waiting requests, and returns the usage
-   above which a customer is not served: a multiple of that of the least served
-    customer which has had a backlog for a while, so that no customer gets more
-    than twice as much as one that waits.  UINT64_MAX if no customer has, or if
-    no other one that waits is below that usage, and capacity would be lost.
-    To be called several times a second. */
+/** Usage above which a customer is not served: a multiple of the usage of the
+    least served customer that has been backlogged for a while.  Keeps every
+    customer below twice the usage of one that waits.  UINT64_MAX (no cap) if
+    no customer is backlogged, or if no other waiting customer is below the
+    cap, so that engines would idle.  Records since when customers have been
+    backlogged: call it several times a second. */
 uint64_t usage_share_cap (struct usage_share *share, uint64_t now_ns);
 /** Recent tokens over the fleet; 0 for an unknown customer. */
 uint64_t usage_share_total (struct usage_share *share, uint64_t customer_id,
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -1,9 +1,9 @@
 /**
  * @file turnaway.h
- * Turns connections away that wait to be accepted: each gets a prepared
- * response and is closed without being read, which costs a fraction of a
- * request.  A socket is closed only after its client has had time to read the
- * response, as closing one with unread input resets the connection.
+ * Refuses connections that wait to be accepted.  Each gets a prepared response
+ * and is closed without being read, which costs a fraction of a request.
+ * Closing a socket with unread input resets the connection, so it stays open
+ * until its client has had time to read the response.
  */
 #ifndef TRANSPORT_TURNAWAY_H
 #define TRANSPORT_TURNAWAY_H
