A customer with a long queue has its newest requests offered first

A queue in order of objectives sends each request when it is nearly late, and what the engine still has to read then makes it late.

Ruled out: refusing on arrival by the drain time alone, as a short queue gives engines no choice of prompts that they have the prefix of.

Change: wait_queue offers the newest requests of a customer that has more than the 24 that one call may refuse; shorter queues stay in order of objectives.

--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -123,6 +123,7 @@
     .priority = request->customer != NULL && request->customer->has_priority
                     ? request->customer->priority
                     : request->route->priority,
+    .arrival_ns = request->arrival_ns,
     .objective_ns = objective_ns > prefill_ns ? objective_ns - prefill_ns : 0,
     .owner = request,
   };
--- a/src/state/wait_queue.c
+++ b/src/state/wait_queue.c
@@ -20,6 +20,12 @@
   uint64_t usage_tokens;          /* recent tokens of the customer */
   uint32_t rejected;              /* offers not taken in this call */
   struct wait_queue_item *cursor; /* next to offer in this call */
+  uint32_t count;                 /* of items */
+  /* With a longer queue, those to offer in this call in place of `cursor`,
+     newest first; NULL for a request that has left. */
+  struct wait_queue_item *newest[WAIT_QUEUE_REJECTED_MAX];
+  uint32_t newest_count;
+  uint32_t newest_next;
   UT_hash_handle hh;
 };
 
@@ -32,6 +38,9 @@
 least_served_customer (const struct wait_queue *queue);
 static struct wait_queue_item *
 first_timely (struct wait_queue_customer *customer, uint64_t now_ns);
+static void select_newest (struct wait_queue_customer *customer);
+static struct wait_queue_item *
+next_newest (struct wait_queue_customer *customer);
 
 void
 wait_queue_init (struct wait_queue *queue)
@@ -96,6 +105,7 @@
     }
   DL_INSERT_INORDER (customer->items, item, compare_items);
   item->queued = true;
+  customer->count++;
   usage->waiting++;
   queue->count++;
   return 0;
@@ -107,11 +117,17 @@
 {
   struct wait_queue_customer *customer
       = find_customer (queue, item->customer_id);
+  uint32_t i;
 
   if (!item->queued)
     return;
   if (customer->cursor == item)
-    customer->cursor = item->next;
+    customer->cursor
+        = customer->newest_count > 0 ? next_newest (customer) : item->next;
+  for (i = 0; i < customer->newest_count; i++)
+    if (customer->newest[i] == item)
+      customer->newest[i] = NULL;
+  customer->count--;
   DL_DELETE (customer->items, item);
   item->queued = false;
   usage_share_customer (share, item->customer_id)->waiting--;
@@ -137,12 +153,16 @@
       customer->usage_tokens
           = usage_share_total (share, customer->customer_id, now_ns);
       customer->rejected = 0;
+      customer->newest_count = 0;
       customer->cursor = first_timely (customer, now_ns);
+      if (customer->count > WAIT_QUEUE_REJECTED_MAX)
+        select_newest (customer);
     }
   while ((customer = least_served_customer (queue)) != NULL)
     {
       item = customer->cursor;
-      customer->cursor = item->next;
+      customer->cursor
+          = customer->newest_count > 0 ? next_newest (customer) : item->next;
       customer_id = customer->customer_id;
       if (!take (user, item->owner))
         {
@@ -156,11 +176,47 @@
       if (customer == NULL)
         continue;
       customer->usage_tokens = usage_share_total (share, customer_id, now_ns);
-      if (customer->cursor == NULL)
+      if (customer->cursor == NULL && customer->newest_count == 0)
         customer->cursor = first_timely (customer, now_ns);
     }
 }
 
+/* Selects the newest requests of the highest priority that waits. */
+static void
+select_newest (struct wait_queue_customer *customer)
+{
+  struct wait_queue_item *item;
+  uint32_t i;
+
+  DL_FOREACH (customer->items, item)
+    {
+      if (item->priority != customer->items->priority)
+        break;
+      if (customer->newest_count == WAIT_QUEUE_REJECTED_MAX
+          && customer->newest[WAIT_QUEUE_REJECTED_MAX - 1]->arrival_ns
+                 >= item->arrival_ns)
+        continue;
+      if (customer->newest_count < WAIT_QUEUE_REJECTED_MAX)
+        customer->newest_count++;
+      for (i = customer->newest_count - 1;
+           i > 0 && customer->newest[i - 1]->arrival_ns < item->arrival_ns;
+           i--)
+        customer->newest[i] = customer->newest[i - 1];
+      customer->newest[i] = item;
+    }
+  customer->newest_next = 0;
+  customer->cursor = next_newest (customer);
+}
+
+static struct wait_queue_item *
+next_newest (struct wait_queue_customer *customer)
+{
+  while (customer->newest_next < customer->newest_count)
+    if (customer->newest[customer->newest_next++] != NULL)
+      return customer->newest[customer->newest_next - 1];
+  return NULL;
+}
+
 static void
 decay_rate (struct wait_queue *queue, uint64_t now_ns)
 {
--- a/src/state/wait_queue.h
+++ b/src/state/wait_queue.h
@@ -8,8 +8,11 @@
  * Its requests are ordered by priority and then by objective, and are offered
  * from the first one that can still meet its objective.  Late requests before
  * that one are skipped while such a request is queued.  A request that no
- * upstream can take now does not block others.  A request that was not
- * dispatched by its own expiry time leaves the queue.
+ * upstream can take now does not block others.  A customer with more waiting
+ * requests than are offered in a call has its newest ones offered: in order of
+ * their objectives, each would be sent when it is nearly late, and few in
+ * time.  A request that was not dispatched by its own expiry time leaves the
+ * queue.
  */
 #ifndef STATE_WAIT_QUEUE_H
 #define STATE_WAIT_QUEUE_H
@@ -26,7 +29,8 @@
 struct wait_queue_item
 {
   uint64_t customer_id;
-  uint32_t priority;     /**< 0 is the highest */
+  uint32_t priority; /**< 0 is the highest */
+  uint64_t arrival_ns;
   uint64_t objective_ns; /**< latest start that meets the objective */
   uint64_t expiry_ns;    /**< leaves the queue then */
   bool queued;           /**< is in a queue */
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -397,8 +397,9 @@
                    ADMISSION_RECOMPUTE_HIGH_PERMILLE);
 }
 
-#define STEP_MS     100
-#define STEP_TOKENS 650000 /* of all engines */
+#define FLOOD_NS_PER_MS UINT64_C (1000000)
+#define STEP_MS         100
+#define STEP_TOKENS     650000 /* of all engines */
 
 /** A customer that always has requests waiting, and what its gateways can send
     in a step. */
@@ -472,7 +473,83 @@
   usage_share_finish (&share);
 }
 
+#define FLOOD_STEP_MS       10
+#define FLOOD_STEP_REQUESTS 5 /* 500 a second */
+#define FLOOD_STEPS         300
+#define FLOOD_OBJECTIVE_MS  500
+#define FLOOD_SEND_STEPS    2 /* one request is sent in so many steps */
+
+struct queue_flood
+{
+  struct wait_queue queue;
+  struct usage_share share;
+  struct wait_queue_item items[FLOOD_STEPS * FLOOD_STEP_REQUESTS];
+  uint64_t now_ns;
+  bool engine_free;
+  uint32_t sent;
+  uint32_t sent_early; /* with more than half of their time left */
+};
+
+static bool
+take_if_free (void *user, void *owner)
+{
+  struct queue_flood *flood = user;
+  struct wait_queue_item *item = owner;
+
+  if (!flood->engine_free)
+    return false;
+  flood->engine_free = false;
+  wait_queue_remove (&flood->queue, &flood->share, item);
+  flood->sent++;
+  flood->sent_early += item->objective_ns - flood->now_ns
+                       > (uint64_t)FLOOD_OBJECTIVE_MS / 2 * FLOOD_NS_PER_MS;
+  return true;
+}
+
+/* A customer sends ten times what is served.  In order of their objectives,
+   its requests would be sent when they are nearly late, and the engine's own
+   time to the first token would make them late. */
+static void
+test_flood_of_one_customer (void)
+{
+  static struct queue_flood flood;
+  struct wait_queue_item *item;
+  uint32_t count = 0;
+  uint32_t step;
+  uint32_t i;
+
+  memset (&flood, 0, sizeof flood);
+  wait_queue_init (&flood.queue);
+  usage_share_init (&flood.share, 2000);
+  for (step = 1; step <= FLOOD_STEPS; step++)
+    {
+      flood.now_ns = (uint64_t)step * FLOOD_STEP_MS * FLOOD_NS_PER_MS;
+      for (i = 0; i < FLOOD_STEP_REQUESTS; i++)
+        {
+          item = &flood.items[count++];
+          item->customer_id = 1;
+          item->arrival_ns = flood.now_ns;
+
+          item->objective_ns = item->expiry_ns
+              = flood.now_ns + (uint64_t)FLOOD_OBJECTIVE_MS * FLOOD_NS_PER_MS;
+          item->owner = item;
+          CU_ASSERT_EQUAL (wait_queue_add (&flood.queue, &flood.share, item),
+                           0);
+        }
+      flood.engine_free = step % FLOOD_SEND_STEPS == 0;
+      wait_queue_offer (&flood.queue, &flood.share, flood.now_ns, take_if_free,
+                        &flood);
+      while ((item = wait_queue_expired (&flood.queue, flood.now_ns)) != NULL)
+        wait_queue_remove (&flood.queue, &flood.share, item);
+    }
+  CU_ASSERT_EQUAL (flood.sent, FLOOD_STEPS / FLOOD_SEND_STEPS);
+  CU_ASSERT (flood.sent_early > flood.sent / 2);
+  wait_queue_finish (&flood.queue);
+  usage_share_finish (&flood.share);
+}
+
 static const struct suite_test tests[] = {
+  { "flood of one customer", test_flood_of_one_customer },
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
   { "limit on the prefill backlog", test_capacity },
