The usage cap does not apply across services, nor to requests without a customer

Usages are not counted by service, so a customer of one service of engines could have limited those of another.

Change: customer 0 does not count; with prompts for more than one service there is no cap. Test: test_wait_queue, usage cap and requests without a customer (fails without).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -276,7 +276,11 @@
   /* The tick itself may have waited for the loop. */
   looplag_start (&gateway->loop_lag, due_ns < now_ns ? due_ns : now_ns);
   registry_expire (&gateway->registry, now_ns);
-  gateway->usage_cap_tokens = usage_share_cap (&gateway->usage, now_ns);
+  /* Usages are not counted by service: a customer of one service of engines
+     must not limit those of another. */
+  gateway->usage_cap_tokens = HASH_COUNT (gateway->services) > 1
+                                  ? UINT64_MAX
+                                  : usage_share_cap (&gateway->usage, now_ns);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     {
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -228,9 +228,12 @@
 static void
 record_prefill_time (struct gateway_request *request)
 {
-  struct gateway_service *service = gateway_request_service (request);
+  struct gateway_service *service;
 
-  if (service != NULL && request->parsed.prompt.part_count > 0)
+  if (request->parsed.prompt.part_count == 0)
+    return;
+  service = gateway_request_service (request);
+  if (service != NULL)
     prefill_rate_observe (
         &service->prefill_rate, request->tokens_before_response,
         gateway_now_ns (request->gateway) - request->attempt_start_ns);
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -145,7 +145,7 @@
         customer->backlogged_ns = 0;
       else if (customer->backlogged_ns == 0)
         customer->backlogged_ns = now_ns;
-      if (customer->backlogged_ns == 0
+      if (customer->customer_id == 0 || customer->backlogged_ns == 0
           || now_ns - customer->backlogged_ns < age_ns)
         continue;
       usage = usage_share_local (share, customer, now_ns)
@@ -160,7 +160,8 @@
   cap = lowest * CAP_PERMILLE / 1000 + CAP_OFFSET_TOKENS;
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
-    if (customer != least && customer->waiting + customer->peer_waiting > 0
+    if (customer != least && customer->customer_id != 0
+        && customer->waiting + customer->peer_waiting > 0
         && usage_share_local (share, customer, now_ns) + customer->peer_tokens
                <= cap)
       return cap;
--- a/src/state/usage_share.h
+++ b/src/state/usage_share.h
@@ -53,7 +53,8 @@
     least served customer that has been backlogged for a while.  Keeps every
     customer below twice the usage of one that waits.  UINT64_MAX (no cap) if
     no customer is backlogged, or if no other waiting customer is below the
-    cap, so that engines would idle.  Records since when customers have been
+    cap, so that engines would idle.  Requests without a customer (0) are not
+    charged, and do not count.  Records since when customers have been
     backlogged: call it several times a second. */
 uint64_t usage_share_cap (struct usage_share *share, uint64_t now_ns);
 /** Recent tokens over the fleet; 0 for an unknown customer. */
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -548,7 +548,25 @@
   usage_share_finish (&flood.share);
 }
 
+/* Requests on a route without keys are not charged to anyone. */
+static void
+test_cap_without_customer (void)
+{
+  struct usage_share share;
+  uint64_t now_ns;
+
+  usage_share_init (&share, 2000);
+  usage_share_customer (&share, 0)->waiting = 100;
+  usage_share_customer (&share, 1)->waiting = 1;
+  usage_share_customer (&share, 2)->waiting = 1;
+  usage_share_charge (&share, 1, 1e6, 0);
+  for (now_ns = 1; now_ns < 5000 * MS; now_ns += 100 * MS)
+    CU_ASSERT_EQUAL (usage_share_cap (&share, now_ns), UINT64_MAX);
+  usage_share_finish (&share);
+}
+
 static const struct suite_test tests[] = {
+  { "usage cap and requests without a customer", test_cap_without_customer },
   { "flood of one customer", test_flood_of_one_customer },
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
