--- a/src/state/wait_queue.c
+++ b/src/state/wait_queue.c
@@ -188,7 +188,7 @@
   struct wait_queue_item *item;
   uint32_t i;
 
-  DL_FOREACH (customer->items, item)
+  for (item = customer->items; item != NULL; item = item->next)
     {
       if (item->priority != customer->items->priority)
         break;
