The usage cap holds only while engines are busy

Change: the cap holds from a utilisation of a half on. Test: test_wait_queue, usage cap while engines idle.

--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -267,10 +267,11 @@
 {
   if (result->upstream == NULL)
     return false;
-  return usage_share_total (&request->gateway->usage,
-                            request->queue_entry.customer_id,
-                            gateway_now_ns (request->gateway))
-             <= request->gateway->usage_cap_tokens
+  return !admission_above_cap (
+             usage_share_total (&request->gateway->usage,
+                                request->queue_entry.customer_id,
+                                gateway_now_ns (request->gateway)),
+             request->gateway->usage_cap_tokens, request->gateway->utilisation)
          && result->backlog_tokens
                 <= permitted_backlog_tokens (request, result)
          && registry_has_free_slot (result->upstream)
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -13,6 +13,9 @@
 #define FALLBACK_BACKLOG_MAX_MS 60
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
+/* Utilisation from which the usage cap holds: a quarter of the engines' limits
+   is in use, so that what it keeps back is likely to be used by others. */
+#define CAP_UTILISATION_MIN 0.5
 /* Added to both usages, so that differences below the size of a large request
    have little effect. */
 #define USAGE_OFFSET_TOKENS 20000
@@ -69,6 +72,13 @@
   return factor > factor_max ? factor_max : factor;
 }
 
+bool
+admission_above_cap (uint64_t usage_tokens, uint64_t cap_tokens,
+                     double utilisation)
+{
+  return usage_tokens > cap_tokens && utilisation >= CAP_UTILISATION_MIN;
+}
+
 uint64_t
 admission_capacity_tokens (const struct prefill_rate *prefill_rate,
                            const struct admission_request *request)
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -72,6 +72,12 @@
 double admission_usage_factor (uint64_t usage_tokens,
                                uint64_t mean_usage_tokens, double factor_max);
 
+/** Whether a customer's usage is above the cap (usage_share_cap()) while
+   engines are busy.  Idle engines serve it all the same: the customer that the
+   cap protects may be limited by its gateway, not by the engines. */
+bool admission_above_cap (uint64_t usage_tokens, uint64_t cap_tokens,
+                          double utilisation);
+
 /** Limit on the prefill backlog of the engine ahead of the request. */
 uint64_t admission_capacity_tokens (const struct prefill_rate *prefill_rate,
                                     const struct admission_request *request);
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -565,7 +565,17 @@
   usage_share_finish (&share);
 }
 
+/* A customer at one slow gateway must not keep others from idle engines. */
+static void
+test_cap_while_engines_idle (void)
+{
+  CU_ASSERT_FALSE (admission_above_cap (2000000, 1000000, 0.2));
+  CU_ASSERT_TRUE (admission_above_cap (2000000, 1000000, 0.9));
+  CU_ASSERT_FALSE (admission_above_cap (900000, 1000000, 0.9));
+}
+
 static const struct suite_test tests[] = {
+  { "usage cap while engines idle", test_cap_while_engines_idle },
   { "usage cap and requests without a customer", test_cap_without_customer },
   { "flood of one customer", test_flood_of_one_customer },
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
