--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -13,9 +13,9 @@
 #define FALLBACK_BACKLOG_MAX_MS 60
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
-/* Utilisation from which the usage cap holds: a quarter of the engines' limits
+/* Utilisation from which the usage cap holds: an eighth of the engines' limits
    is in use, so that what it keeps back is likely to be used by others. */
-#define CAP_UTILISATION_MIN 0.5
+#define CAP_UTILISATION_MIN 0.25
 /* Added to both usages, so that differences below the size of a large request
    have little effect. */
 #define USAGE_OFFSET_TOKENS 20000
