Log and count what the wait queue does: passes, offers, and what held them back

An expired request's log line has its engine's backlog and slots, but neither the usage cap nor the quota, and nothing says how often the queue is offered. No change of logic.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -60,6 +60,7 @@
 static void on_lag_measured (void *user, uint64_t lag_ns);
 static bool accepts_connections (void *user);
 static void log_shed_connections (struct gateway *gateway);
+static void log_dispatch (struct gateway *gateway);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
@@ -286,6 +287,7 @@
     {
       upstream_http_close_idle (gateway->upstream_client);
       log_shed_connections (gateway);
+      log_dispatch (gateway);
     }
   if (gateway->draining)
     check_drain (gateway, now_ns);
@@ -315,6 +317,34 @@
   gateway->shed_logged = count;
 }
 
+/* Logs what the wait queue did since the last line, if requests expired in it.
+ */
+static void
+log_dispatch (struct gateway *gateway)
+{
+  const struct gateway_dispatch_counters *now = &gateway->counters.dispatch;
+  const struct gateway_dispatch_counters *last = &gateway->dispatch_logged;
+
+  if (now->expired != last->expired)
+    LOG (
+        LOG_QUEUE_DISPATCHED, NULL, LOG_U ("runs", now->runs - last->runs),
+        LOG_U ("ms", (now->duration_ns - last->duration_ns) / CLOCK_NS_PER_MS),
+        LOG_U ("waiting", gateway->wait_queue.count),
+        LOG_U ("expired", now->expired - last->expired),
+        LOG_U ("offered", now->offered - last->offered),
+        LOG_U ("sent",
+               now->held[GATEWAY_HOLD_NONE] - last->held[GATEWAY_HOLD_NONE]),
+        LOG_U ("held_cap",
+               now->held[GATEWAY_HOLD_CAP] - last->held[GATEWAY_HOLD_CAP]),
+        LOG_U ("held_backlog", now->held[GATEWAY_HOLD_BACKLOG]
+                                   - last->held[GATEWAY_HOLD_BACKLOG]),
+        LOG_U ("held_slots",
+               now->held[GATEWAY_HOLD_SLOTS] - last->held[GATEWAY_HOLD_SLOTS]),
+        LOG_U ("held_quota", now->held[GATEWAY_HOLD_QUOTA]
+                                 - last->held[GATEWAY_HOLD_QUOTA]));
+  gateway->dispatch_logged = *now;
+}
+
 static void
 on_lag_measured (void *user, uint64_t lag_ns)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,28 @@
   struct hist total; /**< from arrival to the end of a complete response */
 };
 
+/** What kept a waiting request from being sent when it was offered. */
+enum gateway_hold
+{
+  GATEWAY_HOLD_NONE,
+  GATEWAY_HOLD_UPSTREAM, /**< no upstream is usable */
+  GATEWAY_HOLD_CAP,      /**< its customer is above the usage cap */
+  GATEWAY_HOLD_BACKLOG,  /**< the engine's prefill backlog */
+  GATEWAY_HOLD_SLOTS,    /**< no slot is free there */
+  GATEWAY_HOLD_QUOTA,    /**< this instance's quota there is used up */
+  GATEWAY_HOLD_MAX
+};
+
+/** Work of the wait queue, for metrics and the log. */
+struct gateway_dispatch_counters
+{
+  uint64_t runs; /**< passes over the queue */
+  uint64_t duration_ns;
+  uint64_t expired; /**< requests that left the queue unserved */
+  uint64_t offered; /**< requests offered, the same one in several passes */
+  uint64_t held[GATEWAY_HOLD_MAX]; /**< of these, by what kept them back */
+};
+
 struct gateway_counters
 {
   uint64_t arrived;
@@ -71,6 +93,7 @@
   struct hist send_delay; /**< from the choice of an upstream to the first
                              byte written to it */
   struct gateway_times times[ROUTE_KIND_MAX];
+  struct gateway_dispatch_counters dispatch;
 };
 
 struct gateway
@@ -117,7 +140,8 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
-  uint64_t shed_logged;     /**< connections turned away, as logged */
+  uint64_t shed_logged; /**< connections turned away, as logged */
+  struct gateway_dispatch_counters dispatch_logged; /**< as of the last line */
   uint64_t control_late_ns; /**< when gateway_check_control() last logged */
   struct event *signals[GATEWAY_SIGNALS];
   /** Reloads the settings on SIGHUP; may be NULL. */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -29,6 +29,8 @@
    one, which limits them to a tenth of the CPU time. */
 #define DISPATCH_REST_FACTOR 9
 
+static enum gateway_hold find_hold (struct gateway_request *request,
+                                    const struct choose_result *result);
 static bool upstream_has_capacity (struct gateway_request *request,
                                    const struct choose_result *result);
 static uint64_t permitted_backlog_tokens (struct gateway_request *request,
@@ -261,21 +263,38 @@
                               result->prefill_tokens);
 }
 
+/* What keeps the request back from the chosen upstream now. */
+static enum gateway_hold
+find_hold (struct gateway_request *request, const struct choose_result *result)
+{
+  struct gateway *gateway = request->gateway;
+
+  if (result->upstream == NULL)
+    return GATEWAY_HOLD_UPSTREAM;
+  if (admission_above_cap (usage_share_total (&gateway->usage,
+                                              request->queue_entry.customer_id,
+                                              gateway_now_ns (gateway)),
+                           gateway->usage_cap_tokens, gateway->utilisation))
+    return GATEWAY_HOLD_CAP;
+  if (result->backlog_tokens > permitted_backlog_tokens (request, result))
+    return GATEWAY_HOLD_BACKLOG;
+  if (!registry_has_free_slot (result->upstream))
+    return GATEWAY_HOLD_SLOTS;
+  return within_quota (request, result) ? GATEWAY_HOLD_NONE
+                                        : GATEWAY_HOLD_QUOTA;
+}
+
 static bool
 upstream_has_capacity (struct gateway_request *request,
                        const struct choose_result *result)
 {
-  if (result->upstream == NULL)
-    return false;
-  return !admission_above_cap (
-             usage_share_total (&request->gateway->usage,
-                                request->queue_entry.customer_id,
-                                gateway_now_ns (request->gateway)),
-             request->gateway->usage_cap_tokens, request->gateway->utilisation)
-         && result->backlog_tokens
-                <= permitted_backlog_tokens (request, result)
-         && registry_has_free_slot (result->upstream)
-         && within_quota (request, result);
+  struct gateway_dispatch_counters *counters
+      = &request->gateway->counters.dispatch;
+  enum gateway_hold hold = find_hold (request, result);
+
+  counters->offered++;
+  counters->held[hold]++;
+  return hold == GATEWAY_HOLD_NONE;
 }
 
 /* Largest backlog of the chosen upstream at which it is sent the request. */
@@ -407,6 +426,7 @@
                     gateway);
   while ((item = wait_queue_expired (&gateway->wait_queue, now_ns)) != NULL)
     {
+      gateway->counters.dispatch.expired++;
       log_expired_wait (item->owner, now_ns);
       gateway_request_dequeue (item->owner);
       gateway_request_refuse (item->owner, REFUSAL_ROUTER_FULL,
@@ -414,4 +434,6 @@
     }
   gateway->dispatch_end_ns = gateway_now_ns (gateway);
   gateway->dispatch_duration_ns = gateway->dispatch_end_ns - now_ns;
+  gateway->counters.dispatch.runs++;
+  gateway->counters.dispatch.duration_ns += gateway->dispatch_duration_ns;
 }
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -31,6 +31,7 @@
                             struct evbuffer *body);
 static void write_refusal_reasons (const struct gateway *gateway,
                                    struct evbuffer *body);
+static void write_holds (const struct gateway *gateway, struct evbuffer *body);
 static void write_gauges (const struct gateway *gateway,
                           struct evbuffer *body);
 static void write_latencies (const struct gateway *gateway,
@@ -55,6 +56,10 @@
     offsetof (struct gateway, counters.retries) },
   { "links_lost_total", "links to other gateways that ended",
     offsetof (struct gateway, counters.links_lost) },
+  { "queue_runs_total", "passes over the wait queue",
+    offsetof (struct gateway, counters.dispatch.runs) },
+  { "queue_expired_total", "requests that left the wait queue unserved",
+    offsetof (struct gateway, counters.dispatch.expired) },
   { "store_restores_total", "restores of the store from a copy",
     offsetof (struct gateway, counters.store_restores) },
 };
@@ -122,6 +127,7 @@
     }
   write_counters (gateway, body);
   write_refusal_reasons (gateway, body);
+  write_holds (gateway, body);
   write_gauges (gateway, body);
   write_latencies (gateway, body);
   evhttp_add_header (evhttp_request_get_output_headers (request),
@@ -167,6 +173,26 @@
           refusal_info ((enum refusal)i)->code, gateway->counters.reasons[i]);
 }
 
+static void
+write_holds (const struct gateway *gateway, struct evbuffer *body)
+{
+  static const char *const names[GATEWAY_HOLD_MAX] = {
+    [GATEWAY_HOLD_NONE] = "none",   [GATEWAY_HOLD_UPSTREAM] = "upstream",
+    [GATEWAY_HOLD_CAP] = "cap",     [GATEWAY_HOLD_BACKLOG] = "backlog",
+    [GATEWAY_HOLD_SLOTS] = "slots", [GATEWAY_HOLD_QUOTA] = "quota",
+  };
+  int i;
+
+  evbuffer_add_printf (
+      body, "# HELP " METRIC_PREFIX "queue_offers_total waiting requests that "
+            "were offered, by what kept them back\n# TYPE " METRIC_PREFIX
+            "queue_offers_total counter\n");
+  for (i = 0; i < GATEWAY_HOLD_MAX; i++)
+    evbuffer_add_printf (
+        body, METRIC_PREFIX "queue_offers_total{held=\"%s\"} %" PRIu64 "\n",
+        names[i], gateway->counters.dispatch.held[i]);
+}
+
 static void
 write_gauges (const struct gateway *gateway, struct evbuffer *body)
 {
