--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -32,8 +32,10 @@
   "POST /stream/z HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: id-3\r\n"   \
   "X-Credential: key-1\r\nX-Token-Usage: 500,20\r\n"                          \
   "X-Prompt-Prefix: %x:400,7:100\r\nContent-Length: 0\r\n\r\n"
-#define QUEUED         16 /* from here on requests may be refused at once */
-#define BUSY_SLOTS     8  /* all slots of an upstream */
+#define QUEUED 16 /* from here on requests may be refused at once */
+/* A long queue: its newest requests are offered first. */
+#define FLOODED        (WAIT_QUEUE_REJECTED_MAX * 2)
+#define BUSY_SLOTS     8      /* all slots of an upstream */
 #define BUSY_TOKENS    100000 /* a backlog of seconds */
 #define LOG_BYTES_MAX  65536  /* capacity of a pipe */
 #define WARM_UP_ROUNDS 4
@@ -404,6 +406,45 @@
   overload_finish (&overload);
 }
 
+static bool
+queue_is_flooded (const struct gatefixture *fixture)
+{
+  return fixture->gateway.wait_queue.count == FLOODED;
+}
+
+/* A customer with little usage has a long queue at a slow gateway, which
+   seldom passes over it.  A request whose engine is free does not wait for
+   that. */
+static void
+test_free_engine_between_dispatches (void)
+{
+  static struct overload overload;
+  struct gateway *gateway = &overload.fixture.gateway;
+  int i;
+
+  overload_init (&overload);
+  event_del (gateway->tick);
+  find_upstream (&overload.fixture, "w-0")->load.peer_running = BUSY_SLOTS;
+  find_upstream (&overload.fixture, "w-1")->load.peer_prefill_tokens
+      = BUSY_TOKENS;
+  clock_init_manual (&gateway->clock, gateway_now_ns (gateway),
+                     clock_wall_ms (&gateway->clock));
+  for (i = 0; i < FLOODED; i++)
+    CU_ASSERT_EQUAL (write (overload.clients[i], PROMPT, sizeof PROMPT - 1),
+                     sizeof PROMPT - 1);
+  CU_ASSERT_TRUE_FATAL (
+      gatefixture_run_until (&overload.fixture, queue_is_flooded));
+  find_upstream (&overload.fixture, "w-1")->load.peer_prefill_tokens = 0;
+  gateway->dispatch_end_ns = gateway_now_ns (gateway);
+  gateway->dispatch_duration_ns = CLOCK_NS_PER_S;
+  CU_ASSERT_EQUAL (
+      write (overload.clients[FLOODED], PROMPT, sizeof PROMPT - 1),
+      sizeof PROMPT - 1);
+  CU_ASSERT_TRUE (
+      gatefixture_run_until (&overload.fixture, upstream_has_request));
+  overload_finish (&overload);
+}
+
 /* Reads what the gateway has sent to a client. */
 static ssize_t
 read_response (struct overload *overload, int fd, char *text, size_t size)
@@ -584,6 +625,8 @@
   { "news of a leaving client behind requests",
     test_leaving_waits_behind_requests },
   { "free engine behind a long queue", test_free_engine_behind_long_queue },
+  { "free engine between two dispatches",
+    test_free_engine_between_dispatches },
   { "request behind new connections", test_request_behind_new_connections },
   { "idle connections use up the limit", test_idle_connections_use_up_limit },
 };
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -473,6 +473,28 @@
   usage_share_finish (&share);
 }
 
+#define LONG_QUEUE    100
+#define LONG_CAPACITY 60
+
+/* Engines that are free take all that they can of a customer's long queue in
+   one pass. */
+static void
+test_capacity_for_long_queue (void)
+{
+  struct fixture fixture;
+  struct request requests[LONG_QUEUE];
+  unsigned int i;
+
+  fixture_init (&fixture);
+  for (i = 0; i < LONG_QUEUE; i++)
+    enqueue (&fixture, &requests[i], 1, 500);
+  fixture.capacity = LONG_CAPACITY;
+  wait_queue_offer (&fixture.queue, &fixture.share, fixture.now_ns,
+                    take_request, &fixture);
+  CU_ASSERT_EQUAL (fixture.count, LONG_CAPACITY);
+  fixture_finish (&fixture);
+}
+
 #define FLOOD_STEP_MS       10
 #define FLOOD_STEP_REQUESTS 5 /* 500 a second */
 #define FLOOD_STEPS         300
@@ -577,6 +599,7 @@
 static const struct suite_test tests[] = {
   { "usage cap while engines idle", test_cap_while_engines_idle },
   { "usage cap and requests without a customer", test_cap_without_customer },
+  { "capacity for a long queue", test_capacity_for_long_queue },
   { "flood of one customer", test_flood_of_one_customer },
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
