--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -124,10 +124,13 @@
   double utilisation;          /**< 0: free; 1: half the capacity is in use */
   double utilisation_with_waiting; /**< same, waiting requests included */
   uint64_t load_generation;        /**< incremented when known load changes */
-  /** End and duration of the last run of gateway_request_dispatch_waiting()
-      that offered requests. */
+  /** Of the last pass over the wait queue: its start and end, and its duration
+      without the time in which requests were sent. */
+  uint64_t dispatch_start_ns;
   uint64_t dispatch_end_ns;
   uint64_t dispatch_duration_ns;
+  uint64_t expire_ns; /**< when the wait queue was last searched for requests
+                           that have expired */
   struct wait_queue wait_queue;
   struct gateway_service *services; /**< uthash by id */
   struct gateway_peers *peers;      /**< owned */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -28,6 +28,11 @@
 /* The pause between dispatches is this many times the duration of the last
    one, which limits them to a tenth of the CPU time. */
 #define DISPATCH_REST_FACTOR 9
+/* A dispatch that takes longer leaves the rest of the queue to the next one:
+   other events have to be handled. */
+#define DISPATCH_SLICE_MS 10
+/* Requests that have expired are refused this much late at most. */
+#define EXPIRE_INTERVAL_MS 10
 
 static enum gateway_hold find_hold (struct gateway_request *request,
                                     const struct choose_result *result);
@@ -38,7 +43,9 @@
 static void update_utilisation (struct gateway *gateway);
 static void log_expired_wait (struct gateway_request *request,
                               uint64_t now_ns);
-static bool try_send (void *user, void *owner);
+static enum wait_queue_answer try_send (void *user, void *owner);
+static void expire_waiting (void *user, void *owner);
+static void wait_for_dispatch (struct gateway *gateway, uint64_t rest_ns);
 static void send_to (struct gateway_request *request,
                      const struct choose_result *result);
 static void enqueue (struct gateway_request *request,
@@ -336,23 +343,31 @@
   gateway->utilisation_with_waiting = admission_utilisation (&load);
 }
 
-/* Callback of wait_queue_offer.  @return true when the request was sent, or
-   ended since its client has left. */
-static bool
+/* Callback of wait_queue_offer.  A request that ended since its client has
+   left counts as taken. */
+static enum wait_queue_answer
 try_send (void *user, void *owner)
 {
+  struct gateway *gateway = user;
   struct gateway_request *request = owner;
   struct choose_result result;
+  uint64_t now_ns = gateway_now_ns (gateway);
 
-  (void)user;
+  if (now_ns - gateway->dispatch_start_ns
+      >= DISPATCH_SLICE_MS * CLOCK_NS_PER_MS)
+    {
+      event_active (gateway->dispatch, EV_TIMEOUT, 0);
+      return WAIT_QUEUE_STOP;
+    }
   gateway_request_choose (request, &result);
   if (!upstream_has_capacity (request, &result))
-    return false;
+    return WAIT_QUEUE_HELD;
   if (gateway_request_end_if_client_left (request))
-    return true;
+    return WAIT_QUEUE_TAKEN;
   gateway_request_dequeue (request);
   send_to (request, &result);
-  return true;
+  gateway->dispatch_duration_ns -= gateway_now_ns (gateway) - now_ns;
+  return WAIT_QUEUE_TAKEN;
 }
 
 static void
@@ -403,37 +418,65 @@
     event_active (gateway->dispatch, EV_TIMEOUT, 0);
 }
 
+/* Callback of wait_queue_expire. */
+static void
+expire_waiting (void *user, void *owner)
+{
+  struct gateway *gateway = user;
+  struct gateway_request *request = owner;
+
+  gateway->counters.dispatch.expired++;
+  log_expired_wait (request, gateway->expire_ns);
+  gateway_request_dequeue (request);
+  gateway_request_refuse (request, REFUSAL_ROUTER_FULL,
+                          retry_after_ms (gateway));
+}
+
+static void
+wait_for_dispatch (struct gateway *gateway, uint64_t rest_ns)
+{
+  const struct timeval rest
+      = clock_timeval ((uint32_t)(rest_ns / CLOCK_NS_PER_MS) + 1);
+
+  if (!evtimer_pending (gateway->dispatch, NULL))
+    event_add (gateway->dispatch, &rest);
+}
+
 void
 gateway_request_dispatch_waiting (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway *gateway = arg;
   uint64_t now_ns = gateway_now_ns (gateway);
-  struct wait_queue_item *item;
+  uint64_t rest_ns = gateway->dispatch_duration_ns * DISPATCH_REST_FACTOR;
 
   (void)fd;
   (void)what;
   if (gateway->wait_queue.count == 0)
     return;
+  if (now_ns - gateway->expire_ns >= EXPIRE_INTERVAL_MS * CLOCK_NS_PER_MS)
+    {
+      gateway->expire_ns = now_ns;
+      wait_queue_expire (&gateway->wait_queue, now_ns, expire_waiting,
+                         gateway);
+      now_ns = gateway_now_ns (gateway);
+    }
   /* With a long queue, a dispatch costs more than it gains. */
-  if (now_ns - gateway->dispatch_end_ns
-      < gateway->dispatch_duration_ns * DISPATCH_REST_FACTOR)
-    return;
+  if (now_ns - gateway->dispatch_end_ns < rest_ns)
+    {
+      wait_for_dispatch (gateway,
+                         rest_ns - (now_ns - gateway->dispatch_end_ns));
+      return;
+    }
   gateway->load_generation++;
   gateway->mean_usage_tokens
       = usage_share_backlogged_mean (&gateway->usage, now_ns);
   update_utilisation (gateway);
+  gateway->dispatch_start_ns = now_ns;
+  gateway->dispatch_duration_ns = 0;
   wait_queue_offer (&gateway->wait_queue, &gateway->usage, now_ns, try_send,
                     gateway);
-  while ((item = wait_queue_expired (&gateway->wait_queue, now_ns)) != NULL)
-    {
-      gateway->counters.dispatch.expired++;
-      log_expired_wait (item->owner, now_ns);
-      gateway_request_dequeue (item->owner);
-      gateway_request_refuse (item->owner, REFUSAL_ROUTER_FULL,
-                              retry_after_ms (gateway));
-    }
   gateway->dispatch_end_ns = gateway_now_ns (gateway);
-  gateway->dispatch_duration_ns = gateway->dispatch_end_ns - now_ns;
+  gateway->dispatch_duration_ns += gateway->dispatch_end_ns - now_ns;
   gateway->counters.dispatch.runs++;
-  gateway->counters.dispatch.duration_ns += gateway->dispatch_duration_ns;
+  gateway->counters.dispatch.duration_ns += gateway->dispatch_end_ns - now_ns;
 }
--- a/src/state/wait_queue.c
+++ b/src/state/wait_queue.c
@@ -38,7 +38,10 @@
 least_served_customer (const struct wait_queue *queue);
 static struct wait_queue_item *
 first_timely (struct wait_queue_customer *customer, uint64_t now_ns);
-static void select_newest (struct wait_queue_customer *customer);
+static void select_newest (struct wait_queue_customer *customer,
+                           uint64_t pass);
+static void advance_cursor (struct wait_queue_customer *customer,
+                            const struct wait_queue_item *item, uint64_t pass);
 static struct wait_queue_item *
 next_newest (struct wait_queue_customer *customer);
 
@@ -140,13 +143,16 @@
 
 void
 wait_queue_offer (struct wait_queue *queue, struct usage_share *share,
-                  uint64_t now_ns, bool (*take) (void *user, void *owner),
+                  uint64_t now_ns,
+                  enum wait_queue_answer (*take) (void *user, void *owner),
                   void *user)
 {
   struct wait_queue_customer *customer;
   struct wait_queue_item *item;
+  enum wait_queue_answer answer;
   uint64_t customer_id;
 
+  queue->pass++;
   for (customer = queue->customers; customer != NULL;
        customer = customer->hh.next)
     {
@@ -156,15 +162,18 @@
       customer->newest_count = 0;
       customer->cursor = first_timely (customer, now_ns);
       if (customer->count > WAIT_QUEUE_REJECTED_MAX)
-        select_newest (customer);
+        select_newest (customer, queue->pass);
     }
   while ((customer = least_served_customer (queue)) != NULL)
     {
       item = customer->cursor;
-      customer->cursor
-          = customer->newest_count > 0 ? next_newest (customer) : item->next;
+      item->pass = queue->pass;
+      advance_cursor (customer, item, queue->pass);
       customer_id = customer->customer_id;
-      if (!take (user, item->owner))
+      answer = take (user, item->owner);
+      if (answer == WAIT_QUEUE_STOP)
+        return;
+      if (answer == WAIT_QUEUE_HELD)
         {
           customer->rejected++;
           continue;
@@ -181,16 +190,36 @@
     }
 }
 
-/* Selects the newest requests of the highest priority that waits. */
 static void
-select_newest (struct wait_queue_customer *customer)
+advance_cursor (struct wait_queue_customer *customer,
+                const struct wait_queue_item *item, uint64_t pass)
+{
+  if (customer->newest_count == 0)
+    {
+      customer->cursor = item->next;
+      return;
+    }
+  customer->cursor = next_newest (customer);
+  if (customer->cursor == NULL
+      && customer->newest_count == WAIT_QUEUE_REJECTED_MAX)
+    select_newest (customer, pass);
+}
+
+/* Selects the newest requests that this pass has not offered, of the highest
+   priority that has any. */
+static void
+select_newest (struct wait_queue_customer *customer, uint64_t pass)
 {
   struct wait_queue_item *item;
   uint32_t i;
 
+  customer->newest_count = 0;
   for (item = customer->items; item != NULL; item = item->next)
     {
-      if (item->priority != customer->items->priority)
+      if (item->pass == pass)
+        continue;
+      if (customer->newest_count > 0
+          && item->priority != customer->newest[0]->priority)
         break;
       if (customer->newest_count == WAIT_QUEUE_REJECTED_MAX
           && customer->newest[WAIT_QUEUE_REJECTED_MAX - 1]->arrival_ns
@@ -266,16 +295,21 @@
   return best;
 }
 
-struct wait_queue_item *
-wait_queue_expired (struct wait_queue *queue, uint64_t now_ns)
+void
+wait_queue_expire (struct wait_queue *queue, uint64_t now_ns,
+                   void (*expire) (void *user, void *owner), void *user)
 {
   struct wait_queue_customer *customer;
+  struct wait_queue_customer *next_customer;
   struct wait_queue_item *item;
+  struct wait_queue_item *next;
 
-  for (customer = queue->customers; customer != NULL;
-       customer = customer->hh.next)
-    DL_FOREACH (customer->items, item)
-      if (item->expiry_ns <= now_ns)
-        return item;
-  return NULL;
+  for (customer = queue->customers; customer != NULL; customer = next_customer)
+    {
+      /* The customer's entry is freed with its last request. */
+      next_customer = customer->hh.next;
+      DL_FOREACH_SAFE (customer->items, item, next)
+        if (item->expiry_ns <= now_ns)
+          expire (user, item->owner);
+    }
 }
--- a/src/state/wait_queue.h
+++ b/src/state/wait_queue.h
@@ -9,10 +9,10 @@
  * from the first one that can still meet its objective.  Late requests before
  * that one are skipped while such a request is queued.  A request that no
  * upstream can take now does not block others.  A customer with more waiting
- * requests than are offered in a call has its newest ones offered: in order of
- * their objectives, each would be sent when it is nearly late, and few in
- * time.  A request that was not dispatched by its own expiry time leaves the
- * queue.
+ * requests than may be held back in a call has its newest ones offered first:
+ * in order of their objectives, each would be sent when it is nearly late, and
+ * few in time.  A request that was not dispatched by its own expiry time
+ * leaves the queue.
  */
 #ifndef STATE_WAIT_QUEUE_H
 #define STATE_WAIT_QUEUE_H
@@ -21,10 +21,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Limit of offers not taken, per customer and call of wait_queue_offer():
+/** Limit of requests held back, per customer and call of wait_queue_offer():
     further requests of the customer are left for the next call. */
 #define WAIT_QUEUE_REJECTED_MAX 24
 
+/** What became of a request that was offered. */
+enum wait_queue_answer
+{
+  WAIT_QUEUE_TAKEN, /**< dispatched, and removed from the queue */
+  WAIT_QUEUE_HELD,  /**< no upstream can take it now */
+  WAIT_QUEUE_STOP   /**< not tried; the call ends */
+};
+
 /** One request; zero-initialise, embedded in its owner. */
 struct wait_queue_item
 {
@@ -34,6 +42,7 @@
   uint64_t objective_ns; /**< latest start that meets the objective */
   uint64_t expiry_ns;    /**< leaves the queue then */
   bool queued;           /**< is in a queue */
+  uint64_t pass; /**< call of wait_queue_offer() that last offered it */
   void *owner;
   struct wait_queue_item *prev;
   struct wait_queue_item *next;
@@ -43,6 +52,7 @@
 {
   struct wait_queue_customer *customers; /**< uthash by customer, private */
   uint32_t count;
+  uint64_t pass;            /**< calls of wait_queue_offer() so far */
   double dispatched_per_s;  /**< recent rate of dispatched requests */
   uint64_t rate_updated_ns; /**< time of the last update of the rate */
 };
@@ -61,14 +71,14 @@
 uint64_t wait_queue_drain_ns (struct wait_queue *queue, uint64_t now_ns);
 
 /** Offers the waiting requests in order.
-    @param take  returns true when it dispatched the request; it must then have
-                 removed it from the queue. */
-void wait_queue_offer (struct wait_queue *queue, struct usage_share *share,
-                       uint64_t now_ns, bool (*take) (void *user, void *owner),
-                       void *user);
+    @param take  is called for each; it has removed those that it took. */
+void wait_queue_offer (
+    struct wait_queue *queue, struct usage_share *share, uint64_t now_ns,
+    enum wait_queue_answer (*take) (void *user, void *owner), void *user);
 
-/** A request whose expiry time has passed; NULL when there is none. */
-struct wait_queue_item *wait_queue_expired (struct wait_queue *queue,
-                                            uint64_t now_ns);
+/** Calls `expire` for each request whose expiry time has passed; it has to
+    remove the request. */
+void wait_queue_expire (struct wait_queue *queue, uint64_t now_ns,
+                        void (*expire) (void *user, void *owner), void *user);
 
 #endif
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -30,21 +30,32 @@
   struct fixture *fixture;
 };
 
-static bool
+static enum wait_queue_answer
 take_request (void *user, void *owner)
 {
   struct fixture *fixture = user;
   struct request *request = owner;
 
   if (fixture->capacity == 0 || owner == fixture->rejected)
-    return false;
+    return WAIT_QUEUE_HELD;
   fixture->capacity--;
   fixture->served[fixture->count++] = request->item.customer_id;
   wait_queue_remove (&fixture->queue, &fixture->share, &request->item);
   /* The charge is made slightly later than the start of the pass. */
   usage_share_charge (&fixture->share, request->item.customer_id,
                       fixture->cost, fixture->now_ns + MS);
-  return true;
+  return WAIT_QUEUE_TAKEN;
+}
+
+/* Removes an expired request, and records its customer. */
+static void
+expire_request (void *user, void *owner)
+{
+  struct fixture *fixture = user;
+  struct request *request = owner;
+
+  fixture->served[fixture->count++] = request->item.customer_id;
+  wait_queue_remove (&fixture->queue, &fixture->share, &request->item);
 }
 
 static void
@@ -230,13 +241,15 @@
   fixture_init (&fixture);
   enqueue (&fixture, &soon, 1, 100);
   enqueue (&fixture, &later, 2, 200);
-  CU_ASSERT_PTR_NULL (wait_queue_expired (&fixture.queue, fixture.now_ns));
-  CU_ASSERT_PTR_EQUAL (
-      wait_queue_expired (&fixture.queue, fixture.now_ns + 100 * MS),
-      &soon.item);
-  wait_queue_remove (&fixture.queue, &fixture.share, &soon.item);
-  CU_ASSERT_PTR_NULL (
-      wait_queue_expired (&fixture.queue, fixture.now_ns + 199 * MS));
+  wait_queue_expire (&fixture.queue, fixture.now_ns, expire_request, &fixture);
+  CU_ASSERT_EQUAL (fixture.count, 0);
+  wait_queue_expire (&fixture.queue, fixture.now_ns + 100 * MS, expire_request,
+                     &fixture);
+  CU_ASSERT_EQUAL (fixture.count, 1);
+  CU_ASSERT_EQUAL (fixture.served[0], 1);
+  wait_queue_expire (&fixture.queue, fixture.now_ns + 199 * MS, expire_request,
+                     &fixture);
+  CU_ASSERT_EQUAL (fixture.count, 1);
   wait_queue_remove (&fixture.queue, &fixture.share, &later.item);
   CU_ASSERT_EQUAL (fixture.queue.count, 0);
   fixture_finish (&fixture);
@@ -512,20 +525,28 @@
   uint32_t sent_early; /* with more than half of their time left */
 };
 
-static bool
+static enum wait_queue_answer
 take_if_free (void *user, void *owner)
 {
   struct queue_flood *flood = user;
   struct wait_queue_item *item = owner;
 
   if (!flood->engine_free)
-    return false;
+    return WAIT_QUEUE_HELD;
   flood->engine_free = false;
   wait_queue_remove (&flood->queue, &flood->share, item);
   flood->sent++;
   flood->sent_early += item->objective_ns - flood->now_ns
                        > (uint64_t)FLOOD_OBJECTIVE_MS / 2 * FLOOD_NS_PER_MS;
-  return true;
+  return WAIT_QUEUE_TAKEN;
+}
+
+static void
+expire_item (void *user, void *owner)
+{
+  struct queue_flood *flood = user;
+
+  wait_queue_remove (&flood->queue, &flood->share, owner);
 }
 
 /* A customer sends ten times what is served.  In order of their objectives,
@@ -561,8 +582,7 @@
       flood.engine_free = step % FLOOD_SEND_STEPS == 0;
       wait_queue_offer (&flood.queue, &flood.share, flood.now_ns, take_if_free,
                         &flood);
-      while ((item = wait_queue_expired (&flood.queue, flood.now_ns)) != NULL)
-        wait_queue_remove (&flood.queue, &flood.share, item);
+      wait_queue_expire (&flood.queue, flood.now_ns, expire_item, &flood);
     }
   CU_ASSERT_EQUAL (flood.sent, FLOOD_STEPS / FLOOD_SEND_STEPS);
   CU_ASSERT (flood.sent_early > flood.sent / 2);
