--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -112,7 +112,8 @@
 }
 
 /* Requests that could be sent at once are queued too, so that they do not
-   overtake others. */
+   overtake others.  One that would be offered first is not: passes over a long
+   queue are rare. */
 static void
 enqueue (struct gateway_request *request, const struct choose_result *result)
 {
@@ -150,6 +151,13 @@
                                 retry_after_ms (gateway));
       return;
     }
+  if (wait_queue_is_next (&gateway->wait_queue, &gateway->usage,
+                          &request->queue_entry, request->arrival_ns)
+      && upstream_has_capacity (request, result))
+    {
+      send_to (request, result);
+      return;
+    }
   if (wait_queue_add (&gateway->wait_queue, &gateway->usage,
                       &request->queue_entry)
       != 0)
--- a/src/state/wait_queue.c
+++ b/src/state/wait_queue.c
@@ -141,6 +141,27 @@
   free (customer);
 }
 
+bool
+wait_queue_is_next (const struct wait_queue *queue, struct usage_share *share,
+                    const struct wait_queue_item *item, uint64_t now_ns)
+{
+  const struct wait_queue_customer *own
+      = find_customer (queue, item->customer_id);
+  const struct wait_queue_customer *customer;
+  uint64_t usage;
+
+  if (own == NULL || own->count < WAIT_QUEUE_REJECTED_MAX
+      || own->items->priority < item->priority)
+    return false;
+  usage = usage_share_total (share, item->customer_id, now_ns);
+  for (customer = queue->customers; customer != NULL;
+       customer = customer->hh.next)
+    if (customer != own
+        && usage_share_total (share, customer->customer_id, now_ns) < usage)
+      return false;
+  return true;
+}
+
 void
 wait_queue_offer (struct wait_queue *queue, struct usage_share *share,
                   uint64_t now_ns,
--- a/src/state/wait_queue.h
+++ b/src/state/wait_queue.h
@@ -66,6 +66,13 @@
 void wait_queue_remove (struct wait_queue *queue, struct usage_share *share,
                         struct wait_queue_item *item);
 
+/** Whether a new request may be offered before it is queued, as the next pass
+    would offer it first: many requests of its customer wait, none of a higher
+    priority, and no other waiting customer has less usage. */
+bool wait_queue_is_next (const struct wait_queue *queue,
+                         struct usage_share *share,
+                         const struct wait_queue_item *item, uint64_t now_ns);
+
 /** Estimated time to dispatch all waiting requests at the recent rate; 0
     without any, UINT64_MAX when the rate is too low for an estimate. */
 uint64_t wait_queue_drain_ns (struct wait_queue *queue, uint64_t now_ns);
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -508,6 +508,44 @@
   fixture_finish (&fixture);
 }
 
+/* Only a request that the next pass would offer first may be sent before. */
+static void
+test_next_of_long_queue (void)
+{
+  struct fixture fixture;
+  struct request requests[WAIT_QUEUE_REJECTED_MAX];
+  struct request other;
+  struct wait_queue_item item = { .customer_id = 1, .priority = 1 };
+  unsigned int i;
+
+  fixture_init (&fixture);
+  for (i = 0; i < WAIT_QUEUE_REJECTED_MAX; i++)
+    {
+      CU_ASSERT_FALSE (wait_queue_is_next (&fixture.queue, &fixture.share,
+                                           &item, fixture.now_ns));
+      enqueue (&fixture, &requests[i], 1, 500);
+      wait_queue_remove (&fixture.queue, &fixture.share, &requests[i].item);
+      requests[i].item.priority = 1;
+      CU_ASSERT_EQUAL (
+          wait_queue_add (&fixture.queue, &fixture.share, &requests[i].item),
+          0);
+    }
+  CU_ASSERT_TRUE (wait_queue_is_next (&fixture.queue, &fixture.share, &item,
+                                      fixture.now_ns));
+  item.priority = 2;
+  CU_ASSERT_FALSE (wait_queue_is_next (&fixture.queue, &fixture.share, &item,
+                                       fixture.now_ns));
+  item.priority = 1;
+  enqueue (&fixture, &other, 2, 500);
+  usage_share_charge (&fixture.share, 1, 1000, fixture.now_ns);
+  CU_ASSERT_FALSE (wait_queue_is_next (&fixture.queue, &fixture.share, &item,
+                                       fixture.now_ns));
+  usage_share_charge (&fixture.share, 2, 2000, fixture.now_ns);
+  CU_ASSERT_TRUE (wait_queue_is_next (&fixture.queue, &fixture.share, &item,
+                                      fixture.now_ns));
+  fixture_finish (&fixture);
+}
+
 #define FLOOD_STEP_MS       10
 #define FLOOD_STEP_REQUESTS 5 /* 500 a second */
 #define FLOOD_STEPS         300
@@ -620,6 +658,7 @@
   { "usage cap while engines idle", test_cap_while_engines_idle },
   { "usage cap and requests without a customer", test_cap_without_customer },
   { "capacity for a long queue", test_capacity_for_long_queue },
+  { "next request of a long queue", test_next_of_long_queue },
   { "flood of one customer", test_flood_of_one_customer },
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
