--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -59,6 +59,7 @@
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_lag_measured (void *user, uint64_t lag_ns);
 static bool accepts_connections (void *user);
+static void count_shed_connections (struct gateway *gateway, uint64_t now_ns);
 static void log_shed_connections (struct gateway *gateway);
 static void log_dispatch (struct gateway *gateway);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
@@ -277,6 +278,7 @@
   /* The tick itself may have waited for the loop. */
   looplag_start (&gateway->loop_lag, due_ns < now_ns ? due_ns : now_ns);
   registry_expire (&gateway->registry, now_ns);
+  count_shed_connections (gateway, now_ns);
   /* Usages are not counted by service: a customer of one service of engines
      must not limit those of another. */
   gateway->usage_cap_tokens = HASH_COUNT (gateway->services) > 1
@@ -303,6 +305,18 @@
          < LOOP_LAG_ACCEPT_MAX_MS * CLOCK_NS_PER_MS;
 }
 
+/* Customers whose connections are turned away wait for capacity, too. */
+static void
+count_shed_connections (struct gateway *gateway, uint64_t now_ns)
+{
+  uint64_t count = httpd_shed_count (gateway->httpd);
+
+  if (count > gateway->shed_counted)
+    usage_share_count_unread (&gateway->usage, count - gateway->shed_counted,
+                              now_ns);
+  gateway->shed_counted = count;
+}
+
 static void
 log_shed_connections (struct gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -143,7 +143,8 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
-  uint64_t shed_logged; /**< connections turned away, as logged */
+  uint64_t shed_logged;  /**< connections turned away, as logged */
+  uint64_t shed_counted; /**< same, as counted for their customers */
   struct gateway_dispatch_counters dispatch_logged; /**< as of the last line */
   uint64_t control_late_ns; /**< when gateway_check_control() last logged */
   struct event *signals[GATEWAY_SIGNALS];
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -263,6 +263,7 @@
   const struct registry_upstream *upstream;
   struct usage_share_entry *customer;
   uint64_t tokens;
+  uint32_t waiting;
 
   for (upstream = gateway->registry.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
@@ -281,9 +282,10 @@
        customer = customer->hh.next)
     {
       tokens = usage_share_local (&gateway->usage, customer, now_ns);
-      if (tokens > 0 || customer->waiting > 0)
-        add (sums, customer->customer_id, MESSAGE_SUBJECT_CUSTOMER,
-             customer->waiting, (int64_t)tokens);
+      waiting = usage_share_waiting (customer, now_ns);
+      if (tokens > 0 || waiting > 0)
+        add (sums, customer->customer_id, MESSAGE_SUBJECT_CUSTOMER, waiting,
+             (int64_t)tokens);
     }
 }
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -81,6 +81,8 @@
                struct request_validation *validation)
 {
   const struct routing *routing = gateway->routing;
+  const uint64_t now_ns = gateway_now_ns (gateway);
+  uint64_t customer_id;
 
   if (gateway->adapter->read_request (http, &validation->request) != 0)
     return REFUSAL_BAD_REQUEST;
@@ -98,8 +100,13 @@
     validation->customer = routing_customer (routing, validation->request.key);
   if (!validation->route->without_api_key && validation->customer == NULL)
     return refuse_unknown (gateway, REFUSAL_NO_KEY);
+  customer_id = validation->customer == NULL ? 0 : validation->customer->id;
+  usage_share_count_arrived (&gateway->usage, customer_id, now_ns);
   if (event_loop_lagging (gateway))
-    return REFUSAL_CONNECTIONS;
+    {
+      usage_share_count_refused (&gateway->usage, customer_id, now_ns);
+      return REFUSAL_CONNECTIONS;
+    }
   return exceeds_grace_period (gateway, validation->route) ? REFUSAL_DRAINING
                                                            : REFUSAL_NONE;
 }
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -46,6 +46,7 @@
 static enum wait_queue_answer try_send (void *user, void *owner);
 static void expire_waiting (void *user, void *owner);
 static void wait_for_dispatch (struct gateway *gateway, uint64_t rest_ns);
+static void refuse_full (struct gateway_request *request);
 static void send_to (struct gateway_request *request,
                      const struct choose_result *result);
 static void enqueue (struct gateway_request *request,
@@ -147,8 +148,7 @@
       if (upstream_has_capacity (request, result))
         send_to (request, result);
       else
-        gateway_request_refuse (request, REFUSAL_ROUTER_FULL,
-                                retry_after_ms (gateway));
+        refuse_full (request);
       return;
     }
   if (wait_queue_is_next (&gateway->wait_queue, &gateway->usage,
@@ -198,6 +198,18 @@
   gateway->queued_weight += request->queued_weight;
 }
 
+/* Refuses a request for lack of capacity. */
+static void
+refuse_full (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+
+  usage_share_count_refused (&gateway->usage, request->queue_entry.customer_id,
+                             gateway_now_ns (gateway));
+  gateway_request_refuse (request, REFUSAL_ROUTER_FULL,
+                          retry_after_ms (gateway));
+}
+
 static uint32_t
 retry_after_ms (struct gateway *gateway)
 {
@@ -436,8 +448,7 @@
   gateway->counters.dispatch.expired++;
   log_expired_wait (request, gateway->expire_ns);
   gateway_request_dequeue (request);
-  gateway_request_refuse (request, REFUSAL_ROUTER_FULL,
-                          retry_after_ms (gateway));
+  refuse_full (request);
 }
 
 static void
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -8,6 +8,9 @@
 #include <string.h>
 
 #define NS_PER_MS 1000000.0 /* nanoseconds */
+/* Averaging time of demand: clients that are refused come back within a second
+   or two. */
+#define DEMAND_WINDOW_MS 1000.0
 /* In the mean usage, a customer is weighted by its number of waiting requests,
    up to this number.  One with a single waiting request demands little, so its
    usage says little about the fair share. */
@@ -24,6 +27,10 @@
 /* Added to the cap: the size of a few large requests. */
 #define CAP_OFFSET_TOKENS 50000
 
+static void decay_demand (struct usage_share_entry *customer, uint64_t now_ns);
+static uint64_t fleet_waiting (struct usage_share_entry *customer,
+                               uint64_t now_ns);
+
 void
 usage_share_init (struct usage_share *share, uint32_t window_ms)
 {
@@ -77,6 +84,80 @@
     customer->local_tokens = 0;
 }
 
+static void
+decay_demand (struct usage_share_entry *customer, uint64_t now_ns)
+{
+  double factor;
+
+  if (now_ns <= customer->demand_ns)
+    return;
+  factor = exp (-(double)(now_ns - customer->demand_ns)
+                / (DEMAND_WINDOW_MS * NS_PER_MS));
+  customer->arrived *= factor;
+  customer->refused *= factor;
+  customer->demand_ns = now_ns;
+}
+
+void
+usage_share_count_arrived (struct usage_share *share, uint64_t customer_id,
+                           uint64_t now_ns)
+{
+  struct usage_share_entry *customer
+      = usage_share_customer (share, customer_id);
+
+  if (customer == NULL)
+    return;
+  decay_demand (customer, now_ns);
+  customer->arrived++;
+}
+
+void
+usage_share_count_refused (struct usage_share *share, uint64_t customer_id,
+                           uint64_t now_ns)
+{
+  struct usage_share_entry *customer
+      = usage_share_customer (share, customer_id);
+
+  if (customer == NULL)
+    return;
+  decay_demand (customer, now_ns);
+  customer->refused++;
+}
+
+void
+usage_share_count_unread (struct usage_share *share, uint64_t requests,
+                          uint64_t now_ns)
+{
+  struct usage_share_entry *customer;
+  double arrived = 0;
+
+  for (customer = share->customers; customer != NULL;
+       customer = customer->hh.next)
+    {
+      decay_demand (customer, now_ns);
+      arrived += customer->arrived;
+    }
+  if (arrived <= 0)
+    return;
+  for (customer = share->customers; customer != NULL;
+       customer = customer->hh.next)
+    customer->refused += (double)requests * customer->arrived / arrived;
+}
+
+uint32_t
+usage_share_waiting (struct usage_share_entry *customer, uint64_t now_ns)
+{
+  decay_demand (customer, now_ns);
+  return customer->waiting + (uint32_t)customer->refused;
+}
+
+static uint64_t
+fleet_waiting (struct usage_share_entry *customer, uint64_t now_ns)
+{
+  return (uint64_t)usage_share_waiting (customer, now_ns)
+         + customer->peer_waiting;
+}
+
 uint64_t
 usage_share_local (const struct usage_share *share,
                    struct usage_share_entry *customer, uint64_t now_ns)
@@ -117,7 +198,7 @@
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
     {
-      waiting = customer->waiting + customer->peer_waiting;
+      waiting = fleet_waiting (customer, now_ns);
       weight = waiting < BACKLOG_WEIGHT_MAX ? waiting : BACKLOG_WEIGHT_MAX;
       sum += weight
              * (usage_share_local (share, customer, now_ns)
@@ -141,7 +222,7 @@
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
     {
-      if (customer->waiting + customer->peer_waiting < BACKLOG_MIN)
+      if (fleet_waiting (customer, now_ns) < BACKLOG_MIN)
         customer->backlogged_ns = 0;
       else if (customer->backlogged_ns == 0)
         customer->backlogged_ns = now_ns;
@@ -161,7 +242,7 @@
   for (customer = share->customers; customer != NULL;
        customer = customer->hh.next)
     if (customer != least && customer->customer_id != 0
-        && customer->waiting + customer->peer_waiting > 0
+        && fleet_waiting (customer, now_ns) > 0
         && usage_share_local (share, customer, now_ns) + customer->peer_tokens
                <= cap)
       return cap;
--- a/src/state/usage_share.h
+++ b/src/state/usage_share.h
@@ -5,6 +5,11 @@
  * and those reported by its peers.  A customer whose requests all arrive at
  * one instance thus counts the same as one whose requests arrive at all of
  * them.
+ *
+ * A customer waits for capacity with the requests in the queue and with those
+ * that were refused a short time ago.  An instance that is overloaded refuses
+ * connections unread; their customers are estimated from the requests that it
+ * has read.
  */
 #ifndef STATE_USAGE_SHARE_H
 #define STATE_USAGE_SHARE_H
@@ -18,9 +23,12 @@
   double local_tokens; /**< served by this instance, decayed up to
                             `decayed_ns` */
   uint64_t decayed_ns;
-  uint64_t peer_tokens;   /**< served by other instances, as reported */
-  uint32_t waiting;       /**< requests waiting at this instance */
-  uint32_t peer_waiting;  /**< requests waiting at other instances */
+  uint64_t peer_tokens;  /**< served by other instances, as reported */
+  uint32_t waiting;      /**< requests queued at this instance */
+  uint32_t peer_waiting; /**< usage_share_waiting() at other instances */
+  double arrived;        /**< requests read here, decayed up to `demand_ns` */
+  double refused; /**< requests refused here for lack of capacity, decayed */
+  uint64_t demand_ns;
   uint64_t backlogged_ns; /**< since when many have waited; 0: few wait */
   UT_hash_handle hh;
 };
@@ -40,11 +48,24 @@
 /** Charges tokens to a customer; a negative number refunds them. */
 void usage_share_charge (struct usage_share *share, uint64_t customer_id,
                          double tokens, uint64_t now_ns);
+/** Count a request of a customer that was read, and one that was refused. */
+void usage_share_count_arrived (struct usage_share *share,
+                                uint64_t customer_id, uint64_t now_ns);
+void usage_share_count_refused (struct usage_share *share,
+                                uint64_t customer_id, uint64_t now_ns);
+/** Counts requests that were refused unread, divided among the customers like
+    the requests that were read. */
+void usage_share_count_unread (struct usage_share *share, uint64_t requests,
+                               uint64_t now_ns);
+/** Requests of a customer at this instance that wait for capacity: those
+    queued, and those refused within about a second. */
+uint32_t usage_share_waiting (struct usage_share_entry *customer,
+                              uint64_t now_ns);
 /** Recent tokens served by this instance. */
 uint64_t usage_share_local (const struct usage_share *share,
                             struct usage_share_entry *customer,
                             uint64_t now_ns);
-/** Mean recent tokens over the fleet of the customers with waiting requests,
+/** Mean recent tokens over the fleet of the customers that wait for capacity,
     weighted by the number of those requests up to a limit; UINT64_MAX when no
     request waits. */
 uint64_t usage_share_backlogged_mean (struct usage_share *share,
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -573,6 +573,44 @@
   overload_finish (&overload);
 }
 
+#define FLOOD_ROUNDS   25 /* longer than a customer has to be backlogged */
+#define FLOOD_ROUND_MS 100
+#define IDLE_CUSTOMER  "idle" /* would use what the cap keeps back */
+
+/* A customer floods a late gateway, so few of its requests are read and none
+   waits.  It is backlogged all the same, and others are held to the usage cap.
+ */
+static void
+test_backlog_of_turned_away (void)
+{
+  static struct overload overload;
+  struct gateway *gateway = &overload.fixture.gateway;
+  int waiting[WAITING];
+  int round;
+  int i;
+
+  overload_init (&overload);
+  usage_share_customer (&gateway->usage, catalog_id (IDLE_CUSTOMER))
+      ->peer_waiting
+      = 1;
+  for (round = 0; round < FLOOD_ROUNDS; round++)
+    {
+      /* A measurement that does not end. */
+      gateway->loop_lag.since_ns = gateway_now_ns (gateway) - CLOCK_NS_PER_S;
+      CU_ASSERT_EQUAL (
+          write (overload.clients[round], PROMPT, sizeof PROMPT - 1),
+          sizeof PROMPT - 1);
+      for (i = 0; i < WAITING; i++)
+        waiting[i] = connect_client (&overload.fixture);
+      gatefixture_run (&overload.fixture, FLOOD_ROUND_MS);
+      for (i = 0; i < WAITING; i++)
+        close (waiting[i]);
+    }
+  CU_ASSERT (httpd_shed_count (gateway->httpd) > 0);
+  CU_ASSERT_NOT_EQUAL (gateway->usage_cap_tokens, UINT64_MAX);
+  overload_finish (&overload);
+}
+
 #define PROMPTS          20
 #define PROMPT_COST      (500 + 2 * 20) /* tokens, output counts twice */
 #define UNREACHABLE      2              /* an upstream that does not listen */
@@ -619,6 +657,8 @@
   { "usage of failed attempts", test_usage_of_failed_attempts },
   { "new connections of a late gateway",
     test_new_connections_of_late_gateway },
+  { "backlog of a customer whose connections are turned away",
+    test_backlog_of_turned_away },
   { "news of a draining upstream behind requests",
     test_drain_waits_behind_requests },
   { "request of a client that has left", test_request_of_client_that_left },
