Failed attempts log the prompt's shared parts and the events so far (BUDGET)

An engine that ends breaks several responses off at once, at several gateways. Without the parts of these prompts, the logs cannot tell whether the crashes have a part in common, are repeats of one request, or come from load. No change of logic.

--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -6,6 +6,8 @@
 #include "gateway/gateway_request_int.h"
 #include "state/err.h"
 #include "transport/log.h"
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #define PENDING_OUTPUT_MAX                                                    \
@@ -17,6 +19,7 @@
 #define DEFAULT_RETRY_AFTER_MS 250
 #define OUTPUT_TOKEN_COST                                                     \
   2.0 /* cost of an output token relative to an input token */
+#define PARTS_TEXT_SIZE 160 /* holds the identifiers of nine parts */
 #define UPSTREAM_IDLE_TIMEOUT_MS                                              \
   30000 /* for upstreams that do not state their timeout */
 
@@ -27,6 +30,8 @@
 static void refund_usage (struct gateway_request *request);
 static void remove_prefill_load (struct gateway_request *request);
 static void record_prefill_time (struct gateway_request *request);
+static void format_shared_parts (const struct prompt *prompt,
+                                 char text[PARTS_TEXT_SIZE]);
 static void handle_attempt_failure (struct gateway_request *request,
                                     int error);
 static bool retryable_status (const struct gateway_request *request,
@@ -269,6 +274,25 @@
   return true;
 }
 
+/* Writes the identifiers of the parts that other prompts may share, as far as
+   they fit. */
+static void
+format_shared_parts (const struct prompt *prompt, char text[PARTS_TEXT_SIZE])
+{
+  uint32_t count = prompt_shared_id_count (prompt);
+  size_t used = 0;
+  uint32_t i;
+  int size;
+
+  text[0] = '\0';
+  for (i = 0; i < count && used < PARTS_TEXT_SIZE; i++)
+    {
+      size = snprintf (text + used, PARTS_TEXT_SIZE - used, "%s%" PRIx64,
+                       i == 0 ? "" : ",", prompt->ids[i]);
+      used += size < 0 ? PARTS_TEXT_SIZE : (size_t)size;
+    }
+}
+
 /* Ends a failed attempt: retries, refuses or aborts the request. */
 static void
 handle_attempt_failure (struct gateway_request *request, int error)
@@ -276,6 +300,7 @@
   struct gateway *gateway = request->gateway;
   struct registry_upstream *upstream
       = registry_find (&gateway->registry, request->upstream_id);
+  char parts[PARTS_TEXT_SIZE];
   bool retry;
 
   request->attempt = NULL;
@@ -289,13 +314,15 @@
     outlier_failure (&upstream->outlier,
                      error == ERR_REFUSED || error == ERR_TIMEOUT,
                      gateway_now_ns (gateway));
+  format_shared_parts (&request->parsed.prompt, parts);
   LOG (LOG_ATTEMPT_FAILED, request->parsed.id,
        LOG_U ("attempt", request->attempt_state.number),
        LOG_S ("error", err_name (error)),
        LOG_S ("upstream",
               upstream == NULL ? "gone" : upstream->record.identity),
        LOG_S ("verdict",
-              verdict_name (attempt_verdict (&request->attempt_state))));
+              verdict_name (attempt_verdict (&request->attempt_state))),
+       LOG_U ("events", request->sse.events), LOG_S ("parts", parts));
   if (request->is_stream)
     sse_discard_partial (&request->sse);
   retry = request->retry_granted || gateway_request_may_retry (request);
