--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -28,6 +28,10 @@
   struct upstreamserver_conn *next;
 };
 
+static void listen_at (struct upstreamserver *server,
+                       struct sockaddr_in *address);
+static void crash_after (struct upstreamserver_conn *conn, const char *id,
+                         const char *rest);
 static void on_accept (struct evconnlistener *listener, evutil_socket_t fd,
                        struct sockaddr *address, int size, void *user);
 static void on_read (struct bufferevent *bev, void *user);
@@ -58,14 +62,21 @@
   memset (server, 0, sizeof *server);
   server->base = base;
   server->signature = signature;
-  server->listener = evconnlistener_new_bind (
-      base, on_accept, server, LEV_OPT_CLOSE_ON_FREE, 8,
-      (struct sockaddr *)&address, sizeof address);
+  listen_at (server, &address);
   getsockname (evconnlistener_get_fd (server->listener),
                (struct sockaddr *)&address, &size);
   server->port = ntohs (address.sin_port);
 }
 
+static void
+listen_at (struct upstreamserver *server, struct sockaddr_in *address)
+{
+  server->listener
+      = evconnlistener_new_bind (server->base, on_accept, server,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+                                 (struct sockaddr *)address, sizeof *address);
+}
+
 void
 upstreamserver_finish (struct upstreamserver *server)
 {
@@ -79,6 +90,41 @@
     }
   if (server->listener != NULL)
     evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
+void
+upstreamserver_crash (struct upstreamserver *server)
+{
+  upstreamserver_finish (server);
+  if (server->on_crash != NULL)
+    server->on_crash (server);
+}
+
+void
+upstreamserver_revive (struct upstreamserver *server)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (server->port),
+                                 .sin_addr = { htonl (INADDR_LOOPBACK) } };
+
+  server->behaviour = UPSTREAMSERVER_RESPOND;
+  listen_at (server, &address);
+}
+
+/* Sends the start of a response with the attempt's ID and what follows it,
+   which must not wait for the event loop, and ends the upstream. */
+static void
+crash_after (struct upstreamserver_conn *conn, const char *id,
+             const char *rest)
+{
+  char start[256];
+  int size = snprintf (start, sizeof start,
+                       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s", id, rest);
+
+  if (size > 0 && rest[0] != '\0')
+    send (bufferevent_getfd (conn->bev), start, (size_t)size, MSG_NOSIGNAL);
+  upstreamserver_crash (conn->server);
 }
 
 static void
@@ -290,6 +336,18 @@
       send_stream (conn, id, request, EVENTS, false);
       conn->close_after_write = true;
       break;
+    case UPSTREAMSERVER_CRASH:
+      crash_after (conn, id, "");
+      break;
+    case UPSTREAMSERVER_CRASH_IN_HEAD:
+      crash_after (conn, id, "X-Wor");
+      break;
+    case UPSTREAMSERVER_CRASH_IN_EVENT:
+      crash_after (conn, id,
+                   "X-Worker-Signature: crashed\r\n"
+                   "Content-Type: text/event-stream\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\nda");
+      break;
     case UPSTREAMSERVER_HANG:
     case UPSTREAMSERVER_BEHAVIOUR_MAX:
       break;
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -33,6 +33,11 @@
   UPSTREAMSERVER_STREAM_RESET,
   /** Events up to 4, delimited by closing the connection. */
   UPSTREAMSERVER_STREAM_CLOSE_DELIMITED,
+  /** The whole upstream ends: before the response, within its head, within the
+      first event. */
+  UPSTREAMSERVER_CRASH,
+  UPSTREAMSERVER_CRASH_IN_HEAD,
+  UPSTREAMSERVER_CRASH_IN_EVENT,
   UPSTREAMSERVER_BEHAVIOUR_MAX
 };
 
@@ -50,7 +55,9 @@
   /** Called with each HTTP message before it is answered; may set `behaviour`
      and `response_delay_ms` for it.  May be NULL. */
   void (*on_request) (struct upstreamserver *server, const char *message);
-  void *user;                        /**< for on_request */
+  /** Called when the upstream has crashed; may be NULL. */
+  void (*on_crash) (struct upstreamserver *server);
+  void *user;                        /**< for on_request and on_crash */
   struct upstreamserver_conn *conns; /**< private */
 };
 
@@ -58,6 +65,11 @@
                           struct event_base *base, const char *signature);
 void upstreamserver_finish (struct upstreamserver *server);
 
+/** Ends the upstream: closes its connections, and refuses new ones. */
+void upstreamserver_crash (struct upstreamserver *server);
+/** Accepts connections again, at the same port. */
+void upstreamserver_revive (struct upstreamserver *server);
+
 /** Copies the value of a header to `out`; "" when the header is missing.
     @param message  HTTP message, from its first line. */
 void upstreamserver_get_header (const char *message, const char *name,
