--- a/src/coordination/message.c
+++ b/src/coordination/message.c
@@ -55,6 +55,9 @@
       break;
     case MESSAGE_LOAD:
       free (message->u.load.items);
+      free (message->u.load.suspects);
+      message->u.load.suspects = NULL;
+      message->u.load.suspect_count = 0;
       message->u.load.items = NULL;
       message->u.load.item_count = 0;
       break;
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -9,6 +9,7 @@
 
 #include "state/catalog.h"
 #include "state/ledger.h"
+#include "state/quarantine.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -170,13 +171,16 @@
 };
 
 /** Replaces the previous load message of the sender; what is not listed is
-    zero. */
+    zero.  The suspects are those that changed since; they add to earlier ones.
+ */
 struct message_load
 {
   uint64_t store_index; /**< up to which the sender has followed the store */
   uint32_t age_ms;      /**< since the sender last confirmed that index */
   size_t item_count;
   struct message_load_item *items;
+  size_t suspect_count;
+  struct quarantine_row *suspects; /**< parts of prompts, see quarantine.h */
 };
 
 struct message
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "gateway/discovery.h"
 #include "gateway/gateway_peers.h"
+#include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request.h"
 #include "gateway/probe.h"
 #include "state/err.h"
@@ -123,6 +124,7 @@
                     gateway->settings.share_window_ms / USAGE_DECAY_DIVISOR);
   gateway->usage_cap_tokens = UINT64_MAX;
   wait_queue_init (&gateway->wait_queue);
+  gateway_quarantine_start (gateway);
   rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
                                ^ clock_wall_ms (&gateway->clock));
   return 0;
@@ -214,6 +216,7 @@
   fleet_retry_budget_finish (&gateway->fleet_retry_budget);
   wait_queue_finish (&gateway->wait_queue);
   usage_share_finish (&gateway->usage);
+  quarantine_finish (&gateway->quarantine);
   service = gateway->services;
   HASH_CLEAR (hh, gateway->services);
   for (; service != NULL; service = next)
@@ -284,6 +287,7 @@
   gateway->usage_cap_tokens = HASH_COUNT (gateway->services) > 1
                                   ? UINT64_MAX
                                   : usage_share_cap (&gateway->usage, now_ns);
+  gateway_quarantine_tick (gateway);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "state/hist.h"
 #include "state/prefill_rate.h"
 #include "state/prefix_cache.h"
+#include "state/quarantine.h"
 #include "state/refusal.h"
 #include "state/registry.h"
 #include "state/routing.h"
@@ -116,6 +117,7 @@
   struct prefix_cache prefix_cache;
   struct fleet_retry_budget fleet_retry_budget;
   struct usage_share usage;
+  struct quarantine quarantine; /**< parts of prompts that crash upstreams */
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -29,6 +29,7 @@
   bool snapshot_pending;    /**< it has still to be sent all store items */
   uint64_t report_ns;       /**< time of its last load report */
   struct message_load load; /**< its last load report */
+  uint64_t suspects_sent;   /**< sequence of the last quarantine rows sent */
   UT_hash_handle hh;
 };
 
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -11,6 +11,7 @@
 
 #define AGE_MAX_MS      60000 /* reported for an unusable view of the store */
 #define REPORT_VALID_MS 500   /* a subscriber's report expires after this */
+#define SUSPECTS_MAX    256   /* quarantine rows in a report; others follow */
 
 /** Summed load of one subject of a report. */
 struct sum
@@ -43,8 +44,7 @@
 static void add (struct sums *sums, uint64_t id, enum message_subject subject,
                  int64_t requests, int64_t tokens);
 static void send_report (struct gateway_peers *peers,
-                         const struct gateway_peer *peer,
-                         const struct sums *sums);
+                         struct gateway_peer *peer, const struct sums *sums);
 static bool has_subscribers (const struct gateway_peers *peers);
 static const struct gateway_peer *
 report_hub (const struct gateway_peers *peers);
@@ -58,6 +58,7 @@
 {
   size_t size = load == NULL ? 0 : load->item_count * sizeof *load->items;
   struct message_load_item *items = size == 0 ? NULL : malloc (size);
+  size_t i;
 
   apply_report (peers->gateway, &peer->load, -1);
   free (peer->load.items);
@@ -66,8 +67,13 @@
     return;
   if (size > 0)
     memcpy (items, load->items, size);
+  for (i = 0; i < load->suspect_count; i++)
+    quarantine_merge (&peers->gateway->quarantine, &load->suspects[i],
+                      gateway_now_ns (peers->gateway));
   peer->load = *load;
   peer->load.items = items;
+  peer->load.suspects = NULL;
+  peer->load.suspect_count = 0;
   if (!peer_is_counted (peers, peer))
     peer->load.item_count = 0;
   apply_report (peers->gateway, &peer->load, 1);
@@ -306,13 +312,14 @@
 }
 
 static void
-send_report (struct gateway_peers *peers, const struct gateway_peer *peer,
+send_report (struct gateway_peers *peers, struct gateway_peer *peer,
              const struct sums *sums)
 {
   struct gateway *gateway = peers->gateway;
   uint64_t age_ms = discovery_age_ns (gateway) / CLOCK_NS_PER_MS;
   struct message message = { .kind = MESSAGE_LOAD };
   struct message_load *load = &message.u.load;
+  uint64_t suspects_sent = peer->suspects_sent;
   size_t i;
 
   load->items = calloc (sums->used + 1, sizeof *load->items);
@@ -334,6 +341,12 @@
         .tokens
         = (uint64_t)(sums->pool[i].tokens > 0 ? sums->pool[i].tokens : 0),
       };
-  peernet_send (peers->net, peer->instance_id, &message);
+  if (suspects_sent != gateway->quarantine.sequence)
+    load->suspects = calloc (SUSPECTS_MAX, sizeof *load->suspects);
+  if (load->suspects != NULL)
+    load->suspect_count = quarantine_rows (
+        &gateway->quarantine, &suspects_sent, load->suspects, SUSPECTS_MAX);
+  if (peernet_send (peers->net, peer->instance_id, &message) == 0)
+    peer->suspects_sent = suspects_sent;
   message_finish (&message);
 }
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -5,6 +5,7 @@
  * alive.
  */
 #include "gateway/gateway_peers_int.h"
+#include "gateway/gateway_quarantine.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
@@ -354,6 +355,11 @@
   struct gateway_peers_member *member;
   int error;
 
+  if (gateway_quarantine_owns_key (peers->gateway, item->key))
+    {
+      gateway_quarantine_apply_item (peers->gateway, item);
+      return;
+    }
   if (item->value == NULL)
     {
       HASH_FIND_STR (peers->members, item->key, member);
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -3,6 +3,7 @@
  * Attempts of a request at upstreams: selection, sending, forwarding of the
  * response, retries.
  */
+#include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "state/err.h"
 #include "transport/log.h"
@@ -261,6 +262,7 @@
   uint64_t now_ns = gateway_now_ns (gateway);
 
   if (!attempt_may_retry (&request->attempt_state)
+      || !gateway_quarantine_may_retry (request)
       || now_ns >= request->deadline_ns || now_ns >= request->timeout_ns)
     return false;
   if (request->sent_attempts == 0)
@@ -314,6 +316,7 @@
     outlier_failure (&upstream->outlier,
                      error == ERR_REFUSED || error == ERR_TIMEOUT,
                      gateway_now_ns (gateway));
+  gateway_quarantine_attempt_failed (request, error);
   format_shared_parts (&request->parsed.prompt, parts);
   LOG (LOG_ATTEMPT_FAILED, request->parsed.id,
        LOG_U ("attempt", request->attempt_state.number),
@@ -347,11 +350,14 @@
 {
   if (reply_started (&request->reply))
     gateway_request_abort (request);
-  else if (attempt_verdict (&request->attempt_state) == VERDICT_NOT_RUN)
+  else if (attempt_verdict (&request->attempt_state) != VERDICT_NOT_RUN)
+    gateway_request_refuse (request, REFUSAL_UPSTREAM_FAILED, 0);
+  else if (gateway_quarantine_holds (request))
+    gateway_request_refuse (request, REFUSAL_QUARANTINED,
+                            GATEWAY_QUARANTINE_RETRY_AFTER_MS);
+  else
     gateway_request_refuse (request, REFUSAL_NO_UPSTREAM,
                             DEFAULT_RETRY_AFTER_MS);
-  else
-    gateway_request_refuse (request, REFUSAL_UPSTREAM_FAILED, 0);
 }
 
 /* Progress. */
@@ -475,6 +481,7 @@
   if (evbuffer_get_length (complete_events) > 0)
     reply_send_body (&request->reply, complete_events);
   evbuffer_free (complete_events);
+  gateway_quarantine_responded (request);
   pause_if_client_slow (request);
 }
 
@@ -513,6 +520,8 @@
   remove_upstream_load (request);
   attempt_advance (&request->attempt_state, ATTEMPT_DONE,
                    gateway_now_ns (gateway));
+  if (request->reply.status < 300)
+    gateway_quarantine_responded (request);
   if (upstream != NULL)
     {
       if (request->reply.status < 500)
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -61,6 +61,9 @@
   /** Charged to the customer for the attempt; refunded if it does not run. */
   double charged_tokens;
   uint64_t attempt_start_ns;
+  uint32_t crashed_attempts; /**< ended by a crash of their upstream */
+  bool responded;            /**< see gateway_quarantine_responded() */
+  bool trial; /**< it tries a held part, see state/quarantine.h */
   uint64_t tried_ids[CHOOSE_EXCLUDED_MAX];
   size_t tried_count;
   bool is_stream; /**< the response is a stream of server-sent events */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -2,6 +2,7 @@
  * @file gateway_request_wait.c
  * Requests that wait for an upstream with free capacity.
  */
+#include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "state/admission.h"
 #include "state/rng.h"
@@ -92,6 +93,11 @@
 
   if (gateway_request_end_if_client_left (request))
     return;
+  if (gateway_quarantine_holds (request))
+    {
+      gateway_request_give_up (request);
+      return;
+    }
   gateway_request_choose (request, &result);
   if (result.upstream == NULL)
     gateway_request_give_up (request);
@@ -379,6 +385,12 @@
       event_active (gateway->dispatch, EV_TIMEOUT, 0);
       return WAIT_QUEUE_STOP;
     }
+  if (gateway_quarantine_holds (request))
+    {
+      gateway_request_dequeue (request);
+      gateway_request_give_up (request);
+      return WAIT_QUEUE_TAKEN;
+    }
   gateway_request_choose (request, &result);
   if (!upstream_has_capacity (request, &result))
     return WAIT_QUEUE_HELD;
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -203,6 +203,8 @@
     double value;
   } gauges[] = {
     { "in_progress", "requests in progress", gateway->request_count },
+    { "quarantined", "parts of prompts whose requests are refused",
+      quarantine_held_count (&gateway->quarantine, gateway_now_ns (gateway)) },
     { "waiting", "requests that wait for an upstream",
       gateway->wait_queue.count },
     { "upstreams", "upstreams known",
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1265,7 +1265,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[6] =
 {
   {
     "names",
@@ -1327,6 +1327,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__Load, n_suspects),
+    offsetof(Peer__Load, suspects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -1334,11 +1346,12 @@
   1,   /* field[1] = items */
   0,   /* field[0] = names */
   2,   /* field[2] = store_index */
+  5,   /* field[5] = suspects */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1348,7 +1361,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  5,
+  6,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -206,10 +206,16 @@
    */
   size_t n_ejected;
   uint64_t *ejected;
+  /*
+   * Rows: service, part of prompts, generation and trials (32 bits each),
+   * upstream or 0, its crashes.  Adds to earlier words.
+   */
+  size_t n_suspects;
+  uint64_t *suspects;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 typedef enum {
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -15,6 +15,7 @@
 #define GRANT_COLUMNS     3
 #define HOLD_COLUMNS      4
 #define LOAD_COLUMNS      3
+#define SUSPECT_COLUMNS   5
 
 /** Key of the dictionary: a pair of identifiers, as in proto/peer.proto. */
 struct peercodec_key
@@ -59,6 +60,7 @@
   uint64_t *items; /**< rows, flattened */
   size_t item_count;
   void **objects; /**< array of pointers, followed by the config objects */
+  uint64_t *suspects;
 };
 
 static int encode_hello (const struct message *message,
@@ -81,6 +83,8 @@
                              struct frame_builder *out);
 static int encode_load (const struct message *message,
                         struct frame_builder *out);
+static int encode_suspects (const struct message_load *load,
+                            struct frame_builder *out);
 static int allocate_rows (struct frame_builder *out, size_t count,
                           size_t columns);
 static struct peercodec_encoder_pair *
@@ -148,6 +152,7 @@
   free (builder.new_ids);
   free (builder.items);
   free (builder.objects);
+  free (builder.suspects);
   return rc;
 }
 
@@ -490,6 +495,36 @@
   return 0;
 }
 
+/* Suspects are rare and have identifiers that no other rows use, so they are
+   sent without the dictionary. */
+static int
+encode_suspects (const struct message_load *load, struct frame_builder *out)
+{
+  uint64_t *cells;
+  size_t i;
+
+  if (load->suspect_count > PEERCODEC_ITEMS_MAX)
+    return ERR_TOO_LARGE;
+  out->suspects
+      = calloc (SUSPECT_COLUMNS * load->suspect_count + 1, sizeof *cells);
+  if (out->suspects == NULL)
+    return ERR_NO_MEMORY;
+  cells = out->suspects;
+  for (i = 0; i < load->suspect_count; i++)
+    {
+      const struct quarantine_row *row = &load->suspects[i];
+
+      *cells++ = row->key.service_id;
+      *cells++ = row->key.part;
+      *cells++ = (uint64_t)row->generation << 32 | row->trials;
+      *cells++ = row->upstream_id;
+      *cells++ = row->crashes;
+    }
+  out->body.load.n_suspects = SUSPECT_COLUMNS * load->suspect_count;
+  out->body.load.suspects = out->suspects;
+  return 0;
+}
+
 static int
 encode_load (const struct message *message, struct frame_builder *out)
 {
@@ -529,5 +564,5 @@
   wire->ejected = out->items + load_cells;
   out->frame.body_case = PEER__FRAME__BODY_LOAD;
   out->frame.load = wire;
-  return rc;
+  return rc == 0 ? encode_suspects (load, out) : rc;
 }
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -14,6 +14,7 @@
 #define ACCOUNT_COLUMNS      4 /* without the pair's index */
 #define GRANT_COLUMNS        3
 #define HOLD_COLUMNS         4
+#define SUSPECT_COLUMNS      5
 #define LOAD_COLUMNS         3
 #define LOAD_EJECTED_COLUMNS 2
 #define PAIRS_MIN            64 /* initial capacity of a dictionary */
@@ -65,6 +66,7 @@
                              struct message *message);
 static int decode_load (struct peercodec_decoder *decoder,
                         const Peer__Frame *frame, struct message *message);
+static int decode_suspects (const Peer__Load *wire, struct message_load *load);
 static int decode_object (const Peer__Object *wire,
                           struct message_object *object);
 static int copy_printable (char *out, size_t size, const char *text,
@@ -492,7 +494,37 @@
       item->id = pair->first_id;
       item->subject = MESSAGE_SUBJECT_EJECTED;
     }
-  return rc;
+  return rc == 0 ? decode_suspects (wire, load) : rc;
+}
+
+static int
+decode_suspects (const Peer__Load *wire, struct message_load *load)
+{
+  const size_t count = wire->n_suspects / SUSPECT_COLUMNS;
+  const uint64_t *cells = wire->suspects;
+  size_t i;
+  int rc;
+
+  if (wire->n_suspects % SUSPECT_COLUMNS != 0)
+    return ERR_PROTOCOL;
+  rc = allocate_items ((void **)&load->suspects, count,
+                       sizeof *load->suspects);
+  if (rc != 0)
+    return rc;
+  load->suspect_count = count;
+  for (i = 0; i < count; i++, cells += SUSPECT_COLUMNS)
+    {
+      if (cells[4] > UINT32_MAX)
+        return ERR_PROTOCOL;
+      load->suspects[i] = (struct quarantine_row){
+        .key = { cells[0], cells[1] },
+        .generation = (uint32_t)(cells[2] >> 32),
+        .trials = (uint32_t)cells[2],
+        .upstream_id = cells[3],
+        .crashes = (uint32_t)cells[4],
+      };
+    }
+  return 0;
 }
 
 static int
--- /dev/null
+++ b/src/state/quarantine.h
@@ -0,0 +1,140 @@
+/**
+ * @file quarantine.h
+ * Parts of prompts under which upstreams crash.  A crash breaks off all
+ * requests at the upstream, so one crash says little about the parts of their
+ * prompts.  A part that was in several crashes, and in no response since the
+ * first of them, is held: requests that have it are refused.
+ *
+ * No instance sees all crashes, so the evidence is exchanged.  It merges in
+ * any order and any number of times: a part has a generation, which a response
+ * raises, and for each upstream the number of crashes in that generation.  The
+ * higher generation replaces the lower one; within one, the higher number of
+ * each upstream counts.
+ *
+ * A held part is tried again by single requests of the whole fleet, after
+ * longer and longer pauses and a few times only; who may send one is decided
+ * outside, by a write to the store that succeeds once.
+ */
+#ifndef STATE_QUARANTINE_H
+#define STATE_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#define QUARANTINE_CRASH_LIMIT   4 /**< crashes from which a part is held */
+#define QUARANTINE_UPSTREAMS_MAX 8 /**< upstreams counted for a part */
+#define QUARANTINE_TRIALS_MAX    2 /**< single requests sent while it is held */
+
+/** Identifier of a part, among the prompts for one service. */
+struct quarantine_key
+{
+  uint64_t service_id;
+  uint64_t part;
+};
+
+/** What is exchanged: the crashes of one upstream; or, with upstream_id 0,
+    the generation and the trials of a part only. */
+struct quarantine_row
+{
+  struct quarantine_key key;
+  uint32_t generation;
+  uint32_t trials;
+  uint64_t upstream_id;
+  uint32_t crashes;
+};
+
+struct quarantine_crashes
+{
+  uint64_t upstream_id;
+  uint32_t count;
+  uint64_t
+      counted_ns; /**< when this instance counted the last one; 0: never */
+};
+
+struct quarantine_part
+{
+  struct quarantine_key key;
+  uint32_t generation;
+  uint32_t trials; /**< sent so far by the fleet, in this generation */
+  struct quarantine_crashes crashes[QUARANTINE_UPSTREAMS_MAX];
+  uint32_t upstream_count;
+  uint64_t crash_ns;     /**< when the last crash became known */
+  uint64_t held_ns;      /**< held from then on; 0: not held */
+  uint64_t trial_ns;     /**< next trial from then on */
+  bool trial_asked;      /**< a write that decides on a trial is in progress */
+  uint64_t trial_end_ns; /**< this instance may send the trial until then; 0:
+                              it may not */
+  bool stored;           /**< the store has its entry */
+  uint64_t store_ns;     /**< earliest next write of its entry */
+  uint64_t sequence;     /**< of its last change; see quarantine_rows() */
+  UT_hash_handle hh;
+};
+
+struct quarantine
+{
+  struct quarantine_part *parts; /**< uthash by key, last changed last */
+  struct quarantine_success *successes; /**< private */
+  uint64_t sequence;                    /**< of the last change */
+  /** Called when a part is held or released; may be NULL. */
+  void (*changed) (void *user, const struct quarantine_part *part);
+  void *user;
+};
+
+void quarantine_init (struct quarantine *quarantine);
+void quarantine_finish (struct quarantine *quarantine);
+
+/** An upstream broke a request off, or ended, before it began to respond.
+    Parts that were in a response a short time ago are not counted. */
+void quarantine_record_crash (struct quarantine *quarantine,
+                              uint64_t service_id, const uint64_t *parts,
+                              size_t count, uint64_t upstream_id,
+                              uint64_t now_ns);
+/** An upstream responded to a request with these parts. */
+void quarantine_record_response (struct quarantine *quarantine,
+                                 uint64_t service_id, const uint64_t *parts,
+                                 size_t count, uint64_t now_ns);
+
+/** The held part of a request; NULL if it has none. */
+struct quarantine_part *quarantine_find_held (struct quarantine *quarantine,
+                                              uint64_t service_id,
+                                              const uint64_t *parts,
+                                              size_t count, uint64_t now_ns);
+/** Most crashes of one of these parts, held or not. */
+uint32_t quarantine_crashes (const struct quarantine *quarantine,
+                             uint64_t service_id, const uint64_t *parts,
+                             size_t count);
+/** Number of held parts. */
+uint32_t quarantine_held_count (const struct quarantine *quarantine,
+                                uint64_t now_ns);
+
+/** Whether the fleet may decide on another trial of a held part now. */
+bool quarantine_trial_due (const struct quarantine_part *part,
+                           uint64_t now_ns);
+/** A trial was decided on. @param own  by this instance, which sends it. */
+void quarantine_start_trial (struct quarantine *quarantine,
+                             struct quarantine_part *part, bool own,
+                             uint64_t now_ns);
+/** Takes the trial that this instance may send. @return whether there is one.
+ */
+bool quarantine_take_trial (struct quarantine_part *part, uint64_t now_ns);
+
+/** Entry of a part; NULL if nothing is known of it. */
+struct quarantine_part *quarantine_find (const struct quarantine *quarantine,
+                                         const struct quarantine_key *key);
+/** Merges what another instance or the store has. */
+void quarantine_merge (struct quarantine *quarantine,
+                       const struct quarantine_row *row, uint64_t now_ns);
+/** Rows of the parts that changed after a sequence number.
+    @param rows      room for `max`.
+    @param sequence  the number; set to that of the last part in `rows`.
+    @return the number of rows. */
+size_t quarantine_rows (const struct quarantine *quarantine,
+                        uint64_t *sequence, struct quarantine_row *rows,
+                        size_t max);
+
+/** Forgets old evidence, and releases parts that have been held for long. */
+void quarantine_expire (struct quarantine *quarantine, uint64_t now_ns);
+
+#endif
--- a/src/state/refusal.c
+++ b/src/state/refusal.c
@@ -32,6 +32,8 @@
   [REFUSAL_ROUTER_FULL] = { 503, 1, "router_full", "too many requests wait" },
   [REFUSAL_CONNECTIONS]
   = { 503, 1, "too_many_connections", "connection limit reached" },
+  [REFUSAL_QUARANTINED]
+  = { 503, 60, "quarantined", "upstreams crash under a part of the prompt" },
   [REFUSAL_NO_UPSTREAM]
   = { 503, 5, "no_upstream", "service has no usable upstream" },
   [REFUSAL_DRAINING] = { 503, 1, "draining", "instance is shutting down" },
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -27,6 +27,8 @@
   REFUSAL_ROUTER_FULL,       /**< 503 router's limit of waiting requests */
   REFUSAL_CONNECTIONS,       /**< 503 connection limit, or event loop
                                   overloaded */
+  REFUSAL_QUARANTINED,       /**< 503 upstreams crash under a part of the
+                                  prompt */
   REFUSAL_NO_UPSTREAM,       /**< 503 service has no usable upstream */
   REFUSAL_DRAINING,          /**< 503 instance is shutting down */
   REFUSAL_NOT_READY,         /**< 503 no configuration yet, or one that may be
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -37,6 +37,12 @@
   = { LOG_LEVEL_ERROR, "upstream answered another request", false },
   [LOG_UPSTREAM_REJECTED]
   = { LOG_LEVEL_WARN, "upstream's announcement rejected", false },
+  [LOG_PART_HELD]
+  = { LOG_LEVEL_WARN, "upstreams crash under a part of prompts", false },
+  [LOG_PART_RELEASED]
+  = { LOG_LEVEL_INFO, "part of prompts is released", false },
+  [LOG_PART_TRIAL]
+  = { LOG_LEVEL_INFO, "held part of prompts is tried", false },
   /* peers */
   [LOG_PEER_UP] = { LOG_LEVEL_INFO, "peer connected", false },
   [LOG_PEER_DOWN] = { LOG_LEVEL_INFO, "peer disconnected", false },
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -310,6 +310,28 @@
   end_watch (user);
 }
 
+/* Whether all keys have the revisions that a transaction expects. */
+static bool
+conditions_hold (const struct storeserver *store, const json_t *expected)
+{
+  const struct storeserver_item *item;
+  const json_t *condition;
+  uint64_t revision;
+  size_t i;
+
+  json_array_foreach (expected, i, condition)
+  {
+    item = find_item (store,
+                      json_string_value (json_object_get (condition, "key")));
+    revision = item == NULL || item->value == NULL ? 0 : item->revision;
+    if (revision
+        != (uint64_t)json_integer_value (
+            json_object_get (condition, "revision")))
+      return false;
+  }
+  return true;
+}
+
 static void
 serve_txn (struct storeserver *store, struct evhttp_request *request)
 {
@@ -318,10 +340,18 @@
   json_t *root
       = json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
   const json_t *puts = json_object_get (root, "puts");
+  const json_t *remove = json_object_get (root, "remove");
   const json_t *put;
+  const json_t *key;
   size_t i;
 
   store->txn_calls++;
+  if (!conditions_hold (store, json_object_get (root, "expected_revision")))
+    {
+      json_decref (root);
+      send_response (store, request, 412, json_pack ("{s:[]}", "entries"));
+      return;
+    }
   json_array_foreach (puts, i, put)
   {
     char *value = NULL;
@@ -333,6 +363,9 @@
                 (uint64_t)json_integer_value (json_object_get (put, "lease")));
     free (value);
   }
+  json_array_foreach (
+      remove, i, key) if (find_item (store, json_string_value (key)) != NULL)
+      write_item (store, json_string_value (key), NULL, 0);
   json_decref (root);
   if (store->fault == STORESERVER_FAULT_LOSE_RESPONSE)
     evhttp_connection_free (evhttp_request_get_connection (request));
@@ -460,3 +493,15 @@
 
   return item == NULL ? NULL : item->value;
 }
+
+unsigned int
+storeserver_count (const struct storeserver *store, const char *prefix)
+{
+  const struct storeserver_item *item;
+  unsigned int count = 0;
+
+  DL_FOREACH (store->items, item)
+    count += item->value != NULL
+             && strncmp (item->key, prefix, strlen (prefix)) == 0;
+  return count;
+}
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -62,6 +62,9 @@
 /** Replaces the items by the copy, without leases, as the next era.  Revisions
     continue from that of the copy. */
 void storeserver_restore (struct storeserver *store);
+/** Number of keys with a prefix. */
+unsigned int storeserver_count (const struct storeserver *store,
+                                const char *prefix);
 /** Value of a key; NULL when absent or deleted. */
 const char *storeserver_get (const struct storeserver *store, const char *key);
 
--- a/tests/test_crashing_prompts.c
+++ b/tests/test_crashing_prompts.c
@@ -334,8 +334,8 @@
       = plan->culprits == 0 || rng_below (&scene->rng, CULPRIT_STEPS) != 0;
   client->late = now_ms (scene) > DURATION_MS / 2;
   for (i = 0; i < plan->culprits; i++)
-    client->late = client->late && scene->noticed_ms[i] != 0
-                   && now_ms (scene) > scene->noticed_ms[i] + NOTICE_MS;
+    client->late
+        = client->late && now_ms (scene) > scene->noticed_ms[i] + NOTICE_MS;
   write_parts (scene, client->sound, parts);
   snprintf (request, sizeof request,
             "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\n"
@@ -400,6 +400,68 @@
           scene.sound_served, scene.sound_sent);
 }
 
+/* Makes trials due at all gateways. */
+static void
+make_trials_due (struct scene *scene)
+{
+  struct quarantine_part *part;
+  unsigned int i;
+
+  for (i = 0; i < scene->plan->gateways; i++)
+    for (part = scene->gateways[i].quarantine.parts; part != NULL;
+         part = part->hh.next)
+      part->trial_ns = 0;
+}
+
+static void
+send_for (struct scene *scene, uint32_t duration_ms)
+{
+  uint64_t end_ms = now_ms (scene) + duration_ms;
+
+  while (now_ms (scene) < end_ms)
+    {
+      send_request (scene);
+      run_for (scene, STEP_MS);
+      revive_upstreams (scene);
+    }
+}
+
+/* A held part is tried by one request of the whole fleet.  While it crashes
+   upstreams, it stays held; when they are mended, it is released. */
+static void
+test_trial (void)
+{
+  static struct scene scene;
+  const struct scene_plan plan = { .gateways = 3,
+                                   .culprits = 1,
+                                   .position = 1,
+                                   .crash = UPSTREAMSERVER_CRASH,
+                                   .route = "again",
+                                   .new_identity = true };
+  unsigned int crashes;
+  unsigned int i;
+
+  scene_init (&scene, &plan);
+  send_for (&scene, 3000);
+  crashes = scene.crashes[0];
+  send_for (&scene, 1000);
+  CU_ASSERT_EQUAL (scene.crashes[0], crashes);
+  make_trials_due (&scene);
+  send_for (&scene, 1500);
+  CU_ASSERT_EQUAL (scene.crashes[0], crashes + 1);
+  for (i = 0; i < UPSTREAMS; i++)
+    scene.upstreams[i].on_request = NULL;
+  make_trials_due (&scene);
+  send_for (&scene, 5000);
+  for (i = 0; i < plan.gateways; i++)
+    CU_ASSERT_EQUAL (
+        quarantine_held_count (&scene.gateways[i].quarantine,
+                               gateway_now_ns (&scene.gateways[i])),
+        0);
+  CU_ASSERT_EQUAL (storeserver_count (&scene.store, "cherrylanding/~"), 0);
+  scene_finish (&scene);
+}
+
 static void
 test_first_part (void)
 {
@@ -493,6 +555,7 @@
   { "fleet with hubs", test_fleet_with_hubs },
   { "store down", test_store_down },
   { "restart of the fleet", test_restart_of_fleet },
+  { "trial of a held part", test_trial },
   { "upstreams killed without a culprit", test_kills_without_culprit },
 };
 
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -30,6 +30,9 @@
     = { { 1, MESSAGE_SUBJECT_UPSTREAM, 3, 4000 },
         { 1, MESSAGE_SUBJECT_CUSTOMER, 0, UINT64_MAX },
         { 2, MESSAGE_SUBJECT_EJECTED, 5, 0 } };
+static struct quarantine_row suspects[]
+    = { { { 1, UINT64_MAX }, 2, 1, 0, 0 },
+        { { 1, UINT64_MAX }, 2, 1, 7, UINT32_MAX } };
 static const struct ledger_origin sender = { 3, 4 };
 
 static const struct message samples[] = {
@@ -53,8 +56,8 @@
   { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
   { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
   { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
-  { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 3, loads } },
-  { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL } },
+  { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 3, loads, 2, suspects } },
+  { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL, 0, NULL } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
