What an upstream says of itself: leaving, and no requests for a while

Cause: gateways learn that an upstream drains from the store only, and a 503 with Retry-After was one failure among others; what held further requests back was ejection.

Change: both are conditions of an upstream in the registry, read from any response, rejections too, and excluded in choose. A service of which all upstreams pause is refused at once with the earliest end.

--- a/src/explain.c
+++ b/src/explain.c
@@ -79,6 +79,8 @@
   { LOG_ATTEMPT_FAILED,
     "attempt {attempt} at {upstream} failed: {error}; verdict so far: "
     "{verdict}" },
+  { LOG_UPSTREAM_DRAINING, "{upstream} is leaving, by its {from}" },
+  { LOG_UPSTREAM_PAUSED, "{upstream} wants no requests for {ms} ms" },
   { LOG_REQUEST_REFUSED,
     "refused with {status}: {reason}, {verdict}, retry after "
     "{retry_after_ms} ms; configuration {config}, {config_age_ms} ms old" },
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -18,6 +18,8 @@
   65536 /* bytes of a response that are buffered until complete */
 /* Retry-After when no upstream is usable. */
 #define DEFAULT_RETRY_AFTER_MS 250
+/* An upstream's pause is extended by a random time up to this part of it. */
+#define PAUSE_SPREAD 4
 #define OUTPUT_TOKEN_COST                                                     \
   2.0 /* cost of an output token relative to an input token */
 #define PARTS_TEXT_SIZE 160 /* holds the identifiers of nine parts */
@@ -49,6 +51,7 @@
 static void on_completed (void *user);
 static void on_failed (void *user, int error);
 static void on_draining (void *user);
+static void on_paused (void *user, uint32_t pause_ms);
 
 static const struct upstream_events events = {
   .sending = on_sending,
@@ -58,6 +61,7 @@
   .completed = on_completed,
   .failed = on_failed,
   .draining = on_draining,
+  .paused = on_paused,
 };
 
 /* Cached until the known load changes: of several idle upstreams any is good
@@ -348,6 +352,9 @@
 void
 gateway_request_give_up (struct gateway_request *request)
 {
+  struct gateway *gateway = request->gateway;
+  uint64_t pause_ns;
+
   if (reply_started (&request->reply))
     gateway_request_abort (request);
   else if (attempt_verdict (&request->attempt_state) != VERDICT_NOT_RUN)
@@ -356,8 +363,14 @@
     gateway_request_refuse (request, REFUSAL_QUARANTINED,
                             GATEWAY_QUARANTINE_RETRY_AFTER_MS);
   else
-    gateway_request_refuse (request, REFUSAL_NO_UPSTREAM,
-                            DEFAULT_RETRY_AFTER_MS);
+    {
+      pause_ns = registry_pause_left_ns (
+          &gateway->registry, request->service->id, gateway_now_ns (gateway));
+      gateway_request_refuse (
+          request, REFUSAL_NO_UPSTREAM,
+          pause_ns == 0 ? DEFAULT_RETRY_AFTER_MS
+                        : (uint32_t)(pause_ns / CLOCK_NS_PER_MS) + 1);
+    }
 }
 
 /* Progress. */
@@ -387,7 +400,33 @@
 static void
 on_draining (void *user)
 {
-  (void)user;
+  struct gateway_request *request = user;
+  struct gateway *gateway = request->gateway;
+  struct registry_upstream *upstream
+      = registry_find (&gateway->registry, request->upstream_id);
+
+  if (upstream != NULL && registry_set_leaving (&gateway->registry, upstream))
+    LOG (LOG_UPSTREAM_DRAINING, request->parsed.id,
+         LOG_S ("upstream", upstream->record.identity),
+         LOG_S ("from", "response"));
+}
+
+static void
+on_paused (void *user, uint32_t pause_ms)
+{
+  struct gateway_request *request = user;
+  struct gateway *gateway = request->gateway;
+  struct registry_upstream *upstream
+      = registry_find (&gateway->registry, request->upstream_id);
+  /* Instances that heard the same do not come back all at once. */
+  uint64_t spread_ms = rng_below (&gateway->rng, pause_ms / PAUSE_SPREAD + 1);
+
+  if (upstream != NULL
+      && registry_pause (upstream, (pause_ms + spread_ms) * CLOCK_NS_PER_MS,
+                         gateway_now_ns (gateway)))
+    LOG (LOG_UPSTREAM_PAUSED, request->parsed.id,
+         LOG_S ("upstream", upstream->record.identity),
+         LOG_U ("ms", pause_ms));
 }
 
 /* A request that failed at one upstream may succeed at another one. */
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -193,6 +193,35 @@
         names[i], gateway->counters.dispatch.held[i]);
 }
 
+static bool
+is_leaving (const struct gateway *gateway,
+            const struct registry_upstream *upstream)
+{
+  (void)gateway;
+  return upstream->leaving;
+}
+
+static bool
+is_paused (const struct gateway *gateway,
+           const struct registry_upstream *upstream)
+{
+  return registry_paused (upstream, gateway_now_ns (gateway));
+}
+
+static uint32_t
+count_upstreams (const struct gateway *gateway,
+                 bool (*counts) (const struct gateway *gateway,
+                                 const struct registry_upstream *upstream))
+{
+  const struct registry_upstream *upstream;
+  uint32_t count = 0;
+
+  for (upstream = gateway->registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    count += counts (gateway, upstream);
+  return count;
+}
+
 static void
 write_gauges (const struct gateway *gateway, struct evbuffer *body)
 {
@@ -207,6 +236,10 @@
       quarantine_held_count (&gateway->quarantine, gateway_now_ns (gateway)) },
     { "waiting", "requests that wait for an upstream",
       gateway->wait_queue.count },
+    { "upstreams_leaving", "upstreams that said in a response that they leave",
+      count_upstreams (gateway, is_leaving) },
+    { "upstreams_paused", "upstreams that want no requests now",
+      count_upstreams (gateway, is_paused) },
     { "upstreams", "upstreams known",
       HASH_COUNT (gateway->registry.upstreams) },
     { "neighbours", "other gateways linked",
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -83,7 +83,8 @@
 {
   size_t i;
 
-  if (!registry_usable (upstream, request->service_id))
+  if (!registry_usable (upstream, request->service_id)
+      || registry_paused (upstream, request->now_ns))
     return false;
   for (i = 0; i < request->excluded_count; i++)
     if (request->excluded[i] == upstream->id)
@@ -166,7 +167,8 @@
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     {
-      if (!registry_usable (upstream, service_id) || avoided (upstream, now_ns)
+      if (!registry_usable (upstream, service_id)
+          || registry_paused (upstream, now_ns) || avoided (upstream, now_ns)
           || (count > SAMPLE_SIZE && rng_below (rng, count) >= SAMPLE_SIZE))
         continue;
       cost = registry_backlog_tokens (upstream) + running_cost (upstream);
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -30,6 +30,9 @@
                       const struct registry_record *record);
 static void put_tombstone (struct registry *registry, const char *identity,
                            uint64_t revision, uint64_t now_ns);
+static void bury (struct registry *registry,
+                  struct registry_upstream *upstream, uint64_t revision,
+                  uint64_t now_ns);
 static void expire_tombstones (struct registry *registry, uint64_t now_ns);
 
 void
@@ -109,7 +112,56 @@
 registry_usable (const struct registry_upstream *upstream, uint64_t service_id)
 {
   return upstream->record.service_id == service_id
-         && !upstream->record.draining;
+         && !upstream->record.draining && !upstream->leaving;
+}
+
+bool
+registry_set_leaving (struct registry *registry,
+                      struct registry_upstream *upstream)
+{
+  if (upstream->leaving)
+    return false;
+  upstream->leaving = true;
+  registry->generation++;
+  return true;
+}
+
+bool
+registry_pause (struct registry_upstream *upstream, uint64_t pause_ns,
+                uint64_t now_ns)
+{
+  bool wanted = !registry_paused (upstream, now_ns);
+
+  if (now_ns + pause_ns > upstream->pause_end_ns)
+    upstream->pause_end_ns = now_ns + pause_ns;
+  return wanted;
+}
+
+bool
+registry_paused (const struct registry_upstream *upstream, uint64_t now_ns)
+{
+  return upstream->pause_end_ns > now_ns;
+}
+
+uint64_t
+registry_pause_left_ns (const struct registry *registry, uint64_t service_id,
+                        uint64_t now_ns)
+{
+  const struct registry_upstream *upstream;
+  uint64_t least = UINT64_MAX;
+  uint64_t left;
+
+  for (upstream = registry->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      if (!registry_usable (upstream, service_id))
+        continue;
+      left = registry_paused (upstream, now_ns)
+                 ? upstream->pause_end_ns - now_ns
+                 : 0;
+      least = left < least ? left : least;
+    }
+  return least == UINT64_MAX ? 0 : least;
 }
 
 /* A restarted upstream is a new one under the same identity: nothing known of
@@ -159,11 +211,15 @@
 add_upstream (struct registry *registry, const struct registry_record *record)
 {
   struct registry_upstream *upstream = calloc (1, sizeof (*upstream));
+  const struct registry_tombstone *tombstone
+      = find_tombstone (registry, record->identity);
 
   if (upstream == NULL)
     return ERR_NO_MEMORY;
   upstream->record = *record;
   upstream->id = incarnation_id (record);
+  upstream->leaving
+      = tombstone != NULL && tombstone->leaving_id == upstream->id;
   upstream->listed = true;
   HASH_ADD (hh, registry->upstreams, record.identity[0],
             strlen (upstream->record.identity), upstream);
@@ -241,10 +297,9 @@
 {
   if (upstream->missing_ns == 0 || upstream->missing_revision < revision)
     upstream->missing_revision = revision;
-  if (grace_ns == 0 || upstream->record.draining)
+  if (grace_ns == 0 || upstream->record.draining || upstream->leaving)
     {
-      put_tombstone (registry, upstream->record.identity, revision, now_ns);
-      remove_upstream (registry, upstream);
+      bury (registry, upstream, revision, now_ns);
       return;
     }
   if (upstream->missing_ns != 0)
@@ -292,9 +347,7 @@
       if (upstream->missing_ns != 0
           && now_ns - upstream->missing_ns >= upstream->grace_ns)
         {
-          put_tombstone (registry, upstream->record.identity,
-                         upstream->missing_revision, now_ns);
-          remove_upstream (registry, upstream);
+          bury (registry, upstream, upstream->missing_revision, now_ns);
         }
     }
   expire_tombstones (registry, now_ns);
@@ -351,6 +404,20 @@
   tombstone->removed_ns = now_ns;
 }
 
+/* Removes an upstream that the store lacks, and leaves a tombstone. */
+static void
+bury (struct registry *registry, struct registry_upstream *upstream,
+      uint64_t revision, uint64_t now_ns)
+{
+  struct registry_tombstone *tombstone;
+
+  put_tombstone (registry, upstream->record.identity, revision, now_ns);
+  tombstone = find_tombstone (registry, upstream->record.identity);
+  if (tombstone != NULL && upstream->leaving)
+    tombstone->leaving_id = upstream->id;
+  remove_upstream (registry, upstream);
+}
+
 static void
 expire_tombstones (struct registry *registry, uint64_t now_ns)
 {
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -63,6 +63,8 @@
   struct registry_load load;
   struct outlier outlier;
   struct engine_quota quota;
+  bool leaving;              /**< by its own word in a response */
+  uint64_t pause_end_ns;     /**< wants no requests until then; 0: it does */
   bool listed;               /**< present in the listing in progress */
   uint64_t missing_ns;       /**< since when the store lacks it; 0: present */
   uint64_t grace_ns;         /**< time for which it may be missing */
@@ -76,8 +78,9 @@
 /** A removed identity: records of it up to this revision are stale. */
 struct registry_tombstone
 {
-  uint64_t identity; /**< hash */
-  uint64_t revision; /**< store revision that lacked it */
+  uint64_t identity;   /**< hash */
+  uint64_t revision;   /**< store revision that lacked it */
+  uint64_t leaving_id; /**< incarnation that was leaving; 0: none */
   /** Revision of its copy in a restored store; see registry_is_copy(). */
   uint64_t copy_revision;
   uint64_t removed_ns;
@@ -142,6 +145,23 @@
                              uint64_t tokens, uint64_t weight);
 /** Whether one of its slots is free, as far as is known here. */
 bool registry_has_free_slot (const struct registry_upstream *upstream);
+/** The upstream said in a response that it leaves.  That holds for its whole
+    incarnation, whatever its registration says.
+    @return whether this is new. */
+bool registry_set_leaving (struct registry *registry,
+                           struct registry_upstream *upstream);
+/** The upstream said that it wants no requests for a time.  A shorter time
+    than is left changes nothing.
+    @return whether it wanted some before. */
+bool registry_pause (struct registry_upstream *upstream, uint64_t pause_ns,
+                     uint64_t now_ns);
+/** Whether it wants no requests now. */
+bool registry_paused (const struct registry_upstream *upstream,
+                      uint64_t now_ns);
+/** Time until an upstream of the service wants requests again; 0 if one does,
+    or if there is none. */
+uint64_t registry_pause_left_ns (const struct registry *registry,
+                                 uint64_t service_id, uint64_t now_ns);
 /** True when it belongs to the service and accepts new requests. */
 bool registry_usable (const struct registry_upstream *upstream,
                       uint64_t service_id);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -33,6 +33,8 @@
   [LOG_ATTEMPT_STARTED] = { LOG_LEVEL_DEBUG, "attempt started", true },
   [LOG_ATTEMPT_FAILED] = { LOG_LEVEL_WARN, "attempt failed", false },
   [LOG_UPSTREAM_DRAINING] = { LOG_LEVEL_INFO, "upstream is draining", false },
+  [LOG_UPSTREAM_PAUSED]
+  = { LOG_LEVEL_INFO, "upstream wants no requests", false },
   [LOG_UPSTREAM_MISMATCH]
   = { LOG_LEVEL_ERROR, "upstream answered another request", false },
   [LOG_UPSTREAM_REJECTED]
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -38,6 +38,10 @@
                          size_t count);
   /** True if the headers state that the upstream is draining. */
   bool (*draining) (const struct upstream_header *headers, size_t count);
+  /** How long the upstream wants no further requests, in ms; 0 if it does not
+      say so.  May be NULL. */
+  uint32_t (*pause_ms) (int status, const struct upstream_header *headers,
+                        size_t count);
 };
 
 /** The default dialect, with headers named Cherrylanding-*. */
@@ -82,6 +86,8 @@
   void (*failed) (void *user, int error);
   /** The response headers state that the upstream is draining. */
   void (*draining) (void *user);
+  /** They state that it wants no requests for a time; may be NULL. */
+  void (*paused) (void *user, uint32_t pause_ms);
 };
 
 struct upstream_attempt;
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -161,6 +161,7 @@
   struct response *response = &attempt->response;
   struct upstream_header headers[RESPONSE_HEADERS_MAX];
   int status = (int)htparser_get_status (parser);
+  uint32_t pause_ms;
   int error;
 
   if (status < 200)
@@ -178,6 +179,13 @@
     attempt->events->draining (attempt->user);
   if (conn->free_pending)
     return -1;
+  pause_ms = dialect->pause_ms == NULL || attempt->events->paused == NULL
+                 ? 0
+                 : dialect->pause_ms (status, headers, response->count);
+  if (pause_ms > 0)
+    attempt->events->paused (attempt->user, pause_ms);
+  if (conn->free_pending)
+    return -1;
   if (error != 0)
     return fail (conn, error);
   conn->reusable = htparser_should_keep_alive (parser) != 0;
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -279,10 +279,13 @@
 send_response (struct upstreamserver_conn *conn, const char *id,
                const char *status, const char *extra_headers, const char *body)
 {
-  evbuffer_add_printf (bufferevent_get_output (conn->bev),
-                       "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s"
-                       "X-Worker-Load: 1,0,8\r\nContent-Length: %zu\r\n\r\n%s",
-                       status, id, extra_headers, strlen (body), body);
+  evbuffer_add_printf (
+      bufferevent_get_output (conn->bev),
+      "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s%s"
+      "X-Worker-Load: 1,0,8\r\nContent-Length: %zu\r\n\r\n%s",
+      status, id, extra_headers,
+      conn->server->extra_headers == NULL ? "" : conn->server->extra_headers,
+      strlen (body), body);
 }
 
 static void
@@ -366,12 +369,14 @@
 
   upstreamserver_get_header (request, "Last-Event-Id", last_event_id,
                              sizeof last_event_id);
-  evbuffer_add_printf (out,
-                       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                       "X-Worker-Signature: %s\r\n"
-                       "Content-Type: text/event-stream\r\n%s\r\n",
-                       id, conn->server->signature,
-                       chunked ? "Transfer-Encoding: chunked\r\n" : "");
+  evbuffer_add_printf (
+      out,
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+      "X-Worker-Signature: %s\r\n"
+      "Content-Type: text/event-stream\r\n%s%s\r\n",
+      id, conn->server->signature,
+      conn->server->extra_headers == NULL ? "" : conn->server->extra_headers,
+      chunked ? "Transfer-Encoding: chunked\r\n" : "");
   for (i = (unsigned int)strtoul (last_event_id, NULL, 10) + 1;
        i <= events + (cut ? 1 : 0); i++)
     {
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -48,6 +48,7 @@
   uint16_t port;
   enum upstreamserver_behaviour behaviour;
   const char *signature;
+  const char *extra_headers;       /**< in all responses, with CRLF; or NULL */
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
   char last_request[UPSTREAMSERVER_MESSAGE_SIZE];
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -207,7 +207,51 @@
   registry_finish (&registry);
 }
 
+/* What an upstream said of itself, against its registrations. */
+static void
+test_notices (void)
+{
+  struct registry registry;
+  struct registry_record record = { .start_ms = 1000, .service_id = 5 };
+  struct registry_upstream *upstream;
+  uint64_t generation;
+
+  snprintf (record.identity, sizeof record.identity, "u-1");
+  record.revision = 1;
+  registry_init (&registry);
+  CU_ASSERT_EQUAL (registry_put (&registry, &record), REGISTRY_CHANGED);
+  upstream = registry.upstreams;
+  generation = registry.generation;
+  CU_ASSERT_TRUE (registry_set_leaving (&registry, upstream));
+  CU_ASSERT_FALSE (registry_set_leaving (&registry, upstream));
+  CU_ASSERT_EQUAL (registry.generation, generation + 1);
+  record.revision++;
+  registry_put (&registry, &record);
+  CU_ASSERT_FALSE (registry_usable (registry.upstreams, 5));
+  registry_mark_missing (&registry, "u-1", ++record.revision, 0, 1);
+  CU_ASSERT_PTR_NULL (registry.upstreams);
+  record.revision++;
+  registry_put (&registry, &record);
+  CU_ASSERT_FALSE (registry_usable (registry.upstreams, 5));
+  record.start_ms = 2000;
+  record.revision++;
+  registry_put (&registry, &record);
+  upstream = registry.upstreams;
+  CU_ASSERT_TRUE (registry_usable (upstream, 5));
+  /* A pause is extended, not shortened. */
+  CU_ASSERT_TRUE (registry_pause (upstream, 4000, 10000));
+  CU_ASSERT_FALSE (registry_pause (upstream, 1000, 10100));
+  CU_ASSERT_TRUE (registry_paused (upstream, 13999));
+  CU_ASSERT_FALSE (registry_pause (upstream, 4000, 10200));
+  CU_ASSERT_EQUAL (registry_pause_left_ns (&registry, 5, 14000), 200);
+  CU_ASSERT_EQUAL (registry_pause_left_ns (&registry, 6, 14000), 0);
+  CU_ASSERT_FALSE (registry_paused (upstream, 14200));
+  CU_ASSERT_EQUAL (registry_pause_left_ns (&registry, 5, 14200), 0);
+  registry_finish (&registry);
+}
+
 static const struct suite_test tests[] = {
+  { "an upstream's own word", test_notices },
   { "restored store", test_restored_store },
   { "draining and removed upstreams", test_draining_and_removal },
   { "grace period for entries lost in an outage", test_outage_grace_period },
