--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -440,6 +440,7 @@
               usage_share_total (&gateway->usage,
                                  request->queue_entry.customer_id, now_ns)),
        LOG_U ("others_had_tokens", gateway->mean_usage_tokens),
+       LOG_U ("cap_tokens", gateway->usage_cap_tokens),
        LOG_U ("crowding_percent", (uint64_t)(gateway->utilisation * 100)));
 }
 
