--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -13,7 +13,8 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
-#define EVENTS 4 /* last event of a stream */
+#define EVENTS        4     /* last event of a stream */
+#define ENDLESS_BLOCK 65536 /* bytes written at once without end */
 
 struct upstreamserver_conn
 {
@@ -24,12 +25,14 @@
   struct event *response_timer; /* pending until the response is due */
   char *request;                /* waits for its response; NULL for none */
   bool close_after_write;       /* close once all output is written */
+  bool endless;                 /* the response has no end */
   struct upstreamserver_conn *prev;
   struct upstreamserver_conn *next;
 };
 
 static void listen_at (struct upstreamserver *server,
                        struct sockaddr_in *address);
+static void send_endless (struct upstreamserver_conn *conn);
 static void crash_after (struct upstreamserver_conn *conn, const char *id,
                          const char *rest);
 static void on_accept (struct evconnlistener *listener, evutil_socket_t fd,
@@ -112,6 +115,18 @@
   listen_at (server, &address);
 }
 
+/* Called again whenever the output has been written. */
+static void
+send_endless (struct upstreamserver_conn *conn)
+{
+  char block[ENDLESS_BLOCK];
+
+  memset (block, 'x', sizeof block);
+  conn->endless = true;
+  conn->server->endless_bytes += sizeof block;
+  bufferevent_write (conn->bev, block, sizeof block);
+}
+
 /* Sends the start of a response with the attempt's ID and what follows it,
    which must not wait for the event loop, and ends the upstream. */
 static void
@@ -183,8 +198,10 @@
   struct upstreamserver_conn *conn = user;
 
   (void)bev;
-  if (conn->close_after_write
-      && conn->behaviour == UPSTREAMSERVER_STREAM_RESET)
+  if (conn->endless)
+    send_endless (conn);
+  else if (conn->close_after_write
+           && conn->behaviour == UPSTREAMSERVER_STREAM_RESET)
     conn_reset (conn);
   else if (conn->close_after_write)
     conn_free (conn);
@@ -339,6 +356,26 @@
       send_stream (conn, id, request, EVENTS, false);
       conn->close_after_write = true;
       break;
+    case UPSTREAMSERVER_ENDLESS_HEAD:
+      evbuffer_add_printf (
+          bufferevent_get_output (conn->bev),
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Long: ", id);
+      send_endless (conn);
+      break;
+    case UPSTREAMSERVER_ENDLESS_BODY:
+      evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                           "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n", id,
+                           signature_header);
+      send_endless (conn);
+      break;
+    case UPSTREAMSERVER_ENDLESS_EVENT:
+      evbuffer_add_printf (
+          bufferevent_get_output (conn->bev),
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s"
+          "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+          id, signature_header);
+      send_endless (conn);
+      break;
     case UPSTREAMSERVER_CRASH:
       crash_after (conn, id, "");
       break;
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -33,6 +33,11 @@
   UPSTREAMSERVER_STREAM_RESET,
   /** Events up to 4, delimited by closing the connection. */
   UPSTREAMSERVER_STREAM_CLOSE_DELIMITED,
+  /** Bytes until the gateway closes the connection: a response head, a body
+      without a length, one event. */
+  UPSTREAMSERVER_ENDLESS_HEAD,
+  UPSTREAMSERVER_ENDLESS_BODY,
+  UPSTREAMSERVER_ENDLESS_EVENT,
   /** The whole upstream ends: before the response, within its head, within the
       first event. */
   UPSTREAMSERVER_CRASH,
@@ -51,6 +56,7 @@
   const char *extra_headers;       /**< in all responses, with CRLF; or NULL */
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
+  uint64_t endless_bytes;          /**< sent of responses without end */
   char last_request[UPSTREAMSERVER_MESSAGE_SIZE];
   uint32_t response_delay_ms; /**< time from a request to its response */
   /** Called with each HTTP message before it is answered; may set `behaviour`
