A pass over the wait queue makes an offer, however slow its start; one write of the quarantine at a time

The 10 ms of a pass began before its set-up, so one whose set-up takes longer, on a slow gateway before a thousand engines, would never offer a request; they begin with the first offer. A write to the store that was pending at the end of the process lost its memory; it is kept in the gateway, one at a time. Found by reading; no test shows either.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,14 @@
   struct gateway_dispatch_counters dispatch;
 };
 
+/** A write to the store on behalf of a held part of prompts. */
+struct gateway_quarantine_write
+{
+  bool pending; /**< one at a time */
+  struct quarantine_key key;
+  uint32_t generation;
+};
+
 struct gateway
 {
   struct gateway_settings settings;
@@ -118,6 +126,7 @@
   struct fleet_retry_budget fleet_retry_budget;
   struct usage_share usage;
   struct quarantine quarantine; /**< parts of prompts that crash upstreams */
+  struct gateway_quarantine_write quarantine_write;
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
@@ -126,8 +135,8 @@
   double utilisation;          /**< 0: free; 1: half the capacity is in use */
   double utilisation_with_waiting; /**< same, waiting requests included */
   uint64_t load_generation;        /**< incremented when known load changes */
-  /** Of the last pass over the wait queue: its start and end, and its duration
-      without the time in which requests were sent. */
+  /** Of the last pass over the wait queue: its first offer (0: none yet), its
+      end, and its duration without the time in which requests were sent. */
   uint64_t dispatch_start_ns;
   uint64_t dispatch_end_ns;
   uint64_t dispatch_duration_ns;
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -32,14 +32,6 @@
 #define STORED_UPSTREAM_ID 1
 #define TICKS_PER_EXPIRY   100
 
-/** A write to the store in progress. */
-struct quarantine_write
-{
-  struct gateway *gateway;
-  struct quarantine_key key;
-  uint32_t generation;
-};
-
 static void on_changed (void *user, const struct quarantine_part *part);
 static bool ask_for_trial (struct gateway *gateway,
                            struct quarantine_part *part);
@@ -50,7 +42,7 @@
 static int write_store (struct gateway *gateway,
                         const struct quarantine_part *part,
                         const struct kvstore_txn *txn, kvstore_write_fn done);
-static struct quarantine_part *finish_write (struct quarantine_write *write);
+static struct quarantine_part *finish_write (struct gateway *gateway);
 static void format_key (const struct gateway *gateway,
                         const struct quarantine_key *key, uint32_t trial,
                         char text[KEY_SIZE]);
@@ -68,10 +60,9 @@
 static void
 on_changed (void *user, const struct quarantine_part *part)
 {
-  struct gateway *gateway = user;
   char id[24];
 
-  (void)gateway;
+  (void)user;
   snprintf (id, sizeof id, "%" PRIx64, part->key.part);
   LOG (part->held_ns != 0 ? LOG_PART_HELD : LOG_PART_RELEASED, NULL,
        LOG_S ("part", id), LOG_U ("upstreams", part->upstream_count),
@@ -261,7 +252,7 @@
          LOG_S ("error", err_name (error)));
 }
 
-/* @return whether a write is in progress. */
+/* @return whether the decision is in progress. */
 static bool
 ask_for_trial (struct gateway *gateway, struct quarantine_part *part)
 {
@@ -282,10 +273,9 @@
 static void
 on_trial_decided (void *user, int error, uint64_t index)
 {
-  const struct quarantine_write *write = user;
-  struct gateway *gateway = write->gateway;
-  uint32_t generation = write->generation;
-  struct quarantine_part *part = finish_write (user);
+  struct gateway *gateway = user;
+  uint32_t generation = gateway->quarantine_write.generation;
+  struct quarantine_part *part = finish_write (gateway);
   char id[24];
 
   (void)index;
@@ -308,18 +298,17 @@
 write_store (struct gateway *gateway, const struct quarantine_part *part,
              const struct kvstore_txn *txn, kvstore_write_fn done)
 {
-  struct quarantine_write *write = malloc (sizeof *write);
-  int error = ERR_NO_MEMORY;
+  int error;
 
-  if (write != NULL)
-    {
-      *write
-          = (struct quarantine_write){ gateway, part->key, part->generation };
-      error = gateway->store->ops->txn (gateway->store, txn, done, write);
-    }
+  if (gateway->quarantine_write.pending)
+    return ERR_FULL;
+  gateway->quarantine_write = (struct gateway_quarantine_write){
+    .pending = true, .key = part->key, .generation = part->generation
+  };
+  error = gateway->store->ops->txn (gateway->store, txn, done, gateway);
   if (error == 0)
     return 0;
-  free (write);
+  gateway->quarantine_write.pending = false;
   LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "quarantine"),
        LOG_S ("error", err_name (error)));
   return error;
@@ -327,13 +316,11 @@
 
 /* @return the part; NULL if it was forgotten meanwhile. */
 static struct quarantine_part *
-finish_write (struct quarantine_write *write)
+finish_write (struct gateway *gateway)
 {
-  struct quarantine_part *part
-      = quarantine_find (&write->gateway->quarantine, &write->key);
-
-  free (write);
-  return part;
+  gateway->quarantine_write.pending = false;
+  return quarantine_find (&gateway->quarantine,
+                          &gateway->quarantine_write.key);
 }
 
 /* @param trial  0 for the entry of the part itself. */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -379,8 +379,11 @@
   struct choose_result result;
   uint64_t now_ns = gateway_now_ns (gateway);
 
-  if (now_ns - gateway->dispatch_start_ns
-      >= DISPATCH_SLICE_MS * CLOCK_NS_PER_MS)
+  /* The slice begins with the first offer, so that each pass makes one. */
+  if (gateway->dispatch_start_ns == 0)
+    gateway->dispatch_start_ns = now_ns;
+  else if (now_ns - gateway->dispatch_start_ns
+           >= DISPATCH_SLICE_MS * CLOCK_NS_PER_MS)
     {
       event_active (gateway->dispatch, EV_TIMEOUT, 0);
       return WAIT_QUEUE_STOP;
@@ -503,7 +506,7 @@
   gateway->mean_usage_tokens
       = usage_share_backlogged_mean (&gateway->usage, now_ns);
   update_utilisation (gateway);
-  gateway->dispatch_start_ns = now_ns;
+  gateway->dispatch_start_ns = 0;
   gateway->dispatch_duration_ns = 0;
   wait_queue_offer (&gateway->wait_queue, &gateway->usage, now_ns, try_send,
                     gateway);
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -45,6 +45,8 @@
 static size_t request_size (const char *message, size_t size);
 static void on_response_due (evutil_socket_t fd, short what, void *user);
 static void respond (struct upstreamserver_conn *conn, const char *request);
+static void respond_without_end (struct upstreamserver_conn *conn,
+                                 const char *id, const char *signature_header);
 static void send_response (struct upstreamserver_conn *conn, const char *id,
                            const char *status, const char *extra_headers,
                            const char *body);
@@ -305,6 +307,50 @@
       strlen (body), body);
 }
 
+/* Behaviours after which the upstream has crashed, or never ends. */
+static void
+respond_without_end (struct upstreamserver_conn *conn, const char *id,
+                     const char *signature_header)
+{
+  switch (conn->behaviour)
+    {
+    case UPSTREAMSERVER_ENDLESS_HEAD:
+      evbuffer_add_printf (
+          bufferevent_get_output (conn->bev),
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Long: ", id);
+      send_endless (conn);
+      break;
+    case UPSTREAMSERVER_ENDLESS_BODY:
+      evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                           "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n", id,
+                           signature_header);
+      send_endless (conn);
+      break;
+    case UPSTREAMSERVER_ENDLESS_EVENT:
+      evbuffer_add_printf (
+          bufferevent_get_output (conn->bev),
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s"
+          "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+          id, signature_header);
+      send_endless (conn);
+      break;
+    case UPSTREAMSERVER_CRASH:
+      crash_after (conn, id, "");
+      break;
+    case UPSTREAMSERVER_CRASH_IN_HEAD:
+      crash_after (conn, id, "X-Wor");
+      break;
+    case UPSTREAMSERVER_CRASH_IN_EVENT:
+      crash_after (conn, id,
+                   "X-Worker-Signature: crashed\r\n"
+                   "Content-Type: text/event-stream\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\nda");
+      break;
+    default: /* UPSTREAMSERVER_HANG */
+      break;
+    }
+}
+
 static void
 respond (struct upstreamserver_conn *conn, const char *request)
 {
@@ -356,40 +402,8 @@
       send_stream (conn, id, request, EVENTS, false);
       conn->close_after_write = true;
       break;
-    case UPSTREAMSERVER_ENDLESS_HEAD:
-      evbuffer_add_printf (
-          bufferevent_get_output (conn->bev),
-          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Long: ", id);
-      send_endless (conn);
-      break;
-    case UPSTREAMSERVER_ENDLESS_BODY:
-      evbuffer_add_printf (bufferevent_get_output (conn->bev),
-                           "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n", id,
-                           signature_header);
-      send_endless (conn);
-      break;
-    case UPSTREAMSERVER_ENDLESS_EVENT:
-      evbuffer_add_printf (
-          bufferevent_get_output (conn->bev),
-          "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s"
-          "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
-          id, signature_header);
-      send_endless (conn);
-      break;
-    case UPSTREAMSERVER_CRASH:
-      crash_after (conn, id, "");
-      break;
-    case UPSTREAMSERVER_CRASH_IN_HEAD:
-      crash_after (conn, id, "X-Wor");
-      break;
-    case UPSTREAMSERVER_CRASH_IN_EVENT:
-      crash_after (conn, id,
-                   "X-Worker-Signature: crashed\r\n"
-                   "Content-Type: text/event-stream\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\nda");
-      break;
-    case UPSTREAMSERVER_HANG:
-    case UPSTREAMSERVER_BEHAVIOUR_MAX:
+    default:
+      respond_without_end (conn, id, signature_header);
       break;
     }
 }
