--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -418,7 +418,7 @@
   struct gateway *gateway = request->gateway;
   struct registry_upstream *upstream
       = registry_find (&gateway->registry, request->upstream_id);
-  /* Instances that heard the same do not come back all at once. */
+  /* Spreads the end of the pause over the instances. */
   uint64_t spread_ms = rng_below (&gateway->rng, pause_ms / PAUSE_SPREAD + 1);
 
   if (upstream != NULL
--- a/src/state/quarantine.c
+++ b/src/state/quarantine.c
@@ -7,8 +7,9 @@
 #include <string.h>
 
 #define NS_PER_MS 1000000ULL /* nanoseconds */
-/* A response counts as evidence for a part for so long: the parts of a busy
-   customer are in one far more often, also while some upstreams are down. */
+/* Age up to which a response is evidence for the parts of its prompt.  Parts
+   that many requests share appear in responses more often, even while some
+   upstreams are down. */
 #define RESPONSE_VALID_MS 3000
 /* Requests that one crash breaks off end within this time. */
 #define CRASH_INTERVAL_MS 1000
@@ -22,7 +23,7 @@
 #define HELD_TTL_MS 3600000
 /* First pause before a trial; doubles with each one. */
 #define TRIAL_DELAY_MS 30000
-/* The instance that may send a trial waits so long for a request. */
+/* Time after which a trial that was granted expires unused. */
 #define TRIAL_VALID_MS 60000
 #define PARTS_MAX      1024
 #define SUCCESSES_MAX  4096
--- a/src/state/usage_share.c
+++ b/src/state/usage_share.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #define NS_PER_MS 1000000.0 /* nanoseconds */
-/* Averaging time of demand: clients that are refused come back within a second
-   or two. */
+/* Time constant of the demand counters; refused clients retry within two
+   seconds. */
 #define DEMAND_WINDOW_MS 1000.0
 /* In the mean usage, a customer is weighted by its number of waiting requests,
    up to this number.  One with a single waiting request demands little, so its
--- a/tests/test_crashing_prompts.c
+++ b/tests/test_crashing_prompts.c
@@ -21,11 +21,11 @@
 #define CULPRITS_MAX 2
 
 #define STEP_MS       10 /* from one request to the next */
-#define CULPRIT_STEPS 4  /* one request of so many has a culprit */
+#define CULPRIT_STEPS 4  /* on average, from one culprit to the next */
 #define DOWN_MS       400
 #define RESPONSE_MS   30
 #define FREE_CRASHES  5 /* of each culprit, before requests are counted */
-/* From then on, further requests are allowed for so long. */
+/* Time after the last of these in which requests are not counted. */
 #define NOTICE_MS 1000
 #define FURTHER_MAX                                                           \
   3 /* requests with a culprit that reach upstreams later                     \
@@ -41,7 +41,7 @@
   unsigned int position; /* of the culprit among the shared parts */
   enum upstreamserver_behaviour crash;
   const char *route;
-  bool new_identity; /* upstreams come back under a new one */
+  bool new_identity; /* crashed upstreams register a new identity */
   bool store_down;   /* while they crash */
   bool restart;      /* all gateways restart at half-time */
   bool kills;        /* upstreams are killed without a culprit */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -138,7 +138,7 @@
       CU_ASSERT_FALSE (holds (&fleet[i], START + 3 * S));
       CU_ASSERT_EQUAL (quarantine_crashes (&fleet[i], SERVICE, culprit, 1), 0);
     }
-  /* Nothing is left to be told: no rows go round for ever. */
+  /* All rows have been sent: none circulates forever. */
   for (i = 0; i < INSTANCES; i++)
     CU_ASSERT_EQUAL (quarantine_rows (&fleet[i], &sent[i][(i + 1) % INSTANCES],
                                       (struct quarantine_row[ROWS]){ 0 },
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -69,7 +69,7 @@
   /* Its registration does not take that back. */
   register_start (&fixture, 0, 1000);
   CU_ASSERT_EQUAL (reached (&fixture, 0, PLAIN), 0);
-  /* Nor does one that was lost and comes back. */
+  /* Neither does a registration that was removed and written again. */
   storeserver_put (&fixture.store, "servers/w-0", NULL);
   gatefixture_run (&fixture, 1500);
   register_start (&fixture, 0, 1000);
