--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -63,6 +63,7 @@
 static void count_shed_connections (struct gateway *gateway, uint64_t now_ns);
 static void log_shed_connections (struct gateway *gateway);
 static void log_dispatch (struct gateway *gateway);
+static void log_loop_time (struct gateway *gateway);
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
@@ -81,6 +82,7 @@
   gateway->base = base;
   gateway->store = store;
   clock_init_real (&gateway->clock);
+  gateway->loop_time.clock = &gateway->clock;
   log_init (LOG_LEVEL_DEBUG, &gateway->clock);
   log_set_sink (&(struct log_sink){ .fd = STDOUT_FILENO,
                                     .instance = gateway->settings.instance,
@@ -145,6 +147,7 @@
     .accepts = accepts_connections,
     .refuse = gateway_request_refuse_unparsed,
     .user = gateway,
+    .time = &gateway->loop_time,
   };
   const struct upstream_http_config client = {
     .base = gateway->base,
@@ -271,6 +274,7 @@
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway *gateway = arg;
+  enum loop_work work = looptime_begin (&gateway->loop_time, LOOP_WORK_PEERS);
   uint64_t now_ns = gateway_now_ns (gateway);
   uint64_t due_ns;
 
@@ -294,9 +298,11 @@
       upstream_http_close_idle (gateway->upstream_client);
       log_shed_connections (gateway);
       log_dispatch (gateway);
+      log_loop_time (gateway);
     }
   if (gateway->draining)
     check_drain (gateway, now_ns);
+  looptime_begin (&gateway->loop_time, work);
 }
 
 static bool
@@ -363,6 +369,26 @@
   gateway->dispatch_logged = *now;
 }
 
+/* Logs what the event loop has spent its time on since the last line, if ready
+   events had to wait for it. */
+static void
+log_loop_time (struct gateway *gateway)
+{
+  const struct looptime *now = &gateway->loop_time;
+  const struct looptime *last = &gateway->loop_time_logged;
+  struct log_field fields[LOOP_WORK_MAX];
+  int work;
+
+  for (work = 0; work < LOOP_WORK_MAX; work++)
+    fields[work] = LOG_U (looptime_name ((enum loop_work)work),
+                          (now->total_ns[work] - last->total_ns[work])
+                              / CLOCK_NS_PER_MS);
+  if (looplag_ns (&gateway->loop_lag)
+      >= LOOP_LAG_ACCEPT_MAX_MS * CLOCK_NS_PER_MS)
+    log_write (LOG_LOOP_TIME, NULL, fields, LOOP_WORK_MAX);
+  gateway->loop_time_logged = *now;
+}
+
 static void
 on_lag_measured (void *user, uint64_t lag_ns)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "transport/clock.h"
 #include "transport/httpd.h"
 #include "transport/looplag.h"
+#include "transport/looptime.h"
 #include "transport/upstream_http.h"
 #include <event2/event.h>
 #include <event2/http.h>
@@ -154,7 +155,9 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
-  uint64_t shed_logged;  /**< connections turned away, as logged */
+  struct looptime loop_time;
+  struct looptime loop_time_logged; /**< as of the last line */
+  uint64_t shed_logged;             /**< connections turned away, as logged */
   uint64_t shed_counted; /**< same, as counted for their customers */
   struct gateway_dispatch_counters dispatch_logged; /**< as of the last line */
   uint64_t control_late_ns; /**< when gateway_check_control() last logged */
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -42,6 +42,7 @@
 static void on_peer_down (void *user, uint64_t instance_id, int error);
 static void on_peer_rejected (void *user, const char *address, int error);
 static void on_report_timer (evutil_socket_t fd, short what, void *arg);
+static void report (struct gateway_peers *peers);
 static int start_net (struct gateway_peers *peers);
 static struct gateway_peer *find_peer (const struct gateway_peers *peers,
                                        uint64_t instance_id);
@@ -424,11 +425,21 @@
 on_report_timer (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway_peers *peers = arg;
-  uint64_t now_ns = gateway_now_ns (peers->gateway);
-  bool to_hubs = peers->report_ticks % REPORT_TICKS == 0;
+  struct looptime *time = &peers->gateway->loop_time;
+  enum loop_work work = looptime_begin (time, LOOP_WORK_PEERS);
 
   (void)fd;
   (void)what;
+  report (peers);
+  looptime_begin (time, work);
+}
+
+static void
+report (struct gateway_peers *peers)
+{
+  uint64_t now_ns = gateway_now_ns (peers->gateway);
+  bool to_hubs = peers->report_ticks % REPORT_TICKS == 0;
+
   peers->report_ticks++;
   if (!to_hubs)
     {
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -29,6 +29,7 @@
   const struct routing_customer *customer;
 };
 
+static void handle_arrived (struct gateway *gateway, evhtp_request_t *http);
 static enum refusal check_request (struct gateway *gateway,
                                    evhtp_request_t *http,
                                    struct request_validation *validation);
@@ -52,6 +53,16 @@
 gateway_request_arrived (void *user, evhtp_request_t *http)
 {
   struct gateway *gateway = user;
+  enum loop_work work
+      = looptime_begin (&gateway->loop_time, LOOP_WORK_REQUEST);
+
+  handle_arrived (gateway, http);
+  looptime_begin (&gateway->loop_time, work);
+}
+
+static void
+handle_arrived (struct gateway *gateway, evhtp_request_t *http)
+{
   struct request_validation validation = { .route = NULL };
   struct gateway_request *request = NULL;
   enum refusal refusal;
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -50,6 +50,7 @@
 static void on_body (void *user, struct evbuffer *data);
 static void on_completed (void *user);
 static void on_failed (void *user, int error);
+static void complete_attempt (struct gateway_request *request);
 static void on_draining (void *user);
 static void on_paused (void *user, uint32_t pause_ms);
 
@@ -130,6 +131,7 @@
     .last_event_id
     = last_event_id == NULL ? request->parsed.last_event_id : last_event_id,
   };
+  enum loop_work work;
   struct upstream_request http_request = {
     .request_id = request->parsed.id,
     .method = htparser_get_methodstr_m (request->reply.http->method),
@@ -167,8 +169,10 @@
        LOG_U ("ahead_tokens", result->backlog_tokens),
        LOG_S ("home", result->primary ? "yes" : "no"),
        LOG_U ("remaining_ms", header_values.remaining_ms));
+  work = looptime_begin (&gateway->loop_time, LOOP_WORK_SEND);
   request->attempt = upstream_http_driver.start (
       gateway->upstream_client, &http_request, &events, request);
+  looptime_begin (&gateway->loop_time, work);
   if (request->attempt == NULL)
     handle_attempt_failure (request, ERR_REFUSED);
 }
@@ -487,11 +491,14 @@
 on_body (void *user, struct evbuffer *data)
 {
   struct gateway_request *request = user;
+  struct looptime *time = &request->gateway->loop_time;
+  enum loop_work work = looptime_begin (time, LOOP_WORK_RESPONSE);
 
   if (request->discard)
     evbuffer_drain (data, evbuffer_get_length (data));
   else
     forward_body (request, data);
+  looptime_begin (time, work);
 }
 
 static void
@@ -538,6 +545,16 @@
 on_completed (void *user)
 {
   struct gateway_request *request = user;
+  struct looptime *time = &request->gateway->loop_time;
+  enum loop_work work = looptime_begin (time, LOOP_WORK_RESPONSE);
+
+  complete_attempt (request);
+  looptime_begin (time, work);
+}
+
+static void
+complete_attempt (struct gateway_request *request)
+{
   struct gateway *gateway = request->gateway;
   struct registry_upstream *upstream
       = registry_find (&gateway->registry, request->upstream_id);
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -46,6 +46,7 @@
                               uint64_t now_ns);
 static enum wait_queue_answer try_send (void *user, void *owner);
 static void expire_waiting (void *user, void *owner);
+static void dispatch_waiting (struct gateway *gateway);
 static void wait_for_dispatch (struct gateway *gateway, uint64_t rest_ns);
 static void refuse_full (struct gateway_request *request);
 static void send_to (struct gateway_request *request,
@@ -481,13 +482,23 @@
 gateway_request_dispatch_waiting (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway *gateway = arg;
-  uint64_t now_ns = gateway_now_ns (gateway);
-  uint64_t rest_ns = gateway->dispatch_duration_ns * DISPATCH_REST_FACTOR;
+  enum loop_work work;
 
   (void)fd;
   (void)what;
   if (gateway->wait_queue.count == 0)
     return;
+  work = looptime_begin (&gateway->loop_time, LOOP_WORK_DISPATCH);
+  dispatch_waiting (gateway);
+  looptime_begin (&gateway->loop_time, work);
+}
+
+static void
+dispatch_waiting (struct gateway *gateway)
+{
+  uint64_t now_ns = gateway_now_ns (gateway);
+  uint64_t rest_ns = gateway->dispatch_duration_ns * DISPATCH_REST_FACTOR;
+
   if (now_ns - gateway->expire_ns >= EXPIRE_INTERVAL_MS * CLOCK_NS_PER_MS)
     {
       gateway->expire_ns = now_ns;
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -78,6 +78,7 @@
 
 static void intercept_input (struct httpd_conn *conn);
 static void on_readable (struct bufferevent *bev, void *arg);
+static bool complete_line (struct httpd_conn *conn, struct bufferevent *bev);
 static bool request_line_complete (struct evbuffer *input);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
@@ -85,6 +86,8 @@
 static void on_shed (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
+static evhtp_res accept_connection (struct httpd *httpd,
+                                    evhtp_connection_t *evhtp);
 static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
 static evhtp_res on_header (evhtp_request_t *http, evhtp_header_t *header,
                             void *arg);
@@ -112,6 +115,7 @@
 static void notify_gone (struct httpd_conn *conn);
 static const char *request_id (const struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
+static enum loop_work begin_work (struct httpd *httpd, enum loop_work work);
 
 int
 httpd_new (struct httpd **out, const struct httpd_config *config)
@@ -331,6 +335,14 @@
     notify_gone (conn);
 }
 
+static enum loop_work
+begin_work (struct httpd *httpd, enum loop_work work)
+{
+  return httpd->config.time == NULL
+             ? LOOP_WORK_OTHER
+             : looptime_begin (httpd->config.time, work);
+}
+
 uint64_t
 httpd_shed_count (const struct httpd *httpd)
 {
@@ -396,6 +408,7 @@
 on_shed (evutil_socket_t fd, short what, void *arg)
 {
   struct httpd *httpd = arg;
+  enum loop_work work = begin_work (httpd, LOOP_WORK_TURN_AWAY);
   size_t left = turnaway_close (&httpd->turnaway);
 
   (void)fd;
@@ -411,12 +424,23 @@
         httpd->shed_response);
   else if (left == 0)
     event_del (httpd->shed);
+  begin_work (httpd, work);
 }
 
 static evhtp_res
 on_accept (evhtp_connection_t *evhtp, void *arg)
 {
   struct httpd *httpd = arg;
+  enum loop_work work = begin_work (httpd, LOOP_WORK_ACCEPT);
+  evhtp_res result = accept_connection (httpd, evhtp);
+
+  begin_work (httpd, work);
+  return result;
+}
+
+static evhtp_res
+accept_connection (struct httpd *httpd, evhtp_connection_t *evhtp)
+{
   const struct httpd_limits *limits = &httpd->config.limits;
   const struct timeval write_timeout
       = clock_timeval (limits->write_timeout_ms);
@@ -480,6 +504,19 @@
 {
   evhtp_connection_t *evhtp = arg;
   struct httpd_conn *conn = evhtp->hooks->on_connection_fini_arg;
+  struct httpd *httpd = conn->httpd;
+  enum loop_work work = begin_work (httpd, LOOP_WORK_PARSE);
+
+  if (complete_line (conn, bev))
+    conn->parse (bev, arg);
+  begin_work (httpd, work);
+}
+
+/* @return whether the parser may be given the input. */
+static bool
+complete_line (struct httpd_conn *conn, struct bufferevent *bev)
+{
+  evhtp_connection_t *evhtp = conn->evhtp;
   const struct httpd_limits *limits = &conn->httpd->config.limits;
   struct evbuffer *input = bufferevent_get_input (bev);
 
@@ -496,12 +533,11 @@
         {
           refuse (conn, REFUSAL_HEADERS_TOO_LARGE);
           evhtp_connection_free (evhtp);
-          return;
+          return false;
         }
-      if (!conn->line_complete)
-        return;
+      return conn->line_complete;
     }
-  conn->parse (bev, arg);
+  return true;
 }
 
 /* Empty lines may precede it. */
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -9,6 +9,7 @@
 #define TRANSPORT_HTTPD_H
 
 #include "state/refusal.h"
+#include "transport/looptime.h"
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <evhtp/evhtp.h>
@@ -55,6 +56,7 @@
   void (*refuse) (void *user, enum refusal refusal, const char *request_id,
                   struct evbuffer *out);
   void *user;
+  struct looptime *time; /**< of the event loop; may be NULL */
 };
 
 struct httpd;
