--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -159,6 +159,8 @@
   MESSAGE_SUBJECT_QUEUED,   /**< an upstream; in place of requests the tokens
                                queued for it, and these weighted */
   MESSAGE_SUBJECT_EJECTED,  /**< an upstream; instances that have ejected it */
+  MESSAGE_SUBJECT_OUT,      /**< an availability zone; its instances that are
+                               out of the load balancer's rotation */
   MESSAGE_SUBJECT_MAX
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -60,7 +60,7 @@
 static void on_tick (evutil_socket_t fd, short what, void *arg);
 static void on_lag_measured (void *user, uint64_t lag_ns);
 static bool accepts_connections (void *user);
-static void count_shed_connections (struct gateway *gateway, uint64_t now_ns);
+static void handle_shed_connections (struct gateway *gateway, uint64_t now_ns);
 static void log_shed_connections (struct gateway *gateway);
 static void log_dispatch (struct gateway *gateway);
 static void log_loop_time (struct gateway *gateway);
@@ -257,8 +257,8 @@
 bool
 gateway_ready (const struct gateway *gateway)
 {
-  return !gateway->draining && gateway->routing != NULL
-         && gateway->upstreams_loaded;
+  return !gateway->draining && !gateway->rotation.out
+         && gateway->routing != NULL && gateway->upstreams_loaded;
 }
 
 static void
@@ -285,7 +285,7 @@
   /* The tick itself may have waited for the loop. */
   looplag_start (&gateway->loop_lag, due_ns < now_ns ? due_ns : now_ns);
   registry_expire (&gateway->registry, now_ns);
-  count_shed_connections (gateway, now_ns);
+  handle_shed_connections (gateway, now_ns);
   /* Usages are not counted by service: a customer of one service of engines
      must not limit those of another. */
   gateway->usage_cap_tokens = HASH_COUNT (gateway->services) > 1
@@ -317,14 +317,21 @@
 
 /* Customers whose connections are turned away wait for capacity, too. */
 static void
-count_shed_connections (struct gateway *gateway, uint64_t now_ns)
+handle_shed_connections (struct gateway *gateway, uint64_t now_ns)
 {
   uint64_t count = httpd_shed_count (gateway->httpd);
+  uint64_t turned_away = count - gateway->shed_counted;
+  struct rotation_zone zone;
 
-  if (count > gateway->shed_counted)
-    usage_share_count_unread (&gateway->usage, count - gateway->shed_counted,
-                              now_ns);
+  if (turned_away > 0)
+    usage_share_count_unread (&gateway->usage, turned_away, now_ns);
   gateway->shed_counted = count;
+  gateway_peers_zone (gateway, &zone);
+  if (rotation_update (&gateway->rotation, turned_away, &zone, now_ns))
+    LOG (LOG_ROTATION_CHANGED, NULL,
+         LOG_S ("in_rotation", gateway->rotation.out ? "no" : "yes"),
+         LOG_U ("zone_instances", zone.instances),
+         LOG_U ("zone_out", zone.others_out + gateway->rotation.out));
 }
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "state/quarantine.h"
 #include "state/refusal.h"
 #include "state/registry.h"
+#include "state/rotation.h"
 #include "state/routing.h"
 #include "state/usage_share.h"
 #include "state/wait_queue.h"
@@ -155,6 +156,7 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
+  struct rotation rotation; /**< of the load balancer */
   struct looptime loop_time;
   struct looptime loop_time_logged; /**< as of the last line */
   uint64_t shed_logged;             /**< connections turned away, as logged */
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -158,6 +158,18 @@
   return linked > listed ? linked : listed;
 }
 
+void
+gateway_peers_zone (const struct gateway *gateway, struct rotation_zone *zone)
+{
+  const struct gateway_peers *peers = gateway->peers;
+  const struct gateway_peers_member *member;
+
+  zone->instances = 0;
+  zone->others_out = peers->zone_out_count;
+  for (member = peers->members; member != NULL; member = member->hh.next)
+    zone->instances += member->zone_id == peers->zone_id && !member->missing;
+}
+
 bool
 gateway_peers_is_hub (const struct gateway *gateway)
 {
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -18,6 +18,9 @@
 uint32_t gateway_peers_linked_count (const struct gateway *gateway);
 /** Number of known gateways, including this one. */
 uint32_t gateway_peers_fleet_size (const struct gateway *gateway);
+/** The availability zone of this gateway, as far as known. */
+void gateway_peers_zone (const struct gateway *gateway,
+                         struct rotation_zone *zone);
 /** Whether this gateway is a hub: watches the store and forwards its items. */
 bool gateway_peers_is_hub (const struct gateway *gateway);
 
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -80,6 +80,8 @@
       restore, those that are alive register again. */
   uint64_t members_kept_until_ns;
   bool hub;
+  uint32_t zone_out_count; /**< other instances of this availability zone that
+                                are out of the load balancer's rotation */
   struct gateway_peer *linked_peers; /**< uthash by instance_id */
   uint64_t start_ns;
   uint64_t hub_fresh_ns; /**< when a hub's view was last fresh */
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -132,6 +132,13 @@
                 upstream->load.peer_ejections, item->requests, sign);
           continue;
         }
+      if (item->subject == MESSAGE_SUBJECT_OUT)
+        {
+          if (item->id == gateway->peers->zone_id)
+            gateway->peers->zone_out_count = (uint32_t)add_or_subtract (
+                gateway->peers->zone_out_count, item->requests, sign);
+          continue;
+        }
       customer = usage_share_customer (&gateway->usage, item->id);
       if (customer == NULL)
         continue;
@@ -231,7 +238,7 @@
   const struct gateway *gateway = peers->gateway;
   const struct gateway_peer *peer;
   size_t count = 3 * HASH_COUNT (gateway->registry.upstreams)
-                 + HASH_COUNT (gateway->usage.customers) + 1;
+                 + HASH_COUNT (gateway->usage.customers) + 2;
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     count += peer->load.item_count;
@@ -284,6 +291,8 @@
       if (outlier_ejected (&upstream->outlier, now_ns))
         add (sums, upstream->id, MESSAGE_SUBJECT_EJECTED, 1, 0);
     }
+  if (gateway->rotation.out)
+    add (sums, peers->zone_id, MESSAGE_SUBJECT_OUT, 1, 0);
   for (customer = gateway->usage.customers; customer != NULL;
        customer = customer->hh.next)
     {
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -232,6 +232,8 @@
     double value;
   } gauges[] = {
     { "in_progress", "requests in progress", gateway->request_count },
+    { "flooded", "1 while out of the load balancer's rotation, flooded",
+      gateway->rotation.out },
     { "quarantined", "parts of prompts whose requests are refused",
       quarantine_held_count (&gateway->quarantine, gateway_now_ns (gateway)) },
     { "waiting", "requests that wait for an upstream",
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1265,7 +1265,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[7] =
 {
   {
     "names",
@@ -1339,19 +1339,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "out_of_rotation",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Peer__Load, n_out_of_rotation),
+    offsetof(Peer__Load, out_of_rotation),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   4,   /* field[4] = ejected */
   1,   /* field[1] = items */
   0,   /* field[0] = names */
+  6,   /* field[6] = out_of_rotation */
   2,   /* field[2] = store_index */
   5,   /* field[5] = suspects */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1361,7 +1374,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  6,
+  7,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -212,10 +212,16 @@
    */
   size_t n_suspects;
   uint64_t *suspects;
+  /*
+   * Rows: pair, instances of the availability zone that are out of the load
+   * balancer's rotation.
+   */
+  size_t n_out_of_rotation;
+  uint64_t *out_of_rotation;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -525,18 +525,38 @@
   return 0;
 }
 
+/* Adds the rows of a subject of which instances are counted.  Their pairs are
+   those of loads, as earlier versions know no other subject. */
+static int
+add_counts (const struct message_load *load, enum message_subject subject,
+            struct frame_builder *out)
+{
+  size_t i;
+
+  for (i = 0; i < load->item_count; i++)
+    {
+      if (load->items[i].subject != subject)
+        continue;
+      if (start_row (out, load->items[i].id, MESSAGE_SUBJECT_UPSTREAM) == NULL)
+        return ERR_FULL;
+      add_cell (out, load->items[i].requests);
+    }
+  return 0;
+}
+
 static int
 encode_load (const struct message *message, struct frame_builder *out)
 {
   const struct message_load *load = &message->u.load;
   Peer__Load *wire = &out->body.load;
   size_t load_cells;
+  size_t ejected_cells;
   size_t i;
   int rc = allocate_rows (out, load->item_count, LOAD_COLUMNS);
 
   for (i = 0; rc == 0 && i < load->item_count; i++)
     {
-      if (load->items[i].subject == MESSAGE_SUBJECT_EJECTED)
+      if (load->items[i].subject >= MESSAGE_SUBJECT_EJECTED)
         continue;
       if (start_row (out, load->items[i].id, load->items[i].subject) == NULL)
         return ERR_FULL;
@@ -544,15 +564,11 @@
       add_cell (out, load->items[i].tokens);
     }
   load_cells = out->item_count;
-  for (i = 0; rc == 0 && i < load->item_count; i++)
-    {
-      if (load->items[i].subject != MESSAGE_SUBJECT_EJECTED)
-        continue;
-      /* The pair of its load, as earlier versions know no other subject. */
-      if (start_row (out, load->items[i].id, MESSAGE_SUBJECT_UPSTREAM) == NULL)
-        return ERR_FULL;
-      add_cell (out, load->items[i].requests);
-    }
+  if (rc == 0)
+    rc = add_counts (load, MESSAGE_SUBJECT_EJECTED, out);
+  ejected_cells = out->item_count;
+  if (rc == 0)
+    rc = add_counts (load, MESSAGE_SUBJECT_OUT, out);
   peer__load__init (wire);
   wire->store_index = load->store_index;
   wire->age_ms = load->age_ms;
@@ -560,8 +576,10 @@
   wire->names = out->new_ids;
   wire->n_items = load_cells;
   wire->items = out->items;
-  wire->n_ejected = out->item_count - load_cells;
+  wire->n_ejected = ejected_cells - load_cells;
   wire->ejected = out->items + load_cells;
+  wire->n_out_of_rotation = out->item_count - ejected_cells;
+  wire->out_of_rotation = out->items + ejected_cells;
   out->frame.body_case = PEER__FRAME__BODY_LOAD;
   out->frame.load = wire;
   return rc == 0 ? encode_suspects (load, out) : rc;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -10,14 +10,14 @@
 #include <string.h>
 
 /* Columns of a row, including the pair's index. */
-#define HEARTBEAT_COLUMNS    3
-#define ACCOUNT_COLUMNS      4 /* without the pair's index */
-#define GRANT_COLUMNS        3
-#define HOLD_COLUMNS         4
-#define SUSPECT_COLUMNS      5
-#define LOAD_COLUMNS         3
-#define LOAD_EJECTED_COLUMNS 2
-#define PAIRS_MIN            64 /* initial capacity of a dictionary */
+#define HEARTBEAT_COLUMNS  3
+#define ACCOUNT_COLUMNS    4 /* without the pair's index */
+#define GRANT_COLUMNS      3
+#define HOLD_COLUMNS       4
+#define SUSPECT_COLUMNS    5
+#define LOAD_COLUMNS       3
+#define LOAD_COUNT_COLUMNS 2
+#define PAIRS_MIN          64 /* initial capacity of a dictionary */
 
 /** A dictionary entry, with the counters last received for it as the sender's
     own account. */
@@ -449,6 +449,25 @@
   return rc;
 }
 
+/* Reads the rows of a subject of which instances are counted. */
+static int
+decode_counts (struct rows *rows, enum message_subject subject,
+               struct message_load_item *items)
+{
+  const struct peercodec_decoder_pair *pair;
+  size_t i;
+
+  for (i = 0; i < rows->count; i++)
+    {
+      pair = row_pair (rows, i);
+      if (pair == NULL || cell_u32 (rows, i, 1, &items[i].requests) != 0)
+        return ERR_PROTOCOL;
+      items[i].id = pair->first_id;
+      items[i].subject = subject;
+    }
+  return 0;
+}
+
 static int
 decode_load (struct peercodec_decoder *decoder, const Peer__Frame *frame,
              struct message *message)
@@ -459,6 +478,8 @@
   struct message_load_item *item;
   struct rows rows;
   struct rows ejected;
+  struct rows out;
+  size_t count;
   size_t i;
   int rc = add_pairs (decoder, wire->names, wire->n_names);
 
@@ -466,14 +487,17 @@
     rc = rows_init (&rows, decoder, wire->items, wire->n_items, LOAD_COLUMNS);
   if (rc == 0)
     rc = rows_init (&ejected, decoder, wire->ejected, wire->n_ejected,
-                    LOAD_EJECTED_COLUMNS);
+                    LOAD_COUNT_COLUMNS);
+  if (rc == 0)
+    rc = rows_init (&out, decoder, wire->out_of_rotation,
+                    wire->n_out_of_rotation, LOAD_COUNT_COLUMNS);
   if (rc != 0)
     return rc;
   load->store_index = wire->store_index;
   load->age_ms = wire->age_ms;
-  rc = allocate_items ((void **)&load->items, rows.count + ejected.count,
-                       sizeof *item);
-  load->item_count = rc == 0 ? rows.count + ejected.count : 0;
+  count = rows.count + ejected.count + out.count;
+  rc = allocate_items ((void **)&load->items, count, sizeof *item);
+  load->item_count = rc == 0 ? count : 0;
   for (i = 0; rc == 0 && i < rows.count; i++)
     {
       pair = row_pair (&rows, i);
@@ -485,15 +509,12 @@
       item->subject = (enum message_subject)pair->second_id;
       item->tokens = cell (&rows, i, 2);
     }
-  for (i = 0; rc == 0 && i < ejected.count; i++)
-    {
-      pair = row_pair (&ejected, i);
-      item = &load->items[rows.count + i];
-      if (pair == NULL || cell_u32 (&ejected, i, 1, &item->requests) != 0)
-        return ERR_PROTOCOL;
-      item->id = pair->first_id;
-      item->subject = MESSAGE_SUBJECT_EJECTED;
-    }
+  if (rc == 0)
+    rc = decode_counts (&ejected, MESSAGE_SUBJECT_EJECTED,
+                        load->items + rows.count);
+  if (rc == 0)
+    rc = decode_counts (&out, MESSAGE_SUBJECT_OUT,
+                        load->items + rows.count + ejected.count);
   return rc == 0 ? decode_suspects (wire, load) : rc;
 }
 
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -22,6 +22,8 @@
   [LOG_QUEUE_DISPATCHED] = { LOG_LEVEL_INFO, "wait queue dispatched", false },
   [LOG_LOOP_LATE] = { LOG_LEVEL_WARN, "event loop is late", false },
   [LOG_LOOP_TIME] = { LOG_LEVEL_INFO, "time of the event loop", false },
+  [LOG_ROTATION_CHANGED]
+  = { LOG_LEVEL_WARN, "load balancer's rotation changed", false },
   [LOG_CONTROL_LATE]
   = { LOG_LEVEL_ERROR, "control events of the loop do not run", false },
   /* requests */
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -611,6 +611,97 @@
   overload_finish (&overload);
 }
 
+#define ZONE_OTHERS 7 /* with this one, two of them may be out */
+
+/* Registers other gateways of the same availability zone. */
+static void
+add_zone (struct gateway *gateway)
+{
+  static const char value[] = "127.0.0.1:1 za 100";
+  char key[64];
+  int i;
+
+  for (i = 0; i < ZONE_OTHERS; i++)
+    {
+      const struct kvstore_item item = { .key = key,
+                                         .value = value,
+                                         .value_size = sizeof value - 1,
+                                         .index = NEWER_INDEX };
+
+      snprintf (key, sizeof key, "%sza/other-%d",
+                gateway->adapter->gateway_prefix, i);
+      gateway_peers_apply_member (gateway->peers, &item);
+    }
+}
+
+/* A hub that reports how many others are out of the rotation. */
+static void
+report_out (struct overload *overload, uint32_t count)
+{
+  struct message_load_item item = { .id = catalog_id ("za"),
+                                    .subject = MESSAGE_SUBJECT_OUT,
+                                    .requests = count };
+  const struct message message
+      = { .kind = MESSAGE_LOAD,
+          .u.load = { .items = &item, .item_count = 1 } };
+
+  CU_ASSERT_EQUAL (
+      peernet_send (overload->hub, catalog_id ("gate-1"), &message), 0);
+  gatefixture_run (&overload->fixture, FLOOD_ROUND_MS);
+}
+
+static void
+flood_late_gateway (struct overload *overload, uint32_t others_out)
+{
+  struct gateway *gateway = &overload->fixture.gateway;
+  int waiting[WAITING / 4];
+  int round;
+  size_t i;
+
+  for (round = 0; round < FLOOD_ROUNDS; round++)
+    {
+      /* A measurement that does not end. */
+      gateway->loop_lag.since_ns = gateway_now_ns (gateway) - CLOCK_NS_PER_S;
+      for (i = 0; i < sizeof waiting / sizeof waiting[0]; i++)
+        waiting[i] = connect_client (&overload->fixture);
+      report_out (overload, others_out);
+      for (i = 0; i < sizeof waiting / sizeof waiting[0]; i++)
+        close (waiting[i]);
+    }
+}
+
+/* All clients of a customer reach one gateway and come back to it while it
+   says that it is ready; others of its zone are idle. */
+static void
+test_flooded_gateway_stays_ready (void)
+{
+  static struct overload overload;
+  const struct gateway *gateway = &overload.fixture.gateway;
+
+  overload_init (&overload);
+  add_zone (&overload.fixture.gateway);
+  CU_ASSERT_TRUE (gateway_ready (gateway));
+  flood_late_gateway (&overload, 1);
+  CU_ASSERT (httpd_shed_count (gateway->httpd) > 0);
+  CU_ASSERT_FALSE (gateway_ready (gateway));
+  overload_finish (&overload);
+}
+
+/* Two of eight are out: the others are needed. */
+static void
+test_flooded_zone (void)
+{
+  static struct overload overload;
+  const struct gateway *gateway = &overload.fixture.gateway;
+
+  overload_init (&overload);
+  add_zone (&overload.fixture.gateway);
+  flood_late_gateway (&overload, 2);
+  CU_ASSERT (httpd_shed_count (gateway->httpd) > 0);
+  CU_ASSERT_TRUE (gateway_ready (gateway));
+  overload_finish (&overload);
+}
+
 #define PROMPTS          20
 #define PROMPT_COST      (500 + 2 * 20) /* tokens, output counts twice */
 #define UNREACHABLE      2              /* an upstream that does not listen */
@@ -657,6 +748,8 @@
   { "usage of failed attempts", test_usage_of_failed_attempts },
   { "new connections of a late gateway",
     test_new_connections_of_late_gateway },
+  { "flooded gateway stays ready", test_flooded_gateway_stays_ready },
+  { "flooded zone", test_flooded_zone },
   { "backlog of a customer whose connections are turned away",
     test_backlog_of_turned_away },
   { "news of a draining upstream behind requests",
