--- /dev/null
+++ b/tests/support/gatefleet.c
@@ -0,0 +1,160 @@
+/**
+ * @file gatefleet.c
+ * A fleet of gateways for tests.
+ */
+#include "support/gatefleet.h"
+#include "../platform/adapter.h"
+#include "../platform/store.h"
+#include "support/storeseed.h"
+#include "support/suite.h"
+#include "transport/loop.h"
+#include <stdio.h>
+#include <string.h>
+
+#define RESPONSE_MS 30
+
+void
+gatefleet_init (struct gatefleet *fleet)
+{
+  unsigned int i;
+
+  memset (fleet, 0, sizeof *fleet);
+  fleet->base = loop_new ();
+  clock_init_real (&fleet->clock);
+  storeserver_init (&fleet->store, fleet->base);
+  for (i = 0; i < GATEFLEET_UPSTREAMS; i++)
+    {
+      upstreamserver_init (&fleet->upstreams[i], fleet->base, "sig");
+      fleet->upstreams[i].response_delay_ms = RESPONSE_MS;
+      gatefleet_register (fleet, i);
+    }
+  storeseed_configure (&fleet->store, 1, "\"key-1\"", "s2");
+}
+
+void
+gatefleet_start (struct gatefleet *fleet, unsigned int gateways)
+{
+  unsigned int i;
+
+  fleet->gateway_count = gateways;
+  for (i = 0; i < gateways; i++)
+    gatefleet_start_gateway (fleet, i);
+  gatefleet_wait_until_ready (fleet);
+  fleet->start_ms = clock_now_ns (&fleet->clock) / CLOCK_NS_PER_MS;
+}
+
+uint64_t
+gatefleet_now_ms (const struct gatefleet *fleet)
+{
+  return clock_now_ns (&fleet->clock) / CLOCK_NS_PER_MS - fleet->start_ms;
+}
+
+static void
+upstream_key (const struct gatefleet *fleet, unsigned int index, char key[32])
+{
+  snprintf (key, 32, "servers/w-%u-%u", index, fleet->lives[index]);
+}
+
+void
+gatefleet_register (struct gatefleet *fleet, unsigned int index)
+{
+  char key[32];
+  char value[256];
+
+  upstream_key (fleet, index, key);
+  snprintf (value, sizeof value,
+            "{\"service\":\"s2\",\"address\":\"127.0.0.1:%u\",\"zone\":\"za\","
+            "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+            "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
+            fleet->upstreams[index].port);
+  storeserver_put (&fleet->store, key, value);
+}
+
+void
+gatefleet_renew (struct gatefleet *fleet, unsigned int index)
+{
+  char key[32];
+
+  upstream_key (fleet, index, key);
+  storeserver_put (&fleet->store, key, NULL);
+  fleet->lives[index]++;
+  gatefleet_register (fleet, index);
+}
+
+void
+gatefleet_start_gateway (struct gatefleet *fleet, unsigned int index)
+{
+  struct gateway_settings settings = {
+    .availability_zone = "za",
+    .client_address = "127.0.0.1:0",
+    .probe_address = "127.0.0.1:0",
+    .peer_address = "127.0.0.1:0",
+    .connections_max = 200,
+    .cpu_permille = 250,
+    .memory_mb = 100,
+    .grace_ms = 8000,
+    .upstream_leave_ms = 2000,
+    .lease_min_ms = 1000,
+    .retry_permille = 200,
+    .retry_allowance = 50,
+    .retry_window_ms = 10000,
+    .share_window_ms = 4000,
+    .reread_window_ms = 10000,
+  };
+  char address[32];
+
+  snprintf (settings.instance, sizeof settings.instance, "g-%u", index);
+  snprintf (address, sizeof address, "127.0.0.1:%u", fleet->store.port);
+  CU_ASSERT_EQUAL_FATAL (gateway_init (&fleet->gateways[index], &settings,
+                                       &platform_adapter, fleet->base,
+                                       store_new (fleet->base, address)),
+                         0);
+}
+
+void
+gatefleet_run (struct gatefleet *fleet, uint32_t duration_ms)
+{
+  const struct timeval duration = clock_timeval (duration_ms);
+
+  event_base_loopexit (fleet->base, &duration);
+  event_base_dispatch (fleet->base);
+}
+
+static bool
+all_ready (const struct gatefleet *fleet)
+{
+  unsigned int i;
+
+  for (i = 0; i < fleet->gateway_count; i++)
+    if (!gateway_ready (&fleet->gateways[i])
+        || HASH_COUNT (fleet->gateways[i].registry.upstreams)
+               < GATEFLEET_UPSTREAMS)
+      return false;
+  return true;
+}
+
+void
+gatefleet_wait_until_ready (struct gatefleet *fleet)
+{
+  unsigned int rounds;
+
+  for (rounds = 0; rounds < 500 && !all_ready (fleet); rounds++)
+    gatefleet_run (fleet, 10);
+  CU_ASSERT_TRUE_FATAL (all_ready (fleet));
+  /* Links between gateways are up soon after. */
+  gatefleet_run (fleet, 1000);
+}
+
+void
+gatefleet_finish (struct gatefleet *fleet)
+{
+  unsigned int i;
+
+  for (i = 0; i < fleet->gateway_count; i++)
+    gateway_finish (&fleet->gateways[i]);
+  for (i = 0; i < GATEFLEET_UPSTREAMS; i++)
+    upstreamserver_finish (&fleet->upstreams[i]);
+  storeserver_finish (&fleet->store);
+  event_base_loop (fleet->base, EVLOOP_NONBLOCK);
+  event_base_free (fleet->base);
+}
--- /dev/null
+++ b/tests/support/gatefleet.h
@@ -0,0 +1,47 @@
+/**
+ * @file gatefleet.h
+ * Test fixture: a fleet of gateways with the platform's adapter, a store
+ * server and scripted upstreams on one event loop and the real clock.
+ */
+#ifndef TESTS_SUPPORT_GATEFLEET_H
+#define TESTS_SUPPORT_GATEFLEET_H
+
+#include "gateway/gateway.h"
+#include "support/storeserver.h"
+#include "support/upstreamserver.h"
+
+#define GATEFLEET_GATEWAYS_MAX 14 /* has hubs */
+#define GATEFLEET_UPSTREAMS    8
+
+struct gatefleet
+{
+  struct event_base *base;
+  struct storeserver store;
+  unsigned int gateway_count;
+  struct gateway gateways[GATEFLEET_GATEWAYS_MAX];
+  struct upstreamserver upstreams[GATEFLEET_UPSTREAMS];
+  unsigned int lives[GATEFLEET_UPSTREAMS]; /* incarnations before this one */
+  struct clock clock;
+  uint64_t start_ms;
+};
+
+/** Starts the store and the upstreams, which are registered. */
+void gatefleet_init (struct gatefleet *fleet);
+/** Starts all gateways and waits until they know all upstreams and each other;
+    time counts from then on. */
+void gatefleet_start (struct gatefleet *fleet, unsigned int gateways);
+/** Starts one gateway, at first or again. */
+void gatefleet_start_gateway (struct gatefleet *fleet, unsigned int index);
+void gatefleet_wait_until_ready (struct gatefleet *fleet);
+void gatefleet_finish (struct gatefleet *fleet);
+
+/** Registers an upstream. */
+void gatefleet_register (struct gatefleet *fleet, unsigned int index);
+/** Removes its registration and registers it under a new identity. */
+void gatefleet_renew (struct gatefleet *fleet, unsigned int index);
+
+void gatefleet_run (struct gatefleet *fleet, uint32_t duration_ms);
+/** Time since the start. */
+uint64_t gatefleet_now_ms (const struct gatefleet *fleet);
+
+#endif
--- a/tests/test_crashing_prompts.c
+++ b/tests/test_crashing_prompts.c
@@ -4,26 +4,20 @@
  * requests reach random gateways of a fleet, no two are alike, and others
  * share their remaining parts and their customer.
  */
-#include "../platform/adapter.h"
-#include "../platform/store.h"
-#include "gateway/gateway.h"
 #include "state/rng.h"
-#include "support/storeseed.h"
+#include "support/gatefleet.h"
 #include "support/suite.h"
-#include "support/upstreamserver.h"
-#include "transport/loop.h"
 #include <stdio.h>
 #include <string.h>
 
-#define GATEWAYS_MAX 14 /* has hubs */
-#define UPSTREAMS    8
+#define GATEWAYS_MAX GATEFLEET_GATEWAYS_MAX
+#define UPSTREAMS    GATEFLEET_UPSTREAMS
 #define CLIENTS      64 /* connections open at a time, reused in turn */
 #define CULPRITS_MAX 2
 
 #define STEP_MS       10 /* from one request to the next */
 #define CULPRIT_STEPS 4  /* on average, from one culprit to the next */
 #define DOWN_MS       400
-#define RESPONSE_MS   30
 #define FREE_CRASHES  5 /* of each culprit, before requests are counted */
 /* Time after the last of these in which requests are not counted. */
 #define NOTICE_MS 1000
@@ -61,16 +55,10 @@
 struct scene
 {
   const struct scene_plan *plan;
-  struct event_base *base;
-  struct storeserver store;
-  struct gateway gateways[GATEWAYS_MAX];
-  struct upstreamserver upstreams[UPSTREAMS];
-  unsigned int lives[UPSTREAMS];
+  struct gatefleet fleet;
   uint64_t revive_ms[UPSTREAMS]; /* 0: it runs */
   struct scene_client clients[CLIENTS];
-  struct clock clock;
   struct rng rng;
-  uint64_t start_ms;
   unsigned int sent;
   unsigned int crashes[CULPRITS_MAX];
   uint64_t noticed_ms[CULPRITS_MAX]; /* end of the time allowed; 0: not yet */
@@ -82,7 +70,7 @@
 static uint64_t
 now_ms (const struct scene *scene)
 {
-  return clock_now_ns (&scene->clock) / CLOCK_NS_PER_MS - scene->start_ms;
+  return gatefleet_now_ms (&scene->fleet);
 }
 
 static void
@@ -121,114 +109,25 @@
 {
   struct scene *scene = server->user;
 
-  scene->revive_ms[server - scene->upstreams] = now_ms (scene) + DOWN_MS;
-}
-
-static void
-upstream_key (const struct scene *scene, unsigned int index, char key[32])
-{
-  snprintf (key, 32, "servers/w-%u-%u", index, scene->lives[index]);
-}
-
-static void
-register_upstream (struct scene *scene, unsigned int index)
-{
-  char key[32];
-  char value[256];
-
-  upstream_key (scene, index, key);
-  snprintf (value, sizeof value,
-            "{\"service\":\"s2\",\"address\":\"127.0.0.1:%u\",\"zone\":\"za\","
-            "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-            "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
-            scene->upstreams[index].port);
-  storeserver_put (&scene->store, key, value);
+  scene->revive_ms[server - scene->fleet.upstreams] = now_ms (scene) + DOWN_MS;
 }
 
 static void
 revive_upstreams (struct scene *scene)
 {
   unsigned int i;
-  char key[32];
 
   for (i = 0; i < UPSTREAMS; i++)
     {
       if (scene->revive_ms[i] == 0 || scene->revive_ms[i] > now_ms (scene))
         continue;
       scene->revive_ms[i] = 0;
-      upstreamserver_revive (&scene->upstreams[i]);
-      if (!scene->plan->new_identity)
-        continue;
-      upstream_key (scene, i, key);
-      storeserver_put (&scene->store, key, NULL);
-      scene->lives[i]++;
-      register_upstream (scene, i);
+      upstreamserver_revive (&scene->fleet.upstreams[i]);
+      if (scene->plan->new_identity)
+        gatefleet_renew (&scene->fleet, i);
     }
 }
 
-static void
-start_gateway (struct scene *scene, unsigned int index)
-{
-  struct gateway_settings settings = {
-    .availability_zone = "za",
-    .client_address = "127.0.0.1:0",
-    .probe_address = "127.0.0.1:0",
-    .peer_address = "127.0.0.1:0",
-    .connections_max = 200,
-    .cpu_permille = 250,
-    .memory_mb = 100,
-    .grace_ms = 8000,
-    .upstream_leave_ms = 2000,
-    .lease_min_ms = 1000,
-    .retry_permille = 200,
-    .retry_allowance = 50,
-    .retry_window_ms = 10000,
-    .share_window_ms = 4000,
-    .reread_window_ms = 10000,
-  };
-  char address[32];
-
-  snprintf (settings.instance, sizeof settings.instance, "g-%u", index);
-  snprintf (address, sizeof address, "127.0.0.1:%u", scene->store.port);
-  CU_ASSERT_EQUAL_FATAL (gateway_init (&scene->gateways[index], &settings,
-                                       &platform_adapter, scene->base,
-                                       store_new (scene->base, address)),
-                         0);
-}
-
-static void
-run_for (struct scene *scene, uint32_t duration_ms)
-{
-  const struct timeval duration = clock_timeval (duration_ms);
-
-  event_base_loopexit (scene->base, &duration);
-  event_base_dispatch (scene->base);
-}
-
-static bool
-all_ready (const struct scene *scene)
-{
-  unsigned int i;
-
-  for (i = 0; i < scene->plan->gateways; i++)
-    if (!gateway_ready (&scene->gateways[i])
-        || HASH_COUNT (scene->gateways[i].registry.upstreams) < UPSTREAMS)
-      return false;
-  return true;
-}
-
-static void
-wait_until_ready (struct scene *scene)
-{
-  unsigned int rounds;
-
-  for (rounds = 0; rounds < 500 && !all_ready (scene); rounds++)
-    run_for (scene, 10);
-  CU_ASSERT_TRUE_FATAL (all_ready (scene));
-  /* Links between gateways are up soon after. */
-  run_for (scene, 1000);
-}
-
 static void
 scene_init (struct scene *scene, const struct scene_plan *plan)
 {
@@ -236,24 +135,15 @@
 
   memset (scene, 0, sizeof *scene);
   scene->plan = plan;
-  scene->base = loop_new ();
-  clock_init_real (&scene->clock);
   rng_init (&scene->rng, 1);
-  storeserver_init (&scene->store, scene->base);
+  gatefleet_init (&scene->fleet);
   for (i = 0; i < UPSTREAMS; i++)
     {
-      upstreamserver_init (&scene->upstreams[i], scene->base, "sig");
-      scene->upstreams[i].response_delay_ms = RESPONSE_MS;
-      scene->upstreams[i].on_request = on_request;
-      scene->upstreams[i].on_crash = on_crash;
-      scene->upstreams[i].user = scene;
-      register_upstream (scene, i);
+      scene->fleet.upstreams[i].on_request = on_request;
+      scene->fleet.upstreams[i].on_crash = on_crash;
+      scene->fleet.upstreams[i].user = scene;
     }
-  storeseed_configure (&scene->store, 1, "\"key-1\"", "s2");
-  for (i = 0; i < plan->gateways; i++)
-    start_gateway (scene, i);
-  wait_until_ready (scene);
-  scene->start_ms = clock_now_ns (&scene->clock) / CLOCK_NS_PER_MS;
+  gatefleet_start (&scene->fleet, plan->gateways);
 }
 
 static void
@@ -279,16 +169,9 @@
 
   for (i = 0; i < CLIENTS; i++)
     finish_client (&scene->clients[i]);
-  for (i = 0; i < scene->plan->gateways; i++)
-    gateway_finish (&scene->gateways[i]);
   for (i = 0; i < UPSTREAMS; i++)
-    {
-      scene->upstreams[i].on_crash = NULL;
-      upstreamserver_finish (&scene->upstreams[i]);
-    }
-  storeserver_finish (&scene->store);
-  event_base_loop (scene->base, EVLOOP_NONBLOCK);
-  event_base_free (scene->base);
+    scene->fleet.upstreams[i].on_crash = NULL;
+  gatefleet_finish (&scene->fleet);
 }
 
 /* Parts of the next prompt: shared ones, perhaps a culprit among them, and one
@@ -343,8 +226,8 @@
             "X-Token-Usage: 350,20\r\nX-Prompt-Prefix: %s\r\n"
             "X-Deadline-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
             plan->route, scene->sent, parts);
-  platclient_init (&client->client, scene->base,
-                   httpd_port (scene->gateways[gateway].httpd));
+  platclient_init (&client->client, scene->fleet.base,
+                   httpd_port (scene->fleet.gateways[gateway].httpd));
   platclient_send (&client->client, request);
   scene->sent++;
 }
@@ -355,10 +238,10 @@
   unsigned int i;
 
   for (i = 0; i < scene->plan->gateways; i++)
-    gateway_finish (&scene->gateways[i]);
+    gateway_finish (&scene->fleet.gateways[i]);
   for (i = 0; i < scene->plan->gateways; i++)
-    start_gateway (scene, i);
-  wait_until_ready (scene);
+    gatefleet_start_gateway (&scene->fleet, i);
+  gatefleet_wait_until_ready (&scene->fleet);
 }
 
 static void
@@ -370,23 +253,25 @@
 
   scene_init (&scene, plan);
   if (plan->store_down)
-    scene.store.fault = STORESERVER_FAULT_503;
+    scene.fleet.store.fault = STORESERVER_FAULT_503;
   while (now_ms (&scene) < DURATION_MS)
     {
       send_request (&scene);
-      run_for (&scene, STEP_MS);
+      gatefleet_run (&scene.fleet, STEP_MS);
       revive_upstreams (&scene);
       if (plan->kills && now_ms (&scene) < DURATION_MS / 2
           && scene.sent % 20 == 0
-          && scene.upstreams[scene.sent / 20 % UPSTREAMS].listener != NULL)
-        upstreamserver_crash (&scene.upstreams[scene.sent / 20 % UPSTREAMS]);
+          && scene.fleet.upstreams[scene.sent / 20 % UPSTREAMS].listener
+                 != NULL)
+        upstreamserver_crash (
+            &scene.fleet.upstreams[scene.sent / 20 % UPSTREAMS]);
       if (plan->restart && !restarted && now_ms (&scene) > DURATION_MS / 2)
         {
           restart_gateways (&scene);
           restarted = true;
         }
     }
-  run_for (&scene, 700);
+  gatefleet_run (&scene.fleet, 700);
   scene_finish (&scene);
   for (i = 0; i < plan->culprits; i++)
     {
@@ -408,7 +293,7 @@
   unsigned int i;
 
   for (i = 0; i < scene->plan->gateways; i++)
-    for (part = scene->gateways[i].quarantine.parts; part != NULL;
+    for (part = scene->fleet.gateways[i].quarantine.parts; part != NULL;
          part = part->hh.next)
       part->trial_ns = 0;
 }
@@ -421,7 +306,7 @@
   while (now_ms (scene) < end_ms)
     {
       send_request (scene);
-      run_for (scene, STEP_MS);
+      gatefleet_run (&scene->fleet, STEP_MS);
       revive_upstreams (scene);
     }
 }
@@ -450,15 +335,16 @@
   send_for (&scene, 1500);
   CU_ASSERT_EQUAL (scene.crashes[0], crashes + 1);
   for (i = 0; i < UPSTREAMS; i++)
-    scene.upstreams[i].on_request = NULL;
+    scene.fleet.upstreams[i].on_request = NULL;
   make_trials_due (&scene);
   send_for (&scene, 5000);
   for (i = 0; i < plan.gateways; i++)
     CU_ASSERT_EQUAL (
-        quarantine_held_count (&scene.gateways[i].quarantine,
-                               gateway_now_ns (&scene.gateways[i])),
+        quarantine_held_count (&scene.fleet.gateways[i].quarantine,
+                               gateway_now_ns (&scene.fleet.gateways[i])),
         0);
-  CU_ASSERT_EQUAL (storeserver_count (&scene.store, "cherrylanding/~"), 0);
+  CU_ASSERT_EQUAL (storeserver_count (&scene.fleet.store, "cherrylanding/~"),
+                   0);
   scene_finish (&scene);
 }
 
