--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -53,6 +53,8 @@
 static void complete_attempt (struct gateway_request *request);
 static void on_draining (void *user);
 static void on_paused (void *user, uint32_t pause_ms);
+static void on_limit (void *user, enum upstream_limit limit,
+                      uint32_t permille);
 
 static const struct upstream_events events = {
   .sending = on_sending,
@@ -63,6 +65,7 @@
   .failed = on_failed,
   .draining = on_draining,
   .paused = on_paused,
+  .limit = on_limit,
 };
 
 /* Cached until the known load changes: of several idle upstreams any is good
@@ -433,6 +436,31 @@
          LOG_U ("ms", pause_ms));
 }
 
+static void
+on_limit (void *user, enum upstream_limit limit, uint32_t permille)
+{
+  struct gateway_request *request = user;
+  struct gateway *gateway = request->gateway;
+  struct registry_upstream *upstream
+      = registry_find (&gateway->registry, request->upstream_id);
+  bool changed;
+
+  if (upstream == NULL)
+    return;
+  changed
+      = limit == UPSTREAM_LIMIT_NAMED
+            ? rate_limit_named (&upstream->limit, permille,
+                                request->attempt_start_ns,
+                                gateway_now_ns (gateway))
+            : rate_limit_absent (&upstream->limit, request->attempt_start_ns);
+  if (changed)
+    LOG (LOG_UPSTREAM_LIMITED, NULL,
+         LOG_S ("upstream", upstream->record.identity),
+         LOG_S ("limited", upstream->limit.limited ? "yes" : "no"),
+         LOG_U ("permille", upstream->limit.permille),
+         LOG_S ("from", "response"));
+}
+
 /* A request that failed at one upstream may succeed at another one. */
 static bool
 retryable_status (const struct gateway_request *request, int status)
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -208,6 +208,14 @@
   return registry_paused (upstream, gateway_now_ns (gateway));
 }
 
+static bool
+is_limited (const struct gateway *gateway,
+            const struct registry_upstream *upstream)
+{
+  (void)gateway;
+  return upstream->limit.limited;
+}
+
 static uint32_t
 count_upstreams (const struct gateway *gateway,
                  bool (*counts) (const struct gateway *gateway,
@@ -242,6 +250,8 @@
       count_upstreams (gateway, is_leaving) },
     { "upstreams_paused", "upstreams that want no requests now",
       count_upstreams (gateway, is_paused) },
+    { "upstreams_limited", "upstreams that name a limit of requests a second",
+      count_upstreams (gateway, is_limited) },
     { "upstreams", "upstreams known",
       HASH_COUNT (gateway->registry.upstreams) },
     { "neighbours", "other gateways linked",
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -10,6 +10,7 @@
 
 #include "state/engine_quota.h"
 #include "state/outlier.h"
+#include "state/rate_limit.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -65,6 +66,7 @@
   struct engine_quota quota;
   bool leaving;              /**< by its own word in a response */
   uint64_t pause_end_ns;     /**< wants no requests until then; 0: it does */
+  struct rate_limit limit;   /**< that it names in responses */
   bool listed;               /**< present in the listing in progress */
   uint64_t missing_ns;       /**< since when the store lacks it; 0: present */
   uint64_t grace_ns;         /**< time for which it may be missing */
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -38,6 +38,8 @@
   [LOG_UPSTREAM_DRAINING] = { LOG_LEVEL_INFO, "upstream is draining", false },
   [LOG_UPSTREAM_PAUSED]
   = { LOG_LEVEL_INFO, "upstream wants no requests", false },
+  [LOG_UPSTREAM_LIMITED]
+  = { LOG_LEVEL_INFO, "limit of an upstream changed", false },
   [LOG_UPSTREAM_MISMATCH]
   = { LOG_LEVEL_ERROR, "upstream answered another request", false },
   [LOG_UPSTREAM_REJECTED]
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -20,6 +20,14 @@
   const char *value;
 };
 
+/** What a response says of a limit of requests a second. */
+enum upstream_limit
+{
+  UPSTREAM_LIMIT_UNKNOWN, /**< nothing that counts */
+  UPSTREAM_LIMIT_NONE,    /**< the upstream has none */
+  UPSTREAM_LIMIT_NAMED
+};
+
 /** Headers and checks of the protocol between a router and its upstreams. */
 struct upstream_dialect
 {
@@ -42,6 +50,11 @@
       say so.  May be NULL. */
   uint32_t (*pause_ms) (int status, const struct upstream_header *headers,
                         size_t count);
+  /** What the headers say of a limit of requests a second, which is set in
+      thousandths if they name one.  May be NULL. */
+  enum upstream_limit (*limit) (int status,
+                                const struct upstream_header *headers,
+                                size_t count, uint32_t *permille);
 };
 
 /** The default dialect, with headers named Cherrylanding-*. */
@@ -88,6 +101,10 @@
   void (*draining) (void *user);
   /** They state that it wants no requests for a time; may be NULL. */
   void (*paused) (void *user, uint32_t pause_ms);
+  /** What they say of a limit of requests a second, if anything; called for
+      each response.  May be NULL.
+      @param permille  thousandths of a request a second, if they name one. */
+  void (*limit) (void *user, enum upstream_limit limit, uint32_t permille);
 };
 
 struct upstream_attempt;
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -161,6 +161,8 @@
   struct response *response = &attempt->response;
   struct upstream_header headers[RESPONSE_HEADERS_MAX];
   int status = (int)htparser_get_status (parser);
+  enum upstream_limit limit;
+  uint32_t permille = 0;
   uint32_t pause_ms;
   int error;
 
@@ -186,6 +188,13 @@
     attempt->events->paused (attempt->user, pause_ms);
   if (conn->free_pending)
     return -1;
+  limit = dialect->limit == NULL || attempt->events->limit == NULL
+              ? UPSTREAM_LIMIT_UNKNOWN
+              : dialect->limit (status, headers, response->count, &permille);
+  if (limit != UPSTREAM_LIMIT_UNKNOWN)
+    attempt->events->limit (attempt->user, limit, permille);
+  if (conn->free_pending)
+    return -1;
   if (error != 0)
     return fail (conn, error);
   conn->reusable = htparser_should_keep_alive (parser) != 0;
