--- a/src/coordination/message.c
+++ b/src/coordination/message.c
@@ -18,6 +18,7 @@
   [MESSAGE_CONFIG] = "config",
   [MESSAGE_ADDRESSES] = "addresses",
   [MESSAGE_LOAD] = "load",
+  [MESSAGE_LIMIT] = "limit",
 };
 
 void
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -32,6 +32,8 @@
   MESSAGE_CONFIG,
   MESSAGE_ADDRESSES, /**< of other instances, for one that joins */
   MESSAGE_LOAD,      /**< load of a gateway */
+  MESSAGE_LIMIT,     /**< a limit that an upstream names */
+  MESSAGE_TURN,      /**< a turn at a limited upstream, asked or answered */
   MESSAGE_KIND_MAX
 };
 
@@ -185,6 +187,26 @@
   struct quarantine_row *suspects; /**< parts of prompts, see quarantine.h */
 };
 
+enum message_limit_kind
+{
+  MESSAGE_LIMIT_KNOWN,   /**< the limit, or its end */
+  MESSAGE_LIMIT_ASK,     /**< for a turn */
+  MESSAGE_LIMIT_GRANTED, /**< a turn */
+  MESSAGE_LIMIT_DENIED,
+  MESSAGE_LIMIT_KIND_MAX
+};
+
+/** About the limit of one upstream; see state/rate_limit.h. */
+struct message_limit
+{
+  enum message_limit_kind kind;
+  uint64_t upstream_id;
+  uint64_t instance_id; /**< that asks for the turn */
+  uint32_t permille; /**< of a request a second, if known or asked; 0: none */
+  uint32_t ms; /**< since it is known, or until the turn or the next question
+                */
+};
+
 struct message
 {
   enum message_kind kind;
@@ -200,6 +222,7 @@
     struct message_config config;
     struct message_addresses addresses;
     struct message_load load;
+    struct message_limit limit;
   } u;
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -220,6 +220,7 @@
   wait_queue_finish (&gateway->wait_queue);
   usage_share_finish (&gateway->usage);
   quarantine_finish (&gateway->quarantine);
+  turns_finish (&gateway->turns);
   service = gateway->services;
   HASH_CLEAR (hh, gateway->services);
   for (; service != NULL; service = next)
@@ -299,6 +300,7 @@
       log_shed_connections (gateway);
       log_dispatch (gateway);
       log_loop_time (gateway);
+      turns_expire (&gateway->turns, now_ns);
     }
   if (gateway->draining)
     check_drain (gateway, now_ns);
@@ -371,8 +373,13 @@
                                    - last->held[GATEWAY_HOLD_BACKLOG]),
         LOG_U ("held_slots",
                now->held[GATEWAY_HOLD_SLOTS] - last->held[GATEWAY_HOLD_SLOTS]),
-        LOG_U ("held_quota", now->held[GATEWAY_HOLD_QUOTA]
-                                 - last->held[GATEWAY_HOLD_QUOTA]));
+        LOG_U ("held_quota",
+               now->held[GATEWAY_HOLD_QUOTA] - last->held[GATEWAY_HOLD_QUOTA]),
+        LOG_U ("held_limit",
+               now->held[GATEWAY_HOLD_LIMIT] - last->held[GATEWAY_HOLD_LIMIT]),
+        LOG_U ("turns_asked", now->turns_asked - last->turns_asked),
+        LOG_U ("turns_given", now->turns_given - last->turns_given),
+        LOG_U ("turns_used", now->turns_used - last->turns_used));
   gateway->dispatch_logged = *now;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "state/registry.h"
 #include "state/rotation.h"
 #include "state/routing.h"
+#include "state/turns.h"
 #include "state/usage_share.h"
 #include "state/wait_queue.h"
 #include "transport/clock.h"
@@ -63,6 +64,7 @@
 {
   GATEWAY_HOLD_NONE,
   GATEWAY_HOLD_UPSTREAM, /**< no upstream is usable */
+  GATEWAY_HOLD_LIMIT,    /**< a turn at a limited upstream is asked for */
   GATEWAY_HOLD_CAP,      /**< its customer is above the usage cap */
   GATEWAY_HOLD_BACKLOG,  /**< the engine's prefill backlog */
   GATEWAY_HOLD_SLOTS,    /**< no slot is free there */
@@ -78,6 +80,9 @@
   uint64_t expired; /**< requests that left the queue unserved */
   uint64_t offered; /**< requests offered, the same one in several passes */
   uint64_t held[GATEWAY_HOLD_MAX]; /**< of these, by what kept them back */
+  uint64_t turns_asked;            /**< turns at limited upstreams asked for */
+  uint64_t turns_given;
+  uint64_t turns_used;
 };
 
 struct gateway_counters
@@ -127,6 +132,7 @@
   struct prefix_cache prefix_cache;
   struct fleet_retry_budget fleet_retry_budget;
   struct usage_share usage;
+  struct turns turns; /**< at limited upstreams whose accounts are here */
   struct quarantine quarantine; /**< parts of prompts that crash upstreams */
   struct gateway_quarantine_write quarantine_write;
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -5,6 +5,7 @@
  */
 #include "gateway/gateway_peers.h"
 #include "gateway/discovery.h"
+#include "gateway/gateway_limits.h"
 #include "gateway/gateway_peers_int.h"
 #include "gateway/gateway_request.h"
 #include "state/err.h"
@@ -198,6 +199,13 @@
   return false;
 }
 
+bool
+gateway_peers_knows_hub (const struct gateway_peers *peers,
+                         const struct gateway_peer *peer)
+{
+  return peer_is_hub (peers, peer->instance_id);
+}
+
 static void
 on_peer_up (void *user, const struct message_hello *hello)
 {
@@ -219,6 +227,7 @@
     }
   peer->requested = peer->subscribed = peer->snapshot_pending = false;
   update_subscription (peers, peer);
+  gateway_limits_send_all (peers, peer);
 }
 
 void
@@ -272,6 +281,9 @@
       peer->snapshot_pending = peer->subscribed;
       send_pending_snapshots (peers);
       break;
+    case MESSAGE_LIMIT:
+      gateway_limits_receive (peers, peer, &message->u.limit);
+      break;
     case MESSAGE_CONFIG:
       apply_items (peers, &message->u.config);
       break;
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -113,10 +113,17 @@
 /** Brings the subscriptions on all links in line with the hubs. */
 void gateway_peers_update_subscriptions (struct gateway_peers *peers);
 
+/** Whether a peer is a hub, as far as known. */
+bool gateway_peers_knows_hub (const struct gateway_peers *peers,
+                              const struct gateway_peer *peer);
+
 /* gateway_peers_load.c */
 /** Sends load reports to peers; a hub reports to other hubs only if
     `to_hubs`. */
 void gateway_peers_send_reports (struct gateway_peers *peers, bool to_hubs);
+/** The hub that this instance reports its load to; NULL without one. */
+const struct gateway_peer *
+gateway_peers_report_hub (const struct gateway_peers *peers);
 /** Replaces a peer's last load report; NULL: removes it. */
 void gateway_peers_set_report (struct gateway_peers *peers,
                                struct gateway_peer *peer,
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -46,8 +46,6 @@
 static void send_report (struct gateway_peers *peers,
                          struct gateway_peer *peer, const struct sums *sums);
 static bool has_subscribers (const struct gateway_peers *peers);
-static const struct gateway_peer *
-report_hub (const struct gateway_peers *peers);
 static bool peer_is_counted (const struct gateway_peers *peers,
                              const struct gateway_peer *peer);
 
@@ -156,7 +154,8 @@
 {
   uint64_t now_ns = gateway_now_ns (peers->gateway);
   struct sums sums = { .size = subjects_max (peers) };
-  const struct gateway_peer *hub = peers->hub ? NULL : report_hub (peers);
+  const struct gateway_peer *hub
+      = peers->hub ? NULL : gateway_peers_report_hub (peers);
   struct gateway_peer *peer;
   struct gateway_peer *next;
 
@@ -210,8 +209,8 @@
 
 /* The hub that this instance reports its load to: only one, or the load would
    be counted twice. */
-static const struct gateway_peer *
-report_hub (const struct gateway_peers *peers)
+const struct gateway_peer *
+gateway_peers_report_hub (const struct gateway_peers *peers)
 {
   const struct gateway_peer *first = NULL;
   const struct gateway_peer *peer;
@@ -229,7 +228,8 @@
 peer_is_counted (const struct gateway_peers *peers,
                  const struct gateway_peer *peer)
 {
-  return peers->hub || peer->subscribed || peer == report_hub (peers);
+  return peers->hub || peer->subscribed
+         || peer == gateway_peers_report_hub (peers);
 }
 
 static size_t
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -21,6 +21,9 @@
 /** To be called when an upstream began or completed a request, or its known
     load changed: schedules a dispatch of waiting requests. */
 void gateway_request_capacity_changed (struct gateway *gateway);
+/** To be called when a turn at a limited upstream was given, or refused.
+    @param delay_ms  until the turn; 0 if it may be used, or was refused. */
+void gateway_request_turn_changed (struct gateway *gateway, uint32_t delay_ms);
 /** Sends waiting requests to upstreams with capacity, and refuses expired
    ones; callback of the gateway's `dispatch` event. */
 void gateway_request_dispatch_waiting (evutil_socket_t fd, short what,
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -3,6 +3,7 @@
  * Attempts of a request at upstreams: selection, sending, forwarding of the
  * response, retries.
  */
+#include "gateway/gateway_limits.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "state/err.h"
@@ -164,6 +165,8 @@
     request->tried_ids[request->tried_count++] = upstream->id;
   gateway->counters.attempts++;
   outlier_attempt_started (&upstream->outlier, now_ns);
+  if (rate_limit_use (&upstream->limit))
+    gateway->counters.dispatch.turns_used++;
   add_upstream_load (request, upstream);
   LOG (LOG_ATTEMPT_STARTED, request->parsed.id,
        LOG_U ("attempt", request->attempt_state.number),
@@ -439,26 +442,7 @@
 static void
 on_limit (void *user, enum upstream_limit limit, uint32_t permille)
 {
-  struct gateway_request *request = user;
-  struct gateway *gateway = request->gateway;
-  struct registry_upstream *upstream
-      = registry_find (&gateway->registry, request->upstream_id);
-  bool changed;
-
-  if (upstream == NULL)
-    return;
-  changed
-      = limit == UPSTREAM_LIMIT_NAMED
-            ? rate_limit_named (&upstream->limit, permille,
-                                request->attempt_start_ns,
-                                gateway_now_ns (gateway))
-            : rate_limit_absent (&upstream->limit, request->attempt_start_ns);
-  if (changed)
-    LOG (LOG_UPSTREAM_LIMITED, NULL,
-         LOG_S ("upstream", upstream->record.identity),
-         LOG_S ("limited", upstream->limit.limited ? "yes" : "no"),
-         LOG_U ("permille", upstream->limit.permille),
-         LOG_S ("from", "response"));
+  gateway_limits_read (user, limit, permille);
 }
 
 /* A request that failed at one upstream may succeed at another one. */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -2,6 +2,7 @@
  * @file gateway_request_wait.c
  * Requests that wait for an upstream with free capacity.
  */
+#include "gateway/gateway_limits.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "state/admission.h"
@@ -14,6 +15,9 @@
    all at once. */
 #define RETRY_AFTER_MIN_MS  800
 #define RETRY_AFTER_SPAN_MS 1600
+/* The same for requests that would need a turn at a limited upstream, besides
+   the time until it may have one. */
+#define LIMITED_RETRY_MIN_MS 200
 /* Maximum wait of a request that can no longer meet its objective. */
 #define LATE_REQUEST_WAIT_MS 1500
 
@@ -35,8 +39,13 @@
 /* Requests that have expired are refused this much late at most. */
 #define EXPIRE_INTERVAL_MS 10
 
+static bool is_prompt (const struct gateway_request *request);
+static void wait_for_turn (struct gateway_request *request);
+static void refuse_limited (struct gateway_request *request);
 static enum gateway_hold find_hold (struct gateway_request *request,
                                     const struct choose_result *result);
+static enum gateway_hold find_engine_hold (struct gateway_request *request,
+                                           const struct choose_result *result);
 static bool upstream_has_capacity (struct gateway_request *request,
                                    const struct choose_result *result);
 static uint64_t permitted_backlog_tokens (struct gateway_request *request,
@@ -101,14 +110,55 @@
     }
   gateway_request_choose (request, &result);
   if (result.upstream == NULL)
-    gateway_request_give_up (request);
-  else if (request->parsed.prompt.part_count == 0
-           || request->attempt_state.number > 0)
-    gateway_request_start_attempt (request, &result);
+    wait_for_turn (request);
+  else if (!is_prompt (request) || request->attempt_state.number > 0)
+    {
+      /* A turn for the next one: only responses of a limited upstream can say
+         that its limit has ended. */
+      if (!is_prompt (request))
+        gateway_limits_ask (request, false);
+      gateway_request_start_attempt (request, &result);
+    }
   else
     enqueue (request, &result);
 }
 
+static bool
+is_prompt (const struct gateway_request *request)
+{
+  return request->parsed.prompt.part_count > 0;
+}
+
+/* No upstream is usable now.  If some are but for their limits, the request
+   waits for a turn, unless none is to be had in its time. */
+static void
+wait_for_turn (struct gateway_request *request)
+{
+  const struct choose_result none = { .upstream = NULL };
+  uint64_t wait_ns = gateway_limits_wait_ns (request);
+
+  if (wait_ns == UINT64_MAX || request->attempt_state.number > 0)
+    gateway_request_give_up (request);
+  else if (wait_ns > request->route->objective_ms * CLOCK_NS_PER_MS)
+    refuse_limited (request);
+  else
+    enqueue (request, &none);
+}
+
+/* The clients of a limited upstream come back when it may have turns, but not
+   all at once. */
+static void
+refuse_limited (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+  uint64_t wait_ns = gateway_limits_wait_ns (request);
+
+  gateway_request_refuse (
+      request, REFUSAL_ROUTER_FULL,
+      (uint32_t)(wait_ns / CLOCK_NS_PER_MS) + LIMITED_RETRY_MIN_MS
+          + (uint32_t)rng_below (&gateway->rng, LIMITED_RETRY_MIN_MS));
+}
+
 uint32_t
 gateway_request_recompute_permille (const struct gateway_request *request)
 {
@@ -127,7 +177,8 @@
 {
   struct gateway *gateway = request->gateway;
   const struct prompt *prompt = &request->parsed.prompt;
-  struct gateway_service *service = gateway_request_service (request);
+  struct gateway_service *service
+      = is_prompt (request) ? gateway_request_service (request) : NULL;
   uint64_t prefill_ns = service == NULL
                             ? 0
                             : prefill_rate_first_token_ns (
@@ -149,7 +200,7 @@
       = request->queue_entry.objective_ns > request->arrival_ns
             ? request->queue_entry.objective_ns
             : request->arrival_ns + LATE_REQUEST_WAIT_MS * CLOCK_NS_PER_MS;
-  if (will_expire_in_queue (request))
+  if (is_prompt (request) && will_expire_in_queue (request))
     {
       /* The queue waits for busy engines; this request's may have capacity. */
       if (upstream_has_capacity (request, result))
@@ -158,8 +209,9 @@
         refuse_full (request);
       return;
     }
-  if (wait_queue_is_next (&gateway->wait_queue, &gateway->usage,
-                          &request->queue_entry, request->arrival_ns)
+  if (is_prompt (request)
+      && wait_queue_is_next (&gateway->wait_queue, &gateway->usage,
+                             &request->queue_entry, request->arrival_ns)
       && upstream_has_capacity (request, result))
     {
       send_to (request, result);
@@ -173,7 +225,8 @@
                               RETRY_AFTER_MIN_MS);
       return;
     }
-  count_queued_tokens (request, result);
+  if (result->upstream != NULL)
+    count_queued_tokens (request, result);
   gateway_request_dispatch_waiting (-1, 0, gateway);
 }
 
@@ -300,22 +353,38 @@
 /* What keeps the request back from the chosen upstream now. */
 static enum gateway_hold
 find_hold (struct gateway_request *request, const struct choose_result *result)
+{
+  if (result->upstream == NULL)
+    {
+      gateway_limits_ask (request, false);
+      return GATEWAY_HOLD_UPSTREAM;
+    }
+  return is_prompt (request) ? find_engine_hold (request, result)
+                             : GATEWAY_HOLD_NONE;
+}
+
+static enum gateway_hold
+find_engine_hold (struct gateway_request *request,
+                  const struct choose_result *result)
 {
   struct gateway *gateway = request->gateway;
 
-  if (result->upstream == NULL)
-    return GATEWAY_HOLD_UPSTREAM;
   if (admission_above_cap (usage_share_total (&gateway->usage,
                                               request->queue_entry.customer_id,
                                               gateway_now_ns (gateway)),
                            gateway->usage_cap_tokens, gateway->utilisation))
     return GATEWAY_HOLD_CAP;
+  /* Its prefix is cached at its primary engine. */
+  if (gateway_limits_ask (request, true))
+    return GATEWAY_HOLD_LIMIT;
   if (result->backlog_tokens > permitted_backlog_tokens (request, result))
     return GATEWAY_HOLD_BACKLOG;
   if (!registry_has_free_slot (result->upstream))
     return GATEWAY_HOLD_SLOTS;
-  return within_quota (request, result) ? GATEWAY_HOLD_NONE
-                                        : GATEWAY_HOLD_QUOTA;
+  /* The turn is the quota. */
+  return result->upstream->limit.limited || within_quota (request, result)
+             ? GATEWAY_HOLD_NONE
+             : GATEWAY_HOLD_QUOTA;
 }
 
 static bool
@@ -433,7 +502,9 @@
                               : result.upstream->record.identity),
        LOG_S ("home", result.primary ? "yes" : "no"),
        LOG_U ("ahead_tokens", result.backlog_tokens),
-       LOG_U ("room_tokens", permitted_backlog_tokens (request, &result)),
+       LOG_U ("room_tokens", is_prompt (request)
+                                 ? permitted_backlog_tokens (request, &result)
+                                 : 0),
        LOG_U ("running", result.upstream == NULL
                              ? 0
                              : result.upstream->load.running
@@ -465,7 +536,19 @@
   gateway->counters.dispatch.expired++;
   log_expired_wait (request, gateway->expire_ns);
   gateway_request_dequeue (request);
-  refuse_full (request);
+  if (is_prompt (request))
+    refuse_full (request);
+  else
+    refuse_limited (request);
+}
+
+void
+gateway_request_turn_changed (struct gateway *gateway, uint32_t delay_ms)
+{
+  if (delay_ms == 0)
+    gateway_request_capacity_changed (gateway);
+  else if (gateway->wait_queue.count > 0)
+    wait_for_dispatch (gateway, delay_ms * CLOCK_NS_PER_MS);
 }
 
 static void
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -60,6 +60,12 @@
     offsetof (struct gateway, counters.dispatch.runs) },
   { "queue_expired_total", "requests that left the wait queue unserved",
     offsetof (struct gateway, counters.dispatch.expired) },
+  { "turns_asked_total", "turns at limited upstreams that were asked for",
+    offsetof (struct gateway, counters.dispatch.turns_asked) },
+  { "turns_given_total", "turns that were given to this instance",
+    offsetof (struct gateway, counters.dispatch.turns_given) },
+  { "turns_used_total", "turns that were used",
+    offsetof (struct gateway, counters.dispatch.turns_used) },
   { "store_restores_total", "restores of the store from a copy",
     offsetof (struct gateway, counters.store_restores) },
 };
@@ -177,9 +183,10 @@
 write_holds (const struct gateway *gateway, struct evbuffer *body)
 {
   static const char *const names[GATEWAY_HOLD_MAX] = {
-    [GATEWAY_HOLD_NONE] = "none",   [GATEWAY_HOLD_UPSTREAM] = "upstream",
-    [GATEWAY_HOLD_CAP] = "cap",     [GATEWAY_HOLD_BACKLOG] = "backlog",
-    [GATEWAY_HOLD_SLOTS] = "slots", [GATEWAY_HOLD_QUOTA] = "quota",
+    [GATEWAY_HOLD_NONE] = "none",       [GATEWAY_HOLD_UPSTREAM] = "upstream",
+    [GATEWAY_HOLD_LIMIT] = "limit",     [GATEWAY_HOLD_CAP] = "cap",
+    [GATEWAY_HOLD_BACKLOG] = "backlog", [GATEWAY_HOLD_SLOTS] = "slots",
+    [GATEWAY_HOLD_QUOTA] = "quota",
   };
   int i;
 
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &peer__load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__limit__init
+                     (Peer__Limit         *message)
+{
+  static const Peer__Limit init_value = PEER__LIMIT__INIT;
+  *message = init_value;
+}
+size_t peer__limit__get_packed_size
+                     (const Peer__Limit *message)
+{
+  assert(message->base.descriptor == &peer__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__limit__pack
+                     (const Peer__Limit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__limit__pack_to_buffer
+                     (const Peer__Limit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Limit *
+       peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Limit *)
+     protobuf_c_message_unpack (&peer__limit__descriptor,
+                                allocator, len, data);
+}
+void   peer__limit__free_unpacked
+                     (Peer__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -1381,7 +1426,97 @@
   (ProtobufCMessageInit) peer__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__limit__field_descriptors[5] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, upstream_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, instance_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permille",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__limit__field_indices_by_name[] = {
+  2,   /* field[2] = instance_id */
+  0,   /* field[0] = kind */
+  4,   /* field[4] = ms */
+  3,   /* field[3] = permille */
+  1,   /* field[1] = upstream_id */
+};
+static const ProtobufCIntRange peer__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Limit",
+  "Limit",
+  "Peer__Limit",
+  "peer",
+  sizeof(Peer__Limit),
+  5,
+  peer__limit__field_descriptors,
+  peer__limit__field_indices_by_name,
+  1,  peer__limit__number_ranges,
+  (ProtobufCMessageInit) peer__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[11] =
 {
   {
     "hello",
@@ -1503,6 +1638,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, limit),
+    &peer__limit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   3,   /* field[3] = accounts */
@@ -1513,13 +1660,14 @@
   2,   /* field[2] = heartbeat */
   0,   /* field[0] = hello */
   5,   /* field[5] = hold */
+  10,   /* field[10] = limit */
   9,   /* field[9] = load */
   1,   /* field[1] = proof */
 };
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -1529,7 +1677,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  10,
+  11,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Peer__Config Peer__Config;
 typedef struct Peer__Addresses Peer__Addresses;
 typedef struct Peer__Load Peer__Load;
+typedef struct Peer__Limit Peer__Limit;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -224,6 +225,23 @@
     , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Kind: 0 known, 1 question for a turn, 2 granted, 3 denied.
+ */
+struct  Peer__Limit
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t upstream_id;
+  uint64_t instance_id;
+  uint32_t permille;
+  uint32_t ms;
+};
+#define PEER__LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__limit__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_HELLO = 1,
@@ -235,7 +253,8 @@
   PEER__FRAME__BODY_CONFIG_REQUEST = 7,
   PEER__FRAME__BODY_CONFIG = 8,
   PEER__FRAME__BODY_ADDRESSES = 9,
-  PEER__FRAME__BODY_LOAD = 10
+  PEER__FRAME__BODY_LOAD = 10,
+  PEER__FRAME__BODY_LIMIT = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -254,6 +273,7 @@
     Peer__Config *config;
     Peer__Addresses *addresses;
     Peer__Load *load;
+    Peer__Limit *limit;
   };
 };
 #define PEER__FRAME__INIT \
@@ -470,6 +490,25 @@
 void   peer__load__free_unpacked
                      (Peer__Load *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Limit methods */
+void   peer__limit__init
+                     (Peer__Limit         *message);
+size_t peer__limit__get_packed_size
+                     (const Peer__Limit   *message);
+size_t peer__limit__pack
+                     (const Peer__Limit   *message,
+                      uint8_t             *out);
+size_t peer__limit__pack_to_buffer
+                     (const Peer__Limit   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Limit *
+       peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__limit__free_unpacked
+                     (Peer__Limit *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -524,6 +563,9 @@
 typedef void (*Peer__Load_Closure)
                  (const Peer__Load *message,
                   void *closure_data);
+typedef void (*Peer__Limit_Closure)
+                 (const Peer__Limit *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -544,6 +586,7 @@
 extern const ProtobufCMessageDescriptor peer__config__descriptor;
 extern const ProtobufCMessageDescriptor peer__addresses__descriptor;
 extern const ProtobufCMessageDescriptor peer__load__descriptor;
+extern const ProtobufCMessageDescriptor peer__limit__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -54,6 +54,7 @@
     Peer__Config config;
     Peer__Addresses addresses;
     Peer__Load load;
+    Peer__Limit limit;
   } body;
   uint64_t *new_ids; /**< identifiers of new pairs, flattened */
   size_t new_id_count;
@@ -85,6 +86,8 @@
                         struct frame_builder *out);
 static int encode_suspects (const struct message_load *load,
                             struct frame_builder *out);
+static int encode_limit (const struct message *message,
+                         struct frame_builder *out);
 static int allocate_rows (struct frame_builder *out, size_t count,
                           size_t columns);
 static struct peercodec_encoder_pair *
@@ -110,6 +113,7 @@
         [MESSAGE_CONFIG] = encode_config,
         [MESSAGE_ADDRESSES] = encode_addresses,
         [MESSAGE_LOAD] = encode_load,
+        [MESSAGE_LIMIT] = encode_limit,
       };
 
 void
@@ -495,6 +499,23 @@
   return 0;
 }
 
+static int
+encode_limit (const struct message *message, struct frame_builder *out)
+{
+  const struct message_limit *limit = &message->u.limit;
+  Peer__Limit *wire = &out->body.limit;
+
+  peer__limit__init (wire);
+  wire->kind = limit->kind;
+  wire->upstream_id = limit->upstream_id;
+  wire->instance_id = limit->instance_id;
+  wire->permille = limit->permille;
+  wire->ms = limit->ms;
+  out->frame.body_case = PEER__FRAME__BODY_LIMIT;
+  out->frame.limit = wire;
+  return 0;
+}
+
 /* Suspects are rare and have identifiers that no other rows use, so they are
    sent without the dictionary. */
 static int
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -67,6 +67,8 @@
 static int decode_load (struct peercodec_decoder *decoder,
                         const Peer__Frame *frame, struct message *message);
 static int decode_suspects (const Peer__Load *wire, struct message_load *load);
+static int decode_limit (struct peercodec_decoder *decoder,
+                         const Peer__Frame *frame, struct message *message);
 static int decode_object (const Peer__Object *wire,
                           struct message_object *object);
 static int copy_printable (char *out, size_t size, const char *text,
@@ -101,6 +103,7 @@
   [PEER__FRAME__BODY_CONFIG] = { MESSAGE_CONFIG, decode_config },
   [PEER__FRAME__BODY_ADDRESSES] = { MESSAGE_ADDRESSES, decode_addresses },
   [PEER__FRAME__BODY_LOAD] = { MESSAGE_LOAD, decode_load },
+  [PEER__FRAME__BODY_LIMIT] = { MESSAGE_LIMIT, decode_limit },
 };
 
 void
@@ -548,6 +551,27 @@
   return 0;
 }
 
+static int
+decode_limit (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+              struct message *message)
+{
+  const Peer__Limit *wire = frame->limit;
+
+  (void)decoder;
+  /* A question without a limit could not be answered. */
+  if (wire->kind >= MESSAGE_LIMIT_KIND_MAX
+      || (wire->kind == MESSAGE_LIMIT_ASK && wire->permille == 0))
+    return ERR_PROTOCOL;
+  message->u.limit = (struct message_limit){
+    .kind = (enum message_limit_kind)wire->kind,
+    .upstream_id = wire->upstream_id,
+    .instance_id = wire->instance_id,
+    .permille = wire->permille,
+    .ms = wire->ms,
+  };
+  return 0;
+}
+
 static int
 decode_config_request (struct peercodec_decoder *decoder,
                        const Peer__Frame *frame, struct message *message)
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -36,7 +36,7 @@
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     {
-      if (!registry_usable (upstream, service_id))
+      if (!registry_usable (upstream, service_id) || upstream->limit.limited)
         continue;
       backlog = registry_backlog_tokens (upstream);
       load->backlog_tokens += (double)(backlog < limit ? backlog : limit);
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -37,7 +37,8 @@
   double capacity_tokens; /**< sum of the limits */
 };
 
-/** Adds the usable engines of a service. */
+/** Adds the usable engines of a service, but not those that name a limit of
+    requests: their backlog does not show how much more they take. */
 void admission_add_engines (struct admission_load *load,
                             const struct registry *registry,
                             uint64_t service_id,
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -84,7 +84,8 @@
   size_t i;
 
   if (!registry_usable (upstream, request->service_id)
-      || registry_paused (upstream, request->now_ns))
+      || registry_paused (upstream, request->now_ns)
+      || !rate_limit_allows (&upstream->limit, request->now_ns))
     return false;
   for (i = 0; i < request->excluded_count; i++)
     if (request->excluded[i] == upstream->id)
@@ -168,7 +169,9 @@
        upstream = upstream->hh.next)
     {
       if (!registry_usable (upstream, service_id)
-          || registry_paused (upstream, now_ns) || avoided (upstream, now_ns)
+          || registry_paused (upstream, now_ns)
+          || !rate_limit_allows (&upstream->limit, now_ns)
+          || avoided (upstream, now_ns)
           || (count > SAMPLE_SIZE && rng_below (rng, count) >= SAMPLE_SIZE))
         continue;
       cost = registry_backlog_tokens (upstream) + running_cost (upstream);
@@ -207,8 +210,14 @@
 
       if (upstream == NULL || !eligible (upstream, request, skip_ejected))
         continue;
-      consider_engine (prefix_cache, request, upstream, rank++, &best_cost,
-                       result);
+      /* A limited engine has the prefix only if it is the first one: turns at
+         the others are too few to move prefixes there. */
+      if (upstream->limit.limited)
+        consider_engine (prefix_cache, request, upstream, i, &best_cost,
+                         result);
+      else
+        consider_engine (prefix_cache, request, upstream, rank++, &best_cost,
+                         result);
     }
 }
 
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -150,6 +150,7 @@
   const struct registry_upstream *upstream;
   uint64_t least = UINT64_MAX;
   uint64_t left;
+  uint64_t wait;
 
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
@@ -159,6 +160,8 @@
       left = registry_paused (upstream, now_ns)
                  ? upstream->pause_end_ns - now_ns
                  : 0;
+      wait = rate_limit_wait_ns (&upstream->limit, now_ns);
+      left = left > wait ? left : wait;
       least = left < least ? left : least;
     }
   return least == UINT64_MAX ? 0 : least;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -160,8 +160,8 @@
 /** Whether it wants no requests now. */
 bool registry_paused (const struct registry_upstream *upstream,
                       uint64_t now_ns);
-/** Time until an upstream of the service wants requests again; 0 if one does,
-    or if there is none. */
+/** Time until an upstream of the service takes a request, as far as pauses and
+    limits are concerned; 0 if one does, or if there is none. */
 uint64_t registry_pause_left_ns (const struct registry *registry,
                                  uint64_t service_id, uint64_t now_ns);
 /** True when it belongs to the service and accepts new requests. */
--- /dev/null
+++ b/src/state/turns.h
@@ -0,0 +1,43 @@
+/**
+ * @file turns.h
+ * Accounts of the limits that upstreams name (see rate_limit.h), kept by one
+ * instance for each upstream.  Turns are given in the order in which instances
+ * ask, one in each interval of the limit, and only a short time ahead: a turn
+ * that is not used is lost, and one that is given late may meet the turns of
+ * another instance that has taken over the account.
+ */
+#ifndef STATE_TURNS_H
+#define STATE_TURNS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+/** Account of one upstream. */
+struct turns_account
+{
+  uint64_t upstream_id;
+  uint64_t next_ns;  /**< when the next turn begins */
+  uint64_t asked_ns; /**< when it was last asked for one */
+  UT_hash_handle hh;
+};
+
+/** Zero-initialise. */
+struct turns
+{
+  struct turns_account *accounts; /**< uthash by upstream_id */
+};
+
+void turns_finish (struct turns *turns);
+
+/** Asks for a turn.
+    @param permille  the limit, in thousandths of a request a second; not 0.
+    @param delay_ns  is set to the time until the turn, or until turns may be
+                     had.
+    @return whether there is one. */
+bool turns_take (struct turns *turns, uint64_t upstream_id, uint32_t permille,
+                 uint64_t now_ns, uint64_t *delay_ns);
+/** Removes accounts that were not asked for a while. */
+void turns_expire (struct turns *turns, uint64_t now_ns);
+
+#endif
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -58,6 +58,8 @@
   { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
   { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 3, loads, 2, suspects } },
   { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL, 0, NULL } },
+  { .kind = MESSAGE_LIMIT,
+    .u.limit = { MESSAGE_LIMIT_GRANTED, UINT64_MAX, 12, 3400, 250 } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -190,6 +190,72 @@
     }
 }
 
+static bool
+is_limited (const struct gatefixture *fixture)
+{
+  const struct registry_upstream *upstream;
+
+  for (upstream = fixture->gateway.registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (upstream->limit.limited)
+      return true;
+  return false;
+}
+
+/* A limit is a decimal number; other values are taken as absent.  The header
+   is not passed on. */
+static void
+test_values_of_limits (void)
+{
+  static const struct
+  {
+    const char *header;
+    bool valid;
+  } values[] = {
+    { "Server-Limit: 0.4\r\n", true },    { "Server-Limit: 12\r\n", true },
+    { "Server-Limit: 0\r\n", true },      { "Server-Limit: -1\r\n", false },
+    { "Server-Limit: nan\r\n", false },   { "Server-Limit: inf\r\n", false },
+    { "Server-Limit: 0x10\r\n", false },  { "Server-Limit: 1e3\r\n", false },
+    { "Server-Limit: 3, 4\r\n", false },  { "Server-Limit: \r\n", false },
+    { "Server-Limit: 1.2.3\r\n", false }, { "Server-Limit: .5\r\n", false },
+  };
+  struct gatefixture fixture;
+  unsigned int i;
+
+  for (i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].extra_headers = values[i].header;
+      gatefixture_request (&fixture, PLAIN);
+      CU_ASSERT_EQUAL (is_limited (&fixture), values[i].valid);
+      CU_ASSERT_PTR_NULL (strstr (fixture.client.got, "Server-Limit"));
+      gatefixture_finish (&fixture);
+    }
+}
+
+/* A rejected request also says so, another upstream at the address does not.
+ */
+static void
+test_limits_in_other_responses (void)
+{
+  static const enum upstreamserver_behaviour behaviours[]
+      = { UPSTREAMSERVER_REJECT, UPSTREAMSERVER_FAIL, UPSTREAMSERVER_STREAM,
+          UPSTREAMSERVER_MISDIRECTED };
+  struct gatefixture fixture;
+  unsigned int i;
+
+  for (i = 0; i < sizeof behaviours / sizeof behaviours[0]; i++)
+    {
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].behaviour = behaviours[i];
+      fixture.upstreams[0].extra_headers = "Server-Limit: 2\r\n";
+      gatefixture_request (&fixture, PLAIN);
+      CU_ASSERT_EQUAL (is_limited (&fixture),
+                       behaviours[i] != UPSTREAMSERVER_MISDIRECTED);
+      gatefixture_finish (&fixture);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "upstream that leaves", test_leaving },
   { "leaving in other responses", test_leaving_in_other_responses },
@@ -197,6 +263,8 @@
   { "upstream that wants no requests", test_pause },
   { "none wants requests", test_all_pause },
   { "invalid pauses", test_invalid_pauses },
+  { "values of limits", test_values_of_limits },
+  { "limits in other responses", test_limits_in_other_responses },
 };
 
 SUITE_MAIN ("test_upstream_notices", tests)
