Requests wait for a turn rather than go to upstreams that fail (LIMIT)

While some upstreams fail and the sound ones name limits, a request without a turn found no sound upstream, and choose fell back to the failing ones: a request that may run once only is lost there, though a turn was to be had soon. Found by reading. test_choose `limited upstream among ejected ones' failed before in two asserts; `limited engine' is new and passed.

--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -35,6 +35,10 @@
 
 static bool eligible (const struct registry_upstream *upstream,
                       const struct choose_request *request, bool skip_ejected);
+static bool awaits_turn (const struct registry *registry,
+                         const struct choose_request *request);
+static bool is_excluded (const struct registry_upstream *upstream,
+                         const struct choose_request *request);
 static void choose_engine (const struct registry *registry,
                            const struct prefix_cache *prefix_cache,
                            const struct choose_request *request,
@@ -67,8 +71,10 @@
 
   memset (result, 0, sizeof *result);
   /* If all upstreams failed recently, the cause may lie elsewhere: then
-     ejected ones are used too. */
-  for (skip_ejected = 1; skip_ejected >= 0 && result->upstream == NULL;
+     ejected ones are used too, unless a sound one will have a turn. */
+  for (skip_ejected = 1;
+       skip_ejected >= 0 && result->upstream == NULL
+       && (skip_ejected == 1 || !awaits_turn (registry, request));
        skip_ejected--)
     if (engine)
       choose_engine (registry, prefix_cache, request, skip_ejected != 0,
@@ -77,19 +83,45 @@
       choose_plain (registry, request, skip_ejected != 0, result);
 }
 
+/* Whether an upstream would be used but for its limit. */
 static bool
-eligible (const struct registry_upstream *upstream,
-          const struct choose_request *request, bool skip_ejected)
+awaits_turn (const struct registry *registry,
+             const struct choose_request *request)
+{
+  const struct registry_upstream *upstream;
+
+  for (upstream = registry->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (upstream->limit.limited
+        && registry_usable (upstream, request->service_id)
+        && !registry_paused (upstream, request->now_ns)
+        && !is_excluded (upstream, request)
+        && !avoided (upstream, request->now_ns))
+      return true;
+  return false;
+}
+
+static bool
+is_excluded (const struct registry_upstream *upstream,
+             const struct choose_request *request)
 {
   size_t i;
 
+  for (i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == upstream->id)
+      return true;
+  return false;
+}
+
+static bool
+eligible (const struct registry_upstream *upstream,
+          const struct choose_request *request, bool skip_ejected)
+{
   if (!registry_usable (upstream, request->service_id)
       || registry_paused (upstream, request->now_ns)
-      || !rate_limit_allows (&upstream->limit, request->now_ns))
+      || !rate_limit_allows (&upstream->limit, request->now_ns)
+      || is_excluded (upstream, request))
     return false;
-  for (i = 0; i < request->excluded_count; i++)
-    if (request->excluded[i] == upstream->id)
-      return false;
   return !skip_ejected || !avoided (upstream, request->now_ns)
          || (!outlier_ejected (&upstream->outlier, request->now_ns)
              && rendezvous_hash (request->tie_break, upstream->id)
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -356,7 +356,59 @@
   fixture_finish (&fixture);
 }
 
+/* An engine that names a limit is passed over without a turn, and its prefixes
+   have another engine meanwhile; with a turn they go there. */
+static void
+test_limited_engine (void)
+{
+  struct fixture fixture;
+  struct prompt prompt = make_prompt (1, 1);
+  struct registry_upstream *primary;
+  struct choose_result result;
+
+  fixture_init (&fixture, 12);
+  primary = choose (&fixture, &prompt, 1, NULL, 0).upstream;
+  primary->limit = (struct rate_limit){ .limited = true, .permille = 1000 };
+  result = choose (&fixture, &prompt, 1, NULL, 0);
+  CU_ASSERT_PTR_NOT_EQUAL (result.upstream, primary);
+  CU_ASSERT_TRUE (result.primary);
+  primary->limit.turn_ns = fixture.now_ns;
+  result = choose (&fixture, &prompt, 1, NULL, 0);
+  CU_ASSERT_PTR_EQUAL (result.upstream, primary);
+  CU_ASSERT_TRUE (result.primary);
+  fixture_finish (&fixture);
+}
+
+/* Upstreams that fail are not used for want of a turn at a sound one. */
+static void
+test_limited_among_ejected (void)
+{
+  struct fixture fixture;
+  struct prompt prompt = make_prompt (1, 1);
+  struct registry_upstream *upstream;
+  struct registry_upstream *limited = NULL;
+
+  fixture_init (&fixture, 3);
+  for (upstream = fixture.registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      limited = upstream;
+      upstream->outlier.ejection_end_ns = fixture.now_ns + 1000 * MS;
+    }
+  limited->outlier.ejection_end_ns = 0;
+  limited->limit = (struct rate_limit){ .limited = true, .permille = 1000 };
+  CU_ASSERT_PTR_NULL (choose (&fixture, &prompt, 1, NULL, 0).upstream);
+  CU_ASSERT_PTR_NULL (choose (&fixture, NULL, 1, NULL, 0).upstream);
+  limited->limit.turn_ns = fixture.now_ns;
+  CU_ASSERT_PTR_EQUAL (choose (&fixture, &prompt, 1, NULL, 0).upstream,
+                       limited);
+  CU_ASSERT_PTR_EQUAL (choose (&fixture, NULL, 1, NULL, 0).upstream, limited);
+  fixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "limited engine", test_limited_engine },
+  { "limited upstream among ejected ones", test_limited_among_ejected },
   { "ejected by others", test_ejected_by_others },
   { "prompts with a common prefix share a primary engine",
     test_common_prefix },
