--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -337,6 +337,8 @@
         continue;
       peer->snapshot_pending = false;
       send_snapshot (peers, peer);
+      /* Of upstreams that it has not known until now. */
+      gateway_limits_send_all (peers, peer);
     }
 }
 
--- a/tests/test_server_limit.c
+++ b/tests/test_server_limit.c
@@ -36,6 +36,7 @@
   bool prompts;
   bool one_gateway; /* gets all requests */
   bool gateway_lost;
+  bool gateway_added;
   bool store_down;
 };
 
@@ -207,6 +208,18 @@
     CU_ASSERT ((scene->served + scene->refused) * 10 >= scene->sent * 9);
 }
 
+static unsigned int
+limited_count (const struct gateway *gateway)
+{
+  const struct registry_upstream *upstream;
+  unsigned int count = 0;
+
+  for (upstream = gateway->registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    count += upstream->limit.limited;
+  return count;
+}
+
 static void
 play (const struct limit_plan *plan)
 {
@@ -237,11 +250,20 @@
       lost = true;
       if (plan->store_down)
         scene.fleet.store.fault = STORESERVER_FAULT_503;
+      if (plan->gateway_added)
+        gatefleet_start_gateway (&scene.fleet, scene.fleet.gateway_count);
       if (plan->gateway_lost)
         gateway_finish (&scene.fleet.gateways[--scene.fleet.gateway_count]);
     }
   for (i = 0; i < CLIENTS; i++)
     finish_client (&scene, &scene.clients[i]);
+  if (plan->gateway_added)
+    {
+      CU_ASSERT_EQUAL (
+          limited_count (&scene.fleet.gateways[scene.fleet.gateway_count]),
+          plan->limited);
+      scene.fleet.gateway_count++;
+    }
   gatefleet_finish (&scene.fleet);
   check (&scene);
 }
@@ -324,6 +346,16 @@
                               .gateway_lost = true });
 }
 
+/* A gateway that joins gets no request, and knows the limits from others. */
+static void
+test_gateway_added (void)
+{
+  play (&(struct limit_plan){ .gateways = GATEFLEET_GATEWAYS_MAX - 1,
+                              .limited = UPSTREAMS,
+                              .limit = "3",
+                              .gateway_added = true });
+}
+
 static const struct suite_test tests[] = {
   { "one limited upstream", test_one_limited },
   { "some limited upstreams", test_some_limited },
@@ -334,6 +366,7 @@
   { "limit lowered, store down", test_limit_lowered },
   { "limit lifted", test_limit_lifted },
   { "gateway lost", test_gateway_lost },
+  { "gateway added", test_gateway_added },
 };
 
 SUITE_MAIN ("test_server_limit", tests)
