Turns go to customers that have had no more than others first (LIMIT)

Turns are given 300 ms ahead for a customer with up to 1.5 times the mean usage of those that wait, 100 ms for others. A prompt waits for its primary engine's turn for half of its time at most.

test_rate_limit `customer with little usage' fails without the difference.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -202,6 +202,7 @@
   enum message_limit_kind kind;
   uint64_t upstream_id;
   uint64_t instance_id; /**< that asks for the turn */
+  bool preferred;       /**< its customer has had no more than others */
   uint32_t permille; /**< of a request a second, if known or asked; 0: none */
   uint32_t ms; /**< since it is known, or until the turn or the next question
                 */
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -8,7 +8,11 @@
 
 /* Time for which a request waits for a turn at its primary upstream before it
    goes to another one, which would take longer to recompute its prefix. */
-#define TURN_WAIT_MS 250
+#define TURN_WAIT_MS 300
+
+/* Usage up to which a customer is preferred, in thousandths of the mean: when
+   limits cut the capacity, usages are those of the time before. */
+#define PREFERRED_PERMILLE 1500
 
 static void set_known (struct gateway *gateway,
                        const struct registry_upstream *upstream,
@@ -20,8 +24,11 @@
                         const struct message_limit *limit);
 static bool ask (struct gateway_request *request,
                  struct registry_upstream *upstream);
+static uint64_t turn_wait_end_ns (const struct gateway_request *request);
+static bool is_preferred (struct gateway_request *request);
 static void send_question (struct gateway_peers *peers,
-                           const struct registry_upstream *upstream);
+                           const struct registry_upstream *upstream,
+                           bool preferred);
 static bool ask_plain (struct gateway_request *request);
 static uint64_t account_owner (const struct gateway_peers *peers,
                                uint64_t upstream_id);
@@ -169,15 +176,45 @@
     {
       rate_limit_asked (limit, now_ns);
       gateway->counters.dispatch.turns_asked++;
-      send_question (gateway->peers, upstream);
+      send_question (gateway->peers, upstream, is_preferred (request));
     }
-  return now_ns - request->arrival_ns < TURN_WAIT_MS * CLOCK_NS_PER_MS
+  return now_ns < turn_wait_end_ns (request)
          && rate_limit_answer_due (limit, now_ns);
 }
 
+/* Until then a request waits for a turn: for half of its time at most, as it
+   has to be served elsewhere afterwards. */
+static uint64_t
+turn_wait_end_ns (const struct gateway_request *request)
+{
+  uint64_t half_ns
+      = (request->queue_entry.expiry_ns - request->arrival_ns) / 2;
+
+  return request->arrival_ns
+         + (half_ns < TURN_WAIT_MS * CLOCK_NS_PER_MS
+                ? half_ns
+                : TURN_WAIT_MS * CLOCK_NS_PER_MS);
+}
+
+/* Customers that have had much more than the mean of those that wait come
+   after the others. */
+static bool
+is_preferred (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+  uint64_t mean_tokens = gateway->mean_usage_tokens;
+
+  return request->customer == NULL
+         || usage_share_total (&gateway->usage, request->customer->id,
+                               gateway_now_ns (gateway))
+                <= (mean_tokens > UINT64_MAX / PREFERRED_PERMILLE
+                        ? UINT64_MAX
+                        : mean_tokens * PREFERRED_PERMILLE / 1000);
+}
+
 static void
 send_question (struct gateway_peers *peers,
-               const struct registry_upstream *upstream)
+               const struct registry_upstream *upstream, bool preferred)
 {
   const struct gateway_peer *hub
       = peers->hub ? NULL : gateway_peers_report_hub (peers);
@@ -186,6 +223,7 @@
     .upstream_id = upstream->id,
     .instance_id = peers->self_id,
     .permille = upstream->limit.permille,
+    .preferred = preferred,
   };
 
   if (hub != NULL)
@@ -261,7 +299,7 @@
     }
   answer.kind
       = turns_take (&gateway->turns, question->upstream_id, question->permille,
-                    gateway_now_ns (gateway), &delay_ns)
+                    question->preferred, gateway_now_ns (gateway), &delay_ns)
             ? MESSAGE_LIMIT_GRANTED
             : MESSAGE_LIMIT_DENIED;
   answer.ms = (uint32_t)(delay_ns / CLOCK_NS_PER_MS);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1426,7 +1426,7 @@
   (ProtobufCMessageInit) peer__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__limit__field_descriptors[6] =
 {
   {
     "kind",
@@ -1488,18 +1488,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "preferred",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Limit, preferred),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__limit__field_indices_by_name[] = {
   2,   /* field[2] = instance_id */
   0,   /* field[0] = kind */
   4,   /* field[4] = ms */
   3,   /* field[3] = permille */
+  5,   /* field[5] = preferred */
   1,   /* field[1] = upstream_id */
 };
 static const ProtobufCIntRange peer__limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__limit__descriptor =
 {
@@ -1509,7 +1522,7 @@
   "Peer__Limit",
   "peer",
   sizeof(Peer__Limit),
-  5,
+  6,
   peer__limit__field_descriptors,
   peer__limit__field_indices_by_name,
   1,  peer__limit__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -236,10 +236,11 @@
   uint64_t instance_id;
   uint32_t permille;
   uint32_t ms;
+  protobuf_c_boolean preferred;
 };
 #define PEER__LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__limit__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -510,6 +510,7 @@
   wire->upstream_id = limit->upstream_id;
   wire->instance_id = limit->instance_id;
   wire->permille = limit->permille;
+  wire->preferred = limit->preferred;
   wire->ms = limit->ms;
   out->frame.body_case = PEER__FRAME__BODY_LIMIT;
   out->frame.limit = wire;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -567,6 +567,7 @@
     .upstream_id = wire->upstream_id,
     .instance_id = wire->instance_id,
     .permille = wire->permille,
+    .preferred = wire->preferred != 0,
     .ms = wire->ms,
   };
   return 0;
--- a/src/state/turns.c
+++ b/src/state/turns.c
@@ -3,16 +3,19 @@
  * Turns of limited upstreams.
  */
 #include "state/turns.h"
+#include "state/rate_limit.h"
 #include <stdlib.h>
 
 #define NS_PER_MS 1000000ULL    /* nanoseconds */
 #define NS_PER_S  1000000000ULL /* nanoseconds */
 /* How far ahead turns are given: several round trips, so that one instance can
-   use all turns of a high limit. */
-#define AHEAD_MS 250
+   use all turns of a high limit.  While preferred requests ask, they take each
+   turn before it is given to others. */
+#define AHEAD_MS           100
+#define AHEAD_PREFERRED_MS 300
 /* Pause before the first turn of a new account, in which the turns given by
    the instance that had it before are used or lapse. */
-#define TAKEOVER_MS 750
+#define TAKEOVER_MS (AHEAD_PREFERRED_MS + RATE_LIMIT_TURN_VALID_MS)
 /* After this time a new account would give the same turns. */
 #define IDLE_MS 10000
 
@@ -52,8 +55,10 @@
 
 bool
 turns_take (struct turns *turns, uint64_t upstream_id, uint32_t permille,
-            uint64_t now_ns, uint64_t *delay_ns)
+            bool preferred, uint64_t now_ns, uint64_t *delay_ns)
 {
+  const uint64_t ahead_ns
+      = (preferred ? AHEAD_PREFERRED_MS : AHEAD_MS) * NS_PER_MS;
   const uint64_t interval_ns = NS_PER_S * 1000 / permille;
   struct turns_account *account = find_account (turns, upstream_id, now_ns);
   uint64_t turn_ns;
@@ -69,9 +74,9 @@
     account->next_ns = now_ns + interval_ns;
   turn_ns = account->next_ns > now_ns ? account->next_ns : now_ns;
   *delay_ns = turn_ns - now_ns;
-  if (*delay_ns > AHEAD_MS * NS_PER_MS)
+  if (*delay_ns > ahead_ns)
     {
-      *delay_ns -= AHEAD_MS * NS_PER_MS;
+      *delay_ns -= ahead_ns;
       return false;
     }
   account->next_ns = turn_ns + interval_ns;
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -59,7 +59,7 @@
   { .kind = MESSAGE_LOAD, .u.load = { 88, 7, 3, loads, 2, suspects } },
   { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL, 0, NULL } },
   { .kind = MESSAGE_LIMIT,
-    .u.limit = { MESSAGE_LIMIT_GRANTED, UINT64_MAX, 12, 3400, 250 } },
+    .u.limit = { MESSAGE_LIMIT_GRANTED, UINT64_MAX, 12, true, 3400, 250 } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -98,6 +98,7 @@
   struct rng rng;
   uint64_t sent_ms[SENT_MAX];
   size_t sent;
+  size_t sent_preferred; /* by the first instance */
 };
 
 /* All instances have demand all the time, and ask as often as they may.
@@ -124,13 +125,14 @@
       if (rate_limit_may_ask (limit, now_ns))
         {
           rate_limit_asked (limit, now_ns);
-          given = turns_take (&run->turns, UPSTREAM, permille, now_ns,
-                              &delay_ns);
+          given = turns_take (&run->turns, UPSTREAM, permille,
+                              limit == &run->limits[0], now_ns, &delay_ns);
           rate_limit_answered (limit, given, delay_ns, now_ns);
         }
       if (!rate_limit_allows (limit, now_ns))
         continue;
       rate_limit_use (limit);
+      run->sent_preferred += limit == &run->limits[0];
       run->sent_ms[run->sent++] = ms;
     }
   turns_finish (&run->turns);
@@ -182,23 +184,37 @@
   uint64_t now_ns = START_NS;
   uint64_t delay_ns;
 
-  turns_take (&turns, UPSTREAM, RATE_LIMIT_MIN_PERMILLE, now_ns, &delay_ns);
+  turns_take (&turns, UPSTREAM, RATE_LIMIT_MIN_PERMILLE, false, now_ns,
+              &delay_ns);
   now_ns += 2 * NS_PER_S;
-  CU_ASSERT_TRUE (turns_take (&turns, UPSTREAM, RATE_LIMIT_MIN_PERMILLE,
+  CU_ASSERT_TRUE (turns_take (&turns, UPSTREAM, RATE_LIMIT_MIN_PERMILLE, false,
                               now_ns, &delay_ns));
-  CU_ASSERT_FALSE (turns_take (&turns, UPSTREAM, 10000, now_ns, &delay_ns)
-                   && delay_ns > NS_PER_S);
+  CU_ASSERT_FALSE (
+      turns_take (&turns, UPSTREAM, 10000, false, now_ns, &delay_ns)
+      && delay_ns > NS_PER_S);
   CU_ASSERT (delay_ns < NS_PER_S);
   turns_expire (&turns, now_ns + 60 * NS_PER_S);
   CU_ASSERT_PTR_NULL (turns.accounts);
 }
 
+/* One instance has a customer with little usage, and asks once in 200 ms like
+   the 194 others.  It gets most turns, not one of 195. */
+static void
+test_customer_with_little_usage (void)
+{
+  static struct run run;
+
+  play (&run, 3000, false);
+  CU_ASSERT (run.sent_preferred * 2 > run.sent);
+}
+
 static const struct suite_test tests[] = {
   { "what responses say", test_what_responses_say },
   { "what peers say", test_what_peers_say },
   { "limit of nothing", test_limit_of_nothing },
   { "turns lapse", test_turns_lapse },
   { "rate of a fleet", test_rate_of_a_fleet },
+  { "customer with little usage", test_customer_with_little_usage },
   { "limit that rises", test_limit_that_rises },
 };
 
