Soak: upstreams name limits and want nothing for a while (LIMIT)

Beside kills, suspended and drained gateways, cut links and a faulty store, which no other test of limits plays.

--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -27,6 +27,10 @@
                            const struct platclient *link, const char *body);
 static size_t parse_body (const char *message, char *out);
 static void count_retry (struct soak *soak, bool retry);
+static void check_notice (struct soak *soak, struct soak_upstream *upstream,
+                          const struct soak_request *request);
+static void check_limit (struct soak *soak, struct soak_notice *notice,
+                         const struct soak_request *request);
 
 static const char *const names[] = {
   [SOAK_VALID_RESPONSE] = "a response is complete, signed and for its request",
@@ -42,6 +46,8 @@
   [SOAK_DISCONNECT_CANCELS] = "nothing is sent for a disconnected client",
   [SOAK_RETRY_BUDGET] = "retries stay within their budget",
   [SOAK_NO_EXTRA_BYTES] = "no bytes besides the responses",
+  [SOAK_LIMIT_KEPT] = "a worker gets no more than the limit that it names",
+  [SOAK_PAUSE_KEPT] = "a worker that wants nothing gets nothing",
   [SOAK_ALL_RECOVERED] = "all gateways serve after the faults",
 };
 
@@ -106,6 +112,8 @@
                             ? UPSTREAMSERVER_STREAM_RESET
                             : upstream->behaviour;
   server->response_delay_ms = 1 + (uint32_t)rng_below (&soak->rng, 120);
+  if (upstream->notice.begun_ns != 0)
+    check_notice (soak, upstream, request);
   check_forwarded (soak, upstream, request, message);
   count_retry (soak, request->arrivals > 0);
   request->arrivals++;
@@ -123,6 +131,56 @@
                            "runs after it was refused");
 }
 
+/* Gateways that were restarted, suspended or cut off since they were told are
+   excused; they are told again. */
+static void
+check_notice (struct soak *soak, struct soak_upstream *upstream,
+              const struct soak_request *request)
+{
+  struct soak_notice *notice = &upstream->notice;
+  const struct soak_gateway *gateway = &soak->gateways[request->gateway];
+  uint64_t *told_ns = &notice->told_ns[request->gateway];
+  uint32_t *arrivals = &notice->arrivals[request->gateway];
+  bool heeds;
+
+  if (notice->limit_per_s == 0)
+    upstream->server.behaviour = UPSTREAMSERVER_REJECT;
+  if (!gateway_undisturbed (soak, gateway)
+      || !soak_undisturbed (soak, &soak->links_disturbance)
+      || (notice->limit_per_s == 0
+          && soak_elapsed (soak, *told_ns, SOAK_PAUSE_MS)))
+    *told_ns = 0;
+  heeds = *told_ns != 0 && soak_elapsed (soak, *told_ns, SOAK_NOTICE_MS);
+  if (heeds && notice->limit_per_s > 0
+      && soak_elapsed (soak, notice->begun_ns, SOAK_SETTLE_MS))
+    check_limit (soak, notice, request);
+  if (heeds && notice->limit_per_s == 0 && ++*arrivals > SOAK_PAUSE_ARRIVALS)
+    soak_report_violation (soak, SOAK_PAUSE_KEPT, request,
+                           "sent to a worker that wants nothing");
+  if (*told_ns != 0 || upstream->server.behaviour == UPSTREAMSERVER_HANG
+      || upstream->server.behaviour == UPSTREAMSERVER_RESET)
+    return;
+  *arrivals = 0;
+  *told_ns = soak_now_ns (soak)
+             + upstream->server.response_delay_ms * CLOCK_NS_PER_MS;
+}
+
+static void
+check_limit (struct soak *soak, struct soak_notice *notice,
+             const struct soak_request *request)
+{
+  const uint32_t allowed
+      = notice->limit_per_s * SOAK_LIMIT_WINDOW_MS / 1000 * 3 / 2
+        + SOAK_LIMIT_BURST;
+  uint64_t *slot = &notice->counted_ns[notice->counted % allowed];
+
+  if (notice->counted >= allowed
+      && !soak_elapsed (soak, *slot, SOAK_LIMIT_WINDOW_MS))
+    soak_report_violation (soak, SOAK_LIMIT_KEPT, request, notice->header);
+  *slot = soak_now_ns (soak);
+  notice->counted++;
+}
+
 static void
 check_forwarded (struct soak *soak, const struct soak_upstream *upstream,
                  struct soak_request *request, const char *message)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -67,6 +67,7 @@
   clock_init_real (&soak.clock);
   rng_init (&soak.rng, settings.seed);
   rng_init (&soak.schedule_rng, ~settings.seed);
+  rng_init (&soak.notice_rng, settings.seed << 32 | 1);
   storeserver_init (&soak.store, soak.base);
   for (i = 0; i < SOAK_GATEWAYS; i++)
     {
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -9,9 +9,12 @@
 #include <stdlib.h>
 #include <utlist.h>
 
-#define FAULT_INTERVAL_MAX_MS 900  /* between the starts of two faults */
-#define GRACE_MS              8000 /* drain time of a gateway, as in soak.sh */
-#define REAP_MARGIN_MS        1500 /* from GRACE_MS to the check of the exit */
+#define FAULT_INTERVAL_MAX_MS 900 /* between the starts of two faults */
+/* Between what upstreams say of themselves; drawn apart, so that the faults of
+   a seed stay the same. */
+#define NOTICE_INTERVAL_MAX_MS 3000
+#define GRACE_MS               8000 /* drain time of a gateway, as in soak.sh */
+#define REAP_MARGIN_MS         1500 /* from GRACE_MS to the check of the exit */
 
 enum schedule_kind
 {
@@ -58,11 +61,13 @@
 static void begin_store_fault (struct soak *soak);
 static void begin_compact (struct soak *soak);
 static void begin_key_change (struct soak *soak);
+static void begin_notice (struct soak *soak);
 static void start_gateway (struct soak *soak, uint32_t target);
 static void end_drain (struct soak *soak, uint32_t target);
 static void end_suspend (struct soak *soak, uint32_t target);
 static void end_upstream_fault (struct soak *soak, uint32_t target);
 static void end_withdraw (struct soak *soak, uint32_t target);
+static void end_notice (struct soak *soak, uint32_t target);
 static void end_link_fault (struct soak *soak, uint32_t target);
 static void end_store_fault (struct soak *soak, uint32_t target);
 static void begin_random_fault (struct soak *soak);
@@ -125,6 +130,14 @@
         fault_end->end (soak, fault_end->target);
       free (fault_end);
     }
+  if (!faults_over && now_ns >= soak->next_notice_ns)
+    {
+      soak->next_notice_ns
+          = now_ns
+            + rng_below (&soak->notice_rng, NOTICE_INTERVAL_MAX_MS)
+                  * CLOCK_NS_PER_MS;
+      begin_notice (soak);
+    }
   if (faults_over || now_ns < soak->next_fault_ns)
     return;
   soak->next_fault_ns
@@ -322,6 +335,38 @@
   soak->upstreams[target].permille = 0;
 }
 
+/* The upstream names a limit, or wants nothing. */
+static void
+begin_notice (struct soak *soak)
+{
+  uint32_t target = (uint32_t)rng_below (&soak->notice_rng, SOAK_UPSTREAMS);
+  uint32_t limit_per_s
+      = (uint32_t)rng_below (&soak->notice_rng, SOAK_LIMIT_MAX + 1);
+  struct soak_upstream *upstream = &soak->upstreams[target];
+  struct soak_notice *notice = &upstream->notice;
+
+  if (notice->begun_ns != 0)
+    return;
+  *notice = (struct soak_notice){ .begun_ns = soak_now_ns (soak),
+                                  .limit_per_s = limit_per_s };
+  if (limit_per_s > 0)
+    snprintf (notice->header, sizeof notice->header, "Server-Limit: %u.0\r\n",
+              limit_per_s);
+  else
+    snprintf (notice->header, sizeof notice->header, "Retry-After: %u\r\n",
+              SOAK_PAUSE_MS / 1000);
+  upstream->server.extra_headers = notice->header;
+  schedule_end (soak, 3000 + (uint32_t)rng_below (&soak->notice_rng, 7000),
+                end_notice, target, false);
+}
+
+static void
+end_notice (struct soak *soak, uint32_t target)
+{
+  soak->upstreams[target].server.extra_headers = NULL;
+  soak->upstreams[target].notice.begun_ns = 0;
+}
+
 /* Registers the upstream as draining or deletes it from the store; the end of
    the fault registers it as ready again. */
 static void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -39,6 +39,14 @@
 #define SOAK_RETRY_ALLOWANCE 5
 #define SOAK_RETRY_RATIO     0.02
 
+/* What upstreams say of themselves. */
+#define SOAK_NOTICE_MS       500  /**< until a gateway heeds it */
+#define SOAK_LIMIT_MAX       4    /**< requests a second */
+#define SOAK_LIMIT_WINDOW_MS 4000 /**< one and a half times the limit, and */
+#define SOAK_LIMIT_BURST     5    /**< these */
+#define SOAK_PAUSE_MS        2000
+#define SOAK_PAUSE_ARRIVALS  2 /**< allowed of each gateway */
+
 /** Kinds of routes. */
 enum soak_kind
 {
@@ -65,6 +73,8 @@
   SOAK_DISCONNECT_CANCELS,
   SOAK_RETRY_BUDGET,
   SOAK_NO_EXTRA_BYTES,
+  SOAK_LIMIT_KEPT,
+  SOAK_PAUSE_KEPT,
   SOAK_ALL_RECOVERED,
   SOAK_INVARIANT_MAX
 };
@@ -107,6 +117,21 @@
   uint64_t served_ns; /**< time of the last success */
 };
 
+/** What an upstream says in its responses: a limit for all gateways, or that
+    it wants nothing for SOAK_PAUSE_MS. */
+struct soak_notice
+{
+  uint64_t begun_ns;    /**< 0: nothing */
+  uint32_t limit_per_s; /**< 0: it wants nothing */
+  char header[48];
+  /** When each gateway was told (0: not), and its arrivals since. */
+  uint64_t told_ns[SOAK_GATEWAYS];
+  uint32_t arrivals[SOAK_GATEWAYS];
+  /** Last arrivals that count for the limit, a ring. */
+  uint64_t counted_ns[SOAK_LIMIT_MAX * 6 + SOAK_LIMIT_BURST];
+  uint64_t counted;
+};
+
 struct soak_upstream
 {
   struct upstreamserver server;
@@ -115,6 +140,7 @@
   enum upstreamserver_behaviour behaviour;
   uint32_t permille;     /**< share of requests that the fault affects */
   uint64_t withdrawn_ns; /**< time of withdrawal; 0: in service */
+  struct soak_notice notice;
 };
 
 struct soak_client
@@ -141,6 +167,7 @@
   struct clock clock;
   struct rng rng;          /**< for clients and upstreams */
   struct rng schedule_rng; /**< separate: a seed gives the same faults */
+  struct rng notice_rng;
   uint64_t start_ns;
   uint64_t faults_end_ns; /**< no faults after this time */
   uint64_t end_ns;
@@ -163,6 +190,7 @@
   uint32_t violations[SOAK_INVARIANT_MAX];
   struct soak_fault_end *fault_ends; /**< private to schedule.c */
   uint64_t next_fault_ns;
+  uint64_t next_notice_ns;
   bool link_faulty[SOAK_LINKS];
 };
 
