Choosing without a turn, and asking for one, in plainer steps

choose_upstream in two steps rather than a loop with three conditions; the primary upstream of a prompt is called so where a turn is asked for, as preferred are the customers. No change of logic.

--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -124,7 +124,7 @@
 /* Turns. */
 
 bool
-gateway_limits_ask (struct gateway_request *request, bool preferred_only)
+gateway_limits_ask (struct gateway_request *request, bool primary_only)
 {
   struct gateway *gateway = request->gateway;
   const struct choose_candidates *candidates = &request->candidates;
@@ -133,7 +133,7 @@
 
   if (request->parsed.prompt.part_count == 0)
     return ask_plain (request);
-  for (i = 0; i < candidates->count && (i == 0 || !preferred_only); i++)
+  for (i = 0; i < candidates->count && (i == 0 || !primary_only); i++)
     {
       upstream = registry_find (&gateway->registry, candidates->ids[i]);
       if (upstream != NULL && ask (request, upstream))
--- a/src/gateway/gateway_limits.h
+++ b/src/gateway/gateway_limits.h
@@ -18,13 +18,14 @@
 void gateway_limits_read (struct gateway_request *request,
                           enum upstream_limit limit, uint32_t permille);
 
-/** Asks for a turn at a limited upstream that the request would use: its
-    preferred one, or if that has no turn to give, another one.
-    @param preferred_only  do not ask at others.
-    @return whether the answer may arrive soon. */
-bool gateway_limits_ask (struct gateway_request *request, bool preferred_only);
-/** Time until a limited upstream of the request's service may have a turn;
-    UINT64_MAX if none is limited. */
+/** Asks for a turn at a limited upstream that the request would use: at the
+    primary one of a prompt, or else at another candidate; for other requests
+    at any upstream.
+    @param primary_only  of a prompt.
+    @return whether the request waits for the answer, or for its turn. */
+bool gateway_limits_ask (struct gateway_request *request, bool primary_only);
+/** Time until a limited upstream of the request's service may have a turn; 0
+    if that is not known, UINT64_MAX if none is limited. */
 uint64_t gateway_limits_wait_ns (const struct gateway_request *request);
 
 /** Handles a message of a peer. */
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -35,6 +35,10 @@
 
 static bool eligible (const struct registry_upstream *upstream,
                       const struct choose_request *request, bool skip_ejected);
+static void choose_eligible (const struct registry *registry,
+                             const struct prefix_cache *prefix_cache,
+                             const struct choose_request *request,
+                             bool skip_ejected, struct choose_result *result);
 static bool awaits_turn (const struct registry *registry,
                          const struct choose_request *request);
 static bool is_excluded (const struct registry_upstream *upstream,
@@ -66,21 +70,24 @@
                  const struct choose_request *request,
                  struct choose_result *result)
 {
-  bool engine = request->prompt != NULL && request->prompt->part_count > 0;
-  int skip_ejected;
-
   memset (result, 0, sizeof *result);
+  choose_eligible (registry, prefix_cache, request, true, result);
   /* If all upstreams failed recently, the cause may lie elsewhere: then
      ejected ones are used too, unless a sound one will have a turn. */
-  for (skip_ejected = 1;
-       skip_ejected >= 0 && result->upstream == NULL
-       && (skip_ejected == 1 || !awaits_turn (registry, request));
-       skip_ejected--)
-    if (engine)
-      choose_engine (registry, prefix_cache, request, skip_ejected != 0,
-                     result);
-    else
-      choose_plain (registry, request, skip_ejected != 0, result);
+  if (result->upstream == NULL && !awaits_turn (registry, request))
+    choose_eligible (registry, prefix_cache, request, false, result);
+}
+
+static void
+choose_eligible (const struct registry *registry,
+                 const struct prefix_cache *prefix_cache,
+                 const struct choose_request *request, bool skip_ejected,
+                 struct choose_result *result)
+{
+  if (request->prompt != NULL && request->prompt->part_count > 0)
+    choose_engine (registry, prefix_cache, request, skip_ejected, result);
+  else
+    choose_plain (registry, request, skip_ejected, result);
 }
 
 /* Whether an upstream would be used but for its limit. */
