--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -202,10 +202,10 @@
   enum message_limit_kind kind;
   uint64_t upstream_id;
   uint64_t instance_id; /**< that asks for the turn */
-  bool preferred;       /**< its customer has had no more than others */
-  uint32_t permille; /**< of a request a second, if known or asked; 0: none */
-  uint32_t ms; /**< since it is known, or until the turn or the next question
-                */
+  bool preferred;       /**< for a customer with little recent usage */
+  uint32_t permille;    /**< thousandths of a request a second; 0: no limit */
+  uint32_t ms; /**< known: its age; granted: time until the turn; denied:
+                    until a turn may be asked for */
 };
 
 struct message
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -266,7 +266,8 @@
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     {
-      if (peer->subscribed || !gateway_peers_knows_hub (peers, peer))
+      if (peer->subscribed
+          || !gateway_peers_knows_hub (peers, peer->instance_id))
         continue;
       pair[0] = peer->instance_id;
       hash = XXH3_64bits (pair, sizeof pair);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -43,12 +43,10 @@
 static void on_peer_down (void *user, uint64_t instance_id, int error);
 static void on_peer_rejected (void *user, const char *address, int error);
 static void on_report_timer (evutil_socket_t fd, short what, void *arg);
-static void report (struct gateway_peers *peers);
+static void handle_report_tick (struct gateway_peers *peers);
 static int start_net (struct gateway_peers *peers);
 static struct gateway_peer *find_peer (const struct gateway_peers *peers,
                                        uint64_t instance_id);
-static bool peer_is_hub (const struct gateway_peers *peers,
-                         uint64_t instance_id);
 static void update_subscription (struct gateway_peers *peers,
                                  struct gateway_peer *peer);
 static void send_pending_snapshots (struct gateway_peers *peers);
@@ -188,8 +186,9 @@
   return peer;
 }
 
-static bool
-peer_is_hub (const struct gateway_peers *peers, uint64_t instance_id)
+bool
+gateway_peers_knows_hub (const struct gateway_peers *peers,
+                         uint64_t instance_id)
 {
   const struct gateway_peers_member *member;
 
@@ -199,13 +198,6 @@
   return false;
 }
 
-bool
-gateway_peers_knows_hub (const struct gateway_peers *peers,
-                         const struct gateway_peer *peer)
-{
-  return peer_is_hub (peers, peer->instance_id);
-}
-
 static void
 on_peer_up (void *user, const struct message_hello *hello)
 {
@@ -248,7 +240,8 @@
 static void
 update_subscription (struct gateway_peers *peers, struct gateway_peer *peer)
 {
-  bool wanted = !peers->hub && peer_is_hub (peers, peer->instance_id);
+  bool wanted
+      = !peers->hub && gateway_peers_knows_hub (peers, peer->instance_id);
   const struct message request
       = { .kind = MESSAGE_CONFIG_REQUEST,
           .u.config_request.since_index = wanted ? 0 : NO_FURTHER_ITEMS };
@@ -456,12 +449,12 @@
 
   (void)fd;
   (void)what;
-  report (peers);
+  handle_report_tick (peers);
   looptime_begin (time, work);
 }
 
 static void
-report (struct gateway_peers *peers)
+handle_report_tick (struct gateway_peers *peers)
 {
   uint64_t now_ns = gateway_now_ns (peers->gateway);
   bool to_hubs = peers->report_ticks % REPORT_TICKS == 0;
@@ -517,7 +510,7 @@
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     if (!peer->subscribed && peer->load.store_index == 0
         && now_ns - peer->report_ns < HUB_VIEW_AGE_MAX_MS * CLOCK_NS_PER_MS
-        && peer_is_hub (peers, peer->instance_id))
+        && gateway_peers_knows_hub (peers, peer->instance_id))
       return true;
   return false;
 }
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -113,9 +113,9 @@
 /** Brings the subscriptions on all links in line with the hubs. */
 void gateway_peers_update_subscriptions (struct gateway_peers *peers);
 
-/** Whether a peer is a hub, as far as known. */
+/** Whether an instance is a hub, as far as known. */
 bool gateway_peers_knows_hub (const struct gateway_peers *peers,
-                              const struct gateway_peer *peer);
+                              uint64_t instance_id);
 
 /* gateway_peers_load.c */
 /** Sends load reports to peers; a hub reports to other hubs only if
--- a/src/state/rate_limit.h
+++ b/src/state/rate_limit.h
@@ -37,7 +37,7 @@
                              that it had ended; 0: never */
   uint64_t turn_ns;     /**< when the next turn may be used; 0: none */
   uint64_t asked_ns;    /**< when a turn was asked for; 0: no answer is due */
-  uint64_t expected_ns; /**< no turn is to be had before */
+  uint64_t expected_ns; /**< earliest time of a turn, by the last answer */
 };
 
 /** A response named a limit.
--- a/src/state/rotation.h
+++ b/src/state/rotation.h
@@ -3,13 +3,14 @@
  * Whether this instance is in the load balancer's rotation: the load balancer
  * sends new connections to instances that say they are ready.
  *
- * It places clients by a hash, so all clients of a customer may reach one
- * instance, and come back to it when they are turned away.  An instance that
- * goes on turning connections away leaves the rotation for a while: the load
- * balancer then sends these clients to another one, and the other clients of
- * this instance are served elsewhere, too.  At most a part of an availability
- * zone is out at a time.  If more of its instances are flooded, they all have
- * too much work, and sending clients from one to another gains nothing.
+ * The load balancer places clients by a hash, so all clients of a customer may
+ * reach one instance, and come back to it when they are turned away.  An
+ * instance that goes on turning connections away leaves the rotation for a
+ * while: the load balancer then sends these clients to another one, and the
+ * other clients of this instance are served elsewhere, too.  At most a part of
+ * an availability zone is out at a time.  If more of its instances are
+ * flooded, they all have too much work, and sending clients from one to
+ * another gains nothing.
  */
 #ifndef STATE_ROTATION_H
 #define STATE_ROTATION_H
@@ -17,7 +18,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** One instance of an availability zone in so many may be out. */
+/** One in this many instances of an availability zone may be out. */
 #define ROTATION_ZONE_PART 4
 
 /** Zero-initialise. */
--- a/src/state/turns.h
+++ b/src/state/turns.h
@@ -31,11 +31,10 @@
 void turns_finish (struct turns *turns);
 
 /** Asks for a turn.
-    @param preferred  turns are given further ahead to it, and so before
-                      others.
-    @param permille  the limit, in thousandths of a request a second; not 0.
-    @param delay_ns  is set to the time until the turn, or until turns may be
-                     had.
+    @param permille   the limit, in thousandths of a request a second; not 0.
+    @param preferred  turns are given further ahead, and so before others.
+    @param delay_ns   is set to the time until the turn, or, if there is none,
+                      until one may be asked for.
     @return whether there is one. */
 bool turns_take (struct turns *turns, uint64_t upstream_id, uint32_t permille,
                  bool preferred, uint64_t now_ns, uint64_t *delay_ns);
--- a/src/transport/looptime.h
+++ b/src/transport/looptime.h
@@ -28,7 +28,7 @@
 {
   const struct clock *clock;
   enum loop_work work;
-  uint64_t since_ns; /**< start of `work`; 0: nothing was measured yet */
+  uint64_t since_ns; /**< start of `work`; 0: not started */
   uint64_t total_ns[LOOP_WORK_MAX];
 };
 
