Log a digest of the request with failed attempts (BUDGET)

The logs could not tell whether attempts that end in crashes are of one request that is sent again: its id is new each time, and a plain request has no parts. No change of logic.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -32,6 +32,7 @@
   bool has_remaining;
   uint32_t remaining_ms;     /**< time until the client gives up */
   const char *last_event_id; /**< id of the client's last event, or NULL */
+  const char *model;         /**< that the prompt is for; NULL when absent */
   uint64_t output_hint;      /**< expected output tokens; 0: unknown */
   struct prompt prompt;      /**< without parts when the request has none */
 };
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -7,6 +7,7 @@
 #include "gateway/gateway_request_int.h"
 #include "protocol/client.h"
 #include "state/err.h"
+#include "state/request_digest.h"
 #include "transport/log.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -213,6 +214,27 @@
   return size < 0 ? NULL : path;
 }
 
+uint64_t
+gateway_request_digest (struct gateway_request *request)
+{
+  const struct prompt *prompt = &request->parsed.prompt;
+  const struct request_digest_input input = {
+    .method = htparser_get_methodstr_m (request->reply.http->method),
+    .host = request->parsed.host,
+    .path = request->path,
+    .customer_id = request->customer == NULL ? 0 : request->customer->id,
+    .body = request->body,
+    .body_size = request->body_size,
+    .model = request->parsed.model,
+    .part_ids = prompt->ids,
+    .part_count = prompt->id_count,
+  };
+
+  if (request->digest == 0)
+    request->digest = request_digest (&input);
+  return request->digest;
+}
+
 static int
 start_timer (struct gateway_request *request)
 {
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -23,7 +23,8 @@
 #define PAUSE_SPREAD 4
 #define OUTPUT_TOKEN_COST                                                     \
   2.0 /* cost of an output token relative to an input token */
-#define PARTS_TEXT_SIZE 160 /* holds the identifiers of nine parts */
+#define PARTS_TEXT_SIZE  160 /* holds the identifiers of nine parts */
+#define DIGEST_TEXT_SIZE 17  /* of 64 bits in hexadecimal */
 #define UPSTREAM_IDLE_TIMEOUT_MS                                              \
   30000 /* for upstreams that do not state their timeout */
 
@@ -317,6 +318,7 @@
   struct registry_upstream *upstream
       = registry_find (&gateway->registry, request->upstream_id);
   char parts[PARTS_TEXT_SIZE];
+  char digest[DIGEST_TEXT_SIZE];
   bool retry;
 
   request->attempt = NULL;
@@ -332,6 +334,8 @@
                      gateway_now_ns (gateway));
   gateway_quarantine_attempt_failed (request, error);
   format_shared_parts (&request->parsed.prompt, parts);
+  snprintf (digest, sizeof digest, "%016" PRIx64,
+            gateway_request_digest (request));
   LOG (LOG_ATTEMPT_FAILED, request->parsed.id,
        LOG_U ("attempt", request->attempt_state.number),
        LOG_S ("error", err_name (error)),
@@ -339,7 +343,8 @@
               upstream == NULL ? "gone" : upstream->record.identity),
        LOG_S ("verdict",
               verdict_name (attempt_verdict (&request->attempt_state))),
-       LOG_U ("events", request->sse.events), LOG_S ("parts", parts));
+       LOG_U ("events", request->sse.events), LOG_S ("parts", parts),
+       LOG_S ("digest", digest));
   if (request->is_stream)
     sse_discard_partial (&request->sse);
   retry = request->retry_granted || gateway_request_may_retry (request);
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -61,6 +61,7 @@
   /** Charged to the customer for the attempt; refunded if it does not run. */
   double charged_tokens;
   uint64_t attempt_start_ns;
+  uint64_t digest; /**< see gateway_request_digest(); 0: not computed yet */
   uint32_t crashed_attempts; /**< ended by a crash of their upstream */
   bool responded;            /**< see gateway_quarantine_responded() */
   bool trial; /**< it tries a held part, see state/quarantine.h */
@@ -76,6 +77,9 @@
 /** Ends and frees the request if its client has closed the connection.
     @return whether it did. */
 bool gateway_request_end_if_client_left (struct gateway_request *request);
+/** Digest by which a request that is sent again is recognised; see
+    state/request_digest. */
+uint64_t gateway_request_digest (struct gateway_request *request);
 /** Removes the request from the queue, if it waits. */
 void gateway_request_dequeue (struct gateway_request *request);
 /** Measured state of the request's service, created on first use; NULL when
