--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -15,6 +15,12 @@
 
 void
 gatefleet_init (struct gatefleet *fleet)
+{
+  gatefleet_init_upstreams (fleet, GATEFLEET_UPSTREAMS);
+}
+
+void
+gatefleet_init_upstreams (struct gatefleet *fleet, unsigned int upstreams)
 {
   unsigned int i;
 
@@ -22,7 +28,8 @@
   fleet->base = loop_new ();
   clock_init_real (&fleet->clock);
   storeserver_init (&fleet->store, fleet->base);
-  for (i = 0; i < GATEFLEET_UPSTREAMS; i++)
+  fleet->upstream_count = upstreams;
+  for (i = 0; i < upstreams; i++)
     {
       upstreamserver_init (&fleet->upstreams[i], fleet->base, "sig");
       fleet->upstreams[i].response_delay_ms = RESPONSE_MS;
@@ -128,7 +135,7 @@
   for (i = 0; i < fleet->gateway_count; i++)
     if (!gateway_ready (&fleet->gateways[i])
         || HASH_COUNT (fleet->gateways[i].registry.upstreams)
-               < GATEFLEET_UPSTREAMS)
+               < fleet->upstream_count)
       return false;
   return true;
 }
@@ -152,7 +159,7 @@
 
   for (i = 0; i < fleet->gateway_count; i++)
     gateway_finish (&fleet->gateways[i]);
-  for (i = 0; i < GATEFLEET_UPSTREAMS; i++)
+  for (i = 0; i < fleet->upstream_count; i++)
     upstreamserver_finish (&fleet->upstreams[i]);
   storeserver_finish (&fleet->store);
   event_base_loop (fleet->base, EVLOOP_NONBLOCK);
--- a/tests/support/gatefleet.h
+++ b/tests/support/gatefleet.h
@@ -18,6 +18,7 @@
   struct event_base *base;
   struct storeserver store;
   unsigned int gateway_count;
+  unsigned int upstream_count;
   struct gateway gateways[GATEFLEET_GATEWAYS_MAX];
   struct upstreamserver upstreams[GATEFLEET_UPSTREAMS];
   unsigned int lives[GATEFLEET_UPSTREAMS]; /* incarnations before this one */
@@ -27,6 +28,9 @@
 
 /** Starts the store and the upstreams, which are registered. */
 void gatefleet_init (struct gatefleet *fleet);
+/** The same with fewer upstreams. */
+void gatefleet_init_upstreams (struct gatefleet *fleet,
+                               unsigned int upstreams);
 /** Starts all gateways and waits until they know all upstreams and each other;
     time counts from then on. */
 void gatefleet_start (struct gatefleet *fleet, unsigned int gateways);
