--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -32,17 +32,17 @@
 #define STORED_UPSTREAM_ID 1
 #define TICKS_PER_EXPIRY   100
 
-static void on_changed (void *user, const struct quarantine_part *part);
+static void on_changed (void *user, const struct quarantine_entry *entry);
 static bool ask_for_trial (struct gateway *gateway,
-                           struct quarantine_part *part);
+                           struct quarantine_entry *entry);
 static void on_trial_decided (void *user, int error, uint64_t index);
 static void update_entry (struct gateway *gateway,
-                          struct quarantine_part *part);
+                          struct quarantine_entry *entry);
 static void on_entry_written (void *user, int error, uint64_t index);
 static int write_store (struct gateway *gateway,
-                        const struct quarantine_part *part,
+                        const struct quarantine_entry *entry,
                         const struct kvstore_txn *txn, kvstore_write_fn done);
-static struct quarantine_part *finish_write (struct gateway *gateway);
+static struct quarantine_entry *finish_write (struct gateway *gateway);
 static void format_key (const struct gateway *gateway,
                         const struct quarantine_key *key, uint32_t trial,
                         char text[KEY_SIZE]);
@@ -58,15 +58,16 @@
 }
 
 static void
-on_changed (void *user, const struct quarantine_part *part)
+on_changed (void *user, const struct quarantine_entry *entry)
 {
   char id[24];
 
   (void)user;
-  snprintf (id, sizeof id, "%" PRIx64, part->key.part);
-  LOG (part->held_ns != 0 ? LOG_PART_HELD : LOG_PART_RELEASED, NULL,
-       LOG_S ("part", id), LOG_U ("upstreams", part->upstream_count),
-       LOG_U ("trials", part->trials), LOG_U ("generation", part->generation));
+  snprintf (id, sizeof id, "%" PRIx64, entry->key.subject);
+  LOG (entry->held_ns != 0 ? LOG_PART_HELD : LOG_PART_RELEASED, NULL,
+       LOG_S ("part", id), LOG_U ("upstreams", entry->upstream_count),
+       LOG_U ("trials", entry->trials),
+       LOG_U ("generation", entry->generation));
 }
 
 /* Requests. */
@@ -77,18 +78,18 @@
   struct gateway *gateway = request->gateway;
   const struct prompt *prompt = &request->parsed.prompt;
   uint64_t now_ns = gateway_now_ns (gateway);
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
 
   if (request->trial)
     return false;
-  part = quarantine_find_held (&gateway->quarantine, request->service->id,
-                               prompt->ids, prompt_shared_id_count (prompt),
-                               now_ns);
-  if (part == NULL)
+  entry = quarantine_find_held (&gateway->quarantine, request->service->id,
+                                prompt->ids, prompt_shared_id_count (prompt),
+                                now_ns);
+  if (entry == NULL)
     return false;
-  request->trial = quarantine_take_trial (part, now_ns);
-  if (!request->trial && quarantine_trial_due (part, now_ns))
-    part->trial_asked = ask_for_trial (gateway, part);
+  request->trial = quarantine_take_trial (entry, now_ns);
+  if (!request->trial && quarantine_trial_due (entry, now_ns))
+    entry->trial_asked = ask_for_trial (gateway, entry);
   return !request->trial;
 }
 
@@ -155,7 +156,7 @@
   uint64_t now_ns = gateway_now_ns (gateway);
   struct quarantine_row row = { .upstream_id = STORED_UPSTREAM_ID,
                                 .crashes = QUARANTINE_CRASH_LIMIT };
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
   char value[16];
 
   if (parse_key (gateway, item->key, &row.key, &row.trials) != 0
@@ -167,9 +168,9 @@
     }
   if (item->value == NULL)
     {
-      part = quarantine_find (quarantine, &row.key);
-      if (part != NULL && row.trials == 0)
-        part->stored = false;
+      entry = quarantine_find (quarantine, &row.key);
+      if (entry != NULL && row.trials == 0)
+        entry->stored = false;
     }
   else
     {
@@ -177,9 +178,9 @@
       value[item->value_size] = '\0';
       row.generation = (uint32_t)strtoul (value, NULL, 10);
       quarantine_merge (quarantine, &row, now_ns);
-      part = quarantine_find (quarantine, &row.key);
-      if (part != NULL)
-        part->stored = true;
+      entry = quarantine_find (quarantine, &row.key);
+      if (entry != NULL)
+        entry->stored = true;
     }
   gateway_peers_publish_item (gateway, item, true);
 }
@@ -187,21 +188,22 @@
 void
 gateway_quarantine_tick (struct gateway *gateway)
 {
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
   uint64_t now_ns = gateway_now_ns (gateway);
 
-  for (part = gateway->quarantine.parts; part != NULL; part = part->hh.next)
+  for (entry = gateway->quarantine.entries; entry != NULL;
+       entry = entry->hh.next)
     {
-      if (part->stored == (part->held_ns != 0))
-        part->store_ns = 0;
+      if (entry->stored == (entry->held_ns != 0))
+        entry->store_ns = 0;
       else if (!gateway_peers_is_hub (gateway))
         continue;
-      else if (part->store_ns == 0)
-        part->store_ns
+      else if (entry->store_ns == 0)
+        entry->store_ns
             = now_ns
               + rng_below (&gateway->rng, WRITE_DELAY_MS) * CLOCK_NS_PER_MS;
-      else if (now_ns >= part->store_ns)
-        update_entry (gateway, part);
+      else if (now_ns >= entry->store_ns)
+        update_entry (gateway, entry);
     }
   if (gateway->ticks % TICKS_PER_EXPIRY == 0)
     quarantine_expire (&gateway->quarantine, now_ns);
@@ -209,7 +211,7 @@
 
 /* Writes the entry of a held part, or deletes that of a released one. */
 static void
-update_entry (struct gateway *gateway, struct quarantine_part *part)
+update_entry (struct gateway *gateway, struct quarantine_entry *entry)
 {
   char keys[1 + QUARANTINE_TRIALS_MAX][KEY_SIZE];
   const char *deletes[1 + QUARANTINE_TRIALS_MAX];
@@ -220,12 +222,12 @@
 
   for (i = 0; i <= QUARANTINE_TRIALS_MAX; i++)
     {
-      format_key (gateway, &part->key, i, keys[i]);
+      format_key (gateway, &entry->key, i, keys[i]);
       deletes[i] = keys[i];
     }
   put.value_size
-      = (size_t)snprintf (value, sizeof value, "%" PRIu32, part->generation);
-  if (part->held_ns != 0)
+      = (size_t)snprintf (value, sizeof value, "%" PRIu32, entry->generation);
+  if (entry->held_ns != 0)
     {
       txn.puts = &put;
       txn.put_count = 1;
@@ -235,18 +237,19 @@
       txn.deletes = deletes;
       txn.delete_count = 1 + QUARANTINE_TRIALS_MAX;
     }
-  part->store_ns = gateway_now_ns (gateway) + WRITE_DELAY_MS * CLOCK_NS_PER_MS;
-  write_store (gateway, part, &txn, on_entry_written);
+  entry->store_ns
+      = gateway_now_ns (gateway) + WRITE_DELAY_MS * CLOCK_NS_PER_MS;
+  write_store (gateway, entry, &txn, on_entry_written);
 }
 
 static void
 on_entry_written (void *user, int error, uint64_t index)
 {
-  struct quarantine_part *part = finish_write (user);
+  struct quarantine_entry *entry = finish_write (user);
 
   (void)index;
-  if (part != NULL && error == 0)
-    part->stored = part->held_ns != 0;
+  if (entry != NULL && error == 0)
+    entry->stored = entry->held_ns != 0;
   else if (error != 0)
     LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "quarantine"),
          LOG_S ("error", err_name (error)));
@@ -254,7 +257,7 @@
 
 /* @return whether the decision is in progress. */
 static bool
-ask_for_trial (struct gateway *gateway, struct quarantine_part *part)
+ask_for_trial (struct gateway *gateway, struct quarantine_entry *entry)
 {
   char key[KEY_SIZE];
   char value[16];
@@ -264,10 +267,10 @@
     .conditions = &absent, .condition_count = 1, .puts = &put, .put_count = 1
   };
 
-  format_key (gateway, &part->key, part->trials + 1, key);
+  format_key (gateway, &entry->key, entry->trials + 1, key);
   put.value_size
-      = (size_t)snprintf (value, sizeof value, "%" PRIu32, part->generation);
-  return write_store (gateway, part, &txn, on_trial_decided) == 0;
+      = (size_t)snprintf (value, sizeof value, "%" PRIu32, entry->generation);
+  return write_store (gateway, entry, &txn, on_trial_decided) == 0;
 }
 
 static void
@@ -275,27 +278,27 @@
 {
   struct gateway *gateway = user;
   uint32_t generation = gateway->quarantine_write.generation;
-  struct quarantine_part *part = finish_write (gateway);
+  struct quarantine_entry *entry = finish_write (gateway);
   char id[24];
 
   (void)index;
-  if (part == NULL)
+  if (entry == NULL)
     return;
-  part->trial_asked = false;
-  if (part->generation != generation)
+  entry->trial_asked = false;
+  if (entry->generation != generation)
     return;
   if (error == 0 || error == ERR_CONFLICT || error == ERR_UNKNOWN_OUTCOME)
-    quarantine_start_trial (&gateway->quarantine, part, error == 0,
+    quarantine_start_trial (&gateway->quarantine, entry, error == 0,
                             gateway_now_ns (gateway));
-  snprintf (id, sizeof id, "%" PRIx64, part->key.part);
+  snprintf (id, sizeof id, "%" PRIx64, entry->key.subject);
   LOG (LOG_PART_TRIAL, NULL, LOG_S ("part", id),
-       LOG_U ("trials", part->trials),
+       LOG_U ("trials", entry->trials),
        LOG_S ("here", error == 0 ? "yes" : "no"),
        LOG_S ("error", err_name (error)));
 }
 
 static int
-write_store (struct gateway *gateway, const struct quarantine_part *part,
+write_store (struct gateway *gateway, const struct quarantine_entry *entry,
              const struct kvstore_txn *txn, kvstore_write_fn done)
 {
   int error;
@@ -303,7 +306,7 @@
   if (gateway->quarantine_write.pending)
     return ERR_FULL;
   gateway->quarantine_write = (struct gateway_quarantine_write){
-    .pending = true, .key = part->key, .generation = part->generation
+    .pending = true, .key = entry->key, .generation = entry->generation
   };
   error = gateway->store->ops->txn (gateway->store, txn, done, gateway);
   if (error == 0)
@@ -315,7 +318,7 @@
 }
 
 /* @return the part; NULL if it was forgotten meanwhile. */
-static struct quarantine_part *
+static struct quarantine_entry *
 finish_write (struct gateway *gateway)
 {
   gateway->quarantine_write.pending = false;
@@ -330,7 +333,7 @@
 {
   int size = snprintf (
       text, KEY_SIZE, "%s" KEY_PREFIX "%016" PRIx64 "-%016" PRIx64,
-      gateway->adapter->gateway_prefix, key->service_id, key->part);
+      gateway->adapter->gateway_prefix, key->service_id, key->subject);
 
   if (trial > 0 && size > 0 && size < KEY_SIZE)
     snprintf (text + size, KEY_SIZE - (size_t)size, "/%" PRIu32, trial);
@@ -347,7 +350,7 @@
   if (end == text || *end != '-')
     return ERR_INVALID;
   text = end + 1;
-  key->part = strtoull (text, &end, 16);
+  key->subject = strtoull (text, &end, 16);
   if (end == text || (*end != '\0' && *end != '/'))
     return ERR_INVALID;
   *trial = *end == '/' ? (uint32_t)strtoul (end + 1, &end, 10) : 0;
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -537,7 +537,7 @@
       const struct quarantine_row *row = &load->suspects[i];
 
       *cells++ = row->key.service_id;
-      *cells++ = row->key.part;
+      *cells++ = row->key.subject;
       *cells++ = (uint64_t)row->generation << 32 | row->trials;
       *cells++ = row->upstream_id;
       *cells++ = row->crashes;
--- a/src/state/quarantine.c
+++ b/src/state/quarantine.c
@@ -25,7 +25,7 @@
 #define TRIAL_DELAY_MS 30000
 /* Time after which a trial that was granted expires unused. */
 #define TRIAL_VALID_MS 60000
-#define PARTS_MAX      1024
+#define ENTRIES_MAX    1024
 #define SUCCESSES_MAX  4096
 
 /** Last response to a prompt with a part. */
@@ -36,27 +36,27 @@
   UT_hash_handle hh; /* least recent first */
 };
 
-static struct quarantine_part *add_part (struct quarantine *quarantine,
-                                         const struct quarantine_key *key);
-static void remove_part (struct quarantine *quarantine,
-                         struct quarantine_part *part);
+static struct quarantine_entry *add_entry (struct quarantine *quarantine,
+                                           const struct quarantine_key *key);
+static void remove_entry (struct quarantine *quarantine,
+                          struct quarantine_entry *entry);
 static struct quarantine_crashes *
-upstream_crashes (struct quarantine_part *part, uint64_t upstream_id);
-static uint32_t crash_count (const struct quarantine_part *part);
-static bool is_held (const struct quarantine_part *part, uint64_t now_ns);
+upstream_crashes (struct quarantine_entry *entry, uint64_t upstream_id);
+static uint32_t crash_count (const struct quarantine_entry *entry);
+static bool is_held (const struct quarantine_entry *entry, uint64_t now_ns);
 static void mark_changed (struct quarantine *quarantine,
-                          struct quarantine_part *part);
+                          struct quarantine_entry *entry);
 static void count_changed (struct quarantine *quarantine,
-                           struct quarantine_part *part, uint64_t now_ns);
+                           struct quarantine_entry *entry, uint64_t now_ns);
 static void start_generation (struct quarantine *quarantine,
-                              struct quarantine_part *part,
+                              struct quarantine_entry *entry,
                               uint32_t generation);
 static bool responded_recently (const struct quarantine *quarantine,
                                 const struct quarantine_key *key,
                                 uint64_t now_ns);
 static void record_success (struct quarantine *quarantine,
                             const struct quarantine_key *key, uint64_t now_ns);
-static void schedule_trial (struct quarantine_part *part, uint64_t now_ns);
+static void schedule_trial (struct quarantine_entry *entry, uint64_t now_ns);
 
 void
 quarantine_init (struct quarantine *quarantine)
@@ -67,16 +67,16 @@
 void
 quarantine_finish (struct quarantine *quarantine)
 {
-  struct quarantine_part *part = quarantine->parts;
-  struct quarantine_part *next_part;
+  struct quarantine_entry *entry = quarantine->entries;
+  struct quarantine_entry *next_part;
   struct quarantine_success *success = quarantine->successes;
   struct quarantine_success *next_success;
 
-  HASH_CLEAR (hh, quarantine->parts);
-  for (; part != NULL; part = next_part)
+  HASH_CLEAR (hh, quarantine->entries);
+  for (; entry != NULL; entry = next_part)
     {
-      next_part = part->hh.next;
-      free (part);
+      next_part = entry->hh.next;
+      free (entry);
     }
   HASH_CLEAR (hh, quarantine->successes);
   for (; success != NULL; success = next_success)
@@ -86,131 +86,131 @@
     }
 }
 
-struct quarantine_part *
+struct quarantine_entry *
 quarantine_find (const struct quarantine *quarantine,
                  const struct quarantine_key *key)
 {
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
 
   /* False positive: the analyzer takes the bytes of a key for uninitialised.
    */
   /* NOLINTNEXTLINE(clang-analyzer-core.UndefinedBinaryOperatorResult) */
-  HASH_FIND (hh, quarantine->parts, key, sizeof *key, part);
-  return part;
+  HASH_FIND (hh, quarantine->entries, key, sizeof *key, entry);
+  return entry;
 }
 
 /* A full table makes room by the part that changed least recently and is not
    held. */
-static struct quarantine_part *
-add_part (struct quarantine *quarantine, const struct quarantine_key *key)
+static struct quarantine_entry *
+add_entry (struct quarantine *quarantine, const struct quarantine_key *key)
 {
-  struct quarantine_part *part = quarantine_find (quarantine, key);
-  struct quarantine_part *oldest = quarantine->parts;
+  struct quarantine_entry *entry = quarantine_find (quarantine, key);
+  struct quarantine_entry *oldest = quarantine->entries;
 
-  if (part != NULL)
-    return part;
-  if (HASH_COUNT (quarantine->parts) >= PARTS_MAX)
+  if (entry != NULL)
+    return entry;
+  if (HASH_COUNT (quarantine->entries) >= ENTRIES_MAX)
     {
       while (oldest != NULL && oldest->held_ns != 0)
         oldest = oldest->hh.next;
       if (oldest == NULL)
         return NULL;
-      remove_part (quarantine, oldest);
+      remove_entry (quarantine, oldest);
     }
-  part = calloc (1, sizeof *part);
-  if (part == NULL)
+  entry = calloc (1, sizeof *entry);
+  if (entry == NULL)
     return NULL;
-  part->key = *key;
-  HASH_ADD (hh, quarantine->parts, key, sizeof part->key, part);
-  return part;
+  entry->key = *key;
+  HASH_ADD (hh, quarantine->entries, key, sizeof entry->key, entry);
+  return entry;
 }
 
 static void
-remove_part (struct quarantine *quarantine, struct quarantine_part *part)
+remove_entry (struct quarantine *quarantine, struct quarantine_entry *entry)
 {
   /* False positive: the analyzer assumes that the entry freed in one call is
      the head of the table in the next. */
   /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-  HASH_DEL (quarantine->parts, part);
-  free (part);
+  HASH_DEL (quarantine->entries, entry);
+  free (entry);
 }
 
 static struct quarantine_crashes *
-upstream_crashes (struct quarantine_part *part, uint64_t upstream_id)
+upstream_crashes (struct quarantine_entry *entry, uint64_t upstream_id)
 {
   uint32_t i;
 
-  for (i = 0; i < part->upstream_count; i++)
-    if (part->crashes[i].upstream_id == upstream_id)
-      return &part->crashes[i];
-  if (part->upstream_count == QUARANTINE_UPSTREAMS_MAX)
+  for (i = 0; i < entry->upstream_count; i++)
+    if (entry->crashes[i].upstream_id == upstream_id)
+      return &entry->crashes[i];
+  if (entry->upstream_count == QUARANTINE_UPSTREAMS_MAX)
     return NULL;
-  part->crashes[part->upstream_count]
+  entry->crashes[entry->upstream_count]
       = (struct quarantine_crashes){ .upstream_id = upstream_id };
-  return &part->crashes[part->upstream_count++];
+  return &entry->crashes[entry->upstream_count++];
 }
 
 static uint32_t
-crash_count (const struct quarantine_part *part)
+crash_count (const struct quarantine_entry *entry)
 {
   uint32_t count = 0;
   uint32_t i;
 
-  for (i = 0; i < part->upstream_count; i++)
-    count += part->crashes[i].count;
+  for (i = 0; i < entry->upstream_count; i++)
+    count += entry->crashes[i].count;
   return count;
 }
 
 static bool
-is_held (const struct quarantine_part *part, uint64_t now_ns)
+is_held (const struct quarantine_entry *entry, uint64_t now_ns)
 {
-  return part->held_ns != 0 && now_ns >= part->held_ns;
+  return entry->held_ns != 0 && now_ns >= entry->held_ns;
 }
 
 static void
-mark_changed (struct quarantine *quarantine, struct quarantine_part *part)
+mark_changed (struct quarantine *quarantine, struct quarantine_entry *entry)
 {
-  part->sequence = ++quarantine->sequence;
-  HASH_DEL (quarantine->parts, part);
-  HASH_ADD (hh, quarantine->parts, key, sizeof part->key, part);
+  entry->sequence = ++quarantine->sequence;
+  HASH_DEL (quarantine->entries, entry);
+  HASH_ADD (hh, quarantine->entries, key, sizeof entry->key, entry);
 }
 
 /* A crash was added. */
 static void
-count_changed (struct quarantine *quarantine, struct quarantine_part *part,
+count_changed (struct quarantine *quarantine, struct quarantine_entry *entry,
                uint64_t now_ns)
 {
-  part->crash_ns = now_ns;
-  mark_changed (quarantine, part);
-  if (part->held_ns != 0 || crash_count (part) < QUARANTINE_CRASH_LIMIT)
+  entry->crash_ns = now_ns;
+  mark_changed (quarantine, entry);
+  if (entry->held_ns != 0 || crash_count (entry) < QUARANTINE_CRASH_LIMIT)
     return;
-  part->held_ns = now_ns + SETTLE_MS * NS_PER_MS;
-  schedule_trial (part, now_ns);
+  entry->held_ns = now_ns + SETTLE_MS * NS_PER_MS;
+  schedule_trial (entry, now_ns);
   if (quarantine->changed != NULL)
-    quarantine->changed (quarantine->user, part);
+    quarantine->changed (quarantine->user, entry);
 }
 
 static void
-schedule_trial (struct quarantine_part *part, uint64_t now_ns)
+schedule_trial (struct quarantine_entry *entry, uint64_t now_ns)
 {
-  part->trial_ns
-      = now_ns + ((uint64_t)TRIAL_DELAY_MS << part->trials) * NS_PER_MS;
+  entry->trial_ns
+      = now_ns + ((uint64_t)TRIAL_DELAY_MS << entry->trials) * NS_PER_MS;
 }
 
 static void
-start_generation (struct quarantine *quarantine, struct quarantine_part *part,
-                  uint32_t generation)
+start_generation (struct quarantine *quarantine,
+                  struct quarantine_entry *entry, uint32_t generation)
 {
-  bool held = part->held_ns != 0;
-
-  part->generation = generation;
-  part->trials = 0;
-  part->upstream_count = 0;
-  part->held_ns = 0;
-  part->trial_end_ns = 0;
-  mark_changed (quarantine, part);
+  bool held = entry->held_ns != 0;
+
+  entry->generation = generation;
+  entry->trials = 0;
+  entry->upstream_count = 0;
+  entry->held_ns = 0;
+  entry->trial_end_ns = 0;
+  mark_changed (quarantine, entry);
   if (held && quarantine->changed != NULL)
-    quarantine->changed (quarantine->user, part);
+    quarantine->changed (quarantine->user, entry);
 }
 
 /* Evidence. */
@@ -252,7 +252,7 @@
                          uint64_t upstream_id, uint64_t now_ns)
 {
   struct quarantine_crashes *crashes;
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -261,15 +261,15 @@
 
       if (responded_recently (quarantine, &key, now_ns))
         continue;
-      part = add_part (quarantine, &key);
-      crashes = part == NULL ? NULL : upstream_crashes (part, upstream_id);
+      entry = add_entry (quarantine, &key);
+      crashes = entry == NULL ? NULL : upstream_crashes (entry, upstream_id);
       if (crashes == NULL
           || (crashes->counted_ns != 0
               && now_ns - crashes->counted_ns < CRASH_INTERVAL_MS * NS_PER_MS))
         continue;
       crashes->counted_ns = now_ns;
       crashes->count++;
-      count_changed (quarantine, part, now_ns);
+      count_changed (quarantine, entry, now_ns);
     }
 }
 
@@ -278,7 +278,7 @@
                             const uint64_t *parts, size_t count,
                             uint64_t now_ns)
 {
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -286,28 +286,28 @@
       const struct quarantine_key key = { service_id, parts[i] };
 
       record_success (quarantine, &key, now_ns);
-      part = quarantine_find (quarantine, &key);
-      if (part != NULL && part->upstream_count > 0)
-        start_generation (quarantine, part, part->generation + 1);
+      entry = quarantine_find (quarantine, &key);
+      if (entry != NULL && entry->upstream_count > 0)
+        start_generation (quarantine, entry, entry->generation + 1);
     }
 }
 
-struct quarantine_part *
+struct quarantine_entry *
 quarantine_find_held (struct quarantine *quarantine, uint64_t service_id,
                       const uint64_t *parts, size_t count, uint64_t now_ns)
 {
-  struct quarantine_part *part;
+  struct quarantine_entry *entry;
   size_t i;
 
-  if (quarantine->parts == NULL)
+  if (quarantine->entries == NULL)
     return NULL;
   for (i = 0; i < count; i++)
     {
       const struct quarantine_key key = { service_id, parts[i] };
 
-      part = quarantine_find (quarantine, &key);
-      if (part != NULL && is_held (part, now_ns))
-        return part;
+      entry = quarantine_find (quarantine, &key);
+      if (entry != NULL && is_held (entry, now_ns))
+        return entry;
     }
   return NULL;
 }
@@ -316,7 +316,7 @@
 quarantine_crashes (const struct quarantine *quarantine, uint64_t service_id,
                     const uint64_t *parts, size_t count)
 {
-  const struct quarantine_part *part;
+  const struct quarantine_entry *entry;
   uint32_t most = 0;
   uint32_t crashes;
   size_t i;
@@ -325,8 +325,8 @@
     {
       const struct quarantine_key key = { service_id, parts[i] };
 
-      part = quarantine_find (quarantine, &key);
-      crashes = part == NULL ? 0 : crash_count (part);
+      entry = quarantine_find (quarantine, &key);
+      crashes = entry == NULL ? 0 : crash_count (entry);
       most = crashes > most ? crashes : most;
     }
   return most;
@@ -335,41 +335,41 @@
 uint32_t
 quarantine_held_count (const struct quarantine *quarantine, uint64_t now_ns)
 {
-  const struct quarantine_part *part;
+  const struct quarantine_entry *entry;
   uint32_t count = 0;
 
-  for (part = quarantine->parts; part != NULL; part = part->hh.next)
-    count += is_held (part, now_ns);
+  for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
+    count += is_held (entry, now_ns);
   return count;
 }
 
 /* Trials. */
 
 bool
-quarantine_trial_due (const struct quarantine_part *part, uint64_t now_ns)
+quarantine_trial_due (const struct quarantine_entry *entry, uint64_t now_ns)
 {
-  return is_held (part, now_ns) && !part->trial_asked
-         && part->trials < QUARANTINE_TRIALS_MAX && now_ns >= part->trial_ns;
+  return is_held (entry, now_ns) && !entry->trial_asked
+         && entry->trials < QUARANTINE_TRIALS_MAX && now_ns >= entry->trial_ns;
 }
 
 void
 quarantine_start_trial (struct quarantine *quarantine,
-                        struct quarantine_part *part, bool own,
+                        struct quarantine_entry *entry, bool own,
                         uint64_t now_ns)
 {
-  part->trials++;
-  schedule_trial (part, now_ns);
+  entry->trials++;
+  schedule_trial (entry, now_ns);
   if (own)
-    part->trial_end_ns = now_ns + TRIAL_VALID_MS * NS_PER_MS;
-  mark_changed (quarantine, part);
+    entry->trial_end_ns = now_ns + TRIAL_VALID_MS * NS_PER_MS;
+  mark_changed (quarantine, entry);
 }
 
 bool
-quarantine_take_trial (struct quarantine_part *part, uint64_t now_ns)
+quarantine_take_trial (struct quarantine_entry *entry, uint64_t now_ns)
 {
-  bool valid = part->trial_end_ns > now_ns;
+  bool valid = entry->trial_end_ns > now_ns;
 
-  part->trial_end_ns = 0;
+  entry->trial_end_ns = 0;
   return valid;
 }
 
@@ -379,64 +379,64 @@
 quarantine_merge (struct quarantine *quarantine,
                   const struct quarantine_row *row, uint64_t now_ns)
 {
-  struct quarantine_part *part = add_part (quarantine, &row->key);
+  struct quarantine_entry *entry = add_entry (quarantine, &row->key);
   struct quarantine_crashes *crashes;
 
-  if (part == NULL)
+  if (entry == NULL)
     return;
-  if (row->generation < part->generation)
+  if (row->generation < entry->generation)
     {
       /* The sender has not heard of the responses since. */
-      mark_changed (quarantine, part);
+      mark_changed (quarantine, entry);
       return;
     }
-  if (row->generation > part->generation)
-    start_generation (quarantine, part, row->generation);
-  if (row->trials > part->trials)
+  if (row->generation > entry->generation)
+    start_generation (quarantine, entry, row->generation);
+  if (row->trials > entry->trials)
     {
-      part->trials = row->trials;
-      schedule_trial (part, now_ns);
-      mark_changed (quarantine, part);
+      entry->trials = row->trials;
+      schedule_trial (entry, now_ns);
+      mark_changed (quarantine, entry);
     }
   if (row->upstream_id == 0)
     return;
-  crashes = upstream_crashes (part, row->upstream_id);
+  crashes = upstream_crashes (entry, row->upstream_id);
   if (crashes != NULL && row->crashes > crashes->count)
     {
       crashes->count = row->crashes;
-      count_changed (quarantine, part, now_ns);
+      count_changed (quarantine, entry, now_ns);
     }
-  if (part->upstream_count > 0
+  if (entry->upstream_count > 0
       && responded_recently (quarantine, &row->key, now_ns))
-    start_generation (quarantine, part, part->generation + 1);
+    start_generation (quarantine, entry, entry->generation + 1);
 }
 
 size_t
 quarantine_rows (const struct quarantine *quarantine, uint64_t *sequence,
                  struct quarantine_row *rows, size_t max)
 {
-  const struct quarantine_part *part;
+  const struct quarantine_entry *entry;
   size_t count = 0;
   uint32_t i;
 
   if (*sequence == quarantine->sequence)
     return 0;
-  for (part = quarantine->parts; part != NULL; part = part->hh.next)
+  for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
     {
-      if (part->sequence <= *sequence)
+      if (entry->sequence <= *sequence)
         continue;
-      if (count + part->upstream_count + 1 > max)
+      if (count + entry->upstream_count + 1 > max)
         break;
-      rows[count++] = (struct quarantine_row){ .key = part->key,
-                                               .generation = part->generation,
-                                               .trials = part->trials };
-      for (i = 0; i < part->upstream_count; i++)
+      rows[count++] = (struct quarantine_row){ .key = entry->key,
+                                               .generation = entry->generation,
+                                               .trials = entry->trials };
+      for (i = 0; i < entry->upstream_count; i++)
         {
           rows[count] = rows[count - 1];
-          rows[count].upstream_id = part->crashes[i].upstream_id;
-          rows[count++].crashes = part->crashes[i].count;
+          rows[count].upstream_id = entry->crashes[i].upstream_id;
+          rows[count++].crashes = entry->crashes[i].count;
         }
-      *sequence = part->sequence;
+      *sequence = entry->sequence;
     }
   return count;
 }
@@ -444,17 +444,17 @@
 void
 quarantine_expire (struct quarantine *quarantine, uint64_t now_ns)
 {
-  struct quarantine_part *part;
-  struct quarantine_part *next;
+  struct quarantine_entry *entry;
+  struct quarantine_entry *next;
 
-  for (part = quarantine->parts; part != NULL; part = next)
+  for (entry = quarantine->entries; entry != NULL; entry = next)
     {
-      next = part->hh.next;
-      if (part->held_ns == 0 && !part->stored && !part->trial_asked
-          && now_ns - part->crash_ns > EVIDENCE_TTL_MS * NS_PER_MS)
-        remove_part (quarantine, part);
-      else if (part->held_ns != 0
-               && now_ns - part->crash_ns > HELD_TTL_MS * NS_PER_MS)
-        start_generation (quarantine, part, part->generation + 1);
+      next = entry->hh.next;
+      if (entry->held_ns == 0 && !entry->stored && !entry->trial_asked
+          && now_ns - entry->crash_ns > EVIDENCE_TTL_MS * NS_PER_MS)
+        remove_entry (quarantine, entry);
+      else if (entry->held_ns != 0
+               && now_ns - entry->crash_ns > HELD_TTL_MS * NS_PER_MS)
+        start_generation (quarantine, entry, entry->generation + 1);
     }
 }
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -31,7 +31,7 @@
 struct quarantine_key
 {
   uint64_t service_id;
-  uint64_t part;
+  uint64_t subject;
 };
 
 /** What is exchanged: the crashes of one upstream; or, with upstream_id 0,
@@ -53,7 +53,7 @@
       counted_ns; /**< when this instance counted the last one; 0: never */
 };
 
-struct quarantine_part
+struct quarantine_entry
 {
   struct quarantine_key key;
   uint32_t generation;
@@ -74,11 +74,11 @@
 
 struct quarantine
 {
-  struct quarantine_part *parts; /**< uthash by key, last changed last */
+  struct quarantine_entry *entries; /**< uthash by key, last changed last */
   struct quarantine_success *successes; /**< private */
   uint64_t sequence;                    /**< of the last change */
   /** Called when a part is held or released; may be NULL. */
-  void (*changed) (void *user, const struct quarantine_part *part);
+  void (*changed) (void *user, const struct quarantine_entry *entry);
   void *user;
 };
 
@@ -97,10 +97,10 @@
                                  size_t count, uint64_t now_ns);
 
 /** The held part of a request; NULL if it has none. */
-struct quarantine_part *quarantine_find_held (struct quarantine *quarantine,
-                                              uint64_t service_id,
-                                              const uint64_t *parts,
-                                              size_t count, uint64_t now_ns);
+struct quarantine_entry *quarantine_find_held (struct quarantine *quarantine,
+                                               uint64_t service_id,
+                                               const uint64_t *parts,
+                                               size_t count, uint64_t now_ns);
 /** Most crashes of one of these parts, held or not. */
 uint32_t quarantine_crashes (const struct quarantine *quarantine,
                              uint64_t service_id, const uint64_t *parts,
@@ -110,19 +110,19 @@
                                 uint64_t now_ns);
 
 /** Whether the fleet may decide on another trial of a held part now. */
-bool quarantine_trial_due (const struct quarantine_part *part,
+bool quarantine_trial_due (const struct quarantine_entry *entry,
                            uint64_t now_ns);
 /** A trial was decided on. @param own  by this instance, which sends it. */
 void quarantine_start_trial (struct quarantine *quarantine,
-                             struct quarantine_part *part, bool own,
+                             struct quarantine_entry *entry, bool own,
                              uint64_t now_ns);
 /** Takes the trial that this instance may send. @return whether there is one.
  */
-bool quarantine_take_trial (struct quarantine_part *part, uint64_t now_ns);
+bool quarantine_take_trial (struct quarantine_entry *entry, uint64_t now_ns);
 
 /** Entry of a part; NULL if nothing is known of it. */
-struct quarantine_part *quarantine_find (const struct quarantine *quarantine,
-                                         const struct quarantine_key *key);
+struct quarantine_entry *quarantine_find (const struct quarantine *quarantine,
+                                          const struct quarantine_key *key);
 /** Merges what another instance or the store has. */
 void quarantine_merge (struct quarantine *quarantine,
                        const struct quarantine_row *row, uint64_t now_ns);
--- a/tests/test_crashing_prompts.c
+++ b/tests/test_crashing_prompts.c
@@ -289,11 +289,11 @@
 static void
 make_trials_due (struct scene *scene)
 {
-  struct quarantine_part *part;
+  struct quarantine_entry *part;
   unsigned int i;
 
   for (i = 0; i < scene->plan->gateways; i++)
-    for (part = scene->fleet.gateways[i].quarantine.parts; part != NULL;
+    for (part = scene->fleet.gateways[i].quarantine.entries; part != NULL;
          part = part->hh.next)
       part->trial_ns = 0;
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -180,7 +180,7 @@
     { { SERVICE, 0xdead }, 1, 0, 11, 1 }, { { SERVICE, 0xdead }, 1, 0, 13, 1 },
   };
   const size_t count = sizeof rows / sizeof rows[0];
-  const struct quarantine_part *part;
+  const struct quarantine_entry *part;
   struct rng rng;
   unsigned int round;
   size_t i;
@@ -214,7 +214,7 @@
 test_trials (void)
 {
   struct quarantine quarantine;
-  struct quarantine_part *part;
+  struct quarantine_entry *part;
   uint64_t now_ns = START;
   uint32_t trials = 0;
 
@@ -254,10 +254,10 @@
       quarantine_record_crash (&quarantine, SERVICE, &part, 1, 10, START);
       quarantine_record_response (&quarantine, SERVICE + 1, &part, 1, START);
     }
-  CU_ASSERT (HASH_COUNT (quarantine.parts) <= 1024);
+  CU_ASSERT (HASH_COUNT (quarantine.entries) <= 1024);
   CU_ASSERT_TRUE (holds (&quarantine, START + S));
   quarantine_expire (&quarantine, START + 400 * S);
-  CU_ASSERT_EQUAL (HASH_COUNT (quarantine.parts), 1);
+  CU_ASSERT_EQUAL (HASH_COUNT (quarantine.entries), 1);
   quarantine_finish (&quarantine);
 }
 
