--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -1,8 +1,9 @@
 /**
  * @file gateway_quarantine.c
- * Refusal of requests with parts of prompts under which upstreams crash.
+ * Refusal of requests under which upstreams crash, or under parts of whose
+ * prompts they do.
  *
- * The store has an entry for each held part, "SERVICE-PART" in hexadecimal
+ * The store has an entry for each held one, "SERVICE-SUBJECT" in hexadecimal
  * under a prefix among those of the gateways' own entries, with its generation
  * as the value; and below it one for each trial.  Creating the latter decides
  * which instance sends the trial.
@@ -23,7 +24,7 @@
 /* Attempts of a request that may end in a crash.  One that ended two upstreams
    is more likely their cause than a victim twice. */
 #define CRASHED_ATTEMPTS_MAX 2
-/* Crashes of a part from which its requests are not sent again. */
+/* Crashes of a request, or of a part, from which it is not sent again. */
 #define RETRY_CRASHES_MAX 2
 /* Hubs write an entry after a random time up to this one, so that usually a
    single one does. */
@@ -32,10 +33,24 @@
 #define STORED_UPSTREAM_ID 1
 #define TICKS_PER_EXPIRY   100
 
+/** Events of an entry that are logged. */
+enum held_event
+{
+  EVENT_HELD,
+  EVENT_RELEASED,
+  EVENT_TRIAL,
+  EVENT_MAX
+};
+
 static void on_changed (void *user, const struct quarantine_entry *entry);
+static struct quarantine_entry *find_held (struct gateway_request *request);
+static uint32_t crashes (struct gateway_request *request);
+static struct gateway_request *find_waiting (const struct gateway *gateway);
 static bool ask_for_trial (struct gateway *gateway,
                            struct quarantine_entry *entry);
 static void on_trial_decided (void *user, int error, uint64_t index);
+static void start_trial (struct gateway *gateway,
+                         struct quarantine_entry *entry, int error);
 static void update_entry (struct gateway *gateway,
                           struct quarantine_entry *entry);
 static void on_entry_written (void *user, int error, uint64_t index);
@@ -49,6 +64,13 @@
 static int parse_key (const struct gateway *gateway, const char *text,
                       struct quarantine_key *key, uint32_t *trial);
 
+/* Of a part of prompts, and of a request. */
+static const enum log_message messages[EVENT_MAX][2] = {
+  [EVENT_HELD] = { LOG_PART_HELD, LOG_REQUEST_HELD },
+  [EVENT_RELEASED] = { LOG_PART_RELEASED, LOG_REQUEST_RELEASED },
+  [EVENT_TRIAL] = { LOG_PART_TRIAL, LOG_REQUEST_TRIAL },
+};
+
 void
 gateway_quarantine_start (struct gateway *gateway)
 {
@@ -60,53 +82,96 @@
 static void
 on_changed (void *user, const struct quarantine_entry *entry)
 {
+  const bool is_request = entry->key.service_id == QUARANTINE_REQUEST;
   char id[24];
 
   (void)user;
   snprintf (id, sizeof id, "%" PRIx64, entry->key.subject);
-  LOG (entry->held_ns != 0 ? LOG_PART_HELD : LOG_PART_RELEASED, NULL,
-       LOG_S ("part", id), LOG_U ("upstreams", entry->upstream_count),
+  LOG (messages[entry->held_ns != 0 ? EVENT_HELD : EVENT_RELEASED][is_request],
+       NULL, LOG_S (is_request ? "digest" : "part", id),
+       LOG_U ("upstreams", entry->upstream_count),
        LOG_U ("trials", entry->trials),
        LOG_U ("generation", entry->generation));
 }
 
 /* Requests. */
 
+/* The digest is computed only if there is one to compare it with. */
+static struct quarantine_entry *
+find_held (struct gateway_request *request)
+{
+  struct quarantine *quarantine = &request->gateway->quarantine;
+  const struct prompt *prompt = &request->parsed.prompt;
+  uint64_t now_ns = gateway_now_ns (request->gateway);
+  struct quarantine_entry *entry
+      = quarantine_find_held (quarantine, request->service->id, prompt->ids,
+                              prompt_shared_id_count (prompt), now_ns);
+  uint64_t digest;
+
+  if (entry != NULL || quarantine->request_count == 0)
+    return entry;
+  digest = gateway_request_digest (request);
+  return quarantine_find_held (quarantine, QUARANTINE_REQUEST, &digest, 1,
+                               now_ns);
+}
+
 bool
 gateway_quarantine_holds (struct gateway_request *request)
 {
-  struct gateway *gateway = request->gateway;
-  const struct prompt *prompt = &request->parsed.prompt;
-  uint64_t now_ns = gateway_now_ns (gateway);
   struct quarantine_entry *entry;
 
   if (request->trial)
     return false;
-  entry = quarantine_find_held (&gateway->quarantine, request->service->id,
-                                prompt->ids, prompt_shared_id_count (prompt),
-                                now_ns);
+  entry = find_held (request);
   if (entry == NULL)
     return false;
-  request->trial = quarantine_take_trial (entry, now_ns);
-  if (!request->trial && quarantine_trial_due (entry, now_ns))
-    entry->trial_asked = ask_for_trial (gateway, entry);
+  request->trial
+      = quarantine_take_trial (entry, gateway_now_ns (request->gateway));
+  if (request->trial)
+    request->trial_key = entry->key;
   return !request->trial;
 }
 
+bool
+gateway_quarantine_ask (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+  uint64_t now_ns = gateway_now_ns (gateway);
+  struct quarantine_entry *entry = find_held (request);
+  struct choose_result result;
+
+  if (entry == NULL || request->sent_attempts > 0
+      || !quarantine_trial_due (entry, now_ns))
+    return false;
+  gateway_request_choose (request, &result);
+  if (result.upstream == NULL
+      || outlier_ejected (&result.upstream->outlier, now_ns))
+    return false;
+  entry->trial_asked = ask_for_trial (gateway, entry);
+  request->awaits_trial = entry->trial_asked;
+  return request->awaits_trial;
+}
+
 void
 gateway_quarantine_attempt_failed (struct gateway_request *request, int error)
 {
+  struct quarantine *quarantine = &request->gateway->quarantine;
   const struct prompt *prompt = &request->parsed.prompt;
+  uint64_t now_ns = gateway_now_ns (request->gateway);
+  uint64_t digest;
 
   if ((error != ERR_RESET && error != ERR_TRUNCATED)
-      || request->sse.events >= EVENTS_MIN
       || request->attempt_state.step < ATTEMPT_SENDING)
     return;
+  digest = gateway_request_digest (request);
+  quarantine_record_crash (quarantine, QUARANTINE_REQUEST, &digest, 1,
+                           request->upstream_id, now_ns);
+  if (request->sse.events >= EVENTS_MIN)
+    return;
   request->crashed_attempts++;
-  quarantine_record_crash (&request->gateway->quarantine, request->service->id,
-                           prompt->ids, prompt_shared_id_count (prompt),
-                           request->upstream_id,
-                           gateway_now_ns (request->gateway));
+  quarantine_record_crash (quarantine, request->service->id, prompt->ids,
+                           prompt_shared_id_count (prompt),
+                           request->upstream_id, now_ns);
 }
 
 void
@@ -123,18 +188,57 @@
       prompt_shared_id_count (prompt), gateway_now_ns (request->gateway));
 }
 
-bool
-gateway_quarantine_may_retry (const struct gateway_request *request)
+/* Responses to plain requests are recorded before anything has crashed: they
+   tell the requests that are sent again and again from the one that crashes
+   upstreams. */
+void
+gateway_quarantine_completed (struct gateway_request *request)
+{
+  struct quarantine *quarantine = &request->gateway->quarantine;
+  uint64_t digest;
+
+  if (request->parsed.prompt.part_count > 0 && quarantine->request_count == 0)
+    return;
+  digest = gateway_request_digest (request);
+  quarantine_record_response (quarantine, QUARANTINE_REQUEST, &digest, 1,
+                              gateway_now_ns (request->gateway));
+}
+
+void
+gateway_quarantine_ended (struct gateway_request *request)
+{
+  struct quarantine_entry *entry;
+
+  if (!request->trial || request->sent_attempts > 0)
+    return;
+  entry = quarantine_find (&request->gateway->quarantine, &request->trial_key);
+  if (entry != NULL)
+    quarantine_return_trial (entry, gateway_now_ns (request->gateway));
+}
+
+static uint32_t
+crashes (struct gateway_request *request)
 {
+  const struct quarantine *quarantine = &request->gateway->quarantine;
   const struct prompt *prompt = &request->parsed.prompt;
+  const uint64_t digest = gateway_request_digest (request);
+  uint32_t of_request
+      = quarantine_crashes (quarantine, QUARANTINE_REQUEST, &digest, 1);
+  uint32_t of_parts
+      = quarantine_crashes (quarantine, request->service->id, prompt->ids,
+                            prompt_shared_id_count (prompt));
+
+  return of_request > of_parts ? of_request : of_parts;
+}
 
+bool
+gateway_quarantine_may_retry (struct gateway_request *request)
+{
+  if (request->trial)
+    return request->sent_attempts == 0;
   return request->crashed_attempts == 0
-         || (!request->trial
-             && request->crashed_attempts < CRASHED_ATTEMPTS_MAX
-             && quarantine_crashes (&request->gateway->quarantine,
-                                    request->service->id, prompt->ids,
-                                    prompt_shared_id_count (prompt))
-                    < RETRY_CRASHES_MAX);
+         || (request->crashed_attempts < CRASHED_ATTEMPTS_MAX
+             && crashes (request) < RETRY_CRASHES_MAX);
 }
 
 /* The store. */
@@ -180,7 +284,12 @@
       quarantine_merge (quarantine, &row, now_ns);
       entry = quarantine_find (quarantine, &row.key);
       if (entry != NULL)
-        entry->stored = true;
+        {
+          entry->stored = true;
+          /* Others have waited for responses before they wrote it. */
+          if (entry->held_ns > now_ns)
+            entry->held_ns = now_ns;
+        }
     }
   gateway_peers_publish_item (gateway, item, true);
 }
@@ -209,7 +318,7 @@
     quarantine_expire (&gateway->quarantine, now_ns);
 }
 
-/* Writes the entry of a held part, or deletes that of a released one. */
+/* Writes the entry of what is held, or deletes that of what is released. */
 static void
 update_entry (struct gateway *gateway, struct quarantine_entry *entry)
 {
@@ -255,6 +364,17 @@
          LOG_S ("error", err_name (error)));
 }
 
+static struct gateway_request *
+find_waiting (const struct gateway *gateway)
+{
+  struct gateway_request *request;
+
+  for (request = gateway->requests; request != NULL; request = request->next)
+    if (request->awaits_trial)
+      return request;
+  return NULL;
+}
+
 /* @return whether the decision is in progress. */
 static bool
 ask_for_trial (struct gateway *gateway, struct quarantine_entry *entry)
@@ -273,25 +393,42 @@
   return write_store (gateway, entry, &txn, on_trial_decided) == 0;
 }
 
+/* One decision at a time is in progress, so at most one request waits. */
 static void
 on_trial_decided (void *user, int error, uint64_t index)
 {
   struct gateway *gateway = user;
   uint32_t generation = gateway->quarantine_write.generation;
   struct quarantine_entry *entry = finish_write (gateway);
-  char id[24];
+  struct gateway_request *request = find_waiting (gateway);
 
   (void)index;
-  if (entry == NULL)
-    return;
-  entry->trial_asked = false;
-  if (entry->generation != generation)
-    return;
+  if (entry != NULL)
+    {
+      entry->trial_asked = false;
+      if (entry->generation == generation)
+        start_trial (gateway, entry, error);
+    }
+  if (request != NULL)
+    {
+      request->awaits_trial = false;
+      gateway_request_try (request);
+    }
+}
+
+static void
+start_trial (struct gateway *gateway, struct quarantine_entry *entry,
+             int error)
+{
+  const bool is_request = entry->key.service_id == QUARANTINE_REQUEST;
+  char id[24];
+
   if (error == 0 || error == ERR_CONFLICT || error == ERR_UNKNOWN_OUTCOME)
     quarantine_start_trial (&gateway->quarantine, entry, error == 0,
                             gateway_now_ns (gateway));
   snprintf (id, sizeof id, "%" PRIx64, entry->key.subject);
-  LOG (LOG_PART_TRIAL, NULL, LOG_S ("part", id),
+  LOG (messages[EVENT_TRIAL][is_request], NULL,
+       LOG_S (is_request ? "digest" : "part", id),
        LOG_U ("trials", entry->trials),
        LOG_S ("here", error == 0 ? "yes" : "no"),
        LOG_S ("error", err_name (error)));
@@ -317,7 +454,7 @@
   return error;
 }
 
-/* @return the part; NULL if it was forgotten meanwhile. */
+/* @return the entry; NULL if it was forgotten meanwhile. */
 static struct quarantine_entry *
 finish_write (struct gateway *gateway)
 {
@@ -326,7 +463,7 @@
                           &gateway->quarantine_write.key);
 }
 
-/* @param trial  0 for the entry of the part itself. */
+/* @param trial  0 for the entry of the subject itself. */
 static void
 format_key (const struct gateway *gateway, const struct quarantine_key *key,
             uint32_t trial, char text[KEY_SIZE])
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -4,6 +4,7 @@
  */
 #include "gateway/gateway_request.h"
 #include "gateway/discovery.h"
+#include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "protocol/client.h"
 #include "state/err.h"
@@ -375,6 +376,7 @@
 static void
 destroy_request (struct gateway_request *request)
 {
+  gateway_quarantine_ended (request);
   DL_DELETE (request->gateway->requests, request);
   request->gateway->request_count--;
   if (request->timer != NULL)
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -595,6 +595,7 @@
                    gateway_now_ns (gateway));
   if (request->reply.status < 300)
     gateway_quarantine_responded (request);
+  gateway_quarantine_completed (request);
   if (upstream != NULL)
     {
       if (request->reply.status < 500)
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -64,7 +64,9 @@
   uint64_t digest; /**< see gateway_request_digest(); 0: not computed yet */
   uint32_t crashed_attempts; /**< ended by a crash of their upstream */
   bool responded;            /**< see gateway_quarantine_responded() */
-  bool trial; /**< it tries a held part, see state/quarantine.h */
+  bool trial; /**< it tries a held entry, see state/quarantine.h */
+  struct quarantine_key trial_key; /**< of that entry */
+  bool awaits_trial;               /**< waits for the decision on a trial */
   uint64_t tried_ids[CHOOSE_EXCLUDED_MAX];
   size_t tried_count;
   bool is_stream; /**< the response is a stream of server-sent events */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -105,7 +105,8 @@
     return;
   if (gateway_quarantine_holds (request))
     {
-      gateway_request_give_up (request);
+      if (!gateway_quarantine_ask (request))
+        gateway_request_give_up (request);
       return;
     }
   gateway_request_choose (request, &result);
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -249,7 +249,7 @@
     { "in_progress", "requests in progress", gateway->request_count },
     { "flooded", "1 while out of the load balancer's rotation, flooded",
       gateway->rotation.out },
-    { "quarantined", "parts of prompts whose requests are refused",
+    { "quarantined", "requests and parts of prompts that are refused",
       quarantine_held_count (&gateway->quarantine, gateway_now_ns (gateway)) },
     { "waiting", "requests that wait for an upstream",
       gateway->wait_queue.count },
--- a/src/state/quarantine.c
+++ b/src/state/quarantine.c
@@ -1,34 +1,41 @@
 /**
  * @file quarantine.c
- * Evidence of crashes by part of a prompt, and the parts that are held.
+ * Evidence of crashes by request and by part of a prompt, and what is held.
  */
 #include "state/quarantine.h"
 #include <stdlib.h>
 #include <string.h>
 
 #define NS_PER_MS 1000000ULL /* nanoseconds */
-/* Age up to which a response is evidence for the parts of its prompt.  Parts
-   that many requests share appear in responses more often, even while some
-   upstreams are down. */
+/* Age up to which a response is evidence for its subjects.  Parts that many
+   requests share, and requests that are sent again and again, appear in
+   responses more often, even while some upstreams are down. */
 #define RESPONSE_VALID_MS 3000
 /* Requests that one crash breaks off end within this time. */
 #define CRASH_INTERVAL_MS 1000
-/* From the last crash that is needed until a part is held: a response at
+/* From the last crash that is needed until an entry is held: a response at
    another instance becomes known in between. */
 #define SETTLE_MS 250
 /* Crashes longer ago than this have no cause in common. */
 #define EVIDENCE_TTL_MS 300000
-/* A part is released this long after its last crash: upstreams have been
+/* An entry is released this long after its last crash: upstreams have been
    replaced since. */
 #define HELD_TTL_MS 3600000
-/* First pause before a trial; doubles with each one. */
+/* First pause before a trial of a part; doubles with each one. */
 #define TRIAL_DELAY_MS 30000
+/* Pauses before the first trial of a request and before further ones.  One
+   that was in the crashes by chance is known by its first trial, for which
+   upstreams are back by then; the pause is extended by up to the spread, so
+   that two suspects of the same crashes do not meet at one upstream. */
+#define REQUEST_TRIAL_DELAY_MS  2000
+#define REQUEST_TRIAL_SPREAD_MS 2000
+#define REQUEST_TRIAL_AGAIN_MS  60000
 /* Time after which a trial that was granted expires unused. */
 #define TRIAL_VALID_MS 60000
 #define ENTRIES_MAX    1024
 #define SUCCESSES_MAX  4096
 
-/** Last response to a prompt with a part. */
+/** Last response to a request with a subject. */
 struct quarantine_success
 {
   struct quarantine_key key;
@@ -42,6 +49,9 @@
                           struct quarantine_entry *entry);
 static struct quarantine_crashes *
 upstream_crashes (struct quarantine_entry *entry, uint64_t upstream_id);
+static struct quarantine_entry *
+least_suspected (const struct quarantine *quarantine);
+static bool is_request (const struct quarantine_entry *entry);
 static uint32_t crash_count (const struct quarantine_entry *entry);
 static bool is_held (const struct quarantine_entry *entry, uint64_t now_ns);
 static void mark_changed (struct quarantine *quarantine,
@@ -99,28 +109,42 @@
   return entry;
 }
 
-/* A full table makes room by the part that changed least recently and is not
-   held. */
+/* Of those that are not held the one with the fewest crashes, the least
+   recently changed among them; NULL if all are held.  Requests that are never
+   the same do not displace one that was in several crashes. */
+static struct quarantine_entry *
+least_suspected (const struct quarantine *quarantine)
+{
+  struct quarantine_entry *entry;
+  struct quarantine_entry *least = NULL;
+
+  for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
+    if (entry->held_ns == 0
+        && (least == NULL || crash_count (entry) < crash_count (least)))
+      least = entry;
+  return least;
+}
+
 static struct quarantine_entry *
 add_entry (struct quarantine *quarantine, const struct quarantine_key *key)
 {
   struct quarantine_entry *entry = quarantine_find (quarantine, key);
-  struct quarantine_entry *oldest = quarantine->entries;
+  struct quarantine_entry *least;
 
   if (entry != NULL)
     return entry;
   if (HASH_COUNT (quarantine->entries) >= ENTRIES_MAX)
     {
-      while (oldest != NULL && oldest->held_ns != 0)
-        oldest = oldest->hh.next;
-      if (oldest == NULL)
+      least = least_suspected (quarantine);
+      if (least == NULL)
         return NULL;
-      remove_entry (quarantine, oldest);
+      remove_entry (quarantine, least);
     }
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return NULL;
   entry->key = *key;
+  quarantine->request_count += is_request (entry);
   HASH_ADD (hh, quarantine->entries, key, sizeof entry->key, entry);
   return entry;
 }
@@ -132,9 +156,16 @@
      the head of the table in the next. */
   /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
   HASH_DEL (quarantine->entries, entry);
+  quarantine->request_count -= is_request (entry);
   free (entry);
 }
 
+static bool
+is_request (const struct quarantine_entry *entry)
+{
+  return entry->key.service_id == QUARANTINE_REQUEST;
+}
+
 static struct quarantine_crashes *
 upstream_crashes (struct quarantine_entry *entry, uint64_t upstream_id)
 {
@@ -180,9 +211,12 @@
 count_changed (struct quarantine *quarantine, struct quarantine_entry *entry,
                uint64_t now_ns)
 {
+  const uint32_t limit = is_request (entry) ? QUARANTINE_REQUEST_CRASH_LIMIT
+                                            : QUARANTINE_CRASH_LIMIT;
+
   entry->crash_ns = now_ns;
   mark_changed (quarantine, entry);
-  if (entry->held_ns != 0 || crash_count (entry) < QUARANTINE_CRASH_LIMIT)
+  if (entry->held_ns != 0 || crash_count (entry) < limit)
     return;
   entry->held_ns = now_ns + SETTLE_MS * NS_PER_MS;
   schedule_trial (entry, now_ns);
@@ -193,8 +227,16 @@
 static void
 schedule_trial (struct quarantine_entry *entry, uint64_t now_ns)
 {
-  entry->trial_ns
-      = now_ns + ((uint64_t)TRIAL_DELAY_MS << entry->trials) * NS_PER_MS;
+  uint64_t delay_ms;
+
+  if (!is_request (entry))
+    delay_ms = (uint64_t)TRIAL_DELAY_MS << entry->trials;
+  else if (entry->trials == 0)
+    delay_ms = REQUEST_TRIAL_DELAY_MS
+               + entry->key.subject % REQUEST_TRIAL_SPREAD_MS;
+  else
+    delay_ms = REQUEST_TRIAL_AGAIN_MS;
+  entry->trial_ns = now_ns + delay_ms * NS_PER_MS;
 }
 
 static void
@@ -248,7 +290,7 @@
 
 void
 quarantine_record_crash (struct quarantine *quarantine, uint64_t service_id,
-                         const uint64_t *parts, size_t count,
+                         const uint64_t *subjects, size_t count,
                          uint64_t upstream_id, uint64_t now_ns)
 {
   struct quarantine_crashes *crashes;
@@ -257,7 +299,7 @@
 
   for (i = 0; i < count; i++)
     {
-      const struct quarantine_key key = { service_id, parts[i] };
+      const struct quarantine_key key = { service_id, subjects[i] };
 
       if (responded_recently (quarantine, &key, now_ns))
         continue;
@@ -275,7 +317,7 @@
 
 void
 quarantine_record_response (struct quarantine *quarantine, uint64_t service_id,
-                            const uint64_t *parts, size_t count,
+                            const uint64_t *subjects, size_t count,
                             uint64_t now_ns)
 {
   struct quarantine_entry *entry;
@@ -283,7 +325,7 @@
 
   for (i = 0; i < count; i++)
     {
-      const struct quarantine_key key = { service_id, parts[i] };
+      const struct quarantine_key key = { service_id, subjects[i] };
 
       record_success (quarantine, &key, now_ns);
       entry = quarantine_find (quarantine, &key);
@@ -294,7 +336,7 @@
 
 struct quarantine_entry *
 quarantine_find_held (struct quarantine *quarantine, uint64_t service_id,
-                      const uint64_t *parts, size_t count, uint64_t now_ns)
+                      const uint64_t *subjects, size_t count, uint64_t now_ns)
 {
   struct quarantine_entry *entry;
   size_t i;
@@ -303,7 +345,7 @@
     return NULL;
   for (i = 0; i < count; i++)
     {
-      const struct quarantine_key key = { service_id, parts[i] };
+      const struct quarantine_key key = { service_id, subjects[i] };
 
       entry = quarantine_find (quarantine, &key);
       if (entry != NULL && is_held (entry, now_ns))
@@ -314,7 +356,7 @@
 
 uint32_t
 quarantine_crashes (const struct quarantine *quarantine, uint64_t service_id,
-                    const uint64_t *parts, size_t count)
+                    const uint64_t *subjects, size_t count)
 {
   const struct quarantine_entry *entry;
   uint32_t most = 0;
@@ -323,7 +365,7 @@
 
   for (i = 0; i < count; i++)
     {
-      const struct quarantine_key key = { service_id, parts[i] };
+      const struct quarantine_key key = { service_id, subjects[i] };
 
       entry = quarantine_find (quarantine, &key);
       crashes = entry == NULL ? 0 : crash_count (entry);
@@ -373,6 +415,12 @@
   return valid;
 }
 
+void
+quarantine_return_trial (struct quarantine_entry *entry, uint64_t now_ns)
+{
+  entry->trial_end_ns = now_ns + TRIAL_VALID_MS * NS_PER_MS;
+}
+
 /* Exchange. */
 
 void
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -1,17 +1,17 @@
 /**
  * @file quarantine.h
- * Parts of prompts under which upstreams crash.  A crash breaks off all
- * requests at the upstream, so one crash says little about the parts of their
- * prompts.  A part that was in several crashes, and in no response since the
- * first of them, is held: requests that have it are refused.
+ * Requests, and parts of prompts, under which upstreams crash.  A crash breaks
+ * off all requests at the upstream, so one crash says little about each.  A
+ * request or part that was in several crashes, and in no response since the
+ * first of them, is held: it is refused, and so are requests with the part.
  *
  * No instance sees all crashes, so the evidence is exchanged.  It merges in
- * any order and any number of times: a part has a generation, which a response
- * raises, and for each upstream the number of crashes in that generation.  The
- * higher generation replaces the lower one; within one, the higher number of
- * each upstream counts.
+ * any order and any number of times: an entry has a generation, which a
+ * response raises, and for each upstream the number of crashes in that
+ * generation.  The higher generation replaces the lower one; within one, the
+ * higher number of each upstream counts.
  *
- * A held part is tried again by single requests of the whole fleet, after
+ * What is held is tried again by single requests of the whole fleet, after
  * longer and longer pauses and a few times only; who may send one is decided
  * outside, by a write to the store that succeeds once.
  */
@@ -23,19 +23,22 @@
 #include <stdint.h>
 #include <uthash.h>
 
-#define QUARANTINE_CRASH_LIMIT   4 /**< crashes from which a part is held */
-#define QUARANTINE_UPSTREAMS_MAX 8 /**< upstreams counted for a part */
+#define QUARANTINE_CRASH_LIMIT 4 /**< crashes from which a part is held */
+#define QUARANTINE_REQUEST_CRASH_LIMIT                                        \
+  3 /**< crashes from which a request is held: small services have no more    \
+       upstreams, and each crash shows far fewer requests than parts */
+#define QUARANTINE_REQUEST       0 /**< in place of a service: a request */
+#define QUARANTINE_UPSTREAMS_MAX 8 /**< upstreams counted for an entry */
 #define QUARANTINE_TRIALS_MAX    2 /**< single requests sent while it is held */
 
-/** Identifier of a part, among the prompts for one service. */
 struct quarantine_key
 {
-  uint64_t service_id;
-  uint64_t subject;
+  uint64_t service_id; /**< of the part; or QUARANTINE_REQUEST */
+  uint64_t subject;    /**< identifier of the part; or digest of the request */
 };
 
 /** What is exchanged: the crashes of one upstream; or, with upstream_id 0,
-    the generation and the trials of a part only. */
+    the generation and the trials of an entry only. */
 struct quarantine_row
 {
   struct quarantine_key key;
@@ -75,9 +78,10 @@
 struct quarantine
 {
   struct quarantine_entry *entries; /**< uthash by key, last changed last */
+  uint32_t request_count;           /**< entries of requests */
   struct quarantine_success *successes; /**< private */
   uint64_t sequence;                    /**< of the last change */
-  /** Called when a part is held or released; may be NULL. */
+  /** Called when an entry is held or released; may be NULL. */
   void (*changed) (void *user, const struct quarantine_entry *entry);
   void *user;
 };
@@ -86,30 +90,32 @@
 void quarantine_finish (struct quarantine *quarantine);
 
 /** An upstream broke a request off, or ended, before it began to respond.
-    Parts that were in a response a short time ago are not counted. */
+    Subjects that were in a response a short time ago are not counted.
+    @param subjects  parts of its prompt; or its digest, with
+                     QUARANTINE_REQUEST for the service. */
 void quarantine_record_crash (struct quarantine *quarantine,
-                              uint64_t service_id, const uint64_t *parts,
+                              uint64_t service_id, const uint64_t *subjects,
                               size_t count, uint64_t upstream_id,
                               uint64_t now_ns);
-/** An upstream responded to a request with these parts. */
+/** An upstream responded to a request with these subjects. */
 void quarantine_record_response (struct quarantine *quarantine,
-                                 uint64_t service_id, const uint64_t *parts,
+                                 uint64_t service_id, const uint64_t *subjects,
                                  size_t count, uint64_t now_ns);
 
-/** The held part of a request; NULL if it has none. */
+/** The held one of these subjects; NULL if none is. */
 struct quarantine_entry *quarantine_find_held (struct quarantine *quarantine,
                                                uint64_t service_id,
-                                               const uint64_t *parts,
+                                               const uint64_t *subjects,
                                                size_t count, uint64_t now_ns);
-/** Most crashes of one of these parts, held or not. */
+/** Most crashes of one of these subjects, held or not. */
 uint32_t quarantine_crashes (const struct quarantine *quarantine,
-                             uint64_t service_id, const uint64_t *parts,
+                             uint64_t service_id, const uint64_t *subjects,
                              size_t count);
-/** Number of held parts. */
+/** Number of held entries. */
 uint32_t quarantine_held_count (const struct quarantine *quarantine,
                                 uint64_t now_ns);
 
-/** Whether the fleet may decide on another trial of a held part now. */
+/** Whether the fleet may decide on another trial of a held entry now. */
 bool quarantine_trial_due (const struct quarantine_entry *entry,
                            uint64_t now_ns);
 /** A trial was decided on. @param own  by this instance, which sends it. */
@@ -120,21 +126,24 @@
  */
 bool quarantine_take_trial (struct quarantine_entry *entry, uint64_t now_ns);
 
-/** Entry of a part; NULL if nothing is known of it. */
+/** Gives a trial back that was taken but not sent. */
+void quarantine_return_trial (struct quarantine_entry *entry, uint64_t now_ns);
+
+/** Entry of a subject; NULL if nothing is known of it. */
 struct quarantine_entry *quarantine_find (const struct quarantine *quarantine,
                                           const struct quarantine_key *key);
 /** Merges what another instance or the store has. */
 void quarantine_merge (struct quarantine *quarantine,
                        const struct quarantine_row *row, uint64_t now_ns);
-/** Rows of the parts that changed after a sequence number.
+/** Rows of the entries that changed after a sequence number.
     @param rows      room for `max`.
-    @param sequence  the number; set to that of the last part in `rows`.
+    @param sequence  the number; set to that of the last entry in `rows`.
     @return the number of rows. */
 size_t quarantine_rows (const struct quarantine *quarantine,
                         uint64_t *sequence, struct quarantine_row *rows,
                         size_t max);
 
-/** Forgets old evidence, and releases parts that have been held for long. */
+/** Forgets old evidence, and releases what has been held for long. */
 void quarantine_expire (struct quarantine *quarantine, uint64_t now_ns);
 
 #endif
--- a/src/state/refusal.c
+++ b/src/state/refusal.c
@@ -33,7 +33,7 @@
   [REFUSAL_CONNECTIONS]
   = { 503, 1, "too_many_connections", "connection limit reached" },
   [REFUSAL_QUARANTINED]
-  = { 503, 60, "quarantined", "upstreams crash under a part of the prompt" },
+  = { 503, 60, "quarantined", "upstreams crash under the request" },
   [REFUSAL_NO_UPSTREAM]
   = { 503, 5, "no_upstream", "service has no usable upstream" },
   [REFUSAL_DRAINING] = { 503, 1, "draining", "instance is shutting down" },
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -50,6 +50,10 @@
   = { LOG_LEVEL_INFO, "part of prompts is released", false },
   [LOG_PART_TRIAL]
   = { LOG_LEVEL_INFO, "held part of prompts is tried", false },
+  [LOG_REQUEST_HELD]
+  = { LOG_LEVEL_WARN, "upstreams crash under a request", false },
+  [LOG_REQUEST_RELEASED] = { LOG_LEVEL_INFO, "request is released", false },
+  [LOG_REQUEST_TRIAL] = { LOG_LEVEL_INFO, "held request is tried", false },
   /* peers */
   [LOG_PEER_UP] = { LOG_LEVEL_INFO, "peer connected", false },
   [LOG_PEER_DOWN] = { LOG_LEVEL_INFO, "peer disconnected", false },
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -261,6 +261,73 @@
   quarantine_finish (&quarantine);
 }
 
+static void
+crash_request (struct quarantine *quarantine, uint64_t digest,
+               uint64_t upstream_id, uint64_t now_ns)
+{
+  quarantine_record_crash (quarantine, QUARANTINE_REQUEST, &digest, 1,
+                           upstream_id, now_ns);
+}
+
+/* A service of three upstreams loses all of them at once.  One trial follows
+   soon, the next one much later. */
+static void
+test_request (void)
+{
+  struct quarantine quarantine;
+  struct quarantine_entry *entry;
+  const uint64_t digest = 0xd1;
+  uint64_t i;
+
+  quarantine_init (&quarantine);
+  for (i = 0; i < 3; i++)
+    {
+      CU_ASSERT_PTR_NULL (quarantine_find_held (
+          &quarantine, QUARANTINE_REQUEST, &digest, 1, START + 5 * S));
+      crash_request (&quarantine, digest, 10 + i, START + i * 50 * MS);
+    }
+  entry = quarantine_find_held (&quarantine, QUARANTINE_REQUEST, &digest, 1,
+                                START + S);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  CU_ASSERT_FALSE (quarantine_trial_due (entry, START + 2 * S));
+  CU_ASSERT_TRUE (quarantine_trial_due (entry, START + 5 * S));
+  quarantine_start_trial (&quarantine, entry, true, START + 5 * S);
+  CU_ASSERT_TRUE (quarantine_take_trial (entry, START + 5 * S));
+  quarantine_return_trial (entry, START + 5 * S);
+  CU_ASSERT_TRUE (quarantine_take_trial (entry, START + 6 * S));
+  CU_ASSERT_FALSE (quarantine_take_trial (entry, START + 6 * S));
+  CU_ASSERT_FALSE (quarantine_trial_due (entry, START + 60 * S));
+  CU_ASSERT_TRUE (quarantine_trial_due (entry, START + 70 * S));
+  /* Prompts for a service may have a part of the same number. */
+  CU_ASSERT_PTR_NULL (
+      quarantine_find_held (&quarantine, SERVICE, &digest, 1, START + S));
+  quarantine_finish (&quarantine);
+}
+
+/* Requests that are never the same do not displace the evidence against one
+   that comes again. */
+static void
+test_changing_requests (void)
+{
+  struct quarantine quarantine;
+  const uint64_t digest = 0xd1;
+  uint64_t i;
+
+  quarantine_init (&quarantine);
+  crash_request (&quarantine, digest, 10, START);
+  crash_request (&quarantine, digest, 11, START);
+  for (i = 0; i < 5000; i++)
+    crash_request (&quarantine, 1000 + i, 20 + i, START + i * MS);
+  CU_ASSERT (HASH_COUNT (quarantine.entries) <= 1024);
+  CU_ASSERT_EQUAL (quarantine.request_count, HASH_COUNT (quarantine.entries));
+  crash_request (&quarantine, digest, 12, START + 10 * S);
+  CU_ASSERT_PTR_NOT_NULL (quarantine_find_held (
+      &quarantine, QUARANTINE_REQUEST, &digest, 1, START + 11 * S));
+  quarantine_expire (&quarantine, START + 400 * S);
+  CU_ASSERT_EQUAL (quarantine.request_count, 1);
+  quarantine_finish (&quarantine);
+}
+
 static const struct suite_test tests[] = {
   { "crashes hold a part", test_crashes_hold },
   { "a response clears it", test_response_clears },
@@ -269,6 +336,8 @@
   { "order of rows", test_order_of_rows },
   { "trials", test_trials },
   { "many parts", test_many_parts },
+  { "request", test_request },
+  { "requests that are never the same", test_changing_requests },
 };
 
 SUITE_MAIN ("test_quarantine", tests)
