--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -80,6 +80,9 @@
     peers. */
 void fleet_config_changed (struct fleet *fleet);
 
+/** Sends a message to all peers. */
+void fleet_broadcast (struct fleet *fleet, const struct message *message);
+
 /** Replaces the source of configuration; NULL for none. */
 void fleet_set_confsync (struct fleet *fleet, struct confsync *confsync);
 
--- a/src/coordination/fleet_send.c
+++ b/src/coordination/fleet_send.c
@@ -16,7 +16,6 @@
   struct ledger_entry entries[FLEET_ACCOUNTS_MAX];
 };
 
-static void broadcast (struct fleet *fleet, const struct message *message);
 static int send_to (struct fleet *fleet, uint64_t instance_id,
                     const struct message *message);
 static void fill_heartbeat (struct fleet *fleet,
@@ -34,7 +33,7 @@
   if (rc != 0)
     return rc;
   fill_heartbeat (fleet, &message.u.heartbeat);
-  broadcast (fleet, &message);
+  fleet_broadcast (fleet, &message);
   rc = lessor_receive_heartbeat (fleet->lessor, fleet->members.self_id,
                                  &message.u.heartbeat);
   fleet->lessor_due = true;
@@ -65,7 +64,7 @@
       for (i = 0; !full && i < accounts->entry_count; i++)
         entries[i].cost = 0;
       if (accounts->entry_count > 0)
-        broadcast (fleet, &message);
+        fleet_broadcast (fleet, &message);
     }
   while (accounts->entry_count == FLEET_ACCOUNTS_MAX);
   return 0;
@@ -131,8 +130,8 @@
                               fleet->now_ns);
 }
 
-static void
-broadcast (struct fleet *fleet, const struct message *message)
+void
+fleet_broadcast (struct fleet *fleet, const struct message *message)
 {
   const struct fleet_peer *peer;
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -5,6 +5,7 @@
 #include "peers.h"
 #include "coordination/fleet.h"
 #include "state/err.h"
+#include "suspects.h"
 #include "transport/log.h"
 #include "transport/loop.h"
 #include "transport/peernet.h"
@@ -98,6 +99,15 @@
   event_active (peers->run_event, EV_TIMEOUT, 0);
 }
 
+bool
+peers_owns (const struct router *router, uint64_t subject)
+{
+  const struct member_table *members
+      = fleet_members (peers_of (router)->fleet);
+
+  return member_lessor (members, subject) == members->self_id;
+}
+
 struct fleet *
 peers_fleet (const struct router *router)
 {
@@ -277,6 +287,7 @@
 
   cpumeter_enter (cpu_meter_of (peers));
   rc = fleet_run (peers->fleet, now_ns);
+  suspects_exchange (router, peers->fleet, now_ns);
   cpumeter_leave (cpu_meter_of (peers));
   log_lessor_change (peers);
   if (rc > 0)
@@ -326,6 +337,8 @@
   struct peers *peers = user;
   int rc = fleet_peer_up (peers->fleet, hello, router_now_ns (peers->router));
 
+  /* The new peer has none of the rows; others merge them once more. */
+  peers->router->suspects_sent = 0;
   if (rc != 0)
     LOG (LOG_PEER_REJECTED, NULL, LOG_S ("peer", hello->instance),
          LOG_S ("address", hello->address), LOG_S ("error", err_name (rc)));
@@ -340,8 +353,12 @@
 {
   struct peers *peers = user;
 
-  fleet_receive (peers->fleet, instance_id, message,
-                 router_now_ns (peers->router));
+  if (message->kind == MESSAGE_LOAD)
+    suspects_receive (peers->router, &message->u.load,
+                      router_now_ns (peers->router));
+  else
+    fleet_receive (peers->fleet, instance_id, message,
+                   router_now_ns (peers->router));
   /* One run handles all messages of this iteration of the event loop. */
   event_active (peers->run_event, EV_TIMEOUT, 0);
 }
--- a/src/peers.h
+++ b/src/peers.h
@@ -28,6 +28,10 @@
 void peers_config_changed (struct router *router);
 
 /** The fleet, for status reports. */
+/** Whether this instance is the one among the fleet that decides about a
+    subject, by its hash. */
+bool peers_owns (const struct router *router, uint64_t subject);
+
 struct fleet *peers_fleet (const struct router *router);
 
 /** Writes the traffic per kind of message to `out`, which has
--- a/src/request.c
+++ b/src/request.c
@@ -8,7 +8,6 @@
 #include "transport/log.h"
 #include <stdlib.h>
 
-static void request_free (struct request *request);
 static void refuse (struct request *request,
                     const struct dispatch_action *action);
 static enum verdict current_verdict (const struct request *request);
@@ -92,7 +91,7 @@
     }
 }
 
-static void
+void
 request_free (struct request *request)
 {
   free (request->path);
--- a/src/request_int.h
+++ b/src/request_int.h
@@ -29,6 +29,8 @@
   uint32_t attempt_number;
   uint64_t upstream_id;
   bool upstream_draining;
+  uint64_t digest;    /**< see state/request_digest; 0: not computed yet */
+  bool trial;         /**< it tries whether upstreams still crash under it */
   bool paused;        /**< reading from the upstream is paused */
   struct reply reply; /**< `http` is NULL once the client is gone */
   struct usage usage;
@@ -40,6 +42,8 @@
 /** Handle of a request in the dispatcher. */
 uint64_t request_handle (const struct request *request);
 
+void request_free (struct request *request);
+
 /** Starts an attempt for the action DISPATCH_CONNECT. */
 void request_start_attempt (struct request *request,
                             const struct dispatch_action *action);
--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -4,6 +4,7 @@
  */
 #include "request_int.h"
 #include "state/err.h"
+#include "suspects.h"
 #include "transport/log.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -152,7 +153,8 @@
                          .resumable = request->resumable
                                       && request->reply.delivered_bytes > 0,
                          .client_started = reply_started (&request->reply),
-                         .draining = request->upstream_draining },
+                         .draining = request->upstream_draining,
+                         .final = !suspects_attempt_failed (request, error) },
       });
 }
 
@@ -257,6 +259,7 @@
   struct request *request = user;
 
   request->attempt = NULL;
+  suspects_completed (request);
   raise_progress (request, DISPATCH_COMPLETED);
 }
 
--- a/src/request_validate.c
+++ b/src/request_validate.c
@@ -4,6 +4,7 @@
  * it at once.
  */
 #include "request_int.h"
+#include "suspects.h"
 #include "transport/log.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -56,6 +57,12 @@
   refusal = validate (router, http, &valid);
   if (refusal == REFUSAL_NONE)
     request = request_new (router, http, id, &valid);
+  if (request != NULL && !suspects_admit (request))
+    {
+      request_free (request);
+      request = NULL;
+      refusal = REFUSAL_QUARANTINED;
+    }
   if (request == NULL)
     {
       refusal = refusal == REFUSAL_NONE ? REFUSAL_ROUTER_FULL : refusal;
--- a/src/router.c
+++ b/src/router.c
@@ -94,6 +94,7 @@
   catalog_finish (&router->catalog);
   dispatch_actions_finish (&router->spare_actions);
   metrics_finish (&router->metrics);
+  quarantine_finish (&router->quarantine);
   if (router->tick_event != NULL)
     event_free (router->tick_event);
   if (router->batch_event != NULL)
--- a/src/router.h
+++ b/src/router.h
@@ -12,6 +12,7 @@
 #include "state/dispatch.h"
 #include "state/ledger.h"
 #include "state/metrics.h"
+#include "state/quarantine.h"
 #include "state/slots.h"
 #include "transport/clock.h"
 #include "transport/httpd.h"
@@ -75,6 +76,9 @@
   struct httpd *httpd;
   void *module_state[ROUTER_MODULE_MAX]; /**< owned by each module */
   struct metrics metrics;
+  struct quarantine quarantine; /**< requests that crash upstreams */
+  uint64_t suspects_sent;       /**< sequence of the last row sent to peers */
+  uint64_t suspects_expiry_ns;  /**< when old evidence is forgotten next */
   bool draining;
   uint64_t drain_start_ns;   /**< 0 while not draining */
   bool drain_timeout_logged; /**< once per drain */
--- a/src/state/dispatch.h
+++ b/src/state/dispatch.h
@@ -71,6 +71,7 @@
       bool resumable;      /**< engine can resume at the exact byte offset */
       bool client_started; /**< response bytes were sent to the client */
       bool draining;       /**< the upstream reported that it is draining */
+      bool final;          /**< the request must not be sent again */
     } failure;             /**< DISPATCH_FAILED */
   } u;
 };
--- a/src/state/dispatch_run.c
+++ b/src/state/dispatch_run.c
@@ -264,7 +264,7 @@
 
   if (request->node.deadline_ns <= context->now_ns)
     return REFUSAL_DEADLINE;
-  if (!attempt_may_retry (&request->attempt)
+  if (!attempt_may_retry (&request->attempt) || context->event->u.failure.final
       || (request->client_started && !context->event->u.failure.resumable))
     return REFUSAL_UPSTREAM_FAILED;
   if (service == NULL || !dispatch_service_usable (context->dispatch, service))
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -7,6 +7,7 @@
 #include "router.h"
 #include "state/err.h"
 #include "support/suite.h"
+#include "suspects.h"
 #include <errno.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -570,6 +571,72 @@
   fixture_finish (&fixture);
 }
 
+/* Sends the request and lets the upstream crash under it. */
+static void
+crash_upstream (struct fixture *fixture, unsigned int started)
+{
+  struct received in;
+  int fd = client_connect (fixture);
+
+  client_send (fd, PLAIN_REQUEST);
+  wait_attempt (fixture, started);
+  fixture->fake.events->sending (fixture->fake.user);
+  fixture->fake.events->sent (fixture->fake.user);
+  respond_end (fixture, ERR_RESET);
+  in = client_receive (fixture, fd, "}}");
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 502 "));
+  close (fd);
+}
+
+/* Crashes here and at other instances count together; another request of the
+   same customer is served. */
+static void
+test_crashing_request (void)
+{
+  struct fixture fixture;
+  struct quarantine_row rows[2];
+  const struct message_load load = { .suspects = rows, .suspect_count = 2 };
+  struct quarantine *quarantine = &fixture.router.quarantine;
+  struct received in;
+  unsigned int i;
+  int fd;
+
+  fixture_init (&fixture);
+  crash_upstream (&fixture, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (quarantine->entries);
+  for (i = 0; i < 2; i++)
+    rows[i] = (struct quarantine_row){ .key = quarantine->entries->key,
+                                       .upstream_id = 7 + i,
+                                       .crashes = 1 };
+  suspects_receive (&fixture.router, &load, router_now_ns (&fixture.router));
+  for (i = 0;
+       i < LOOP_TURNS_MAX
+       && quarantine_held_count (quarantine, router_now_ns (&fixture.router))
+              == 0;
+       i++)
+    usleep (POLL_INTERVAL_US);
+  fd = client_connect (&fixture);
+  client_send (fd, PLAIN_REQUEST);
+  in = client_receive (&fixture, fd, "}}");
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 503 "));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (in.text, "\r\nCherrylanding-Verdict: not-run\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "\r\nRetry-After: 60"));
+  CU_ASSERT_EQUAL (fixture.fake.started, 1);
+  close (fd);
+  fd = client_connect (&fixture);
+  client_send (fd, "POST /services/farm/job HTTP/1.1\r\n" HEAD
+                   "once\r\nContent-Length: 2\r\n\r\nho");
+  wait_attempt (&fixture, 2);
+  respond (&fixture, length_5, 2);
+  respond_body (&fixture, "hello", 5);
+  respond_end (&fixture, 0);
+  in = client_receive (&fixture, fd, "hello");
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 200 "));
+  close (fd);
+  fixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "complete response", test_complete_response },
   { "truncated buffered response", test_truncated_buffered_response },
@@ -581,6 +648,7 @@
   { "header limit", test_header_limit },
   { "connection limit", test_connection_limit },
   { "drain", test_drain },
+  { "request that crashes upstreams", test_crashing_request },
 };
 
 SUITE_MAIN ("test_request", tests)
