--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -32,9 +32,12 @@
   bool has_remaining;
   uint32_t remaining_ms;     /**< time until the client gives up */
   const char *last_event_id; /**< id of the client's last event, or NULL */
-  const char *model;         /**< that the prompt is for; NULL when absent */
-  uint64_t output_hint;      /**< expected output tokens; 0: unknown */
-  struct prompt prompt;      /**< without parts when the request has none */
+  /** Id of the request that brought the first event of the stream that this
+      one takes up; empty when absent, too long or not unique. */
+  char resumes[ADAPTER_ID_SIZE];
+  const char *model;    /**< that the prompt is for; NULL when absent */
+  uint64_t output_hint; /**< expected output tokens; 0: unknown */
+  struct prompt prompt; /**< without parts when the request has none */
 };
 
 /** Values that the gateway adds to the headers of an upstream request. */
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -175,6 +175,11 @@
        LOG_U ("unread_tokens", request->prefill_tokens),
        LOG_U ("ahead_tokens", result->backlog_tokens),
        LOG_S ("home", result->primary ? "yes" : "no"),
+       LOG_S ("build", upstream->record.build),
+       LOG_S ("resumes", request->parsed.resumes),
+       LOG_S ("after_event", header_values.last_event_id == NULL
+                                 ? ""
+                                 : header_values.last_event_id),
        LOG_U ("remaining_ms", header_values.remaining_ms));
   work = looptime_begin (&gateway->loop_time, LOOP_WORK_SEND);
   request->attempt = upstream_http_driver.start (
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -20,6 +20,7 @@
 #define REGISTRY_ADDRESS_SIZE  64  /**< bytes of "IP:PORT" with its NUL */
 #define REGISTRY_CHANGED       1   /**< registry_put: peers must be informed */
 #define REGISTRY_ZONE_SIZE     64  /**< bytes of a zone with its NUL */
+#define REGISTRY_BUILD_SIZE    64  /**< bytes of a build with its NUL */
 #define REGISTRY_TOMBSTONE_MS                                                 \
   60000 /**< lifetime of a tombstone: an instance that was suspended may      \
              still relay an older record this late */
@@ -32,6 +33,8 @@
   char address[REGISTRY_ADDRESS_SIZE];
   char availability_zone[REGISTRY_ZONE_SIZE];
   uint64_t service_id;
+  char build[REGISTRY_BUILD_SIZE]; /**< version of its software; "" if it
+                                        states none */
   uint32_t slots;
   bool draining;
   uint64_t revision; /**< store index of the registration */
