--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -71,9 +71,10 @@
   upstream_key (fleet, index, key);
   snprintf (value, sizeof value,
             "{\"service\":\"s2\",\"address\":\"127.0.0.1:%u\",\"zone\":\"za\","
-            "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+            "\"version\":\"%s\",\"slots\":8,\"state\":\"ready\","
             "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
-            fleet->upstreams[index].port);
+            fleet->upstreams[index].port,
+            fleet->builds[index] == NULL ? "v1" : fleet->builds[index]);
   storeserver_put (&fleet->store, key, value);
 }
 
--- a/tests/support/gatefleet.h
+++ b/tests/support/gatefleet.h
@@ -22,6 +22,7 @@
   struct gateway gateways[GATEFLEET_GATEWAYS_MAX];
   struct upstreamserver upstreams[GATEFLEET_UPSTREAMS];
   unsigned int lives[GATEFLEET_UPSTREAMS]; /* incarnations before this one */
+  const char *builds[GATEFLEET_UPSTREAMS]; /* as registered; NULL: v1 */
   struct clock clock;
   uint64_t start_ms;
 };
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -26,6 +26,8 @@
   char *request;                /* waits for its response; NULL for none */
   bool close_after_write;       /* close once all output is written */
   bool endless;                 /* the response has no end */
+  unsigned int event;           /* last one sent of a timed stream; 0: none */
+  unsigned int reset_event;     /* as of the request */
   struct upstreamserver_conn *prev;
   struct upstreamserver_conn *next;
 };
@@ -53,6 +55,7 @@
 static void send_stream (struct upstreamserver_conn *conn, const char *id,
                          const char *request, unsigned int events,
                          bool chunked);
+static void send_timed_event (struct upstreamserver_conn *conn);
 static void client_read (struct bufferevent *bev, void *user);
 static void client_event (struct bufferevent *bev, short what, void *user);
 
@@ -254,6 +257,11 @@
 
   (void)fd;
   (void)what;
+  if (request == NULL)
+    {
+      send_timed_event (conn);
+      return;
+    }
   conn->request = NULL;
   respond (conn, request);
   free (request);
@@ -394,6 +402,11 @@
     case UPSTREAMSERVER_STREAM:
       send_stream (conn, id, request, EVENTS, true);
       break;
+    case UPSTREAMSERVER_STREAM_TIMED:
+      conn->reset_event = server->reset_event;
+      send_stream (conn, id, request, 0, true);
+      send_timed_event (conn);
+      break;
     case UPSTREAMSERVER_STREAM_RESET:
       send_stream (conn, id, request, 2, true);
       conn->close_after_write = true;
@@ -428,8 +441,8 @@
       id, conn->server->signature,
       conn->server->extra_headers == NULL ? "" : conn->server->extra_headers,
       chunked ? "Transfer-Encoding: chunked\r\n" : "");
-  for (i = (unsigned int)strtoul (last_event_id, NULL, 10) + 1;
-       i <= events + (cut ? 1 : 0); i++)
+  conn->event = (unsigned int)strtoul (last_event_id, NULL, 10);
+  for (i = conn->event + 1; i <= events + (cut ? 1 : 0); i++)
     {
       /* With UPSTREAMSERVER_STREAM_RESET, the event after the last is
        * truncated. */
@@ -440,10 +453,34 @@
       else
         evbuffer_add (out, event, strlen (event));
     }
-  if (chunked && !cut)
+  if (chunked && !cut && conn->behaviour != UPSTREAMSERVER_STREAM_TIMED)
     evbuffer_add (out, "0\r\n\r\n", 5);
 }
 
+static void
+send_timed_event (struct upstreamserver_conn *conn)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  const struct timeval interval
+      = clock_timeval (conn->server->event_interval_ms);
+  char event[64];
+
+  if (conn->event >= conn->server->timed_events)
+    {
+      evbuffer_add (out, "0\r\n\r\n", 5);
+      return;
+    }
+  if (conn->reset_event != 0 && conn->event >= conn->reset_event)
+    {
+      conn_reset (conn);
+      return;
+    }
+  snprintf (event, sizeof event, "id: %u\ndata: %s\n\n", ++conn->event,
+            conn->server->signature);
+  evbuffer_add_printf (out, "%zx\r\n%s\r\n", strlen (event), event);
+  event_add (conn->response_timer, &interval);
+}
+
 void
 platclient_init (struct platclient *client, struct event_base *base,
                  uint16_t port)
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -29,6 +29,10 @@
   UPSTREAMSERVER_UNSIGNED,       /**< 200 without a signature */
   UPSTREAMSERVER_EXTRA_RESPONSE, /**< a second, unrelated response */
   UPSTREAMSERVER_STREAM, /**< events after Last-Event-Id up to 4, chunked */
+  /** Events after Last-Event-Id up to `timed_events`, one every
+      `event_interval_ms`, each with the signature; a reset after the event
+      `reset_event`. */
+  UPSTREAMSERVER_STREAM_TIMED,
   /** Events up to 2, half of event 3, then a reset. */
   UPSTREAMSERVER_STREAM_RESET,
   /** Events up to 4, delimited by closing the connection. */
@@ -58,6 +62,9 @@
   unsigned int closed_connections; /**< connections closed by the gateway */
   uint64_t endless_bytes;          /**< sent of responses without end */
   char last_request[UPSTREAMSERVER_MESSAGE_SIZE];
+  unsigned int timed_events;
+  uint32_t event_interval_ms;
+  unsigned int reset_event;   /**< 0: none */
   uint32_t response_delay_ms; /**< time from a request to its response */
   /** Called with each HTTP message before it is answered; may set `behaviour`
      and `response_delay_ms` for it.  May be NULL. */
--- /dev/null
+++ b/tests/test_stream_builds.c
@@ -0,0 +1,408 @@
+/**
+ * @file test_stream_builds.c
+ * Streams of a service whose upstreams have two builds: clients leave midway
+ * and take their streams up at other gateways, upstreams break off, gateways
+ * are lost.  No stream holds events of two builds, and streams go on.
+ */
+#include "state/rng.h"
+#include "support/gatefleet.h"
+#include "support/storeseed.h"
+#include "support/suite.h"
+#include <stdio.h>
+#include <string.h>
+
+#define UPSTREAMS   GATEFLEET_UPSTREAMS
+#define STREAMS     64 /* at a time, in turn */
+#define STEP_MS     20 /* from one stream to the next */
+#define EVENTS      12 /* of a stream */
+#define INTERVAL_MS 25
+#define DURATION_MS 5000
+#define TRIES_MAX   3 /* of a client */
+#define MIXED_MAX   2
+#define BUILDS      2
+#define PREFIXES    32 /* of prompts */
+
+static const char *const builds[BUILDS] = { "v1", "v1.1" };
+
+struct plan
+{
+  unsigned int gateways;
+  bool resets; /* upstreams break one stream in ten off */
+  bool kill;   /* a gateway is lost at half-time */
+  bool late;   /* the second build appears at half-time */
+  bool store_down;
+};
+
+struct scene;
+
+/* A client with one stream, which it takes up after leaving. */
+struct stream
+{
+  struct scene *scene;
+  struct platclient client;
+  bool used;
+  unsigned int number;
+  unsigned int gateway;
+  unsigned int tries;
+  unsigned int first_try; /* that brought the first event; 0: none */
+  unsigned int events;    /* received, over all tries */
+  unsigned int leave_at;  /* events of the next break; 0: none */
+  int build;              /* of the first event */
+  bool mixed;
+};
+
+struct scene
+{
+  const struct plan *plan;
+  struct gatefleet fleet;
+  struct stream streams[STREAMS];
+  struct rng rng;
+  unsigned int sent;
+  unsigned int begun;
+  unsigned int taken_up;
+  unsigned int went_on;
+  unsigned int mixed;
+  bool killed;
+};
+
+static void
+on_request (struct upstreamserver *server, const char *message)
+{
+  struct scene *scene = server->user;
+
+  (void)message;
+  server->behaviour = UPSTREAMSERVER_STREAM_TIMED;
+  server->reset_event = scene->plan->resets && rng_below (&scene->rng, 10) == 0
+                            ? 1 + (unsigned int)rng_below (&scene->rng, EVENTS)
+                            : 0;
+}
+
+static int
+build_index (const char *text)
+{
+  int i;
+
+  for (i = BUILDS - 1; i >= 0; i--)
+    if (strncmp (text, builds[i], strlen (builds[i])) == 0)
+      return i;
+  return BUILDS;
+}
+
+/* Events of the answer so far; counts those that are new to the client. */
+static void
+read_events (struct stream *stream)
+{
+  char text[32];
+  const char *event;
+  int build;
+
+  for (;;)
+    {
+      snprintf (text, sizeof text, "\nid: %u\ndata: ", stream->events + 1);
+      event = strstr (stream->client.got, text);
+      if (event == NULL || strchr (event + strlen (text), '\n') == NULL)
+        return;
+      build = build_index (event + strlen (text));
+      if (stream->events == 0)
+        {
+          stream->first_try = stream->tries;
+          stream->build = build;
+          stream->scene->begun++;
+        }
+      stream->mixed = stream->mixed || build != stream->build;
+      stream->events++;
+    }
+}
+
+static void
+send_try (struct stream *stream)
+{
+  struct scene *scene = stream->scene;
+  unsigned int count = scene->plan->gateways;
+  char request[512];
+  char prompt[96] = "";
+  char resume[128] = "";
+
+  /* Every other stream is for an engine. */
+  if (stream->number % 2 == 0)
+    snprintf (prompt, sizeof prompt,
+              "X-Token-Usage: 350,20\r\nX-Prompt-Prefix: a%u:100,f%x:50\r\n",
+              stream->number % PREFIXES, stream->number);
+  stream->gateway
+      = (stream->gateway + 1 + (unsigned int)rng_below (&scene->rng, count))
+        % count;
+  if (scene->killed && stream->gateway == 0)
+    stream->gateway = 1;
+  stream->tries++;
+  if (stream->events > 0)
+    snprintf (resume, sizeof resume,
+              "Resumes: s-%u-%u\r\nLast-Event-Id: %u\r\n", stream->number,
+              stream->first_try, stream->events);
+  snprintf (request, sizeof request,
+            "POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n"
+            "X-Attempt-Id: s-%u-%u\r\nX-Credential: key-1\r\n"
+            "%s%sX-Deadline-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
+            stream->number, stream->tries, prompt, resume);
+  platclient_init (&stream->client, scene->fleet.base,
+                   httpd_port (scene->fleet.gateways[stream->gateway].httpd));
+  platclient_send (&stream->client, request);
+}
+
+static void
+finish_stream (struct stream *stream)
+{
+  if (!stream->used)
+    return;
+  stream->used = false;
+  platclient_finish (&stream->client);
+  stream->scene->mixed += stream->mixed;
+}
+
+static void
+start_stream (struct scene *scene)
+{
+  struct stream *stream = &scene->streams[scene->sent % STREAMS];
+
+  finish_stream (stream);
+  memset (stream, 0, sizeof *stream);
+  stream->scene = scene;
+  stream->used = true;
+  stream->number = scene->sent++;
+  stream->leave_at = rng_below (&scene->rng, 2) == 0
+                         ? 1 + (unsigned int)rng_below (&scene->rng, 6)
+                         : 0;
+  send_try (stream);
+}
+
+/* Reads what has come; a client that leaves, or whose answer has broken off,
+   comes back at another gateway. */
+static void
+advance_stream (struct stream *stream)
+{
+  struct scene *scene = stream->scene;
+  unsigned int had = stream->events;
+
+  if (!stream->used)
+    return;
+  read_events (stream);
+  if (stream->tries > 1 && had < stream->events
+      && stream->first_try < stream->tries
+      && strstr (stream->client.got, "\nid: ") != NULL
+      && stream->leave_at == EVENTS + 1)
+    {
+      scene->went_on++;
+      stream->leave_at = 0;
+    }
+  if (stream->events >= EVENTS || stream->tries >= TRIES_MAX
+      || stream->events == 0)
+    return;
+  if (stream->client.closed
+      || (stream->leave_at != 0 && stream->events >= stream->leave_at))
+    {
+      platclient_finish (&stream->client);
+      send_try (stream);
+      scene->taken_up++;
+      /* Any further event shows that it goes on. */
+      stream->leave_at = EVENTS + 1;
+    }
+}
+
+static void
+scene_init (struct scene *scene, const struct plan *plan)
+{
+  unsigned int i;
+
+  memset (scene, 0, sizeof *scene);
+  scene->plan = plan;
+  rng_init (&scene->rng, 1);
+  gatefleet_init (&scene->fleet);
+  for (i = 0; i < UPSTREAMS; i++)
+    {
+      scene->fleet.upstreams[i].on_request = on_request;
+      scene->fleet.upstreams[i].user = scene;
+      scene->fleet.upstreams[i].timed_events = EVENTS;
+      scene->fleet.upstreams[i].event_interval_ms = INTERVAL_MS;
+      scene->fleet.upstreams[i].signature = builds[0];
+    }
+}
+
+/* Half of the upstreams start again as the second build. */
+static void
+start_second_build (struct scene *scene)
+{
+  unsigned int i;
+
+  for (i = UPSTREAMS / 2; i < UPSTREAMS; i++)
+    {
+      upstreamserver_finish (&scene->fleet.upstreams[i]);
+      scene->fleet.upstreams[i].signature = builds[1];
+      scene->fleet.builds[i] = builds[1];
+      upstreamserver_revive (&scene->fleet.upstreams[i]);
+      gatefleet_renew (&scene->fleet, i);
+    }
+}
+
+static void
+scene_finish (struct scene *scene)
+{
+  unsigned int i;
+
+  for (i = 0; i < STREAMS; i++)
+    finish_stream (&scene->streams[i]);
+  if (scene->killed)
+    {
+      gatefleet_start_gateway (&scene->fleet, 0);
+      gatefleet_run (&scene->fleet, STEP_MS);
+    }
+  gatefleet_finish (&scene->fleet);
+}
+
+static void
+play (const struct plan *plan)
+{
+  static struct scene scene;
+  bool halved = false;
+  unsigned int i;
+
+  scene_init (&scene, plan);
+  if (!plan->late)
+    start_second_build (&scene);
+  gatefleet_start (&scene.fleet, plan->gateways);
+  if (plan->store_down)
+    scene.fleet.store.fault = STORESERVER_FAULT_503;
+  while (gatefleet_now_ms (&scene.fleet) < DURATION_MS)
+    {
+      start_stream (&scene);
+      gatefleet_run (&scene.fleet, STEP_MS);
+      for (i = 0; i < STREAMS; i++)
+        advance_stream (&scene.streams[i]);
+      if (halved || gatefleet_now_ms (&scene.fleet) < DURATION_MS / 2)
+        continue;
+      halved = true;
+      if (plan->late)
+        start_second_build (&scene);
+      if (plan->kill)
+        {
+          gateway_finish (&scene.fleet.gateways[0]);
+          scene.killed = true;
+        }
+    }
+  scene_finish (&scene);
+  printf ("streams %u, begun %u, taken up %u, went on %u, mixed %u\n",
+          scene.sent, scene.begun, scene.taken_up, scene.went_on, scene.mixed);
+  CU_ASSERT (scene.begun * 10 >= scene.sent * 9);
+  CU_ASSERT (scene.taken_up >= 50);
+  CU_ASSERT (scene.went_on * 2 >= scene.taken_up);
+  CU_ASSERT (scene.mixed <= MIXED_MAX);
+}
+
+static void
+test_two_builds (void)
+{
+  play (&(struct plan){ .gateways = 3 });
+}
+
+static void
+test_resets (void)
+{
+  play (&(struct plan){ .gateways = 3, .resets = true });
+}
+
+static void
+test_lost_gateway (void)
+{
+  play (&(struct plan){ .gateways = 3, .resets = true, .kill = true });
+}
+
+static void
+test_second_build_appears (void)
+{
+  play (&(struct plan){ .gateways = 3, .late = true });
+}
+
+static void
+test_fleet_with_hubs (void)
+{
+  play (&(struct plan){
+      .gateways = GATEFLEET_GATEWAYS_MAX, .resets = true, .kill = true });
+}
+
+static void
+test_store_down (void)
+{
+  play (&(struct plan){ .gateways = 3, .resets = true, .store_down = true });
+}
+
+/* The answer of one gateway to a stream that is taken up. */
+static void
+expect (struct gatefleet *fleet, unsigned int gateway, const char *headers,
+        const char *status)
+{
+  struct platclient client;
+  char request[512];
+
+  snprintf (request, sizeof request,
+            "POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n"
+            "X-Attempt-Id: again\r\n%s"
+            "X-Deadline-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
+            headers);
+  platclient_init (&client, fleet->base,
+                   httpd_port (fleet->gateways[gateway].httpd));
+  platclient_send (&client, request);
+  gatefleet_run (fleet, 500);
+  CU_ASSERT_EQUAL (strncmp (client.got, status, strlen (status)), 0);
+  platclient_finish (&client);
+}
+
+/* Streams that no gateway knows, or that are another customer's, are refused
+   as not run; with a single build they go on. */
+static void
+test_unknown_streams (void)
+{
+  static struct scene scene;
+  const struct plan plan = { .gateways = 2 };
+  const char *refused = "HTTP/1.1 503";
+
+  scene_init (&scene, &plan);
+  storeseed_configure (&scene.fleet.store, 2,
+                       "\"key-1\"]},{\"name\":\"bea\",\"api_keys\":["
+                       "\"key-2\"",
+                       "s2");
+  gatefleet_start (&scene.fleet, plan.gateways);
+  expect (&scene.fleet, 0,
+          "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 3\r\n",
+          "HTTP/1.1 200");
+  start_second_build (&scene);
+  gatefleet_run (&scene.fleet, 2000);
+  expect (&scene.fleet, 0, "X-Credential: key-1\r\n", "HTTP/1.1 200");
+  expect (&scene.fleet, 1,
+          "X-Credential: key-1\r\nResumes: again\r\nLast-Event-Id: 3\r\n",
+          "HTTP/1.1 200");
+  expect (&scene.fleet, 0,
+          "X-Credential: key-2\r\nResumes: again\r\nLast-Event-Id: 3\r\n",
+          refused);
+  expect (&scene.fleet, 0,
+          "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 3\r\n",
+          refused);
+  expect (&scene.fleet, 0, "X-Credential: key-1\r\nLast-Event-Id: 3\r\n",
+          refused);
+  expect (&scene.fleet, 0,
+          "X-Credential: key-1\r\nResumes: again\r\nResumes: again\r\n"
+          "Last-Event-Id: 3\r\n",
+          refused);
+  expect (&scene.fleet, 0, "X-Credential: key-1\r\nResumes: again\r\n",
+          "HTTP/1.1 200");
+  scene_finish (&scene);
+}
+
+static const struct suite_test tests[] = {
+  { "two builds", test_two_builds },
+  { "streams that break off", test_resets },
+  { "gateway lost", test_lost_gateway },
+  { "second build appears", test_second_build_appears },
+  { "fleet with hubs", test_fleet_with_hubs },
+  { "store down", test_store_down },
+  { "unknown streams", test_unknown_streams },
+};
+
+SUITE_MAIN ("test_stream_builds", tests)
