--- a/src/coordination/message.c
+++ b/src/coordination/message.c
@@ -19,6 +19,7 @@
   [MESSAGE_ADDRESSES] = "addresses",
   [MESSAGE_LOAD] = "load",
   [MESSAGE_LIMIT] = "limit",
+  [MESSAGE_STREAMS] = "streams",
 };
 
 void
@@ -62,6 +63,11 @@
       message->u.load.items = NULL;
       message->u.load.item_count = 0;
       break;
+    case MESSAGE_STREAMS:
+      free (message->u.streams.rows);
+      message->u.streams.rows = NULL;
+      message->u.streams.count = 0;
+      break;
     default:
       break;
     }
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -10,6 +10,7 @@
 #include "state/catalog.h"
 #include "state/ledger.h"
 #include "state/quarantine.h"
+#include "state/stream_builds.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -33,7 +34,7 @@
   MESSAGE_ADDRESSES, /**< of other instances, for one that joins */
   MESSAGE_LOAD,      /**< load of a gateway */
   MESSAGE_LIMIT,     /**< a limit that an upstream names */
-  MESSAGE_TURN,      /**< a turn at a limited upstream, asked or answered */
+  MESSAGE_STREAMS,   /**< builds that began streams */
   MESSAGE_KIND_MAX
 };
 
@@ -184,7 +185,14 @@
   size_t item_count;
   struct message_load_item *items;
   size_t suspect_count;
-  struct quarantine_row *suspects; /**< parts of prompts, see quarantine.h */
+  struct quarantine_row *suspects; /**< see quarantine.h */
+};
+
+/** Streams and markers of services that changed; they add to earlier ones. */
+struct message_streams
+{
+  size_t count;
+  struct stream_builds_row *rows;
 };
 
 enum message_limit_kind
@@ -224,6 +232,7 @@
     struct message_addresses addresses;
     struct message_load load;
     struct message_limit limit;
+    struct message_streams streams;
   } u;
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include "gateway/gateway_peers.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request.h"
+#include "gateway/gateway_streams.h"
 #include "gateway/probe.h"
 #include "state/err.h"
 #include "transport/log.h"
@@ -127,6 +128,7 @@
   gateway->usage_cap_tokens = UINT64_MAX;
   wait_queue_init (&gateway->wait_queue);
   gateway_quarantine_start (gateway);
+  gateway_streams_start (gateway);
   rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
                                ^ clock_wall_ms (&gateway->clock));
   return 0;
@@ -220,6 +222,7 @@
   wait_queue_finish (&gateway->wait_queue);
   usage_share_finish (&gateway->usage);
   quarantine_finish (&gateway->quarantine);
+  stream_builds_finish (&gateway->streams);
   turns_finish (&gateway->turns);
   service = gateway->services;
   HASH_CLEAR (hh, gateway->services);
@@ -293,6 +296,7 @@
                                   ? UINT64_MAX
                                   : usage_share_cap (&gateway->usage, now_ns);
   gateway_quarantine_tick (gateway);
+  gateway_streams_tick (gateway);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "state/registry.h"
 #include "state/rotation.h"
 #include "state/routing.h"
+#include "state/stream_builds.h"
 #include "state/turns.h"
 #include "state/usage_share.h"
 #include "state/wait_queue.h"
@@ -135,6 +136,7 @@
   struct turns turns; /**< at limited upstreams whose accounts are here */
   struct quarantine quarantine; /**< parts of prompts that crash upstreams */
   struct gateway_quarantine_write quarantine_write;
+  struct stream_builds streams; /**< builds that began them */
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -155,6 +155,7 @@
   for (upstream = gateway->registry.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     if (registry_usable (upstream, request->service->id)
+        && (request->build == 0 || upstream->build == request->build)
         && rate_limit_may_ask (&upstream->limit, now_ns)
         && rng_below (&gateway->rng, ++count) == 0)
       chosen = upstream;
@@ -246,6 +247,7 @@
     {
       if (!upstream->limit.limited
           || !registry_usable (upstream, request->service->id)
+          || (request->build != 0 && upstream->build != request->build)
           || registry_paused (upstream, now_ns))
         continue;
       wait_ns = rate_limit_wait_ns (&upstream->limit, now_ns);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -8,6 +8,7 @@
 #include "gateway/gateway_limits.h"
 #include "gateway/gateway_peers_int.h"
 #include "gateway/gateway_request.h"
+#include "gateway/gateway_streams.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
@@ -15,6 +16,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Peers report ten times a second; an instance that has heard of none for this
+   long may be cut off. */
+#define INFORMED_MS 1000
 #define HANDSHAKE_TIMEOUT_MS                                                  \
   1000 /* network latency between instances is low */
 #define LINK_IDLE_TIMEOUT_MS                                                  \
@@ -175,6 +179,24 @@
   return gateway->peers->hub;
 }
 
+bool
+gateway_peers_informed (const struct gateway *gateway)
+{
+  const struct gateway_peers *peers = gateway->peers;
+  const struct gateway_peers_member *member;
+  const struct gateway_peer *peer;
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
+    if (peer->report_ns != 0
+        && now_ns - peer->report_ns < INFORMED_MS * CLOCK_NS_PER_MS)
+      return true;
+  for (member = peers->members; member != NULL; member = member->hh.next)
+    if (member->id != peers->self_id)
+      return false;
+  return peers->members_listed;
+}
+
 /* Links. */
 
 static struct gateway_peer *
@@ -218,8 +240,11 @@
                 peer);
     }
   peer->requested = peer->subscribed = peer->snapshot_pending = false;
+  peer->streams_sent = 0;
+  peer->streams_new_until = peers->gateway->streams.sequence;
   update_subscription (peers, peer);
   gateway_limits_send_all (peers, peer);
+  gateway_streams_send (peers, peer);
 }
 
 void
@@ -274,6 +299,9 @@
       peer->snapshot_pending = peer->subscribed;
       send_pending_snapshots (peers);
       break;
+    case MESSAGE_STREAMS:
+      gateway_streams_receive (peers, peer, &message->u.streams);
+      break;
     case MESSAGE_LIMIT:
       gateway_limits_receive (peers, peer, &message->u.limit);
       break;
@@ -460,6 +488,7 @@
   bool to_hubs = peers->report_ticks % REPORT_TICKS == 0;
 
   peers->report_ticks++;
+  gateway_streams_send_all (peers);
   if (!to_hubs)
     {
       gateway_peers_send_reports (peers, to_hubs);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -6,6 +6,7 @@
 #include "gateway/discovery.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
+#include "gateway/gateway_streams.h"
 #include "protocol/client.h"
 #include "state/err.h"
 #include "state/request_digest.h"
@@ -23,6 +24,10 @@
    sockets for as long. */
 #define LOOP_LAG_MAX_MS 150
 
+/* Retry-After of a stream that cannot go on: a build that is unknown, or has
+   gone, will be so for as long as its client waits. */
+#define NO_BUILD_RETRY_AFTER_MS 60000
+
 /** Result of validating a request, before its gateway_request is allocated. */
 struct request_validation
 {
@@ -86,7 +91,11 @@
   httpd_pause (http);
   fleet_retry_budget_count_request (&gateway->fleet_retry_budget,
                                     request->service->id, request->arrival_ns);
-  gateway_request_try (request);
+  refusal = gateway_streams_bind (request);
+  if (refusal == REFUSAL_NONE)
+    gateway_request_try (request);
+  else
+    gateway_request_refuse (request, refusal, NO_BUILD_RETRY_AFTER_MS);
 }
 
 static enum refusal
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -6,6 +6,7 @@
 #include "gateway/gateway_limits.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
+#include "gateway/gateway_streams.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include <inttypes.h>
@@ -106,6 +107,7 @@
     .availability_zone = gateway->settings.availability_zone,
     .excluded = request->tried_ids,
     .excluded_count = request->tried_count,
+    .build = request->build,
     .tie_break = catalog_id (request->parsed.id),
     .recompute_permille = gateway_request_recompute_permille (request),
     .now_ns = gateway_now_ns (gateway),
@@ -156,6 +158,7 @@
   attempt_start (&request->attempt_state, upstream->id, now_ns);
   attempt_advance (&request->attempt_state, ATTEMPT_CONNECTING, now_ns);
   request->upstream_id = upstream->id;
+  request->upstream_build = upstream->build;
   request->prefill_tokens = result->prefill_tokens;
   request->tokens_before_response
       = result->backlog_tokens + result->prefill_tokens;
@@ -547,7 +550,11 @@
       return;
     }
   if (evbuffer_get_length (complete_events) > 0)
-    reply_send_body (&request->reply, complete_events);
+    {
+      if (request->sse.events > 0)
+        gateway_streams_event (request);
+      reply_send_body (&request->reply, complete_events);
+    }
   evbuffer_free (complete_events);
   gateway_quarantine_responded (request);
   pause_if_client_slow (request);
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -69,6 +69,8 @@
   bool awaits_trial;               /**< waits for the decision on a trial */
   uint64_t tried_ids[CHOOSE_EXCLUDED_MAX];
   size_t tried_count;
+  uint64_t build;          /**< that the stream is bound to; 0: to none */
+  uint64_t upstream_build; /**< of the upstream of the attempt */
   bool is_stream; /**< the response is a stream of server-sent events */
   struct sse sse;
   uint64_t first_byte_ns; /**< first response byte to the client; 0: none */
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &peer__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__streams__init
+                     (Peer__Streams         *message)
+{
+  static const Peer__Streams init_value = PEER__STREAMS__INIT;
+  *message = init_value;
+}
+size_t peer__streams__get_packed_size
+                     (const Peer__Streams *message)
+{
+  assert(message->base.descriptor == &peer__streams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__streams__pack
+                     (const Peer__Streams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__streams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__streams__pack_to_buffer
+                     (const Peer__Streams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__streams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Streams *
+       peer__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Streams *)
+     protobuf_c_message_unpack (&peer__streams__descriptor,
+                                allocator, len, data);
+}
+void   peer__streams__free_unpacked
+                     (Peer__Streams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__streams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -1529,7 +1574,45 @@
   (ProtobufCMessageInit) peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__streams__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__Streams, n_rows),
+    offsetof(Peer__Streams, rows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__streams__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange peer__streams__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__streams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Streams",
+  "Streams",
+  "Peer__Streams",
+  "peer",
+  sizeof(Peer__Streams),
+  1,
+  peer__streams__field_descriptors,
+  peer__streams__field_indices_by_name,
+  1,  peer__streams__number_ranges,
+  (ProtobufCMessageInit) peer__streams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[12] =
 {
   {
     "hello",
@@ -1663,6 +1746,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, streams),
+    &peer__streams__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   3,   /* field[3] = accounts */
@@ -1676,11 +1771,12 @@
   10,   /* field[10] = limit */
   9,   /* field[9] = load */
   1,   /* field[1] = proof */
+  11,   /* field[11] = streams */
 };
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -1690,7 +1786,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  11,
+  12,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Peer__Addresses Peer__Addresses;
 typedef struct Peer__Load Peer__Load;
 typedef struct Peer__Limit Peer__Limit;
+typedef struct Peer__Streams Peer__Streams;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -243,6 +244,21 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Rows: stream, service, its build, the upstream that began it, lifetime in
+ * ms; or service twice, 0, 0, lifetime.  Adds to earlier words.
+ */
+struct  Peer__Streams
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  uint64_t *rows;
+};
+#define PEER__STREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__streams__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_HELLO = 1,
@@ -255,7 +271,8 @@
   PEER__FRAME__BODY_CONFIG = 8,
   PEER__FRAME__BODY_ADDRESSES = 9,
   PEER__FRAME__BODY_LOAD = 10,
-  PEER__FRAME__BODY_LIMIT = 11
+  PEER__FRAME__BODY_LIMIT = 11,
+  PEER__FRAME__BODY_STREAMS = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -275,6 +292,7 @@
     Peer__Addresses *addresses;
     Peer__Load *load;
     Peer__Limit *limit;
+    Peer__Streams *streams;
   };
 };
 #define PEER__FRAME__INIT \
@@ -510,6 +528,25 @@
 void   peer__limit__free_unpacked
                      (Peer__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Streams methods */
+void   peer__streams__init
+                     (Peer__Streams         *message);
+size_t peer__streams__get_packed_size
+                     (const Peer__Streams   *message);
+size_t peer__streams__pack
+                     (const Peer__Streams   *message,
+                      uint8_t             *out);
+size_t peer__streams__pack_to_buffer
+                     (const Peer__Streams   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Streams *
+       peer__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__streams__free_unpacked
+                     (Peer__Streams *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -567,6 +604,9 @@
 typedef void (*Peer__Limit_Closure)
                  (const Peer__Limit *message,
                   void *closure_data);
+typedef void (*Peer__Streams_Closure)
+                 (const Peer__Streams *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -588,6 +628,7 @@
 extern const ProtobufCMessageDescriptor peer__addresses__descriptor;
 extern const ProtobufCMessageDescriptor peer__load__descriptor;
 extern const ProtobufCMessageDescriptor peer__limit__descriptor;
+extern const ProtobufCMessageDescriptor peer__streams__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -16,6 +16,7 @@
 #define HOLD_COLUMNS      4
 #define LOAD_COLUMNS      3
 #define SUSPECT_COLUMNS   5
+#define STREAM_COLUMNS    5
 
 /** Key of the dictionary: a pair of identifiers, as in proto/peer.proto. */
 struct peercodec_key
@@ -55,6 +56,7 @@
     Peer__Addresses addresses;
     Peer__Load load;
     Peer__Limit limit;
+    Peer__Streams streams;
   } body;
   uint64_t *new_ids; /**< identifiers of new pairs, flattened */
   size_t new_id_count;
@@ -62,6 +64,7 @@
   size_t item_count;
   void **objects; /**< array of pointers, followed by the config objects */
   uint64_t *suspects;
+  uint64_t *streams;
 };
 
 static int encode_hello (const struct message *message,
@@ -84,6 +87,8 @@
                              struct frame_builder *out);
 static int encode_load (const struct message *message,
                         struct frame_builder *out);
+static int encode_streams (const struct message *message,
+                           struct frame_builder *out);
 static int encode_suspects (const struct message_load *load,
                             struct frame_builder *out);
 static int encode_limit (const struct message *message,
@@ -114,6 +119,7 @@
         [MESSAGE_ADDRESSES] = encode_addresses,
         [MESSAGE_LOAD] = encode_load,
         [MESSAGE_LIMIT] = encode_limit,
+        [MESSAGE_STREAMS] = encode_streams,
       };
 
 void
@@ -157,6 +163,7 @@
   free (builder.items);
   free (builder.objects);
   free (builder.suspects);
+  free (builder.streams);
   return rc;
 }
 
@@ -547,6 +554,36 @@
   return 0;
 }
 
+static int
+encode_streams (const struct message *message, struct frame_builder *out)
+{
+  const struct message_streams *streams = &message->u.streams;
+  Peer__Streams *wire = &out->body.streams;
+  uint64_t *cells;
+  size_t i;
+
+  if (streams->count > PEERCODEC_ITEMS_MAX)
+    return ERR_TOO_LARGE;
+  out->streams = calloc (STREAM_COLUMNS * streams->count + 1, sizeof *cells);
+  if (out->streams == NULL)
+    return ERR_NO_MEMORY;
+  cells = out->streams;
+  for (i = 0; i < streams->count; i++)
+    {
+      *cells++ = streams->rows[i].key;
+      *cells++ = streams->rows[i].service_id;
+      *cells++ = streams->rows[i].build;
+      *cells++ = streams->rows[i].upstream_id;
+      *cells++ = streams->rows[i].ttl_ms;
+    }
+  peer__streams__init (wire);
+  wire->n_rows = STREAM_COLUMNS * streams->count;
+  wire->rows = out->streams;
+  out->frame.body_case = PEER__FRAME__BODY_STREAMS;
+  out->frame.streams = wire;
+  return 0;
+}
+
 /* Adds the rows of a subject of which instances are counted.  Their pairs are
    those of loads, as earlier versions know no other subject. */
 static int
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -15,6 +15,7 @@
 #define GRANT_COLUMNS      3
 #define HOLD_COLUMNS       4
 #define SUSPECT_COLUMNS    5
+#define STREAM_COLUMNS     5
 #define LOAD_COLUMNS       3
 #define LOAD_COUNT_COLUMNS 2
 #define PAIRS_MIN          64 /* initial capacity of a dictionary */
@@ -67,6 +68,8 @@
 static int decode_load (struct peercodec_decoder *decoder,
                         const Peer__Frame *frame, struct message *message);
 static int decode_suspects (const Peer__Load *wire, struct message_load *load);
+static int decode_streams (struct peercodec_decoder *decoder,
+                           const Peer__Frame *frame, struct message *message);
 static int decode_limit (struct peercodec_decoder *decoder,
                          const Peer__Frame *frame, struct message *message);
 static int decode_object (const Peer__Object *wire,
@@ -104,6 +107,7 @@
   [PEER__FRAME__BODY_ADDRESSES] = { MESSAGE_ADDRESSES, decode_addresses },
   [PEER__FRAME__BODY_LOAD] = { MESSAGE_LOAD, decode_load },
   [PEER__FRAME__BODY_LIMIT] = { MESSAGE_LIMIT, decode_limit },
+  [PEER__FRAME__BODY_STREAMS] = { MESSAGE_STREAMS, decode_streams },
 };
 
 void
@@ -521,6 +525,38 @@
   return rc == 0 ? decode_suspects (wire, load) : rc;
 }
 
+static int
+decode_streams (struct peercodec_decoder *decoder, const Peer__Frame *frame,
+                struct message *message)
+{
+  const Peer__Streams *wire = frame->streams;
+  struct message_streams *streams = &message->u.streams;
+  const size_t count = wire->n_rows / STREAM_COLUMNS;
+  const uint64_t *cells = wire->rows;
+  size_t i;
+  int rc;
+
+  (void)decoder;
+  if (wire->n_rows % STREAM_COLUMNS != 0)
+    return ERR_PROTOCOL;
+  rc = allocate_items ((void **)&streams->rows, count, sizeof *streams->rows);
+  if (rc != 0)
+    return rc;
+  streams->count = count;
+  for (i = 0; i < count; i++, cells += STREAM_COLUMNS)
+    {
+      if (cells[4] > UINT32_MAX)
+        return ERR_PROTOCOL;
+      streams->rows[i]
+          = (struct stream_builds_row){ .key = cells[0],
+                                        .service_id = cells[1],
+                                        .build = cells[2],
+                                        .upstream_id = cells[3],
+                                        .ttl_ms = (uint32_t)cells[4] };
+    }
+  return 0;
+}
+
 static int
 decode_suspects (const Peer__Load *wire, struct message_load *load)
 {
--- a/src/state/choose.c
+++ b/src/state/choose.c
@@ -41,6 +41,8 @@
                              bool skip_ejected, struct choose_result *result);
 static bool awaits_turn (const struct registry *registry,
                          const struct choose_request *request);
+static bool of_build (const struct registry_upstream *upstream,
+                      const struct choose_request *request);
 static bool is_excluded (const struct registry_upstream *upstream,
                          const struct choose_request *request);
 static void choose_engine (const struct registry *registry,
@@ -99,7 +101,7 @@
 
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
-    if (upstream->limit.limited
+    if (upstream->limit.limited && of_build (upstream, request)
         && registry_usable (upstream, request->service_id)
         && !registry_paused (upstream, request->now_ns)
         && !is_excluded (upstream, request)
@@ -108,6 +110,13 @@
   return false;
 }
 
+static bool
+of_build (const struct registry_upstream *upstream,
+          const struct choose_request *request)
+{
+  return request->build == 0 || upstream->build == request->build;
+}
+
 static bool
 is_excluded (const struct registry_upstream *upstream,
              const struct choose_request *request)
@@ -125,6 +134,7 @@
           const struct choose_request *request, bool skip_ejected)
 {
   if (!registry_usable (upstream, request->service_id)
+      || !of_build (upstream, request)
       || registry_paused (upstream, request->now_ns)
       || !rate_limit_allows (&upstream->limit, request->now_ns)
       || is_excluded (upstream, request))
@@ -169,14 +179,17 @@
   uint64_t hash;
   uint32_t i;
 
-  if (candidates->count > 0 && candidates->generation == registry->generation)
+  if (candidates->count > 0 && candidates->generation == registry->generation
+      && candidates->build == request->build)
     return;
   candidates->generation = registry->generation;
+  candidates->build = request->build;
   candidates->count = 0;
   for (upstream = registry->upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     {
-      if (!registry_usable (upstream, request->service_id))
+      if (!registry_usable (upstream, request->service_id)
+          || !of_build (upstream, request))
         continue;
       hash = rendezvous_hash (prefix_hash, upstream->id);
       if (candidates->count == CHOOSE_CANDIDATES_MAX
--- a/src/state/choose.h
+++ b/src/state/choose.h
@@ -32,6 +32,7 @@
 struct choose_candidates
 {
   uint64_t generation;
+  uint64_t build; /**< that they have; 0: any */
   uint64_t ids[CHOOSE_CANDIDATES_MAX];
   uint32_t count;
 };
@@ -47,6 +48,7 @@
   const char *availability_zone; /**< of this instance */
   const uint64_t *excluded; /**< upstreams already tried; not chosen again */
   size_t excluded_count;
+  uint64_t build;     /**< that the upstream must have; 0: any */
   uint64_t tie_break; /**< arbitrary number; breaks ties */
   /** Extra cost of each token of the shared prefix that an engine would have
       to prefill again, in thousandths of a token.  The larger, the longer a
--- a/src/state/refusal.c
+++ b/src/state/refusal.c
@@ -34,6 +34,8 @@
   = { 503, 1, "too_many_connections", "connection limit reached" },
   [REFUSAL_QUARANTINED]
   = { 503, 60, "quarantined", "upstreams crash under the request" },
+  [REFUSAL_NO_BUILD]
+  = { 503, 60, "no_build", "no upstream can continue the stream" },
   [REFUSAL_NO_UPSTREAM]
   = { 503, 5, "no_upstream", "service has no usable upstream" },
   [REFUSAL_DRAINING] = { 503, 1, "draining", "instance is shutting down" },
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -29,6 +29,8 @@
                                   overloaded */
   REFUSAL_QUARANTINED,       /**< 503 upstreams crash under a part of the
                                   prompt */
+  REFUSAL_NO_BUILD,          /**< 503 the build that began a stream is unknown
+                                  or has no upstream */
   REFUSAL_NO_UPSTREAM,       /**< 503 service has no usable upstream */
   REFUSAL_DRAINING,          /**< 503 instance is shutting down */
   REFUSAL_NOT_READY,         /**< 503 no configuration yet, or one that may be
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -14,6 +14,7 @@
 static struct registry_upstream *
 find_by_identity (const struct registry *registry, const char *identity);
 static uint64_t incarnation_id (const struct registry_record *record);
+static uint64_t build_hash (const struct registry_record *record);
 static bool is_first_of_era (uint64_t *copy_revision, uint64_t known_revision,
                              uint64_t revision);
 static struct registry_tombstone *
@@ -176,6 +177,46 @@
                                record->start_ms);
 }
 
+static uint64_t
+build_hash (const struct registry_record *record)
+{
+  uint64_t hash = XXH3_64bits (record->build, strlen (record->build));
+
+  return hash == 0 ? 1 : hash;
+}
+
+uint64_t
+registry_single_build (const struct registry *registry, uint64_t service_id)
+{
+  const struct registry_upstream *upstream;
+  uint64_t build = 0;
+
+  for (upstream = registry->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    {
+      if (upstream->record.service_id != service_id)
+        continue;
+      if (build != 0 && upstream->build != build)
+        return 0;
+      build = upstream->build;
+    }
+  return build;
+}
+
+bool
+registry_has_build (const struct registry *registry, uint64_t service_id,
+                    uint64_t build)
+{
+  const struct registry_upstream *upstream;
+
+  for (upstream = registry->upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (registry_usable (upstream, service_id)
+        && (build == 0 || upstream->build == build))
+      return true;
+  return false;
+}
+
 int
 registry_put (struct registry *registry, const struct registry_record *record)
 {
@@ -191,6 +232,9 @@
       || (stored->missing_ns != 0
           && record->revision <= stored->missing_revision))
     return ERR_STALE;
+  if (strcmp (stored->record.build, record->build) != 0
+      && registry->rebuilt != NULL)
+    registry->rebuilt (registry->user, stored);
   if (stored->id != incarnation_id (record)
       || stored->record.service_id != record->service_id
       || strcmp (stored->record.address, record->address) != 0)
@@ -201,11 +245,15 @@
   changed
       = stored->record.draining != record->draining
         || stored->record.slots != record->slots
+        || strcmp (stored->record.build, record->build) != 0
         || strcmp (stored->record.availability_zone, record->availability_zone)
                != 0;
   if (changed || stored->missing_ns != 0)
     registry->generation++;
+  if (stored->build != build_hash (record))
+    registry->generation++;
   stored->record = *record;
+  stored->build = build_hash (record);
   stored->missing_ns = 0;
   return changed ? REGISTRY_CHANGED : 0;
 }
@@ -221,6 +269,7 @@
     return ERR_NO_MEMORY;
   upstream->record = *record;
   upstream->id = incarnation_id (record);
+  upstream->build = build_hash (record);
   upstream->leaving
       = tombstone != NULL && tombstone->leaving_id == upstream->id;
   upstream->listed = true;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -62,7 +62,8 @@
 
 struct registry_upstream
 {
-  uint64_t id; /**< of this incarnation: hash of identity and start time */
+  uint64_t id;    /**< of this incarnation: hash of identity and start time */
+  uint64_t build; /**< hash of the record's; never 0 */
   struct registry_record record;
   struct registry_load load;
   struct outlier outlier;
@@ -101,6 +102,9 @@
   uint64_t generation; /**< changes with the set of usable upstreams */
   /** Called when an entry is removed, before it is freed; may be NULL. */
   void (*removed) (void *user, const struct registry_upstream *upstream);
+  /** Called when an upstream turns out to have another build than its entry
+      said, as it started again; may be NULL. */
+  void (*rebuilt) (void *user, const struct registry_upstream *upstream);
   void *user;
 };
 
@@ -136,6 +140,13 @@
 /** Removes entries whose grace period and tombstones whose lifetime ended. */
 void registry_expire (struct registry *registry, uint64_t now_ns);
 
+/** The build of a service's upstreams; 0 if they have several, or if there
+    are none. */
+uint64_t registry_single_build (const struct registry *registry,
+                                uint64_t service_id);
+/** Whether an upstream of a build accepts new requests; build 0: of any. */
+bool registry_has_build (const struct registry *registry, uint64_t service_id,
+                         uint64_t build);
 /** Entry of an id; NULL when it was removed. */
 struct registry_upstream *registry_find (const struct registry *registry,
                                          uint64_t id);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -53,6 +53,8 @@
   [LOG_REQUEST_HELD]
   = { LOG_LEVEL_WARN, "upstreams crash under a request", false },
   [LOG_REQUEST_RELEASED] = { LOG_LEVEL_INFO, "request is released", false },
+  [LOG_STREAM_UNKNOWN]
+  = { LOG_LEVEL_INFO, "no upstream can continue a stream", false },
   [LOG_REQUEST_TRIAL] = { LOG_LEVEL_INFO, "held request is tried", false },
   /* peers */
   [LOG_PEER_UP] = { LOG_LEVEL_INFO, "peer connected", false },
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -33,6 +33,8 @@
 static struct quarantine_row suspects[]
     = { { { 1, UINT64_MAX }, 2, 1, 0, 0 },
         { { 1, UINT64_MAX }, 2, 1, 7, UINT32_MAX } };
+static struct stream_builds_row streams[]
+    = { { 1, 2, 3, UINT64_MAX, 60000 }, { 2, 2, 0, 0, UINT32_MAX } };
 static const struct ledger_origin sender = { 3, 4 };
 
 static const struct message samples[] = {
@@ -60,6 +62,7 @@
   { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL, 0, NULL } },
   { .kind = MESSAGE_LIMIT,
     .u.limit = { MESSAGE_LIMIT_GRANTED, UINT64_MAX, 12, true, 3400, 250 } },
+  { .kind = MESSAGE_STREAMS, .u.streams = { 2, streams } },
 };
 #define SAMPLE_COUNT (sizeof samples / sizeof samples[0])
 
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -355,7 +355,7 @@
 }
 
 /* Streams that no gateway knows, or that are another customer's, are refused
-   as not run; with a single build they go on. */
+   as not run; with a single build they go on, and are bound to it. */
 static void
 test_unknown_streams (void)
 {
@@ -374,6 +374,9 @@
           "HTTP/1.1 200");
   start_second_build (&scene);
   gatefleet_run (&scene.fleet, 2000);
+  expect (&scene.fleet, 1,
+          "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 5\r\n",
+          "HTTP/1.1 200");
   expect (&scene.fleet, 0, "X-Credential: key-1\r\n", "HTTP/1.1 200");
   expect (&scene.fleet, 1,
           "X-Credential: key-1\r\nResumes: again\r\nLast-Event-Id: 3\r\n",
@@ -382,7 +385,7 @@
           "X-Credential: key-2\r\nResumes: again\r\nLast-Event-Id: 3\r\n",
           refused);
   expect (&scene.fleet, 0,
-          "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 3\r\n",
+          "X-Credential: key-1\r\nResumes: stranger\r\nLast-Event-Id: 3\r\n",
           refused);
   expect (&scene.fleet, 0, "X-Credential: key-1\r\nLast-Event-Id: 3\r\n",
           refused);
