--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -240,7 +240,8 @@
                 peer);
     }
   peer->requested = peer->subscribed = peer->snapshot_pending = false;
-  peer->streams_sent = 0;
+  peer->suspects_sent = peer->streams_sent = 0;
+  peer->suspects_new_until = peers->gateway->quarantine.sequence;
   peer->streams_new_until = peers->gateway->streams.sequence;
   update_subscription (peers, peer);
   gateway_limits_send_all (peers, peer);
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -24,15 +24,16 @@
 {
   uint64_t instance_id;
   char instance[CATALOG_NAME_SIZE];
-  bool requested;             /**< it forwards store items to this instance */
-  bool subscribed;            /**< this instance forwards store items to it */
-  bool snapshot_pending;      /**< it has still to be sent all store items */
-  uint64_t report_ns;         /**< time of its last load report */
-  struct message_load load;   /**< its last load report */
-  uint64_t suspects_sent;     /**< sequence of the last quarantine rows sent */
-  uint64_t streams_sent;      /**< sequence of the last stream rows sent */
-  uint64_t streams_new_until; /**< up to this sequence it is told everything,
-                                   as it may have just started */
+  bool requested;           /**< it forwards store items to this instance */
+  bool subscribed;          /**< this instance forwards store items to it */
+  bool snapshot_pending;    /**< it has still to be sent all store items */
+  uint64_t report_ns;       /**< time of its last load report */
+  struct message_load load; /**< its last load report */
+  uint64_t suspects_sent;   /**< sequence of the last quarantine rows sent */
+  uint64_t suspects_new_until; /**< as streams_new_until */
+  uint64_t streams_sent;       /**< sequence of the last stream rows sent */
+  uint64_t streams_new_until;  /**< up to this sequence it is told everything,
+                                    as it may have just started */
   UT_hash_handle hh;
 };
 
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -67,7 +67,7 @@
     memcpy (items, load->items, size);
   for (i = 0; i < load->suspect_count; i++)
     quarantine_merge (&peers->gateway->quarantine, &load->suspects[i],
-                      gateway_now_ns (peers->gateway));
+                      !peer->subscribed, gateway_now_ns (peers->gateway));
   peer->load = *load;
   peer->load.items = items;
   peer->load.suspects = NULL;
@@ -354,7 +354,9 @@
     load->suspects = calloc (SUSPECTS_MAX, sizeof *load->suspects);
   if (load->suspects != NULL)
     load->suspect_count = quarantine_rows (
-        &gateway->quarantine, &suspects_sent, load->suspects, SUSPECTS_MAX);
+        &gateway->quarantine,
+        !peer->subscribed && suspects_sent >= peer->suspects_new_until,
+        &suspects_sent, load->suspects, SUSPECTS_MAX);
   if (peernet_send (peers->net, peer->instance_id, &message) == 0)
     peer->suspects_sent = suspects_sent;
   message_finish (&message);
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -281,7 +281,7 @@
       memcpy (value, item->value, item->value_size);
       value[item->value_size] = '\0';
       row.generation = (uint32_t)strtoul (value, NULL, 10);
-      quarantine_merge (quarantine, &row, now_ns);
+      quarantine_merge (quarantine, &row, true, now_ns);
       entry = quarantine_find (quarantine, &row.key);
       if (entry != NULL)
         {
--- a/src/peers.c
+++ b/src/peers.c
@@ -339,6 +339,7 @@
 
   /* The new peer has none of the rows; others merge them once more. */
   peers->router->suspects_sent = 0;
+  peers->router->suspects_new_until = peers->router->quarantine.sequence;
   if (rc != 0)
     LOG (LOG_PEER_REJECTED, NULL, LOG_S ("peer", hello->instance),
          LOG_S ("address", hello->address), LOG_S ("error", err_name (rc)));
--- a/src/state/quarantine.c
+++ b/src/state/quarantine.c
@@ -66,6 +66,9 @@
                                 uint64_t now_ns);
 static void record_success (struct quarantine *quarantine,
                             const struct quarantine_key *key, uint64_t now_ns);
+static void merge_row (struct quarantine *quarantine,
+                       struct quarantine_entry *entry,
+                       const struct quarantine_row *row, uint64_t now_ns);
 static void schedule_trial (struct quarantine_entry *entry, uint64_t now_ns);
 
 void
@@ -202,6 +205,8 @@
 mark_changed (struct quarantine *quarantine, struct quarantine_entry *entry)
 {
   entry->sequence = ++quarantine->sequence;
+  if (!quarantine->relayed)
+    entry->local_sequence = entry->sequence;
   HASH_DEL (quarantine->entries, entry);
   HASH_ADD (hh, quarantine->entries, key, sizeof entry->key, entry);
 }
@@ -425,10 +430,10 @@
 
 void
 quarantine_merge (struct quarantine *quarantine,
-                  const struct quarantine_row *row, uint64_t now_ns)
+                  const struct quarantine_row *row, bool from_hub,
+                  uint64_t now_ns)
 {
   struct quarantine_entry *entry = add_entry (quarantine, &row->key);
-  struct quarantine_crashes *crashes;
 
   if (entry == NULL)
     return;
@@ -438,6 +443,20 @@
       mark_changed (quarantine, entry);
       return;
     }
+  quarantine->relayed = from_hub;
+  merge_row (quarantine, entry, row, now_ns);
+  quarantine->relayed = false;
+  if (entry->upstream_count > 0 && row->upstream_id != 0
+      && responded_recently (quarantine, &row->key, now_ns))
+    start_generation (quarantine, entry, entry->generation + 1);
+}
+
+static void
+merge_row (struct quarantine *quarantine, struct quarantine_entry *entry,
+           const struct quarantine_row *row, uint64_t now_ns)
+{
+  struct quarantine_crashes *crashes;
+
   if (row->generation > entry->generation)
     start_generation (quarantine, entry, row->generation);
   if (row->trials > entry->trials)
@@ -454,16 +473,14 @@
       crashes->count = row->crashes;
       count_changed (quarantine, entry, now_ns);
     }
-  if (entry->upstream_count > 0
-      && responded_recently (quarantine, &row->key, now_ns))
-    start_generation (quarantine, entry, entry->generation + 1);
 }
 
 size_t
-quarantine_rows (const struct quarantine *quarantine, uint64_t *sequence,
-                 struct quarantine_row *rows, size_t max)
+quarantine_rows (const struct quarantine *quarantine, bool local,
+                 uint64_t *sequence, struct quarantine_row *rows, size_t max)
 {
   const struct quarantine_entry *entry;
+  const uint64_t since = *sequence;
   size_t count = 0;
   uint32_t i;
 
@@ -471,7 +488,8 @@
     return 0;
   for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
     {
-      if (entry->sequence <= *sequence)
+      if (entry->sequence <= *sequence
+          || (local && entry->local_sequence <= since))
         continue;
       if (count + entry->upstream_count + 1 > max)
         break;
@@ -486,6 +504,8 @@
         }
       *sequence = entry->sequence;
     }
+  if (entry == NULL)
+    *sequence = quarantine->sequence;
   return count;
 }
 
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -72,6 +72,7 @@
   bool stored;           /**< the store has its entry */
   uint64_t store_ns;     /**< earliest next write of its entry */
   uint64_t sequence;     /**< of its last change; see quarantine_rows() */
+  uint64_t local_sequence; /**< same, of changes that hubs have not told */
   UT_hash_handle hh;
 };
 
@@ -81,6 +82,7 @@
   uint32_t request_count;           /**< entries of requests */
   struct quarantine_success *successes; /**< private */
   uint64_t sequence;                    /**< of the last change */
+  bool relayed; /**< private: changes are those that a hub has told */
   /** Called when an entry is held or released; may be NULL. */
   void (*changed) (void *user, const struct quarantine_entry *entry);
   void *user;
@@ -132,14 +134,17 @@
 /** Entry of a subject; NULL if nothing is known of it. */
 struct quarantine_entry *quarantine_find (const struct quarantine *quarantine,
                                           const struct quarantine_key *key);
-/** Merges what another instance or the store has. */
+/** Merges what another instance or the store has.
+    @param from_hub  a hub told it, which tells all other hubs as well. */
 void quarantine_merge (struct quarantine *quarantine,
-                       const struct quarantine_row *row, uint64_t now_ns);
+                       const struct quarantine_row *row, bool from_hub,
+                       uint64_t now_ns);
 /** Rows of the entries that changed after a sequence number.
+    @param local     only changes that no hub has told.
     @param rows      room for `max`.
     @param sequence  the number; set to that of the last entry in `rows`.
     @return the number of rows. */
-size_t quarantine_rows (const struct quarantine *quarantine,
+size_t quarantine_rows (const struct quarantine *quarantine, bool local,
                         uint64_t *sequence, struct quarantine_row *rows,
                         size_t max);
 
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -120,7 +120,8 @@
     }
   message.u.load.suspects = rows;
   message.u.load.suspect_count = quarantine_rows (
-      &router->quarantine, &router->suspects_sent, rows, ROWS_MAX);
+      &router->quarantine, router->suspects_sent >= router->suspects_new_until,
+      &router->suspects_sent, rows, ROWS_MAX);
   if (message.u.load.suspect_count > 0)
     fleet_broadcast (fleet, &message);
 }
@@ -132,5 +133,5 @@
   size_t i;
 
   for (i = 0; i < load->suspect_count; i++)
-    quarantine_merge (&router->quarantine, &load->suspects[i], now_ns);
+    quarantine_merge (&router->quarantine, &load->suspects[i], true, now_ns);
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -95,9 +95,9 @@
   size_t count;
   size_t i;
 
-  while ((count = quarantine_rows (from, sent, rows, ROWS)) > 0)
+  while ((count = quarantine_rows (from, false, sent, rows, ROWS)) > 0)
     for (i = 0; i < count; i++)
-      quarantine_merge (to, &rows[i], now_ns);
+      quarantine_merge (to, &rows[i], false, now_ns);
 }
 
 /* Each instance sees one of the crashes. */
@@ -140,10 +140,10 @@
     }
   /* All rows have been sent: none circulates forever. */
   for (i = 0; i < INSTANCES; i++)
-    CU_ASSERT_EQUAL (quarantine_rows (&fleet[i], &sent[i][(i + 1) % INSTANCES],
-                                      (struct quarantine_row[ROWS]){ 0 },
-                                      ROWS),
-                     0);
+    CU_ASSERT_EQUAL (
+        quarantine_rows (&fleet[i], false, &sent[i][(i + 1) % INSTANCES],
+                         (struct quarantine_row[ROWS]){ 0 }, ROWS),
+        0);
   for (i = 0; i < INSTANCES; i++)
     quarantine_finish (&fleet[i]);
 }
@@ -198,7 +198,7 @@
           rows[other] = row;
         }
       for (i = 0; i < 2 * count; i++)
-        quarantine_merge (&quarantine, &rows[i % count], START);
+        quarantine_merge (&quarantine, &rows[i % count], false, START);
       part = quarantine_find (&quarantine, &rows[0].key);
       CU_ASSERT_PTR_NOT_NULL_FATAL (part);
       CU_ASSERT_EQUAL (part->generation, 1);
@@ -328,6 +328,31 @@
   quarantine_finish (&quarantine);
 }
 
+/* Hubs that all hear of a crash from the one that saw it do not tell each
+   other again; what one of them adds is told. */
+static void
+test_told_once (void)
+{
+  struct quarantine quarantine;
+  struct quarantine_row rows[ROWS];
+  const struct quarantine_row told
+      = { { QUARANTINE_REQUEST, 0xd1 }, 0, 0, 10, 1 };
+  uint64_t sent = 0;
+  uint64_t sent_to_subscriber = 0;
+
+  quarantine_init (&quarantine);
+  quarantine_merge (&quarantine, &told, true, START);
+  CU_ASSERT_EQUAL (quarantine_rows (&quarantine, true, &sent, rows, ROWS), 0);
+  CU_ASSERT_EQUAL (
+      quarantine_rows (&quarantine, false, &sent_to_subscriber, rows, ROWS),
+      2);
+  crash_request (&quarantine, 0xd1, 11, START);
+  quarantine_merge (&quarantine, &told, true, START);
+  CU_ASSERT_EQUAL (quarantine_rows (&quarantine, true, &sent, rows, ROWS), 3);
+  CU_ASSERT_EQUAL (quarantine_rows (&quarantine, true, &sent, rows, ROWS), 0);
+  quarantine_finish (&quarantine);
+}
+
 static const struct suite_test tests[] = {
   { "crashes hold a part", test_crashes_hold },
   { "a response clears it", test_response_clears },
@@ -338,6 +363,7 @@
   { "many parts", test_many_parts },
   { "request", test_request },
   { "requests that are never the same", test_changing_requests },
+  { "told once", test_told_once },
 };
 
 SUITE_MAIN ("test_quarantine", tests)
