--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -27,9 +27,10 @@
 struct plan
 {
   unsigned int gateways;
-  bool resets; /* upstreams break one stream in ten off */
-  bool kill;   /* a gateway is lost at half-time */
-  bool late;   /* the second build appears at half-time */
+  bool resets;  /* upstreams break one stream in ten off */
+  bool kill;    /* a gateway is lost at half-time */
+  bool restart; /* one starts again at half-time */
+  bool late;    /* the second build appears at half-time */
   bool store_down;
 };
 
@@ -286,6 +287,13 @@
           gateway_finish (&scene.fleet.gateways[0]);
           scene.killed = true;
         }
+      if (plan->restart)
+        {
+          gateway_finish (&scene.fleet.gateways[0]);
+          gatefleet_start_gateway (&scene.fleet, 0);
+          while (!gateway_ready (&scene.fleet.gateways[0]))
+            gatefleet_run (&scene.fleet, 1);
+        }
     }
   scene_finish (&scene);
   printf ("streams %u, begun %u, taken up %u, went on %u, mixed %u\n",
@@ -314,6 +322,12 @@
   play (&(struct plan){ .gateways = 3, .resets = true, .kill = true });
 }
 
+static void
+test_gateway_restarts (void)
+{
+  play (&(struct plan){ .gateways = 3, .resets = true, .restart = true });
+}
+
 static void
 test_second_build_appears (void)
 {
@@ -362,6 +376,7 @@
   static struct scene scene;
   const struct plan plan = { .gateways = 2 };
   const char *refused = "HTTP/1.1 503";
+  unsigned int i;
 
   scene_init (&scene, &plan);
   storeseed_configure (&scene.fleet.store, 2,
@@ -395,6 +410,17 @@
           refused);
   expect (&scene.fleet, 0, "X-Credential: key-1\r\nResumes: again\r\n",
           "HTTP/1.1 200");
+  /* The last upstreams of the build that began a stream leave. */
+  for (i = 0; i < UPSTREAMS / 2; i++)
+    {
+      scene.fleet.builds[i] = builds[1];
+      gatefleet_renew (&scene.fleet, i);
+    }
+  gatefleet_run (&scene.fleet, 2000);
+  expect (&scene.fleet, 1,
+          "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 7\r\n",
+          refused);
+  expect (&scene.fleet, 1, "X-Credential: key-1\r\n", "HTTP/1.1 200");
   scene_finish (&scene);
 }
 
@@ -402,6 +428,7 @@
   { "two builds", test_two_builds },
   { "streams that break off", test_resets },
   { "gateway lost", test_lost_gateway },
+  { "gateway starts again", test_gateway_restarts },
   { "second build appears", test_second_build_appears },
   { "fleet with hubs", test_fleet_with_hubs },
   { "store down", test_store_down },
