--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -137,6 +137,8 @@
   struct quarantine quarantine; /**< parts of prompts that crash upstreams */
   struct gateway_quarantine_write quarantine_write;
   struct stream_builds streams; /**< builds that began them */
+  uint64_t streams_generation;  /**< of the registry, as last searched for
+                                     services with several builds */
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
--- a/src/gateway/gateway_streams.c
+++ b/src/gateway/gateway_streams.c
@@ -9,7 +9,8 @@
 #include <string.h>
 #include <utlist.h>
 
-#define TICKS_PER_EXPIRY 100
+/* Old streams are forgotten, and markers renewed, this often. */
+#define TICKS_PER_RENEWAL 100
 /* A registration lags behind the start of its upstream by at most this much:
    a heartbeat, and the way through the store and the hubs. */
 #define ENTRY_LAG_MS 10000
@@ -150,8 +151,11 @@
   const struct registry_upstream *upstream;
   uint64_t marked_id = 0;
 
-  if (gateway->ticks % TICKS_PER_EXPIRY == 0)
+  if (gateway->ticks % TICKS_PER_RENEWAL == 0)
     stream_builds_expire (&gateway->streams, gateway_now_ns (gateway));
+  else if (gateway->streams_generation == gateway->registry.generation)
+    return;
+  gateway->streams_generation = gateway->registry.generation;
   for (upstream = gateway->registry.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     if (upstream->record.service_id != marked_id
