Turns at limited upstreams that are not used are given back (LIMIT)

With 14 gateways and little more asked than the limits allow, a third of the turns was given to gateways that had no use for them any more, and lapsed, while others were refused for lack of turns. After 150 ms without use a turn goes back to its account, and the next gateway that asks gets it; two at most wait, so that they are no burst.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -201,6 +201,7 @@
   MESSAGE_LIMIT_ASK,     /**< for a turn */
   MESSAGE_LIMIT_GRANTED, /**< a turn */
   MESSAGE_LIMIT_DENIED,
+  MESSAGE_LIMIT_RETURNED, /**< a turn that was not used */
   MESSAGE_LIMIT_KIND_MAX
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,7 @@
  */
 #include "gateway/gateway.h"
 #include "gateway/discovery.h"
+#include "gateway/gateway_limits.h"
 #include "gateway/gateway_peers.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request.h"
@@ -295,6 +296,7 @@
   gateway->usage_cap_tokens = HASH_COUNT (gateway->services) > 1
                                   ? UINT64_MAX
                                   : usage_share_cap (&gateway->usage, now_ns);
+  gateway_limits_tick (gateway);
   gateway_quarantine_tick (gateway);
   gateway_streams_tick (gateway);
   gateway_request_dispatch_waiting (-1, 0, gateway);
@@ -383,7 +385,8 @@
                now->held[GATEWAY_HOLD_LIMIT] - last->held[GATEWAY_HOLD_LIMIT]),
         LOG_U ("turns_asked", now->turns_asked - last->turns_asked),
         LOG_U ("turns_given", now->turns_given - last->turns_given),
-        LOG_U ("turns_used", now->turns_used - last->turns_used));
+        LOG_U ("turns_used", now->turns_used - last->turns_used),
+        LOG_U ("turns_returned", now->turns_returned - last->turns_returned));
   gateway->dispatch_logged = *now;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,6 +84,7 @@
   uint64_t turns_asked;            /**< turns at limited upstreams asked for */
   uint64_t turns_given;
   uint64_t turns_used;
+  uint64_t turns_returned; /**< given back unused */
 };
 
 struct gateway_counters
--- a/src/gateway/gateway_limits.c
+++ b/src/gateway/gateway_limits.c
@@ -29,6 +29,8 @@
 static void send_question (struct gateway_peers *peers,
                            const struct registry_upstream *upstream,
                            bool preferred);
+static void send_to_account (struct gateway_peers *peers,
+                             const struct message_limit *message);
 static bool ask_plain (struct gateway_request *request);
 static uint64_t account_owner (const struct gateway_peers *peers,
                                uint64_t upstream_id);
@@ -217,8 +219,6 @@
 send_question (struct gateway_peers *peers,
                const struct registry_upstream *upstream, bool preferred)
 {
-  const struct gateway_peer *hub
-      = peers->hub ? NULL : gateway_peers_report_hub (peers);
   const struct message_limit question = {
     .kind = MESSAGE_LIMIT_ASK,
     .upstream_id = upstream->id,
@@ -227,10 +227,41 @@
     .preferred = preferred,
   };
 
+  send_to_account (peers, &question);
+}
+
+static void
+send_to_account (struct gateway_peers *peers,
+                 const struct message_limit *message)
+{
+  const struct gateway_peer *hub
+      = peers->hub ? NULL : gateway_peers_report_hub (peers);
+
   if (hub != NULL)
-    send_limit (peers, hub->instance_id, &question);
+    send_limit (peers, hub->instance_id, message);
   else
-    handle_question (peers, NULL, &question);
+    handle_question (peers, NULL, message);
+}
+
+void
+gateway_limits_tick (struct gateway *gateway)
+{
+  struct registry_upstream *upstream;
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  for (upstream = gateway->registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    if (rate_limit_give_back (&upstream->limit, now_ns))
+      {
+        const struct message_limit returned = {
+          .kind = MESSAGE_LIMIT_RETURNED,
+          .upstream_id = upstream->id,
+          .instance_id = gateway->peers->self_id,
+        };
+
+        gateway->counters.dispatch.turns_returned++;
+        send_to_account (gateway->peers, &returned);
+      }
 }
 
 uint64_t
@@ -281,7 +312,8 @@
   return owner;
 }
 
-/* Answers a question, or forwards it to the owner of the account.  One that
+/* Answers a question, or takes a turn back, or forwards it to the owner of the
+   account.  One that
    was forwarded already is answered: views of the hubs differ for a while. */
 static void
 handle_question (struct gateway_peers *peers, const struct gateway_peer *from,
@@ -300,6 +332,12 @@
       send_limit (peers, owner, question);
       return;
     }
+  if (question->kind == MESSAGE_LIMIT_RETURNED)
+    {
+      turns_return (&gateway->turns, question->upstream_id,
+                    gateway_now_ns (gateway));
+      return;
+    }
   answer.kind
       = turns_take (&gateway->turns, question->upstream_id, question->permille,
                     question->preferred, gateway_now_ns (gateway), &delay_ns)
@@ -354,6 +392,7 @@
         set_known (gateway, upstream, from, from->instance);
       break;
     case MESSAGE_LIMIT_ASK:
+    case MESSAGE_LIMIT_RETURNED:
       handle_question (peers, from, message);
       break;
     default:
--- a/src/gateway/gateway_limits.h
+++ b/src/gateway/gateway_limits.h
@@ -36,4 +36,8 @@
 void gateway_limits_send_all (struct gateway_peers *peers,
                               const struct gateway_peer *peer);
 
+/** Gives turns back that no request has used; to be called several times a
+    second. */
+void gateway_limits_tick (struct gateway *gateway);
+
 #endif
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -66,6 +66,8 @@
     offsetof (struct gateway, counters.dispatch.turns_given) },
   { "turns_used_total", "turns that were used",
     offsetof (struct gateway, counters.dispatch.turns_used) },
+  { "turns_returned_total", "turns that were given back unused",
+    offsetof (struct gateway, counters.dispatch.turns_returned) },
   { "store_restores_total", "restores of the store from a copy",
     offsetof (struct gateway, counters.store_restores) },
 };
--- a/src/state/rate_limit.c
+++ b/src/state/rate_limit.c
@@ -77,6 +77,16 @@
   return used;
 }
 
+bool
+rate_limit_give_back (struct rate_limit *limit, uint64_t now_ns)
+{
+  if (!limit->limited || limit->turn_ns == 0 || turn_lapsed (limit, now_ns)
+      || now_ns < limit->turn_ns + RATE_LIMIT_TURN_KEPT_MS * NS_PER_MS)
+    return false;
+  limit->turn_ns = 0;
+  return true;
+}
+
 bool
 rate_limit_may_ask (const struct rate_limit *limit, uint64_t now_ns)
 {
--- a/src/state/rate_limit.h
+++ b/src/state/rate_limit.h
@@ -26,6 +26,9 @@
 #define RATE_LIMIT_MIN_PERMILLE 250
 /** Longest time from when a turn may be used until it lapses. */
 #define RATE_LIMIT_TURN_VALID_MS 500
+/** Time after which a turn is given back unused: another instance may have use
+    for it before it lapses. */
+#define RATE_LIMIT_TURN_KEPT_MS 150
 
 /** Limit of one upstream; zero-initialise. */
 struct rate_limit
@@ -61,6 +64,9 @@
     @return whether there was one. */
 bool rate_limit_use (struct rate_limit *limit);
 
+/** Whether to give a turn back that was not used in time; it is gone then. */
+bool rate_limit_give_back (struct rate_limit *limit, uint64_t now_ns);
+
 /** Whether to ask for a turn for a request that would be sent. */
 bool rate_limit_may_ask (const struct rate_limit *limit, uint64_t now_ns);
 /** Whether a turn, or the answer to a question, is due. */
--- a/src/state/turns.c
+++ b/src/state/turns.c
@@ -16,6 +16,10 @@
 /* Pause before the first turn of a new account, in which the turns given by
    the instance that had it before are used or lapse. */
 #define TAKEOVER_MS (AHEAD_PREFERRED_MS + RATE_LIMIT_TURN_VALID_MS)
+/* Turns that came back are kept for this time, and so many of them: more at
+   once would be a burst. */
+#define RETURNED_VALID_MS 1000
+#define RETURNED_MAX      2
 /* After this time a new account would give the same turns. */
 #define IDLE_MS 10000
 
@@ -72,6 +76,14 @@
   /* The limit has risen. */
   if (account->next_ns > now_ns + interval_ns + TAKEOVER_MS * NS_PER_MS)
     account->next_ns = now_ns + interval_ns;
+  if (account->returned > 0)
+    {
+      account->returned--;
+      *delay_ns = 0;
+      if (now_ns - account->returned_ns < RETURNED_VALID_MS * NS_PER_MS)
+        return true;
+      account->returned = 0;
+    }
   turn_ns = account->next_ns > now_ns ? account->next_ns : now_ns;
   *delay_ns = turn_ns - now_ns;
   if (*delay_ns > ahead_ns)
@@ -83,6 +95,19 @@
   return true;
 }
 
+void
+turns_return (struct turns *turns, uint64_t upstream_id, uint64_t now_ns)
+{
+  struct turns_account *account;
+
+  HASH_FIND (hh, turns->accounts, &upstream_id, sizeof upstream_id, account);
+  if (account == NULL)
+    return;
+  if (account->returned < RETURNED_MAX)
+    account->returned++;
+  account->returned_ns = now_ns;
+}
+
 void
 turns_expire (struct turns *turns, uint64_t now_ns)
 {
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -208,6 +208,41 @@
   CU_ASSERT (run.sent_preferred * 2 > run.sent);
 }
 
+/* A turn that was not used goes to the next one who asks; not so many at once
+   that they would be a burst, and not long afterwards. */
+static void
+test_returned_turns (void)
+{
+  struct turns turns = { .accounts = NULL };
+  uint64_t now_ns = START_NS;
+  uint64_t delay_ns;
+  unsigned int i;
+
+  turns_take (&turns, UPSTREAM, 1000, false, now_ns, &delay_ns);
+  now_ns += delay_ns;
+  CU_ASSERT_TRUE (
+      turns_take (&turns, UPSTREAM, 1000, false, now_ns, &delay_ns));
+  CU_ASSERT_FALSE (
+      turns_take (&turns, UPSTREAM, 1000, false, now_ns, &delay_ns));
+  for (i = 0; i < 5; i++)
+    turns_return (&turns, UPSTREAM, now_ns);
+  for (i = 0; i < 2; i++)
+    {
+      CU_ASSERT_TRUE (
+          turns_take (&turns, UPSTREAM, 1000, false, now_ns, &delay_ns));
+      CU_ASSERT_EQUAL (delay_ns, 0);
+    }
+  CU_ASSERT_FALSE (
+      turns_take (&turns, UPSTREAM, 1000, false, now_ns, &delay_ns));
+  turns_return (&turns, UPSTREAM, now_ns);
+  turns_return (&turns, UPSTREAM + 1, now_ns);
+  CU_ASSERT_TRUE (turns_take (&turns, UPSTREAM, 1000, false,
+                              now_ns + 5 * NS_PER_S, &delay_ns));
+  CU_ASSERT_FALSE (turns_take (&turns, UPSTREAM, 1000, false,
+                               now_ns + 5 * NS_PER_S, &delay_ns));
+  turns_finish (&turns);
+}
+
 static const struct suite_test tests[] = {
   { "what responses say", test_what_responses_say },
   { "what peers say", test_what_peers_say },
@@ -216,6 +251,7 @@
   { "rate of a fleet", test_rate_of_a_fleet },
   { "customer with little usage", test_customer_with_little_usage },
   { "limit that rises", test_limit_that_rises },
+  { "turns that come back", test_returned_turns },
 };
 
 SUITE_MAIN ("test_rate_limit", tests)
--- a/tests/test_server_limit.c
+++ b/tests/test_server_limit.c
@@ -38,6 +38,7 @@
   bool gateway_lost;
   bool gateway_added;
   bool store_down;
+  uint32_t step_ms; /* from one request to the next; 0: STEP_MS */
 };
 
 struct limit_client
@@ -244,7 +245,8 @@
   while (gatefleet_now_ms (&scene.fleet) < DURATION_MS)
     {
       send_request (&scene);
-      gatefleet_run (&scene.fleet, STEP_MS);
+      gatefleet_run (&scene.fleet,
+                     plan->step_ms == 0 ? STEP_MS : plan->step_ms);
       if (!changed (&scene) || lost)
         continue;
       lost = true;
@@ -356,6 +358,26 @@
                               .gateway_added = true });
 }
 
+/* Little more is asked than the limits allow, at many gateways. */
+static void
+test_little_more_asked (void)
+{
+  play (&(struct limit_plan){ .gateways = GATEFLEET_GATEWAYS_MAX,
+                              .limited = UPSTREAMS,
+                              .limit = "3",
+                              .step_ms = 25 });
+}
+
+static void
+test_little_more_asked_of_engines (void)
+{
+  play (&(struct limit_plan){ .gateways = GATEFLEET_GATEWAYS_MAX,
+                              .limited = UPSTREAMS,
+                              .limit = "3",
+                              .step_ms = 25,
+                              .prompts = true });
+}
+
 static const struct suite_test tests[] = {
   { "one limited upstream", test_one_limited },
   { "some limited upstreams", test_some_limited },
@@ -366,6 +388,8 @@
   { "limit lowered, store down", test_limit_lowered },
   { "limit lifted", test_limit_lifted },
   { "gateway lost", test_gateway_lost },
+  { "little more is asked", test_little_more_asked },
+  { "little more is asked of engines", test_little_more_asked_of_engines },
   { "gateway added", test_gateway_added },
 };
 
