--- a/src/router.h
+++ b/src/router.h
@@ -78,7 +78,8 @@
   struct metrics metrics;
   struct quarantine quarantine; /**< requests that crash upstreams */
   uint64_t suspects_sent;       /**< sequence of the last row sent to peers */
-  uint64_t suspects_new_until;  /**< a new peer is told all up to this one */
+  uint64_t suspects_new_until;  /**< rows up to this sequence go to
+                                     all peers, as one of them is new */
   uint64_t suspects_expiry_ns;  /**< when old evidence is forgotten next */
   bool draining;
   uint64_t drain_start_ns;   /**< 0 while not draining */
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -72,7 +72,8 @@
   bool stored;           /**< the store has its entry */
   uint64_t store_ns;     /**< earliest next write of its entry */
   uint64_t sequence;     /**< of its last change; see quarantine_rows() */
-  uint64_t local_sequence; /**< same, of changes that hubs have not told */
+  uint64_t local_sequence; /**< same, of changes made here or by
+                               an instance that this one is a hub of */
   UT_hash_handle hh;
 };
 
@@ -82,7 +83,7 @@
   uint32_t request_count;           /**< entries of requests */
   struct quarantine_success *successes; /**< private */
   uint64_t sequence;                    /**< of the last change */
-  bool relayed; /**< private: changes are those that a hub has told */
+  bool relayed; /**< private: a hub has told the change that is being merged */
   /** Called when an entry is held or released; may be NULL. */
   void (*changed) (void *user, const struct quarantine_entry *entry);
   void *user;
@@ -135,12 +136,12 @@
 struct quarantine_entry *quarantine_find (const struct quarantine *quarantine,
                                           const struct quarantine_key *key);
 /** Merges what another instance or the store has.
-    @param from_hub  a hub told it, which tells all other hubs as well. */
+    @param from_hub  a hub sent it, which sends it to all other hubs, too. */
 void quarantine_merge (struct quarantine *quarantine,
                        const struct quarantine_row *row, bool from_hub,
                        uint64_t now_ns);
 /** Rows of the entries that changed after a sequence number.
-    @param local     only changes that no hub has told.
+    @param local     only changes made here or by a subscriber.
     @param rows      room for `max`.
     @param sequence  the number; set to that of the last entry in `rows`.
     @return the number of rows. */
--- a/src/state/stream_builds.c
+++ b/src/state/stream_builds.c
@@ -5,7 +5,6 @@
 #include "state/stream_builds.h"
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #define NS_PER_MS 1000000ULL /* nanoseconds */
 
@@ -15,6 +14,8 @@
                           struct stream_builds_entry *entry);
 static void remove_entry (struct stream_builds *table,
                           struct stream_builds_entry *entry);
+static struct stream_builds_row
+told_row (const struct stream_builds_entry *entry, uint64_t now_ns);
 static size_t add_markers (const struct stream_builds *table,
                            struct stream_builds_row *rows, size_t max,
                            uint64_t now_ns);
@@ -31,13 +32,15 @@
 void
 stream_builds_finish (struct stream_builds *table)
 {
-  struct stream_builds_entry *entry;
+  struct stream_builds_entry *entry = table->entries;
   struct stream_builds_entry *next;
 
   HASH_CLEAR (hh, table->entries);
-  DL_FOREACH_SAFE (table->changed, entry, next)
-    free (entry);
-  table->changed = NULL;
+  for (; entry != NULL; entry = next)
+    {
+      next = entry->hh.next;
+      free (entry);
+    }
 }
 
 static struct stream_builds_entry *
@@ -59,16 +62,17 @@
 mark_changed (struct stream_builds *table, struct stream_builds_entry *entry)
 {
   entry->sequence = ++table->sequence;
-  if (entry->prev != NULL)
-    DL_DELETE (table->changed, entry);
-  DL_APPEND (table->changed, entry);
+  HASH_DEL (table->entries, entry);
+  HASH_ADD (hh, table->entries, row.key, sizeof entry->row.key, entry);
 }
 
 static void
 remove_entry (struct stream_builds *table, struct stream_builds_entry *entry)
 {
+  /* False positive: the analyzer assumes that the entry freed in one call is
+     the head of the table in the next. */
+  /* NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DEL (table->entries, entry);
-  DL_DELETE (table->changed, entry);
   free (entry);
 }
 
@@ -88,7 +92,7 @@
   if (entry == NULL)
     {
       if (HASH_COUNT (table->entries) >= STREAM_BUILDS_MAX)
-        remove_entry (table, table->changed);
+        remove_entry (table, table->entries);
       entry = calloc (1, sizeof *entry);
       if (entry == NULL)
         return;
@@ -127,14 +131,17 @@
   struct stream_builds_entry *entry;
   struct stream_builds_entry *next;
 
-  DL_FOREACH_SAFE (table->changed, entry, next)
-    if (!is_marker (entry) && entry->row.upstream_id == upstream_id
-        && entry->known_ns >= since_ns)
-      remove_entry (table, entry);
+  for (entry = table->entries; entry != NULL; entry = next)
+    {
+      next = entry->hh.next;
+      if (!is_marker (entry) && entry->row.upstream_id == upstream_id
+          && entry->known_ns >= since_ns)
+        remove_entry (table, entry);
+    }
 }
 
-/* Hubs tell each other what began at them or their subscribers, so that each
-   row reaches each hub once; a subscriber is told all that it did not tell. */
+/* Hubs send each other only what began at them or their subscribers, so that
+   each row reaches each hub once.  Subscribers get all rows but their own. */
 static bool
 is_for (const struct stream_builds_entry *entry,
         const struct stream_builds_peer *peer)
@@ -152,14 +159,10 @@
   const struct stream_builds_entry *entry;
   size_t count = 0;
 
-  DL_FOREACH (table->changed, entry)
-    {
-      if (!is_marker (entry) || entry->expiry_ns <= now_ns || count == max)
-        continue;
-      rows[count] = entry->row;
-      rows[count++].ttl_ms
-          = (uint32_t)((entry->expiry_ns - now_ns) / NS_PER_MS);
-    }
+  for (entry = table->entries; entry != NULL && count < max;
+       entry = entry->hh.next)
+    if (is_marker (entry) && entry->expiry_ns > now_ns)
+      rows[count++] = told_row (entry, now_ns);
   return count;
 }
 
@@ -169,35 +172,40 @@
                     struct stream_builds_row *rows, size_t max,
                     uint64_t now_ns)
 {
-  const struct stream_builds_entry *entry = table->changed;
-  const struct stream_builds_entry *last = entry == NULL ? NULL : entry->prev;
+  const struct stream_builds_entry *entry = table->entries;
+  const struct stream_builds_entry *earlier;
   size_t count = 0;
 
-  if (entry == NULL || *sequence >= last->sequence)
+  if (entry == NULL || *sequence >= table->sequence)
     return 0;
   /* A new peer has to know at once which services have several builds. */
   if (*sequence == 0)
     count = add_markers (table, rows, max, now_ns);
   /* Few have changed since. */
-  for (entry = last; entry != table->changed && entry->sequence > *sequence;)
-    entry = entry->prev;
-  if (entry->sequence <= *sequence)
-    entry = entry->next;
-  for (; entry != NULL && count < max; entry = entry->next)
+  entry = ELMT_FROM_HH (entry->hh.tbl, entry->hh.tbl->tail);
+  for (earlier = entry; earlier != NULL && earlier->sequence > *sequence;
+       earlier = earlier->hh.prev)
+    entry = earlier;
+  for (; entry != NULL && count < max; entry = entry->hh.next)
     {
       *sequence = entry->sequence;
-      if (entry->expiry_ns <= now_ns || !is_for (entry, peer)
-          || (!is_marker (entry)
-              && !stream_builds_several (table, entry->row.service_id,
-                                         now_ns)))
-        continue;
-      rows[count] = entry->row;
-      rows[count++].ttl_ms
-          = (uint32_t)((entry->expiry_ns - now_ns) / NS_PER_MS);
+      if (entry->expiry_ns > now_ns && is_for (entry, peer)
+          && (is_marker (entry)
+              || stream_builds_several (table, entry->row.service_id, now_ns)))
+        rows[count++] = told_row (entry, now_ns);
     }
   return count;
 }
 
+static struct stream_builds_row
+told_row (const struct stream_builds_entry *entry, uint64_t now_ns)
+{
+  struct stream_builds_row row = entry->row;
+
+  row.ttl_ms = (uint32_t)((entry->expiry_ns - now_ns) / NS_PER_MS);
+  return row;
+}
+
 void
 stream_builds_touch (struct stream_builds *table, uint64_t service_id)
 {
@@ -205,10 +213,10 @@
   struct stream_builds_entry *next;
   const uint64_t before = table->sequence;
 
-  DL_FOREACH_SAFE (table->changed, entry, next)
+  for (entry = table->entries; entry != NULL && entry->sequence <= before;
+       entry = next)
     {
-      if (entry->sequence > before)
-        return;
+      next = entry->hh.next;
       if (!is_marker (entry) && entry->row.service_id == service_id)
         mark_changed (table, entry);
     }
@@ -220,7 +228,10 @@
   struct stream_builds_entry *entry;
   struct stream_builds_entry *next;
 
-  DL_FOREACH_SAFE (table->changed, entry, next)
-    if (entry->expiry_ns <= now_ns)
-      remove_entry (table, entry);
+  for (entry = table->entries; entry != NULL; entry = next)
+    {
+      next = entry->hh.next;
+      if (entry->expiry_ns <= now_ns)
+        remove_entry (table, entry);
+    }
 }
--- a/src/state/stream_builds.h
+++ b/src/state/stream_builds.h
@@ -4,10 +4,10 @@
  * does not fit together, so a stream that breaks off goes on at the build that
  * began it, whichever instance its client returns to.
  *
- * While all upstreams of a service have one build, any of them will do, and
- * instances tell each other nothing.  A marker of the service records that it
- * has, or lately had, several: then the streams are told, those that had begun
- * before included.
+ * While all upstreams of a service have one build, any of them can continue
+ * its streams, and instances exchange nothing.  A marker of the service
+ * records that it has, or lately had, several builds: then the streams are
+ * exchanged, those that had begun before included.
  */
 #ifndef STATE_STREAM_BUILDS_H
 #define STATE_STREAM_BUILDS_H
@@ -21,7 +21,7 @@
   60000 /**< from the last event until a client no longer returns */
 #define STREAM_BUILDS_MAX 65536 /**< entries; the oldest make room */
 
-/** How an entry became known, which decides who is told of it. */
+/** Where an entry came from; is_for() decides by it which peers get it. */
 enum stream_builds_source
 {
   STREAM_BUILDS_OWN,
@@ -48,34 +48,29 @@
   uint64_t expiry_ns;
   uint64_t sequence; /**< of its last change; see stream_builds_rows() */
   enum stream_builds_source source;
-  uint64_t source_id;               /**< instance that told it; 0: own */
-  struct stream_builds_entry *prev; /**< by sequence */
-  struct stream_builds_entry *next;
+  uint64_t source_id; /**< instance that sent it; 0: own */
   UT_hash_handle hh;
 };
 
 struct stream_builds
 {
-  struct stream_builds_entry *entries; /**< uthash by key */
-  struct stream_builds_entry *changed; /**< utlist, last changed last */
+  struct stream_builds_entry *entries; /**< uthash by key, last changed last */
   uint64_t sequence;                   /**< of the last change */
 };
 
-/** Whom rows are for. */
+/** Peer that rows are sent to. */
 struct stream_builds_peer
 {
   uint64_t instance_id;
-  /** It learns streams only from this instance; otherwise it is a hub, and is
-      told what this instance or its subscribers began. */
-  bool subscriber;
-  bool everything; /**< it is new, and may have lost what it knew */
+  bool subscriber; /**< of this instance; otherwise it is a hub */
+  bool everything; /**< its link is new, so it may know nothing */
 };
 
 void stream_builds_init (struct stream_builds *table);
 void stream_builds_finish (struct stream_builds *table);
 
 /** Adds or renews an entry.  A stream whose build is already known keeps it.
-    @param source_id  instance that told it; 0: own. */
+    @param source_id  instance that sent it; 0: own. */
 void stream_builds_put (struct stream_builds *table,
                         const struct stream_builds_row *row,
                         enum stream_builds_source source, uint64_t source_id,
@@ -100,7 +95,7 @@
                            const struct stream_builds_peer *peer,
                            uint64_t *sequence, struct stream_builds_row *rows,
                            size_t max, uint64_t now_ns);
-/** Makes the streams of a service count as changed, so that they are told. */
+/** Marks the streams of a service as changed, so that they are sent again. */
 void stream_builds_touch (struct stream_builds *table, uint64_t service_id);
 
 void stream_builds_expire (struct stream_builds *table, uint64_t now_ns);
--- a/src/state/turns.c
+++ b/src/state/turns.c
@@ -16,8 +16,8 @@
 /* Pause before the first turn of a new account, in which the turns given by
    the instance that had it before are used or lapse. */
 #define TAKEOVER_MS (AHEAD_PREFERRED_MS + RATE_LIMIT_TURN_VALID_MS)
-/* Turns that came back are kept for this time, and so many of them: more at
-   once would be a burst. */
+/* Returned turns expire after this time.  More of them at once would be a
+   burst. */
 #define RETURNED_VALID_MS 1000
 #define RETURNED_MAX      2
 /* After this time a new account would give the same turns. */
