--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -27,8 +27,8 @@
   REFUSAL_ROUTER_FULL,       /**< 503 router's limit of waiting requests */
   REFUSAL_CONNECTIONS,       /**< 503 connection limit, or event loop
                                   overloaded */
-  REFUSAL_QUARANTINED,       /**< 503 upstreams crash under a part of the
-                                  prompt */
+  REFUSAL_QUARANTINED,       /**< 503 upstreams crash under the request, or
+                                  under a part of its prompt */
   REFUSAL_NO_BUILD,          /**< 503 the build that began a stream is unknown
                                   or has no upstream */
   REFUSAL_NO_UPSTREAM,       /**< 503 service has no usable upstream */
