A stream on a split route is taken up at the service that began it (ORDER)

The service of a split route is drawn by the request's id, and a client that takes a stream up has a new one: half of them went to the other service.

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -48,6 +48,7 @@
 static struct gateway_request *
 gateway_request_new (struct gateway *gateway, evhtp_request_t *http,
                      const struct request_validation *validation);
+static const char *first_id (const struct adapter_request *request);
 static char *copy_path (const evhtp_request_t *http);
 static int start_timer (struct gateway_request *request);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
@@ -184,7 +185,7 @@
   request->route = route;
   request->customer = validation->customer;
   request->service = routing_select_service (
-      request->routing, route, catalog_id (validation->request.id));
+      request->routing, route, catalog_id (first_id (&validation->request)));
   request->path = copy_path (http);
   request->body_size = evbuffer_get_length (http->buffer_in);
   request->body = request->body_size == 0
@@ -209,6 +210,16 @@
   return NULL;
 }
 
+/* Of a stream that is taken up, the request that began it: it goes on at the
+   service that was drawn by that one's id. */
+static const char *
+first_id (const struct adapter_request *request)
+{
+  return request->last_event_id != NULL && request->resumes[0] != '\0'
+             ? request->resumes
+             : request->id;
+}
+
 static char *
 copy_path (const evhtp_request_t *http)
 {
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -604,7 +604,7 @@
   fixture_init (&fixture);
   crash_upstream (&fixture, 1);
   CU_ASSERT_PTR_NOT_NULL_FATAL (quarantine->entries);
-  for (i = 0; i < 2; i++)
+  for (i = 0; i < 2 && quarantine->entries != NULL; i++)
     rows[i] = (struct quarantine_row){ .key = quarantine->entries->key,
                                        .upstream_id = 7 + i,
                                        .crashes = 1 };
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -64,6 +64,7 @@
   unsigned int went_on;
   unsigned int mixed;
   bool killed;
+  char identity[32]; /* that the last request at an upstream named */
 };
 
 static void
@@ -71,7 +72,8 @@
 {
   struct scene *scene = server->user;
 
-  (void)message;
+  upstreamserver_get_header (message, "X-Expect-Instance", scene->identity,
+                             sizeof scene->identity);
   server->behaviour = UPSTREAMSERVER_STREAM_TIMED;
   server->reset_event = scene->plan->resets && rng_below (&scene->rng, 10) == 0
                             ? 1 + (unsigned int)rng_below (&scene->rng, EVENTS)
@@ -347,17 +349,17 @@
   play (&(struct plan){ .gateways = 3, .resets = true, .store_down = true });
 }
 
-/* The answer of one gateway to a stream that is taken up. */
+/* The answer of one gateway to a stream that begins or is taken up.
+   @param headers  its headers, with the request's id. */
 static void
-expect (struct gatefleet *fleet, unsigned int gateway, const char *headers,
-        const char *status)
+expect_from (struct gatefleet *fleet, unsigned int gateway,
+             const char *headers, const char *status)
 {
   struct platclient client;
   char request[512];
 
   snprintf (request, sizeof request,
-            "POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n"
-            "X-Attempt-Id: again\r\n%s"
+            "POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n%s"
             "X-Deadline-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
             headers);
   platclient_init (&client, fleet->base,
@@ -368,6 +370,16 @@
   platclient_finish (&client);
 }
 
+static void
+expect (struct gatefleet *fleet, unsigned int gateway, const char *headers,
+        const char *status)
+{
+  char text[256];
+
+  snprintf (text, sizeof text, "X-Attempt-Id: again\r\n%s", headers);
+  expect_from (fleet, gateway, text, status);
+}
+
 /* Streams that no gateway knows, or that are another customer's, are refused
    as not run; with a single build they go on, and are bound to it. */
 static void
@@ -424,6 +436,47 @@
   scene_finish (&scene);
 }
 
+/* A route whose traffic is split between two services: a stream is taken up
+   at the service that began it. */
+static void
+test_split_route (void)
+{
+  static struct scene scene;
+  const struct plan plan = { .gateways = 1 };
+  char headers[128];
+  char value[256];
+  char first;
+  unsigned int i;
+
+  scene_init (&scene, &plan);
+  storeseed_configure (
+      &scene.fleet.store, 2, "\"key-1\"",
+      "s2\",\"traffic_split\":[{\"service\":\"s2\",\"weight\":1},"
+      "{\"service\":\"s3\",\"weight\":1}],\"note\":\"");
+  snprintf (value, sizeof value,
+            "{\"service\":\"s3\",\"address\":\"127.0.0.1:%u\","
+            "\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,"
+            "\"state\":\"ready\",\"cold_remaining_ms\":0,"
+            "\"sequence\":1,\"born\":1000}",
+            scene.fleet.upstreams[0].port);
+  storeserver_put (&scene.fleet.store, "servers/t-0", value);
+  gatefleet_start (&scene.fleet, plan.gateways);
+  for (i = 0; i < 8; i++)
+    {
+      snprintf (headers, sizeof headers,
+                "X-Attempt-Id: s-%u\r\nX-Credential: key-1\r\n", i);
+      expect_from (&scene.fleet, 0, headers, "HTTP/1.1 200");
+      first = scene.identity[0];
+      snprintf (headers, sizeof headers,
+                "X-Attempt-Id: again-%u\r\nX-Credential: key-1\r\n"
+                "Resumes: s-%u\r\nLast-Event-Id: 3\r\n",
+                i, i);
+      expect_from (&scene.fleet, 0, headers, "HTTP/1.1 200");
+      CU_ASSERT_EQUAL (scene.identity[0], first);
+    }
+  scene_finish (&scene);
+}
+
 static const struct suite_test tests[] = {
   { "two builds", test_two_builds },
   { "streams that break off", test_resets },
@@ -433,6 +486,7 @@
   { "fleet with hubs", test_fleet_with_hubs },
   { "store down", test_store_down },
   { "unknown streams", test_unknown_streams },
+  { "split route", test_split_route },
 };
 
 SUITE_MAIN ("test_stream_builds", tests)
