--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -62,7 +62,6 @@
 static void rely_on_hubs (struct gateway_peers *peers);
 static void update_watching (struct gateway_peers *peers, uint64_t now_ns);
 static void check_store_lag (struct gateway_peers *peers, uint64_t now_ns);
-static void check_pending_calls (struct gateway_peers *peers);
 
 static const struct peernet_events net_events
     = { on_peer_up, on_peer_message, on_peer_down, on_peer_rejected };
@@ -502,27 +501,11 @@
   peers->gateway->fleet_retry_budget.instances
       = gateway_peers_fleet_size (peers->gateway);
   check_store_lag (peers, now_ns);
-  check_pending_calls (peers);
   update_watching (peers, now_ns);
   send_pending_snapshots (peers);
   gateway_peers_send_reports (peers, to_hubs);
 }
 
-/* Upstreams write to the store all the time.  When a call that waits for them
-   is overdue, the network or the store has lost it, and others that were
-   pending at the time may be lost as well. */
-static void
-check_pending_calls (struct gateway_peers *peers)
-{
-  struct gateway *gateway = peers->gateway;
-
-  if (!store_watch_overdue (&gateway->upstream_watch))
-    return;
-  store_watch_give_up (&gateway->upstream_watch);
-  store_watch_give_up (&gateway->config_watch);
-  store_watch_give_up (&peers->member_watch);
-}
-
 /* If peers have had a newer view of the store for a while, this instance's
    calls to the store hang, and others must not rely on its view. */
 static void
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -13,14 +13,6 @@
 
 #define RELIST_JITTER_MS 100 /* all watches of a fleet list again at once */
 
-/* A call is overdue after this many times the longest time to an answer, and
-   no sooner than the minimum, which a slow store needs for its answer. */
-#define OVERDUE_FACTOR 3
-#define OVERDUE_MIN_MS 1000
-#define ANSWER_DECAY                                                          \
-  4 /* the longest time loses this part with each answer                      \
-     */
-
 /** A call that has not been answered. */
 struct store_watch_call
 {
@@ -33,9 +25,6 @@
 static void schedule (struct store_watch *watch, uint64_t delay_ms);
 static void start_call (struct store_watch *watch);
 static void on_page (void *user, int error, const struct kvstore_page *page);
-static void record_answer (struct store_watch *watch);
-static bool pending_for (const struct store_watch *watch,
-                         uint64_t duration_ns);
 static bool check_era (struct store_watch *watch, uint64_t index);
 static void list_again (struct store_watch *watch);
 static void on_failure (struct store_watch *watch, int error);
@@ -58,7 +47,6 @@
   if (watch->timer == NULL)
     return ERR_NO_MEMORY;
   loop_set_control (watch->timer);
-  watch->answer_ns = config->poll_timeout_ms * CLOCK_NS_PER_MS;
   watch->paused = config->paused;
   if (!watch->paused)
     schedule (watch, config->delay_ms);
@@ -204,8 +192,6 @@
   if (!current)
     return;
   watch->call = NULL;
-  if (error == 0)
-    record_answer (watch);
   if (error == ERR_STALE && watch->phase == STORE_WATCH_WATCHING)
     {
       /* The store has discarded the history since `index`; this is no failure
@@ -239,43 +225,6 @@
     schedule (watch, watch->config.min_interval_ms - spent_ms);
 }
 
-static void
-record_answer (struct store_watch *watch)
-{
-  uint64_t spent_ns
-      = clock_now_ns (watch->config.clock) - watch->call_start_ns;
-
-  watch->answer_ns -= watch->answer_ns / ANSWER_DECAY;
-  if (spent_ns > watch->answer_ns)
-    watch->answer_ns = spent_ns;
-}
-
-static bool
-pending_for (const struct store_watch *watch, uint64_t duration_ns)
-{
-  return watch->call != NULL
-         && clock_now_ns (watch->config.clock) - watch->call_start_ns
-                > duration_ns;
-}
-
-bool
-store_watch_overdue (const struct store_watch *watch)
-{
-  const uint64_t least_ns = OVERDUE_MIN_MS * CLOCK_NS_PER_MS;
-  const uint64_t usual_ns = watch->answer_ns * OVERDUE_FACTOR;
-
-  return pending_for (watch, usual_ns > least_ns ? usual_ns : least_ns);
-}
-
-void
-store_watch_give_up (struct store_watch *watch)
-{
-  if (watch->paused || !pending_for (watch, OVERDUE_MIN_MS * CLOCK_NS_PER_MS))
-    return;
-  watch->call = NULL;
-  on_failure (watch, ERR_TIMEOUT);
-}
-
 /* Whether a response continues what was read before.  Changes since an index
    of an earlier era, and further pages of its listing, leave out what the
    restore undid. */
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -75,7 +75,6 @@
   uint64_t call_start_ns; /**< start of the last call */
   uint64_t failed_ns;     /**< first of the current failures; 0: none */
   uint64_t last_success_ns; /**< start of the last successful call */
-  uint64_t answer_ns;       /**< longest time to an answer, which decays */
   uint32_t backoff_ms;
   uint32_t backoff_min_ms; /**< after the first failure */
   uint32_t backoff_max_ms;
@@ -103,14 +102,6 @@
 #define STORE_WATCH_BACKOFF_MAX_MS                                            \
   800 /**< the end of an outage is seen within a second */
 
-/** Whether the pending call should have been answered long ago, by the answers
-    so far: it may be lost, which would show only at its time-out.  For keys
-    that change all the time. */
-bool store_watch_overdue (const struct store_watch *watch);
-/** Takes a call that has been pending for a while as failed; its answer, if
-    there is one, is ignored. */
-void store_watch_give_up (struct store_watch *watch);
-
 /** Whether a listing was completed since the watch was last paused, and no
     call has failed since. */
 bool store_watch_current (const struct store_watch *watch);
