--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -32,8 +32,8 @@
   uint64_t suspects_sent;   /**< sequence of the last quarantine rows sent */
   uint64_t suspects_new_until; /**< as streams_new_until */
   uint64_t streams_sent;       /**< sequence of the last stream rows sent */
-  uint64_t streams_new_until;  /**< up to this sequence it is told everything,
-                                    as it may have just started */
+  uint64_t streams_new_until;  /**< rows up to this sequence are sent whole:
+                                    its link is new, it may know none */
   UT_hash_handle hh;
 };
 
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -188,9 +188,9 @@
       prompt_shared_id_count (prompt), gateway_now_ns (request->gateway));
 }
 
-/* Responses to plain requests are recorded before anything has crashed: they
-   tell the requests that are sent again and again from the one that crashes
-   upstreams. */
+/* Responses to plain requests are recorded even if nothing has crashed: a
+   request that is sent again and again has one before the first crash, unless
+   it is the cause. */
 void
 gateway_quarantine_completed (struct gateway_request *request)
 {
--- a/src/gateway/gateway_streams.c
+++ b/src/gateway/gateway_streams.c
@@ -73,8 +73,7 @@
   return REFUSAL_NO_BUILD;
 }
 
-/* While a service has a single build, and as far as this and the other
-   instances know has had no other lately, that began all its streams. */
+/* If a service has had a single build lately, that began all its streams. */
 static uint64_t
 find_build (const struct gateway_request *request, uint64_t key)
 {
