--- a/src/suspects.c
+++ b/src/suspects.c
@@ -13,8 +13,6 @@
 
 #define ROWS_MAX           256 /* quarantine rows in a message; others follow */
 #define EXPIRY_INTERVAL_MS 10000
-/* Crashes of a request from which it is not sent again. */
-#define RETRY_CRASHES_MAX 2
 
 static uint64_t request_digest_of (struct request *request);
 static bool take_trial (struct request *request,
@@ -81,7 +79,8 @@
   uint64_t digest;
 
   if ((error != ERR_RESET && error != ERR_TRUNCATED) || attempt == NULL
-      || attempt->step < ATTEMPT_SENDING || request->reply.http == NULL)
+      || attempt->step < ATTEMPT_SENDING || attempt->step >= ATTEMPT_RESPONDING
+      || request->reply.http == NULL)
     return !request->trial;
   digest = request_digest_of (request);
   quarantine_record_crash (&router->quarantine, QUARANTINE_REQUEST, &digest, 1,
@@ -89,7 +88,7 @@
   return !request->trial
          && quarantine_crashes (&router->quarantine, QUARANTINE_REQUEST,
                                 &digest, 1)
-                < RETRY_CRASHES_MAX;
+                < QUARANTINE_REQUEST_CRASH_LIMIT;
 }
 
 void
@@ -97,9 +96,7 @@
 {
   uint64_t digest;
 
-  if (request->reply.http == NULL
-      || (request->is_engine
-          && request->router->quarantine.request_count == 0))
+  if (request->reply.http == NULL)
     return;
   digest = request_digest_of (request);
   quarantine_record_response (&request->router->quarantine, QUARANTINE_REQUEST,
