Log what was forecast for a stream, and what its client saw

Cause of not knowing: late streams that began late and those that paused were told apart nowhere. The line of a request's end has the forecast of its first event, the time until it came, the longest gap and the prompt's tokens.

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -390,6 +390,13 @@
        LOG_U ("attempts", request->attempt_state.number),
        LOG_U ("bytes", request->reply.delivered_bytes),
        LOG_U ("waited_ms", (start_ns - request->arrival_ns) / CLOCK_NS_PER_MS),
+       LOG_U ("prompt_tokens", request->parsed.prompt.input_tokens),
+       LOG_U ("forecast_ms",
+              request->event_times.forecast_ns / CLOCK_NS_PER_MS),
+       LOG_U ("first_ms", event_times_to_first_ns (&request->event_times)
+                              / CLOCK_NS_PER_MS),
+       LOG_U ("longest_gap_ms",
+              request->event_times.longest_gap_ns / CLOCK_NS_PER_MS),
        LOG_U ("total_ms", (now_ns - request->arrival_ns) / CLOCK_NS_PER_MS));
 }
 
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -29,6 +29,7 @@
 #define UPSTREAM_IDLE_TIMEOUT_MS                                              \
   30000 /* for upstreams that do not state their timeout */
 
+static uint64_t forecast_first_ns (struct gateway_request *request);
 static void add_upstream_load (struct gateway_request *request,
                                struct registry_upstream *upstream);
 static uint64_t least_loaded_upstream_id (struct gateway_request *request);
@@ -164,6 +165,8 @@
       = result->backlog_tokens + result->prefill_tokens;
   gateway->load_generation++;
   request->attempt_start_ns = now_ns;
+  event_times_sent (&request->event_times, now_ns,
+                    forecast_first_ns (request));
   request->response_begun = request->discard = request->paused = false;
   if (request->tried_count < CHOOSE_EXCLUDED_MAX)
     request->tried_ids[request->tried_count++] = upstream->id;
@@ -192,6 +195,21 @@
     handle_attempt_failure (request, ERR_REFUSED);
 }
 
+/* Expected time until the first event of a prompt; 0 for other requests. */
+static uint64_t
+forecast_first_ns (struct gateway_request *request)
+{
+  const struct gateway_service *service
+      = request->parsed.prompt.part_count == 0
+            ? NULL
+            : gateway_request_service (request);
+
+  return service == NULL
+             ? 0
+             : prefill_rate_first_token_ns (&service->prefill_rate,
+                                            request->tokens_before_response);
+}
+
 /* Counts the request as load at once, before the upstream reports it. */
 static void
 add_upstream_load (struct gateway_request *request,
@@ -553,6 +571,8 @@
     {
       if (request->sse.events > 0)
         gateway_streams_event (request);
+      event_times_arrived (&request->event_times,
+                           gateway_now_ns (request->gateway));
       reply_send_body (&request->reply, complete_events);
     }
   evbuffer_free (complete_events);
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -10,6 +10,7 @@
 #include "protocol/sse.h"
 #include "state/attempt.h"
 #include "state/choose.h"
+#include "state/event_times.h"
 #include "state/wait_queue.h"
 #include "transport/reply.h"
 
@@ -73,6 +74,7 @@
   uint64_t upstream_build; /**< of the upstream of the attempt */
   bool is_stream; /**< the response is a stream of server-sent events */
   struct sse sse;
+  struct event_times event_times;
   uint64_t first_byte_ns; /**< first response byte to the client; 0: none */
 };
 
