--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -65,6 +65,7 @@
   const char *config_key;      /**< store key of the configuration */
   const char *upstream_prefix; /**< store prefix of upstream registrations */
   const char *gateway_prefix;  /**< store prefix of gateway registrations */
+  const char *stream_prefix;   /**< store prefix of summaries of streams */
   /** Parses a configuration; an invalid one is rejected as a whole.
       @return 0, ERR_INVALID (with a reason) or ERR_NO_MEMORY. */
   int (*read_config) (const char *text, size_t size, struct routing **routing,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include "gateway/gateway_peers.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request.h"
+#include "gateway/gateway_stream_store.h"
 #include "gateway/gateway_streams.h"
 #include "gateway/probe.h"
 #include "state/err.h"
@@ -130,6 +131,7 @@
   wait_queue_init (&gateway->wait_queue);
   gateway_quarantine_start (gateway);
   gateway_streams_start (gateway);
+  gateway_stream_store_start (gateway);
   rng_init (&gateway->rng, catalog_id (gateway->settings.instance)
                                ^ clock_wall_ms (&gateway->clock));
   return 0;
@@ -224,6 +226,7 @@
   usage_share_finish (&gateway->usage);
   quarantine_finish (&gateway->quarantine);
   stream_builds_finish (&gateway->streams);
+  gateway_stream_store_finish (gateway);
   turns_finish (&gateway->turns);
   service = gateway->services;
   HASH_CLEAR (hh, gateway->services);
@@ -299,6 +302,7 @@
   gateway_limits_tick (gateway);
   gateway_quarantine_tick (gateway);
   gateway_streams_tick (gateway);
+  gateway_stream_store_tick (gateway);
   gateway_request_dispatch_waiting (-1, 0, gateway);
   if (++gateway->ticks % SWEEP_TICKS == 0)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/adapter.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/store_watch.h"
+#include "state/build_record.h"
 #include "state/fleet_retry_budget.h"
 #include "state/hist.h"
 #include "state/prefill_rate.h"
@@ -114,6 +115,23 @@
   uint32_t generation;
 };
 
+/** Streams and their builds in the store; see gateway_stream_store. */
+struct gateway_stream_store
+{
+  uint64_t start_wall_ms; /**< Unix time, in the keys of this process */
+  bool to_load;           /**< summaries have to be read */
+  bool loading;
+  uint64_t load_ns; /**< last start of reading them */
+  bool writing;     /**< one call at a time */
+  uint64_t write_ns;
+  uint64_t summaries; /**< written so far */
+  uint64_t written;   /**< sequence of the streams that are written */
+  uint64_t sequence;  /**< same, with the write in progress */
+  uint64_t lease;     /**< of summaries; 0: none */
+  uint64_t lease_era; /**< of the store that granted it */
+  uint64_t lease_ns;  /**< when it was granted */
+};
+
 struct gateway
 {
   struct gateway_settings settings;
@@ -138,8 +156,10 @@
   struct quarantine quarantine; /**< parts of prompts that crash upstreams */
   struct gateway_quarantine_write quarantine_write;
   struct stream_builds streams; /**< builds that began them */
-  uint64_t streams_generation;  /**< of the registry, as last searched for
-                                     services with several builds */
+  struct build_records build_records;
+  struct gateway_stream_store stream_store;
+  uint64_t streams_generation; /**< of the registry, as last searched for
+                                    services with several builds */
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
                                   requests that wait here */
   uint64_t peer_queued_weight; /**< same, at other gateways */
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -6,6 +6,7 @@
  */
 #include "gateway/gateway_peers_int.h"
 #include "gateway/gateway_quarantine.h"
+#include "gateway/gateway_stream_store.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
@@ -360,6 +361,11 @@
       gateway_quarantine_apply_item (peers->gateway, item);
       return;
     }
+  if (gateway_stream_store_owns_key (peers->gateway, item->key))
+    {
+      gateway_stream_store_apply_item (peers->gateway, item);
+      return;
+    }
   if (item->value == NULL)
     {
       HASH_FIND_STR (peers->members, item->key, member);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -27,6 +27,8 @@
 /* Retry-After of a stream that cannot go on: a build that is unknown, or has
    gone, will be so for as long as its client waits. */
 #define NO_BUILD_RETRY_AFTER_MS 60000
+/* The same of one that this instance may learn of: others may know it. */
+#define STREAM_RETRY_AFTER_MS 300
 
 /** Result of validating a request, before its gateway_request is allocated. */
 struct request_validation
@@ -96,7 +98,10 @@
   if (refusal == REFUSAL_NONE)
     gateway_request_try (request);
   else
-    gateway_request_refuse (request, refusal, NO_BUILD_RETRY_AFTER_MS);
+    gateway_request_refuse (request, refusal,
+                            refusal == REFUSAL_NO_BUILD
+                                ? NO_BUILD_RETRY_AFTER_MS
+                                : STREAM_RETRY_AFTER_MS);
 }
 
 static enum refusal
--- a/src/gateway/gateway_streams.c
+++ b/src/gateway/gateway_streams.c
@@ -4,6 +4,7 @@
  */
 #include "gateway/gateway_streams.h"
 #include "gateway/gateway_peers.h"
+#include "gateway/gateway_stream_store.h"
 #include "state/request_digest.h"
 #include "transport/log.h"
 #include <string.h>
@@ -22,6 +23,7 @@
                             const char *id);
 static uint64_t find_build (const struct gateway_request *request,
                             uint64_t key);
+static bool may_learn (const struct gateway *gateway);
 static void record (struct gateway_request *request, uint64_t key);
 static void on_rebuilt (void *user, const struct registry_upstream *upstream);
 static void mark_service (struct gateway *gateway, uint64_t service_id);
@@ -70,7 +72,16 @@
   LOG (LOG_STREAM_UNKNOWN, request->parsed.id,
        LOG_S ("resumes", request->parsed.resumes),
        LOG_S ("build", request->build == 0 ? "unknown" : "gone"));
-  return REFUSAL_NO_BUILD;
+  return request->build == 0 && may_learn (gateway) ? REFUSAL_NOT_READY
+                                                    : REFUSAL_NO_BUILD;
+}
+
+/* Whether a stream that is unknown now may be known in a moment. */
+static bool
+may_learn (const struct gateway *gateway)
+{
+  return gateway_stream_store_starting (gateway)
+         || !gateway_peers_informed (gateway);
 }
 
 /* If a service has had a single build lately, that began all its streams. */
@@ -87,9 +98,12 @@
   if (build != 0)
     return build;
   if (stream_builds_several (&gateway->streams, service_id, now_ns)
-      || !gateway_peers_informed (gateway))
+      || !gateway->peers->members_listed || !gateway_peers_informed (gateway))
     return 0;
-  return registry_single_build (&gateway->registry, service_id);
+  build = registry_single_build (&gateway->registry, service_id);
+  return build_records_contradict (&gateway->build_records, service_id, build)
+             ? 0
+             : build;
 }
 
 void
@@ -149,6 +163,8 @@
 {
   const struct registry_upstream *upstream;
   uint64_t marked_id = 0;
+  uint64_t single_build;
+  uint64_t service_id;
 
   if (gateway->ticks % TICKS_PER_RENEWAL == 0)
     stream_builds_expire (&gateway->streams, gateway_now_ns (gateway));
@@ -157,14 +173,18 @@
   gateway->streams_generation = gateway->registry.generation;
   for (upstream = gateway->registry.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
-    if (upstream->record.service_id != marked_id
-        && registry_single_build (&gateway->registry,
-                                  upstream->record.service_id)
-               == 0)
-      {
-        marked_id = upstream->record.service_id;
-        mark_service (gateway, marked_id);
-      }
+    {
+      service_id = upstream->record.service_id;
+      if (service_id == marked_id)
+        continue;
+      single_build = registry_single_build (&gateway->registry, service_id);
+      if (single_build != 0
+          && !build_records_contradict (&gateway->build_records, service_id,
+                                        single_build))
+        continue;
+      marked_id = service_id;
+      mark_service (gateway, service_id);
+    }
 }
 
 /* When the marker is new, streams that began before it are told, too. */
--- a/src/gateway/gateway_streams.h
+++ b/src/gateway/gateway_streams.h
@@ -13,8 +13,8 @@
 void gateway_streams_start (struct gateway *gateway);
 
 /** A request has arrived: one that takes a stream up is bound to its build.
-    @return REFUSAL_NONE; or REFUSAL_NO_BUILD if the build is not known, or has
-    no upstream. */
+    @return REFUSAL_NONE; REFUSAL_NO_BUILD if the build is not known, or has no
+    upstream; REFUSAL_NOT_READY if it may be known in a moment. */
 enum refusal gateway_streams_bind (struct gateway_request *request);
 /** Complete events of a stream have arrived, and are about to be forwarded:
     the first one binds the request to the build of its upstream. */
--- a/src/state/stream_builds.c
+++ b/src/state/stream_builds.c
@@ -103,6 +103,8 @@
   entry->expiry_ns = expiry_ns;
   entry->source = source;
   entry->source_id = source_id;
+  if (is_marker (entry) && expiry_ns > table->several_until_ns)
+    table->several_until_ns = expiry_ns;
   mark_changed (table, entry);
 }
 
@@ -124,6 +126,12 @@
   return entry != NULL && is_marker (entry) && entry->expiry_ns > now_ns;
 }
 
+bool
+stream_builds_any_several (const struct stream_builds *table, uint64_t now_ns)
+{
+  return table->several_until_ns > now_ns;
+}
+
 void
 stream_builds_forget (struct stream_builds *table, uint64_t upstream_id,
                       uint64_t since_ns)
--- a/src/state/stream_builds.h
+++ b/src/state/stream_builds.h
@@ -56,6 +56,7 @@
 {
   struct stream_builds_entry *entries; /**< uthash by key, last changed last */
   uint64_t sequence;                   /**< of the last change */
+  uint64_t several_until_ns;           /**< end of the last marker */
 };
 
 /** Peer that rows are sent to. */
@@ -81,6 +82,9 @@
 /** Whether a service has, or lately had, several builds. */
 bool stream_builds_several (const struct stream_builds *table,
                             uint64_t service_id, uint64_t now_ns);
+/** The same of any service. */
+bool stream_builds_any_several (const struct stream_builds *table,
+                                uint64_t now_ns);
 /** Forgets streams that an upstream began after a time: it may have started
     again before its entry said so. */
 void stream_builds_forget (struct stream_builds *table, uint64_t upstream_id,
--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -69,6 +69,9 @@
   char value[256];
 
   upstream_key (fleet, index, key);
+  snprintf (fleet->upstreams[index].identity,
+            sizeof fleet->upstreams[index].identity, "%s",
+            key + strlen ("servers/"));
   snprintf (value, sizeof value,
             "{\"service\":\"s2\",\"address\":\"127.0.0.1:%u\",\"zone\":\"za\","
             "\"version\":\"%s\",\"slots\":8,\"state\":\"ready\","
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -18,7 +18,8 @@
 struct storeserver_item
 {
   char key[200];
-  char *value; /* NULL when deleted */
+  char *value; /* NULL when deleted; followed by a NUL */
+  size_t value_size;
   uint64_t revision;
   uint64_t lease;
   struct storeserver_item *prev;
@@ -61,7 +62,7 @@
 static struct storeserver_item *add_item (struct storeserver *store,
                                           const char *key);
 static void write_item (struct storeserver *store, const char *key,
-                        const char *value, uint64_t lease);
+                        const char *value, size_t value_size, uint64_t lease);
 static void answer_watches (struct storeserver *store);
 static void close_watches (struct storeserver *store);
 static void free_items (struct storeserver_item *item);
@@ -192,7 +193,7 @@
   if (item->value == NULL)
     return json_pack ("{s:s,s:I,s:b}", "key", item->key, "revision",
                       (json_int_t)item->revision, "deleted", 1);
-  value = base64_encode (item->value, strlen (item->value));
+  value = base64_encode (item->value, item->value_size);
   json = json_pack ("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value", value,
                     "revision", (json_int_t)item->revision, "created",
                     (json_int_t)1, "lease", (json_int_t)item->lease);
@@ -360,12 +361,13 @@
     base64_decode (json_string_value (json_object_get (put, "value")), &value,
                    &value_size);
     write_item (store, json_string_value (json_object_get (put, "key")), value,
+                value_size,
                 (uint64_t)json_integer_value (json_object_get (put, "lease")));
     free (value);
   }
   json_array_foreach (
       remove, i, key) if (find_item (store, json_string_value (key)) != NULL)
-      write_item (store, json_string_value (key), NULL, 0);
+      write_item (store, json_string_value (key), NULL, 0, 0);
   json_decref (root);
   if (store->fault == STORESERVER_FAULT_LOSE_RESPONSE)
     evhttp_connection_free (evhttp_request_get_connection (request));
@@ -403,16 +405,27 @@
   return item;
 }
 
+static char *
+copy_value (const char *value, size_t size)
+{
+  char *copy = value == NULL ? NULL : calloc (1, size + 1);
+
+  if (copy != NULL)
+    memcpy (copy, value, size);
+  return copy;
+}
+
 static void
 write_item (struct storeserver *store, const char *key, const char *value,
-            uint64_t lease)
+            size_t value_size, uint64_t lease)
 {
   struct storeserver_item *item = find_item (store, key);
 
   if (item == NULL)
     item = add_item (store, key);
   free (item->value);
-  item->value = value == NULL ? NULL : strdup (value);
+  item->value = copy_value (value, value_size);
+  item->value_size = value_size;
   item->revision = ++store->revision;
   item->lease = lease;
 }
@@ -433,7 +446,7 @@
 void
 storeserver_put (struct storeserver *store, const char *key, const char *value)
 {
-  write_item (store, key, value, 0);
+  write_item (store, key, value, value == NULL ? 0 : strlen (value), 0);
   answer_watches (store);
 }
 
@@ -469,7 +482,7 @@
         continue;
       copy = calloc (1, sizeof *copy);
       *copy = *item;
-      copy->value = item->value == NULL ? NULL : strdup (item->value);
+      copy->value = copy_value (item->value, item->value_size);
       DL_APPEND (store->saved_items, copy);
     }
 }
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -45,6 +45,8 @@
 static void conn_free (struct upstreamserver_conn *conn);
 static void conn_reset (struct upstreamserver_conn *conn);
 static size_t request_size (const char *message, size_t size);
+static bool is_misdirected (const struct upstreamserver *server,
+                            const char *message);
 static void on_response_due (evutil_socket_t fd, short what, void *user);
 static void respond (struct upstreamserver_conn *conn, const char *request);
 static void respond_without_end (struct upstreamserver_conn *conn,
@@ -238,7 +240,9 @@
   server->requests++;
   if (server->on_request != NULL)
     server->on_request (server, message);
-  conn->behaviour = server->behaviour;
+  conn->behaviour = is_misdirected (server, message)
+                        ? UPSTREAMSERVER_MISDIRECTED
+                        : server->behaviour;
   if (server->response_delay_ms == 0)
     {
       respond (conn, message);
@@ -249,6 +253,17 @@
   event_add (conn->response_timer, &delay);
 }
 
+static bool
+is_misdirected (const struct upstreamserver *server, const char *message)
+{
+  char expected[sizeof server->identity];
+
+  upstreamserver_get_header (message, "X-Expect-Instance", expected,
+                             sizeof expected);
+  return server->checks_identity && expected[0] != '\0'
+         && strcmp (expected, server->identity) != 0;
+}
+
 static void
 on_response_due (evutil_socket_t fd, short what, void *user)
 {
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -57,6 +57,8 @@
   uint16_t port;
   enum upstreamserver_behaviour behaviour;
   const char *signature;
+  char identity[32];
+  bool checks_identity; /**< misdirects requests that expect another one */
   const char *extra_headers;       /**< in all responses, with CRLF; or NULL */
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -12,9 +12,9 @@
 #include <string.h>
 
 #define UPSTREAMS   GATEFLEET_UPSTREAMS
-#define STREAMS     64 /* at a time, in turn */
-#define STEP_MS     20 /* from one stream to the next */
-#define EVENTS      12 /* of a stream */
+#define STREAMS     128 /* at a time, in turn */
+#define STEP_MS     20  /* from one stream to the next */
+#define EVENTS      12  /* of a stream */
 #define INTERVAL_MS 25
 #define DURATION_MS 5000
 #define TRIES_MAX   3 /* of a client */
@@ -22,6 +22,13 @@
 #define BUILDS      2
 #define PREFIXES    32 /* of prompts */
 
+/* Of a fleet whose gateways are all lost at once. */
+#define HERD_INTERVAL_MS 120 /* between the events of a stream */
+#define HERD_KILL_MS     5000
+#define HERD_DOWN_MS     1500
+#define HERD_RETURN_MS   3000 /* clients come back for so long */
+#define HERD_RETRY_MS    300
+
 static const char *const builds[BUILDS] = { "v1", "v1.1" };
 
 struct plan
@@ -34,6 +41,15 @@
   bool store_down;
 };
 
+/* When all gateways are lost. */
+struct herd_plan
+{
+  unsigned int gateways;
+  uint32_t second_ms;       /* when the second build appears; 0: never */
+  uint32_t older_leaves_ms; /* when the first one leaves; 0: never */
+  bool replaced; /* the second takes its place while there is no gateway */
+};
+
 struct scene;
 
 /* A client with one stream, which it takes up after leaving. */
@@ -50,11 +66,14 @@
   unsigned int leave_at;  /* events of the next break; 0: none */
   int build;              /* of the first event */
   bool mixed;
+  bool broken;                 /* by the loss of all gateways */
+  unsigned int events_at_kill; /* of such a stream */
+  uint64_t retry_ms;           /* when its client comes back */
 };
 
 struct scene
 {
-  const struct plan *plan;
+  bool resets; /* see struct plan */
   struct gatefleet fleet;
   struct stream streams[STREAMS];
   struct rng rng;
@@ -75,7 +94,7 @@
   upstreamserver_get_header (message, "X-Expect-Instance", scene->identity,
                              sizeof scene->identity);
   server->behaviour = UPSTREAMSERVER_STREAM_TIMED;
-  server->reset_event = scene->plan->resets && rng_below (&scene->rng, 10) == 0
+  server->reset_event = scene->resets && rng_below (&scene->rng, 10) == 0
                             ? 1 + (unsigned int)rng_below (&scene->rng, EVENTS)
                             : 0;
 }
@@ -121,7 +140,7 @@
 send_try (struct stream *stream)
 {
   struct scene *scene = stream->scene;
-  unsigned int count = scene->plan->gateways;
+  unsigned int count = scene->fleet.gateway_count;
   char request[512];
   char prompt[96] = "";
   char resume[128] = "";
@@ -142,10 +161,10 @@
               "Resumes: s-%u-%u\r\nLast-Event-Id: %u\r\n", stream->number,
               stream->first_try, stream->events);
   snprintf (request, sizeof request,
-            "POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n"
+            "POST /resume/%u HTTP/1.1\r\nHost: shop.example\r\n"
             "X-Attempt-Id: s-%u-%u\r\nX-Credential: key-1\r\n"
             "%s%sX-Deadline-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
-            stream->number, stream->tries, prompt, resume);
+            stream->number, stream->number, stream->tries, prompt, resume);
   platclient_init (&stream->client, scene->fleet.base,
                    httpd_port (scene->fleet.gateways[stream->gateway].httpd));
   platclient_send (&stream->client, request);
@@ -211,12 +230,11 @@
 }
 
 static void
-scene_init (struct scene *scene, const struct plan *plan)
+scene_init (struct scene *scene, uint32_t interval_ms)
 {
   unsigned int i;
 
   memset (scene, 0, sizeof *scene);
-  scene->plan = plan;
   rng_init (&scene->rng, 1);
   gatefleet_init (&scene->fleet);
   for (i = 0; i < UPSTREAMS; i++)
@@ -224,18 +242,19 @@
       scene->fleet.upstreams[i].on_request = on_request;
       scene->fleet.upstreams[i].user = scene;
       scene->fleet.upstreams[i].timed_events = EVENTS;
-      scene->fleet.upstreams[i].event_interval_ms = INTERVAL_MS;
+      scene->fleet.upstreams[i].event_interval_ms = interval_ms;
       scene->fleet.upstreams[i].signature = builds[0];
+      scene->fleet.upstreams[i].checks_identity = true;
     }
 }
 
-/* Half of the upstreams start again as the second build. */
+/* Upstreams start again as the second build. */
 static void
-start_second_build (struct scene *scene)
+replace_upstreams (struct scene *scene, unsigned int first, unsigned int end)
 {
   unsigned int i;
 
-  for (i = UPSTREAMS / 2; i < UPSTREAMS; i++)
+  for (i = first; i < end; i++)
     {
       upstreamserver_finish (&scene->fleet.upstreams[i]);
       scene->fleet.upstreams[i].signature = builds[1];
@@ -245,6 +264,12 @@
     }
 }
 
+static void
+start_second_build (struct scene *scene)
+{
+  replace_upstreams (scene, UPSTREAMS / 2, UPSTREAMS);
+}
+
 static void
 scene_finish (struct scene *scene)
 {
@@ -267,7 +292,8 @@
   bool halved = false;
   unsigned int i;
 
-  scene_init (&scene, plan);
+  scene_init (&scene, INTERVAL_MS);
+  scene.resets = plan->resets;
   if (!plan->late)
     start_second_build (&scene);
   gatefleet_start (&scene.fleet, plan->gateways);
@@ -349,6 +375,177 @@
   play (&(struct plan){ .gateways = 3, .resets = true, .store_down = true });
 }
 
+/* All gateways are lost at once.  Clients of streams that were in progress
+   come back until these go on. */
+
+static void
+lose_all_gateways (struct scene *scene)
+{
+  struct stream *stream;
+  unsigned int i;
+
+  for (i = 0; i < STREAMS; i++)
+    {
+      stream = &scene->streams[i];
+      if (!stream->used)
+        continue;
+      read_events (stream);
+      stream->broken = stream->events > 0 && stream->events < EVENTS;
+      stream->events_at_kill = stream->events;
+      if (stream->broken)
+        platclient_finish (&stream->client);
+      else
+        finish_stream (stream);
+    }
+  for (i = 0; i < scene->fleet.gateway_count; i++)
+    gateway_finish (&scene->fleet.gateways[i]);
+}
+
+static void
+take_up_broken (struct scene *scene)
+{
+  struct stream *stream;
+  uint64_t now_ms = gatefleet_now_ms (&scene->fleet);
+  bool ended;
+  unsigned int i;
+
+  for (i = 0; i < STREAMS; i++)
+    {
+      stream = &scene->streams[i];
+      if (!stream->used || !stream->broken || stream->events >= EVENTS)
+        continue;
+      if (stream->retry_ms == 0)
+        {
+          send_try (stream);
+          stream->retry_ms = UINT64_MAX;
+          continue;
+        }
+      if (stream->retry_ms == UINT64_MAX)
+        {
+          read_events (stream);
+          ended = stream->client.closed
+                  || strncmp (stream->client.got, "HTTP/1.1 503", 12) == 0;
+          if (!ended || stream->events >= EVENTS)
+            continue;
+          platclient_finish (&stream->client);
+          stream->retry_ms = now_ms + HERD_RETRY_MS;
+        }
+      else if (now_ms >= stream->retry_ms)
+        {
+          send_try (stream);
+          stream->retry_ms = UINT64_MAX;
+        }
+    }
+}
+
+/* Counts broken streams whose build still serves, and those that went on. */
+static void
+count_broken (struct scene *scene, bool older_serves)
+{
+  struct stream *stream;
+  unsigned int i;
+
+  for (i = 0; i < STREAMS; i++)
+    {
+      stream = &scene->streams[i];
+      if (!stream->used || !stream->broken)
+        continue;
+      if (stream->retry_ms != 0 && stream->retry_ms != UINT64_MAX)
+        stream->used = false; /* its client is finished */
+      scene->mixed += stream->used ? 0 : stream->mixed;
+      if (stream->build == 0 && !older_serves)
+        continue;
+      scene->taken_up++;
+      scene->went_on += stream->events > stream->events_at_kill;
+    }
+}
+
+static void
+play_herd (const struct herd_plan *plan)
+{
+  static struct scene scene;
+  bool second = false;
+  bool older_left = false;
+  uint64_t now_ms = 0;
+  unsigned int i;
+
+  scene_init (&scene, HERD_INTERVAL_MS);
+  gatefleet_start (&scene.fleet, plan->gateways);
+  while (now_ms < HERD_KILL_MS)
+    {
+      start_stream (&scene);
+      scene.streams[(scene.sent - 1) % STREAMS].leave_at = 0;
+      gatefleet_run (&scene.fleet, STEP_MS);
+      now_ms = gatefleet_now_ms (&scene.fleet);
+      for (i = 0; i < STREAMS; i++)
+        if (scene.streams[i].used)
+          read_events (&scene.streams[i]);
+      if (plan->second_ms != 0 && !second && now_ms >= plan->second_ms)
+        {
+          second = true;
+          start_second_build (&scene);
+        }
+      if (plan->older_leaves_ms != 0 && !older_left
+          && now_ms >= plan->older_leaves_ms)
+        {
+          older_left = true;
+          replace_upstreams (&scene, 0, UPSTREAMS / 2);
+        }
+    }
+  lose_all_gateways (&scene);
+  if (plan->replaced)
+    replace_upstreams (&scene, 0, UPSTREAMS);
+  gatefleet_run (&scene.fleet, HERD_DOWN_MS);
+  for (i = 0; i < plan->gateways; i++)
+    gatefleet_start_gateway (&scene.fleet, i);
+  while (now_ms < HERD_KILL_MS + HERD_DOWN_MS + HERD_RETURN_MS)
+    {
+      take_up_broken (&scene);
+      gatefleet_run (&scene.fleet, STEP_MS);
+      now_ms = gatefleet_now_ms (&scene.fleet);
+    }
+  count_broken (&scene, !older_left && !plan->replaced);
+  scene_finish (&scene);
+  printf ("streams %u, taken up %u, went on %u, mixed %u\n", scene.sent,
+          scene.taken_up, scene.went_on, scene.mixed);
+  CU_ASSERT (plan->replaced || scene.taken_up >= 10);
+  CU_ASSERT (scene.went_on * 2 >= scene.taken_up);
+  CU_ASSERT (scene.mixed <= MIXED_MAX);
+}
+
+static void
+test_herd_one_build (void)
+{
+  play_herd (&(struct herd_plan){ .gateways = 3 });
+  play_herd (&(struct herd_plan){ .gateways = 9 });
+}
+
+static void
+test_herd_two_builds (void)
+{
+  play_herd (&(struct herd_plan){ .gateways = 3, .second_ms = 2000 });
+  play_herd (&(struct herd_plan){ .gateways = 9, .second_ms = 2000 });
+}
+
+/* One build serves, another one has left seconds ago, or just now. */
+static void
+test_herd_older_left (void)
+{
+  play_herd (&(struct herd_plan){
+      .gateways = 3, .second_ms = 1000, .older_leaves_ms = 2000 });
+  play_herd (&(struct herd_plan){
+      .gateways = 3, .second_ms = 2000, .older_leaves_ms = 4500 });
+  play_herd (&(struct herd_plan){
+      .gateways = 9, .second_ms = 2000, .older_leaves_ms = 4500 });
+}
+
+/* No gateway has seen both builds. */
+static void
+test_herd_replaced (void)
+{
+  play_herd (&(struct herd_plan){ .gateways = 3, .replaced = true });
+}
+
 /* The answer of one gateway to a stream that begins or is taken up.
    @param headers  its headers, with the request's id. */
 static void
@@ -386,16 +583,15 @@
 test_unknown_streams (void)
 {
   static struct scene scene;
-  const struct plan plan = { .gateways = 2 };
   const char *refused = "HTTP/1.1 503";
   unsigned int i;
 
-  scene_init (&scene, &plan);
+  scene_init (&scene, INTERVAL_MS);
   storeseed_configure (&scene.fleet.store, 2,
                        "\"key-1\"]},{\"name\":\"bea\",\"api_keys\":["
                        "\"key-2\"",
                        "s2");
-  gatefleet_start (&scene.fleet, plan.gateways);
+  gatefleet_start (&scene.fleet, 2);
   expect (&scene.fleet, 0,
           "X-Credential: key-1\r\nResumes: nobody\r\nLast-Event-Id: 3\r\n",
           "HTTP/1.1 200");
@@ -442,13 +638,14 @@
 test_split_route (void)
 {
   static struct scene scene;
-  const struct plan plan = { .gateways = 1 };
   char headers[128];
   char value[256];
   char first;
   unsigned int i;
 
-  scene_init (&scene, &plan);
+  scene_init (&scene, INTERVAL_MS);
+  /* One upstream serves under two identities. */
+  scene.fleet.upstreams[0].checks_identity = false;
   storeseed_configure (
       &scene.fleet.store, 2, "\"key-1\"",
       "s2\",\"traffic_split\":[{\"service\":\"s2\",\"weight\":1},"
@@ -460,7 +657,7 @@
             "\"sequence\":1,\"born\":1000}",
             scene.fleet.upstreams[0].port);
   storeserver_put (&scene.fleet.store, "servers/t-0", value);
-  gatefleet_start (&scene.fleet, plan.gateways);
+  gatefleet_start (&scene.fleet, 1);
   for (i = 0; i < 8; i++)
     {
       snprintf (headers, sizeof headers,
@@ -487,6 +684,10 @@
   { "store down", test_store_down },
   { "unknown streams", test_unknown_streams },
   { "split route", test_split_route },
+  { "all gateways lost, one build", test_herd_one_build },
+  { "all gateways lost, two builds", test_herd_two_builds },
+  { "all gateways lost, older build left", test_herd_older_left },
+  { "all gateways lost, build replaced", test_herd_replaced },
 };
 
 SUITE_MAIN ("test_stream_builds", tests)
