Clients that come back wait for those that can be served in time

Their objective has passed, yet they were placed as if they had just begun.

Change: the time that a client has waited before is the difference from the values that many requests of the route name as their time (state/client_budget); it counts towards the objective. A prompt whose objective has passed is sent to an engine with a backlog below 30 ms only.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -206,6 +206,8 @@
 gateway_finish (struct gateway *gateway)
 {
   struct gateway_service *service;
+  struct gateway_route *route;
+  struct gateway_route *next_route;
   struct gateway_service *next;
   int i;
 
@@ -235,6 +237,13 @@
       next = service->hh.next;
       free (service);
     }
+  route = gateway->routes;
+  HASH_CLEAR (hh, gateway->routes);
+  for (; route != NULL; route = next_route)
+    {
+      next_route = route->hh.next;
+      free (route);
+    }
   routing_release (gateway->routing);
   if (gateway->dispatch != NULL)
     event_free (gateway->dispatch);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/store_watch.h"
 #include "state/build_record.h"
+#include "state/client_budget.h"
 #include "state/fleet_retry_budget.h"
 #include "state/hist.h"
 #include "state/prefill_rate.h"
@@ -54,6 +55,14 @@
   UT_hash_handle hh;
 };
 
+/** Measured state of a route. */
+struct gateway_route
+{
+  uint64_t id; /**< catalog_id of its name */
+  struct client_budget client_budget;
+  UT_hash_handle hh;
+};
+
 /** Latencies of one kind of route. */
 struct gateway_times
 {
@@ -177,6 +186,7 @@
                            that have expired */
   struct wait_queue wait_queue;
   struct gateway_service *services; /**< uthash by id */
+  struct gateway_route *routes;     /**< uthash by id */
   struct gateway_peers *peers;      /**< owned */
   struct event *dispatch; /**< sends waiting requests to free upstreams */
   struct gateway_request *requests; /**< requests in progress */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -50,6 +50,9 @@
 static struct gateway_request *
 gateway_request_new (struct gateway *gateway, evhtp_request_t *http,
                      const struct request_validation *validation);
+static uint32_t client_waited_ms (struct gateway *gateway,
+                                  const struct route *route,
+                                  uint32_t remaining_ms);
 static const char *first_id (const struct adapter_request *request);
 static char *copy_path (const evhtp_request_t *http);
 static int start_timer (struct gateway_request *request);
@@ -197,6 +200,9 @@
                       ? ""
                       : (const char *)evbuffer_pullup (http->buffer_in, -1);
   request->arrival_ns = gateway_now_ns (gateway);
+  if (validation->request.has_remaining)
+    request->waited_ns
+        = client_waited_ms (gateway, route, client_wait_ms) * CLOCK_NS_PER_MS;
   request->deadline_ns
       = request->arrival_ns + client_wait_ms * CLOCK_NS_PER_MS;
   request->timeout_ns
@@ -215,6 +221,25 @@
   return NULL;
 }
 
+static uint32_t
+client_waited_ms (struct gateway *gateway, const struct route *route,
+                  uint32_t remaining_ms)
+{
+  uint64_t id = catalog_id (route->name);
+  struct gateway_route *entry;
+
+  HASH_FIND (hh, gateway->routes, &id, sizeof id, entry);
+  if (entry == NULL)
+    {
+      entry = calloc (1, sizeof *entry);
+      if (entry == NULL)
+        return 0;
+      entry->id = id;
+      HASH_ADD (hh, gateway->routes, id, sizeof entry->id, entry);
+    }
+  return client_budget_waited_ms (&entry->client_budget, remaining_ms);
+}
+
 /* Of a stream that is taken up, the request that began it: it goes on at the
    service that was drawn by that one's id. */
 static const char *
@@ -395,6 +420,7 @@
        LOG_U ("attempts", request->attempt_state.number),
        LOG_U ("bytes", request->reply.delivered_bytes),
        LOG_U ("waited_ms", (start_ns - request->arrival_ns) / CLOCK_NS_PER_MS),
+       LOG_U ("client_waited_ms", request->waited_ns / CLOCK_NS_PER_MS),
        LOG_U ("prompt_tokens", request->parsed.prompt.input_tokens),
        LOG_U ("forecast_ms",
               request->event_times.forecast_ns / CLOCK_NS_PER_MS),
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -32,6 +32,7 @@
   const char *body;
   size_t body_size;
   uint64_t arrival_ns;
+  uint64_t waited_ns;   /**< time that its client had waited before that */
   uint64_t deadline_ns; /**< when the client gives up */
   uint64_t timeout_ns;  /**< limit set by the route */
   struct event *timer;  /**< fires at the earlier of both */
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -185,6 +185,10 @@
                             : prefill_rate_first_token_ns (
                                 &service->prefill_rate,
                                 prompt->parts[prompt->part_count - 1].tokens);
+  /* A stream that is taken up had begun in time or not, whenever it goes on.
+   */
+  uint64_t waited_ns
+      = request->parsed.last_event_id == NULL ? request->waited_ns : 0;
   uint64_t objective_ns
       = request->arrival_ns + request->route->objective_ms * CLOCK_NS_PER_MS;
 
@@ -194,7 +198,9 @@
                     ? request->customer->priority
                     : request->route->priority,
     .arrival_ns = request->arrival_ns,
-    .objective_ns = objective_ns > prefill_ns ? objective_ns - prefill_ns : 0,
+    .objective_ns = objective_ns > prefill_ns + waited_ns
+                        ? objective_ns - prefill_ns - waited_ns
+                        : 0,
     .owner = request,
   };
   request->queue_entry.expiry_ns
@@ -417,6 +423,7 @@
     .fallback = !result->primary
                 && gateway_request_recompute_permille (request)
                        == ADMISSION_RECOMPUTE_LOW_PERMILLE,
+    .late = request->queue_entry.objective_ns < gateway_now_ns (gateway),
   };
 
   return service == NULL ? 0
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -11,6 +11,8 @@
 /* Prefill backlog up to which an engine accepts a prompt whose primary engine
    is another one. */
 #define FALLBACK_BACKLOG_MAX_MS 60
+/* The same for a prompt whose objective has passed. */
+#define LATE_BACKLOG_MAX_MS 30
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
 /* Utilisation from which the usage cap holds: an eighth of the engines' limits
@@ -83,9 +85,10 @@
 admission_capacity_tokens (const struct prefill_rate *prefill_rate,
                            const struct admission_request *request)
 {
-  double limit_ms
-      = request->fallback ? FALLBACK_BACKLOG_MAX_MS : BACKLOG_MAX_MS;
-  double factor_max = request->fallback ? 1 : FACTOR_MAX;
+  double limit_ms = request->late       ? LATE_BACKLOG_MAX_MS
+                    : request->fallback ? FALLBACK_BACKLOG_MAX_MS
+                                        : BACKLOG_MAX_MS;
+  double factor_max = request->late || request->fallback ? 1 : FACTOR_MAX;
   double factor;
 
   if (request->mean_tokens == UINT64_MAX)
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -62,6 +62,8 @@
   /** The engine is not the primary one, and the request no longer waits for
       the primary one: its recompute weight is the low one. */
   bool fallback;
+  /** Its objective has passed: it gets what others leave. */
+  bool late;
 };
 
 /** Factor on a customer's limit: 1 if its recent usage equals the mean of the
--- /dev/null
+++ b/tests/test_client_budget.c
@@ -0,0 +1,115 @@
+/**
+ * @file test_client_budget.c
+ * Replays the arrivals of an overload, in which clients that were refused come
+ * back, and checks who counts as having waited.
+ */
+#include "state/admission.h"
+#include "state/client_budget.h"
+#include "state/rng.h"
+#include "support/suite.h"
+
+#define REQUESTS 4000
+
+/* Begins with one of `count` values, or comes back after 0.8 to 2.4 s. */
+static void
+replay (const uint32_t *begin_ms, unsigned int count,
+        unsigned int back_percent)
+{
+  struct client_budget budget = { .total = 0 };
+  unsigned int wrong = 0;
+  uint32_t waited_ms;
+  struct rng rng;
+  unsigned int i;
+
+  rng_init (&rng, 1);
+  for (i = 0; i < REQUESTS; i++)
+    {
+      uint32_t begin = begin_ms[rng_below (&rng, count)];
+
+      waited_ms = rng_below (&rng, 100) < back_percent
+                      ? 800 + (uint32_t)rng_below (&rng, 1600)
+                      : 0;
+      if (client_budget_waited_ms (&budget, begin - waited_ms) != waited_ms
+          && i >= 100)
+        wrong++;
+    }
+  CU_ASSERT (wrong * 100 <= REQUESTS);
+}
+
+static void
+test_replay (void)
+{
+  const uint32_t one = 15000;
+  const uint32_t three[] = { 3000, 12000, 60000 };
+
+  replay (&one, 1, 0);
+  replay (&one, 1, 33);
+  replay (&one, 1, 60);
+  replay (three, 3, 33);
+}
+
+/* Nobody is put behind others for a value that few name, however large. */
+static void
+test_few (void)
+{
+  struct client_budget budget = { .total = 0 };
+  unsigned int i;
+
+  for (i = 0; i < REQUESTS; i++)
+    {
+      if (i % 50 == 0)
+        client_budget_waited_ms (&budget, UINT32_MAX);
+      CU_ASSERT_EQUAL (client_budget_waited_ms (&budget, 5000), 0);
+    }
+}
+
+/* No value is frequent: nothing is known. */
+static void
+test_all_different (void)
+{
+  struct client_budget budget = { .total = 0 };
+  uint32_t i;
+
+  for (i = 0; i < REQUESTS; i++)
+    CU_ASSERT_EQUAL (client_budget_waited_ms (&budget, 1000 + i * 7), 0);
+}
+
+/* New clients name another value. */
+static void
+test_change (void)
+{
+  struct client_budget budget = { .total = 0 };
+  uint32_t i;
+
+  for (i = 0; i < REQUESTS; i++)
+    client_budget_waited_ms (&budget, 15000);
+  for (i = 0; i < REQUESTS; i++)
+    client_budget_waited_ms (&budget, 5000);
+  CU_ASSERT_EQUAL (client_budget_waited_ms (&budget, 5000), 0);
+  CU_ASSERT_EQUAL (client_budget_waited_ms (&budget, 4000), 1000);
+}
+
+/* At an engine with a backlog, prompts whose objective has passed wait for
+   those that can still meet theirs, whatever their customers' usage. */
+static void
+test_late_waits (void)
+{
+  struct prefill_rate rate = { .tokens_per_ms = 100 };
+  struct admission_request request
+      = { .usage_tokens = 0, .mean_tokens = 1000000, .utilisation = 1 };
+  uint64_t timely = admission_capacity_tokens (&rate, &request);
+
+  request.late = true;
+  CU_ASSERT (admission_capacity_tokens (&rate, &request) * 4 < timely);
+  CU_ASSERT (admission_capacity_tokens (&rate, &request) > 0);
+}
+
+static const struct suite_test tests[] = {
+  { "replay", test_replay },
+  { "values that few name", test_few },
+  { "all different", test_all_different },
+  { "change", test_change },
+  { "late prompts wait", test_late_waits },
+};
+
+SUITE_MAIN ("test_client_budget", tests)
