--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -11,8 +11,9 @@
 /* Prefill backlog up to which an engine accepts a prompt whose primary engine
    is another one. */
 #define FALLBACK_BACKLOG_MAX_MS 60
-/* The same for a prompt whose objective has passed. */
-#define LATE_BACKLOG_MAX_MS 30
+/* The same for a prompt whose objective has passed: an engine that is about to
+   idle. */
+#define LATE_BACKLOG_MAX_MS 8
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
 /* Utilisation from which the usage cap holds: an eighth of the engines' limits
