Gateways of a full mesh report their load every 25 ms

Change: in a mesh (up to 12 gateways) reports go every 25 ms, and a quota lasts 50 ms. Large fleets as before.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -29,7 +29,7 @@
 #define HUB_VIEW_AGE_MAX_MS      1000
 #define WATCH_FALLBACK_MS        600
 #define WATCH_FALLBACK_JITTER_MS 400
-/* Ticks of the report timer from one report to other hubs to the next. */
+/* Ticks of the report timer between other work. */
 #define REPORT_TICKS (GATEWAY_PEERS_REPORT_MS / GATEWAY_PEERS_ZONE_REPORT_MS)
 #define HUB_STARTUP_MS                                                        \
   3000 /* allowed for a hub's first listing of the store */
@@ -47,6 +47,7 @@
 static void on_peer_down (void *user, uint64_t instance_id, int error);
 static void on_peer_rejected (void *user, const char *address, int error);
 static void on_report_timer (evutil_socket_t fd, short what, void *arg);
+static uint32_t report_interval_ms (const struct gateway_peers *peers);
 static void handle_report_tick (struct gateway_peers *peers);
 static int start_net (struct gateway_peers *peers);
 static struct gateway_peer *find_peer (const struct gateway_peers *peers,
@@ -482,15 +483,37 @@
   looptime_begin (time, work);
 }
 
+static uint32_t
+report_interval_ms (const struct gateway_peers *peers)
+{
+  return HASH_COUNT (peers->members) <= HUBS_MESH_MAX
+             ? GATEWAY_PEERS_MESH_REPORT_MS
+             : GATEWAY_PEERS_REPORT_MS;
+}
+
+/* Between zones it takes one report of a hub more than within one. */
+uint32_t
+gateway_peers_propagation_ms (const struct gateway_peers *peers)
+{
+  uint32_t zone_ms = GATEWAY_PEERS_ZONE_REPORT_MS;
+
+  return report_interval_ms (peers)
+         + (HASH_COUNT (peers->members) <= HUBS_MESH_MAX ? zone_ms
+                                                         : 2 * zone_ms);
+}
+
 static void
 handle_report_tick (struct gateway_peers *peers)
 {
   uint64_t now_ns = gateway_now_ns (peers->gateway);
-  bool to_hubs = peers->report_ticks % REPORT_TICKS == 0;
+  uint32_t report_ticks
+      = report_interval_ms (peers) / GATEWAY_PEERS_ZONE_REPORT_MS;
+  bool to_hubs = peers->report_ticks % report_ticks == 0;
+  bool is_round = peers->report_ticks % REPORT_TICKS == 0;
 
   peers->report_ticks++;
   gateway_streams_send_all (peers);
-  if (!to_hubs)
+  if (!is_round)
     {
       gateway_peers_send_reports (peers, to_hubs);
       return;
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -12,7 +12,10 @@
 #include "transport/peernet.h"
 #include <uthash.h>
 
-#define GATEWAY_PEERS_REPORT_MS 100 /**< a tenth of a latency objective */
+/* Between hubs.  In a full mesh all requests on their way are known as soon as
+   in a zone with hubs; the hubs of a large fleet send each other more. */
+#define GATEWAY_PEERS_MESH_REPORT_MS 25
+#define GATEWAY_PEERS_REPORT_MS      100 /**< a tenth of a latency objective */
 /* Between a hub and its subscribers, where traffic is cheap: requests on their
    way to an upstream are known in the zone before the next gateway selects
    one. */
@@ -125,6 +128,8 @@
 /** Sends load reports to peers; a hub reports to other hubs only if
     `to_hubs`. */
 void gateway_peers_send_reports (struct gateway_peers *peers, bool to_hubs);
+/** Time until a report has reached all instances. */
+uint32_t gateway_peers_propagation_ms (const struct gateway_peers *peers);
 /** The hub that this instance reports its load to; NULL without one. */
 const struct gateway_peer *
 gateway_peers_report_hub (const struct gateway_peers *peers);
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -3,6 +3,7 @@
  * Requests that wait for an upstream with free capacity.
  */
 #include "gateway/gateway_limits.h"
+#include "gateway/gateway_peers_int.h"
 #include "gateway/gateway_quarantine.h"
 #include "gateway/gateway_request_int.h"
 #include "state/admission.h"
@@ -26,9 +27,6 @@
    requests that they have capacity for. */
 #define QUEUE_TIME_FACTOR_MAX 4
 #define RATE_QUEUE_MIN        16 /* a shorter queue gives no reliable rate */
-/* Load reports reach all instances within this time: two reports within a
-   zone and one between zones. */
-#define REPORT_PROPAGATION_MS 150
 #define RANDOM_RESOLUTION     1000000 /* steps of a random number from 0 to 1 */
 /* The pause between dispatches is this many times the duration of the last
    one, which limits them to a tenth of the CPU time. */
@@ -332,13 +330,13 @@
   struct registry_upstream *upstream = result->upstream;
   bool queued_here = request->queue_entry.queued
                      && request->queued_upstream_id == upstream->id;
+  uint32_t interval_ms = gateway_peers_propagation_ms (gateway->peers);
   const struct engine_quota_request quota_request = {
-    .interval
-    = gateway_now_ns (gateway) / (REPORT_PROPAGATION_MS * CLOCK_NS_PER_MS),
-    .capacity_tokens = service == NULL
-                           ? 0
-                           : admission_interval_tokens (&service->prefill_rate,
-                                                        REPORT_PROPAGATION_MS),
+    .interval = gateway_now_ns (gateway) / (interval_ms * CLOCK_NS_PER_MS),
+    .capacity_tokens
+    = service == NULL
+          ? 0
+          : admission_interval_tokens (&service->prefill_rate, interval_ms),
     .backlog_tokens = result->backlog_tokens,
     .local_tokens = upstream->load.queued_tokens
                     + (queued_here ? 0 : result->prefill_tokens + 1),
