The backlog that an engine may have follows the shortest objective

Cause: engines process prompts in order of arrival. A backlog of 250 ms, which takes 350 ms beside the tokens of running streams, leaves a prompt with an objective of 400 ms no time, whatever its customer's share.

Change: the limit is 40 percent of the shortest objective that arrived within 10 to 20 s, 60 to 250 ms (state/shortest_objective).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "state/registry.h"
 #include "state/rotation.h"
 #include "state/routing.h"
+#include "state/shortest_objective.h"
 #include "state/stream_builds.h"
 #include "state/turns.h"
 #include "state/usage_share.h"
@@ -50,6 +51,7 @@
 {
   uint64_t id;
   struct prefill_rate prefill_rate;
+  struct shortest_objective shortest_objective;
   uint64_t least_loaded_id; /**< cached result of choose_least_loaded() */
   uint64_t least_loaded_generation; /**< load_generation of that result */
   UT_hash_handle hh;
--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -63,6 +63,7 @@
 static double usage_factor (struct gateway_request *request);
 static void count_queued_tokens (struct gateway_request *request,
                                  const struct choose_result *result);
+static uint32_t backlog_max_ms (const struct gateway_service *service);
 static bool within_quota (struct gateway_request *request,
                           const struct choose_result *result);
 static bool will_expire_in_queue (struct gateway_request *request);
@@ -190,6 +191,10 @@
   uint64_t objective_ns
       = request->arrival_ns + request->route->objective_ms * CLOCK_NS_PER_MS;
 
+  if (service != NULL)
+    shortest_objective_observe (&service->shortest_objective,
+                                request->route->objective_ms,
+                                request->arrival_ns);
   request->queue_entry = (struct wait_queue_item){
     .customer_id = request->customer == NULL ? 0 : request->customer->id,
     .priority = request->customer != NULL && request->customer->has_priority
@@ -336,7 +341,8 @@
     .capacity_tokens
     = service == NULL
           ? 0
-          : admission_interval_tokens (&service->prefill_rate, interval_ms),
+          : admission_interval_tokens (&service->prefill_rate,
+                                       backlog_max_ms (service), interval_ms),
     .backlog_tokens = result->backlog_tokens,
     .local_tokens = upstream->load.queued_tokens
                     + (queued_here ? 0 : result->prefill_tokens + 1),
@@ -405,6 +411,14 @@
   return hold == GATEWAY_HOLD_NONE;
 }
 
+static uint32_t
+backlog_max_ms (const struct gateway_service *service)
+{
+  return service == NULL
+             ? 0
+             : shortest_objective_backlog_ms (&service->shortest_objective);
+}
+
 /* Largest backlog of the chosen upstream at which it is sent the request. */
 static uint64_t
 permitted_backlog_tokens (struct gateway_request *request,
@@ -418,6 +432,7 @@
                          gateway_now_ns (gateway)),
     .mean_tokens = gateway->mean_usage_tokens,
     .utilisation = gateway->utilisation_with_waiting,
+    .backlog_max_ms = backlog_max_ms (service),
     .fallback = !result->primary
                 && gateway_request_recompute_permille (request)
                        == ADMISSION_RECOMPUTE_LOW_PERMILLE,
@@ -438,7 +453,7 @@
   for (service = gateway->services; service != NULL;
        service = service->hh.next)
     admission_add_engines (&load, &gateway->registry, service->id,
-                           &service->prefill_rate);
+                           &service->prefill_rate, backlog_max_ms (service));
   gateway->utilisation = admission_utilisation (&load);
   admission_add_queued (&load,
                         gateway->queued_weight + gateway->peer_queued_weight);
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -4,10 +4,6 @@
  */
 #include "state/admission.h"
 
-/* Prefill backlog of an engine, as processing time.  Long enough that the
-   engine does not idle for a network round trip, and short because the queue
-   can no longer reorder prompts that were sent. */
-#define BACKLOG_MAX_MS 250
 /* Prefill backlog up to which an engine accepts a prompt whose primary engine
    is another one. */
 #define FALLBACK_BACKLOG_MAX_MS 60
@@ -30,9 +26,10 @@
 void
 admission_add_engines (struct admission_load *load,
                        const struct registry *registry, uint64_t service_id,
-                       const struct prefill_rate *prefill_rate)
+                       const struct prefill_rate *prefill_rate,
+                       uint32_t backlog_max_ms)
 {
-  const uint64_t limit = prefill_rate_tokens (prefill_rate, BACKLOG_MAX_MS);
+  const uint64_t limit = prefill_rate_tokens (prefill_rate, backlog_max_ms);
   const struct registry_upstream *upstream;
   uint64_t backlog;
 
@@ -88,7 +85,7 @@
 {
   double limit_ms = request->late       ? LATE_BACKLOG_MAX_MS
                     : request->fallback ? FALLBACK_BACKLOG_MAX_MS
-                                        : BACKLOG_MAX_MS;
+                                        : request->backlog_max_ms;
   double factor_max = request->late || request->fallback ? 1 : FACTOR_MAX;
   double factor;
 
@@ -102,9 +99,9 @@
 
 uint64_t
 admission_interval_tokens (const struct prefill_rate *prefill_rate,
-                           uint32_t interval_ms)
+                           uint32_t backlog_max_ms, uint32_t interval_ms)
 {
-  return prefill_rate_tokens (prefill_rate, BACKLOG_MAX_MS + interval_ms);
+  return prefill_rate_tokens (prefill_rate, backlog_max_ms + interval_ms);
 }
 
 uint32_t
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -42,7 +42,8 @@
 void admission_add_engines (struct admission_load *load,
                             const struct registry *registry,
                             uint64_t service_id,
-                            const struct prefill_rate *prefill_rate);
+                            const struct prefill_rate *prefill_rate,
+                            uint32_t backlog_max_ms);
 /** Adds prompts that are queued for the engines anywhere in the fleet, since
     engines that are still free will soon receive them. */
 void admission_add_queued (struct admission_load *load,
@@ -59,6 +60,9 @@
       none. */
   uint64_t mean_tokens;
   double utilisation; /**< utilisation, see admission_utilisation() */
+  /** Prefill backlog of an engine for a customer with the mean usage, as
+      processing time; see shortest_objective_backlog_ms(). */
+  uint32_t backlog_max_ms;
   /** The engine is not the primary one, and the request no longer waits for
       the primary one: its recompute weight is the low one. */
   bool fallback;
@@ -89,6 +93,7 @@
     reach.  They check it once in `interval_ms`, and the engine processes
     tokens in between. */
 uint64_t admission_interval_tokens (const struct prefill_rate *prefill_rate,
+                                    uint32_t backlog_max_ms,
                                     uint32_t interval_ms);
 
 /** Weight of recomputed prefix tokens for a request: high if it is queued and
--- a/tests/test_client_budget.c
+++ b/tests/test_objectives.c
@@ -1,11 +1,12 @@
 /**
- * @file test_client_budget.c
+ * @file test_objectives.c
  * Replays the arrivals of an overload, in which clients that were refused come
  * back, and checks who counts as having waited.
  */
 #include "state/admission.h"
 #include "state/client_budget.h"
 #include "state/rng.h"
+#include "state/shortest_objective.h"
 #include "support/suite.h"
 
 #define REQUESTS 4000
@@ -95,8 +96,10 @@
 test_late_waits (void)
 {
   struct prefill_rate rate = { .tokens_per_ms = 100 };
-  struct admission_request request
-      = { .usage_tokens = 0, .mean_tokens = 1000000, .utilisation = 1 };
+  struct admission_request request = { .usage_tokens = 0,
+                                       .mean_tokens = 1000000,
+                                       .utilisation = 1,
+                                       .backlog_max_ms = 250 };
   uint64_t timely = admission_capacity_tokens (&rate, &request);
 
   request.late = true;
@@ -104,12 +107,37 @@
   CU_ASSERT (admission_capacity_tokens (&rate, &request) > 0);
 }
 
+/* The limit of an engine's backlog leaves a prompt that arrives next most of
+   its objective; it is bounded, and follows what arrives. */
+static void
+test_backlog_limit (void)
+{
+  const uint64_t s = 1000000000ULL;
+  struct shortest_objective shortest = { .current_ms = 0 };
+
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 250);
+  shortest_objective_observe (&shortest, 600, 100 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 240);
+  shortest_objective_observe (&shortest, 400, 101 * s);
+  shortest_objective_observe (&shortest, 0, 101 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 160);
+  shortest_objective_observe (&shortest, 600, 111 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 160);
+  shortest_objective_observe (&shortest, 600, 122 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 240);
+  shortest_objective_observe (&shortest, 10, 123 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 60);
+  shortest_objective_observe (&shortest, 5000, 200 * s);
+  CU_ASSERT_EQUAL (shortest_objective_backlog_ms (&shortest), 250);
+}
+
 static const struct suite_test tests[] = {
   { "replay", test_replay },
   { "values that few name", test_few },
   { "all different", test_all_different },
   { "change", test_change },
   { "late prompts wait", test_late_waits },
+  { "backlog limit", test_backlog_limit },
 };
 
-SUITE_MAIN ("test_client_budget", tests)
+SUITE_MAIN ("test_objectives", tests)
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -10,7 +10,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define MS 1000000ULL /* nanoseconds */
+#define BACKLOG_MS 250        /* permitted backlog of an engine */
+#define MS         1000000ULL /* nanoseconds */
 
 struct fixture
 {
@@ -333,7 +334,8 @@
 {
   struct admission_load load = { .backlog_tokens = 0 };
   struct registry_record record = { .service_id = 5, .slots = 8 };
-  struct admission_request heavy_user = { .usage_tokens = 400000 };
+  struct admission_request heavy_user
+      = { .usage_tokens = 400000, .backlog_max_ms = BACKLOG_MS };
   struct registry registry;
   struct prefill_rate prefill_rate;
 
@@ -345,15 +347,15 @@
   registry_put (&registry, &record);
   snprintf (record.identity, sizeof record.identity, "b");
   registry_put (&registry, &record);
-  admission_add_engines (&load, &registry, 5, &prefill_rate);
+  admission_add_engines (&load, &registry, 5, &prefill_rate, BACKLOG_MS);
   CU_ASSERT_EQUAL (admission_utilisation (&load), 0);
   registry.upstreams->load.peer_prefill_tokens = 1000000;
   load = (struct admission_load){ .backlog_tokens = 0 };
-  admission_add_engines (&load, &registry, 5, &prefill_rate);
+  admission_add_engines (&load, &registry, 5, &prefill_rate, BACKLOG_MS);
   CU_ASSERT_EQUAL (admission_utilisation (&load), 1);
   registry.upstreams->load.peer_prefill_tokens = 2500;
   load = (struct admission_load){ .backlog_tokens = 0 };
-  admission_add_engines (&load, &registry, 5, &prefill_rate);
+  admission_add_engines (&load, &registry, 5, &prefill_rate, BACKLOG_MS);
   CU_ASSERT_DOUBLE_EQUAL (admission_utilisation (&load), 0.25, 0.001);
   /* Backlogs are low because gateways keep to their quotas.  Queued prompts
      count as well, so the limit of a customer with high usage is lowered. */
@@ -376,10 +378,14 @@
 static void
 test_capacity (void)
 {
-  struct admission_request heavy_user
-      = { .usage_tokens = 800000, .mean_tokens = 200000, .utilisation = 1 };
-  struct admission_request light_user
-      = { .usage_tokens = 100000, .mean_tokens = 200000, .utilisation = 1 };
+  struct admission_request heavy_user = { .usage_tokens = 800000,
+                                          .mean_tokens = 200000,
+                                          .utilisation = 1,
+                                          .backlog_max_ms = BACKLOG_MS };
+  struct admission_request light_user = { .usage_tokens = 100000,
+                                          .mean_tokens = 200000,
+                                          .utilisation = 1,
+                                          .backlog_max_ms = BACKLOG_MS };
   struct prefill_rate prefill_rate;
 
   memset (&prefill_rate, 0, sizeof prefill_rate);
