--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -63,7 +63,8 @@
 static double usage_factor (struct gateway_request *request);
 static void count_queued_tokens (struct gateway_request *request,
                                  const struct choose_result *result);
-static uint32_t backlog_max_ms (const struct gateway_service *service);
+static uint32_t backlog_max_ms (const struct gateway *gateway,
+                                const struct gateway_service *service);
 static bool within_quota (struct gateway_request *request,
                           const struct choose_result *result);
 static bool will_expire_in_queue (struct gateway_request *request);
@@ -338,11 +339,11 @@
   uint32_t interval_ms = gateway_peers_propagation_ms (gateway->peers);
   const struct engine_quota_request quota_request = {
     .interval = gateway_now_ns (gateway) / (interval_ms * CLOCK_NS_PER_MS),
-    .capacity_tokens
-    = service == NULL
-          ? 0
-          : admission_interval_tokens (&service->prefill_rate,
-                                       backlog_max_ms (service), interval_ms),
+    .capacity_tokens = service == NULL
+                           ? 0
+                           : admission_interval_tokens (
+                               &service->prefill_rate,
+                               backlog_max_ms (gateway, service), interval_ms),
     .backlog_tokens = result->backlog_tokens,
     .local_tokens = upstream->load.queued_tokens
                     + (queued_here ? 0 : result->prefill_tokens + 1),
@@ -412,11 +413,13 @@
 }
 
 static uint32_t
-backlog_max_ms (const struct gateway_service *service)
+backlog_max_ms (const struct gateway *gateway,
+                const struct gateway_service *service)
 {
-  return service == NULL
-             ? 0
-             : shortest_objective_backlog_ms (&service->shortest_objective);
+  return service == NULL ? 0
+                         : shortest_objective_backlog_ms (
+                             &service->shortest_objective,
+                             gateway_peers_propagation_ms (gateway->peers));
 }
 
 /* Largest backlog of the chosen upstream at which it is sent the request. */
@@ -432,7 +435,7 @@
                          gateway_now_ns (gateway)),
     .mean_tokens = gateway->mean_usage_tokens,
     .utilisation = gateway->utilisation_with_waiting,
-    .backlog_max_ms = backlog_max_ms (service),
+    .backlog_max_ms = backlog_max_ms (gateway, service),
     .fallback = !result->primary
                 && gateway_request_recompute_permille (request)
                        == ADMISSION_RECOMPUTE_LOW_PERMILLE,
@@ -453,7 +456,8 @@
   for (service = gateway->services; service != NULL;
        service = service->hh.next)
     admission_add_engines (&load, &gateway->registry, service->id,
-                           &service->prefill_rate, backlog_max_ms (service));
+                           &service->prefill_rate,
+                           backlog_max_ms (gateway, service));
   gateway->utilisation = admission_utilisation (&load);
   admission_add_queued (&load,
                         gateway->queued_weight + gateway->peer_queued_weight);
--- a/src/state/shortest_objective.c
+++ b/src/state/shortest_objective.c
@@ -8,9 +8,9 @@
 /* Part of the objective that the backlog may take, in percent.  The rest is
    for the prompt itself, for the steps in which the engine generates tokens of
    other requests meanwhile, and for what other instances send at once. */
-#define BACKLOG_PERCENT 40
-/* Long enough that the engine does not idle for a network round trip. */
-#define BACKLOG_MIN_MS 60
+#define BACKLOG_PERCENT 50
+/* Least backlog, as a part of the propagation time. */
+#define PROPAGATION_PERCENT 170
 /* Short because the queue can no longer reorder prompts that were sent. */
 #define BACKLOG_MAX_MS 250
 
@@ -33,18 +33,20 @@
 }
 
 uint32_t
-shortest_objective_backlog_ms (const struct shortest_objective *shortest)
+shortest_objective_backlog_ms (const struct shortest_objective *shortest,
+                               uint32_t propagation_ms)
 {
   uint32_t objective_ms = shortest->current_ms;
-  uint32_t limit_ms;
+  uint64_t least_ms = (uint64_t)propagation_ms * PROPAGATION_PERCENT / 100;
+  uint64_t limit_ms;
 
   if (objective_ms == 0
       || (shortest->previous_ms != 0 && shortest->previous_ms < objective_ms))
     objective_ms = shortest->previous_ms;
   if (objective_ms == 0)
     return BACKLOG_MAX_MS;
-  limit_ms = (uint32_t)((uint64_t)objective_ms * BACKLOG_PERCENT / 100);
-  if (limit_ms < BACKLOG_MIN_MS)
-    return BACKLOG_MIN_MS;
-  return limit_ms < BACKLOG_MAX_MS ? limit_ms : BACKLOG_MAX_MS;
+  limit_ms = (uint64_t)objective_ms * BACKLOG_PERCENT / 100;
+  if (limit_ms < least_ms)
+    limit_ms = least_ms;
+  return limit_ms < BACKLOG_MAX_MS ? (uint32_t)limit_ms : BACKLOG_MAX_MS;
 }
--- a/src/state/shortest_objective.h
+++ b/src/state/shortest_objective.h
@@ -23,8 +23,11 @@
 /** Counts a prompt.  An objective of 0 is none. */
 void shortest_objective_observe (struct shortest_objective *shortest,
                                  uint32_t objective_ms, uint64_t now_ns);
-/** Permitted prefill backlog of an engine, in ms of its prefill rate. */
+/** Permitted prefill backlog of an engine, in ms of its prefill rate.
+    @param propagation_ms  time until all instances know of its load: it must
+    not idle meanwhile. */
 uint32_t
-shortest_objective_backlog_ms (const struct shortest_objective *shortest);
+shortest_objective_backlog_ms (const struct shortest_objective *shortest,
+                               uint32_t propagation_ms);
 
 #endif
