Late prompts get the more of an engine's room the less the fleet is used

Change: their limit falls with the cube of the idle part of the engines, from that of other prompts to 8 ms.

--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -440,6 +440,7 @@
                 && gateway_request_recompute_permille (request)
                        == ADMISSION_RECOMPUTE_LOW_PERMILLE,
     .late = request->queue_entry.objective_ns < gateway_now_ns (gateway),
+    .engine_utilisation = gateway->utilisation,
   };
 
   return service == NULL ? 0
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -7,9 +7,9 @@
 /* Prefill backlog up to which an engine accepts a prompt whose primary engine
    is another one. */
 #define FALLBACK_BACKLOG_MAX_MS 60
-/* The same for a prompt whose objective has passed: an engine that is about to
-   idle. */
-#define LATE_BACKLOG_MAX_MS 8
+/* The same for a prompt whose objective has passed, at full utilisation: an
+   engine that is about to idle. */
+#define LATE_BACKLOG_MIN_MS 8
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
 /* Utilisation from which the usage cap holds: an eighth of the engines' limits
@@ -83,12 +83,15 @@
 admission_capacity_tokens (const struct prefill_rate *prefill_rate,
                            const struct admission_request *request)
 {
-  double limit_ms = request->late       ? LATE_BACKLOG_MAX_MS
-                    : request->fallback ? FALLBACK_BACKLOG_MAX_MS
-                                        : request->backlog_max_ms;
+  double idle = 1 - request->engine_utilisation;
+  double late_ms = request->backlog_max_ms * idle * idle * idle;
+  double limit_ms = request->fallback ? FALLBACK_BACKLOG_MAX_MS
+                                      : request->backlog_max_ms;
   double factor_max = request->late || request->fallback ? 1 : FACTOR_MAX;
   double factor;
 
+  if (request->late && late_ms < limit_ms)
+    limit_ms = late_ms > LATE_BACKLOG_MIN_MS ? late_ms : LATE_BACKLOG_MIN_MS;
   if (request->mean_tokens == UINT64_MAX)
     return prefill_rate_tokens (prefill_rate, (uint32_t)limit_ms);
   factor = admission_usage_factor (request->usage_tokens, request->mean_tokens,
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -66,8 +66,10 @@
   /** The engine is not the primary one, and the request no longer waits for
       the primary one: its recompute weight is the low one. */
   bool fallback;
-  /** Its objective has passed: it gets what others leave. */
+  /** Its objective has passed: it gets what others leave, the less the busier
+      the engines are. */
   bool late;
+  double engine_utilisation; /**< utilisation without waiting requests */
 };
 
 /** Factor on a customer's limit: 1 if its recent usage equals the mean of the
--- a/tests/test_objectives.c
+++ b/tests/test_objectives.c
@@ -103,8 +103,15 @@
   uint64_t timely = admission_capacity_tokens (&rate, &request);
 
   request.late = true;
-  CU_ASSERT (admission_capacity_tokens (&rate, &request) * 4 < timely);
+  request.engine_utilisation = 1;
+  CU_ASSERT (admission_capacity_tokens (&rate, &request) * 16 < timely);
   CU_ASSERT (admission_capacity_tokens (&rate, &request) > 0);
+  /* Engines that are nearly idle take them. */
+  request.engine_utilisation = 0.1;
+  request.utilisation = 0;
+  CU_ASSERT (admission_capacity_tokens (&rate, &request) * 4 > timely);
+  request.engine_utilisation = 0;
+  CU_ASSERT_EQUAL (admission_capacity_tokens (&rate, &request), 25000);
 }
 
 /* The limit of an engine's backlog leaves a prompt that arrives next most of
