A prompt waits for the engine that has its prefix from its arrival on

Change: where all gateways know of an engine's load within 75 ms, the weight of recomputed tokens is 15 from the arrival on (it was 0.5 then, 6 in the queue). Large fleets as before: there the engine idles while the prompt waits.

--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -163,11 +163,14 @@
 uint32_t
 gateway_request_recompute_permille (const struct gateway_request *request)
 {
-  return admission_recompute_permille (
-      request->queue_entry.queued,
-      gateway_now_ns (request->gateway) - request->arrival_ns,
-      request->queue_entry.expiry_ns - request->arrival_ns,
-      request->gateway->utilisation);
+  const struct admission_wait wait = {
+    .queued = request->queue_entry.queued,
+    .waited_ns = gateway_now_ns (request->gateway) - request->arrival_ns,
+    .total_ns = request->queue_entry.expiry_ns - request->arrival_ns,
+    .propagation_ms = gateway_peers_propagation_ms (request->gateway->peers),
+  };
+
+  return admission_recompute_permille (&wait, request->gateway->utilisation);
 }
 
 /* Requests that could be sent at once are queued too, so that they do not
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -12,6 +12,10 @@
 #define LATE_BACKLOG_MIN_MS 8
 /* Utilisation above which no capacity is spent on recomputing prefixes. */
 #define RECOMPUTE_UTILISATION_MAX 0.5
+/* If all instances know of an engine's load within this time, a prompt waits
+   for the engine that has its prefix from its arrival on: the engine does not
+   idle until they have learned of its room. */
+#define PROPAGATION_FAST_MS 75
 /* Utilisation from which the usage cap holds: an eighth of the engines' limits
    is in use, so that what it keeps back is likely to be used by others. */
 #define CAP_UTILISATION_MIN 0.25
@@ -85,8 +89,8 @@
 {
   double idle = 1 - request->engine_utilisation;
   double late_ms = request->backlog_max_ms * idle * idle * idle;
-  double limit_ms = request->fallback ? FALLBACK_BACKLOG_MAX_MS
-                                      : request->backlog_max_ms;
+  double limit_ms
+      = request->fallback ? FALLBACK_BACKLOG_MAX_MS : request->backlog_max_ms;
   double factor_max = request->late || request->fallback ? 1 : FACTOR_MAX;
   double factor;
 
@@ -108,12 +112,14 @@
 }
 
 uint32_t
-admission_recompute_permille (bool queued, uint64_t waited_ns,
-                              uint64_t total_ns, double utilisation)
+admission_recompute_permille (const struct admission_wait *wait,
+                              double utilisation)
 {
-  return queued
-                 && (waited_ns < total_ns / 2
-                     || utilisation > RECOMPUTE_UTILISATION_MAX)
-             ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
-             : ADMISSION_RECOMPUTE_LOW_PERMILLE;
+  if (wait->queued && wait->waited_ns >= wait->total_ns / 2
+      && utilisation <= RECOMPUTE_UTILISATION_MAX)
+    return ADMISSION_RECOMPUTE_LOW_PERMILLE;
+  if (wait->propagation_ms <= PROPAGATION_FAST_MS)
+    return ADMISSION_RECOMPUTE_FAST_PERMILLE;
+  return wait->queued ? ADMISSION_RECOMPUTE_HIGH_PERMILLE
+                      : ADMISSION_RECOMPUTE_LOW_PERMILLE;
 }
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -28,6 +28,7 @@
     recompute.  The higher it is, the longer a request waits for an engine that
     has its prefix cached. */
 #define ADMISSION_RECOMPUTE_HIGH_PERMILLE 6000
+#define ADMISSION_RECOMPUTE_FAST_PERMILLE 15000
 #define ADMISSION_RECOMPUTE_LOW_PERMILLE  500
 
 /** Prefill backlog of engines against their limit. */
@@ -98,13 +99,19 @@
                                     uint32_t backlog_max_ms,
                                     uint32_t interval_ms);
 
-/** Weight of recomputed prefix tokens for a request: high if it is queued and
-    either in the first half of its waiting time or utilisation is high,
-    otherwise low.
-    @param queued     the request is in the wait queue.
-    @param waited_ns  time since its arrival.
-    @param total_ns   time from its arrival until it expires. */
-uint32_t admission_recompute_permille (bool queued, uint64_t waited_ns,
-                                       uint64_t total_ns, double utilisation);
+/** Wait of a request for the engine that has its prefix. */
+struct admission_wait
+{
+  bool queued;             /**< it is in the wait queue */
+  uint64_t waited_ns;      /**< since its arrival */
+  uint64_t total_ns;       /**< from its arrival until it expires */
+  uint32_t propagation_ms; /**< until all instances know of an engine's load */
+};
+
+/** Weight of recomputed prefix tokens for a request.  Low in the second half
+    of its waiting time if utilisation is low, and on arrival, unless load is
+    known fast; otherwise high. */
+uint32_t admission_recompute_permille (const struct admission_wait *wait,
+                                       double utilisation);
 
 #endif
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -408,12 +408,39 @@
   light_user.fallback = true;
   CU_ASSERT_EQUAL (admission_capacity_tokens (&prefill_rate, &light_user),
                    2400);
-  CU_ASSERT_EQUAL (admission_recompute_permille (true, 10, 100, 0),
+}
+
+/* A prompt waits for the engine that has its prefix: from its arrival on if
+   load is known fast at all instances, and until half of its time is over if
+   utilisation is low. */
+static void
+test_recompute (void)
+{
+  struct admission_wait early = {
+    .queued = true, .waited_ns = 10, .total_ns = 100, .propagation_ms = 150
+  };
+  struct admission_wait late = {
+    .queued = true, .waited_ns = 60, .total_ns = 100, .propagation_ms = 150
+  };
+  struct admission_wait arriving = { .propagation_ms = 150 };
+
+  CU_ASSERT_EQUAL (admission_recompute_permille (&early, 0),
                    ADMISSION_RECOMPUTE_HIGH_PERMILLE);
-  CU_ASSERT_EQUAL (admission_recompute_permille (true, 60, 100, 0.2),
+  CU_ASSERT_EQUAL (admission_recompute_permille (&late, 0.2),
                    ADMISSION_RECOMPUTE_LOW_PERMILLE);
-  CU_ASSERT_EQUAL (admission_recompute_permille (true, 60, 100, 0.8),
+  CU_ASSERT_EQUAL (admission_recompute_permille (&late, 0.8),
                    ADMISSION_RECOMPUTE_HIGH_PERMILLE);
+  CU_ASSERT_EQUAL (admission_recompute_permille (&arriving, 0.8),
+                   ADMISSION_RECOMPUTE_LOW_PERMILLE);
+  early.propagation_ms = late.propagation_ms = arriving.propagation_ms = 50;
+  CU_ASSERT_EQUAL (admission_recompute_permille (&early, 0),
+                   ADMISSION_RECOMPUTE_FAST_PERMILLE);
+  CU_ASSERT_EQUAL (admission_recompute_permille (&late, 0.2),
+                   ADMISSION_RECOMPUTE_LOW_PERMILLE);
+  CU_ASSERT_EQUAL (admission_recompute_permille (&late, 0.8),
+                   ADMISSION_RECOMPUTE_FAST_PERMILLE);
+  CU_ASSERT_EQUAL (admission_recompute_permille (&arriving, 0),
+                   ADMISSION_RECOMPUTE_FAST_PERMILLE);
 }
 
 #define FLOOD_NS_PER_MS UINT64_C (1000000)
@@ -669,6 +696,7 @@
   { "a customer at one gateway and one at all", test_customer_at_one_gateway },
   { "utilisation", test_utilisation },
   { "limit on the prefill backlog", test_capacity },
+  { "recomputed prefixes", test_recompute },
   { "drain time", test_drain_time },
   { "a flooding customer does not delay others", test_flooding_customer },
   { "usage at other instances counts", test_usage_at_peers },
