The time for which a machine is suspended counts

Cause: the steady clock stands still while a machine is suspended, so a gateway that woke after 5 s used turns at limited upstreams, and views of the store, that had run out. Operators of a similar system reported the class.

--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -60,7 +60,7 @@
   struct timespec ts;
 
   (void)clock;
-  clock_gettime (CLOCK_MONOTONIC, &ts);
+  clock_gettime (CLOCK_BOOTTIME, &ts);
   return (uint64_t)ts.tv_sec * CLOCK_NS_PER_S + (uint64_t)ts.tv_nsec;
 }
 
