Metrics: error of the forecast of first events, and longest gaps

Histograms forecast_early_seconds, forecast_late_seconds, longest_gap_seconds of completed streams of prompts.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,15 @@
   struct hist total; /**< from arrival to the end of a complete response */
 };
 
+/** Streams of prompts: the error of the forecast of their first event, and
+    their longest gap between events. */
+struct gateway_stream_times
+{
+  struct hist early; /**< the first event came before the forecast, by this */
+  struct hist late;  /**< it came after it */
+  struct hist longest_gap;
+};
+
 /** What kept a waiting request from being sent when it was offered. */
 enum gateway_hold
 {
@@ -115,6 +124,7 @@
   struct hist send_delay; /**< from the choice of an upstream to the first
                              byte written to it */
   struct gateway_times times[ROUTE_KIND_MAX];
+  struct gateway_stream_times stream_times;
   struct gateway_dispatch_counters dispatch;
 };
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -58,6 +58,8 @@
 static int start_timer (struct gateway_request *request);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
 static void expire_request (struct gateway_request *request);
+static void count_stream_times (struct gateway_stream_times *counters,
+                                const struct event_times *times);
 static void log_end (const struct gateway_request *request,
                      enum log_message message);
 static void destroy_request (struct gateway_request *request);
@@ -399,10 +401,30 @@
     hist_observe (&times->first_byte,
                   (request->first_byte_ns - request->arrival_ns)
                       / CLOCK_NS_PER_US);
+  if (request->event_times.forecast_ns != 0
+      && request->event_times.first_ns != 0)
+    count_stream_times (&gateway->counters.stream_times,
+                        &request->event_times);
   log_end (request, LOG_REQUEST_DONE);
   destroy_request (request);
 }
 
+static void
+count_stream_times (struct gateway_stream_times *counters,
+                    const struct event_times *times)
+{
+  uint64_t first_ns = event_times_to_first_ns (times);
+
+  if (first_ns < times->forecast_ns)
+    hist_observe (&counters->early,
+                  (times->forecast_ns - first_ns) / CLOCK_NS_PER_US);
+  else
+    hist_observe (&counters->late,
+                  (first_ns - times->forecast_ns) / CLOCK_NS_PER_US);
+  hist_observe (&counters->longest_gap,
+                times->longest_gap_ns / CLOCK_NS_PER_US);
+}
+
 static void
 log_end (const struct gateway_request *request, enum log_message message)
 {
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -294,12 +294,15 @@
   };
   int i;
 
-  evbuffer_add_printf (body,
-                       "# TYPE " METRIC_PREFIX
-                       "first_seconds histogram\n# TYPE " METRIC_PREFIX
-                       "total_seconds histogram\n# TYPE " METRIC_PREFIX
-                       "loop_lag_seconds histogram\n# TYPE " METRIC_PREFIX
-                       "send_delay_seconds histogram\n");
+  evbuffer_add_printf (
+      body,
+      "# TYPE " METRIC_PREFIX "first_seconds histogram\n# TYPE " METRIC_PREFIX
+      "total_seconds histogram\n# TYPE " METRIC_PREFIX
+      "loop_lag_seconds histogram\n# TYPE " METRIC_PREFIX
+      "send_delay_seconds histogram\n# TYPE " METRIC_PREFIX
+      "forecast_early_seconds histogram\n# TYPE " METRIC_PREFIX
+      "forecast_late_seconds histogram\n# TYPE " METRIC_PREFIX
+      "longest_gap_seconds histogram\n");
   for (i = 0; i < ROUTE_KIND_MAX; i++)
     {
       write_histogram (body, "first_seconds", labels[i],
@@ -310,6 +313,12 @@
   write_histogram (body, "loop_lag_seconds", "", &gateway->counters.loop_lag);
   write_histogram (body, "send_delay_seconds", "",
                    &gateway->counters.send_delay);
+  write_histogram (body, "forecast_early_seconds", "",
+                   &gateway->counters.stream_times.early);
+  write_histogram (body, "forecast_late_seconds", "",
+                   &gateway->counters.stream_times.late);
+  write_histogram (body, "longest_gap_seconds", "",
+                   &gateway->counters.stream_times.longest_gap);
 }
 
 /* @param labels  each followed by a comma. */
