Gateways that are no hubs do not wait for summaries that hubs read

An instance with a hub would have refused unknown streams with a short Retry-After for as long as its record said that there are several builds, as only hubs read the summaries. test_stream_builds plays the loss of all of fourteen gateways, too.

--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -119,7 +119,8 @@
 bool
 gateway_stream_store_starting (const struct gateway *gateway)
 {
-  return !gateway->peers->members_listed || gateway->stream_store.to_load
+  return !gateway->peers->members_listed
+         || (gateway->stream_store.to_load && gateway->peers->hub)
          || gateway_now_ns (gateway) - gateway->peers->start_ns
                 < START_MS * CLOCK_NS_PER_MS;
 }
@@ -224,7 +225,7 @@
 
 /* Summaries, read. */
 
-/* Hubs read them, and tell the other instances. */
+/* Hubs read them, and send them to the other instances. */
 static void
 load_page (struct gateway *gateway, const char *after)
 {
--- a/src/state/client_budget.h
+++ b/src/state/client_budget.h
@@ -1,11 +1,11 @@
 /**
  * @file client_budget.h
- * How long a client has waited before a request arrived: a client that was
- * refused and comes back has less time left than it began with.
+ * How long a client has waited before a request arrived: one that retries
+ * after a refusal has less time left than it began with.
  *
- * Load pattern: in overload a third of all requests are of clients that come
- * back.  Their objective has passed, so a response serves them less than one
- * that a new request would get for the same prefill.
+ * Load pattern: in overload a third of all requests are retries.  Their
+ * objective has passed, and new requests could still be in time for the same
+ * prefill.
  *
  * What clients begin with is learned from the values that many requests of a
  * route name exactly; there may be several.
--- a/src/state/event_times.h
+++ b/src/state/event_times.h
@@ -1,8 +1,8 @@
 /**
  * @file event_times.h
  * Times of a stream's events: what was forecast when it was sent to an
- * upstream, and what its client saw.  Tells streams that began late from those
- * that paused.
+ * upstream, and what its client saw.  Separates streams that began late from
+ * those that paused.
  */
 #ifndef STATE_EVENT_TIMES_H
 #define STATE_EVENT_TIMES_H
--- a/tests/test_objectives.c
+++ b/tests/test_objectives.c
@@ -1,7 +1,7 @@
 /**
  * @file test_objectives.c
- * Replays the arrivals of an overload, in which clients that were refused come
- * back, and checks who counts as having waited.
+ * Replays the arrivals of an overload, in which refused clients retry: which
+ * requests count as late, and what their engines' backlog may be.
  */
 #include "state/admission.h"
 #include "state/client_budget.h"
@@ -11,7 +11,7 @@
 
 #define REQUESTS 4000
 
-/* Begins with one of `count` values, or comes back after 0.8 to 2.4 s. */
+/* A request names one of `count` values, or 0.8 to 2.4 s less. */
 static void
 replay (const uint32_t *begin_ms, unsigned int count,
         unsigned int back_percent)
@@ -49,7 +49,7 @@
   replay (three, 3, 33);
 }
 
-/* Nobody is put behind others for a value that few name, however large. */
+/* A value that few requests name has no effect, however large it is. */
 static void
 test_few (void)
 {
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -26,7 +26,7 @@
 #define HERD_INTERVAL_MS 120 /* between the events of a stream */
 #define HERD_KILL_MS     5000
 #define HERD_DOWN_MS     1500
-#define HERD_RETURN_MS   3000 /* clients come back for so long */
+#define HERD_RETURN_MS   3000 /* during which clients retry */
 #define HERD_RETRY_MS    300
 
 static const char *const builds[BUILDS] = { "v1", "v1.1" };
@@ -68,7 +68,7 @@
   bool mixed;
   bool broken;                 /* by the loss of all gateways */
   unsigned int events_at_kill; /* of such a stream */
-  uint64_t retry_ms;           /* when its client comes back */
+  uint64_t retry_ms;           /* next try of its client */
 };
 
 struct scene
@@ -376,7 +376,7 @@
 }
 
 /* All gateways are lost at once.  Clients of streams that were in progress
-   come back until these go on. */
+   retry until these go on. */
 
 static void
 lose_all_gateways (struct scene *scene)
@@ -525,6 +525,8 @@
 {
   play_herd (&(struct herd_plan){ .gateways = 3, .second_ms = 2000 });
   play_herd (&(struct herd_plan){ .gateways = 9, .second_ms = 2000 });
+  play_herd (&(struct herd_plan){ .gateways = GATEFLEET_GATEWAYS_MAX,
+                                  .second_ms = 2000 });
 }
 
 /* One build serves, another one has left seconds ago, or just now. */
