--- a/tests/test_crashing_prompts.c
+++ b/tests/test_crashing_prompts.c
@@ -343,8 +343,8 @@
         quarantine_held_count (&scene.fleet.gateways[i].quarantine,
                                gateway_now_ns (&scene.fleet.gateways[i])),
         0);
-  CU_ASSERT_EQUAL (storeserver_count (&scene.fleet.store, "cherrylanding/~"),
-                   0);
+  CU_ASSERT_EQUAL (
+      storeserver_count (&scene.fleet.store, "cherrylanding/~quarantine/"), 0);
   scene_finish (&scene);
 }
 
