Log idle connections that are closed with unread input

A close of an idle connection left no line, so that logs could not tell whether a request was lost by it, by a response that was not wound up, or by turning connections away.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -7,6 +7,7 @@
 #include "transport/clock.h"
 #include "transport/httpd_int.h"
 #include "transport/linger.h"
+#include "transport/log.h"
 #include "transport/loop.h"
 #include "transport/sock.h"
 #include "transport/turnaway.h"
@@ -15,6 +16,7 @@
 #include <event2/util.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -85,6 +87,8 @@
 static bool start_shedding (struct httpd *httpd);
 static void on_shed (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
+static size_t unread_bytes (const struct httpd_conn *conn);
+static void log_unread (const struct httpd_conn *conn);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res accept_connection (struct httpd *httpd,
                                     evhtp_connection_t *evhtp);
@@ -615,12 +619,35 @@
      already been freed. */
   evhtp_connection_unset_hook (evhtp, evhtp_hook_on_request_fini);
   notify_gone (conn);
+  if (conn->state == CONN_IDLE)
+    log_unread (conn);
   if (conn->state <= CONN_READING)
     refuse_unparsable (conn);
   conn_free (conn);
   return EVHTP_RES_OK;
 }
 
+/* @return bytes of the client's that libevhtp has not seen. */
+static size_t
+unread_bytes (const struct httpd_conn *conn)
+{
+  struct bufferevent *bev = conn->evhtp->bev;
+  int in_socket = 0;
+
+  if (ioctl (bufferevent_getfd (bev), FIONREAD, &in_socket) != 0)
+    in_socket = 0;
+  return evbuffer_get_length (bufferevent_get_input (bev)) + (size_t)in_socket;
+}
+
+static void
+log_unread (const struct httpd_conn *conn)
+{
+  size_t unread = unread_bytes (conn);
+
+  if (unread > 0)
+    LOG (LOG_CONNECTION_CUT, NULL, LOG_U ("bytes", unread));
+}
+
 /* libevhtp closes a connection at once when it cannot parse the input.  A
    duplicate of the socket's descriptor stays open to send the error
    response. */
