--- /dev/null
+++ b/tests/test_unread_requests.c
@@ -0,0 +1,187 @@
+/**
+ * @file test_unread_requests.c
+ * Requests that are in a socket, unread, when the event loop handles something
+ * that closes their connection.
+ */
+#include "gateway/gateway_request.h"
+#include "support/gatefixture.h"
+#include "support/suite.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEADERS                                                               \
+  "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
+  "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n"
+#define REQUEST "GET /again/y HTTP/1.1\r\n" HEADERS "\r\n"
+#define IDLE_MS 200
+#define DONE_MS 1000 /* for a response, or the end of a drain */
+
+/** A client that bypasses the event loop. */
+struct raw_client
+{
+  int fd;
+  char got[UPSTREAMSERVER_MESSAGE_SIZE];
+  size_t size;
+};
+
+static void
+client_connect (struct raw_client *client, const struct gatefixture *fixture)
+{
+  const struct sockaddr_in to
+      = { .sin_family = AF_INET,
+          .sin_port = htons (httpd_port (fixture->gateway.httpd)),
+          .sin_addr = { htonl (INADDR_LOOPBACK) } };
+
+  memset (client, 0, sizeof *client);
+  client->fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (client->fd, (const struct sockaddr *)&to, sizeof to), 0);
+}
+
+static void
+client_send (const struct raw_client *client)
+{
+  CU_ASSERT_EQUAL (
+      send (client->fd, REQUEST, sizeof REQUEST - 1, MSG_NOSIGNAL),
+      (ssize_t)sizeof REQUEST - 1);
+}
+
+/* Discards what was received before. */
+static bool
+client_got_200 (struct raw_client *client)
+{
+  ssize_t n;
+
+  client->size = 0;
+  while ((n = recv (client->fd, client->got + client->size,
+                    sizeof client->got - 1 - client->size, MSG_DONTWAIT))
+         > 0)
+    client->size += (size_t)n;
+  client->got[client->size] = '\0';
+  return strncmp (client->got, "HTTP/1.1 200", 12) == 0;
+}
+
+/* Time passes that the event loop spends on something else. */
+static void
+stand_still (uint32_t duration_ms)
+{
+  usleep (duration_ms * 1000);
+}
+
+/* The idle time of a connection ends while its next request is in the socket:
+   the request is served. */
+static void
+test_idle_timer (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  httpd_set_limits (fixture.gateway.httpd,
+                    &(struct httpd_limits){ .header_bytes_max = 16384,
+                                            .body_bytes_max = 65536,
+                                            .connections_max = 100,
+                                            .idle_timeout_ms = IDLE_MS,
+                                            .read_timeout_ms = DONE_MS,
+                                            .write_timeout_ms = DONE_MS,
+                                            .low_water_bytes = 1024 });
+  client_connect (&client, &fixture);
+  client_send (&client);
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  CU_ASSERT_TRUE (client_got_200 (&client));
+  client_send (&client);
+  stand_still (IDLE_MS * 2);
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  CU_ASSERT_TRUE (client_got_200 (&client));
+  /* One that stays idle is closed. */
+  gatefixture_run (&fixture, IDLE_MS * 2);
+  CU_ASSERT_EQUAL (recv (client.fd, client.got, 1, MSG_DONTWAIT), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+static void
+on_timeout (evutil_socket_t fd, short what, void *user)
+{
+  struct event_base *base = user;
+
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (base);
+}
+
+/* As the process does it: the loop runs until the drain ends it. */
+static void
+run_to_end (struct gatefixture *fixture)
+{
+  const struct timeval limit = clock_timeval (DONE_MS);
+  struct event *timer
+      = event_new (fixture->base, -1, 0, on_timeout, fixture->base);
+
+  event_add (timer, &limit);
+  event_base_dispatch (fixture->base);
+  event_free (timer);
+}
+
+/* Runs a drain up to the time from which on it ends when nothing is in
+   progress. */
+static void
+drain_until_idle_exit (struct gatefixture *fixture)
+{
+  gateway_drain (&fixture->gateway);
+  gatefixture_run (fixture, GATEWAY_UNREADY_DELAY_MS - 150);
+}
+
+/* A drain is about to end while a request is in the socket of a kept
+   connection: the request is served first. */
+static void
+test_drain_end (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  client_connect (&client, &fixture);
+  client_send (&client);
+  gatefixture_run (&fixture, 50);
+  CU_ASSERT_TRUE (client_got_200 (&client));
+  drain_until_idle_exit (&fixture);
+  client_send (&client);
+  stand_still (300);
+  run_to_end (&fixture);
+  CU_ASSERT_TRUE (client_got_200 (&client));
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* The same for a connection that waits to be accepted. */
+static void
+test_drain_end_unaccepted (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  drain_until_idle_exit (&fixture);
+  client_connect (&client, &fixture);
+  client_send (&client);
+  stand_still (300);
+  run_to_end (&fixture);
+  /* Served or turned away. */
+  client_got_200 (&client);
+  CU_ASSERT_EQUAL (strncmp (client.got, "HTTP/1.1 ", 9), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+static const struct suite_test tests[] = {
+  { "idle time ends with a request unread", test_idle_timer },
+  { "drain ends with a request unread", test_drain_end },
+  { "drain ends with a connection not accepted", test_drain_end_unaccepted },
+};
+
+SUITE_MAIN ("test_unread_requests", tests)
