A request unread in its socket was lost when its connection was closed

Callers on kept connections got a close with no response and no refusal (LOST), now and then, beside whatever makes the event loop late: a configuration of thousands of routes, a flood.

Cause: what closes an idle connection, its timer or the end of a drain, did not look whether a request had come meanwhile. While the loop is late, a request lies in the socket, or its read event waits in the queue behind the timer's.

Now an idle connection with unread input is not idle: its timer leaves it to the read event, and a drain does not end before it, or one that waits to be accepted, has been served or refused.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -14,6 +14,7 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -88,6 +89,7 @@
 static void on_shed (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
 static size_t unread_bytes (const struct httpd_conn *conn);
+static bool waits_for_accept (const struct httpd *httpd);
 static void log_unread (const struct httpd_conn *conn);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res accept_connection (struct httpd *httpd,
@@ -235,7 +237,8 @@
   for (conn = httpd->conns; conn != NULL; conn = next)
     {
       next = conn->next;
-      if (conn->state == CONN_IDLE && conn->evhtp->num_requests > 0)
+      if (conn->state == CONN_IDLE && conn->evhtp->num_requests > 0
+          && unread_bytes (conn) == 0)
         evhtp_connection_free (conn->evhtp);
     }
 }
@@ -363,14 +366,24 @@
 httpd_active_connections (const struct httpd *httpd)
 {
   const struct httpd_conn *conn;
-  uint32_t active = 0;
+  uint32_t active = waits_for_accept (httpd) ? 1 : 0;
 
   for (conn = httpd->conns; conn != NULL; conn = conn->next)
-    if (conn->state != CONN_IDLE)
+    if (conn->state != CONN_IDLE || unread_bytes (conn) > 0)
       active++;
   return active;
 }
 
+static bool
+waits_for_accept (const struct httpd *httpd)
+{
+  struct pollfd listener
+      = { .fd = evconnlistener_get_fd (httpd->evhtp->server),
+          .events = POLLIN };
+
+  return poll (&listener, 1, 0) > 0;
+}
+
 /* Connections. */
 
 static void
@@ -634,6 +647,8 @@
   struct bufferevent *bev = conn->evhtp->bev;
   int in_socket = 0;
 
+  if (bev == NULL)
+    return 0;
   if (ioctl (bufferevent_getfd (bev), FIONREAD, &in_socket) != 0)
     in_socket = 0;
   return evbuffer_get_length (bufferevent_get_input (bev)) + (size_t)in_socket;
@@ -729,6 +744,12 @@
 
   (void)fd;
   (void)what;
+  /* The event that reads it is still in the loop's queue. */
+  if (conn->state == CONN_IDLE && unread_bytes (conn) > 0)
+    {
+      set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
+      return;
+    }
   if (conn->state != CONN_READING && conn->httpd->config.close_idle_silently)
     {
       evhtp_connection_free (evhtp);
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -78,9 +78,9 @@
 /** Disables keep-alive: connections close after their next response. */
 void httpd_disable_keepalive (struct httpd *httpd);
 
-/** Closes idle connections that have served a request now, and others after
-    their response.  New connections are still accepted, so that their
-    requests get an error response. */
+/** Closes idle connections that have served a request and hold no unread one
+    now, and others after their response.  New connections are still accepted,
+   so that their requests get an error response. */
 void httpd_drain (struct httpd *httpd);
 
 /** Sets the owner's data for a request.  After it is set to NULL, neither
@@ -115,8 +115,9 @@
 uint64_t httpd_shed_count (const struct httpd *httpd);
 /** Number of open connections. */
 uint32_t httpd_connections (const struct httpd *httpd);
-/** Number of connections that are receiving a request or sending a
-    response. */
+/** Number of connections that are receiving a request or sending a response,
+    or have one unread; those that wait to be accepted count as one.  System
+    calls for each idle connection. */
 uint32_t httpd_active_connections (const struct httpd *httpd);
 
 #endif
