Turned away connections were reset before their clients could read

Callers whose connections wait while a gateway is late got a reset instead of the 503 with Retry-After, one or a few each time that the kernel's queue was full.

Cause: 512 connections are kept open for 100 ms after their response; when more came in that time, the oldest was closed at once. It has unread input, so the close resets it, which destroys what its client has not read.

Now no more are accepted than are kept open; the others wait in the kernel.

--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -21,8 +21,9 @@
   size_t last;
   int fd;
 
-  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
-         >= 0)
+  while (turnaway->count < TURNAWAY_SOCKETS_MAX
+         && (fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
+                >= 0)
     {
       accepted++;
       if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
@@ -31,8 +32,6 @@
           close (fd);
           continue;
         }
-      if (turnaway->count == TURNAWAY_SOCKETS_MAX)
-        close_first (turnaway);
       last = (turnaway->first + turnaway->count) % TURNAWAY_SOCKETS_MAX;
       turnaway->sockets[last]
           = (struct turnaway_socket){ fd, turnaway->round };
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -6,6 +6,7 @@
 #include "gateway/gateway_request.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
+#include "transport/turnaway.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -178,7 +179,82 @@
   gatefixture_finish (&fixture);
 }
 
+#define TURNED_AWAY (TURNAWAY_SOCKETS_MAX + 50)
+
+/* Number of clients that read the response that all are sent, before their
+   connection is reset. */
+static size_t
+count_told (const int clients[TURNED_AWAY], const char *response)
+{
+  socklen_t size = sizeof (int);
+  char got[16];
+  size_t told = 0;
+  int error;
+  size_t i;
+
+  for (i = 0; i < TURNED_AWAY; i++)
+    {
+      memset (got, 0, sizeof got);
+      if (recv (clients[i], got, sizeof got - 1, MSG_DONTWAIT) > 0
+          && strcmp (got, response) == 0
+          && getsockopt (clients[i], SOL_SOCKET, SO_ERROR, &error, &size) == 0
+          && error == 0)
+        told++;
+    }
+  return told;
+}
+
+/* More connections are turned away at once than are kept open for their
+   clients to read the response: each client gets it. */
+static void
+test_turned_away (void)
+{
+  static const char response[] = "response";
+  static struct turnaway turnaway;
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof address;
+  struct evbuffer *text = evbuffer_new ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int clients[TURNED_AWAY];
+  size_t accepted = 0;
+  size_t told = 0;
+  size_t i;
+
+  memset (&turnaway, 0, sizeof turnaway);
+  evbuffer_add (text, response, sizeof response - 1);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, TURNED_AWAY), 0);
+  getsockname (listener, (struct sockaddr *)&address, &size);
+  for (i = 0; i < TURNED_AWAY; i++)
+    {
+      clients[i] = socket (AF_INET, SOCK_STREAM, 0);
+      CU_ASSERT_EQUAL_FATAL (
+          connect (clients[i], (struct sockaddr *)&address, sizeof address),
+          0);
+      CU_ASSERT_EQUAL (
+          send (clients[i], REQUEST, sizeof REQUEST - 1, MSG_NOSIGNAL),
+          (ssize_t)sizeof REQUEST - 1);
+    }
+  for (i = 0; i < DONE_MS / TURNAWAY_INTERVAL_MS && told < TURNED_AWAY; i++)
+    {
+      turnaway_close (&turnaway);
+      accepted += turnaway_waiting (&turnaway, listener, text);
+      told += count_told (clients, response);
+      usleep (TURNAWAY_INTERVAL_MS * 1000);
+    }
+  CU_ASSERT_EQUAL (accepted, TURNED_AWAY);
+  CU_ASSERT_EQUAL (told, TURNED_AWAY);
+  turnaway_finish (&turnaway);
+  for (i = 0; i < TURNED_AWAY; i++)
+    close (clients[i]);
+  close (listener);
+  evbuffer_free (text);
+}
+
 static const struct suite_test tests[] = {
+  { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
   { "drain ends with a request unread", test_drain_end },
   { "drain ends with a connection not accepted", test_drain_end_unaccepted },
