--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -239,6 +239,10 @@
       LOG (LOG_CONFIG_REJECTED, NULL, LOG_S ("reason", "deleted"));
       return;
     }
+  /* Each hub of the zone sends it, and reading one of thousands of routes
+     holds up the event loop. */
+  if (gateway->routing != NULL && item->index == gateway->config_index)
+    return;
   error = gateway->adapter->read_config (item->value, item->value_size,
                                          &routing, reason);
   if (error != 0)
@@ -257,6 +261,7 @@
     }
   routing_release (gateway->routing);
   gateway->routing = routing;
+  gateway->config_index = item->index;
   apply_http_limits (gateway);
   gateway_peers_publish_item (gateway, item, true);
   LOG (LOG_CONFIG_APPLIED, NULL, LOG_U ("version", routing->version),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -169,6 +169,7 @@
   bool upstreams_loaded;          /**< a complete listing was applied */
   uint64_t upstream_recovered_ns; /**< end of the last outage; 0: none */
   struct routing *routing; /**< NULL until a configuration was applied */
+  uint64_t config_index;   /**< of the item that it was read from */
   struct registry registry;
   struct prefix_cache prefix_cache;
   struct fleet_retry_budget fleet_retry_budget;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -6,6 +6,7 @@
  * golden transcripts.
  */
 #include "../platform/store.h"
+#include "gateway/discovery.h"
 #include "gateway/probe.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
@@ -15,6 +16,7 @@
 
 #define GOLDEN_DIRECTORY "tests/golden_gateway"
 #define TRANSCRIPT_SIZE  16384 /* of a transcript, in bytes */
+#define CONFIG_INDEX     1000  /* newer than all that the fixture writes */
 
 #define HEADERS                                                               \
   "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
@@ -345,6 +347,46 @@
   gatefixture_finish (&fixture);
 }
 
+static const struct gateway_adapter *real_adapter;
+static unsigned int config_reads;
+
+static int
+count_config_read (const char *text, size_t size, struct routing **out,
+                   char reason[ADAPTER_REASON_SIZE])
+{
+  config_reads++;
+  return real_adapter->read_config (text, size, out, reason);
+}
+
+/* A configuration that comes from each hub of the zone is decoded once. */
+static void
+test_config_of_both_hubs (void)
+{
+  static const char value[] = "{\"version\":2,\"routes\":[],\"services\":[]}";
+  struct gatefixture fixture;
+  struct gateway_adapter adapter;
+  struct kvstore_item item = { .value = value,
+                               .value_size = sizeof value - 1,
+                               .index = CONFIG_INDEX };
+
+  gatefixture_init (&fixture, true);
+  real_adapter = fixture.gateway.adapter;
+  adapter = *real_adapter;
+  adapter.read_config = count_config_read;
+  fixture.gateway.adapter = &adapter;
+  item.key = adapter.config_key;
+  config_reads = 0;
+  discovery_apply_item (&fixture.gateway, &item);
+  discovery_apply_item (&fixture.gateway, &item);
+  CU_ASSERT_EQUAL (config_reads, 1);
+  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  item.index++;
+  discovery_apply_item (&fixture.gateway, &item);
+  CU_ASSERT_EQUAL (config_reads, 2);
+  fixture.gateway.adapter = real_adapter;
+  gatefixture_finish (&fixture);
+}
+
 /* While the store refuses calls, closes connections or sends invalid JSON, and
    when it has discarded its change history, requests are still served.  After
    the outage the gateway applies what changed during it. */
@@ -683,6 +725,7 @@
   { "upstreams drain and leave", test_upstreams_leave },
   { "malformed registrations", test_malformed_registrations },
   { "malformed, old and new configurations", test_configurations },
+  { "configuration of both hubs", test_config_of_both_hubs },
   { "store outages", test_store_outages },
   { "unknown key while the configuration may be stale", test_stale_config },
   { "client disconnects", test_client_disconnects },
