An idle connection stayed open for a while after it was given up

Callers sent requests on connections that a late gateway had decided to close, and got a close with no response.

Cause: libevent closes the socket of a freed bufferevent in a later event, which a late loop reaches up to some 200 ms later; until then the client takes the connection for open.

Now the client is told when the decision is made, as attempts at upstreams are when they are canceled.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -91,6 +91,7 @@
 static size_t unread_bytes (const struct httpd_conn *conn);
 static bool waits_for_accept (const struct httpd *httpd);
 static void log_unread (const struct httpd_conn *conn);
+static void close_idle (struct httpd_conn *conn);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res accept_connection (struct httpd *httpd,
                                     evhtp_connection_t *evhtp);
@@ -239,7 +240,7 @@
       next = conn->next;
       if (conn->state == CONN_IDLE && conn->evhtp->num_requests > 0
           && unread_bytes (conn) == 0)
-        evhtp_connection_free (conn->evhtp);
+        close_idle (conn);
     }
 }
 
@@ -736,6 +737,15 @@
                             conn->httpd->config.request_id_header);
 }
 
+/* libevent closes the socket in a later event; the client is to know now that
+   it cannot send another request. */
+static void
+close_idle (struct httpd_conn *conn)
+{
+  shutdown (bufferevent_getfd (conn->evhtp->bev), SHUT_WR);
+  evhtp_connection_free (conn->evhtp);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -752,7 +762,7 @@
     }
   if (conn->state != CONN_READING && conn->httpd->config.close_idle_silently)
     {
-      evhtp_connection_free (evhtp);
+      close_idle (conn);
       return;
     }
   refuse (conn, conn->state == CONN_READING ? REFUSAL_READ_TIMEOUT
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -27,6 +27,7 @@
   int fd;
   char got[UPSTREAMSERVER_MESSAGE_SIZE];
   size_t size;
+  bool ended; /**< set by on_look() */
 };
 
 static void
@@ -73,16 +74,13 @@
   usleep (duration_ms * 1000);
 }
 
-/* The idle time of a connection ends while its next request is in the socket:
-   the request is served. */
+/* Starts a gateway whose connections may be idle for IDLE_MS, and serves a
+   client's first request. */
 static void
-test_idle_timer (void)
+begin_idle (struct gatefixture *fixture, struct raw_client *client)
 {
-  struct gatefixture fixture;
-  struct raw_client client;
-
-  gatefixture_init (&fixture, true);
-  httpd_set_limits (fixture.gateway.httpd,
+  gatefixture_init (fixture, true);
+  httpd_set_limits (fixture->gateway.httpd,
                     &(struct httpd_limits){ .header_bytes_max = 16384,
                                             .body_bytes_max = 65536,
                                             .connections_max = 100,
@@ -90,10 +88,21 @@
                                             .read_timeout_ms = DONE_MS,
                                             .write_timeout_ms = DONE_MS,
                                             .low_water_bytes = 1024 });
-  client_connect (&client, &fixture);
-  client_send (&client);
-  gatefixture_run (&fixture, IDLE_MS / 2);
-  CU_ASSERT_TRUE (client_got_200 (&client));
+  client_connect (client, fixture);
+  client_send (client);
+  gatefixture_run (fixture, IDLE_MS / 2);
+  CU_ASSERT_TRUE (client_got_200 (client));
+}
+
+/* The idle time of a connection ends while its next request is in the socket:
+   the request is served. */
+static void
+test_idle_timer (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  begin_idle (&fixture, &client);
   client_send (&client);
   stand_still (IDLE_MS * 2);
   gatefixture_run (&fixture, IDLE_MS / 2);
@@ -105,6 +114,38 @@
   gatefixture_finish (&fixture);
 }
 
+static void
+on_look (evutil_socket_t fd, short what, void *user)
+{
+  struct raw_client *client = user;
+
+  (void)fd;
+  (void)what;
+  client->ended = recv (client->fd, client->got, 1, MSG_DONTWAIT) == 0;
+}
+
+/* The idle time of a connection ends while the loop has more to do: the client
+   learns it at once, before it sends a request that nobody would read. */
+static void
+test_idle_close_at_once (void)
+{
+  const struct timeval later = clock_timeval (IDLE_MS);
+  struct gatefixture fixture;
+  struct raw_client client;
+  struct event *look;
+
+  begin_idle (&fixture, &client);
+  /* After the connection's timer, in the same turn of the loop. */
+  look = event_new (fixture.base, -1, 0, on_look, &client);
+  event_add (look, &later);
+  stand_still (IDLE_MS * 2);
+  gatefixture_run (&fixture, 1);
+  CU_ASSERT_TRUE (client.ended);
+  event_free (look);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
 static void
 on_timeout (evutil_socket_t fd, short what, void *user)
 {
@@ -256,6 +297,7 @@
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
+  { "idle connection closed while the loop is late", test_idle_close_at_once },
   { "drain ends with a request unread", test_drain_end },
   { "drain ends with a connection not accepted", test_drain_end_unaccepted },
 };
