One undecodable item ends the listing of all others

Gateways no longer learned of upstreams that came, drained or left, from the moment that one item under the same prefix had a value that is no base64, no value, a revision that is no number, or a key with a NUL.

A page was decoded as a whole: the error of one item was that of the call, the watch took it for an outage, and asked again from the same index for ever.

An item whose value cannot be decoded is reported now with an empty value, which every reader rejects with a log line, as it does other text that it cannot use; the key's earlier value does not stay in effect. An item without a key or a revision is left out, and logged. Empty summaries of streams are rejected, as none is written. Both kinds, and the entries that readers reject, are counted in cherrylanding_gateway_entries_rejected_total.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -243,6 +243,7 @@
                                          &routing, reason);
   if (error != 0)
     {
+      gateway->counters.entries_rejected++;
       LOG (LOG_CONFIG_REJECTED, NULL, LOG_S ("reason", reason),
            LOG_U ("index", item->index));
       return;
@@ -374,6 +375,7 @@
         gateway_peers_publish_item (gateway, item, error == REGISTRY_CHANGED);
       return;
     }
+  gateway->counters.entries_rejected++;
   LOG (LOG_UPSTREAM_REJECTED, NULL, LOG_S ("identity", identity),
        LOG_S ("reason", reason));
   registry_mark_missing (&gateway->registry, identity, item->index, 0,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -119,6 +119,7 @@
   uint64_t retries;
   uint64_t links_lost;           /**< links to other gateways that ended */
   uint64_t store_restores;       /**< restores of the store from a copy */
+  uint64_t entries_rejected;     /**< entries of the store that are unusable */
   uint64_t reasons[REFUSAL_MAX]; /**< refusals by reason */
   struct hist loop_lag;   /**< waits of a ready event for the event loop */
   struct hist send_delay; /**< from the choice of an upstream to the first
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -375,8 +375,11 @@
     }
   error = put_member (peers, item);
   if (error < 0)
-    LOG (LOG_PEER_REJECTED, NULL, LOG_S ("member", item->key),
-         LOG_S ("error", err_name (error)));
+    {
+      peers->gateway->counters.entries_rejected++;
+      LOG (LOG_PEER_REJECTED, NULL, LOG_S ("member", item->key),
+           LOG_S ("error", err_name (error)));
+    }
   else
     gateway_peers_publish_item (peers->gateway, item, error > 0);
 }
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -266,6 +266,7 @@
   if (parse_key (gateway, item->key, &row.key, &row.trials) != 0
       || item->value_size >= sizeof value)
     {
+      gateway->counters.entries_rejected++;
       LOG (LOG_PEER_REJECTED, NULL, LOG_S ("quarantine", item->key),
            LOG_S ("error", err_name (ERR_INVALID)));
       return;
--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -83,6 +83,7 @@
   service_id = strtoull (name, &end, 16);
   if (end == name || *end != '\0' || item->value_size >= sizeof value)
     {
+      gateway->counters.entries_rejected++;
       LOG (LOG_PEER_REJECTED, NULL, LOG_S ("builds", item->key),
            LOG_S ("error", err_name (ERR_INVALID)));
       return;
@@ -251,11 +252,15 @@
       return;
     }
   for (i = 0; i < page->count; i++)
-    if (stream_summary_read ((const uint8_t *)page->items[i].value,
-                             page->items[i].value_size, put_row, gateway)
-        != 0)
-      LOG (LOG_PEER_REJECTED, NULL, LOG_S ("streams", page->items[i].key),
-           LOG_S ("error", err_name (ERR_INVALID)));
+    if (page->items[i].value_size == 0
+        || stream_summary_read ((const uint8_t *)page->items[i].value,
+                                page->items[i].value_size, put_row, gateway)
+               != 0)
+      {
+        gateway->counters.entries_rejected++;
+        LOG (LOG_PEER_REJECTED, NULL, LOG_S ("streams", page->items[i].key),
+             LOG_S ("error", err_name (ERR_INVALID)));
+      }
   if (page->more && page->count > 0)
     load_page (gateway, page->items[page->count - 1].key);
   else
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -29,6 +29,8 @@
 
 static void write_counters (const struct gateway *gateway,
                             struct evbuffer *body);
+static void write_counter (struct evbuffer *body, const char *name,
+                           const char *help, uint64_t value);
 static void write_refusal_reasons (const struct gateway *gateway,
                                    struct evbuffer *body);
 static void write_holds (const struct gateway *gateway, struct evbuffer *body);
@@ -150,20 +152,26 @@
   size_t i;
 
   for (i = 0; i < sizeof counter_metrics / sizeof counter_metrics[0]; i++)
-    evbuffer_add_printf (body,
-                         "# HELP " METRIC_PREFIX "%s %s\n# TYPE " METRIC_PREFIX
-                         "%s counter\n" METRIC_PREFIX "%s %" PRIu64 "\n",
-                         counter_metrics[i].name, counter_metrics[i].help,
-                         counter_metrics[i].name, counter_metrics[i].name,
-                         *(const uint64_t *)((const char *)gateway
-                                             + counter_metrics[i].offset));
+    write_counter (body, counter_metrics[i].name, counter_metrics[i].help,
+                   *(const uint64_t *)((const char *)gateway
+                                       + counter_metrics[i].offset));
+  write_counter (body, "shed_connections_total",
+                 "connections closed at once, above the limit",
+                 httpd_shed_count (gateway->httpd));
+  write_counter (body, "entries_rejected_total",
+                 "entries of the store that could not be used",
+                 gateway->counters.entries_rejected
+                     + gateway->store->counters.rejected);
+}
+
+static void
+write_counter (struct evbuffer *body, const char *name, const char *help,
+               uint64_t value)
+{
   evbuffer_add_printf (body,
-                       "# HELP " METRIC_PREFIX
-                       "shed_connections_total connections closed at "
-                       "once, above the limit\n# TYPE " METRIC_PREFIX
-                       "shed_connections_total counter\n" METRIC_PREFIX
-                       "shed_connections_total %" PRIu64 "\n",
-                       httpd_shed_count (gateway->httpd));
+                       "# HELP " METRIC_PREFIX "%s %s\n# TYPE " METRIC_PREFIX
+                       "%s counter\n" METRIC_PREFIX "%s %" PRIu64 "\n",
+                       name, help, name, name, value);
 }
 
 static void
--- a/src/protocol/kvstore.h
+++ b/src/protocol/kvstore.h
@@ -126,6 +126,7 @@
   uint64_t watches;
   uint64_t failures;
   uint64_t rate_limited;
+  uint64_t rejected; /**< items of pages without a key or an index */
 };
 
 /** First member of every implementation's structure. */
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -77,6 +77,8 @@
       false },
   [LOG_STORE_RESTORED]
   = { LOG_LEVEL_WARN, "store restored from a copy", false },
+  [LOG_STORE_ITEM_REJECTED]
+  = { LOG_LEVEL_WARN, "item of the store without a key or revision", false },
   [LOG_ADMIN_CHANGE] = { LOG_LEVEL_INFO, "configuration changed", false },
   [LOG_ADMIN_REFUSED] = { LOG_LEVEL_WARN, "admin request refused", false },
   /* log */
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -20,6 +20,7 @@
   char key[200];
   char *value; /* NULL when deleted; followed by a NUL */
   size_t value_size;
+  char *members; /* JSON object that replaces members in responses, or NULL */
   uint64_t revision;
   uint64_t lease;
   struct storeserver_item *prev;
@@ -103,6 +104,7 @@
     {
       next = item->next;
       free (item->value);
+      free (item->members);
       free (item);
     }
 }
@@ -198,6 +200,13 @@
                     "revision", (json_int_t)item->revision, "created",
                     (json_int_t)1, "lease", (json_int_t)item->lease);
   free (value);
+  if (item->members != NULL)
+    {
+      json_t *members = json_loads (item->members, JSON_ALLOW_NUL, NULL);
+
+      json_object_update (json, members);
+      json_decref (members);
+    }
   return json;
 }
 
@@ -424,6 +433,8 @@
   if (item == NULL)
     item = add_item (store, key);
   free (item->value);
+  free (item->members);
+  item->members = NULL;
   item->value = copy_value (value, value_size);
   item->value_size = value_size;
   item->revision = ++store->revision;
@@ -450,6 +461,23 @@
   answer_watches (store);
 }
 
+void
+storeserver_put_bytes (struct storeserver *store, const char *key,
+                       const char *value, size_t value_size)
+{
+  write_item (store, key, value, value_size, 0);
+  answer_watches (store);
+}
+
+void
+storeserver_put_members (struct storeserver *store, const char *key,
+                         const char *members)
+{
+  write_item (store, key, "", 0, 0);
+  find_item (store, key)->members = strdup (members);
+  answer_watches (store);
+}
+
 static void
 close_watches (struct storeserver *store)
 {
@@ -483,6 +511,7 @@
       copy = calloc (1, sizeof *copy);
       *copy = *item;
       copy->value = copy_value (item->value, item->value_size);
+      copy->members = item->members == NULL ? NULL : strdup (item->members);
       DL_APPEND (store->saved_items, copy);
     }
 }
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -54,6 +54,13 @@
 /** Writes a key, or deletes it when `value` is NULL; answers watches. */
 void storeserver_put (struct storeserver *store, const char *key,
                       const char *value);
+/** Writes a value that may contain NUL bytes. */
+void storeserver_put_bytes (struct storeserver *store, const char *key,
+                            const char *value, size_t value_size);
+/** Writes a key that responses contain with the members of a JSON object in
+    place of its own, such as a value that is not base64. */
+void storeserver_put_members (struct storeserver *store, const char *key,
+                              const char *members);
 /** Discards the history and closes the connections of watches, so that clients
     must list again. */
 void storeserver_compact (struct storeserver *store);
