Upstreams at port 0, or of an identity that no header can hold, are used

Requests were sent to registrations with port 0, and to ones of an identity that is empty or has spaces, control characters or bytes beyond ASCII. The identity goes into a header of the upstream request as it is, so that a key with CR LF in it added a header of its own (X-Tenant, say).

A port of 0 is valid where this process listens, and the same function reads both; identities were only checked for their length.

test_odd_entries with 7 rows more; before, MODE=sanitize: 6 checks fail, the upstreams '', 'x y', 'x\r\nX-Tenant: other', one of port 0 on IPv4 and one on IPv6 are in use, and requests get no 200.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -46,6 +46,7 @@
 static uint32_t
 upstream_watch_interval_ms (const struct gateway_settings *settings);
 static uint64_t expired_entry_grace_ns (const struct gateway *gateway);
+static const char *upstream_identity (const char *key, const char *prefix);
 static void log_draining (const struct gateway *gateway,
                           const struct registry_record *record);
 static void apply_http_limits (struct gateway *gateway);
@@ -345,11 +346,18 @@
 {
   struct gateway *gateway = user;
   const char *identity
-      = item->key + strlen (gateway->adapter->upstream_prefix);
+      = upstream_identity (item->key, gateway->adapter->upstream_prefix);
   struct registry_record record = { .revision = item->index };
-  char reason[ADAPTER_REASON_SIZE] = "identity too long";
-  int error = ERR_INVALID;
+  char reason[ADAPTER_REASON_SIZE];
+  int error;
 
+  if (identity == NULL)
+    {
+      gateway->counters.entries_rejected++;
+      LOG (LOG_UPSTREAM_REJECTED, NULL, LOG_S ("identity", item->key),
+           LOG_S ("reason", "invalid identity"));
+      return;
+    }
   if (item->value == NULL)
     {
       registry_mark_missing (&gateway->registry, identity, item->index,
@@ -357,12 +365,9 @@
                              gateway_now_ns (gateway));
       return;
     }
-  if (strlen (identity) < sizeof record.identity)
-    {
-      memcpy (record.identity, identity, strlen (identity) + 1);
-      error = gateway->adapter->read_upstream (item->value, item->value_size,
-                                               &record, reason);
-    }
+  memcpy (record.identity, identity, strlen (identity) + 1);
+  error = gateway->adapter->read_upstream (item->value, item->value_size,
+                                           &record, reason);
   if (error == 0 && !gateway->upstream_watch.paused
       && registry_is_copy (&gateway->registry, &record))
     return;
@@ -382,6 +387,22 @@
                          gateway_now_ns (gateway));
 }
 
+/* The part of a key after the prefix; NULL if that is no identity.  It is sent
+   to the upstream in a header. */
+static const char *
+upstream_identity (const char *key, const char *prefix)
+{
+  const char *identity = key + strlen (prefix);
+  size_t i;
+
+  if (strncmp (key, prefix, strlen (prefix)) != 0)
+    return NULL;
+  for (i = 0; identity[i] > ' ' && identity[i] <= '~'; i++)
+    continue;
+  return i > 0 && i < REGISTRY_IDENTITY_SIZE && identity[i] == '\0' ? identity
+                                                                    : NULL;
+}
+
 static void
 log_draining (const struct gateway *gateway,
               const struct registry_record *record)
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -48,6 +48,14 @@
   return parse_ipv4 (host, (uint16_t)port, address);
 }
 
+uint16_t
+sock_port (const struct sock_address *address)
+{
+  if (address->storage.ss_family == AF_INET6)
+    return ntohs (((const struct sockaddr_in6 *)&address->storage)->sin6_port);
+  return ntohs (((const struct sockaddr_in *)&address->storage)->sin_port);
+}
+
 int
 sock_format (const struct sock_address *address, char *out, size_t size)
 {
--- a/src/transport/sock.h
+++ b/src/transport/sock.h
@@ -20,6 +20,9 @@
     @return 0 or ERR_INVALID. */
 int sock_parse (const char *text, struct sock_address *address);
 
+/** The port of an address. */
+uint16_t sock_port (const struct sock_address *address);
+
 /** Formats an address in the form that sock_parse accepts.
     @return 0, or ERR_INVALID if it does not fit or is no IP address. */
 int sock_format (const struct sock_address *address, char *out, size_t size);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -38,6 +38,7 @@
   { ODD_NESTED, "extra" },
   { ODD_NESTED, "slots" },
   { ODD_NESTED, "version" },
+  { ODD_LARGE, "extra" },
   { ODD_LARGE, "zone" },
   { ODD_LARGE, "address" },
   { ODD_NUL, "" },
@@ -69,6 +70,8 @@
   { ODD_FIELD, "\"zone\":{}" },
   { ODD_FIELD, "\"address\":\"127.0.0.1\"" },
   { ODD_FIELD, "\"address\":\"127.0.0.1:\"" },
+  { ODD_FIELD, "\"address\":\"127.0.0.1:0\"" },
+  { ODD_FIELD, "\"address\":\"[::1]:0\"" },
   { ODD_FIELD, "\"address\":\"127.0.0.1:65536\"" },
   { ODD_FIELD, "\"address\":\"127.0.0.1:4294967376\"" },
   { ODD_FIELD, "\"address\":\"127.0.0.1:-1\"" },
@@ -86,6 +89,10 @@
   { ODD_MEMBERS, "{\"value\":7}" },
   { ODD_ITEM, "{\"revision\":\"7\"}" },
   { ODD_MEMBERS, "{\"value\":\"\\u0000\"}" },
+  { ODD_KEY, "" },
+  { ODD_KEY, "x y" },
+  { ODD_KEY, "x\r\nX-Tenant: other" },
+  { ODD_KEY, "\xc3\xa9" },
 };
 
 #define UPSTREAM_ENTRIES (sizeof upstream_entries / sizeof upstream_entries[0])
