Odd entries among the gateways' own hold requests and stop the process

An entry below ~quarantine/ that is not a gateway's ("5-6" without a value, "5-7" with "x", trial number 99) held requests: they got refusals for an hour. Members without a name, with a port out of range, no zone or no number counted in the size of the fleet. Text that is no number became 0, one that is too large its low bits.

Keys and values of these entries are read strictly now, rejected with a log line and counted as those of upstreams are. Trials beyond QUARANTINE_TRIALS_MAX, which no gateway starts, are ignored in rows, too.

Before, MODE=sanitize, test_odd_entries and test_quarantine both end at src/state/quarantine.c:238: shift exponent is too large for 64-bit type.

--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -10,6 +10,7 @@
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
+#include "transport/sock.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,7 @@
 /* After an outage or a restore of the store, live members register again
    within this time: a renewal that fails, its retry, and a lost call. */
 #define MISSING_MEMBER_KEPT_MS 6000
+#define MEMBER_VALUE_SIZE      (GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16)
 /* Delay of the first listing on the first start of the whole fleet: by then
    all instances have registered. */
 #define BOOTSTRAP_DELAY_MS 1500
@@ -49,6 +51,7 @@
                          bool keep_missing);
 static void remove_member (struct gateway_peers *peers,
                            struct gateway_peers_member *member);
+static int parse_member (char *value, const char **zone, uint32_t *capacity);
 static int put_member (struct gateway_peers *peers,
                        const struct kvstore_item *item);
 static void set_dialing (struct gateway_peers *peers,
@@ -153,7 +156,7 @@
   struct gateway_peers *peers = user;
   struct gateway *gateway = peers->gateway;
   struct kvstore *store = gateway->store;
-  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16];
+  char value[MEMBER_VALUE_SIZE];
   const struct kvstore_item put
       = { .key = peers->key,
           .value = value,
@@ -289,32 +292,55 @@
 }
 
 /* The value of an entry is "ADDRESS ZONE CAPACITY"; the capacity is the CPU
-   limit of the instance in thousandths of a core.
-   @return 1 for a new or changed entry, 0 for a known one, or an error. */
+   limit of the instance in thousandths of a core.  Ends the address and the
+   zone with a NUL byte in place of the space.
+   @return 0 or ERR_INVALID. */
+static int
+parse_member (char *value, const char **zone, uint32_t *capacity)
+{
+  struct sock_address address;
+  char *zone_text = strchr (value, ' ');
+  char *number = zone_text == NULL ? NULL : strchr (zone_text + 1, ' ');
+  unsigned long long parsed;
+  char *end;
+
+  if (number == NULL || number == zone_text + 1 || number[1] < '0'
+      || number[1] > '9' || zone_text - value >= GATEWAY_ADDRESS_SIZE)
+    return ERR_INVALID;
+  *zone_text = *number = '\0';
+  parsed = strtoull (number + 1, &end, 10);
+  if (*end != '\0' || parsed > UINT32_MAX || sock_parse (value, &address) != 0
+      || sock_port (&address) == 0)
+    return ERR_INVALID;
+  *zone = zone_text + 1;
+  *capacity = (uint32_t)parsed;
+  return 0;
+}
+
+/* @return 1 for a new or changed entry, 0 for a known one, or an error. */
 static int
 put_member (struct gateway_peers *peers, const struct kvstore_item *item)
 {
-  size_t prefix_length = strlen (peers->gateway->adapter->gateway_prefix);
+  const char *prefix = peers->gateway->adapter->gateway_prefix;
   struct gateway_peers_member *member;
-  char value[GATEWAY_ADDRESS_SIZE + GATEWAY_NAME_SIZE + 16];
+  char value[MEMBER_VALUE_SIZE];
   const char *name;
-  char *zone;
-  char *capacity;
+  const char *zone;
+  uint32_t capacity;
   int changed = 0;
 
-  if (item->value_size >= sizeof value || strlen (item->key) < prefix_length
+  if (item->value_size >= sizeof value
+      || strncmp (item->key, prefix, strlen (prefix)) != 0
       || strlen (item->key) >= sizeof member->key)
     return ERR_INVALID;
+  name = strrchr (item->key, '/');
+  name = name == NULL ? item->key : name + 1;
+  if (*name == '\0')
+    return ERR_INVALID;
   memcpy (value, item->value, item->value_size);
   value[item->value_size] = '\0';
-  zone = strchr (value, ' ');
-  if (zone == NULL || zone - value >= (ptrdiff_t)sizeof member->address)
-    return ERR_INVALID;
-  *zone++ = '\0';
-  capacity = strchr (zone, ' ');
-  if (capacity == NULL)
+  if (parse_member (value, &zone, &capacity) != 0)
     return ERR_INVALID;
-  *capacity++ = '\0';
   HASH_FIND_STR (peers->members, item->key, member);
   if (member != NULL && strcmp (member->address, value) != 0)
     {
@@ -328,11 +354,9 @@
         return ERR_NO_MEMORY;
       memcpy (member->key, item->key, strlen (item->key) + 1);
       memcpy (member->address, value, strlen (value) + 1);
-      name = strrchr (item->key + prefix_length, '/');
-      member->id
-          = catalog_id (name == NULL ? item->key + prefix_length : name + 1);
+      member->id = catalog_id (name);
       member->zone_id = catalog_id (zone);
-      member->capacity = (uint32_t)strtoul (capacity, NULL, 10);
+      member->capacity = capacity;
       HASH_ADD_STR (peers->members, key, member);
       changed = 1;
       peers->members_changed = true;
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -12,6 +12,8 @@
 #include "gateway/gateway_peers.h"
 #include "state/err.h"
 #include "transport/log.h"
+#include <ctype.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -63,6 +65,9 @@
                         char text[KEY_SIZE]);
 static int parse_key (const struct gateway *gateway, const char *text,
                       struct quarantine_key *key, uint32_t *trial);
+static int parse_value (const struct kvstore_item *item, uint32_t *generation);
+static int parse_number (const char *text, uint32_t min, uint32_t max,
+                         uint32_t *number);
 
 /* Of a part of prompts, and of a request. */
 static const enum log_message messages[EVENT_MAX][2] = {
@@ -261,10 +266,9 @@
   struct quarantine_row row = { .upstream_id = STORED_UPSTREAM_ID,
                                 .crashes = QUARANTINE_CRASH_LIMIT };
   struct quarantine_entry *entry;
-  char value[16];
 
   if (parse_key (gateway, item->key, &row.key, &row.trials) != 0
-      || item->value_size >= sizeof value)
+      || (item->value != NULL && parse_value (item, &row.generation) != 0))
     {
       gateway->counters.entries_rejected++;
       LOG (LOG_PEER_REJECTED, NULL, LOG_S ("quarantine", item->key),
@@ -279,9 +283,6 @@
     }
   else
     {
-      memcpy (value, item->value, item->value_size);
-      value[item->value_size] = '\0';
-      row.generation = (uint32_t)strtoul (value, NULL, 10);
       quarantine_merge (quarantine, &row, true, now_ns);
       entry = quarantine_find (quarantine, &row.key);
       if (entry != NULL)
@@ -484,13 +485,47 @@
   char *end;
 
   text += strlen (gateway->adapter->gateway_prefix) + strlen (KEY_PREFIX);
+  if (!isxdigit ((unsigned char)*text))
+    return ERR_INVALID;
+  errno = 0;
   key->service_id = strtoull (text, &end, 16);
-  if (end == text || *end != '-')
+  if (*end != '-' || !isxdigit ((unsigned char)end[1]))
+    return ERR_INVALID;
+  key->subject = strtoull (end + 1, &end, 16);
+  *trial = 0;
+  if (errno != 0)
+    return ERR_INVALID;
+  if (*end == '\0')
+    return 0;
+  return *end == '/' ? parse_number (end + 1, 1, QUARANTINE_TRIALS_MAX, trial)
+                     : ERR_INVALID;
+}
+
+static int
+parse_value (const struct kvstore_item *item, uint32_t *generation)
+{
+  char value[16];
+
+  if (item->value_size >= sizeof value)
+    return ERR_INVALID;
+  memcpy (value, item->value, item->value_size);
+  value[item->value_size] = '\0';
+  /* Another generation may follow. */
+  return parse_number (value, 0, UINT32_MAX - 1, generation);
+}
+
+/* @return 0, or ERR_INVALID for text that is no number between the bounds. */
+static int
+parse_number (const char *text, uint32_t min, uint32_t max, uint32_t *number)
+{
+  unsigned long long parsed;
+  char *end;
+
+  if (!isdigit ((unsigned char)*text))
     return ERR_INVALID;
-  text = end + 1;
-  key->subject = strtoull (text, &end, 16);
-  if (end == text || (*end != '\0' && *end != '/'))
+  parsed = strtoull (text, &end, 10);
+  if (*end != '\0' || parsed < min || parsed > max)
     return ERR_INVALID;
-  *trial = *end == '/' ? (uint32_t)strtoul (end + 1, &end, 10) : 0;
-  return *end == '\0' ? 0 : ERR_INVALID;
+  *number = (uint32_t)parsed;
+  return 0;
 }
--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -7,6 +7,8 @@
 #include "protocol/stream_summary.h"
 #include "state/err.h"
 #include "transport/log.h"
+#include <ctype.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,6 +36,7 @@
 /* Time for links and for reading the summaries. */
 #define START_MS 3000
 
+static int parse_hex (const char *text, size_t size, uint64_t *number);
 static void write_records (struct gateway *gateway);
 static void write_record (struct gateway *gateway, struct build_record *record,
                           uint64_t build);
@@ -73,27 +76,20 @@
 {
   const char *name = item->key + strlen (gateway->adapter->gateway_prefix)
                      + strlen (RECORD_PREFIX);
-  char value[VALUE_SIZE];
   uint64_t now_ns = gateway_now_ns (gateway);
   struct build_record *record;
   uint64_t service_id;
   uint64_t build = 0;
-  char *end;
 
-  service_id = strtoull (name, &end, 16);
-  if (end == name || *end != '\0' || item->value_size >= sizeof value)
+  if (parse_hex (name, strlen (name), &service_id) != 0
+      || (item->value != NULL
+          && parse_hex (item->value, item->value_size, &build) != 0))
     {
       gateway->counters.entries_rejected++;
       LOG (LOG_PEER_REJECTED, NULL, LOG_S ("builds", item->key),
            LOG_S ("error", err_name (ERR_INVALID)));
       return;
     }
-  if (item->value != NULL)
-    {
-      memcpy (value, item->value, item->value_size);
-      value[item->value_size] = '\0';
-      build = strtoull (value, NULL, 16);
-    }
   record = build_records_get (&gateway->build_records, service_id);
   if (record == NULL)
     return;
@@ -117,6 +113,25 @@
   gateway_peers_publish_item (gateway, item, true);
 }
 
+/* @return 0, or ERR_INVALID for text that is no 64-bit hexadecimal number. */
+static int
+parse_hex (const char *text, size_t size, uint64_t *number)
+{
+  char digits[VALUE_SIZE];
+  size_t i;
+
+  if (size == 0 || size >= sizeof digits)
+    return ERR_INVALID;
+  for (i = 0; i < size; i++)
+    if (!isxdigit ((unsigned char)text[i]))
+      return ERR_INVALID;
+  memcpy (digits, text, size);
+  digits[size] = '\0';
+  errno = 0;
+  *number = strtoull (digits, NULL, 16);
+  return errno == 0 ? 0 : ERR_INVALID;
+}
+
 bool
 gateway_stream_store_starting (const struct gateway *gateway)
 {
--- a/src/state/quarantine.c
+++ b/src/state/quarantine.c
@@ -459,7 +459,7 @@
 
   if (row->generation > entry->generation)
     start_generation (quarantine, entry, row->generation);
-  if (row->trials > entry->trials)
+  if (row->trials > entry->trials && row->trials <= QUARANTINE_TRIALS_MAX)
     {
       entry->trials = row->trials;
       schedule_trial (entry, now_ns);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -4,6 +4,7 @@
  * only themselves: the gateway lists and follows the others, and uses such an
  * entry once it is repaired.
  */
+#include "gateway/gateway_peers_int.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
 #include <stdio.h>
@@ -313,8 +314,91 @@
   gatefixture_finish (&fixture);
 }
 
+/* Keys and values below the gateways' own prefix. */
+static const struct
+{
+  const char *key;
+  const char *value;
+} gateway_entries[] = {
+  { "", "127.0.0.1:9 za 250" },
+  { "za/", "127.0.0.1:9 za 250" },
+  { "za/odd-1", "" },
+  { "za/odd-2", "127.0.0.1:9" },
+  { "za/odd-3", "127.0.0.1:9 za" },
+  { "za/odd-4", "127.0.0.1:0 za 250" },
+  { "za/odd-5", "127.0.0.1:65536 za 250" },
+  { "za/odd-6", "127.0.0.1:-1 za 250" },
+  { "za/odd-7", "gate.example:80 za 250" },
+  { "za/odd-8", " za 250" },
+  { "za/odd-9", "127.0.0.1:9  250" },
+  { "za/odd-10", "127.0.0.1:9 za 99999999999999999999" },
+  { "za/odd-11", "127.0.0.1:9 za -1" },
+  { "za/odd-12", "127.0.0.1:9 za 1e400" },
+  { "za/odd-13", "[[[[[[[[[[[[[[[[" },
+  { "~builds/", "1" },
+  { "~builds/x", "1" },
+  { "~builds/5", "" },
+  { "~builds/6", "x" },
+  { "~builds/99999999999999999999", "1" },
+  { "~quarantine/", "0" },
+  { "~quarantine/5", "0" },
+  { "~quarantine/5-", "0" },
+  { "~quarantine/5-6", "" },
+  { "~quarantine/5-7", "x" },
+  { "~quarantine/5-8", "-1" },
+  { "~quarantine/5-9", "99999999999999999999" },
+  { "~quarantine/5-a/", "0" },
+  { "~quarantine/5-a/99", "0" },
+  { "~quarantine/5-a/4294967295", "0" },
+  { "~quarantine/5-a/99999999999999999999", "0" },
+  { "~quarantine/-1-a", "0" },
+};
+
+#define GATEWAY_ENTRIES (sizeof gateway_entries / sizeof gateway_entries[0])
+
+static bool
+rejected_all_gateways (const struct gatefixture *fixture)
+{
+  return fixture->gateway.counters.entries_rejected >= GATEWAY_ENTRIES;
+}
+
+static bool
+has_repaired_member (const struct gatefixture *fixture)
+{
+  return HASH_COUNT (fixture->gateway.peers->members) == 2;
+}
+
+static void
+test_odd_gateway_entries (void)
+{
+  struct gatefixture fixture;
+  char key[KEY_SIZE];
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  for (i = 0; i < GATEWAY_ENTRIES; i++)
+    {
+      snprintf (key, sizeof key, "%s%s",
+                fixture.gateway.adapter->gateway_prefix,
+                gateway_entries[i].key);
+      storeserver_put (&fixture.store, key, gateway_entries[i].value);
+    }
+  CU_ASSERT_TRUE (gatefixture_run_until (&fixture, rejected_all_gateways));
+  CU_ASSERT_EQUAL (fixture.gateway.counters.entries_rejected, GATEWAY_ENTRIES);
+  CU_ASSERT_EQUAL (HASH_COUNT (fixture.gateway.peers->members), 1);
+  CU_ASSERT_EQUAL (HASH_COUNT (fixture.gateway.quarantine.entries), 0);
+  snprintf (key, sizeof key, "%sza/odd-4",
+            fixture.gateway.adapter->gateway_prefix);
+  storeserver_put (&fixture.store, key, "127.0.0.1:9 za 250");
+  CU_ASSERT_TRUE (gatefixture_run_until (&fixture, has_repaired_member));
+  CU_ASSERT_EQUAL (fixture.gateway.store->counters.failures, 0);
+  check_served (&fixture);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "odd entries among those of the upstreams", test_odd_upstreams },
+  { "odd entries among those of the gateways", test_odd_gateway_entries },
 };
 
 SUITE_MAIN ("test_odd_entries", tests)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -353,6 +353,26 @@
   quarantine_finish (&quarantine);
 }
 
+/* Another instance's row with more trials than there are changes nothing. */
+static void
+test_trials_out_of_range (void)
+{
+  const struct quarantine_row row
+      = { .key = { .service_id = SERVICE, .subject = culprit[0] },
+          .trials = UINT32_MAX };
+  struct quarantine quarantine;
+  const struct quarantine_entry *part;
+
+  quarantine_init (&quarantine);
+  hold (&quarantine, START);
+  quarantine_merge (&quarantine, &row, false, START + S);
+  part = quarantine_find_held (&quarantine, SERVICE, culprit, 1, START + S);
+  CU_ASSERT_TRUE (part != NULL && part->trials == 0);
+  CU_ASSERT_TRUE (part != NULL
+                  && quarantine_trial_due (part, START + 3600 * S));
+  quarantine_finish (&quarantine);
+}
+
 static const struct suite_test tests[] = {
   { "crashes hold a part", test_crashes_hold },
   { "a response clears it", test_response_clears },
@@ -360,6 +380,7 @@
   { "a response elsewhere", test_response_elsewhere },
   { "order of rows", test_order_of_rows },
   { "trials", test_trials },
+  { "trials out of range", test_trials_out_of_range },
   { "many parts", test_many_parts },
   { "request", test_request },
   { "requests that are never the same", test_changing_requests },
