A valid version of the configuration is rejected whole

Strings and targets had fixed sizes within each route, and what did not fit counted as an invalid field, which rejects the document.

A version owns its strings and targets in an arena now (state/arena), and nothing but memory bounds their sizes and numbers. Routes are found by a hash of host and prefix and compared in full, of a path no more than the longest prefix is looked at, and services are found by a table. The health path was not used, so it is not read.

What is well formed and cannot be used costs only itself, with a log line and in entries_rejected_total: a second route of one host and prefix ("shop.example" and "SHOP.example:80"), a second service of one name, a key that another customer has, an unknown service or kind, a prefix that does not end with a slash, weights of 0. A field of another type still rejects the document.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -66,7 +66,8 @@
   const char *upstream_prefix; /**< store prefix of upstream registrations */
   const char *gateway_prefix;  /**< store prefix of gateway registrations */
   const char *stream_prefix;   /**< store prefix of summaries of streams */
-  /** Parses a configuration; an invalid one is rejected as a whole.
+  /** Parses a configuration; a malformed one is rejected as a whole.  Entries
+      that cannot be used are left out, logged and counted.
       @return 0, ERR_INVALID (with a reason) or ERR_NO_MEMORY. */
   int (*read_config) (const char *text, size_t size, struct routing **routing,
                       char reason[ADAPTER_REASON_SIZE]);
--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -259,6 +259,7 @@
     }
   routing_release (gateway->routing);
   gateway->routing = routing;
+  gateway->counters.entries_rejected += routing->rejected_count;
   apply_http_limits (gateway);
   gateway_peers_publish_item (gateway, item, true);
   LOG (LOG_CONFIG_APPLIED, NULL, LOG_U ("version", routing->version),
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -8,25 +8,49 @@
 #include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+
+#define FNV_OFFSET UINT64_C (14695981039346656037)
+#define FNV_PRIME  UINT64_C (1099511628211)
 
 struct routing_key
 {
-  char *key;
+  const char *key;
   uint32_t customer; /* index */
   UT_hash_handle hh;
 };
 
+/** Finds a route by a hash of its host and prefix. */
 struct routing_prefix
 {
-  char text[ROUTING_PREFIX_SIZE]; /* host and prefix */
-  uint32_t route;                 /* index */
+  uint64_t id;
+  uint32_t route; /* index */
+  UT_hash_handle hh;
+};
+
+struct routing_service_index
+{
+  uint64_t id;
+  uint32_t service; /* index */
   UT_hash_handle hh;
 };
 
 static void *grow_array (void *array, uint32_t count, size_t size);
 static bool route_valid (const struct routing *routing,
                          const struct route *route);
-static size_t copy_host (char *out, size_t size, const char *host);
+static bool copy_route (struct routing *routing, const struct route *route,
+                        struct route *copy);
+static size_t host_length (const char *host);
+static uint64_t host_hash (const char *host, size_t length);
+static uint64_t prefix_id (uint64_t host_id, const char *prefix,
+                           size_t length);
+static struct routing_prefix *find_prefix (const struct routing *routing,
+                                           uint64_t host_id,
+                                           const char *prefix, size_t length);
+static const struct route *find_route (const struct routing *routing,
+                                       const char *host, size_t host_size,
+                                       uint64_t host_id, const char *path,
+                                       size_t length);
 
 struct routing *
 routing_new (uint64_t version)
@@ -50,28 +74,12 @@
 void
 routing_release (struct routing *routing)
 {
-  struct routing_key *key;
-  struct routing_key *next_key;
-  struct routing_prefix *entry;
-  struct routing_prefix *next_entry;
-
   if (routing == NULL || --routing->references > 0)
     return;
-  key = routing->keys;
   HASH_CLEAR (hh, routing->keys);
-  for (; key != NULL; key = next_key)
-    {
-      next_key = key->hh.next;
-      free (key->key);
-      free (key);
-    }
-  entry = routing->prefixes;
   HASH_CLEAR (hh, routing->prefixes);
-  for (; entry != NULL; entry = next_entry)
-    {
-      next_entry = entry->hh.next;
-      free (entry);
-    }
+  HASH_CLEAR (hh, routing->service_ids);
+  arena_finish (&routing->arena);
   free (routing->routes);
   free (routing->services);
   free (routing->customers);
@@ -92,6 +100,8 @@
 routing_add_service (struct routing *routing,
                      const struct routing_service *service)
 {
+  struct routing_service copy = *service;
+  struct routing_service_index *entry;
   struct routing_service *services;
 
   if (routing_service_index (routing, service->name) >= 0)
@@ -101,45 +111,63 @@
   if (services == NULL)
     return ERR_NO_MEMORY;
   routing->services = services;
-  services[routing->service_count] = *service;
-  services[routing->service_count++].id = catalog_id (service->name);
+  copy.id = catalog_id (service->name);
+  copy.name = arena_copy_text (&routing->arena, service->name);
+  entry = arena_alloc (&routing->arena, sizeof (*entry));
+  if (entry == NULL || copy.name == NULL)
+    return ERR_NO_MEMORY;
+  *entry = (struct routing_service_index){ .id = copy.id,
+                                           .service = routing->service_count };
+  HASH_ADD (hh, routing->service_ids, id, sizeof (entry->id), entry);
+  services[routing->service_count++] = copy;
   return 0;
 }
 
 int
 routing_add_route (struct routing *routing, const struct route *route)
 {
+  const size_t host_size = host_length (route->host);
+  const uint64_t host_id = host_hash (route->host, host_size);
   struct routing_prefix *entry;
-  struct routing_prefix *found;
   struct route *routes;
-  size_t length;
 
   if (!route_valid (routing, route))
     return ERR_INVALID;
-  if (routing->route_count == ROUTING_ROUTES_MAX)
-    return ERR_FULL;
-  entry = calloc (1, sizeof (*entry));
-  if (entry == NULL)
+  if (find_prefix (routing, host_id, route->prefix, strlen (route->prefix))
+      != NULL)
+    return ERR_EXISTS;
+  routes = grow_array (routing->routes, routing->route_count, sizeof *routes);
+  if (routes == NULL)
     return ERR_NO_MEMORY;
-  length = copy_host (entry->text, sizeof (route->host), route->host);
-  memcpy (entry->text + length, route->prefix, strlen (route->prefix));
-  length += strlen (route->prefix);
-  HASH_FIND (hh, routing->prefixes, entry->text, length, found);
-  routes
-      = grow_array (routing->routes, routing->route_count, sizeof (*routes));
-  if (routes != NULL)
-    routing->routes = routes;
-  if (found != NULL || routes == NULL)
-    {
-      free (entry);
-      return found != NULL ? ERR_EXISTS : ERR_NO_MEMORY;
-    }
-  entry->route = routing->route_count;
-  HASH_ADD (hh, routing->prefixes, text[0], length, entry);
-  routes[routing->route_count++] = *route;
+  routing->routes = routes;
+  entry = arena_alloc (&routing->arena, sizeof *entry);
+  if (entry == NULL
+      || !copy_route (routing, route, &routes[routing->route_count]))
+    return ERR_NO_MEMORY;
+  *entry = (struct routing_prefix){
+    .id = prefix_id (host_id, route->prefix, strlen (route->prefix)),
+    .route = routing->route_count++,
+  };
+  if (strlen (route->prefix) > routing->prefix_bytes_max)
+    routing->prefix_bytes_max = strlen (route->prefix);
+  HASH_ADD (hh, routing->prefixes, id, sizeof entry->id, entry);
   return 0;
 }
 
+static bool
+copy_route (struct routing *routing, const struct route *route,
+            struct route *copy)
+{
+  *copy = *route;
+  copy->name = arena_copy_text (&routing->arena, route->name);
+  copy->host = arena_copy_text (&routing->arena, route->host);
+  copy->prefix = arena_copy_text (&routing->arena, route->prefix);
+  copy->targets = arena_copy (&routing->arena, route->targets,
+                              route->target_count * sizeof *route->targets);
+  return copy->name != NULL && copy->host != NULL && copy->prefix != NULL
+         && copy->targets != NULL;
+}
+
 static bool
 route_valid (const struct routing *routing, const struct route *route)
 {
@@ -150,8 +178,6 @@
   if (route->host[0] == '\0' || length == 0 || route->prefix[0] != '/'
       || route->prefix[length - 1] != '/')
     return false;
-  if (route->target_count == 0 || route->target_count > ROUTING_TARGETS_MAX)
-    return false;
   for (i = 0; i < route->target_count; i++)
     {
       if (route->targets[i].service >= routing->service_count)
@@ -167,12 +193,15 @@
 {
   struct routing_customer *customers = grow_array (
       routing->customers, routing->customer_count, sizeof (*customers));
+  struct routing_customer copy = *customer;
 
-  if (customers == NULL)
+  if (customers != NULL)
+    routing->customers = customers;
+  copy.name = arena_copy_text (&routing->arena, customer->name);
+  if (customers == NULL || copy.name == NULL)
     return ERR_NO_MEMORY;
-  routing->customers = customers;
-  customers[routing->customer_count] = *customer;
-  customers[routing->customer_count++].id = catalog_id (customer->name);
+  copy.id = catalog_id (customer->name);
+  customers[routing->customer_count++] = copy;
   return 0;
 }
 
@@ -184,16 +213,13 @@
   HASH_FIND (hh, routing->keys, text, strlen (text), key);
   if (key != NULL)
     return ERR_EXISTS;
-  key = calloc (1, sizeof (*key));
+  key = arena_alloc (&routing->arena, sizeof *key);
   if (key == NULL)
     return ERR_NO_MEMORY;
-  key->key = strdup (text);
+  *key = (struct routing_key){ .key = arena_copy_text (&routing->arena, text),
+                               .customer = routing->customer_count - 1 };
   if (key->key == NULL)
-    {
-      free (key);
-      return ERR_NO_MEMORY;
-    }
-  key->customer = routing->customer_count - 1;
+    return ERR_NO_MEMORY;
   HASH_ADD_KEYPTR (hh, routing->keys, key->key, strlen (key->key), key);
   return 0;
 }
@@ -201,55 +227,89 @@
 int
 routing_service_index (const struct routing *routing, const char *name)
 {
-  uint32_t i;
+  const struct routing_service *service
+      = routing_service (routing, catalog_id (name));
 
-  for (i = 0; i < routing->service_count; i++)
-    if (strcmp (routing->services[i].name, name) == 0)
-      return (int)i;
-  return -1;
+  return service == NULL ? -1 : (int)(service - routing->services);
 }
 
 const struct routing_service *
 routing_service (const struct routing *routing, uint64_t service_id)
 {
-  uint32_t i;
+  const struct routing_service_index *entry;
 
-  for (i = 0; i < routing->service_count; i++)
-    if (routing->services[i].id == service_id)
-      return &routing->services[i];
-  return NULL;
+  HASH_FIND (hh, routing->service_ids, &service_id, sizeof service_id, entry);
+  return entry == NULL ? NULL : &routing->services[entry->service];
 }
 
 const struct route *
 routing_match (const struct routing *routing, const char *host,
                const char *path)
 {
-  char text[ROUTING_PREFIX_SIZE];
-  const struct routing_prefix *found = NULL;
-  size_t start = copy_host (text, sizeof (((struct route *)0)->host), host);
-  size_t length = strnlen (path, sizeof (text) - start);
+  const size_t host_size = host_length (host);
+  const uint64_t host_id = host_hash (host, host_size);
+  const struct route *route = NULL;
   size_t i;
 
-  /* A slash would let part of the host match as part of a path prefix. */
-  if (strchr (host, '/') != NULL)
-    return NULL;
-  memcpy (text + start, path, length);
-  for (i = length; i > 0 && found == NULL; i--)
+  for (i = strnlen (path, routing->prefix_bytes_max); i > 0 && route == NULL;
+       i--)
     if (path[i - 1] == '/')
-      HASH_FIND (hh, routing->prefixes, text, start + i, found);
-  return found == NULL ? NULL : &routing->routes[found->route];
+      route = find_route (routing, host, host_size, host_id, path, i);
+  return route;
 }
 
-/* Copies a host in lower case, without its port or a terminating NUL.
-   @return bytes written. */
+/* The route of a host and the first `length` bytes of a path. */
+static const struct route *
+find_route (const struct routing *routing, const char *host, size_t host_size,
+            uint64_t host_id, const char *path, size_t length)
+{
+  const struct routing_prefix *entry
+      = find_prefix (routing, host_id, path, length);
+  const struct route *route
+      = entry == NULL ? NULL : &routing->routes[entry->route];
+
+  return route != NULL && host_length (route->host) == host_size
+                 && strncasecmp (route->host, host, host_size) == 0
+                 && strncmp (route->prefix, path, length) == 0
+                 && route->prefix[length] == '\0'
+             ? route
+             : NULL;
+}
+
+static struct routing_prefix *
+find_prefix (const struct routing *routing, uint64_t host_id,
+             const char *prefix, size_t length)
+{
+  const uint64_t id = prefix_id (host_id, prefix, length);
+  struct routing_prefix *entry;
+
+  HASH_FIND (hh, routing->prefixes, &id, sizeof id, entry);
+  return entry;
+}
+
+static uint64_t
+prefix_id (uint64_t host_id, const char *prefix, size_t length)
+{
+  return XXH3_64bits_withSeed (prefix, length, host_id);
+}
+
+/* Without the port. */
 static size_t
-copy_host (char *out, size_t size, const char *host)
+host_length (const char *host)
+{
+  return strcspn (host, ":");
+}
+
+/* Of the host in lower case. */
+static uint64_t
+host_hash (const char *host, size_t length)
 {
+  uint64_t hash = FNV_OFFSET;
   size_t i;
 
-  for (i = 0; i < size && host[i] != '\0' && host[i] != ':'; i++)
-    out[i] = (char)tolower ((unsigned char)host[i]);
-  return i;
+  for (i = 0; i < length; i++)
+    hash = (hash ^ (uint64_t)tolower ((unsigned char)host[i])) * FNV_PRIME;
+  return hash;
 }
 
 const struct routing_customer *
--- a/src/state/routing.h
+++ b/src/state/routing.h
@@ -3,22 +3,18 @@
  * One version of the operator's configuration for path-routed requests:
  * routes by host and path prefix, services, customers by key, limits.  A
  * version is immutable once built; requests in flight hold a reference to the
- * version under which they arrived.
+ * version under which they arrived.  It owns its strings and targets; only
+ * memory bounds their sizes and numbers.
  */
 #ifndef STATE_ROUTING_H
 #define STATE_ROUTING_H
 
+#include "state/arena.h"
 #include "state/catalog.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#define ROUTING_NAME_SIZE   64  /**< bytes of a name with its NUL */
-#define ROUTING_PREFIX_SIZE 512 /**< bytes of host and prefix together */
-#define ROUTING_TARGETS_MAX                                                   \
-  8 /**< services that share the traffic of a route */
-#define ROUTING_ROUTES_MAX 8192 /**< routes of one version */
-
 /** Retry semantics of a route. */
 enum route_kind
 {
@@ -31,14 +27,14 @@
 struct route_target
 {
   uint32_t service; /**< index of the service */
-  uint32_t weight;
+  uint64_t weight;
 };
 
 struct route
 {
-  char name[ROUTING_NAME_SIZE];
-  char host[ROUTING_PREFIX_SIZE / 2];
-  char prefix[ROUTING_PREFIX_SIZE / 2]; /**< begins and ends with a slash */
+  const char *name;
+  const char *host;
+  const char *prefix; /**< begins and ends with a slash */
   enum route_kind kind;
   bool resumable;       /**< a stream may resume at another upstream */
   bool without_api_key; /**< clients need no API key of a customer */
@@ -49,14 +45,13 @@
   uint32_t attempts_max;
   uint32_t priority; /**< 0 is the highest */
   uint32_t target_count;
-  struct route_target targets[ROUTING_TARGETS_MAX];
+  const struct route_target *targets; /**< services that share its traffic */
 };
 
 struct routing_service
 {
-  char name[ROUTING_NAME_SIZE];
-  uint64_t id; /**< catalog_id of the name */
-  char health_path[ROUTING_NAME_SIZE];
+  const char *name;
+  uint64_t id;              /**< catalog_id of the name */
   uint32_t connections_max; /**< to one upstream, over all callers */
   bool engine;              /**< language model engines */
   uint32_t slots;           /**< of one engine */
@@ -65,7 +60,7 @@
 
 struct routing_customer
 {
-  char name[ROUTING_NAME_SIZE];
+  const char *name;
   uint64_t id;       /**< catalog_id of the name */
   bool has_priority; /**< `priority` overrides that of the route */
   uint32_t priority;
@@ -90,8 +85,12 @@
   uint32_t service_count;
   struct routing_customer *customers;
   uint32_t customer_count;
+  size_t prefix_bytes_max;         /**< length of the longest path prefix */
+  uint32_t rejected_count;         /**< entries that its reader left out */
   struct routing_key *keys;        /**< uthash, private */
   struct routing_prefix *prefixes; /**< uthash, private */
+  struct routing_service_index *service_ids; /**< uthash, private */
+  struct arena arena;                        /**< private */
   uint32_t references;
 };
 
@@ -100,9 +99,9 @@
 struct routing *routing_retain (struct routing *routing);
 void routing_release (struct routing *routing);
 
-/** Add a copy of the argument. @return 0, ERR_EXISTS, ERR_FULL or
-    ERR_NO_MEMORY; for routes also ERR_INVALID when host, prefix or targets are
-    invalid. */
+/** Add a copy of the argument and of what it points to. @return 0, ERR_EXISTS
+    or ERR_NO_MEMORY; for routes also ERR_INVALID when host, prefix or targets
+    are invalid. */
 int routing_add_service (struct routing *routing,
                          const struct routing_service *service);
 int routing_add_route (struct routing *routing, const struct route *route);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -67,6 +67,8 @@
   = { LOG_LEVEL_INFO, "configuration object applied", false },
   [LOG_CONFIG_REJECTED]
   = { LOG_LEVEL_ERROR, "configuration object rejected", false },
+  [LOG_CONFIG_ENTRY_REJECTED]
+  = { LOG_LEVEL_ERROR, "entry of the configuration left out", false },
   [LOG_CONFIG_STALE]
   = { LOG_LEVEL_DEBUG, "older configuration ignored", false },
   [LOG_CONFIG_READY] = { LOG_LEVEL_INFO, "whole configuration held", false },
