--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -69,6 +69,8 @@
   = { LOG_LEVEL_INFO, "configuration object applied", false },
   [LOG_CONFIG_REJECTED]
   = { LOG_LEVEL_ERROR, "configuration object rejected", false },
+  [LOG_CONFIG_ENTRY_REJECTED]
+  = { LOG_LEVEL_ERROR, "entry of the configuration left out", false },
   [LOG_CONFIG_STALE]
   = { LOG_LEVEL_DEBUG, "older configuration ignored", false },
   [LOG_CONFIG_READY] = { LOG_LEVEL_INFO, "whole configuration held", false },
@@ -79,6 +81,8 @@
       false },
   [LOG_STORE_RESTORED]
   = { LOG_LEVEL_WARN, "store restored from a copy", false },
+  [LOG_STORE_ITEM_REJECTED]
+  = { LOG_LEVEL_WARN, "item of the store without a key or revision", false },
   [LOG_ADMIN_CHANGE] = { LOG_LEVEL_INFO, "configuration changed", false },
   [LOG_ADMIN_REFUSED] = { LOG_LEVEL_WARN, "admin request refused", false },
   /* log */
