A refusal that is written again is not believed

Cause: a response without X-Attempt-Id that says X-Not-Executed, or has status 421, was taken for one to the request in progress, whatever connection it came on. And a request could reach one upstream twice with the same id, in `serve' and, after eight upstreams, in the gateway, so that the refusal of the earlier attempt has the right id.

A refusal without an id counts on a new connection only, which has carried no other request; on a reused one the attempt fails as one that may have run. A request that its upstream may have been sent before gets a new connection. Refusals with another id were never believed; connections on which a refusal was read were and are closed; bytes on an idle connection close it.

--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -151,6 +151,8 @@
     .body = request->body,
     .body_size = request->body_size,
     .idempotent = request->attempt_state.idempotent,
+    /* Upstreams beyond the list may be chosen again. */
+    .repeated = request->tried_count == CHOOSE_EXCLUDED_MAX,
     .upstream_id = upstream->id,
     .address = upstream->record.address,
     .host = request->parsed.host,
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -40,7 +40,9 @@
   /** Checks that a response belongs to the request and is valid.
       @return 0, ERR_MISMATCH if it belongs to another request,
       ERR_UNAVAILABLE if the upstream states that it did not run the request,
-      or ERR_PROTOCOL. */
+      or ERR_PROTOCOL.  ERR_UNAVAILABLE for a response without the ID counts
+      on a new connection only: on a reused one it may be an extra response to
+      an earlier request. */
   int (*check_response) (const char *request_id, uint64_t resume_after,
                          int status, const struct upstream_header *headers,
                          size_t count);
@@ -71,13 +73,16 @@
   const char *path; /**< with the query */
   const struct upstream_header *headers;
   size_t header_count;
-  const char *body;      /**< must outlive the attempt */
-  size_t body_size;      /**< bytes */
-  bool idempotent;       /**< else only recently used connections are reused */
-  uint64_t resume_after; /**< bytes or events already forwarded; 0: none */
-  uint64_t upstream_id;  /**< key of the connection pool */
-  const char *address;   /**< "IP:PORT" */
-  const char *host;      /**< Host header; NULL: the address */
+  const char *body; /**< must outlive the attempt */
+  size_t body_size; /**< bytes */
+  bool idempotent;  /**< else only recently used connections are reused */
+  /** The upstream may have been sent it before.  It gets a new connection, on
+      which no response to the earlier attempt can arrive. */
+  bool repeated;
+  uint64_t resume_after;    /**< bytes or events already forwarded; 0: none */
+  uint64_t upstream_id;     /**< key of the connection pool */
+  const char *address;      /**< "IP:PORT" */
+  const char *host;         /**< Host header; NULL: the address */
   uint32_t idle_timeout_ms; /**< after which the upstream closes an idle
                                connection */
 };
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -169,7 +169,7 @@
   attempt = attempt_new (request, events, user);
   if (attempt == NULL)
     return NULL;
-  conn = conn_reuse (http, pool, request);
+  conn = request->repeated ? NULL : conn_reuse (http, pool, request);
   if (conn == NULL)
     conn = conn_open (http, pool, request);
   if (conn == NULL)
@@ -331,7 +331,10 @@
         return NULL;
       conn = pool_take (pool);
       if (conn_is_usable (conn))
-        return conn;
+        {
+          conn->reused = true;
+          return conn;
+        }
       conn_free (conn);
     }
   return NULL;
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -177,6 +177,11 @@
                                    status, headers, response->count);
   if (error == ERR_MISMATCH)
     return fail (conn, error);
+  /* Such a refusal may be that of an earlier request, written again. */
+  if (error == ERR_UNAVAILABLE && conn->reused
+      && upstream_header_find (headers, response->count, dialect->id_header)
+             == NULL)
+    error = ERR_PROTOCOL;
   if (dialect->draining (headers, response->count))
     attempt->events->draining (attempt->user);
   if (conn->free_pending)
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -24,6 +24,7 @@
       behaviour;                /* how it answers the current request */
   struct event *response_timer; /* pending until the response is due */
   char *request;                /* waits for its response; NULL for none */
+  bool responded;               /* to an earlier request */
   bool close_after_write;       /* close once all output is written */
   bool endless;                 /* the response has no end */
   unsigned int event;           /* last one sent of a timed stream; 0: none */
@@ -385,6 +386,13 @@
   upstreamserver_get_header (request, "X-Attempt-Id", id, sizeof id);
   snprintf (signature_header, sizeof signature_header,
             "X-Worker-Signature: %s\r\n", server->signature);
+  if (conn->responded && server->repeated_response != NULL)
+    {
+      bufferevent_write (conn->bev, server->repeated_response,
+                         strlen (server->repeated_response));
+      server->repetitions++;
+    }
+  conn->responded = true;
   switch (conn->behaviour)
     {
     case UPSTREAMSERVER_RESPOND:
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -59,7 +59,11 @@
   const char *signature;
   char identity[32];
   bool checks_identity; /**< misdirects requests that expect another one */
-  const char *extra_headers;       /**< in all responses, with CRLF; or NULL */
+  const char *extra_headers; /**< in all responses, with CRLF; or NULL */
+  /** An earlier response, written once more on each connection before its
+      responses but the first; NULL: none. */
+  const char *repeated_response;
+  unsigned int repetitions;        /**< times that it was written */
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
   uint64_t endless_bytes;          /**< sent of responses without end */
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -64,6 +64,7 @@
   void *user;
   unsigned int started;
   unsigned int canceled;
+  bool repeated; /**< see struct upstream_request */
   bool paused;
 };
 
@@ -81,10 +82,10 @@
 {
   struct fake_upstream *fake = driver;
 
-  (void)request;
   fake->events = events;
   fake->user = user;
   fake->started++;
+  fake->repeated = request->repeated;
   fake->paused = false;
   fake->handle = (struct upstream_attempt *)fake;
   return fake->handle;
@@ -292,6 +293,34 @@
   fixture_finish (&fixture);
 }
 
+/* The refusal of an earlier attempt must not be taken for one of this attempt,
+   which has the same ID. */
+static void
+test_refusal_of_earlier_attempt_is_believed (void)
+{
+  struct fixture fixture;
+  struct received in;
+  int fd;
+
+  fixture_init (&fixture);
+  fd = client_connect (&fixture);
+  client_send (fd, PLAIN_REQUEST);
+  wait_attempt (&fixture, 1);
+  CU_ASSERT_FALSE (fixture.fake.repeated);
+  fixture.fake.events->sending (fixture.fake.user);
+  fixture.fake.events->sent (fixture.fake.user);
+  respond_end (&fixture, ERR_UNAVAILABLE);
+  wait_attempt (&fixture, 2);
+  CU_ASSERT_TRUE (fixture.fake.repeated);
+  respond (&fixture, length_5, 2);
+  respond_body (&fixture, "hello", 5);
+  respond_end (&fixture, 0);
+  in = client_receive (&fixture, fd, "hello");
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 200 "));
+  close (fd);
+  fixture_finish (&fixture);
+}
+
 /* A buffered response that ends before its stated length is replaced by a
    refusal with the verdict. */
 static void
@@ -639,6 +668,8 @@
 
 static const struct suite_test tests[] = {
   { "complete response", test_complete_response },
+  { "refusal of an earlier attempt is believed",
+    test_refusal_of_earlier_attempt_is_believed },
   { "truncated buffered response", test_truncated_buffered_response },
   { "a truncated stream resets the connection",
     test_truncated_stream_resets_connection },
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -613,6 +613,99 @@
   fixture_finish (&fixture);
 }
 
+/* A dialect in which responses without an ID may say that the request did not
+   run. */
+static int
+check_refusal (const char *request_id, uint64_t resume_after, int status,
+               const struct upstream_header *headers, size_t count)
+{
+  const char *id = upstream_header_find (headers, count,
+                                         upstream_default_dialect.id_header);
+
+  (void)resume_after;
+  if (id != NULL && strcmp (id, request_id) != 0)
+    return ERR_MISMATCH;
+  if (status == 421 || status == 503)
+    return ERR_UNAVAILABLE;
+  return id == NULL ? ERR_PROTOCOL : 0;
+}
+
+static const char *const refusals_without_id[] = {
+  "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* On a connection that was used before, a refusal without an ID may be that of
+   an earlier request, written again. */
+static void
+test_repeated_refusal_is_believed (void)
+{
+  const struct script ok
+      = { OK_HEADERS "Content-Length: 5\r\n\r\nhello", AFTER_REPLY_KEEP_OPEN };
+  char *large = calloc (1, LARGE_BODY);
+  struct upstream_dialect refusing = upstream_default_dialect;
+  struct fixture fixture;
+  size_t i;
+
+  refusing.check_response = check_refusal;
+  dialect = &refusing;
+  for (i = 0;
+       i < sizeof (refusals_without_id) / sizeof (refusals_without_id[0]); i++)
+    {
+      const struct script refusal
+          = { refusals_without_id[i], AFTER_REPLY_KEEP_OPEN };
+      struct upstream_request request = { .method = "POST" };
+      struct upstream_request unsent
+          = { .method = "POST", .body = large, .body_size = LARGE_BODY };
+
+      fixture_init (&fixture);
+      run_attempt (&fixture, &request, &refusal);
+      CU_ASSERT_EQUAL (fixture.error, ERR_UNAVAILABLE);
+      run_attempt (&fixture, &request, &ok);
+      CU_ASSERT_EQUAL (fixture.error, 0);
+      run_attempt (&fixture, &request, &refusal);
+      CU_ASSERT_EQUAL (fixture.accepted, 2);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_TRUE (fixture.sent);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      /* It comes before the request is sent in whole. */
+      run_attempt (&fixture, &request, &ok);
+      run_attempt (&fixture, &unsent, &refusal);
+      CU_ASSERT_EQUAL (fixture.accepted, 3);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_FALSE (fixture.sent);
+      /* It comes while the connection is idle. */
+      run_attempt (&fixture, &request, &ok);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 1);
+      fixture.server_closed = false;
+      bufferevent_write (fixture.server, refusal.reply,
+                         strlen (refusal.reply));
+      run_until (&fixture, &fixture.server_closed);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      fixture_finish (&fixture);
+    }
+  dialect = NULL;
+  free (large);
+}
+
+/* A refusal of an earlier attempt has the ID of the request. */
+static void
+test_refusal_of_earlier_attempt_is_believed (void)
+{
+  const struct script ok
+      = { OK_HEADERS "Content-Length: 5\r\n\r\nhello", AFTER_REPLY_KEEP_OPEN };
+  struct upstream_request first = { .idempotent = true };
+  struct upstream_request again = { .idempotent = true, .repeated = true };
+  struct fixture fixture;
+
+  fixture_init (&fixture);
+  run_attempt (&fixture, &first, &ok);
+  run_attempt (&fixture, &again, &ok);
+  CU_ASSERT_EQUAL (fixture.accepted, 2);
+  CU_ASSERT_EQUAL (fixture.error, 0);
+  fixture_finish (&fixture);
+}
+
 static void
 test_unsolicited_bytes_prevent_reuse (void)
 {
@@ -712,6 +805,9 @@
   { "early response to an unsent body", test_early_response_to_unsent_body },
   { "draining is reported", test_draining_is_reported },
   { "connection reuse", test_connection_reuse },
+  { "repeated refusal is believed", test_repeated_refusal_is_believed },
+  { "refusal of an earlier attempt is believed",
+    test_refusal_of_earlier_attempt_is_believed },
   { "unsolicited bytes prevent reuse", test_unsolicited_bytes_prevent_reuse },
   { "cancel closes the connection", test_cancel_closes_connection },
   { "pause withholds the body", test_pause_withholds_body },
