A response that is reset does not look complete

Cause: while part of the request is unsent, a write meets the reset and takes the error of the socket. The next read returns 0, as after an orderly close, and a response without a length was taken for complete. When the write's and the read's event come in one call, on_event() returned for the write and lost the end, so that the attempt waited for its timer.

An error of a write, by the event loop or by the first write on a reused connection, is remembered with the connection, and no response of it ends as complete with the connection. The end is handled when both events come at once.

The same cause elsewhere: `serve' uses this driver; it accepts no response without a length, but its attempts could hang as well. httpcall, kvhttp and adminclient use evhttp, which reads only after the whole request was written and takes a failed write for the end of the call; peer links have their own reads and writes, and frames with a length. Both were read, not tried.

--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -203,7 +203,9 @@
   struct evbuffer *output = bufferevent_get_output (conn->bev);
 
   evbuffer_unfreeze (output, 1);
-  evbuffer_write (output, bufferevent_getfd (conn->bev));
+  if (evbuffer_write (output, bufferevent_getfd (conn->bev)) < 0
+      && errno != EAGAIN && errno != EINTR)
+    conn->write_failed = true;
   evbuffer_freeze (output, 1);
   if (evbuffer_get_length (output) > 0)
     bufferevent_enable (conn->bev, EV_WRITE);
@@ -579,14 +581,18 @@
     }
   if (conn->connected && (what & BEV_EVENT_WRITING) != 0)
     {
-      /* The upstream has stopped reading; an early response may follow. */
+      /* The write has taken the error of the socket, so a read does not see
+         it. */
+      conn->write_failed = true;
       bufferevent_disable (bev, EV_WRITE);
-      return;
+      /* An early response may follow. */
+      if ((what & BEV_EVENT_READING) == 0)
+        return;
     }
   if (!conn->connected)
     attempt_end (conn,
                  (what & BEV_EVENT_TIMEOUT) != 0 ? ERR_TIMEOUT : ERR_REFUSED);
-  else if ((what & BEV_EVENT_EOF) != 0
+  else if ((what & BEV_EVENT_EOF) != 0 && !conn->write_failed
            && conn->attempt->response.close_delimited)
     {
       conn->reusable = false;
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -88,6 +88,7 @@
   uint64_t idle_max_ns;             /**< closed when idle for this long */
   bool connected;
   bool reused;       /**< an earlier request was sent on it */
+  bool write_failed; /**< a read no longer tells a reset from an orderly end */
   bool parsing;      /**< inside the parser; must not be freed */
   bool free_pending; /**< free when the parser has returned */
   bool reusable;     /**< the response allows reuse of the connection */
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -19,6 +19,8 @@
 
 #define LARGE_BODY        8388608 /**< bytes; more than socket buffers hold */
 #define IDLE_TIMEOUT_MS   10000
+#define RESET_ROUNDS      12
+#define RESET_TURNS       20 /**< of the loop, until a reset has arrived */
 #define REQUEST_ID_HEADER "Cherrylanding-Request-Id: req-1\r\n"
 
 /** What the server does with the connection after its reply. */
@@ -523,6 +525,80 @@
   dialect = NULL;
 }
 
+/* Starts an attempt with a body that stays unsent in part, and waits for the
+   first bytes of a response without a length. */
+static void
+start_early_response (struct fixture *fixture,
+                      struct upstream_request *request, enum after_reply after)
+{
+  fixture->script = (struct script){ OK_HEADERS "\r\nhello", after };
+  start_attempt (fixture, request);
+  while (fixture->body_size == 0 && !fixture->ended)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+/** What meets a reset first. */
+enum reset_meets
+{
+  RESET_MEETS_WRITE, /**< reading is paused meanwhile */
+  RESET_MEETS_NEXT_WRITE,
+  RESET_MEETS_BOTH, /**< the upstream had stopped to read */
+  RESET_MEETS_MAX
+};
+
+static void
+turn_loop (struct fixture *fixture)
+{
+  unsigned int turn;
+
+  for (turn = 0; turn < RESET_TURNS; turn++)
+    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+}
+
+/* While part of the request is unsent, a write may meet the reset; what is
+   read then looks like the end of a connection that was closed in order. */
+static void
+test_reset_response_looks_complete (void)
+{
+  struct upstream_dialect close_delimited = upstream_default_dialect;
+  char *large = calloc (1, LARGE_BODY);
+  struct upstream_request request
+      = { .body = large, .body_size = LARGE_BODY, .idempotent = true };
+  struct fixture fixture;
+  unsigned int round;
+
+  close_delimited.allow_close_delimited = true;
+  dialect = &close_delimited;
+  for (round = 0; round < RESET_ROUNDS; round++)
+    {
+      fixture_init (&fixture);
+      start_early_response (&fixture, &request, AFTER_REPLY_KEEP_OPEN);
+      CU_ASSERT_FALSE_FATAL (fixture.ended);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_WRITE)
+        upstream_http_driver.pause (fixture.attempt, true);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_BOTH)
+        {
+          bufferevent_disable (fixture.server, EV_READ);
+          turn_loop (&fixture);
+        }
+      CU_ASSERT_FALSE (fixture.sent);
+      fixture.script.after = AFTER_REPLY_RESET;
+      server_after_reply (&fixture);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_WRITE)
+        {
+          turn_loop (&fixture);
+          upstream_http_driver.pause (fixture.attempt, false);
+        }
+      run_until (&fixture, &fixture.ended);
+      CU_ASSERT_EQUAL (fixture.error, ERR_TRUNCATED);
+      if (fixture.ended)
+        CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      fixture_finish (&fixture);
+    }
+  dialect = NULL;
+  free (large);
+}
+
 /* Removing an upstream closes its idle connections; its pool is freed with the
    last of them. */
 static void
@@ -797,6 +873,7 @@
     test_upstream_removed_during_request },
   { "bytes after a complete response", test_bytes_after_response },
   { "close-delimited responses", test_close_delimited_responses },
+  { "reset response looks complete", test_reset_response_looks_complete },
   { "removed upstream", test_removed_upstream },
   { "a refused connection sends nothing",
     test_refused_connection_sends_nothing },
