--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -19,6 +19,8 @@
 
 #define LARGE_BODY        8388608 /**< bytes; more than socket buffers hold */
 #define IDLE_TIMEOUT_MS   10000
+#define RESET_ROUNDS      12
+#define RESET_TURNS       20 /**< of the loop, until a reset has arrived */
 #define REQUEST_ID_HEADER "Cherrylanding-Request-Id: req-1\r\n"
 
 /** What the server does with the connection after its reply. */
@@ -523,6 +525,80 @@
   dialect = NULL;
 }
 
+/* Starts an attempt with a body that stays unsent in part, and waits for the
+   first bytes of a response without a length. */
+static void
+start_early_response (struct fixture *fixture,
+                      struct upstream_request *request, enum after_reply after)
+{
+  fixture->script = (struct script){ OK_HEADERS "\r\nhello", after };
+  start_attempt (fixture, request);
+  while (fixture->body_size == 0 && !fixture->ended)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+}
+
+/** What meets a reset first. */
+enum reset_meets
+{
+  RESET_MEETS_WRITE, /**< reading is paused meanwhile */
+  RESET_MEETS_NEXT_WRITE,
+  RESET_MEETS_BOTH, /**< the upstream had stopped to read */
+  RESET_MEETS_MAX
+};
+
+static void
+turn_loop (struct fixture *fixture)
+{
+  unsigned int turn;
+
+  for (turn = 0; turn < RESET_TURNS; turn++)
+    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+}
+
+/* While part of the request is unsent, a write may meet the reset; what is
+   read then looks like the end of a connection that was closed in order. */
+static void
+test_reset_response_looks_complete (void)
+{
+  struct upstream_dialect close_delimited = upstream_default_dialect;
+  char *large = calloc (1, LARGE_BODY);
+  struct upstream_request request
+      = { .body = large, .body_size = LARGE_BODY, .idempotent = true };
+  struct fixture fixture;
+  unsigned int round;
+
+  close_delimited.allow_close_delimited = true;
+  dialect = &close_delimited;
+  for (round = 0; round < RESET_ROUNDS; round++)
+    {
+      fixture_init (&fixture);
+      start_early_response (&fixture, &request, AFTER_REPLY_KEEP_OPEN);
+      CU_ASSERT_FALSE_FATAL (fixture.ended);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_WRITE)
+        upstream_http_driver.pause (fixture.attempt, true);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_BOTH)
+        {
+          bufferevent_disable (fixture.server, EV_READ);
+          turn_loop (&fixture);
+        }
+      CU_ASSERT_FALSE (fixture.sent);
+      fixture.script.after = AFTER_REPLY_RESET;
+      server_after_reply (&fixture);
+      if (round % RESET_MEETS_MAX == RESET_MEETS_WRITE)
+        {
+          turn_loop (&fixture);
+          upstream_http_driver.pause (fixture.attempt, false);
+        }
+      run_until (&fixture, &fixture.ended);
+      CU_ASSERT_EQUAL (fixture.error, ERR_TRUNCATED);
+      if (fixture.ended)
+        CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      fixture_finish (&fixture);
+    }
+  dialect = NULL;
+  free (large);
+}
+
 /* Removing an upstream closes its idle connections; its pool is freed with the
    last of them. */
 static void
@@ -613,6 +689,99 @@
   fixture_finish (&fixture);
 }
 
+/* A dialect in which responses without an ID may say that the request did not
+   run. */
+static int
+check_refusal (const char *request_id, uint64_t resume_after, int status,
+               const struct upstream_header *headers, size_t count)
+{
+  const char *id = upstream_header_find (headers, count,
+                                         upstream_default_dialect.id_header);
+
+  (void)resume_after;
+  if (id != NULL && strcmp (id, request_id) != 0)
+    return ERR_MISMATCH;
+  if (status == 421 || status == 503)
+    return ERR_UNAVAILABLE;
+  return id == NULL ? ERR_PROTOCOL : 0;
+}
+
+static const char *const refusals_without_id[] = {
+  "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* On a connection that was used before, a refusal without an ID may be that of
+   an earlier request, written again. */
+static void
+test_repeated_refusal_is_believed (void)
+{
+  const struct script ok
+      = { OK_HEADERS "Content-Length: 5\r\n\r\nhello", AFTER_REPLY_KEEP_OPEN };
+  char *large = calloc (1, LARGE_BODY);
+  struct upstream_dialect refusing = upstream_default_dialect;
+  struct fixture fixture;
+  size_t i;
+
+  refusing.check_response = check_refusal;
+  dialect = &refusing;
+  for (i = 0;
+       i < sizeof (refusals_without_id) / sizeof (refusals_without_id[0]); i++)
+    {
+      const struct script refusal
+          = { refusals_without_id[i], AFTER_REPLY_KEEP_OPEN };
+      struct upstream_request request = { .method = "POST" };
+      struct upstream_request unsent
+          = { .method = "POST", .body = large, .body_size = LARGE_BODY };
+
+      fixture_init (&fixture);
+      run_attempt (&fixture, &request, &refusal);
+      CU_ASSERT_EQUAL (fixture.error, ERR_UNAVAILABLE);
+      run_attempt (&fixture, &request, &ok);
+      CU_ASSERT_EQUAL (fixture.error, 0);
+      run_attempt (&fixture, &request, &refusal);
+      CU_ASSERT_EQUAL (fixture.accepted, 2);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_TRUE (fixture.sent);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      /* It comes before the request is sent in whole. */
+      run_attempt (&fixture, &request, &ok);
+      run_attempt (&fixture, &unsent, &refusal);
+      CU_ASSERT_EQUAL (fixture.accepted, 3);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_FALSE (fixture.sent);
+      /* It comes while the connection is idle. */
+      run_attempt (&fixture, &request, &ok);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 1);
+      fixture.server_closed = false;
+      bufferevent_write (fixture.server, refusal.reply,
+                         strlen (refusal.reply));
+      run_until (&fixture, &fixture.server_closed);
+      CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+      fixture_finish (&fixture);
+    }
+  dialect = NULL;
+  free (large);
+}
+
+/* A refusal of an earlier attempt has the ID of the request. */
+static void
+test_refusal_of_earlier_attempt_is_believed (void)
+{
+  const struct script ok
+      = { OK_HEADERS "Content-Length: 5\r\n\r\nhello", AFTER_REPLY_KEEP_OPEN };
+  struct upstream_request first = { .idempotent = true };
+  struct upstream_request again = { .idempotent = true, .repeated = true };
+  struct fixture fixture;
+
+  fixture_init (&fixture);
+  run_attempt (&fixture, &first, &ok);
+  run_attempt (&fixture, &again, &ok);
+  CU_ASSERT_EQUAL (fixture.accepted, 2);
+  CU_ASSERT_EQUAL (fixture.error, 0);
+  fixture_finish (&fixture);
+}
+
 static void
 test_unsolicited_bytes_prevent_reuse (void)
 {
@@ -704,6 +873,7 @@
     test_upstream_removed_during_request },
   { "bytes after a complete response", test_bytes_after_response },
   { "close-delimited responses", test_close_delimited_responses },
+  { "reset response looks complete", test_reset_response_looks_complete },
   { "removed upstream", test_removed_upstream },
   { "a refused connection sends nothing",
     test_refused_connection_sends_nothing },
@@ -712,6 +882,9 @@
   { "early response to an unsent body", test_early_response_to_unsent_body },
   { "draining is reported", test_draining_is_reported },
   { "connection reuse", test_connection_reuse },
+  { "repeated refusal is believed", test_repeated_refusal_is_believed },
+  { "refusal of an earlier attempt is believed",
+    test_refusal_of_earlier_attempt_is_believed },
   { "unsolicited bytes prevent reuse", test_unsolicited_bytes_prevent_reuse },
   { "cancel closes the connection", test_cancel_closes_connection },
   { "pause withholds the body", test_pause_withholds_body },
