A method that libevhtp has no name for no longer ends the gateway

Methods with a hyphen, a digit or a small letter got 400.

Cause: htparser_get_methodstr_m() returns NULL for a method that is not in libevhtp's list, and attempt_new() compares it with strcmp(). The digest of such a request was the same for each such method.

Change: httpd_head.c reads the method from the complete request line, before libevhtp's parser. A method that is no token gets 400. One that the parser does not know is overwritten for the parser by one that it takes, so that any token passes; CONNECT too, whose target it takes for an authority only. httpd_method() gives the text to the attempt's request and the digest, of the gateway and of `serve'. Neither the logs nor `explain' name a method.

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -272,7 +272,7 @@
 {
   const struct prompt *prompt = &request->parsed.prompt;
   const struct request_digest_input input = {
-    .method = htparser_get_methodstr_m (request->reply.http->method),
+    .method = httpd_method (request->reply.http),
     .host = request->parsed.host,
     .path = request->path,
     .customer_id = request->customer == NULL ? 0 : request->customer->id,
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -145,7 +145,7 @@
   enum loop_work work;
   struct upstream_request http_request = {
     .request_id = request->parsed.id,
-    .method = htparser_get_methodstr_m (request->reply.http->method),
+    .method = httpd_method (request->reply.http),
     .path = request->path,
     .headers = headers,
     .body = request->body,
--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -61,7 +61,7 @@
   char attempt_text[12];
   struct upstream_request outgoing = {
     .request_id = request->id,
-    .method = htparser_get_methodstr_m (request->reply.http->method),
+    .method = httpd_method (request->reply.http),
     .path = request->path,
     .headers = headers,
     .body = request->body,
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -22,7 +22,7 @@
 request_digest_of (struct request *request)
 {
   const struct request_digest_input input = {
-    .method = htparser_get_methodstr_m (request->reply.http->method),
+    .method = httpd_method (request->reply.http),
     .path = request->path,
     .customer_id = request->customer_id,
     .body = request->body,
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -5,6 +5,7 @@
 #include "transport/httpd.h"
 #include "state/err.h"
 #include "transport/clock.h"
+#include "transport/httpd_head.h"
 #include "transport/httpd_int.h"
 #include "transport/linger.h"
 #include "transport/loop.h"
@@ -51,7 +52,8 @@
   enum conn_state state;
   bufferevent_data_cb parse; /**< libevhtp's callback for input */
   bool line_complete; /**< the parser was given the current request's line */
-  bool over_limit;    /**< accepted above connections_max */
+  struct httpd_head head; /**< of the current request */
+  bool over_limit;        /**< accepted above connections_max */
   uint32_t header_bytes;
   uint64_t body_bytes;
   void *request_user; /**< set by httpd_set_request_user; NULL if not set */
@@ -79,7 +81,6 @@
 static void intercept_input (struct httpd_conn *conn);
 static void on_readable (struct bufferevent *bev, void *arg);
 static bool complete_line (struct httpd_conn *conn, struct bufferevent *bev);
-static bool request_line_complete (struct evbuffer *input);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
 static bool start_shedding (struct httpd *httpd);
@@ -236,6 +237,14 @@
     }
 }
 
+const char *
+httpd_method (const evhtp_request_t *http)
+{
+  const char *method = conn_from_request (http)->head.method;
+
+  return method != NULL ? method : htparser_get_methodstr_m (http->method);
+}
+
 void
 httpd_set_request_user (evhtp_request_t *http, void *request_user)
 {
@@ -519,6 +528,7 @@
   evhtp_connection_t *evhtp = conn->evhtp;
   const struct httpd_limits *limits = &conn->httpd->config.limits;
   struct evbuffer *input = bufferevent_get_input (bev);
+  enum httpd_head_state line;
 
   if (conn->state != CONN_RESPONDING && !conn->line_complete)
     {
@@ -527,11 +537,15 @@
           conn->state = CONN_READING;
           set_timer (conn, limits->read_timeout_ms);
         }
-      conn->line_complete = request_line_complete (input);
-      if (!conn->line_complete
-          && evbuffer_get_length (input) > limits->header_bytes_max)
+      line = httpd_head_read_line (&conn->head, input);
+      conn->line_complete = line == HTTPD_HEAD_COMPLETE;
+      if (line == HTTPD_HEAD_INVALID
+          || (line == HTTPD_HEAD_PARTIAL
+              && evbuffer_get_length (input) > limits->header_bytes_max))
         {
-          refuse (conn, REFUSAL_HEADERS_TOO_LARGE);
+          refuse (conn, line == HTTPD_HEAD_INVALID
+                            ? REFUSAL_BAD_REQUEST
+                            : REFUSAL_HEADERS_TOO_LARGE);
           evhtp_connection_free (evhtp);
           return false;
         }
@@ -540,20 +554,6 @@
   return true;
 }
 
-/* Empty lines may precede it. */
-static bool
-request_line_complete (struct evbuffer *input)
-{
-  struct evbuffer_ptr at;
-  char byte;
-
-  evbuffer_ptr_set (input, &at, 0, EVBUFFER_PTR_SET);
-  while (evbuffer_copyout_from (input, &at, &byte, 1) == 1
-         && (byte == '\r' || byte == '\n'))
-    evbuffer_ptr_set (input, &at, 1, EVBUFFER_PTR_ADD);
-  return evbuffer_search_eol (input, &at, NULL, EVBUFFER_EOL_LF).pos >= 0;
-}
-
 static void
 set_hooks (struct httpd_conn *conn)
 {
@@ -603,6 +603,7 @@
     event_free (conn->timer);
   if (conn->leave != NULL)
     event_free (conn->leave);
+  httpd_head_reset (&conn->head);
   free (conn);
 }
 
@@ -721,6 +722,7 @@
 
   (void)http;
   conn->state = CONN_READING;
+  conn->line_complete = true;
   conn->header_bytes = 0;
   conn->body_bytes = 0;
   set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
@@ -747,7 +749,8 @@
 
   if (conn->over_limit)
     return refuse (conn, REFUSAL_CONNECTIONS);
-  if (!httpd_framing_valid (headers))
+  /* The parser reads on by itself when a response has been sent. */
+  if (httpd_method (http) == NULL || !httpd_framing_valid (headers))
     return refuse (conn, REFUSAL_BAD_REQUEST);
   if (httpd_disable_form_parsing (headers) != 0)
     return refuse (conn, REFUSAL_ROUTER_FULL);
@@ -831,6 +834,7 @@
   notify_gone (conn);
   conn->state = CONN_IDLE;
   conn->line_complete = false;
+  httpd_head_reset (&conn->head);
   event_del (conn->leave);
   set_timer (conn, conn->httpd->config.limits.idle_timeout_ms);
   return EVHTP_RES_OK;
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -83,6 +83,10 @@
     requests get an error response. */
 void httpd_drain (struct httpd *httpd);
 
+/** @return the method as the client sent it, which libevhtp may have no name
+    for; until the request has ended. */
+const char *httpd_method (const evhtp_request_t *http);
+
 /** Sets the owner's data for a request.  After it is set to NULL, neither
     `gone` nor `drained` is called for the request. */
 void httpd_set_request_user (evhtp_request_t *http, void *request_user);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -65,6 +65,7 @@
   unsigned int started;
   unsigned int canceled;
   bool paused;
+  char method[32]; /**< of the last attempt's request */
 };
 
 struct fixture
@@ -81,7 +82,7 @@
 {
   struct fake_upstream *fake = driver;
 
-  (void)request;
+  snprintf (fake->method, sizeof (fake->method), "%s", request->method);
   fake->events = events;
   fake->user = user;
   fake->started++;
@@ -292,6 +293,68 @@
   fixture_finish (&fixture);
 }
 
+/* libevhtp has no name for these, or does not parse them. */
+static const char *const unknown_methods[]
+    = { "REPORT", "M-SEARCH", "get", "_", "CONNECT", "X'*!#$%&+.^`|~09" };
+
+/* Each gets to the upstream as it was sent, on connections that are kept. */
+static void
+test_unknown_method (void)
+{
+  struct fixture fixture;
+  struct received in;
+  char text[256];
+  unsigned int i;
+  int fd;
+
+  fixture_init (&fixture);
+  fd = client_connect (&fixture);
+  for (i = 0; i < sizeof (unknown_methods) / sizeof (unknown_methods[0]); i++)
+    {
+      snprintf (text, sizeof (text),
+                "%s /services/farm/job HTTP/1.1\r\n" HEAD "once\r\n\r\n",
+                unknown_methods[i]);
+      client_send (fd, text);
+      wait_attempt (&fixture, i + 1);
+      CU_ASSERT_STRING_EQUAL (fixture.fake.method, unknown_methods[i]);
+      CU_ASSERT_TRUE_FATAL (fixture.fake.started == i + 1);
+      respond (&fixture, length_5, 2);
+      respond_body (&fixture, "hello", 5);
+      respond_end (&fixture, 0);
+      in = client_receive (&fixture, fd, "hello");
+      CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 200 "));
+    }
+  close (fd);
+  fixture_finish (&fixture);
+}
+
+/* The digest of a request that crashes upstreams includes its method. */
+static void
+test_unknown_method_digest (void)
+{
+  struct fixture fixture;
+  unsigned int i;
+  int fd;
+
+  fixture_init (&fixture);
+  for (i = 0; i < 2; i++)
+    {
+      fd = client_connect (&fixture);
+      client_send (fd, i == 0 ? "REPORT /services/farm/job HTTP/1.1\r\n" HEAD
+                                "once\r\n\r\n"
+                              : "SEARCH /services/farm/job HTTP/1.1\r\n" HEAD
+                                "once\r\n\r\n");
+      wait_attempt (&fixture, i + 1);
+      fixture.fake.events->sending (fixture.fake.user);
+      fixture.fake.events->sent (fixture.fake.user);
+      respond_end (&fixture, ERR_RESET);
+      client_receive (&fixture, fd, "}}");
+      close (fd);
+    }
+  CU_ASSERT_EQUAL (fixture.router.quarantine.request_count, 2);
+  fixture_finish (&fixture);
+}
+
 /* A buffered response that ends before its stated length is replaced by a
    refusal with the verdict. */
 static void
@@ -451,6 +514,8 @@
     "once\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
     "400 ", true },
   { "not HTTP", "hello\r\n\r\n", "400 ", true },
+  { "method that is no token",
+    "GE(T /services/farm/x HTTP/1.1\r\n" HEAD "once\r\n\r\n", "400 ", true },
 };
 
 static void
@@ -639,6 +704,10 @@
 
 static const struct suite_test tests[] = {
   { "complete response", test_complete_response },
+  { "a method that libevhtp has no name for ends the router",
+    test_unknown_method },
+  { "requests with methods that libevhtp has no name for count as one",
+    test_unknown_method_digest },
   { "truncated buffered response", test_truncated_buffered_response },
   { "a truncated stream resets the connection",
     test_truncated_stream_resets_connection },
