A response of the store that is lost in a short silence is asked for again

What callers saw: a worker reports that it leaves, or the operator changes the configuration, beside a silence of the store of 0.6 to 1.7 s.

Cause: a watch waits up to 5 s and times out 1.5 s later. A response that the store loses, or to a call that it never reads, is missed only then, and nothing else comes on that connection. Whole fleets share the silence, so the index that peers report tells nothing.

Now a long poll whose response is 0.5 s overdue gets one call beside it that does not wait; the first response to either counts, the other is ignored. The overdue one is not given up: a store that is slow by more than 0.5 s still answers it. Calls that do not wait get none beside them, so a store that stays silent gets one call more for each watch and the back-off as before. Watches of the configuration and of upstreams wait `contact_ms' (a new setting, from `bounds') less 1 s: 0.5 s until overdue and 0.5 s for the answer, so that what was lost is known within the time that gateways have after an impairment. The watch of members (20 s) gets the second call, too; its wait is as it was.

Looked for elsewhere: leases, entries and listings have time-outs of 1 s. Weighed: a stale read each half second as a heartbeat (a tenth of the price) would tell of silences only, not of a lost response, and adds two connections a second and gateway; the peers' index tells nothing when all are silenced.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -19,8 +19,11 @@
 #define UPSTREAM_WATCH_INTERVAL_MAX_MS 1000
 #define CONFIG_WATCH_INTERVAL_MS                                              \
   20 /* updates are rare; a burst is read in batches */
-#define WATCH_TIMEOUT_MS                                                      \
-  5000 /* an unresponsive connection is detected by then */
+/* A response that the store lost is missed, and asked for again, while the
+   answer can still come within the time that gateways have. */
+#define WATCH_ANSWER_MS      500
+#define WATCH_TIMEOUT_MIN_MS 1000
+#define WATCH_TIMEOUT_MAX_MS 5000
 /* A live upstream whose entry the store lost registers again within 2 s; it
    stays in use for most of that time. */
 #define EXPIRED_ENTRY_GRACE_MS 1200
@@ -43,6 +46,7 @@
 static void on_config_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_restored (void *user, uint64_t lost_index);
+static uint32_t watch_timeout_ms (const struct gateway_settings *settings);
 static uint32_t
 upstream_watch_interval_ms (const struct gateway_settings *settings);
 static uint64_t expired_entry_grace_ns (const struct gateway *gateway);
@@ -76,7 +80,7 @@
     .kvstore = gateway->store,
     .prefix = gateway->adapter->config_key,
     .min_interval_ms = CONFIG_WATCH_INTERVAL_MS,
-    .poll_timeout_ms = WATCH_TIMEOUT_MS,
+    .poll_timeout_ms = watch_timeout_ms (&gateway->settings),
     .paused = true,
     .seed = catalog_id (gateway->settings.instance),
     .events = &config_events,
@@ -92,6 +96,18 @@
   return error;
 }
 
+static uint32_t
+watch_timeout_ms (const struct gateway_settings *settings)
+{
+  const uint32_t margin_ms = STORE_WATCH_OVERDUE_MS + WATCH_ANSWER_MS;
+
+  if (settings->contact_ms < WATCH_TIMEOUT_MIN_MS + margin_ms)
+    return WATCH_TIMEOUT_MIN_MS;
+  return settings->contact_ms > WATCH_TIMEOUT_MAX_MS + margin_ms
+             ? WATCH_TIMEOUT_MAX_MS
+             : settings->contact_ms - margin_ms;
+}
+
 static uint32_t
 upstream_watch_interval_ms (const struct gateway_settings *settings)
 {
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -12,23 +12,29 @@
 #include <utlist.h>
 
 #define RELIST_JITTER_MS 100 /* all watches of a fleet list again at once */
+/* Jitter within STORE_WATCH_OVERDUE_MS: watches of a fleet that read the same
+   change are overdue at once. */
+#define OVERDUE_JITTER_MS 100
 
 /** A call that has not been answered. */
 struct store_watch_call
 {
   struct store_watch *watch;
+  uint64_t start_ns;
   struct store_watch_call *prev;
   struct store_watch_call *next;
 };
 
 static void on_timer (evutil_socket_t fd, short what, void *arg);
 static void schedule (struct store_watch *watch, uint64_t delay_ms);
-static void start_call (struct store_watch *watch);
+static void start_call (struct store_watch *watch,
+                        struct store_watch_call **slot);
 static void on_page (void *user, int error, const struct kvstore_page *page);
 static bool check_era (struct store_watch *watch, uint64_t index);
+static void forget_calls (struct store_watch *watch);
 static void list_again (struct store_watch *watch);
 static void on_failure (struct store_watch *watch, int error);
-static void on_success (struct store_watch *watch);
+static void on_success (struct store_watch *watch, uint64_t start_ns);
 static void handle_listing (struct store_watch *watch,
                             const struct kvstore_page *page);
 static void handle_changes (struct store_watch *watch,
@@ -64,7 +70,8 @@
       next = call->next;
       free (call);
     }
-  watch->calls = watch->call = NULL;
+  watch->calls = NULL;
+  forget_calls (watch);
   if (watch->timer != NULL)
     event_free (watch->timer);
   watch->timer = NULL;
@@ -74,7 +81,7 @@
 store_watch_pause (struct store_watch *watch)
 {
   watch->paused = true;
-  watch->call = NULL;
+  forget_calls (watch);
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
   watch->failed_ns = 0;
@@ -94,7 +101,7 @@
 store_watch_set_prefix (struct store_watch *watch, const char *prefix)
 {
   watch->config.prefix = prefix;
-  watch->call = NULL;
+  forget_calls (watch);
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
   if (!watch->paused)
@@ -134,64 +141,84 @@
   event_add (watch->timer, &delay);
 }
 
+/* The timer is that of the next call or, while a long poll is pending, that of
+   the one beside it. */
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
+  struct store_watch *watch = arg;
+
   (void)fd;
   (void)what;
-  start_call (arg);
+  start_call (watch, watch->call == NULL ? &watch->call : &watch->second);
+}
+
+/* The response to a pending call is ignored from now on. */
+static void
+forget_calls (struct store_watch *watch)
+{
+  watch->call = watch->second = NULL;
 }
 
 static void
-start_call (struct store_watch *watch)
+start_call (struct store_watch *watch, struct store_watch_call **slot)
 {
   const struct store_watch_config *config = &watch->config;
   struct kvstore *store = config->kvstore;
   struct store_watch_call *call;
+  /* During an outage, or beside a call that is overdue, a long poll could
+     delay detection of the outage's end. */
+  uint32_t poll_timeout_ms = watch->failed_ns == 0 && slot == &watch->call
+                                 ? config->poll_timeout_ms
+                                 : 0;
   int error;
 
-  if (watch->call != NULL)
+  if (*slot != NULL)
     return;
   call = calloc (1, sizeof *call);
   if (call == NULL)
     {
+      forget_calls (watch);
       on_failure (watch, ERR_NO_MEMORY);
       return;
     }
   call->watch = watch;
+  call->start_ns = clock_now_ns (config->clock);
   DL_APPEND (watch->calls, call);
-  watch->call = call;
-  watch->call_start_ns = clock_now_ns (config->clock);
+  *slot = call;
+  if (watch->phase == STORE_WATCH_WATCHING && poll_timeout_ms > 0)
+    schedule (watch, poll_timeout_ms + STORE_WATCH_OVERDUE_MS
+                         - rng_below (&watch->rng, OVERDUE_JITTER_MS));
   if (watch->phase == STORE_WATCH_LISTING)
     error = store->ops->list_page (
         store, config->prefix,
         watch->page_after_key[0] == '\0' ? NULL : watch->page_after_key, false,
         on_page, call);
   else
-    /* During an outage a long poll could delay detection of its end. */
-    error = store->ops->watch_changes (
-        store, config->prefix, watch->index,
-        watch->failed_ns == 0 ? config->poll_timeout_ms : 0, on_page, call);
+    error = store->ops->watch_changes (store, config->prefix, watch->index,
+                                       poll_timeout_ms, on_page, call);
   if (error != 0)
     on_page (call, error, NULL);
 }
 
+/* The first response to a call or to the one beside it counts, be it an
+   error. */
 static void
 on_page (void *user, int error, const struct kvstore_page *page)
 {
   struct store_watch_call *call = user;
   struct store_watch *watch = call->watch;
-  bool current = call == watch->call;
+  bool current = call == watch->call || call == watch->second;
+  uint64_t start_ns = call->start_ns;
   uint64_t spent_ms
-      = (clock_now_ns (watch->config.clock) - watch->call_start_ns)
-        / CLOCK_NS_PER_MS;
+      = (clock_now_ns (watch->config.clock) - start_ns) / CLOCK_NS_PER_MS;
   bool continues;
 
   DL_DELETE (watch->calls, call);
   free (call);
   if (!current)
     return;
-  watch->call = NULL;
+  forget_calls (watch);
   if (error == ERR_STALE && watch->phase == STORE_WATCH_WATCHING)
     {
       /* The store has discarded the history since `index`; this is no failure
@@ -205,7 +232,7 @@
       return;
     }
   continues = check_era (watch, page->index);
-  on_success (watch);
+  on_success (watch, start_ns);
   if (!continues)
     {
       list_again (watch);
@@ -277,11 +304,11 @@
 }
 
 static void
-on_success (struct store_watch *watch)
+on_success (struct store_watch *watch, uint64_t start_ns)
 {
   uint64_t failed_ns = watch->failed_ns;
 
-  watch->last_success_ns = watch->call_start_ns;
+  watch->last_success_ns = start_ns;
   watch->backoff_ms = 0;
   watch->failed_ns = 0;
   if (failed_ns != 0)
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -4,7 +4,9 @@
  * then long-polls for changes, and lists again when the store has discarded
  * the change history or was restored from a copy.  Calls have a minimum
  * interval, so that a burst of changes is reported in one batch; failed calls
- * are retried with exponential backoff and jitter.
+ * are retried with exponential backoff and jitter.  A long poll whose response
+ * is overdue may have lost it while the store answers again: one call that
+ * does not wait is made beside it, and the first response to either counts.
  */
 #ifndef GATEWAY_STORE_WATCH_H
 #define GATEWAY_STORE_WATCH_H
@@ -67,13 +69,14 @@
   struct store_watch_call *calls; /**< pending ones, also those that a pause
                                        has made obsolete; private */
   struct store_watch_call *call;  /**< the one that counts; NULL: none */
+  /** Made beside it because its response is overdue; counts too. */
+  struct store_watch_call *second;
   bool paused;
   char page_after_key[256]; /**< last key of the previous page */
   uint64_t listing_index;   /**< index of the listing's first page */
-  uint64_t index;         /**< store index up to which changes were reported */
-  uint64_t restored_era;  /**< newest era for which `restored` was called */
-  uint64_t call_start_ns; /**< start of the last call */
-  uint64_t failed_ns;     /**< first of the current failures; 0: none */
+  uint64_t index;        /**< store index up to which changes were reported */
+  uint64_t restored_era; /**< newest era for which `restored` was called */
+  uint64_t failed_ns;    /**< first of the current failures; 0: none */
   uint64_t last_success_ns; /**< start of the last successful call */
   uint32_t backoff_ms;
   uint32_t backoff_min_ms; /**< after the first failure */
@@ -102,6 +105,10 @@
 #define STORE_WATCH_BACKOFF_MAX_MS                                            \
   800 /**< the end of an outage is seen within a second */
 
+/** The response to a long poll is overdue this long after the time for which
+    the store may hold it: far longer than a response normally takes. */
+#define STORE_WATCH_OVERDUE_MS 500
+
 /** Whether a listing was completed since the watch was last paused, and no
     call has failed since. */
 bool store_watch_current (const struct store_watch *watch);
--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -105,6 +105,7 @@
     .memory_mb = 100,
     .grace_ms = 8000,
     .upstream_leave_ms = 2000,
+    .contact_ms = 3000,
     .lease_min_ms = 1000,
     .retry_permille = 200,
     .retry_allowance = 50,
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -117,6 +117,8 @@
   const char *path = evhttp_uri_get_path (uri);
   struct evkeyvalq query;
 
+  if (store->silent)
+    return;
   if (store->fault == STORESERVER_FAULT_503
       || store->fault == STORESERVER_FAULT_429)
     {
@@ -281,9 +283,12 @@
     }
   evhttp_connection_set_closecb (
       evhttp_request_get_connection (watch->request), NULL, NULL);
-  send_response (store, watch->request, 200,
-                 json_pack ("{s:o,s:I}", "events", events, "at",
-                            (json_int_t)store->revision));
+  if (store->silent)
+    json_decref (events);
+  else
+    send_response (store, watch->request, 200,
+                   json_pack ("{s:o,s:I}", "events", events, "at",
+                              (json_int_t)store->revision));
   end_watch (watch);
   return true;
 }
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -33,6 +33,7 @@
   struct evhttp *http;
   uint16_t port;
   enum storeserver_fault fault;
+  bool silent; /**< does nothing that is asked for, and loses responses */
   uint64_t revision;
   uint64_t oldest_revision; /**< watches after an older revision get 410 */
   uint64_t last_lease_id;
--- a/tests/test_gateways.c
+++ b/tests/test_gateways.c
@@ -83,6 +83,7 @@
     .memory_mb = 100,
     .grace_ms = 8000,
     .upstream_leave_ms = 2000,
+    .contact_ms = 3000,
     .lease_min_ms = 1000,
     .retry_window_ms = 10000,
     .share_window_ms = 4000,
@@ -347,21 +348,30 @@
   return count;
 }
 
+/* Upstreams that a gateway may send requests to. */
+static unsigned int
+usable_at (const struct gateway_fleet *fleet, unsigned int index)
+{
+  const struct registry_upstream *upstream;
+  unsigned int count = 0;
+
+  for (upstream = fleet->gateways[index].registry.upstreams; upstream != NULL;
+       upstream = upstream->hh.next)
+    count += registry_usable (upstream, catalog_id ("s"));
+  return count;
+}
+
 /* Upstreams that every gateway may send requests to. */
 static unsigned int
 usable_everywhere (const struct gateway_fleet *fleet)
 {
-  const struct registry_upstream *upstream;
   unsigned int lowest = UINT32_MAX;
   unsigned int count;
   unsigned int i;
 
   for (i = 0; i < GATEWAYS; i++)
     {
-      count = 0;
-      for (upstream = fleet->gateways[i].registry.upstreams; upstream != NULL;
-           upstream = upstream->hh.next)
-        count += registry_usable (upstream, catalog_id ("s"));
+      count = usable_at (fleet, i);
       lowest = count < lowest ? count : lowest;
     }
   return lowest;
@@ -443,11 +453,48 @@
   fleet_finish (&fleet);
 }
 
+/* Whether all gateways have the configuration, and none sends requests to the
+   upstream that leaves. */
+static bool
+changes_in_force (const struct gateway_fleet *fleet)
+{
+  unsigned int i;
+
+  for (i = 0; i < GATEWAYS; i++)
+    if (usable_at (fleet, i) != 1)
+      return false;
+  return all_current (fleet);
+}
+
+/* An upstream leaves and the configuration changes in a silence of the store
+   that is over before any call has timed out: the responses are lost, and
+   nothing else will come on those connections.  Guards against watches that
+   wait for them: both are in force 3 s after the silence. */
+static void
+test_responses_lost_in_silence (void)
+{
+  static struct gateway_fleet fleet;
+
+  fleet_init (&fleet);
+  put_upstream (&fleet, 1);
+  CU_ASSERT_TRUE (run_until (&fleet, 10000, settled));
+  run_until (&fleet, 1200, never);
+  fleet.store.silent = true;
+  write_upstream (&fleet, 0, "draining");
+  put_config (&fleet);
+  run_until (&fleet, 600, never);
+  fleet.store.silent = false;
+  CU_ASSERT_FALSE (changes_in_force (&fleet));
+  CU_ASSERT_TRUE (run_until (&fleet, 3000, changes_in_force));
+  fleet_finish (&fleet);
+}
+
 static const struct suite_test tests[] = {
   { "store restored from a copy", test_restored_store },
   { "restart of the whole fleet", test_restart_of_fleet },
   { "a fleet with hubs", test_fleet_with_hubs },
   { "loss of all hubs", test_loss_of_all_hubs },
+  { "responses lost in a silence", test_responses_lost_in_silence },
 };
 
 SUITE_MAIN ("test_gateways", tests)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -21,6 +21,7 @@
       "\"port_range\":[7400,7415],"
       "\"limits\":{\"max_fds\":4200,\"memory_mb\":260},"
       "\"bounds\":{\"grace_s\":8,\"drain_ms\":2000,"
+      "\"contact_ms\":4000,"
       "\"retry_budget_ratio\":0.2,\"retry_allowance\":52,"
       "\"budget_window_s\":10,\"quota_window_s\":4},"
       "\"platform\":{\"address\":\"127.0.0.1:3\",\"ttl_min_ms\":1000}}";
@@ -333,6 +334,7 @@
   CU_ASSERT_EQUAL (settings.retry_window_ms, 10000);
   CU_ASSERT_EQUAL (settings.share_window_ms, 4000);
   CU_ASSERT_EQUAL (settings.grace_ms, 8000);
+  CU_ASSERT_EQUAL (settings.contact_ms, 4000);
   CU_ASSERT_TRUE (settings.connections_max < 4000);
 }
 
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -1,6 +1,7 @@
 /**
  * @file test_store_watch.c
- * Watches of store keys: failed calls, a discarded change history, and pauses.
+ * Watches of store keys: failed calls, lost responses, a discarded change
+ * history, and pauses.
  */
 #include "gateway/store_watch.h"
 #include "state/err.h"
@@ -9,6 +10,9 @@
 #include <string.h>
 
 #define POLL_TIMEOUT_MS 5000
+/* A short one, for responses that are overdue. */
+#define SHORT_POLL_TIMEOUT_MS 50
+#define SILENCE_MS            600 /* shorter than any call's timeout */
 
 /** A store that answers a call only when the test says so. */
 struct manual_store
@@ -20,6 +24,13 @@
   uint32_t poll_timeout_ms; /**< of the last long poll */
 };
 
+/** A call that the store has taken and not answered. */
+struct lost_call
+{
+  kvstore_page_fn done;
+  void *user;
+};
+
 struct watch_fixture
 {
   struct event_base *base;
@@ -156,16 +167,135 @@
 }
 
 static void
-answer_call (struct watch_fixture *fixture, int error, uint64_t index)
+answer (struct watch_fixture *fixture, const struct lost_call *call, int error,
+        uint64_t index)
 {
   static const struct kvstore_item item
       = { .key = "k/1", .value = "v", .value_size = 1, .index = 1 };
   const struct kvstore_page page
       = { .index = index, .more = fixture->more, .items = &item, .count = 1 };
-  kvstore_page_fn done = fixture->store.done;
+
+  call->done (call->user, error, error == 0 ? &page : NULL);
+}
+
+/* Takes the pending call, which the store does not answer for now. */
+static struct lost_call
+lose_call (struct watch_fixture *fixture)
+{
+  const struct lost_call call = { fixture->store.done, fixture->store.user };
 
   fixture->store.done = NULL;
-  done (fixture->store.user, error, error == 0 ? &page : NULL);
+  return call;
+}
+
+static void
+answer_call (struct watch_fixture *fixture, int error, uint64_t index)
+{
+  const struct lost_call call = lose_call (fixture);
+
+  answer (fixture, &call, error, index);
+}
+
+/* Runs the loop for as long as a watch waits at most before it takes a
+   response for overdue. */
+static void
+run_until_overdue (struct watch_fixture *fixture)
+{
+  const struct timeval limit = clock_timeval (
+      fixture->watch.config.poll_timeout_ms + STORE_WATCH_OVERDUE_MS);
+
+  event_base_loopexit (fixture->base, &limit);
+  event_base_dispatch (fixture->base);
+}
+
+/* A watch whose long poll falls into a silence of the store. */
+static struct lost_call
+lose_watch_in_silence (struct watch_fixture *fixture)
+{
+  struct lost_call lost;
+
+  fixture_init (fixture);
+  fixture->watch.config.poll_timeout_ms = SHORT_POLL_TIMEOUT_MS;
+  run_until_call (fixture);
+  answer_call (fixture, 0, 1);
+  run_until_call (fixture);
+  CU_ASSERT_EQUAL (fixture->store.poll_timeout_ms, SHORT_POLL_TIMEOUT_MS);
+  lost = lose_call (fixture);
+  clock_advance_ms (&fixture->clock, SILENCE_MS);
+  run_until_overdue (fixture);
+  CU_ASSERT_EQUAL (fixture->failures, 0);
+  CU_ASSERT_EQUAL_FATAL (fixture->store.calls, 3);
+  return lost;
+}
+
+/* A response is lost in a silence that is over before the call times out.
+   Guards against a watch that reports nothing until then: a call that does not
+   wait is made beside it, once the response is overdue. */
+static void
+test_response_lost_in_silence (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call lost = lose_watch_in_silence (&fixture);
+
+  CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, 0);
+  CU_ASSERT_EQUAL (fixture.items, 1);
+  answer_call (&fixture, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  CU_ASSERT_TRUE (store_watch_current (&fixture.watch));
+  /* The lost call's timeout is no failure, and ends nothing. */
+  run_until_call (&fixture);
+  answer (&fixture, &lost, ERR_TIMEOUT, 0);
+  CU_ASSERT_EQUAL (fixture.failures, 0);
+  CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, SHORT_POLL_TIMEOUT_MS);
+  answer_call (&fixture, 0, 12);
+  CU_ASSERT_EQUAL (fixture.watch.index, 12);
+  fixture_finish (&fixture);
+}
+
+/* A response that is late, not lost, counts; then the one to the call beside
+   it does not, or its changes would be reported twice. */
+static void
+test_late_response (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call late = lose_watch_in_silence (&fixture);
+  struct lost_call second = lose_call (&fixture);
+
+  answer (&fixture, &late, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  answer (&fixture, &second, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.failures, 0);
+  run_until_call (&fixture);
+  CU_ASSERT_EQUAL (fixture.store.calls, 4);
+  fixture_finish (&fixture);
+}
+
+/* A store that stays silent gets one call beside the overdue one, and then one
+   at a time. */
+static void
+test_no_calls_beside_failing_ones (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call first = lose_watch_in_silence (&fixture);
+  struct lost_call second = lose_call (&fixture);
+
+  run_until_overdue (&fixture);
+  CU_ASSERT_EQUAL (fixture.store.calls, 3);
+  answer (&fixture, &first, ERR_TIMEOUT, 0);
+  CU_ASSERT_EQUAL (fixture.failures, 1);
+  answer (&fixture, &second, ERR_TIMEOUT, 0);
+  run_until_call (&fixture);
+  first = lose_call (&fixture);
+  run_until_overdue (&fixture);
+  CU_ASSERT_EQUAL (fixture.store.calls, 4);
+  CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, 0);
+  CU_ASSERT_EQUAL (fixture.failures, 1);
+  answer (&fixture, &first, 0, 9);
+  CU_ASSERT_EQUAL (fixture.recoveries, 1);
+  fixture_finish (&fixture);
 }
 
 /* A call whose response is lost ends at its timeout, which grows with the
@@ -291,6 +421,9 @@
   { "no long poll after a failure", test_no_long_poll_after_failure },
   { "change history discarded", test_history_discarded },
   { "response during a pause", test_pause },
+  { "response lost in a silence", test_response_lost_in_silence },
+  { "late response", test_late_response },
+  { "no calls beside failing ones", test_no_calls_beside_failing_ones },
 };
 
 SUITE_MAIN ("test_store_watch", tests)
