--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -186,6 +186,11 @@
   struct message_load_item *items;
   size_t suspect_count;
   struct quarantine_row *suspects; /**< see quarantine.h */
+  uint64_t sent_ms; /**< steady time of the sender, from 1; 0: not stated */
+  /** The newest `sent_ms` of the receiver that this message answers: what the
+      sender, and the instances whose news it passes on, knew when that arrived
+      was sent before; 0: none. */
+  uint64_t echo_ms;
 };
 
 /** Streams and markers of services that changed; they add to earlier ones. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -179,6 +179,7 @@
   struct stream_builds streams; /**< builds that began them */
   struct build_records build_records;
   struct gateway_stream_store stream_store;
+  bool streams_awaited;        /**< requests may wait for peers' streams */
   uint64_t streams_generation; /**< of the registry, as last searched for
                                     services with several builds */
   uint64_t queued_weight;      /**< sum of gateway_request.queued_weight of the
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -16,9 +16,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Peers report ten times a second; an instance that has heard of none for this
-   long may be cut off. */
-#define INFORMED_MS 1000
 #define HANDSHAKE_TIMEOUT_MS                                                  \
   1000 /* network latency between instances is low */
 #define LINK_IDLE_TIMEOUT_MS                                                  \
@@ -50,8 +47,6 @@
 static uint32_t report_interval_ms (const struct gateway_peers *peers);
 static void handle_report_tick (struct gateway_peers *peers);
 static int start_net (struct gateway_peers *peers);
-static struct gateway_peer *find_peer (const struct gateway_peers *peers,
-                                       uint64_t instance_id);
 static void update_subscription (struct gateway_peers *peers,
                                  struct gateway_peer *peer);
 static void send_pending_snapshots (struct gateway_peers *peers);
@@ -180,28 +175,10 @@
   return gateway->peers->hub;
 }
 
-bool
-gateway_peers_informed (const struct gateway *gateway)
-{
-  const struct gateway_peers *peers = gateway->peers;
-  const struct gateway_peers_member *member;
-  const struct gateway_peer *peer;
-  uint64_t now_ns = gateway_now_ns (gateway);
-
-  for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
-    if (peer->report_ns != 0
-        && now_ns - peer->report_ns < INFORMED_MS * CLOCK_NS_PER_MS)
-      return true;
-  for (member = peers->members; member != NULL; member = member->hh.next)
-    if (member->id != peers->self_id)
-      return false;
-  return peers->members_listed;
-}
-
 /* Links. */
 
-static struct gateway_peer *
-find_peer (const struct gateway_peers *peers, uint64_t instance_id)
+struct gateway_peer *
+gateway_peers_find (const struct gateway_peers *peers, uint64_t instance_id)
 {
   struct gateway_peer *peer;
 
@@ -226,7 +203,7 @@
 {
   struct gateway_peers *peers = user;
   uint64_t instance_id = catalog_id (hello->instance);
-  struct gateway_peer *peer = find_peer (peers, instance_id);
+  struct gateway_peer *peer = gateway_peers_find (peers, instance_id);
 
   LOG (LOG_PEER_UP, NULL, LOG_S ("peer", hello->instance),
        LOG_S ("address", hello->address));
@@ -241,6 +218,7 @@
                 peer);
     }
   peer->requested = peer->subscribed = peer->snapshot_pending = false;
+  gateway_peers_confirm_reset (peer);
   peer->suspects_sent = peer->streams_sent = 0;
   peer->suspects_new_until = peers->gateway->quarantine.sequence;
   peer->streams_new_until = peers->gateway->streams.sequence;
@@ -284,7 +262,7 @@
                  const struct message *message)
 {
   struct gateway_peers *peers = user;
-  struct gateway_peer *peer = find_peer (peers, instance_id);
+  struct gateway_peer *peer = gateway_peers_find (peers, instance_id);
 
   if (peer == NULL)
     return;
@@ -292,7 +270,9 @@
     {
     case MESSAGE_LOAD:
       peer->report_ns = gateway_now_ns (peers->gateway);
+      gateway_peers_confirm_receive (peers, peer, &message->u.load);
       gateway_peers_set_report (peers, peer, &message->u.load);
+      gateway_streams_decide (peers->gateway);
       gateway_request_capacity_changed (peers->gateway);
       break;
     case MESSAGE_CONFIG_REQUEST:
@@ -319,7 +299,7 @@
 on_peer_down (void *user, uint64_t instance_id, int error)
 {
   struct gateway_peers *peers = user;
-  struct gateway_peer *peer = find_peer (peers, instance_id);
+  struct gateway_peer *peer = gateway_peers_find (peers, instance_id);
 
   peers->gateway->counters.links_lost++;
   LOG (LOG_PEER_DOWN, NULL, LOG_S ("peer", peer == NULL ? "" : peer->instance),
@@ -513,6 +493,7 @@
 
   peers->report_ticks++;
   gateway_streams_send_all (peers);
+  gateway_streams_decide (peers->gateway);
   if (!is_round)
     {
       gateway_peers_send_reports (peers, to_hubs);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -27,9 +27,10 @@
 /** Upper bound of the age of the view of the store received from a hub;
     UINT64_MAX without a hub. */
 uint64_t gateway_peers_store_age_ns (const struct gateway *gateway);
-/** Whether a peer has reported a short time ago, or there are no others: a
-    gateway that is cut off must not rely on its own view alone. */
-bool gateway_peers_informed (const struct gateway *gateway);
+/** What the other gateways knew at this time has reached this one, also if it
+    was cut off or stood still meanwhile; now if there are no others, 0 if
+    nothing is known of them. */
+uint64_t gateway_peers_confirmed_ns (const struct gateway *gateway);
 /** Stores an item for snapshots to future subscribers; sends it to current
     subscribers if it has changed. */
 void gateway_peers_publish_item (struct gateway *gateway,
--- /dev/null
+++ b/src/gateway/gateway_peers_confirm.c
@@ -0,0 +1,155 @@
+/**
+ * @file gateway_peers_confirm.c
+ * How current this instance's knowledge of the others is.  A report answers
+ * one that its receiver has sent, so it follows, on the same link, whatever
+ * its sender knew when that arrived.  The time of a report's arrival would not
+ * do: it may have waited in a socket while an instance stood still, or on its
+ * way while a network was cut.
+ */
+#include "gateway/gateway_peers_int.h"
+
+/* An instance that has answered nothing for this long has ended or is out of
+   reach: ten reports between hubs. */
+#define SILENT_MS 1000
+/* Upstreams renew their entries so often that reads of them succeed twice in
+   this time. */
+#define STORE_CONFIRMED_MS 2000
+
+static uint64_t hub_confirmed_ns (const struct gateway_peers *peers);
+static uint64_t subscriber_confirmed_ns (const struct gateway_peers *peers);
+static bool is_silent (const struct gateway_peer *peer, uint64_t now_ns);
+static bool store_confirmed (const struct gateway_peers *peers,
+                             uint64_t now_ns);
+static uint64_t newest_answered_ms (const struct gateway_peer *peer,
+                                    uint64_t until_ns);
+
+void
+gateway_peers_confirm_reset (struct gateway_peer *peer)
+{
+  peer->stamp_count = 0;
+  peer->confirmed_ns = 0;
+}
+
+void
+gateway_peers_confirm_receive (const struct gateway_peers *peers,
+                               struct gateway_peer *peer,
+                               const struct message_load *load)
+{
+  uint64_t now_ns = gateway_now_ns (peers->gateway);
+  uint64_t answered_ns;
+
+  if (load->sent_ms == 0)
+    {
+      /* An instance of a version that states no times. */
+      peer->confirmed_ns = now_ns;
+      return;
+    }
+  peer->stamps[peer->stamp_count++ % GATEWAY_PEERS_STAMPS]
+      = (struct gateway_peers_stamp){ .sent_ms = load->sent_ms,
+                                      .received_ns = now_ns };
+  if (load->echo_ms == 0)
+    return;
+  answered_ns = peers->start_ns + (load->echo_ms - 1) * CLOCK_NS_PER_MS;
+  if (answered_ns <= now_ns && answered_ns > peer->confirmed_ns)
+    peer->confirmed_ns = answered_ns;
+}
+
+/* A hub passes on what it hears of others, so it answers its subscribers only
+   up to what the others have confirmed to it. */
+void
+gateway_peers_confirm_send (const struct gateway_peers *peers,
+                            const struct gateway_peer *peer,
+                            struct message_load *load)
+{
+  uint64_t now_ns = gateway_now_ns (peers->gateway);
+
+  load->sent_ms = (now_ns - peers->start_ns) / CLOCK_NS_PER_MS + 1;
+  load->echo_ms = newest_answered_ms (
+      peer, peer->subscribed ? peers->confirmed_ns : now_ns);
+}
+
+static uint64_t
+newest_answered_ms (const struct gateway_peer *peer, uint64_t until_ns)
+{
+  const struct gateway_peers_stamp *stamp;
+  uint64_t i;
+
+  for (i = peer->stamp_count;
+       i > 0 && i + GATEWAY_PEERS_STAMPS > peer->stamp_count; i--)
+    {
+      stamp = &peer->stamps[(i - 1) % GATEWAY_PEERS_STAMPS];
+      if (stamp->received_ns <= until_ns)
+        return stamp->sent_ms;
+    }
+  return 0;
+}
+
+uint64_t
+gateway_peers_confirmed_ns (const struct gateway *gateway)
+{
+  const struct gateway_peers *peers = gateway->peers;
+
+  if (!peers->members_listed)
+    return 0;
+  return peers->hub ? hub_confirmed_ns (peers)
+                    : subscriber_confirmed_ns (peers);
+}
+
+/* Hubs that have ended do not answer.  They, or some that are out of reach,
+   are left out if another one answers and the store does: upstreams that
+   those may have seen are known here then. */
+static uint64_t
+hub_confirmed_ns (const struct gateway_peers *peers)
+{
+  const struct gateway_peers_member *member;
+  const struct gateway_peer *peer;
+  uint64_t now_ns = gateway_now_ns (peers->gateway);
+  uint64_t oldest_ns = now_ns;
+  bool all_answer = true;
+  bool one_answers = false;
+
+  for (member = peers->members; member != NULL; member = member->hh.next)
+    {
+      if (member->id == peers->self_id || !member->hub)
+        continue;
+      peer = gateway_peers_find (peers, member->id);
+      if (peer == NULL || is_silent (peer, now_ns))
+        {
+          all_answer = false;
+          continue;
+        }
+      one_answers = true;
+      if (peer->confirmed_ns < oldest_ns)
+        oldest_ns = peer->confirmed_ns;
+    }
+  if (all_answer || (one_answers && store_confirmed (peers, now_ns)))
+    return oldest_ns;
+  return 0;
+}
+
+/* Only the hub that gets this instance's reports can answer them. */
+static uint64_t
+subscriber_confirmed_ns (const struct gateway_peers *peers)
+{
+  const struct gateway_peer *hub = gateway_peers_report_hub (peers);
+
+  return hub != NULL && gateway_peers_knows_hub (peers, hub->instance_id)
+             ? hub->confirmed_ns
+             : 0;
+}
+
+static bool
+is_silent (const struct gateway_peer *peer, uint64_t now_ns)
+{
+  return now_ns - peer->confirmed_ns > SILENT_MS * CLOCK_NS_PER_MS;
+}
+
+static bool
+store_confirmed (const struct gateway_peers *peers, uint64_t now_ns)
+{
+  const struct store_watch *watch = &peers->gateway->upstream_watch;
+
+  return store_watch_current (watch) && !peers->store_lags
+         && now_ns - watch->last_success_ns
+                < STORE_CONFIRMED_MS * CLOCK_NS_PER_MS;
+}
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -22,15 +22,30 @@
 #define GATEWAY_PEERS_ZONE_REPORT_MS 25
 #define GATEWAY_PEERS_KEY_SIZE       (2 * GATEWAY_NAME_SIZE + 64)
 
+/** Times of a peer's reports that are kept: of as many as come while hubs hear
+    of each other. */
+#define GATEWAY_PEERS_STAMPS 32
+
+/** When a peer sent a report, by its clock, and when that arrived, by this
+    one's. */
+struct gateway_peers_stamp
+{
+  uint64_t sent_ms;
+  uint64_t received_ns;
+};
+
 /** An instance with a working link. */
 struct gateway_peer
 {
   uint64_t instance_id;
   char instance[CATALOG_NAME_SIZE];
-  bool requested;           /**< it forwards store items to this instance */
-  bool subscribed;          /**< this instance forwards store items to it */
-  bool snapshot_pending;    /**< it has still to be sent all store items */
-  uint64_t report_ns;       /**< time of its last load report */
+  bool requested;        /**< it forwards store items to this instance */
+  bool subscribed;       /**< this instance forwards store items to it */
+  bool snapshot_pending; /**< it has still to be sent all store items */
+  uint64_t report_ns;    /**< time of its last load report */
+  struct gateway_peers_stamp stamps[GATEWAY_PEERS_STAMPS]; /**< a ring */
+  uint64_t stamp_count;     /**< received so far */
+  uint64_t confirmed_ns;    /**< what it knew at this time was received */
   struct message_load load; /**< its last load report */
   uint64_t suspects_sent;   /**< sequence of the last quarantine rows sent */
   uint64_t suspects_new_until; /**< as streams_new_until */
@@ -91,6 +106,8 @@
                                 are out of the load balancer's rotation */
   struct gateway_peer *linked_peers; /**< uthash by instance_id */
   uint64_t start_ns;
+  uint64_t confirmed_ns; /**< gateway_peers_confirmed_ns() as of the last
+                              round of reports */
   uint64_t hub_fresh_ns; /**< when a hub's view was last fresh */
   /** Store index that this instance has to reach: the newest one reported by
       peers when it had reached the previous one. */
@@ -124,6 +141,22 @@
 bool gateway_peers_knows_hub (const struct gateway_peers *peers,
                               uint64_t instance_id);
 
+/** The peer with this id; NULL without a link. */
+struct gateway_peer *gateway_peers_find (const struct gateway_peers *peers,
+                                         uint64_t instance_id);
+
+/* gateway_peers_confirm.c */
+/** A link to the peer is new. */
+void gateway_peers_confirm_reset (struct gateway_peer *peer);
+/** A report has arrived. */
+void gateway_peers_confirm_receive (const struct gateway_peers *peers,
+                                    struct gateway_peer *peer,
+                                    const struct message_load *load);
+/** Sets the times of a report to a peer. */
+void gateway_peers_confirm_send (const struct gateway_peers *peers,
+                                 const struct gateway_peer *peer,
+                                 struct message_load *load);
+
 /* gateway_peers_load.c */
 /** Sends load reports to peers; a hub reports to other hubs only if
     `to_hubs`. */
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -165,6 +165,7 @@
   sums.pool = calloc (sums.size, sizeof *sums.pool);
   if (sums.pool == NULL)
     return;
+  peers->confirmed_ns = gateway_peers_confirmed_ns (peers->gateway);
   add_own_load (peers, &sums);
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     {
@@ -340,6 +341,7 @@
       = peers->store_lags || age_ms > AGE_MAX_MS || !gateway->upstreams_loaded
             ? AGE_MAX_MS
             : (uint32_t)age_ms;
+  gateway_peers_confirm_send (peers, peer, load);
   for (i = 0; i < sums->used; i++)
     if (sums->pool[i].requests > 0 || sums->pool[i].tokens > 0)
       load->items[load->item_count++] = (struct message_load_item){
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -99,7 +99,16 @@
   httpd_pause (http);
   fleet_retry_budget_count_request (&gateway->fleet_retry_budget,
                                     request->service->id, request->arrival_ns);
-  refusal = gateway_streams_bind (request);
+  gateway_request_begin (request);
+}
+
+void
+gateway_request_begin (struct gateway_request *request)
+{
+  enum refusal refusal = gateway_streams_bind (request);
+
+  if (request->awaits_peers)
+    return;
   if (refusal == REFUSAL_NONE)
     gateway_request_try (request);
   else
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -71,6 +71,7 @@
   bool awaits_trial;               /**< waits for the decision on a trial */
   uint64_t tried_ids[CHOOSE_EXCLUDED_MAX];
   size_t tried_count;
+  bool awaits_peers;       /**< a stream whose build peers may know */
   uint64_t build;          /**< that the stream is bound to; 0: to none */
   uint64_t upstream_build; /**< of the upstream of the attempt */
   bool is_stream; /**< the response is a stream of server-sent events */
@@ -79,6 +80,8 @@
   uint64_t first_byte_ns; /**< first response byte to the client; 0: none */
 };
 
+/** Begins with a request that has arrived, unless it waits for peers. */
+void gateway_request_begin (struct gateway_request *request);
 /** Sends the request to the best upstream, queues it, or refuses it. */
 void gateway_request_try (struct gateway_request *request);
 /** Ends and frees the request if its client has closed the connection.
--- a/src/gateway/gateway_streams.c
+++ b/src/gateway/gateway_streams.c
@@ -16,14 +16,30 @@
    a heartbeat, and the way through the store and the hubs. */
 #define ENTRY_LAG_MS 10000
 #define ROWS_MAX     1024 /* in a message; others follow */
+/* Peers that are in touch confirm what they know within half of this, also
+   through hubs. */
+#define CONFIRM_MS 500
+/* A gateway that its peers have confirmed nothing for this long is out of
+   touch. */
+#define INFORMED_MS 1000
 /* Binds a stream whose build is unknown: no upstream has it. */
 #define BUILD_UNKNOWN UINT64_MAX
 
+/** Whether this gateway knows what the others knew when a request arrived. */
+enum knowledge
+{
+  KNOWLEDGE_CURRENT,
+  KNOWLEDGE_EXPECTED,    /**< their reports say so in a moment */
+  KNOWLEDGE_OUT_OF_TOUCH /**< they may not for a while */
+};
+
 static uint64_t stream_key (const struct gateway_request *request,
                             const char *id);
-static uint64_t find_build (const struct gateway_request *request,
-                            uint64_t key);
-static bool may_learn (const struct gateway *gateway);
+static enum knowledge find_build (struct gateway_request *request,
+                                  uint64_t key);
+static uint64_t find_single_build (const struct gateway_request *request);
+static enum knowledge peers_confirm (const struct gateway_request *request);
+static struct gateway_request *find_decided (struct gateway *gateway);
 static void record (struct gateway_request *request, uint64_t key);
 static void on_rebuilt (void *user, const struct registry_upstream *upstream);
 static void mark_service (struct gateway *gateway, uint64_t service_id);
@@ -55,12 +71,19 @@
 {
   struct gateway *gateway = request->gateway;
   const char *last_event_id = request->parsed.last_event_id;
+  enum knowledge knowledge;
   uint64_t key;
 
+  request->awaits_peers = false;
   if (!request->is_stream || last_event_id == NULL || last_event_id[0] == '\0')
     return REFUSAL_NONE;
   key = stream_key (request, request->parsed.resumes);
-  request->build = find_build (request, key);
+  knowledge = find_build (request, key);
+  if (knowledge == KNOWLEDGE_EXPECTED)
+    {
+      request->awaits_peers = gateway->streams_awaited = true;
+      return REFUSAL_NONE;
+    }
   if (request->build != 0
       && registry_has_build (&gateway->registry, request->service->id,
                              request->build))
@@ -72,33 +95,43 @@
   LOG (LOG_STREAM_UNKNOWN, request->parsed.id,
        LOG_S ("resumes", request->parsed.resumes),
        LOG_S ("build", request->build == 0 ? "unknown" : "gone"));
-  return request->build == 0 && may_learn (gateway) ? REFUSAL_NOT_READY
-                                                    : REFUSAL_NO_BUILD;
+  return request->build == 0
+                 && (knowledge == KNOWLEDGE_OUT_OF_TOUCH
+                     || gateway_stream_store_starting (gateway))
+             ? REFUSAL_NOT_READY
+             : REFUSAL_NO_BUILD;
 }
 
-/* Whether a stream that is unknown now may be known in a moment. */
-static bool
-may_learn (const struct gateway *gateway)
+/* Sets the build of a stream that is known here.  If a service has had a
+   single build lately, that began all its streams; but this gateway's own view
+   does not show it, as it may have been cut off or have stood still. */
+static enum knowledge
+find_build (struct gateway_request *request, uint64_t key)
 {
-  return gateway_stream_store_starting (gateway)
-         || !gateway_peers_informed (gateway);
+  const struct gateway *gateway = request->gateway;
+  enum knowledge knowledge;
+
+  request->build = request->parsed.resumes[0] == '\0'
+                       ? 0
+                       : stream_builds_find (&gateway->streams, key,
+                                             gateway_now_ns (gateway));
+  if (request->build != 0)
+    return KNOWLEDGE_CURRENT;
+  knowledge = peers_confirm (request);
+  if (knowledge == KNOWLEDGE_CURRENT)
+    request->build = find_single_build (request);
+  return knowledge;
 }
 
-/* If a service has had a single build lately, that began all its streams. */
 static uint64_t
-find_build (const struct gateway_request *request, uint64_t key)
+find_single_build (const struct gateway_request *request)
 {
   const struct gateway *gateway = request->gateway;
   uint64_t service_id = request->service->id;
-  uint64_t now_ns = gateway_now_ns (gateway);
-  uint64_t build = request->parsed.resumes[0] == '\0'
-                       ? 0
-                       : stream_builds_find (&gateway->streams, key, now_ns);
+  uint64_t build;
 
-  if (build != 0)
-    return build;
-  if (stream_builds_several (&gateway->streams, service_id, now_ns)
-      || !gateway->peers->members_listed || !gateway_peers_informed (gateway))
+  if (stream_builds_several (&gateway->streams, service_id,
+                             gateway_now_ns (gateway)))
     return 0;
   build = registry_single_build (&gateway->registry, service_id);
   return build_records_contradict (&gateway->build_records, service_id, build)
@@ -106,6 +139,49 @@
              : build;
 }
 
+static enum knowledge
+peers_confirm (const struct gateway_request *request)
+{
+  const struct gateway *gateway = request->gateway;
+  uint64_t confirmed_ns = gateway_peers_confirmed_ns (gateway);
+  uint64_t now_ns = gateway_now_ns (gateway);
+
+  if (confirmed_ns >= request->arrival_ns)
+    return KNOWLEDGE_CURRENT;
+  return now_ns - confirmed_ns < INFORMED_MS * CLOCK_NS_PER_MS
+                 && now_ns - request->arrival_ns < CONFIRM_MS * CLOCK_NS_PER_MS
+             ? KNOWLEDGE_EXPECTED
+             : KNOWLEDGE_OUT_OF_TOUCH;
+}
+
+/* Beginning with a request may end others. */
+void
+gateway_streams_decide (struct gateway *gateway)
+{
+  struct gateway_request *request;
+
+  while (gateway->streams_awaited
+         && (request = find_decided (gateway)) != NULL)
+    gateway_request_begin (request);
+}
+
+static struct gateway_request *
+find_decided (struct gateway *gateway)
+{
+  struct gateway_request *request;
+  bool awaited = false;
+
+  DL_FOREACH (gateway->requests, request)
+    if (request->awaits_peers)
+      {
+        awaited = true;
+        if (peers_confirm (request) != KNOWLEDGE_EXPECTED)
+          break;
+      }
+  gateway->streams_awaited = awaited;
+  return request;
+}
+
 void
 gateway_streams_event (struct gateway_request *request)
 {
--- a/src/gateway/gateway_streams.h
+++ b/src/gateway/gateway_streams.h
@@ -14,8 +14,12 @@
 
 /** A request has arrived: one that takes a stream up is bound to its build.
     @return REFUSAL_NONE; REFUSAL_NO_BUILD if the build is not known, or has no
-    upstream; REFUSAL_NOT_READY if it may be known in a moment. */
+    upstream; REFUSAL_NOT_READY if it may be known in a moment.  It is not
+    decided yet if request->awaits_peers is set. */
 enum refusal gateway_streams_bind (struct gateway_request *request);
+/** Begins with requests that have waited for peers; to be called after reports
+    and several times a second. */
+void gateway_streams_decide (struct gateway *gateway);
 /** Complete events of a stream have arrived, and are about to be forwarded:
     the first one binds the request to the build of its upstream. */
 void gateway_streams_event (struct gateway_request *request);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1355,7 +1355,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[9] =
 {
   {
     "names",
@@ -1441,20 +1441,46 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  8,   /* field[8] = echo_ms */
   4,   /* field[4] = ejected */
   1,   /* field[1] = items */
   0,   /* field[0] = names */
   6,   /* field[6] = out_of_rotation */
+  7,   /* field[7] = sent_ms */
   2,   /* field[2] = store_index */
   5,   /* field[5] = suspects */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1464,7 +1490,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  7,
+  9,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -220,10 +220,16 @@
    */
   size_t n_out_of_rotation;
   uint64_t *out_of_rotation;
+  /*
+   * Steady time of the sender in ms, and the newest such time of the receiver
+   * that this answers: what the sender knew when that arrived was sent before.
+   */
+  uint64_t sent_ms;
+  uint64_t echo_ms;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -631,6 +631,8 @@
   peer__load__init (wire);
   wire->store_index = load->store_index;
   wire->age_ms = load->age_ms;
+  wire->sent_ms = load->sent_ms;
+  wire->echo_ms = load->echo_ms;
   wire->n_names = out->new_id_count;
   wire->names = out->new_ids;
   wire->n_items = load_cells;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -502,6 +502,8 @@
     return rc;
   load->store_index = wire->store_index;
   load->age_ms = wire->age_ms;
+  load->sent_ms = wire->sent_ms;
+  load->echo_ms = wire->echo_ms;
   count = rows.count + ejected.count + out.count;
   rc = allocate_items ((void **)&load->items, count, sizeof *item);
   load->item_count = rc == 0 ? count : 0;
--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -10,8 +10,10 @@
 #include "transport/loop.h"
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
-#define RESPONSE_MS 30
+#define RESPONSE_MS   30
+#define LOOP_PAUSE_NS 200000
 
 void
 gatefleet_init (struct gatefleet *fleet)
@@ -112,21 +114,65 @@
     .share_window_ms = 4000,
     .reread_window_ms = 10000,
   };
+  struct event_base *base = fleet->own_bases[index] == NULL
+                                ? fleet->base
+                                : fleet->own_bases[index];
   char address[32];
 
   snprintf (settings.instance, sizeof settings.instance, "g-%u", index);
-  snprintf (address, sizeof address, "127.0.0.1:%u", fleet->store.port);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            fleet->cutnet == NULL
+                ? fleet->store.port
+                : fleet->cutnet->ports[CUTNET_STORE][index].port);
   CU_ASSERT_EQUAL_FATAL (gateway_init (&fleet->gateways[index], &settings,
-                                       &platform_adapter, fleet->base,
-                                       store_new (fleet->base, address)),
+                                       &platform_adapter, base,
+                                       store_new (base, address)),
                          0);
 }
 
+void
+gatefleet_use_cutnet (struct gatefleet *fleet, struct cutnet *cutnet)
+{
+  fleet->cutnet = cutnet;
+  cutnet_init (cutnet, fleet->base, fleet->store.port);
+  fleet->store.edit = cutnet_edit_entry;
+  fleet->store.edit_user = cutnet;
+}
+
+void
+gatefleet_use_own_base (struct gatefleet *fleet, unsigned int index)
+{
+  fleet->own_bases[index] = loop_new ();
+  fleet->has_own_bases = true;
+}
+
+/* Each loop for what is ready. */
+static void
+run_loops (struct gatefleet *fleet)
+{
+  const struct timespec pause = { .tv_nsec = LOOP_PAUSE_NS };
+  unsigned int i;
+
+  event_base_loop (fleet->base, EVLOOP_NONBLOCK);
+  for (i = 0; i < GATEFLEET_GATEWAYS_MAX; i++)
+    if (fleet->own_bases[i] != NULL && !fleet->stands_still[i])
+      event_base_loop (fleet->own_bases[i], EVLOOP_NONBLOCK);
+  nanosleep (&pause, NULL);
+}
+
 void
 gatefleet_run (struct gatefleet *fleet, uint32_t duration_ms)
 {
   const struct timeval duration = clock_timeval (duration_ms);
+  uint64_t end_ns
+      = clock_now_ns (&fleet->clock) + duration_ms * CLOCK_NS_PER_MS;
 
+  if (fleet->has_own_bases)
+    {
+      while (clock_now_ns (&fleet->clock) < end_ns)
+        run_loops (fleet);
+      return;
+    }
   event_base_loopexit (fleet->base, &duration);
   event_base_dispatch (fleet->base);
 }
@@ -165,7 +211,12 @@
     gateway_finish (&fleet->gateways[i]);
   for (i = 0; i < fleet->upstream_count; i++)
     upstreamserver_finish (&fleet->upstreams[i]);
+  if (fleet->cutnet != NULL)
+    cutnet_finish (fleet->cutnet);
   storeserver_finish (&fleet->store);
   event_base_loop (fleet->base, EVLOOP_NONBLOCK);
+  for (i = 0; i < GATEFLEET_GATEWAYS_MAX; i++)
+    if (fleet->own_bases[i] != NULL)
+      event_base_free (fleet->own_bases[i]);
   event_base_free (fleet->base);
 }
--- a/tests/support/gatefleet.h
+++ b/tests/support/gatefleet.h
@@ -7,6 +7,7 @@
 #define TESTS_SUPPORT_GATEFLEET_H
 
 #include "gateway/gateway.h"
+#include "support/cutnet.h"
 #include "support/storeserver.h"
 #include "support/upstreamserver.h"
 
@@ -23,6 +24,12 @@
   struct upstreamserver upstreams[GATEFLEET_UPSTREAMS];
   unsigned int lives[GATEFLEET_UPSTREAMS]; /* incarnations before this one */
   const char *builds[GATEFLEET_UPSTREAMS]; /* as registered; NULL: v1 */
+  /** Through which gateways reach each other and the store; NULL: directly. */
+  struct cutnet *cutnet;
+  /** Loops of gateways that may stand still; NULL: the common one. */
+  struct event_base *own_bases[GATEFLEET_GATEWAYS_MAX];
+  bool has_own_bases;
+  bool stands_still[GATEFLEET_GATEWAYS_MAX];
   struct clock clock;
   uint64_t start_ms;
 };
@@ -32,6 +39,10 @@
 /** The same with fewer upstreams. */
 void gatefleet_init_upstreams (struct gatefleet *fleet,
                                unsigned int upstreams);
+/** Puts relays between gateways, and before the store; before these start. */
+void gatefleet_use_cutnet (struct gatefleet *fleet, struct cutnet *cutnet);
+/** Gives a gateway a loop of its own; before it starts. */
+void gatefleet_use_own_base (struct gatefleet *fleet, unsigned int index);
 /** Starts all gateways and waits until they know all upstreams and each other;
     time counts from then on. */
 void gatefleet_start (struct gatefleet *fleet, unsigned int gateways);
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -15,6 +15,8 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
+#define EDITED_SIZE 256
+
 struct storeserver_item
 {
   char key[200];
@@ -355,13 +357,22 @@
     }
   json_array_foreach (puts, i, put)
   {
+    const char *put_key = json_string_value (json_object_get (put, "key"));
+    char edited[EDITED_SIZE];
     char *value = NULL;
     size_t value_size;
 
     base64_decode (json_string_value (json_object_get (put, "value")), &value,
                    &value_size);
-    write_item (store, json_string_value (json_object_get (put, "key")), value,
-                value_size,
+    snprintf (edited, sizeof edited, "%.*s", (int)value_size, value);
+    if (store->edit != NULL
+        && store->edit (store->edit_user, put_key, edited, sizeof edited))
+      {
+        free (value);
+        value = strdup (edited);
+        value_size = strlen (edited);
+      }
+    write_item (store, put_key, value, value_size,
                 (uint64_t)json_integer_value (json_object_get (put, "lease")));
     free (value);
   }
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -43,6 +43,10 @@
   struct storeserver_item *saved_items; /**< private */
   struct storeserver_item *items;       /**< private */
   struct storeserver_watch *watches;    /**< private */
+  /** Called with each text that a transaction writes; `size` bytes of room,
+      NUL-terminated.  Returns whether it has changed it.  May be NULL. */
+  bool (*edit) (void *user, const char *key, char *value, size_t size);
+  void *edit_user;
   unsigned int list_calls;
   unsigned int watch_calls;
   unsigned int txn_calls;
