--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -105,9 +105,10 @@
       };
 
       /* If this instance has not seen the builds itself, it has not seen the
-         streams either. */
+         streams either.  At its start it may have read the upstreams' entries
+         before this one. */
       gateway->stream_store.to_load
-          = gateway->stream_store.to_load
+          = gateway->stream_store.to_load || !gateway->peers->members_listed
             || !stream_builds_several (&gateway->streams, service_id, now_ns);
       stream_builds_put (&gateway->streams, &marker, STREAM_BUILDS_OWN, 0,
                          now_ns);
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -28,6 +28,7 @@
 #define HERD_DOWN_MS     1500
 #define HERD_RETURN_MS   3000 /* during which clients retry */
 #define HERD_RETRY_MS    300
+#define ENTRIES          400 /* many pages of a listing */
 
 static const char *const builds[BUILDS] = { "v1", "v1.1" };
 
@@ -48,6 +49,9 @@
   uint32_t second_ms;       /* when the second build appears; 0: never */
   uint32_t older_leaves_ms; /* when the first one leaves; 0: never */
   bool replaced; /* the second takes its place while there is no gateway */
+  /* Entries of no use before the records of builds: reading these takes longer
+     than reading the upstreams. */
+  unsigned int entries;
 };
 
 struct scene;
@@ -460,6 +464,19 @@
     }
 }
 
+static void
+put_useless_entries (struct scene *scene, unsigned int count)
+{
+  char key[64];
+  unsigned int i;
+
+  for (i = 0; i < count; i++)
+    {
+      snprintf (key, sizeof key, "cherrylanding/za/x-%04u", i);
+      storeserver_put (&scene->fleet.store, key, "-");
+    }
+}
+
 static void
 play_herd (const struct herd_plan *plan)
 {
@@ -470,6 +487,7 @@
   unsigned int i;
 
   scene_init (&scene, HERD_INTERVAL_MS);
+  put_useless_entries (&scene, plan->entries);
   gatefleet_start (&scene.fleet, plan->gateways);
   while (now_ms < HERD_KILL_MS)
     {
@@ -518,6 +536,7 @@
 {
   play_herd (&(struct herd_plan){ .gateways = 3 });
   play_herd (&(struct herd_plan){ .gateways = 9 });
+  play_herd (&(struct herd_plan){ .gateways = GATEFLEET_GATEWAYS_MAX });
 }
 
 static void
@@ -529,6 +548,15 @@
                                   .second_ms = 2000 });
 }
 
+/* A hub sees two builds itself before it reads the record of them. */
+static void
+test_herd_record_read_late (void)
+{
+  play_herd (&(struct herd_plan){ .gateways = GATEFLEET_GATEWAYS_MAX,
+                                  .second_ms = 2000,
+                                  .entries = ENTRIES });
+}
+
 /* One build serves, another one has left seconds ago, or just now. */
 static void
 test_herd_older_left (void)
@@ -688,6 +716,8 @@
   { "split route", test_split_route },
   { "all gateways lost, one build", test_herd_one_build },
   { "all gateways lost, two builds", test_herd_two_builds },
+  { "all gateways lost, builds seen before their record",
+    test_herd_record_read_late },
   { "all gateways lost, older build left", test_herd_older_left },
   { "all gateways lost, build replaced", test_herd_replaced },
 };
