--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -27,8 +27,9 @@
 /* Retry-After of a stream that cannot go on: a build that is unknown, or has
    gone, will be so for as long as its client waits. */
 #define NO_BUILD_RETRY_AFTER_MS 60000
-/* The same of one that this instance may learn of: others may know it. */
-#define STREAM_RETRY_AFTER_MS 300
+/* The same while this instance may be about to learn what it lacks: its
+   configuration, a key, what others know of a stream. */
+#define NOT_READY_RETRY_AFTER_MS 300
 
 /** Result of validating a request, before its gateway_request is allocated. */
 struct request_validation
@@ -92,7 +93,8 @@
       gateway_request_send_refusal (
           gateway, http, validation.request.id,
           refusal == REFUSAL_NONE ? REFUSAL_ROUTER_FULL : refusal,
-          VERDICT_NOT_RUN, 0);
+          VERDICT_NOT_RUN,
+          refusal == REFUSAL_NOT_READY ? NOT_READY_RETRY_AFTER_MS : 0);
       return;
     }
   httpd_set_request_user (http, request);
@@ -115,7 +117,7 @@
     gateway_request_refuse (request, refusal,
                             refusal == REFUSAL_NO_BUILD
                                 ? NO_BUILD_RETRY_AFTER_MS
-                                : STREAM_RETRY_AFTER_MS);
+                                : NOT_READY_RETRY_AFTER_MS);
 }
 
 static enum refusal
--- a/tests/test_stream_builds.c
+++ b/tests/test_stream_builds.c
@@ -9,6 +9,7 @@
 #include "support/storeseed.h"
 #include "support/suite.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define UPSTREAMS   GATEFLEET_UPSTREAMS
@@ -28,6 +29,7 @@
 #define HERD_DOWN_MS     1500
 #define HERD_RETURN_MS   3000 /* during which clients retry */
 #define HERD_RETRY_MS    300
+#define NEVER_MS         (UINT64_MAX - 1)
 #define ENTRIES          400 /* many pages of a listing */
 
 static const char *const builds[BUILDS] = { "v1", "v1.1" };
@@ -52,6 +54,7 @@
   /* Entries of no use before the records of builds: reading these takes longer
      than reading the upstreams. */
   unsigned int entries;
+  bool obeys; /* clients come back when they are told to, or not at all */
 };
 
 struct scene;
@@ -405,11 +408,25 @@
     gateway_finish (&scene->fleet.gateways[i]);
 }
 
+/* Time that a refused client waits before it comes back; 0: it does not. */
+static uint64_t
+wait_ms (const struct stream *stream, const struct herd_plan *plan)
+{
+  char seconds[32];
+
+  if (!plan->obeys)
+    return HERD_RETRY_MS;
+  upstreamserver_get_header (stream->client.got, "Retry-After", seconds,
+                             sizeof seconds);
+  return (uint64_t)(strtod (seconds, NULL) * 1000);
+}
+
 static void
-take_up_broken (struct scene *scene)
+take_up_broken (struct scene *scene, const struct herd_plan *plan)
 {
   struct stream *stream;
   uint64_t now_ms = gatefleet_now_ms (&scene->fleet);
+  uint64_t pause_ms;
   bool ended;
   unsigned int i;
 
@@ -431,8 +448,9 @@
                   || strncmp (stream->client.got, "HTTP/1.1 503", 12) == 0;
           if (!ended || stream->events >= EVENTS)
             continue;
+          pause_ms = wait_ms (stream, plan);
           platclient_finish (&stream->client);
-          stream->retry_ms = now_ms + HERD_RETRY_MS;
+          stream->retry_ms = pause_ms == 0 ? NEVER_MS : now_ms + pause_ms;
         }
       else if (now_ms >= stream->retry_ms)
         {
@@ -518,7 +536,7 @@
     gatefleet_start_gateway (&scene.fleet, i);
   while (now_ms < HERD_KILL_MS + HERD_DOWN_MS + HERD_RETURN_MS)
     {
-      take_up_broken (&scene);
+      take_up_broken (&scene, plan);
       gatefleet_run (&scene.fleet, STEP_MS);
       now_ms = gatefleet_now_ms (&scene.fleet);
     }
@@ -548,6 +566,17 @@
                                   .second_ms = 2000 });
 }
 
+/* Clients reach gateways that have not read their configuration yet. */
+static void
+test_herd_not_told_to_return (void)
+{
+  play_herd (&(struct herd_plan){ .gateways = 3, .obeys = true });
+  play_herd (&(struct herd_plan){ .gateways = GATEFLEET_GATEWAYS_MAX,
+                                  .obeys = true });
+  play_herd (
+      &(struct herd_plan){ .gateways = 3, .second_ms = 2000, .obeys = true });
+}
+
 /* A hub sees two builds itself before it reads the record of them. */
 static void
 test_herd_record_read_late (void)
@@ -718,6 +747,8 @@
   { "all gateways lost, two builds", test_herd_two_builds },
   { "all gateways lost, builds seen before their record",
     test_herd_record_read_late },
+  { "all gateways lost, clients are not told to return",
+    test_herd_not_told_to_return },
   { "all gateways lost, older build left", test_herd_older_left },
   { "all gateways lost, build replaced", test_herd_replaced },
 };
