--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -84,6 +84,7 @@
   struct fake_upstream *fake = driver;
 
   snprintf (fake->method, sizeof (fake->method), "%s", request->method);
+  fake->repeated = request->repeated;
   fake->events = events;
   fake->user = user;
   fake->started++;
@@ -733,6 +734,8 @@
 
 static const struct suite_test tests[] = {
   { "complete response", test_complete_response },
+  { "refusal of an earlier attempt is believed",
+    test_refusal_of_earlier_attempt_is_believed },
   { "a method that libevhtp has no name for ends the router",
     test_unknown_method },
   { "requests with methods that libevhtp has no name for count as one",
