--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -9,7 +9,12 @@
 /* For a client to read the response: some round trips. */
 #define READING_MS 100
 
+/* Read at once, and at most, of a request that is discarded. */
+#define DISCARD_BYTES 16384
+#define DISCARD_READS 8
+
 static void close_first (struct turnaway *turnaway);
+static void discard_input (int fd);
 
 size_t
 turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
@@ -21,9 +26,8 @@
   size_t last;
   int fd;
 
-  while (turnaway->count < TURNAWAY_SOCKETS_MAX
-         && (fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
-                >= 0)
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
     {
       accepted++;
       if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
@@ -32,6 +36,11 @@
           close (fd);
           continue;
         }
+      if (turnaway->count == TURNAWAY_SOCKETS_MAX)
+        {
+          discard_input (turnaway->sockets[turnaway->first].fd);
+          close_first (turnaway);
+        }
       last = (turnaway->first + turnaway->count) % TURNAWAY_SOCKETS_MAX;
       turnaway->sockets[last]
           = (struct turnaway_socket){ fd, turnaway->round };
@@ -58,6 +67,18 @@
     close_first (turnaway);
 }
 
+/* So that a close does not reset the connection. */
+static void
+discard_input (int fd)
+{
+  char bytes[DISCARD_BYTES];
+  int reads = 0;
+
+  while (reads < DISCARD_READS
+         && recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+    reads++;
+}
+
 static void
 close_first (struct turnaway *turnaway)
 {
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -13,9 +13,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define TURNAWAY_SOCKETS_MAX                                                  \
-  512                          /**< open at a time; others are not accepted */
-#define TURNAWAY_INTERVAL_MS 5 /**< between calls of turnaway_close() */
+#define TURNAWAY_SOCKETS_MAX 512 /**< open at a time */
+#define TURNAWAY_INTERVAL_MS 5   /**< between calls of turnaway_close() */
 
 struct turnaway_socket
 {
@@ -32,8 +31,8 @@
   uint32_t round; /**< calls of turnaway_close() */
 };
 
-/** Accepts and answers connections that wait at a listening socket, as long as
-    fewer than TURNAWAY_SOCKETS_MAX are open.
+/** Accepts and answers all connections that wait at a listening socket. Beyond
+    TURNAWAY_SOCKETS_MAX, the oldest is read and closed.
     @param response  not changed.
     @return their number. */
 size_t turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
