Requests inside another one's body are refused

"X-Tenant : other", "X-Hold : 1" and folded lines reached upstreams as sent.

Cause: framing was checked after libevhtp's parser, by names as they stand; the parser tolerates what others read in another way. The same class, found by sending 64 odd requests to a gateway: chunk sizes of 2^64 and above count modulo 2^64; "5 \r\n" and extensions of chunks wait until the 408; control characters are taken out of values; "HTTP/1.10" is taken for 1.1; "Transfer-Encoding:<tab>chunked" is none to it. Trailers become headers whose value is NULL: "X-T: (null)" reached upstreams, and read_resumes() calls strlen() with it if the trailer is X-Resumes.

Change: httpd_head.c reads each head as a whole, httpd_body.c where its body ends, before the parser, which gets only what they have checked and nothing of the request behind. What is ambiguous gets 400, with the request's id, and the connection is closed. Extensions and trailers, which a reader may ignore, are dropped. What the parser makes of the length is compared; if it differs, 400. The parser still goes on by itself with what arrived while a response was in progress; until that is held back, such a head gets the checks of httpd_framing_valid(), names among them, and trailers are taken out before the request is handled.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -5,7 +5,7 @@
 #include "transport/httpd.h"
 #include "state/err.h"
 #include "transport/clock.h"
-#include "transport/httpd_head.h"
+#include "transport/httpd_body.h"
 #include "transport/httpd_int.h"
 #include "transport/linger.h"
 #include "transport/loop.h"
@@ -32,6 +32,7 @@
    flood until the instance notices that it is late. */
 #define LISTEN_BACKLOG  512
 #define HEADER_OVERHEAD 4 /**< bytes of ": " and CRLF */
+#define CRLF_SIZE       2
 
 /** State of a connection. */
 enum conn_state
@@ -51,9 +52,11 @@
   struct evbuffer_cb_entry *output_cb;
   enum conn_state state;
   bufferevent_data_cb parse; /**< libevhtp's callback for input */
-  bool line_complete; /**< the parser was given the current request's line */
-  struct httpd_head head; /**< of the current request */
-  bool over_limit;        /**< accepted above connections_max */
+  struct httpd_head head;    /**< of the current request */
+  struct httpd_body body;
+  bool parsing;    /**< the parser has headers of the current request */
+  bool unchecked;  /**< it found the current request by itself */
+  bool over_limit; /**< accepted above connections_max */
   uint32_t header_bytes;
   uint64_t body_bytes;
   void *request_user; /**< set by httpd_set_request_user; NULL if not set */
@@ -73,14 +76,22 @@
   uint32_t accepted; /**< connections since then */
   uint64_t shed_count;
   struct httpd_conn *conns;
+  struct httpd_conn *parsed; /**< in the parser; NULL if freed there */
   struct linger_list linger;
   uint32_t count;
   bool draining;
 };
 
+static size_t read_max (const struct httpd_limits *limits);
 static void intercept_input (struct httpd_conn *conn);
 static void on_readable (struct bufferevent *bev, void *arg);
-static bool complete_line (struct httpd_conn *conn, struct bufferevent *bev);
+static enum refusal check_input (struct httpd_conn *conn,
+                                 struct evbuffer *input,
+                                 struct httpd_body_step *step);
+static bool parse_step (struct httpd_conn *conn,
+                        const struct httpd_body_step *step);
+static bool parse_part (struct httpd_conn *conn, size_t size);
+static struct evbuffer *split_input (struct evbuffer *input, size_t size);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
 static bool start_shedding (struct httpd *httpd);
@@ -114,7 +125,7 @@
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
 static void refuse_unparsable (struct httpd_conn *conn);
 static void notify_gone (struct httpd_conn *conn);
-static const char *request_id (const struct httpd_conn *conn);
+static const char *request_id (struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
 static enum loop_work begin_work (struct httpd *httpd, enum loop_work work);
 
@@ -213,7 +224,11 @@
 void
 httpd_set_limits (struct httpd *httpd, const struct httpd_limits *limits)
 {
+  struct httpd_conn *conn;
+
   httpd->config.limits = *limits;
+  for (conn = httpd->conns; conn != NULL; conn = conn->next)
+    bufferevent_setwatermark (conn->evhtp->bev, EV_READ, 0, read_max (limits));
 }
 
 void
@@ -489,11 +504,20 @@
   set_hooks (conn);
   intercept_input (conn);
   bufferevent_set_timeouts (evhtp->bev, NULL, &write_timeout);
-  bufferevent_setwatermark (evhtp->bev, EV_READ, 0, HTTPD_READ_MAX);
+  bufferevent_setwatermark (evhtp->bev, EV_READ, 0, read_max (limits));
   set_timer (conn, limits->idle_timeout_ms);
   return EVHTP_RES_OK;
 }
 
+/* A head is parsed when it has arrived whole. */
+static size_t
+read_max (const struct httpd_limits *limits)
+{
+  const size_t head_max = 2 * (size_t)limits->header_bytes_max + CRLF_SIZE;
+
+  return head_max > HTTPD_READ_MAX ? head_max : HTTPD_READ_MAX;
+}
+
 static void
 intercept_input (struct httpd_conn *conn)
 {
@@ -506,8 +530,9 @@
   bufferevent_setcb (bev, on_readable, write, event, arg);
 }
 
-/* libevhtp's parser reads the byte behind its input when that ends within the
-   request line, and adds it to the path.  It gets the line as a whole. */
+/* libevhtp's parser tolerates much that others read in another way, and reads
+   the byte behind its input when that ends within the request line.  It gets
+   each head as a whole, and nothing that was not checked. */
 static void
 on_readable (struct bufferevent *bev, void *arg)
 {
@@ -515,43 +540,154 @@
   struct httpd_conn *conn = evhtp->hooks->on_connection_fini_arg;
   struct httpd *httpd = conn->httpd;
   enum loop_work work = begin_work (httpd, LOOP_WORK_PARSE);
+  struct evbuffer *input = bufferevent_get_input (bev);
+  struct httpd_body_step step;
+  enum refusal refusal = REFUSAL_NONE;
 
-  if (complete_line (conn, bev))
-    conn->parse (bev, arg);
+  do
+    {
+      if (conn->state == CONN_RESPONDING || conn->unchecked)
+        {
+          conn->parse (bev, arg);
+          break;
+        }
+      if (evbuffer_get_length (input) == 0)
+        break;
+      refusal = check_input (conn, input, &step);
+    }
+  while (refusal == REFUSAL_NONE && parse_step (conn, &step));
+  if (refusal != REFUSAL_NONE)
+    {
+      refuse (conn, refusal);
+      evhtp_connection_free (evhtp);
+    }
   begin_work (httpd, work);
 }
 
-/* @return whether the parser may be given the input. */
+/* Finds out how much of the input the parser may have. */
+static enum refusal
+check_input (struct httpd_conn *conn, struct evbuffer *input,
+             struct httpd_body_step *step)
+{
+  static const enum refusal refusals[] = {
+    [HTTPD_HEAD_PARTIAL] = REFUSAL_NONE,
+    [HTTPD_HEAD_COMPLETE] = REFUSAL_NONE,
+    [HTTPD_HEAD_INVALID] = REFUSAL_BAD_REQUEST,
+    [HTTPD_HEAD_TOO_LARGE] = REFUSAL_HEADERS_TOO_LARGE,
+  };
+  const struct httpd_limits *limits = &conn->httpd->config.limits;
+  enum httpd_head_state state;
+  const char *data;
+  size_t head_size = 0;
+
+  memset (step, 0, sizeof *step);
+  if (conn->state == CONN_IDLE)
+    {
+      conn->state = CONN_READING;
+      set_timer (conn, limits->read_timeout_ms);
+    }
+  if (!conn->head.complete)
+    {
+      state = httpd_head_read (&conn->head, input, limits->header_bytes_max);
+      if (state != HTTPD_HEAD_COMPLETE)
+        return refusals[state];
+      head_size = conn->head.size;
+      httpd_body_init (&conn->body, &conn->head);
+    }
+  data = (const char *)evbuffer_pullup (input, -1);
+  if (data == NULL
+      || httpd_body_read (&conn->body, data + head_size,
+                          evbuffer_get_length (input) - head_size,
+                          limits->header_bytes_max, step)
+             != 0)
+    return REFUSAL_BAD_REQUEST;
+  step->pass += head_size;
+  return REFUSAL_NONE;
+}
+
+/* @return whether more of the request may be in the input. */
 static bool
-complete_line (struct httpd_conn *conn, struct bufferevent *bev)
+parse_step (struct httpd_conn *conn, const struct httpd_body_step *step)
 {
   evhtp_connection_t *evhtp = conn->evhtp;
-  const struct httpd_limits *limits = &conn->httpd->config.limits;
+
+  if (step->pass > 0 && !parse_part (conn, step->pass))
+    return false;
+  if (step->drop > 0)
+    {
+      evbuffer_drain (bufferevent_get_input (evhtp->bev), step->drop);
+      return true;
+    }
+  if (conn->body.state == HTTPD_BODY_END && conn->state == CONN_READING
+      && conn->head.complete)
+    {
+      /* The parser takes the request for a longer one. */
+      refuse (conn, REFUSAL_BAD_REQUEST);
+      evhtp_connection_free (evhtp);
+    }
+  return false;
+}
+
+/* Gives the parser the first bytes of the input.
+   @return false if the connection was freed. */
+static bool
+parse_part (struct httpd_conn *conn, size_t size)
+{
+  struct httpd *httpd = conn->httpd;
+  evhtp_connection_t *evhtp = conn->evhtp;
+  struct bufferevent *bev = evhtp->bev;
   struct evbuffer *input = bufferevent_get_input (bev);
-  enum httpd_head_state line;
+  struct evbuffer *rest = NULL;
+  bool freed;
 
-  if (conn->state != CONN_RESPONDING && !conn->line_complete)
+  if (size < evbuffer_get_length (input))
     {
-      if (conn->state == CONN_IDLE)
+      rest = split_input (input, size);
+      if (rest == NULL)
         {
-          conn->state = CONN_READING;
-          set_timer (conn, limits->read_timeout_ms);
-        }
-      line = httpd_head_read_line (&conn->head, input);
-      conn->line_complete = line == HTTPD_HEAD_COMPLETE;
-      if (line == HTTPD_HEAD_INVALID
-          || (line == HTTPD_HEAD_PARTIAL
-              && evbuffer_get_length (input) > limits->header_bytes_max))
-        {
-          refuse (conn, line == HTTPD_HEAD_INVALID
-                            ? REFUSAL_BAD_REQUEST
-                            : REFUSAL_HEADERS_TOO_LARGE);
+          refuse (conn, REFUSAL_ROUTER_FULL);
           evhtp_connection_free (evhtp);
           return false;
         }
-      return conn->line_complete;
     }
-  return true;
+  httpd->parsed = conn;
+  conn->parse (bev, evhtp);
+  freed = httpd->parsed == NULL;
+  httpd->parsed = NULL;
+  if (!freed && rest != NULL)
+    {
+      /* A bufferevent freezes the end of its input. */
+      evbuffer_unfreeze (input, 0);
+      evbuffer_add_buffer (input, rest);
+      evbuffer_freeze (input, 0);
+    }
+  if (rest != NULL)
+    evbuffer_free (rest);
+  return !freed;
+}
+
+/* @return what follows the first bytes, which is taken out of the input; NULL
+   if there is no memory. */
+static struct evbuffer *
+split_input (struct evbuffer *input, size_t size)
+{
+  struct evbuffer *rest = evbuffer_new ();
+  struct evbuffer *part = evbuffer_new ();
+
+  if (rest != NULL && part != NULL
+      && evbuffer_remove_buffer (input, part, size) == (int)size)
+    {
+      evbuffer_add_buffer (rest, input);
+      evbuffer_prepend_buffer (input, part);
+    }
+  else if (rest != NULL)
+    {
+      evbuffer_free (rest);
+      rest = NULL;
+    }
+  if (part != NULL)
+    evbuffer_free (part);
+  return rest;
 }
 
 static void
@@ -604,6 +740,8 @@
   if (conn->leave != NULL)
     event_free (conn->leave);
   httpd_head_reset (&conn->head);
+  if (conn->httpd->parsed == conn)
+    conn->httpd->parsed = NULL;
   free (conn);
 }
 
@@ -685,14 +823,17 @@
 }
 
 static const char *
-request_id (const struct httpd_conn *conn)
+request_id (struct httpd_conn *conn)
 {
   const evhtp_request_t *http = conn->evhtp->request;
+  const char *name = conn->httpd->config.request_id_header;
 
+  if (!conn->parsing)
+    return httpd_head_find (&conn->head,
+                            bufferevent_get_input (conn->evhtp->bev), name);
   if (http == NULL || http->headers_in == NULL)
     return NULL;
-  return evhtp_header_find (http->headers_in,
-                            conn->httpd->config.request_id_header);
+  return evhtp_header_find (http->headers_in, name);
 }
 
 static void
@@ -722,10 +863,12 @@
 
   (void)http;
   conn->state = CONN_READING;
-  conn->line_complete = true;
   conn->header_bytes = 0;
   conn->body_bytes = 0;
-  set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
+  conn->parsing = true;
+  conn->unchecked = !conn->head.complete;
+  if (conn->unchecked)
+    set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
   return EVHTP_RES_OK;
 }
 
@@ -750,7 +893,9 @@
   if (conn->over_limit)
     return refuse (conn, REFUSAL_CONNECTIONS);
   /* The parser reads on by itself when a response has been sent. */
-  if (httpd_method (http) == NULL || !httpd_framing_valid (headers))
+  if (httpd_method (http) == NULL || !httpd_framing_valid (headers)
+      || (!conn->unchecked
+          && evhtp_request_content_len (http) != conn->head.length))
     return refuse (conn, REFUSAL_BAD_REQUEST);
   if (httpd_disable_form_parsing (headers) != 0)
     return refuse (conn, REFUSAL_ROUTER_FULL);
@@ -789,6 +934,8 @@
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
   event_add (conn->leave, NULL);
+  if (conn->unchecked)
+    httpd_drop_trailers (http->headers_in);
   /* While connections are turned away, those that are kept would go on to
      bring requests, which cost more. */
   if (httpd->draining || httpd->shedding
@@ -829,14 +976,22 @@
 on_request_fini (evhtp_request_t *http, void *arg)
 {
   struct httpd_conn *conn = arg;
+  struct bufferevent *bev = http->conn->bev;
 
-  (void)http;
   notify_gone (conn);
   conn->state = CONN_IDLE;
-  conn->line_complete = false;
+  conn->parsing = false;
+  conn->unchecked = false;
   httpd_head_reset (&conn->head);
   event_del (conn->leave);
   set_timer (conn, conn->httpd->config.limits.idle_timeout_ms);
+  /* What arrived behind the request. */
+  if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
+    {
+      conn->state = CONN_READING;
+      set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
+      bufferevent_trigger (bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
   return EVHTP_RES_OK;
 }
 
--- a/src/transport/httpd_headers.c
+++ b/src/transport/httpd_headers.c
@@ -3,6 +3,7 @@
  * Checks of request headers that libevhtp does not perform.
  */
 #include "state/err.h"
+#include "transport/httpd_head.h"
 #include "transport/httpd_int.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,8 @@
 
   TAILQ_FOREACH (header, headers, next)
   {
+    if (!httpd_head_is_token (header->key))
+      return false;
     if (strcasecmp (header->key, "Content-Length") == 0)
       {
         length_count++;
@@ -59,3 +62,17 @@
   header->v_heaped = 1;
   return 0;
 }
+
+void
+httpd_drop_trailers (evhtp_headers_t *headers)
+{
+  evhtp_header_t *header = TAILQ_FIRST (headers);
+  evhtp_header_t *next;
+
+  for (; header != NULL; header = next)
+    {
+      next = TAILQ_NEXT (header, next);
+      if (header->val == NULL)
+        evhtp_header_rm_and_free (headers, header);
+    }
+}
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -513,6 +513,18 @@
     "POST /services/farm/x HTTP/1.1\r\n" HEAD
     "once\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
     "400 ", true },
+  { "space before the colon of a length",
+    "POST /services/farm/x HTTP/1.1\r\n" HEAD
+    "once\r\nContent-Length : 2\r\n\r\nhi",
+    "400 ", true },
+  { "folded line",
+    "POST /services/farm/x HTTP/1.1\r\n" HEAD "once\r\n X: a\r\n\r\n", "400 ",
+    true },
+  { "chunk size above 2^64",
+    "POST /services/farm/x HTTP/1.1\r\n" HEAD
+    "once\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "10000000000000002\r\nhi\r\n0\r\n\r\n",
+    "400 ", true },
   { "not HTTP", "hello\r\n\r\n", "400 ", true },
   { "method that is no token",
     "GE(T /services/farm/x HTTP/1.1\r\n" HEAD "once\r\n\r\n", "400 ", true },
