Hubs answer at once while a stream waits for them

In a fleet with hubs a client that took up an unknown stream waited up to 0.4 s: its gateway's hub heard of the other hubs only with the reports that these send ten times a second, twice. A report says now that its sender waits for an answer; a hub passes that on to the other hubs, and these report to it at the next tick of 25 ms. At other times nothing changes.

--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -191,6 +191,7 @@
       sender, and the instances whose news it passes on, knew when that arrived
       was sent before; 0: none. */
   uint64_t echo_ms;
+  bool asks; /**< the sender waits for an answer to this message */
 };
 
 /** Streams and markers of services that changed; they add to earlier ones. */
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -492,6 +492,7 @@
   bool is_round = peers->report_ticks % REPORT_TICKS == 0;
 
   peers->report_ticks++;
+  to_hubs = gateway_peers_confirm_begin (peers, to_hubs);
   gateway_streams_send_all (peers);
   gateway_streams_decide (peers->gateway);
   if (!is_round)
--- a/src/gateway/gateway_peers_confirm.c
+++ b/src/gateway/gateway_peers_confirm.c
@@ -31,7 +31,7 @@
 }
 
 void
-gateway_peers_confirm_receive (const struct gateway_peers *peers,
+gateway_peers_confirm_receive (struct gateway_peers *peers,
                                struct gateway_peer *peer,
                                const struct message_load *load)
 {
@@ -47,6 +47,10 @@
   peer->stamps[peer->stamp_count++ % GATEWAY_PEERS_STAMPS]
       = (struct gateway_peers_stamp){ .sent_ms = load->sent_ms,
                                       .received_ns = now_ns };
+  if (peer->subscribed)
+    peers->asked = peers->asked || load->asks;
+  else
+    peers->asked_by_hub = peers->asked_by_hub || load->asks;
   if (load->echo_ms == 0)
     return;
   answered_ns = peers->start_ns + (load->echo_ms - 1) * CLOCK_NS_PER_MS;
@@ -54,6 +58,19 @@
     peer->confirmed_ns = answered_ns;
 }
 
+/* Hubs report to each other less often than to their subscribers, except while
+   streams wait for an answer. */
+bool
+gateway_peers_confirm_begin (struct gateway_peers *peers, bool to_hubs)
+{
+  to_hubs = to_hubs || peers->asked || peers->asked_by_hub
+            || peers->gateway->streams_awaited;
+  peers->asks = peers->asked || peers->gateway->streams_awaited;
+  peers->asked = peers->asked_by_hub = false;
+  peers->confirmed_ns = gateway_peers_confirmed_ns (peers->gateway);
+  return to_hubs;
+}
+
 /* A hub passes on what it hears of others, so it answers its subscribers only
    up to what the others have confirmed to it. */
 void
@@ -66,6 +83,7 @@
   load->sent_ms = (now_ns - peers->start_ns) / CLOCK_NS_PER_MS + 1;
   load->echo_ms = newest_answered_ms (
       peer, peer->subscribed ? peers->confirmed_ns : now_ns);
+  load->asks = peers->asks && !peer->subscribed;
 }
 
 static uint64_t
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -108,6 +108,9 @@
   uint64_t start_ns;
   uint64_t confirmed_ns; /**< gateway_peers_confirmed_ns() as of the last
                               round of reports */
+  bool asked;            /**< by a subscriber: other hubs are asked */
+  bool asked_by_hub;     /**< other hubs get the next report at once */
+  bool asks;             /**< this round of reports asks for answers */
   uint64_t hub_fresh_ns; /**< when a hub's view was last fresh */
   /** Store index that this instance has to reach: the newest one reported by
       peers when it had reached the previous one. */
@@ -149,9 +152,13 @@
 /** A link to the peer is new. */
 void gateway_peers_confirm_reset (struct gateway_peer *peer);
 /** A report has arrived. */
-void gateway_peers_confirm_receive (const struct gateway_peers *peers,
+void gateway_peers_confirm_receive (struct gateway_peers *peers,
                                     struct gateway_peer *peer,
                                     const struct message_load *load);
+/** A round of reports begins.
+    @param to_hubs  whether a hub's report to other hubs is due.
+    @return whether they get one. */
+bool gateway_peers_confirm_begin (struct gateway_peers *peers, bool to_hubs);
 /** Sets the times of a report to a peer. */
 void gateway_peers_confirm_send (const struct gateway_peers *peers,
                                  const struct gateway_peer *peer,
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -165,7 +165,6 @@
   sums.pool = calloc (sums.size, sizeof *sums.pool);
   if (sums.pool == NULL)
     return;
-  peers->confirmed_ns = gateway_peers_confirmed_ns (peers->gateway);
   add_own_load (peers, &sums);
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     {
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1355,7 +1355,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[10] =
 {
   {
     "names",
@@ -1465,9 +1465,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, asks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  9,   /* field[9] = asks */
   8,   /* field[8] = echo_ms */
   4,   /* field[4] = ejected */
   1,   /* field[1] = items */
@@ -1480,7 +1493,7 @@
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1490,7 +1503,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  9,
+  10,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -226,10 +226,14 @@
    */
   uint64_t sent_ms;
   uint64_t echo_ms;
+  /*
+   * The sender waits for an answer to this time.
+   */
+  protobuf_c_boolean asks;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -633,6 +633,7 @@
   wire->age_ms = load->age_ms;
   wire->sent_ms = load->sent_ms;
   wire->echo_ms = load->echo_ms;
+  wire->asks = load->asks;
   wire->n_names = out->new_id_count;
   wire->names = out->new_ids;
   wire->n_items = load_cells;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -504,6 +504,7 @@
   load->age_ms = wire->age_ms;
   load->sent_ms = wire->sent_ms;
   load->echo_ms = wire->echo_ms;
+  load->asks = wire->asks;
   count = rows.count + ejected.count + out.count;
   rc = allocate_items ((void **)&load->items, count, sizeof *item);
   load->item_count = rc == 0 ? count : 0;
