Headers of a request above a number are no longer dropped

Cause: headers_write_request() and forward_headers() stop when their array is full.

Change: a request has 256 headers at most (HTTPD_HEADERS_MAX, of 64 bytes each at the default of max_header_bytes); one with more gets 431 and its connection is closed. The arrays hold these and the router's own.

Tests (arm64): build-sanitize/test_smuggled_requests and test_request, "headers above a number are dropped".

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -10,6 +10,7 @@
 #include "state/prompt.h"
 #include "state/registry.h"
 #include "state/routing.h"
+#include "transport/httpd.h"
 #include "transport/upstream.h"
 #include <evhtp/evhtp.h>
 #include <stdbool.h>
@@ -18,7 +19,9 @@
 
 #define ADAPTER_ID_SIZE     128 /**< request ID, in bytes with the NUL */
 #define ADAPTER_REASON_SIZE 160 /**< error reason, in bytes with the NUL */
-#define ADAPTER_HEADERS_MAX 64  /**< headers of one upstream request */
+/** Headers of one upstream request: the client's and those that are added. */
+#define ADAPTER_HEADERS_MAX     (HTTPD_HEADERS_MAX + ADAPTER_OWN_HEADERS_MAX)
+#define ADAPTER_OWN_HEADERS_MAX 4
 #define ADAPTER_TEXT_SIZE                                                     \
   192 /**< buffer for generated header values, in bytes */
 
--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -12,9 +12,9 @@
 #include <strings.h>
 
 /** 1 / READ_AHEAD_DIVISOR of the response buffer is kept free. */
-#define READ_AHEAD_DIVISOR    2
-#define FORWARDED_HEADERS_MAX 64 /**< headers forwarded to an upstream */
-#define LOAD_HEADER           "Cherrylanding-Upstream-Load"
+#define READ_AHEAD_DIVISOR 2
+#define LOAD_HEADER        "Cherrylanding-Upstream-Load"
+#define OWN_HEADERS_MAX    2 /**< headers that are added to the client's */
 
 static size_t forward_headers (const struct request *request,
                                struct upstream_header *out, size_t count);
@@ -57,7 +57,7 @@
   const struct catalog_upstream *upstream
       = service == NULL ? NULL
                         : catalog_upstream (service, action->upstream_id);
-  struct upstream_header headers[FORWARDED_HEADERS_MAX + 2];
+  struct upstream_header headers[HTTPD_HEADERS_MAX + OWN_HEADERS_MAX];
   char attempt_text[12];
   struct upstream_request outgoing = {
     .request_id = request->id,
@@ -102,11 +102,11 @@
                  size_t count)
 {
   const evhtp_header_t *header;
-  size_t end = count + FORWARDED_HEADERS_MAX;
 
   TAILQ_FOREACH (header, request->reply.http->headers_in, next)
   {
-    if (count < end && client_header_is_forwarded (header->key))
+    if (count < HTTPD_HEADERS_MAX + OWN_HEADERS_MAX
+        && client_header_is_forwarded (header->key))
       out[count++] = (struct upstream_header){ header->key, header->val };
   }
   return count;
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -58,6 +58,7 @@
   bool unchecked;  /**< it found the current request by itself */
   bool over_limit; /**< accepted above connections_max */
   uint32_t header_bytes;
+  uint32_t header_count;
   uint64_t body_bytes;
   void *request_user; /**< set by httpd_set_request_user; NULL if not set */
   struct httpd_conn *prev;
@@ -864,6 +865,7 @@
   (void)http;
   conn->state = CONN_READING;
   conn->header_bytes = 0;
+  conn->header_count = 0;
   conn->body_bytes = 0;
   conn->parsing = true;
   conn->unchecked = !conn->head.complete;
@@ -880,7 +882,9 @@
   (void)http;
   conn->header_bytes
       += (uint32_t)(header->klen + header->vlen + HEADER_OVERHEAD);
-  if (conn->header_bytes > conn->httpd->config.limits.header_bytes_max)
+  conn->header_count++;
+  if (conn->header_bytes > conn->httpd->config.limits.header_bytes_max
+      || conn->header_count > HTTPD_HEADERS_MAX)
     return refuse (conn, REFUSAL_HEADERS_TOO_LARGE);
   return EVHTP_RES_OK;
 }
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -18,6 +18,9 @@
 #include <stdint.h>
 
 #define HTTPD_READ_MAX 65536 /**< bytes buffered ahead of the parser */
+/** Headers of one request; one with more is refused, as one whose headers are
+    too large. */
+#define HTTPD_HEADERS_MAX 256
 
 struct httpd_limits
 {
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -66,6 +66,7 @@
   unsigned int canceled;
   bool paused;
   char method[32]; /**< of the last attempt's request */
+  size_t header_count;
 };
 
 struct fixture
@@ -83,6 +84,7 @@
   struct fake_upstream *fake = driver;
 
   snprintf (fake->method, sizeof (fake->method), "%s", request->method);
+  fake->header_count = request->header_count;
   fake->events = events;
   fake->user = user;
   fake->started++;
@@ -583,6 +585,37 @@
   fixture_finish (&fixture);
 }
 
+/* All headers of a request get to the upstream, or it is refused. */
+static void
+test_many_headers (void)
+{
+  const size_t own = HTTPD_HEADERS_MAX - 3; /* the others are in HEAD */
+  struct fixture fixture;
+  struct received in = { .size = 0 };
+  unsigned int i;
+  size_t count;
+  int fd;
+
+  fixture_init (&fixture);
+  for (i = 0; i < 2; i++)
+    {
+      fd = client_connect (&fixture);
+      client_send (fd, "GET /services/farm/job HTTP/1.1\r\n" HEAD "once\r\n");
+      for (count = 0; count < own + i; count++)
+        client_send (fd, "A:b\r\n");
+      client_send (fd, "\r\n");
+      if (i == 0)
+        wait_attempt (&fixture, 1);
+      else
+        in = client_receive (&fixture, fd, NULL);
+      close (fd);
+    }
+  CU_ASSERT (fixture.fake.header_count >= own);
+  CU_ASSERT_EQUAL (fixture.fake.started, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (in.text, "HTTP/1.1 431 "));
+  fixture_finish (&fixture);
+}
+
 static void
 test_connection_limit (void)
 {
@@ -727,6 +760,7 @@
   { "slow client", test_slow_client },
   { "refused input", test_refused_input },
   { "header limit", test_header_limit },
+  { "headers above a number are dropped", test_many_headers },
   { "connection limit", test_connection_limit },
   { "drain", test_drain },
   { "request that crashes upstreams", test_crashing_request },
--- a/tests/test_smuggled_requests.c
+++ b/tests/test_smuggled_requests.c
@@ -21,6 +21,7 @@
   "Content-Length: 0\r\n\r\n"
 #define INNER_SIZE "144"
 _Static_assert(sizeof INNER == 1 + 139, "INNER_SIZE");
+#define OWN_HEADERS 4 /**< in HEADERS */
 
 static const struct
 {
@@ -160,6 +161,45 @@
   last_request[0] = '\0';
 }
 
+/* Writes a request with a number of headers, of which the last is X-Model. */
+static void
+write_headers (char *out, size_t size, unsigned int count)
+{
+  int used = snprintf (out, size, "GET /again/ HTTP/1.1\r\n" HEADERS);
+  unsigned int i;
+
+  for (i = OWN_HEADERS; i < count - 1; i++)
+    used += snprintf (out + used, size - (size_t)used, "X-%u: %u\r\n", i, i);
+  snprintf (out + used, size - (size_t)used, "X-Model: m\r\n\r\n");
+}
+
+static void
+test_many_headers (void)
+{
+  struct gatefixture fixture;
+  char text[8192];
+  char line[32];
+  unsigned int i;
+
+  begin (&fixture);
+  write_headers (text, sizeof text, HTTPD_HEADERS_MAX);
+  gatefixture_request (&fixture, text);
+  CU_ASSERT_NSTRING_EQUAL (fixture.client.got, "HTTP/1.1 200 ", 13);
+  for (i = OWN_HEADERS; i < HTTPD_HEADERS_MAX - 1; i++)
+    {
+      snprintf (line, sizeof line, "\r\nX-%u: %u\r\n", i, i);
+      CU_ASSERT_PTR_NOT_NULL (strstr (last_request, line));
+    }
+  CU_ASSERT_PTR_NOT_NULL (strstr (last_request, "\r\nX-Model: m\r\n"));
+  CU_ASSERT_EQUAL (upstream_requests (&fixture), 1);
+  write_headers (text, sizeof text, HTTPD_HEADERS_MAX + 1);
+  gatefixture_request (&fixture, text);
+  CU_ASSERT_NSTRING_EQUAL (fixture.client.got, "HTTP/1.1 431 ", 13);
+  CU_ASSERT_TRUE (gatefixture_run_until (&fixture, is_closed));
+  CU_ASSERT_EQUAL (upstream_requests (&fixture), 1);
+  gatefixture_finish (&fixture);
+}
+
 /* libevhtp waits for ever behind the one, and leaves the value of the other
    NULL. */
 static void
@@ -293,6 +333,7 @@
 
 static const struct suite_test tests[] = {
   { "a request inside another one's body is run", test_refused },
+  { "headers above a number are dropped", test_many_headers },
   { "trailers of chunks are null pointers", test_extensions_and_trailers },
   { "requests in two parts, cut at each byte", test_cut_anywhere },
   { "a request behind another is not checked", test_behind_another },
