Input behind a request is kept from the parser until the request has ended

Now such input waits in a buffer of its own and goes through the same checks as any other once the request has ended.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -57,9 +57,11 @@
   bufferevent_data_cb parse; /**< libevhtp's callback for input */
   struct httpd_head head;    /**< of the current request */
   struct httpd_body body;
-  bool parsing;    /**< the parser has headers of the current request */
-  bool unchecked;  /**< it found the current request by itself */
-  bool over_limit; /**< accepted above connections_max */
+  struct evbuffer *held;      /**< input behind the request in progress */
+  struct event *next_request; /**< goes on with it */
+  bool parsing;       /**< the parser has headers of the current request */
+  bool read_extended; /**< the current request got more time to arrive */
+  bool over_limit;    /**< accepted above connections_max */
   uint32_t header_bytes;
   uint32_t header_count;
   uint64_t body_bytes;
@@ -89,6 +91,8 @@
 static size_t read_max (const struct httpd_limits *limits);
 static void intercept_input (struct httpd_conn *conn);
 static void on_readable (struct bufferevent *bev, void *arg);
+static void hold_input (struct httpd_conn *conn, struct evbuffer *input);
+static void on_next_request (evutil_socket_t fd, short what, void *arg);
 static enum refusal check_input (struct httpd_conn *conn,
                                  struct evbuffer *input,
                                  struct httpd_body_step *step);
@@ -510,9 +514,13 @@
       = evbuffer_add_cb (bufferevent_get_output (evhtp->bev), on_output, conn);
   conn->leave = event_new (httpd->config.base, bufferevent_getfd (evhtp->bev),
                            EV_READ | EV_PERSIST, on_leave, conn);
+  conn->next_request
+      = event_new (httpd->config.base, -1, 0, on_next_request, conn);
+  conn->held = evbuffer_new ();
   if (conn->leave != NULL)
     loop_set_control (conn->leave);
-  if (conn->timer == NULL || conn->leave == NULL || conn->output_cb == NULL)
+  if (conn->timer == NULL || conn->leave == NULL || conn->output_cb == NULL
+      || conn->next_request == NULL || conn->held == NULL)
     {
       conn_discard (conn);
       return EVHTP_RES_ERROR;
@@ -565,9 +573,10 @@
 
   do
     {
-      if (conn->state == CONN_RESPONDING || conn->unchecked)
+      if (conn->state == CONN_RESPONDING
+          || evbuffer_get_length (conn->held) > 0)
         {
-          conn->parse (bev, arg);
+          hold_input (conn, input);
           break;
         }
       if (evbuffer_get_length (input) == 0)
@@ -583,6 +592,31 @@
   begin_work (httpd, work);
 }
 
+/* Keeps input behind a request from libevhtp, whose parser would read on by
+   itself while it has not ended the request. */
+static void
+hold_input (struct httpd_conn *conn, struct evbuffer *input)
+{
+  evbuffer_add_buffer (conn->held, input);
+  if (evbuffer_get_length (conn->held) >= HTTPD_READ_MAX)
+    bufferevent_disable (conn->evhtp->bev, EV_READ);
+}
+
+static void
+on_next_request (evutil_socket_t fd, short what, void *arg)
+{
+  struct httpd_conn *conn = arg;
+  struct bufferevent *bev = conn->evhtp->bev;
+
+  (void)fd;
+  (void)what;
+  if (conn->state == CONN_RESPONDING)
+    return;
+  evbuffer_prepend_buffer (bufferevent_get_input (bev), conn->held);
+  bufferevent_enable (bev, EV_READ);
+  on_readable (bev, conn->evhtp);
+}
+
 /* Finds out how much of the input the parser may have. */
 static enum refusal
 check_input (struct httpd_conn *conn, struct evbuffer *input,
@@ -673,7 +707,9 @@
   conn->parse (bev, evhtp);
   freed = httpd->parsed == NULL;
   httpd->parsed = NULL;
-  if (!freed && rest != NULL)
+  if (!freed && rest != NULL && conn->state == CONN_RESPONDING)
+    hold_input (conn, rest);
+  else if (!freed && rest != NULL)
     {
       /* A bufferevent freezes the end of its input. */
       evbuffer_unfreeze (input, 0);
@@ -758,6 +794,10 @@
     event_free (conn->timer);
   if (conn->leave != NULL)
     event_free (conn->leave);
+  if (conn->next_request != NULL)
+    event_free (conn->next_request);
+  if (conn->held != NULL)
+    evbuffer_free (conn->held);
   httpd_head_reset (&conn->head);
   if (conn->httpd->parsed == conn)
     conn->httpd->parsed = NULL;
@@ -792,7 +832,9 @@
     return 0;
   if (ioctl (bufferevent_getfd (bev), FIONREAD, &in_socket) != 0)
     in_socket = 0;
-  return evbuffer_get_length (bufferevent_get_input (bev)) + (size_t)in_socket;
+  return evbuffer_get_length (conn->held)
+         + evbuffer_get_length (bufferevent_get_input (bev))
+         + (size_t)in_socket;
 }
 
 static void
@@ -926,9 +968,6 @@
   conn->header_count = 0;
   conn->body_bytes = 0;
   conn->parsing = true;
-  conn->unchecked = !conn->head.complete;
-  if (conn->unchecked)
-    set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
   return EVHTP_RES_OK;
 }
 
@@ -954,10 +993,8 @@
 
   if (conn->over_limit)
     return refuse (conn, REFUSAL_CONNECTIONS);
-  /* The parser reads on by itself when a response has been sent. */
   if (httpd_method (http) == NULL || !httpd_framing_valid (headers)
-      || (!conn->unchecked
-          && evhtp_request_content_len (http) != conn->head.length))
+      || evhtp_request_content_len (http) != conn->head.length)
     return refuse (conn, REFUSAL_BAD_REQUEST);
   if (httpd_disable_form_parsing (headers) != 0)
     return refuse (conn, REFUSAL_ROUTER_FULL);
@@ -996,8 +1033,6 @@
   event_del (conn->timer);
   conn->state = CONN_RESPONDING;
   event_add (conn->leave, NULL);
-  if (conn->unchecked)
-    httpd_drop_trailers (http->headers_in);
   /* While connections are turned away, those that are kept would go on to
      bring requests, which cost more. */
   if (httpd->draining || httpd->shedding
@@ -1038,22 +1073,17 @@
 on_request_fini (evhtp_request_t *http, void *arg)
 {
   struct httpd_conn *conn = arg;
-  struct bufferevent *bev = http->conn->bev;
 
+  (void)http;
   notify_gone (conn);
   conn->state = CONN_IDLE;
   conn->parsing = false;
-  conn->unchecked = false;
+  conn->read_extended = false;
   httpd_head_reset (&conn->head);
   event_del (conn->leave);
   set_timer (conn, conn->httpd->config.limits.idle_timeout_ms);
-  /* What arrived behind the request. */
-  if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
-    {
-      conn->state = CONN_READING;
-      set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
-      bufferevent_trigger (bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-    }
+  if (evbuffer_get_length (conn->held) > 0)
+    event_active (conn->next_request, EV_TIMEOUT, 0);
   return EVHTP_RES_OK;
 }
 
