A request's own response behind another request's is waited for

Cause: a response with another request's id ended the attempt and its connection, though the id tells that it is an extra one and the own one follows.

On a connection that carried an earlier request, a response with another id is logged and dropped, and the attempt waits for its own within the request's time; at most eight of them and 64 KiB, their headers counted. After the own response the connection is closed. As before, these end the attempt: another id on a new connection, where no earlier request can have an extra response; no id; bytes that are no response; one whose end is uncertain (no length, no body by its status, HEAD). A refusal without an id behind a dropped one does not count, since the connection was used before. An attempt whose connection ends after a dropped response fails as a mismatch, not as a crash of the upstream.

--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -549,9 +549,10 @@
     attempt_end (conn, response->error);
   else if (response->complete)
     {
-      /* The response came before the complete request was sent, or is followed
-         by unexpected bytes. */
-      if (!conn->attempt->sent || used < size)
+      /* The response came before the complete request was sent, or there were
+         unexpected bytes before or after it. */
+      if (!conn->attempt->sent || used < size
+          || conn->attempt->foreign_count > 0)
         conn->reusable = false;
       attempt_end (conn, 0);
     }
@@ -598,7 +599,9 @@
       conn->reusable = false;
       attempt_end (conn, 0);
     }
+  else if (conn->attempt->response.head_delivered)
+    attempt_end (conn, ERR_TRUNCATED);
   else
-    attempt_end (conn, conn->attempt->response.head_delivered ? ERR_TRUNCATED
-                                                              : ERR_RESET);
+    attempt_end (conn,
+                 conn->attempt->foreign_count > 0 ? ERR_MISMATCH : ERR_RESET);
 }
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -36,6 +36,7 @@
   bool close_delimited; /**< the body ends when the connection closes */
   bool past_interim;    /**< all 1xx responses have been skipped */
   bool head_delivered;  /**< `responding` has been called */
+  bool foreign;         /**< has another request's ID; it is dropped */
   bool complete;
   int error; /**< a value of enum err; 0 if none */
 };
@@ -72,6 +73,8 @@
   bool sent;
   bool paused;
   bool draining_reported;
+  uint32_t foreign_count; /**< responses dropped, see response.foreign */
+  size_t foreign_bytes;   /**< of their headers and bodies */
   struct response response;
 };
 
@@ -102,7 +105,8 @@
 
 /** Parses `size` bytes and calls `responding`, `body` and `draining`.  Sets
     response.complete at the end of the response and response.error on an
-    error. @return the number of bytes consumed. */
+    error.  On a reused connection, responses with another request's ID are
+    dropped. @return the number of bytes consumed. */
 size_t upstream_http_response_parse (struct upstream_http_conn *conn,
                                      const char *data, size_t size);
 
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -4,6 +4,7 @@
  * its stated length and belongs to this request.
  */
 #include "state/err.h"
+#include "transport/log.h"
 #include "transport/upstream_http_int.h"
 #include <stdlib.h>
 #include <string.h>
@@ -12,12 +13,20 @@
 #define ARENA_INITIAL_BYTES 512
 #define STATUS_LINE_MIN     12   /**< bytes of "HTTP/1.1 200" */
 #define KEEP_ALIVE_MAX_S    3600 /**< timeouts from this on are ignored */
+/* Responses to other requests that an attempt drops, and their bytes. */
+#define FOREIGN_MAX       8
+#define FOREIGN_BYTES_MAX 65536
 
+static size_t parse_response (struct upstream_http_conn *conn,
+                              const char *data, size_t size);
 static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
                             size_t size);
 static int on_header_name (htparser *parser, const char *data, size_t size);
 static int on_header_value (htparser *parser, const char *data, size_t size);
 static int on_headers (htparser *parser);
+static bool drop_foreign (struct upstream_http_conn *conn,
+                          const struct upstream_header *headers, int status);
+static int count_foreign (struct upstream_attempt *attempt, size_t size);
 static void list_headers (const struct response *response,
                           struct upstream_header *headers);
 static int on_body (htparser *parser, const char *data, size_t size);
@@ -58,6 +67,25 @@
 size_t
 upstream_http_response_parse (struct upstream_http_conn *conn,
                               const char *data, size_t size)
+{
+  size_t used = parse_response (conn, data, size);
+  struct response *response;
+
+  while (!conn->free_pending)
+    {
+      response = &conn->attempt->response;
+      if (response->error != 0 || !response->complete || !response->foreign)
+        break;
+      upstream_http_response_finish (response);
+      memset (response, 0, sizeof *response);
+      upstream_http_response_reset (conn);
+      used += parse_response (conn, data + used, size - used);
+    }
+  return used;
+}
+
+static size_t
+parse_response (struct upstream_http_conn *conn, const char *data, size_t size)
 {
   struct response *response = &conn->attempt->response;
   size_t used = 0;
@@ -176,7 +204,7 @@
         = dialect->check_response (attempt->request_id, attempt->resume_after,
                                    status, headers, response->count);
   if (error == ERR_MISMATCH)
-    return fail (conn, error);
+    return drop_foreign (conn, headers, status) ? 0 : fail (conn, error);
   /* Such a refusal may be that of an earlier request, written again. */
   if (error == ERR_UNAVAILABLE && conn->reused
       && upstream_header_find (headers, response->count, dialect->id_header)
@@ -218,6 +246,37 @@
   return -1;
 }
 
+/* An extra response to an earlier request may arrive before the one to this
+   request; its ID tells.  One whose end is not certain is not dropped. */
+static bool
+drop_foreign (struct upstream_http_conn *conn,
+              const struct upstream_header *headers, int status)
+{
+  struct upstream_attempt *attempt = conn->attempt;
+  struct response *response = &attempt->response;
+  const char *id = upstream_header_find (
+      headers, response->count, conn->http->config.dialect->id_header);
+
+  if (!conn->reused || id == NULL || response->body_absent
+      || response->close_delimited || attempt->foreign_count == FOREIGN_MAX
+      || count_foreign (attempt, response->arena_used) != 0)
+    return false;
+  attempt->foreign_count++;
+  response->foreign = true;
+  LOG (LOG_UPSTREAM_MISMATCH, attempt->request_id, LOG_S ("id", id),
+       LOG_U ("status", (uint64_t)status));
+  return true;
+}
+
+static int
+count_foreign (struct upstream_attempt *attempt, size_t size)
+{
+  if (size > FOREIGN_BYTES_MAX - attempt->foreign_bytes)
+    return ERR_TOO_LARGE;
+  attempt->foreign_bytes += size;
+  return 0;
+}
+
 static void
 list_headers (const struct response *response, struct upstream_header *headers)
 {
@@ -254,6 +313,8 @@
   struct upstream_attempt *attempt = conn->attempt;
 
   attempt->response.received += size;
+  if (attempt->response.foreign)
+    return count_foreign (attempt, size) == 0 ? 0 : fail (conn, ERR_MISMATCH);
   if (evbuffer_add (conn->scratch, data, size) != 0)
     return fail (conn, ERR_NO_MEMORY);
   return 0;
--- a/tests/test_repeated_refusal.c
+++ b/tests/test_repeated_refusal.c
@@ -2,11 +2,14 @@
  * @file test_repeated_refusal.c
  * An upstream writes an earlier refusal once more on a kept connection, where
  * the response to the next request is due.  No client is told that its request
- * did not run, and none that may not be repeated runs twice.
+ * did not run, and none that may not be repeated runs twice.  A refusal with
+ * another request's ID costs no client its own response.
  */
+#include "state/rng.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define HEADERS                                                               \
@@ -24,14 +27,16 @@
 #define RESUMABLE                                                             \
   "POST /resume/z HTTP/1.1\r\n" HEADERS "Content-Length: 0\r\n\r\n"
 
-#define FIRST_MAX 50 /* requests until both upstreams have had one */
-#define EMPTY     "Content-Length: 0\r\n\r\n"
+#define DRILL_REQUESTS 400
+#define FIRST_MAX      50 /* requests until both upstreams have had one */
+#define EMPTY          "Content-Length: 0\r\n\r\n"
 
 /** A refusal that is written again. */
 struct refusal_case
 {
   const char *name;
   const char *text;
+  bool has_id;
 };
 
 /** A request behind it. */
@@ -44,14 +49,19 @@
 };
 
 static const struct refusal_case refusals[] = {
-  { "503 without id", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" EMPTY },
-  { "429 without id", "HTTP/1.1 429 Many\r\nX-Not-Executed: 1\r\n" EMPTY },
-  { "400 without id", "HTTP/1.1 400 Bad\r\nX-Not-Executed: 1\r\n" EMPTY },
-  { "421 without id", "HTTP/1.1 421 Other\r\nX-Instance-Id: other\r\n" EMPTY },
+  { "503 without id", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" EMPTY,
+    false },
+  { "429 without id", "HTTP/1.1 429 Many\r\nX-Not-Executed: 1\r\n" EMPTY,
+    false },
+  { "400 without id", "HTTP/1.1 400 Bad\r\nX-Not-Executed: 1\r\n" EMPTY,
+    false },
+  { "421 without id", "HTTP/1.1 421 Other\r\nX-Instance-Id: other\r\n" EMPTY,
+    false },
   { "503 with the earlier id",
-    "HTTP/1.1 503 Full\r\nX-Attempt-Id: id-0\r\nX-Not-Executed: 1\r\n" EMPTY },
+    "HTTP/1.1 503 Full\r\nX-Attempt-Id: id-0\r\nX-Not-Executed: 1\r\n" EMPTY,
+    true },
   { "421 with the earlier id",
-    "HTTP/1.1 421 Other\r\nX-Attempt-Id: id-0\r\n" EMPTY },
+    "HTTP/1.1 421 Other\r\nX-Attempt-Id: id-0\r\n" EMPTY, true },
 };
 
 static const struct request_case requests[] = {
@@ -108,7 +118,8 @@
   CU_ASSERT (upstreams[0].repetitions + upstreams[1].repetitions > 0);
   runs = upstreams[0].requests + upstreams[1].requests - runs;
   passed = !is_refused (&fixture) && (request->idempotent || runs == 1)
-           && (got_status (&fixture, "502") || got_status (&fixture, "200"));
+           && (refusal->has_id ? got_status (&fixture, "200") && runs == 1
+                               : got_status (&fixture, "502"));
   if (!passed)
     printf ("%s, %s: ran %u times, %.12s\n", refusal->name, request->name,
             runs, fixture.client.got);
@@ -143,10 +154,97 @@
   gatefixture_finish (&fixture);
 }
 
+/** Upstreams that refuse some requests, and write their own last refusal again
+    before most other responses. */
+struct drill
+{
+  struct rng rng;
+  unsigned int runs[DRILL_REQUESTS];
+  unsigned int refused; /* by an upstream */
+  const struct upstreamserver *upstreams;
+  char refusals[GATEFIXTURE_UPSTREAMS][256];
+};
+
+static void
+on_drill_request (struct upstreamserver *server, const char *message)
+{
+  struct drill *drill = server->user;
+  char *refusal = drill->refusals[server - drill->upstreams];
+  char id[16] = "";
+  unsigned long number;
+
+  upstreamserver_get_header (message, "X-Attempt-Id", id, sizeof id);
+  number = strtoul (id, NULL, 10);
+  CU_ASSERT_FATAL (number < DRILL_REQUESTS);
+  server->repeated_response
+      = refusal[0] != '\0' && rng_below (&drill->rng, 4) > 0 ? refusal : NULL;
+  if (rng_below (&drill->rng, 5) == 0)
+    {
+      server->behaviour = UPSTREAMSERVER_REJECT;
+      server->repeated_response = NULL;
+      drill->refused++;
+      snprintf (refusal, sizeof drill->refusals[0],
+                "HTTP/1.1 503 Full\r\n%s%s%sX-Not-Executed: 1\r\n" EMPTY,
+                drill->refused % 4 == 0 ? "" : "X-Attempt-Id: ",
+                drill->refused % 4 == 0 ? "" : id,
+                drill->refused % 4 == 0 ? "" : "\r\n");
+      return;
+    }
+  drill->runs[number]++;
+  server->behaviour = strstr (message, "text/event-stream") != NULL
+                          ? UPSTREAMSERVER_STREAM
+                          : UPSTREAMSERVER_RESPOND;
+}
+
+static void
+test_drill (void)
+{
+  static struct drill drill;
+  struct gatefixture fixture;
+  char request[512];
+  unsigned int served = 0;
+  unsigned int twice = 0;
+  unsigned int falsely_refused = 0;
+  unsigned int repetitions = 0;
+  unsigned int i;
+
+  memset (&drill, 0, sizeof drill);
+  rng_init (&drill.rng, 1);
+  gatefixture_init (&fixture, true);
+  drill.upstreams = fixture.upstreams;
+  for (i = 0; i < GATEFIXTURE_UPSTREAMS; i++)
+    {
+      fixture.upstreams[i].on_request = on_drill_request;
+      fixture.upstreams[i].user = &drill;
+    }
+  for (i = 0; i < DRILL_REQUESTS; i++)
+    {
+      snprintf (request, sizeof request,
+                "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\n"
+                "X-Attempt-Id: %u\r\nX-Credential: key-1\r\n%s" EMPTY,
+                i % 2 == 0 ? "once" : "stream", i,
+                i % 2 == 0 ? "" : "Accept: text/event-stream\r\n");
+      gatefixture_request (&fixture, request);
+      served += got_status (&fixture, "200");
+      twice += drill.runs[i] > 1;
+      falsely_refused += is_refused (&fixture) && drill.runs[i] > 0;
+    }
+  for (i = 0; i < GATEFIXTURE_UPSTREAMS; i++)
+    repetitions += fixture.upstreams[i].repetitions;
+  printf ("%u of %d served, %u refusals written again; ", served,
+          DRILL_REQUESTS, repetitions);
+  CU_ASSERT (repetitions > DRILL_REQUESTS / 4);
+  CU_ASSERT_EQUAL (twice, 0);
+  CU_ASSERT_EQUAL (falsely_refused, 0);
+  CU_ASSERT (served > DRILL_REQUESTS / 2);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "refusal repeated on a kept connection",
     test_repeated_on_kept_connection },
   { "a request's own refusal", test_own_refusal },
+  { "upstreams that write earlier refusals again", test_drill },
 };
 
 SUITE_MAIN ("test_repeated_refusal", tests)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -764,6 +764,135 @@
   free (large);
 }
 
+#define FOREIGN_HEADERS                                                       \
+  "HTTP/1.1 503 Busy\r\nCherrylanding-Request-Id: req-0\r\n"                  \
+  "Cherrylanding-Verdict: not-run\r\n"
+#define FOREIGN     FOREIGN_HEADERS "Content-Length: 0\r\n\r\n"
+#define OWN         OK_HEADERS CHUNKED_HELLO "0\r\n\r\n"
+#define FOUR(text)  text text text text
+#define EIGHT(text) FOUR (text) FOUR (text)
+
+/** What a server sends on a connection that was used before. */
+static const struct response_case foreign_cases[] = {
+  { "empty", FOREIGN OWN, AFTER_REPLY_KEEP_OPEN, 0, 200, "hello", 0, NULL },
+  { "length", FOREIGN_HEADERS "Content-Length: 4\r\n\r\nbusy" OWN,
+    AFTER_REPLY_KEEP_OPEN, 0, 200, "hello", 0, NULL },
+  { "chunks", FOREIGN_HEADERS CHUNKED_HELLO "0\r\n\r\n" OWN,
+    AFTER_REPLY_KEEP_OPEN, 0, 200, "hello", 0, NULL },
+  { "eight", EIGHT (FOREIGN) OWN, AFTER_REPLY_KEEP_OPEN, 0, 200, "hello", 0,
+    NULL },
+  { "nine", EIGHT (FOREIGN) FOREIGN OWN, AFTER_REPLY_KEEP_OPEN, ERR_MISMATCH,
+    0, "", 0, NULL },
+  { "then 100 Continue", FOREIGN "HTTP/1.1 100 Continue\r\n\r\n" OWN,
+    AFTER_REPLY_KEEP_OPEN, 0, 200, "hello", 0, NULL },
+  { "then the refusal of this request",
+    FOREIGN "HTTP/1.1 503 Busy\r\n" REQUEST_ID_HEADER
+            "Cherrylanding-Verdict: not-run\r\nContent-Length: 0\r\n\r\n",
+    AFTER_REPLY_KEEP_OPEN, ERR_UNAVAILABLE, 0, "", 0, NULL },
+  { "then no id", FOREIGN "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" OWN,
+    AFTER_REPLY_KEEP_OPEN, ERR_MISMATCH, 0, "", 0, NULL },
+  { "then no response", FOREIGN "hello\r\n\r\n", AFTER_REPLY_KEEP_OPEN,
+    ERR_PROTOCOL, 0, "", 0, NULL },
+  { "then the end", FOREIGN, AFTER_REPLY_CLOSE, ERR_MISMATCH, 0, "", 0, NULL },
+  { "truncated", FOREIGN_HEADERS "Content-Length: 4\r\n\r\nbu",
+    AFTER_REPLY_CLOSE, ERR_MISMATCH, 0, "", 0, NULL },
+  { "too long", FOREIGN_HEADERS "Content-Length: 3\r\n\r\nbusy" OWN,
+    AFTER_REPLY_KEEP_OPEN, ERR_PROTOCOL, 0, "", 0, NULL },
+  { "without an end", FOREIGN_HEADERS "\r\nbusy" OWN, AFTER_REPLY_KEEP_OPEN,
+    ERR_PROTOCOL, 0, "", 0, NULL },
+  { "no body by its status",
+    "HTTP/1.1 204 No Content\r\nCherrylanding-Request-Id: req-0\r\n\r\n" OWN,
+    AFTER_REPLY_KEEP_OPEN, ERR_MISMATCH, 0, "", 0, NULL },
+  { "to HEAD", FOREIGN OWN, AFTER_REPLY_KEEP_OPEN, ERR_MISMATCH, 0, "", 0,
+    "HEAD" },
+};
+
+/* Runs a case on a connection that was used before.
+   @param parts  what the server sends at a time, in bytes; 0: all. */
+static void
+play_foreign (const struct response_case *c, size_t parts)
+{
+  struct upstream_request first = { .idempotent = true };
+  struct upstream_request request = { .method = c->method };
+  size_t size = strlen (c->reply);
+  struct fixture fixture;
+  size_t sent;
+  size_t part;
+
+  fixture_init (&fixture);
+  run_attempt (&fixture, &first,
+               &(struct script){ OWN, AFTER_REPLY_KEEP_OPEN });
+  fixture.server_replied = false;
+  fixture.script = (struct script){ parts == 0 ? c->reply : NULL, c->after };
+  if (parts > 0)
+    fixture.script.after = AFTER_REPLY_KEEP_OPEN;
+  start_attempt (&fixture, &request);
+  run_until (&fixture, &fixture.sent);
+  for (sent = 0; parts > 0 && sent < size && !fixture.ended; sent += part)
+    {
+      part = size - sent < parts ? size - sent : parts;
+      CU_ASSERT_EQUAL (send (bufferevent_getfd (fixture.server),
+                             c->reply + sent, part, MSG_NOSIGNAL),
+                       (ssize_t)part);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+    }
+  if (parts > 0 && fixture.server != NULL)
+    {
+      fixture.script.after = c->after;
+      server_after_reply (&fixture);
+    }
+  run_until (&fixture, &fixture.ended);
+  CU_ASSERT_EQUAL (fixture.accepted, 1);
+  if (fixture.error != c->error || fixture.status != c->status
+      || strcmp (fixture.body, c->body) != 0)
+    {
+      printf ("%s, parts of %zu: error %s, status %d, body '%s'\n", c->name,
+              parts, err_name (fixture.error), fixture.status, fixture.body);
+      CU_FAIL ("unexpected outcome");
+    }
+  CU_ASSERT_EQUAL (upstream_http_connections (fixture.http), 0);
+  fixture_finish (&fixture);
+}
+
+/* An extra response to an earlier request costs this one its own response. */
+static void
+test_own_response_behind_foreign_one (void)
+{
+  size_t i;
+
+  for (i = 0; i < sizeof (foreign_cases) / sizeof (foreign_cases[0]); i++)
+    {
+      play_foreign (&foreign_cases[i], 0);
+      play_foreign (&foreign_cases[i], 1);
+      play_foreign (&foreign_cases[i], 7);
+    }
+}
+
+/* Responses to other requests are dropped up to a number of bytes. */
+static void
+test_foreign_response_without_end (void)
+{
+  struct upstream_request request = { .idempotent = true };
+  struct fixture fixture;
+  char *large = malloc (LARGE_BODY + 1);
+
+  memset (large, 'x', LARGE_BODY);
+  large[LARGE_BODY] = '\0';
+  memcpy (large, FOREIGN_HEADERS "Content-Length: 99999999\r\n\r\n",
+          strlen (FOREIGN_HEADERS "Content-Length: 99999999\r\n\r\n"));
+  fixture_init (&fixture);
+  run_attempt (&fixture, &request,
+               &(struct script){ OWN, AFTER_REPLY_KEEP_OPEN });
+  run_attempt (&fixture, &request,
+               &(struct script){ large, AFTER_REPLY_KEEP_OPEN });
+  CU_ASSERT_EQUAL (fixture.accepted, 1);
+  CU_ASSERT_EQUAL (fixture.error, ERR_MISMATCH);
+  CU_ASSERT_EQUAL (fixture.body_size, 0);
+  fixture_finish (&fixture);
+  free (large);
+}
+
 /* A refusal of an earlier attempt has the ID of the request. */
 static void
 test_refusal_of_earlier_attempt_is_believed (void)
@@ -883,6 +1012,10 @@
   { "draining is reported", test_draining_is_reported },
   { "connection reuse", test_connection_reuse },
   { "repeated refusal is believed", test_repeated_refusal_is_believed },
+  { "own response behind another request's",
+    test_own_response_behind_foreign_one },
+  { "another request's response without end",
+    test_foreign_response_without_end },
   { "refusal of an earlier attempt is believed",
     test_refusal_of_earlier_attempt_is_believed },
   { "unsolicited bytes prevent reuse", test_unsolicited_bytes_prevent_reuse },
