The fuzzer of requests may answer late

With a third argument, `late', a response follows when more of the stream has arrived, so that requests arrive behind one in progress.

--- a/tests/test_request_fuzz.c
+++ b/tests/test_request_fuzz.c
@@ -2,7 +2,8 @@
  * @file test_request_fuzz.c
  * Compares what the HTTP server understood of random and damaged requests,
  * which arrive in parts, with what a strict reader of RFC 9112 understands.
- * usage: test_request_fuzz [STREAMS [SEED]]
+ * usage: test_request_fuzz [STREAMS [SEED [late]]]; late: a response follows
+ * when more of the stream has arrived.
  */
 #include "support/suite.h"
 #include "transport/httpd.h"
@@ -66,11 +67,13 @@
   struct event_base *base;
   struct httpd *httpd;
   struct record record;
+  evhtp_request_t *waiting; /**< for its response; NULL if there is none */
 };
 
 static uint64_t random_state;
 static unsigned long stream_count = STREAMS_DEFAULT;
 static uint64_t seed = SEED_DEFAULT;
+static bool late;
 
 static uint64_t
 next_random (uint64_t below)
@@ -146,7 +149,36 @@
   if (size > 0)
     append (record, (const char *)evbuffer_pullup (http->buffer_in, -1), size);
   append_text (record, "\n");
+  if (!late)
+    {
+      evhtp_send_reply (http, 200);
+      return;
+    }
+  server->waiting = http;
+  httpd_set_request_user (http, server);
+  httpd_pause (http);
+}
+
+static void
+on_client_closed (void *user, void *request_user)
+{
+  (void)request_user;
+  ((struct server *)user)->waiting = NULL;
+}
+
+/* @return whether a request waited. */
+static bool
+respond (struct server *server)
+{
+  evhtp_request_t *http = server->waiting;
+
+  server->waiting = NULL;
+  if (http == NULL)
+    return false;
+  httpd_set_request_user (http, NULL);
   evhtp_send_reply (http, 200);
+  httpd_resume (http);
+  return true;
 }
 
 static void
@@ -181,7 +213,7 @@
                 .write_timeout_ms = 600000,
                 .low_water_bytes = 1000 },
     .request = on_request,
-    .client_closed = ignore,
+    .client_closed = on_client_closed,
     .output_low = ignore,
     .refuse = on_refuse,
     .user = server,
@@ -681,7 +713,11 @@
         break;
       sent += part;
       settle (server, client);
+      if (next_random (2) == 0 && respond (server))
+        settle (server, client);
     }
+  while (respond (server))
+    settle (server, client);
 }
 
 static bool
@@ -746,6 +782,7 @@
        i++)
     {
       usleep (WAIT_US);
+      respond (server);
       settle (server, &client);
     }
   agreed = agrees (server, &client, &expected, outcome);
@@ -805,5 +842,6 @@
     stream_count = strtoul (argv[1], NULL, 10);
   if (argc > 2)
     seed = strtoull (argv[2], NULL, 10);
+  late = argc > 3 && strcmp (argv[3], "late") == 0;
   return suite_run ("test_request_fuzz", tests, COUNT (tests));
 }
