A service is marked before a second build's first stream is recorded (ORDER)

Callers saw: just after upstreams of a second build had joined, streams that had begun on them broke, were taken up at a gateway that had not seen these upstreams yet, and went on at the older build.

Cause: a gateway marked a service as one with several builds, and told the others, at a tick, 0.1 s apart. It used new upstreams as soon as it had read their entries. A stream that began in between was recorded as one of a service with one build, so no other gateway heard of it; nor did answers to these help, as there was nothing to tell.

Fix: recording a stream marks its service first if the registry has changed since the last search, so that the mark and the row go out before the event. The search skips upstreams of the service that it has just searched, as it may run between ticks now.

--- a/src/gateway/gateway_streams.c
+++ b/src/gateway/gateway_streams.c
@@ -42,6 +42,8 @@
 static struct gateway_request *find_decided (struct gateway *gateway);
 static void record (struct gateway_request *request, uint64_t key);
 static void on_rebuilt (void *user, const struct registry_upstream *upstream);
+static void mark_changed_services (struct gateway *gateway);
+static void mark_services (struct gateway *gateway);
 static void mark_service (struct gateway *gateway, uint64_t service_id);
 
 void
@@ -205,6 +207,8 @@
     .ttl_ms = STREAM_BUILDS_TTL_MS + request->route->timeout_ms,
   };
 
+  /* The build of the first event may have joined since the last tick. */
+  mark_changed_services (gateway);
   stream_builds_put (&gateway->streams, &row, STREAM_BUILDS_OWN, 0, now_ns);
   /* The client may return elsewhere at once. */
   if (stream_builds_several (&gateway->streams, row.service_id, now_ns))
@@ -236,30 +240,44 @@
 
 void
 gateway_streams_tick (struct gateway *gateway)
+{
+  if (gateway->ticks % TICKS_PER_RENEWAL == 0)
+    {
+      stream_builds_expire (&gateway->streams, gateway_now_ns (gateway));
+      mark_services (gateway);
+    }
+  else
+    mark_changed_services (gateway);
+}
+
+static void
+mark_changed_services (struct gateway *gateway)
+{
+  if (gateway->streams_generation != gateway->registry.generation)
+    mark_services (gateway);
+}
+
+static void
+mark_services (struct gateway *gateway)
 {
   const struct registry_upstream *upstream;
-  uint64_t marked_id = 0;
+  uint64_t searched_id = 0;
   uint64_t single_build;
   uint64_t service_id;
 
-  if (gateway->ticks % TICKS_PER_RENEWAL == 0)
-    stream_builds_expire (&gateway->streams, gateway_now_ns (gateway));
-  else if (gateway->streams_generation == gateway->registry.generation)
-    return;
   gateway->streams_generation = gateway->registry.generation;
   for (upstream = gateway->registry.upstreams; upstream != NULL;
        upstream = upstream->hh.next)
     {
       service_id = upstream->record.service_id;
-      if (service_id == marked_id)
+      if (service_id == searched_id)
         continue;
+      searched_id = service_id;
       single_build = registry_single_build (&gateway->registry, service_id);
-      if (single_build != 0
-          && !build_records_contradict (&gateway->build_records, service_id,
-                                        single_build))
-        continue;
-      marked_id = service_id;
-      mark_service (gateway, service_id);
+      if (single_build == 0
+          || build_records_contradict (&gateway->build_records, service_id,
+                                       single_build))
+        mark_service (gateway, service_id);
     }
 }
 
--- a/tests/test_out_of_step.c
+++ b/tests/test_out_of_step.c
@@ -22,6 +22,7 @@
 #define AFTER_MS    1500
 #define END_MS      1000 /* in which no streams begin */
 #define SETTLE_MS   1500 /* after the start, until hubs have their links */
+#define TICK_MS     100  /* of a gateway */
 #define WAKE_MS     30   /* from its first event to those of links and store */
 #define BEGUN_MIN   20   /* streams of the second build, for a play to count */
 
@@ -48,6 +49,7 @@
   uint32_t fault_ms;
   uint32_t second_ms; /* when the second build joins; 0: never */
   bool stays;         /* clients do not take streams up */
+  bool no_ticks;      /* of its companion, while the fault lasts */
 };
 
 struct scene;
@@ -146,13 +148,14 @@
 static unsigned int
 companion (const struct scene *scene)
 {
-  return (scene->odd + 1) % scene->plan->gateways;
+  return scene->odd + 1 < scene->plan->gateways ? scene->odd + 1 : 0;
 }
 
 static void
 set_fault (struct scene *scene, bool on)
 {
   const struct plan *plan = scene->plan;
+  const struct timeval tick = clock_timeval (TICK_MS);
   bool peers
       = plan->fault != FAULT_NONE && plan->fault != FAULT_CUT_FROM_STORE;
   bool store
@@ -172,6 +175,10 @@
       cutnet_set (&scene->cutnet, CUTNET_PEERS, i, on);
   if (peers && !plan->pair)
     cutnet_set (&scene->cutnet, CUTNET_PEERS, scene->odd, on);
+  if (plan->no_ticks && on)
+    event_del (scene->fleet.gateways[companion (scene)].tick);
+  else if (plan->no_ticks)
+    event_add (scene->fleet.gateways[companion (scene)].tick, &tick);
 }
 
 static void
@@ -437,6 +444,19 @@
                               .second_ms = CALM_MS });
 }
 
+/* The gateway that begins streams has seen the second build since its last
+   tick. */
+static void
+test_not_marked_yet (void)
+{
+  play_fault (&(struct plan){ .gateways = 2,
+                              .hub = true,
+                              .fault = FAULT_CUT_FROM_STORE,
+                              .fault_ms = 2000,
+                              .second_ms = CALM_MS,
+                              .no_ticks = true });
+}
+
 static void
 test_stands_still (void)
 {
@@ -489,6 +509,8 @@
   { "streams are joined while two are cut off together", test_pair_cut_off },
   { "streams are joined without peers", test_cut_from_peers },
   { "streams are joined without the store", test_cut_from_store },
+  { "streams are joined before a tick marks their service",
+    test_not_marked_yet },
   { "streams are joined when a gateway stood still", test_stands_still },
   { "streams are refused though nothing is unsure", test_calm },
 };
