A stream that ended in a drain closed a connection that it had promised to keep

The client of a stream whose head went out before SIGTERM had the whole response, saw no close, sent its next request and got a reset (LOST): the end of the response dropped keep-alive after the head had promised it.

Now only a head that is still to be sent announces a close; the connection is idle after the response.

--- a/src/transport/reply.c
+++ b/src/transport/reply.c
@@ -126,7 +126,8 @@
     case REPLY_ENDED:
       return;
     }
-  reply_release (reply, last);
+  /* A head that was sent has promised whether the connection is kept. */
+  reply_release (reply, false);
 }
 
 void
