Responses that were not written yet were lost when their connection was closed

Callers got a close with no response: of a request that was refused unread as a drain ended, of one that got its final response in the tick that ended the process, and of one that was refused while the loop stood still for a second.

What ends the process or a lingering close did not look at output that was still in buffers; requests whose time to arrive ended did not look at what had arrived.

Now connections that linger or were turned away count as active in a drain, responses in progress are written before the loop ends, a lingering connection is written before its time ends it, and a request that goes on arriving while the loop is late gets its time once more. bufio_flush() has the write that httpd and upstream_http had each.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -526,6 +526,7 @@
     {
       LOG (LOG_DRAIN_TIMEOUT, NULL, LOG_U ("requests", gateway->request_count),
            LOG_U ("connections", httpd_active_connections (gateway->httpd)));
+      httpd_flush (gateway->httpd);
       event_base_loopbreak (gateway->base);
     }
 }
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -4,6 +4,7 @@
  */
 #include "transport/httpd.h"
 #include "state/err.h"
+#include "transport/bufio.h"
 #include "transport/clock.h"
 #include "transport/httpd_body.h"
 #include "transport/httpd_int.h"
@@ -107,7 +108,7 @@
 static bool peer_closed (evutil_socket_t fd);
 static size_t unread_bytes (const struct httpd_conn *conn);
 static bool waits_for_accept (const struct httpd *httpd);
-static void log_unread (const struct httpd_conn *conn);
+static void log_if_cut (const struct httpd_conn *conn);
 static void close_idle (struct httpd_conn *conn);
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res accept_connection (struct httpd *httpd,
@@ -135,7 +136,7 @@
 static void conn_discard (struct httpd_conn *conn);
 static struct bufferevent *detach_bufferevent (struct httpd_conn *conn);
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
-static void refuse_unparsable (struct httpd_conn *conn);
+static bool refuse_unparsable (struct httpd_conn *conn);
 static void notify_gone (struct httpd_conn *conn);
 static const char *request_id (struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
@@ -197,10 +198,11 @@
   struct httpd_conn *conn;
   struct httpd_conn *next;
 
+  httpd_flush (httpd);
   for (conn = httpd->conns; conn != NULL; conn = next)
     {
       next = conn->next;
-      evhtp_connection_free (conn->evhtp);
+      close_idle (conn);
     }
   linger_finish (&httpd->linger);
   if (httpd->accept_again != NULL)
@@ -273,6 +275,16 @@
   return method != NULL ? method : htparser_get_methodstr_m (http->method);
 }
 
+void
+httpd_flush (struct httpd *httpd)
+{
+  struct httpd_conn *conn;
+
+  for (conn = httpd->conns; conn != NULL; conn = conn->next)
+    if (conn->state == CONN_RESPONDING)
+      bufio_flush (conn->evhtp->bev);
+}
+
 void
 httpd_set_request_user (evhtp_request_t *http, void *request_user)
 {
@@ -304,16 +316,11 @@
 httpd_uncork (evhtp_request_t *http)
 {
   struct bufferevent *bev = http->conn->bev;
-  struct evbuffer *output = bufferevent_get_output (bev);
 
-  /* A bufferevent freezes the start of its output buffer, which prevents
-     other code from draining it. */
-  evbuffer_unfreeze (output, 1);
-  evbuffer_write (output, bufferevent_getfd (bev));
-  evbuffer_freeze (output, 1);
+  bufio_flush (bev);
   /* Enabling writes with an empty buffer would cost two epoll_ctl calls per
      write. */
-  if (evbuffer_get_length (output) > 0)
+  if (evbuffer_get_length (bufferevent_get_output (bev)) > 0)
     bufferevent_enable (bev, EV_WRITE);
 }
 
@@ -396,7 +403,9 @@
 httpd_active_connections (const struct httpd *httpd)
 {
   const struct httpd_conn *conn;
-  uint32_t active = waits_for_accept (httpd) ? 1 : 0;
+  uint32_t active = linger_count (&httpd->linger)
+                    + (uint32_t)httpd->turnaway.count
+                    + (waits_for_accept (httpd) ? 1 : 0);
 
   for (conn = httpd->conns; conn != NULL; conn = conn->next)
     if (conn->state != CONN_IDLE || unread_bytes (conn) > 0)
@@ -813,10 +822,9 @@
      already been freed. */
   evhtp_connection_unset_hook (evhtp, evhtp_hook_on_request_fini);
   notify_gone (conn);
-  if (conn->state == CONN_IDLE)
-    log_unread (conn);
-  if (conn->state <= CONN_READING)
-    refuse_unparsable (conn);
+  if (conn->state <= CONN_READING && !refuse_unparsable (conn)
+      && conn->state == CONN_IDLE)
+    log_if_cut (conn);
   conn_free (conn);
   return EVHTP_RES_OK;
 }
@@ -838,7 +846,7 @@
 }
 
 static void
-log_unread (const struct httpd_conn *conn)
+log_if_cut (const struct httpd_conn *conn)
 {
   size_t unread = unread_bytes (conn);
 
@@ -847,9 +855,9 @@
 }
 
 /* libevhtp closes a connection at once when it cannot parse the input.  A
-   duplicate of the socket's descriptor stays open to send the error
-   response. */
-static void
+   duplicate of the socket's descriptor stays open to send the error response.
+   @return whether it is sent. */
+static bool
 refuse_unparsable (struct httpd_conn *conn)
 {
   const struct httpd_config *config = &conn->httpd->config;
@@ -858,19 +866,20 @@
   int fd;
 
   if (parse_error == htparse_error_none || conn->evhtp->bev == NULL)
-    return;
+    return false;
   fd = dup (bufferevent_getfd (conn->evhtp->bev));
   bev = fd < 0
             ? NULL
             : bufferevent_socket_new (config->base, fd, BEV_OPT_CLOSE_ON_FREE);
   if (bev == NULL)
-    return;
+    return false;
   config->refuse (config->user,
                   parse_error == htparse_error_too_big
                       ? REFUSAL_HEADERS_TOO_LARGE
                       : REFUSAL_BAD_REQUEST,
                   request_id (conn), bufferevent_get_output (bev));
   linger_close (&conn->httpd->linger, bev);
+  return true;
 }
 
 /* Takes ownership of the connection's bufferevent from libevhtp and frees
@@ -939,9 +948,11 @@
 
   (void)fd;
   (void)what;
-  /* The event that reads it is still in the loop's queue. */
-  if (conn->state == CONN_IDLE && unread_bytes (conn) > 0)
+  /* The loop is late: the event that reads it comes next.  A request that goes
+     on arriving gets that time once. */
+  if (!conn->read_extended && unread_bytes (conn) > 0)
     {
+      conn->read_extended = conn->state == CONN_READING;
       set_timer (conn, conn->httpd->config.limits.read_timeout_ms);
       return;
     }
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -81,15 +81,19 @@
 /** Disables keep-alive: connections close after their next response. */
 void httpd_disable_keepalive (struct httpd *httpd);
 
-/** Closes idle connections that have served a request and hold no unread one
-    now, and others after their response.  New connections are still accepted,
-   so that their requests get an error response. */
+/** Closes idle connections that have served a request, unless they have
+   another one unread, and others after their response.  New connections are
+   still accepted, so that their requests get an error response. */
 void httpd_drain (struct httpd *httpd);
 
 /** @return the method as the client sent it, which libevhtp may have no name
     for; until the request has ended. */
 const char *httpd_method (const evhtp_request_t *http);
 
+/** Writes the responses in progress as far as the sockets accept them, without
+    waiting for the event loop. */
+void httpd_flush (struct httpd *httpd);
+
 /** Sets the owner's data for a request.  After it is set to NULL, neither
     `gone` nor `drained` is called for the request. */
 void httpd_set_request_user (evhtp_request_t *http, void *request_user);
@@ -122,9 +126,10 @@
 uint64_t httpd_shed_count (const struct httpd *httpd);
 /** Number of open connections. */
 uint32_t httpd_connections (const struct httpd *httpd);
-/** Number of connections that are receiving a request or sending a response,
-    or have one unread; those that wait to be accepted count as one.  System
-    calls for each idle connection. */
+/** Number of connections with a request that has no response yet, also an
+    unread one, or with a response that its client may still be reading; all
+    that wait to be accepted count as one.  A system call for each idle
+    connection. */
 uint32_t httpd_active_connections (const struct httpd *httpd);
 
 #endif
--- a/src/transport/linger.c
+++ b/src/transport/linger.c
@@ -3,6 +3,7 @@
  * Lingering close of connections.
  */
 #include "transport/linger.h"
+#include "transport/bufio.h"
 #include "transport/clock.h"
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -53,11 +54,22 @@
   for (; conn != NULL; conn = next)
     {
       next = conn->next;
+      bufio_flush (conn->bev);
       bufferevent_free (conn->bev);
       free (conn);
     }
 }
 
+uint32_t
+linger_count (const struct linger_list *list)
+{
+  const struct linger_conn *conn;
+  uint32_t count;
+
+  DL_COUNT (list->conns, conn, count);
+  return count;
+}
+
 static void
 conn_free (struct linger_conn *conn)
 {
@@ -85,7 +97,8 @@
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
-  (void)bev;
-  (void)what;
+  /* When the loop is late, the time may end before the first write. */
+  if ((what & BEV_EVENT_TIMEOUT) != 0)
+    bufio_flush (bev);
   conn_free (arg);
 }
--- a/src/transport/linger.h
+++ b/src/transport/linger.h
@@ -9,6 +9,7 @@
 #define TRANSPORT_LINGER_H
 
 #include <event2/bufferevent.h>
+#include <stdint.h>
 
 #define LINGER_MS 1000 /**< timeout of each read and write */
 
@@ -22,7 +23,10 @@
     send. */
 void linger_close (struct linger_list *list, struct bufferevent *bev);
 
-/** Closes all connections immediately. */
+/** Number of connections that are being closed. */
+uint32_t linger_count (const struct linger_list *list);
+
+/** Writes what the sockets accept, and closes all connections. */
 void linger_finish (struct linger_list *list);
 
 #endif
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -12,6 +12,7 @@
  */
 #include "transport/upstream_http.h"
 #include "state/err.h"
+#include "transport/bufio.h"
 #include "transport/sock.h"
 #include "transport/upstream_http_int.h"
 #include <errno.h>
@@ -194,20 +195,12 @@
   return attempt;
 }
 
-/* Writes as much as the socket accepts at once, without waiting for the event
-   loop.  A bufferevent freezes the start of its output buffer, which prevents
-   other code from draining it. */
 static void
 write_now (struct upstream_http_conn *conn)
 {
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-
-  evbuffer_unfreeze (output, 1);
-  if (evbuffer_write (output, bufferevent_getfd (conn->bev)) < 0
-      && errno != EAGAIN && errno != EINTR)
+  if (bufio_flush (conn->bev) != 0)
     conn->write_failed = true;
-  evbuffer_freeze (output, 1);
-  if (evbuffer_get_length (output) > 0)
+  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
     bufferevent_enable (conn->bev, EV_WRITE);
 }
 
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -1,7 +1,7 @@
 /**
  * @file test_unread_requests.c
- * Requests that are in a socket, unread, when the event loop handles something
- * that closes their connection.
+ * Requests and responses that the event loop has not handled yet when it
+ * closes their connection: the loop is late, or the process ends.
  */
 #include "gateway/gateway_request.h"
 #include "support/gatefixture.h"
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,16 +19,22 @@
   "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
   "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n"
 #define REQUEST "GET /again/y HTTP/1.1\r\n" HEADERS "\r\n"
+#define STREAM  "GET /stream/y HTTP/1.1\r\n" HEADERS "\r\n"
+#define SECOND                                                                \
+  "GET /again/z HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: id-2\r\n"     \
+  "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n\r\n"
+#define TOO_LARGE                                                             \
+  "POST /again/y HTTP/1.1\r\n" HEADERS "Content-Length: 9999999\r\n\r\n"
 #define IDLE_MS 200
-#define DONE_MS 1000 /* for a response, or the end of a drain */
+#define DONE_MS 1000
 
-/** A client that bypasses the event loop. */
 struct raw_client
 {
   int fd;
   char got[UPSTREAMSERVER_MESSAGE_SIZE];
   size_t size;
-  bool ended; /**< set by on_look() */
+  bool ended;
+  int error;
 };
 
 static void
@@ -45,26 +52,559 @@
 }
 
 static void
-client_send (const struct raw_client *client)
+client_send (const struct raw_client *client, const char *text)
 {
-  CU_ASSERT_EQUAL (
-      send (client->fd, REQUEST, sizeof REQUEST - 1, MSG_NOSIGNAL),
-      (ssize_t)sizeof REQUEST - 1);
+  CU_ASSERT_EQUAL (send (client->fd, text, strlen (text), MSG_NOSIGNAL),
+                   (ssize_t)strlen (text));
 }
 
-/* Discards what was received before. */
-static bool
-client_got_200 (struct raw_client *client)
+static void
+client_receive (struct raw_client *client)
 {
   ssize_t n;
 
   client->size = 0;
+  client->ended = false;
+  client->error = 0;
   while ((n = recv (client->fd, client->got + client->size,
                     sizeof client->got - 1 - client->size, MSG_DONTWAIT))
          > 0)
     client->size += (size_t)n;
   client->got[client->size] = '\0';
-  return strncmp (client->got, "HTTP/1.1 200", 12) == 0;
+  client->ended = n == 0;
+  client->error = n < 0 && errno != EAGAIN ? errno : 0;
+}
+
+static void
+set_limits (struct gatefixture *fixture, uint32_t idle_ms)
+{
+  httpd_set_limits (fixture->gateway.httpd,
+                    &(struct httpd_limits){ .header_bytes_max = 16384,
+                                            .body_bytes_max = 65536,
+                                            .connections_max = 100,
+                                            .idle_timeout_ms = idle_ms,
+                                            .read_timeout_ms = IDLE_MS,
+                                            .write_timeout_ms = DONE_MS * 15,
+                                            .low_water_bytes = 1024 });
+}
+
+struct stall_after_refusal
+{
+  struct httpd *httpd;
+  struct event *event;
+  uint32_t duration_ms;
+  bool done;
+};
+
+/* Between any two events of the loop: stands still once the connection is no
+   longer the server's. */
+static void
+on_between_refusal (evutil_socket_t fd, short what, void *user)
+{
+  struct stall_after_refusal *stall = user;
+
+  (void)fd;
+  (void)what;
+  if (stall->done)
+    return;
+  event_active (stall->event, EV_TIMEOUT, 0);
+  if (httpd_connections (stall->httpd) > 0)
+    return;
+  stall->done = true;
+  usleep (stall->duration_ms * 1000);
+}
+
+/* Two requests at once on a kept connection: both are answered. */
+static void
+test_pipelined (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, IDLE_MS);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST SECOND);
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-2"));
+  gatefixture_run (&fixture, IDLE_MS * 8);
+  client_receive (&client);
+  CU_ASSERT_TRUE (client.ended);
+  CU_ASSERT_EQUAL (httpd_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* The second one comes while the first is in progress. */
+static void
+test_pipelined_later (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, IDLE_MS);
+  fixture.upstreams[0].response_delay_ms = 80;
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  gatefixture_run (&fixture, 30);
+  client_send (&client, SECOND);
+  gatefixture_run (&fixture, 300);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-2"));
+  gatefixture_run (&fixture, IDLE_MS * 8);
+  client_receive (&client);
+  CU_ASSERT_TRUE (client.ended);
+  CU_ASSERT_EQUAL (httpd_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* The first line of a request that is sent behind another one arrives in two
+   parts, one before and one after the first response: it is forwarded as it
+   was sent. */
+static void
+test_line_in_parts (void)
+{
+  static const char line[] = "GET /again/z?page=26&sort=new HTTP/1.1\r\n";
+  struct gatefixture fixture;
+  struct raw_client client;
+  char text[512];
+  unsigned int changed = 0;
+  size_t cut;
+
+  snprintf (text, sizeof text, "%s" HEADERS "\r\n", line);
+  for (cut = 1; cut < sizeof line; cut++)
+    {
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].response_delay_ms = 20;
+      client_connect (&client, &fixture);
+      client_send (&client, REQUEST);
+      gatefixture_run (&fixture, 10);
+      CU_ASSERT_EQUAL (send (client.fd, text, cut, MSG_NOSIGNAL),
+                       (ssize_t)cut);
+      gatefixture_run (&fixture, 30);
+      client_send (&client, text + cut);
+      gatefixture_run (&fixture, 50);
+      /* Either upstream may get the second request. */
+      if (strstr (fixture.upstreams[0].last_request, line) == NULL
+          && strstr (fixture.upstreams[1].last_request, line) == NULL)
+        changed++;
+      close (client.fd);
+      gatefixture_finish (&fixture);
+    }
+  CU_ASSERT_EQUAL (changed, 0);
+}
+
+static void
+stream_begin (struct gatefixture *fixture, struct raw_client *client)
+{
+  gatefixture_init (fixture, true);
+  set_limits (fixture, DONE_MS * 15);
+  fixture->upstreams[0].behaviour = UPSTREAMSERVER_STREAM_TIMED;
+  fixture->upstreams[0].timed_events = 3;
+  fixture->upstreams[0].event_interval_ms = 40;
+  client_connect (client, fixture);
+  client_send (client, STREAM);
+}
+
+/* A stream begins before a drain and ends in it.  Its head promised a kept
+   connection, so the client's next request is answered. */
+static void
+test_stream_ends_in_drain (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  stream_begin (&fixture, &client);
+  gatefixture_run (&fixture, 20);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 200"));
+  CU_ASSERT_PTR_NULL (strstr (client.got, "Connection: close"));
+  gateway_drain (&fixture.gateway);
+  fixture.upstreams[0].behaviour = UPSTREAMSERVER_RESPOND;
+  client_send (&client, SECOND);
+  gatefixture_run (&fixture, 400);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "\r\n0\r\n\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-2"));
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+struct late_loop
+{
+  struct raw_client *client;
+  struct event *event;
+  bool whole;
+  bool sent;
+};
+
+/* Between any two events of the loop: once the client has the whole response,
+   it sends its next request, unless it sees a close meanwhile. */
+static void
+on_between (evutil_socket_t fd, short what, void *user)
+{
+  struct late_loop *late = user;
+  char got[UPSTREAMSERVER_MESSAGE_SIZE];
+  ssize_t n;
+
+  (void)fd;
+  (void)what;
+  n = recv (late->client->fd, got, sizeof got - 1, MSG_PEEK | MSG_DONTWAIT);
+  got[n < 0 ? 0 : n] = '\0';
+  late->whole = strstr (got, "\r\n0\r\n\r\n") != NULL;
+  if (!late->whole)
+    {
+      event_active (late->event, EV_TIMEOUT, 0);
+      return;
+    }
+  usleep (250000);
+  client_receive (late->client);
+  if (late->client->ended || strstr (late->client->got, "Connection: close"))
+    return;
+  client_send (late->client, SECOND);
+  late->sent = true;
+}
+
+/* The same without pipelining: the client has the whole response, whose head
+   promised a kept connection, and sees no close for a while, as the loop is
+   late.  The request that it sends then is answered. */
+static void
+check_stream_end (bool drain)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  struct late_loop late = { .client = &client };
+
+  stream_begin (&fixture, &client);
+  gatefixture_run (&fixture, 20);
+  if (drain)
+    gateway_drain (&fixture.gateway);
+  fixture.upstreams[0].behaviour = UPSTREAMSERVER_RESPOND;
+  late.event = event_new (fixture.base, -1, 0, on_between, &late);
+  event_active (late.event, EV_TIMEOUT, 0);
+  gatefixture_run (&fixture, 300);
+  event_free (late.event);
+  gatefixture_run (&fixture, 300);
+  CU_ASSERT_TRUE (late.whole);
+  if (!drain)
+    CU_ASSERT_TRUE (late.sent);
+  if (late.sent)
+    {
+      client_receive (&client);
+      CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-2"));
+    }
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+static void
+test_stream_ends_in_drain_late (void)
+{
+  check_stream_end (true);
+}
+
+static void
+test_stream_ends_late (void)
+{
+  check_stream_end (false);
+}
+
+static void
+on_limit (evutil_socket_t fd, short what, void *user)
+{
+  struct event_base *base = user;
+
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (base);
+}
+
+/* As the process does it: the loop runs until the drain ends it. */
+static void
+run_to_end (struct gatefixture *fixture)
+{
+  const struct timeval limit = clock_timeval (DONE_MS);
+  struct event *timer
+      = event_new (fixture->base, -1, 0, on_limit, fixture->base);
+
+  event_add (timer, &limit);
+  event_base_dispatch (fixture->base);
+  event_free (timer);
+}
+
+/* A request is refused without having been read whole, as the drain ends: its
+   client gets the response. */
+static void
+test_refused_at_drain_end (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  struct stall_after_refusal stall = { .duration_ms = 150 };
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, DONE_MS * 15);
+  client_connect (&client, &fixture);
+  gateway_drain (&fixture.gateway);
+  gatefixture_run (&fixture, GATEWAY_UNREADY_DELAY_MS - 50);
+  stall.httpd = fixture.gateway.httpd;
+  stall.event = event_new (fixture.base, -1, 0, on_between_refusal, &stall);
+  client_send (&client, TOO_LARGE);
+  event_active (stall.event, EV_TIMEOUT, 0);
+  run_to_end (&fixture);
+  CU_ASSERT_TRUE (stall.done);
+  event_free (stall.event);
+  gateway_finish (&fixture.gateway);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 413"));
+  close (client.fd);
+  gatefixture_finish_servers (&fixture);
+}
+
+/* A connection that is accepted as the drain ends gets its response, and no
+   reset. */
+static void
+test_unaccepted_at_drain_end (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  gateway_drain (&fixture.gateway);
+  gatefixture_run (&fixture, GATEWAY_UNREADY_DELAY_MS - 150);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  usleep (300000);
+  run_to_end (&fixture);
+  gateway_finish (&fixture.gateway);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 "));
+  CU_ASSERT_EQUAL (client.error, 0);
+  close (client.fd);
+  gatefixture_finish_servers (&fixture);
+}
+
+/* The grace period ends while the loop is late: a request in progress gets its
+   final response. */
+static void
+test_final_response_late (void)
+{
+  static const char config[]
+      = "{\"version\":2,\"limits\":{\"max_header_bytes\":4096,"
+        "\"max_body_bytes\":65536,\"header_timeout_ms\":3000,"
+        "\"idle_timeout_ms\":15000},\"services\":[{\"name\":\"s2\","
+        "\"health_path\":\"/h\",\"max_connections\":96}],\"routes\":["
+        "{\"name\":\"again\",\"host\":\"shop.example\",\"prefix\":\"/again/\","
+        "\"route_type\":\"idempotent\",\"timeout_ms\":6000,"
+        "\"target_latency_ms\":50,\"priority\":1,\"service\":\"s2\","
+        "\"max_attempts\":2,\"auth_exempt\":false,\"resumable\":false}],"
+        "\"tenants\":[{\"name\":\"ana\",\"api_keys\":[\"key-1\"]}]}";
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  storeserver_put (&fixture.store, "op/config", config);
+  gatefixture_run (&fixture, 200);
+  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  fixture.gateway.settings.grace_ms = 3000;
+  fixture.upstreams[0].behaviour = UPSTREAMSERVER_HANG;
+  fixture.upstreams[1].behaviour = UPSTREAMSERVER_HANG;
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  gatefixture_run (&fixture, 50);
+  gateway_drain (&fixture.gateway);
+  gatefixture_run (&fixture, 2530);
+  usleep (350000);
+  run_to_end (&fixture);
+  gateway_finish (&fixture.gateway);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 5"));
+  close (client.fd);
+  gatefixture_finish_servers (&fixture);
+}
+
+#define WAITING (TURNAWAY_SOCKETS_MAX + 50)
+
+/* More are turned away than are kept open, and the loop is late for longer
+   than they are kept open: the others get their response in the next turn. */
+static void
+test_turned_away_late (void)
+{
+  static struct turnaway turnaway;
+  static int clients[WAITING];
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof address;
+  struct evbuffer *text = evbuffer_new ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  size_t told = 0;
+  char got[16];
+  size_t i;
+
+  memset (&turnaway, 0, sizeof turnaway);
+  evbuffer_add (text, "response", 8);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, WAITING), 0);
+  getsockname (listener, (struct sockaddr *)&address, &size);
+  for (i = 0; i < WAITING; i++)
+    {
+      clients[i] = socket (AF_INET, SOCK_STREAM, 0);
+      CU_ASSERT_EQUAL_FATAL (
+          connect (clients[i], (struct sockaddr *)&address, sizeof address),
+          0);
+    }
+  turnaway_waiting (&turnaway, listener, text);
+  for (i = 0; i < 3; i++)
+    {
+      usleep (300000);
+      turnaway_close (&turnaway);
+      turnaway_waiting (&turnaway, listener, text);
+    }
+  for (i = 0; i < WAITING; i++)
+    if (recv (clients[i], got, sizeof got, MSG_DONTWAIT) == 8)
+      told++;
+  CU_ASSERT_EQUAL (told, WAITING);
+  for (i = 0; i < WAITING; i++)
+    close (clients[i]);
+  turnaway_finish (&turnaway);
+  close (listener);
+  evbuffer_free (text);
+}
+
+/* The process ends: the client of a connection that has had no request learns
+   it at once, not after everything else was freed. */
+static void
+test_free_closes_at_once (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  client_connect (&client, &fixture);
+  gatefixture_run (&fixture, 50);
+  gateway_drain (&fixture.gateway);
+  gatefixture_run (&fixture, 50);
+  httpd_free (fixture.gateway.httpd);
+  fixture.gateway.httpd = NULL;
+  client_receive (&client);
+  CU_ASSERT_TRUE (client.ended);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* A request is refused, and the loop is late for longer than the linger time
+   before it can write: the client gets the response. */
+static void
+test_linger_late (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  struct stall_after_refusal stall = { .duration_ms = 1100 };
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, DONE_MS * 15);
+  client_connect (&client, &fixture);
+  gatefixture_run (&fixture, 50);
+  stall.httpd = fixture.gateway.httpd;
+  stall.event = event_new (fixture.base, -1, 0, on_between_refusal, &stall);
+  client_send (&client, TOO_LARGE);
+  event_active (stall.event, EV_TIMEOUT, 0);
+  gatefixture_run (&fixture, 1500);
+  gatefixture_run (&fixture, 300);
+  CU_ASSERT_TRUE (stall.done);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 413"));
+  event_free (stall.event);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* The rest of a request is in the socket when its time ends: it is served. */
+static void
+test_read_timer (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, DONE_MS * 15);
+  client_connect (&client, &fixture);
+  client_send (&client, "GET /again/y HTTP/1.1\r\n");
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  client_send (&client, HEADERS "\r\n");
+  usleep (IDLE_MS * 1000);
+  gatefixture_run (&fixture, 100);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 200"));
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* Half a request line, or bytes without end, behind a request: the connection
+   does not stay open for ever. */
+static void
+check_leftover (size_t size, uint32_t response_delay_ms)
+{
+  static char junk[300000];
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, IDLE_MS);
+  fixture.upstreams[0].response_delay_ms = response_delay_ms;
+  fixture.upstreams[1].response_delay_ms = response_delay_ms;
+  memset (junk, 'G', size);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  if (response_delay_ms > 0)
+    gatefixture_run (&fixture, response_delay_ms / 2);
+  send (client.fd, junk, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  gatefixture_run (&fixture, response_delay_ms + IDLE_MS * 12);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-1"));
+  CU_ASSERT_EQUAL (httpd_connections (fixture.gateway.httpd), 0);
+  CU_ASSERT_EQUAL (httpd_active_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+static void
+test_leftovers (void)
+{
+  check_leftover (3, 0);
+  check_leftover (3, 80);
+  check_leftover (3000, 80);
+  check_leftover (300000, 0);
+  check_leftover (300000, 80);
+}
+
+/* A drain ends although a client sends empty lines now and then. */
+static void
+test_drain_ends_with_junk (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  int i;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, DONE_MS * 15);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  gatefixture_run (&fixture, 50);
+  client_send (&client, "\r\n");
+  for (i = 0; i < 20; i++)
+    {
+      gatefixture_run (&fixture, IDLE_MS / 2);
+      send (client.fd, "\r\n", 2, MSG_NOSIGNAL);
+    }
+  CU_ASSERT_EQUAL (httpd_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
 }
 
 /* Time passes that the event loop spends on something else. */
@@ -74,22 +614,22 @@
   usleep (duration_ms * 1000);
 }
 
+static bool
+client_got_200 (struct raw_client *client)
+{
+  client_receive (client);
+  return strncmp (client->got, "HTTP/1.1 200", 12) == 0;
+}
+
 /* Starts a gateway whose connections may be idle for IDLE_MS, and serves a
    client's first request. */
 static void
 begin_idle (struct gatefixture *fixture, struct raw_client *client)
 {
   gatefixture_init (fixture, true);
-  httpd_set_limits (fixture->gateway.httpd,
-                    &(struct httpd_limits){ .header_bytes_max = 16384,
-                                            .body_bytes_max = 65536,
-                                            .connections_max = 100,
-                                            .idle_timeout_ms = IDLE_MS,
-                                            .read_timeout_ms = DONE_MS,
-                                            .write_timeout_ms = DONE_MS,
-                                            .low_water_bytes = 1024 });
+  set_limits (fixture, IDLE_MS);
   client_connect (client, fixture);
-  client_send (client);
+  client_send (client, REQUEST);
   gatefixture_run (fixture, IDLE_MS / 2);
   CU_ASSERT_TRUE (client_got_200 (client));
 }
@@ -103,7 +643,7 @@
   struct raw_client client;
 
   begin_idle (&fixture, &client);
-  client_send (&client);
+  client_send (&client, REQUEST);
   stand_still (IDLE_MS * 2);
   gatefixture_run (&fixture, IDLE_MS / 2);
   CU_ASSERT_TRUE (client_got_200 (&client));
@@ -146,29 +686,6 @@
   gatefixture_finish (&fixture);
 }
 
-static void
-on_timeout (evutil_socket_t fd, short what, void *user)
-{
-  struct event_base *base = user;
-
-  (void)fd;
-  (void)what;
-  event_base_loopbreak (base);
-}
-
-/* As the process does it: the loop runs until the drain ends it. */
-static void
-run_to_end (struct gatefixture *fixture)
-{
-  const struct timeval limit = clock_timeval (DONE_MS);
-  struct event *timer
-      = event_new (fixture->base, -1, 0, on_timeout, fixture->base);
-
-  event_add (timer, &limit);
-  event_base_dispatch (fixture->base);
-  event_free (timer);
-}
-
 /* Runs a drain up to the time from which on it ends when nothing is in
    progress. */
 static void
@@ -188,11 +705,11 @@
 
   gatefixture_init (&fixture, true);
   client_connect (&client, &fixture);
-  client_send (&client);
+  client_send (&client, REQUEST);
   gatefixture_run (&fixture, 50);
   CU_ASSERT_TRUE (client_got_200 (&client));
   drain_until_idle_exit (&fixture);
-  client_send (&client);
+  client_send (&client, REQUEST);
   stand_still (300);
   run_to_end (&fixture);
   CU_ASSERT_TRUE (client_got_200 (&client));
@@ -210,7 +727,7 @@
   gatefixture_init (&fixture, true);
   drain_until_idle_exit (&fixture);
   client_connect (&client, &fixture);
-  client_send (&client);
+  client_send (&client, REQUEST);
   stand_still (300);
   run_to_end (&fixture);
   /* Served or turned away. */
@@ -300,6 +817,22 @@
   { "idle connection closed while the loop is late", test_idle_close_at_once },
   { "drain ends with a request unread", test_drain_end },
   { "drain ends with a connection not accepted", test_drain_end_unaccepted },
+  { "two requests at once", test_pipelined },
+  { "second request while the first is in progress", test_pipelined_later },
+  { "line of a second request in two parts", test_line_in_parts },
+  { "stream ends in a drain, next request unread", test_stream_ends_in_drain },
+  { "stream ends in a drain, next request after it",
+    test_stream_ends_in_drain_late },
+  { "stream ends without a drain", test_stream_ends_late },
+  { "connections of an ending process", test_free_closes_at_once },
+  { "refusal while the loop is late", test_linger_late },
+  { "read time ends with the rest unread", test_read_timer },
+  { "bytes behind a request", test_leftovers },
+  { "empty lines", test_drain_ends_with_junk },
+  { "refused as the drain ends", test_refused_at_drain_end },
+  { "accepted as the drain ends", test_unaccepted_at_drain_end },
+  { "final response while the loop is late", test_final_response_late },
+  { "turned away while the loop is late", test_turned_away_late },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
