--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -829,7 +829,7 @@
   return EVHTP_RES_OK;
 }
 
-/* @return bytes of the client's that libevhtp has not seen. */
+/* @return bytes from the client that the parser has not got. */
 static size_t
 unread_bytes (const struct httpd_conn *conn)
 {
@@ -948,8 +948,8 @@
 
   (void)fd;
   (void)what;
-  /* The loop is late: the event that reads it comes next.  A request that goes
-     on arriving gets that time once. */
+  /* The loop is late, and will read it next.  A request that is arriving gets
+     more time only once. */
   if (!conn->read_extended && unread_bytes (conn) > 0)
     {
       conn->read_extended = conn->state == CONN_READING;
--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -9,7 +9,7 @@
 /* For a client to read the response: some round trips. */
 #define READING_MS 100
 
-/* Read at once, and at most, of a request that is discarded. */
+/* Bound what is read of a request that is discarded. */
 #define DISCARD_BYTES 16384
 #define DISCARD_READS 8
 
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -247,7 +247,8 @@
 }
 
 /* An extra response to an earlier request may arrive before the one to this
-   request; its ID tells.  One whose end is not certain is not dropped. */
+   request, and is known by its ID.  One whose end is not certain is not
+   dropped. */
 static bool
 drop_foreign (struct upstream_http_conn *conn,
               const struct upstream_header *headers, int status)
--- a/tests/test_config_bounds.c
+++ b/tests/test_config_bounds.c
@@ -20,7 +20,7 @@
 #define LONG_HOST     1000
 #define LONG_PREFIX   3000
 #define SPLIT_PARTS   2000
-#define ROUTES        4250 /* more than any deployment has had */
+#define ROUTES        4250 /* beyond any table of fixed size */
 #define DECODE_ROUNDS 10
 
 static void
