Responses of upstreams are read as strictly as requests

What callers saw: a header with white space before its colon, or a line that a reader joins to the one before, came back as the upstream sent it, beside the gateway's own framing: "Content-Length : 2" with five bytes in chunks, or "Transfer-Encoding : chunked" beside a length. The gateway takes the name for an unknown one and forwards it; the next reader may know it. A line without a name came back under the name of another header.

Now response_head reads each line before the parser gets it: what is no header (RFC 9112, section 5) ends the attempt as a violation of the protocol; white space before a colon is moved behind it, as the RFC asks of a gateway. Chunks go through httpd_body, as those of requests do; trailers and extensions are dropped.

Tests: test_broken_responses.

--- a/src/transport/httpd_body.c
+++ b/src/transport/httpd_body.c
@@ -1,6 +1,6 @@
 /**
  * @file httpd_body.c
- * Where the body of a client's request ends.
+ * Where the body of a message ends.
  */
 #include "transport/httpd_body.h"
 #include "state/err.h"
@@ -41,12 +41,21 @@
 void
 httpd_body_init (struct httpd_body *body, const struct httpd_head *head)
 {
+  if (head->chunked)
+    {
+      httpd_body_init_chunked (body);
+      return;
+    }
   memset (body, 0, sizeof *body);
   body->left = head->length;
-  if (head->chunked)
-    body->state = HTTPD_BODY_SIZE;
-  else
-    body->state = body->left > 0 ? HTTPD_BODY_BYTES : HTTPD_BODY_END;
+  body->state = body->left > 0 ? HTTPD_BODY_BYTES : HTTPD_BODY_END;
+}
+
+void
+httpd_body_init_chunked (struct httpd_body *body)
+{
+  memset (body, 0, sizeof *body);
+  body->state = HTTPD_BODY_SIZE;
 }
 
 int
--- a/src/transport/httpd_body.h
+++ b/src/transport/httpd_body.h
@@ -1,6 +1,6 @@
 /**
  * @file httpd_body.h
- * Where the body of a client's request ends, before libevhtp's parser gets it.
+ * Where the body of a message ends, before libevhtp's parser gets it.
  */
 #ifndef TRANSPORT_HTTPD_BODY_H
 #define TRANSPORT_HTTPD_BODY_H
@@ -35,6 +35,8 @@
 
 /** Begins the body that follows a complete head. */
 void httpd_body_init (struct httpd_body *body, const struct httpd_head *head);
+/** Begins a body of chunks. */
+void httpd_body_init_chunked (struct httpd_body *body);
 
 /** Reads on.  Extensions of chunks and trailers, which may be ignored, are
     dropped: libevhtp's parser cannot handle them.  To be called again after
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -530,7 +530,7 @@
   if (size == 0)
     return;
   used = upstream_http_response_parse (
-      conn, (const char *)evbuffer_pullup (input, -1), size);
+      conn, (char *)evbuffer_pullup (input, -1), size);
   if (conn->free_pending)
     {
       conn->parsing = false;
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -5,6 +5,8 @@
 #ifndef TRANSPORT_UPSTREAM_HTTP_INT_H
 #define TRANSPORT_UPSTREAM_HTTP_INT_H
 
+#include "transport/httpd_body.h"
+#include "transport/response_head.h"
 #include "transport/upstream_http.h"
 #include <event2/bufferevent.h>
 #include <evhtp/parser.h>
@@ -23,6 +25,8 @@
 /** The part of a response that has been read. */
 struct response
 {
+  struct response_head head;
+  struct httpd_body body; /**< if it is chunked */
   char *arena;
   uint32_t arena_used;
   uint32_t arena_size;
@@ -106,8 +110,10 @@
 /** Parses `size` bytes and calls `responding`, `body` and `draining`.  Sets
     response.complete at the end of the response and response.error on an
     error.  On a reused connection, responses with another request's ID are
-    dropped. @return the number of bytes consumed. */
+    dropped.
+    @param data  may be changed.
+    @return the number of bytes consumed. */
 size_t upstream_http_response_parse (struct upstream_http_conn *conn,
-                                     const char *data, size_t size);
+                                     char *data, size_t size);
 
 #endif
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -17,8 +17,14 @@
 #define FOREIGN_MAX       8
 #define FOREIGN_BYTES_MAX 65536
 
-static size_t parse_response (struct upstream_http_conn *conn,
-                              const char *data, size_t size);
+static size_t parse_response (struct upstream_http_conn *conn, char *data,
+                              size_t size);
+static size_t parse_step (struct upstream_http_conn *conn, char *data,
+                          size_t size);
+static size_t parse_part (struct upstream_http_conn *conn, const char *data,
+                          size_t size);
+static bool has_ended (const struct upstream_http_conn *conn);
+static size_t line_max (const struct upstream_http_conn *conn);
 static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
                             size_t size);
 static int on_header_name (htparser *parser, const char *data, size_t size);
@@ -65,8 +71,8 @@
 }
 
 size_t
-upstream_http_response_parse (struct upstream_http_conn *conn,
-                              const char *data, size_t size)
+upstream_http_response_parse (struct upstream_http_conn *conn, char *data,
+                              size_t size)
 {
   size_t used = parse_response (conn, data, size);
   struct response *response;
@@ -85,36 +91,90 @@
 }
 
 static size_t
-parse_response (struct upstream_http_conn *conn, const char *data, size_t size)
+parse_response (struct upstream_http_conn *conn, char *data, size_t size)
 {
   struct response *response = &conn->attempt->response;
   size_t used = 0;
+  size_t step;
 
   if (!response->past_interim)
     used = skip_interim (conn, data, size);
   if (!response->past_interim || response->error != 0)
     return used;
   conn->parsing = true;
-  if (!response->close_delimited)
-    used += htparser_run (conn->parser, &hooks, data + used, size - used);
-  if (!conn->free_pending && response->error == 0 && response->close_delimited)
+  do
     {
-      response->received += size - used;
-      if (evbuffer_add (conn->scratch, data + used, size - used) != 0)
-        response->error = ERR_NO_MEMORY;
-      used = size;
+      step = used < size ? parse_step (conn, data + used, size - used) : 0;
+      used += step;
     }
+  while (step > 0 && !has_ended (conn));
   if (!conn->free_pending)
     deliver_body (conn);
   conn->parsing = false;
-  if (conn->free_pending || response->complete || response->error != 0
-      || response->close_delimited)
-    return used;
-  if (htparser_get_error (conn->parser) != htparse_error_none || used < size)
+  return used;
+}
+
+/* libevhtp's parser tolerates much that others read in another way.  It gets
+   nothing that was not checked.
+   @return the number of bytes consumed; 0 if more are needed. */
+static size_t
+parse_step (struct upstream_http_conn *conn, char *data, size_t size)
+{
+  struct response *response = &conn->attempt->response;
+  struct httpd_body_step step = { .pass = size };
+
+  if (!response->head.complete)
+    response->error = response_head_read (&response->head, data, size,
+                                          line_max (conn), &step.pass);
+  else if (response->close_delimited)
+    {
+      response->received += size;
+      if (evbuffer_add (conn->scratch, data, size) != 0)
+        response->error = ERR_NO_MEMORY;
+      return size;
+    }
+  else if (response->chunked
+           && httpd_body_read (&response->body, data, size,
+                               (uint32_t)line_max (conn), &step)
+                  != 0)
+    response->error = ERR_PROTOCOL;
+  if (response->error != 0)
+    return 0;
+  return (step.pass == 0 ? 0 : parse_part (conn, data, step.pass)) + step.drop;
+}
+
+static size_t
+parse_part (struct upstream_http_conn *conn, const char *data, size_t size)
+{
+  struct response *response = &conn->attempt->response;
+  size_t used = htparser_run (conn->parser, &hooks, data, size);
+
+  if (!has_ended (conn) && !response->close_delimited
+      && (htparser_get_error (conn->parser) != htparse_error_none
+          || used < size))
     response->error = ERR_PROTOCOL;
   return used;
 }
 
+/* Whether no more of the response is to be read. */
+static bool
+has_ended (const struct upstream_http_conn *conn)
+{
+  return conn->free_pending || conn->attempt->response.complete
+         || conn->attempt->response.error != 0;
+}
+
+/* A longer line would never be complete: reading stops before. */
+static size_t
+line_max (const struct upstream_http_conn *conn)
+{
+  const uint32_t read_max = conn->http->config.read_max_bytes;
+
+  return read_max > 0 && read_max < RESPONSE_HEADER_BYTES_MAX
+             ? read_max - 1
+             : RESPONSE_HEADER_BYTES_MAX;
+}
+
 /* Skips 1xx responses, after which the parser would stop.  Sets `past_interim`
    when the first bytes of the final response have arrived.
    @return the number of bytes skipped. */
@@ -407,6 +467,7 @@
           if (strcasecmp (value, "chunked") != 0 || response->chunked)
             return ERR_PROTOCOL;
           response->chunked = true;
+          httpd_body_init_chunked (&response->body);
         }
     }
   if (response->has_length && response->chunked)
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -26,6 +26,7 @@
   char *request;                /* waits for its response; NULL for none */
   bool responded;               /* to an earlier request */
   bool close_after_write;       /* close once all output is written */
+  bool reset_after_write;       /* reset it instead */
   bool endless;                 /* the response has no end */
   unsigned int event;           /* last one sent of a timed stream; 0: none */
   unsigned int reset_event;     /* as of the request */
@@ -36,6 +37,7 @@
 static void listen_at (struct upstreamserver *server,
                        struct sockaddr_in *address);
 static void send_endless (struct upstreamserver_conn *conn);
+static void run_script (struct upstreamserver_conn *conn);
 static void crash_after (struct upstreamserver_conn *conn, const char *id,
                          const char *rest);
 static void on_accept (struct evconnlistener *listener, evutil_socket_t fd,
@@ -208,8 +210,7 @@
   (void)bev;
   if (conn->endless)
     send_endless (conn);
-  else if (conn->close_after_write
-           && conn->behaviour == UPSTREAMSERVER_STREAM_RESET)
+  else if (conn->close_after_write && conn->reset_after_write)
     conn_reset (conn);
   else if (conn->close_after_write)
     conn_free (conn);
@@ -331,7 +332,22 @@
       strlen (body), body);
 }
 
-/* Behaviours after which the upstream has crashed, or never ends. */
+/* The connection ends when the script has been written. */
+static void
+run_script (struct upstreamserver_conn *conn)
+{
+  const struct upstreamserver *server = conn->server;
+
+  conn->close_after_write = server->script_end != UPSTREAMSERVER_END_OPEN;
+  conn->reset_after_write = server->script_end == UPSTREAMSERVER_END_RESET;
+  if (server->script_size > 0)
+    bufferevent_write (conn->bev, server->script, server->script_size);
+  else if (conn->close_after_write)
+    bufferevent_trigger (conn->bev, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Behaviours after which the upstream has crashed, or never ends, and
+   scripts. */
 static void
 respond_without_end (struct upstreamserver_conn *conn, const char *id,
                      const char *signature_header)
@@ -370,6 +386,9 @@
                    "Content-Type: text/event-stream\r\n"
                    "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\nda");
       break;
+    case UPSTREAMSERVER_SCRIPT:
+      run_script (conn);
+      break;
     default: /* UPSTREAMSERVER_HANG */
       break;
     }
@@ -432,7 +451,7 @@
       break;
     case UPSTREAMSERVER_STREAM_RESET:
       send_stream (conn, id, request, 2, true);
-      conn->close_after_write = true;
+      conn->close_after_write = conn->reset_after_write = true;
       break;
     case UPSTREAMSERVER_STREAM_CLOSE_DELIMITED:
       send_stream (conn, id, request, EVENTS, false);
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -47,9 +47,18 @@
   UPSTREAMSERVER_CRASH,
   UPSTREAMSERVER_CRASH_IN_HEAD,
   UPSTREAMSERVER_CRASH_IN_EVENT,
+  UPSTREAMSERVER_SCRIPT, /**< `script`, then `script_end` */
   UPSTREAMSERVER_BEHAVIOUR_MAX
 };
 
+/** What an upstream does with the connection after a script. */
+enum upstreamserver_end
+{
+  UPSTREAMSERVER_END_OPEN,
+  UPSTREAMSERVER_END_CLOSE,
+  UPSTREAMSERVER_END_RESET
+};
+
 struct upstreamserver
 {
   struct event_base *base;
@@ -63,7 +72,10 @@
   /** An earlier response, written once more on each connection before its
       responses but the first; NULL: none. */
   const char *repeated_response;
-  unsigned int repetitions;        /**< times that it was written */
+  unsigned int repetitions; /**< times that it was written */
+  const char *script;       /**< raw bytes; NULL: none */
+  size_t script_size;       /**< bytes */
+  enum upstreamserver_end script_end;
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
   uint64_t endless_bytes;          /**< sent of responses without end */
--- /dev/null
+++ b/tests/test_broken_responses.c
@@ -0,0 +1,317 @@
+/**
+ * @file test_broken_responses.c
+ * End-to-end tests of upstreams whose responses break off or are malformed:
+ * what a client gets does not look complete, and holds nothing else.
+ */
+#include "support/gatefixture.h"
+#include "support/suite.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define COUNT(array) (sizeof (array) / sizeof ((array)[0]))
+
+#define REQUEST_HEADERS                                                       \
+  "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
+  "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n"                  \
+  "Content-Length: 0\r\n\r\n"
+
+/* Of responses. */
+#define HEADERS "X-Attempt-Id: id-1\r\nX-Worker-Signature: sig-b\r\n"
+#define OK      "HTTP/1.1 200 OK\r\n" HEADERS
+#define STREAM  OK "Content-Type: text/event-stream\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define BODY    "hello"
+
+/** What a client has got. */
+struct received
+{
+  int status; /**< 0: no complete head */
+  bool complete;
+  char body[UPSTREAMSERVER_MESSAGE_SIZE];
+  size_t size; /**< of the body */
+};
+
+/* Reads chunks.  @return whether the last one has come, and nothing after
+   it. */
+static bool
+read_chunks (const char *text, const char *end, struct received *received)
+{
+  char *data;
+  size_t size;
+
+  while (text < end)
+    {
+      size = strtoul (text, &data, 16);
+      if (data == text || data + 2 > end || strncmp (data, "\r\n", 2) != 0)
+        return false;
+      data += 2;
+      if (size == 0)
+        return data + 2 == end && strncmp (data, "\r\n", 2) == 0;
+      if (size + 2 > (size_t)(end - data))
+        return false;
+      memcpy (received->body + received->size, data, size);
+      received->size += size;
+      text = data + size + 2;
+    }
+  return false;
+}
+
+static void
+read_received (const struct platclient *client, struct received *received)
+{
+  const char *end = client->got + client->size;
+  const char *body = strstr (client->got, "\r\n\r\n");
+  char length[32];
+
+  memset (received, 0, sizeof *received);
+  if (body == NULL)
+    return;
+  body += 4;
+  received->status = atoi (client->got + strlen ("HTTP/1.1 "));
+  upstreamserver_get_header (client->got, "Content-Length", length,
+                             sizeof length);
+  if (length[0] == '\0')
+    {
+      received->complete = read_chunks (body, end, received);
+      return;
+    }
+  received->size = (size_t)(end - body);
+  memcpy (received->body, body, received->size);
+  received->complete = received->size == strtoul (length, NULL, 10);
+}
+
+/* A fixture whose second upstream does not take part. */
+static void
+fixture_init (struct gatefixture *fixture)
+{
+  gatefixture_init (fixture, true);
+  fixture->upstreams[0].behaviour = UPSTREAMSERVER_SCRIPT;
+  fixture->upstreams[1].behaviour = UPSTREAMSERVER_REJECT;
+}
+
+/* Each request has a path of its own, as one that breaks upstreams is held
+   back. */
+static void
+request_script (struct gatefixture *fixture, const char *prefix,
+                const char *script, size_t size, enum upstreamserver_end end,
+                struct received *received)
+{
+  static unsigned int number;
+  struct upstreamserver *upstream = &fixture->upstreams[0];
+  unsigned int requests = upstream->requests;
+  char request[512];
+
+  upstream->script = script;
+  upstream->script_size = size;
+  upstream->script_end = end;
+  snprintf (request, sizeof request, "POST %s%u HTTP/1.1\r\n" REQUEST_HEADERS,
+            prefix, number++);
+  gatefixture_request (fixture, request);
+  CU_ASSERT_EQUAL (upstream->requests, requests + 1);
+  read_received (&fixture->client, received);
+}
+
+static const struct
+{
+  const char *name;
+  const char *prefix;
+  const char *response;
+  const char *body;
+} framings[] = {
+  { "length", "/once/", OK "Content-Length: 5\r\n\r\n" BODY, BODY },
+  { "chunks", "/once/", OK CHUNKED "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", BODY },
+  { "long length", "/stream/",
+    STREAM "Content-Length: 16\r\n\r\nid: 1\ndata: e1\n\n",
+    "id: 1\ndata: e1\n\n" },
+  { "stream", "/stream/",
+    STREAM CHUNKED "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n",
+    "id: 1\ndata: e1\n\n" },
+  { "close", "/once/", OK "\r\n" BODY, BODY },
+};
+
+/* An upstream stops at some byte of its response, and closes or resets the
+   connection.  Guards against a 200 with an empty or a short body that is
+   framed as whole. */
+static void
+check_cut (struct gatefixture *fixture, size_t i, size_t cut,
+           enum upstreamserver_end end)
+{
+  const char *response = framings[i].response;
+  const char *body = strstr (response, "\r\n\r\n") + 4;
+  const bool in_head = cut < (size_t)(body - response);
+  const bool close_delimited = strcmp (framings[i].name, "close") == 0;
+  /* An orderly end is all that tells where such a body ends. */
+  const bool may_be_whole
+      = close_delimited && !in_head && end == UPSTREAMSERVER_END_CLOSE;
+  struct received received;
+
+  request_script (fixture, framings[i].prefix, response, cut, end, &received);
+  if ((in_head && received.status / 100 == 2)
+      || (received.status / 100 == 2 && received.complete && !may_be_whole))
+    {
+      printf ("%s cut at %zu, end %d: %s\n", framings[i].name, cut, (int)end,
+              fixture->client.got);
+      CU_FAIL ("a response that broke off looks complete");
+    }
+  if (received.status / 100 == 2)
+    CU_ASSERT_EQUAL (strncmp (received.body, framings[i].body, received.size),
+                     0);
+}
+
+static void
+test_cut_responses (void)
+{
+  struct gatefixture fixture;
+  size_t i;
+  size_t cut;
+
+  fixture_init (&fixture);
+  for (i = 0; i < COUNT (framings); i++)
+    for (cut = 0; cut < strlen (framings[i].response); cut++)
+      {
+        check_cut (&fixture, i, cut, UPSTREAMSERVER_END_CLOSE);
+        check_cut (&fixture, i, cut, UPSTREAMSERVER_END_RESET);
+      }
+  gatefixture_finish (&fixture);
+}
+
+/* The same responses whole. */
+static void
+test_whole_responses (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  size_t i;
+
+  fixture_init (&fixture);
+  for (i = 0; i < COUNT (framings); i++)
+    {
+      request_script (&fixture, framings[i].prefix, framings[i].response,
+                      strlen (framings[i].response), UPSTREAMSERVER_END_CLOSE,
+                      &received);
+      CU_ASSERT_EQUAL (received.status, 200);
+      CU_ASSERT_TRUE (received.complete);
+      CU_ASSERT_STRING_EQUAL (received.body, framings[i].body);
+    }
+  gatefixture_finish (&fixture);
+}
+
+/** Heads that two readers may take for different ones. */
+static const struct
+{
+  const char *name;
+  const char *response;
+} malformed[] = {
+  { "coding with a space beside a length",
+    OK "Transfer-Encoding : chunked\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "folded length", OK "X-A: b\r\n Content-Length: 2\r\n\r\nhello" },
+  { "folded line beside a length",
+    OK "X-A: b\r\n c: d\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "folded first line",
+    "HTTP/1.1 200 OK\r\n X: a\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY },
+  { "name with parentheses", OK "X-(a): b\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "name with a high byte",
+    OK "X-\x80: b\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "no name", OK ": b\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "no colon", OK "X-A\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "control character in a value",
+    OK "X-A: b\x01\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "carriage return in a value",
+    OK "X-A: b\rX-B: c\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "line feed alone", OK "X-A: b\nX-B: c\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "line feed alone at the end", OK "Content-Length: 5\r\n\n" BODY },
+  { "two lengths", OK "Content-Length: 2\r\nContent-Length: 5\r\n\r\n" BODY },
+  { "length and chunks",
+    OK "Content-Length: 5\r\n" CHUNKED "5\r\n" BODY "\r\n0\r\n\r\n" },
+  { "length with a sign", OK "Content-Length: +5\r\n\r\n" BODY },
+  { "length that overflows",
+    OK "Content-Length: 18446744073709551621\r\n\r\n" BODY },
+  { "another coding",
+    OK "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\n" BODY "\r\n0\r\n\r\n" },
+  { "chunk size that overflows",
+    OK CHUNKED "2\r\nhe\r\n10000000000000000\r\n\r\n" },
+  { "chunk size with a sign", OK CHUNKED "+5\r\n" BODY "\r\n0\r\n\r\n" },
+  { "chunk size without digits", OK CHUNKED "2\r\nhe\r\n\r\n\r\n" },
+  { "chunk longer than its size", OK CHUNKED "2\r\nhello\r\n0\r\n\r\n" },
+  { "no status", "HTTP/1.1  OK\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY },
+  { "status of four digits",
+    "HTTP/1.1 2000 OK\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY },
+  { "another protocol",
+    "ICY/1.1 200 OK\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY },
+};
+
+/* The same cause as that of a request inside another one's body, on the way
+   back: a header that one reader knows and the next one does not. */
+static void
+test_malformed_responses (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  size_t i;
+
+  for (i = 0; i < COUNT (malformed); i++)
+    {
+      fixture_init (&fixture);
+      request_script (&fixture, "/once/", malformed[i].response,
+                      strlen (malformed[i].response), UPSTREAMSERVER_END_CLOSE,
+                      &received);
+      if (received.status / 100 == 2 && received.complete)
+        {
+          printf ("%s: %s\n", malformed[i].name, fixture.client.got);
+          CU_FAIL ("a malformed response was forwarded as complete");
+        }
+      gatefixture_finish (&fixture);
+    }
+}
+
+/** Heads with white space before a colon, and the body that they frame. */
+static const struct
+{
+  const char *name;
+  const char *response;
+  const char *body;
+} spaced[] = {
+  { "space before the colon of a length", OK "Content-Length : 2\r\n\r\nhello",
+    "he" },
+  { "tab before the colon of a length", OK "Content-Length\t: 2\r\n\r\nhello",
+    "he" },
+  { "space before the colon of a coding",
+    OK "Transfer-Encoding : chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n", "he" },
+  { "space before another colon",
+    OK "X-A \t : b\r\nContent-Length: 2\r\n\r\nhe", "he" },
+};
+
+/* Such a header counts as the one that it names, and does not reach the client
+   as it is. */
+static void
+test_spaces_before_colon (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  size_t i;
+
+  for (i = 0; i < COUNT (spaced); i++)
+    {
+      fixture_init (&fixture);
+      request_script (&fixture, "/once/", spaced[i].response,
+                      strlen (spaced[i].response), UPSTREAMSERVER_END_CLOSE,
+                      &received);
+      CU_ASSERT_EQUAL (received.status, 200);
+      CU_ASSERT_TRUE (received.complete);
+      CU_ASSERT_STRING_EQUAL (received.body, spaced[i].body);
+      CU_ASSERT_PTR_NULL (strstr (fixture.client.got, " :"));
+      CU_ASSERT_PTR_NULL (strstr (fixture.client.got, "\t:"));
+      gatefixture_finish (&fixture);
+    }
+}
+
+static const struct suite_test tests[] = {
+  { "whole responses", test_whole_responses },
+  { "responses that break off", test_cut_responses },
+  { "malformed responses", test_malformed_responses },
+  { "white space before a colon", test_spaces_before_colon },
+};
+
+SUITE_MAIN ("test_broken_responses", tests)
