A stream that goes on elsewhere keeps its length and its kind

Cause: the length of the first head was forwarded and not compared with what the attempts bring together; of the head that goes on only the status was looked at.

A response is not longer than its head says, and one that is shorter is a truncated one: it goes on elsewhere, or is reset. `serve' shares that check. What goes on with a stream of the gateway is a stream of events.

--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -12,6 +12,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #define PENDING_OUTPUT_MAX                                                    \
   262144 /* bytes unsent to the client, above which reading                   \
@@ -24,8 +25,9 @@
 #define PAUSE_SPREAD 4
 #define OUTPUT_TOKEN_COST                                                     \
   2.0 /* cost of an output token relative to an input token */
-#define PARTS_TEXT_SIZE  160 /* holds the identifiers of nine parts */
-#define DIGEST_TEXT_SIZE 17  /* of 64 bits in hexadecimal */
+#define PARTS_TEXT_SIZE   160 /* holds the identifiers of nine parts */
+#define DIGEST_TEXT_SIZE  17  /* of 64 bits in hexadecimal */
+#define EVENT_STREAM_TYPE "text/event-stream"
 #define UPSTREAM_IDLE_TIMEOUT_MS                                              \
   30000 /* for upstreams that do not state their timeout */
 
@@ -46,6 +48,9 @@
                                     int error);
 static bool retryable_status (const struct gateway_request *request,
                               int status);
+static bool continues_stream (int status,
+                              const struct upstream_header *headers,
+                              size_t count);
 static void forward_body (struct gateway_request *request,
                           struct evbuffer *data);
 static void pause_if_client_slow (struct gateway_request *request);
@@ -499,6 +504,18 @@
          && !reply_started (&request->reply);
 }
 
+/* Whether a response may go on with a stream that broke off. */
+static bool
+continues_stream (int status, const struct upstream_header *headers,
+                  size_t count)
+{
+  const char *type = upstream_header_find (headers, count, "Content-Type");
+
+  return status == 200 && type != NULL
+         && strncasecmp (type, EVENT_STREAM_TYPE, strlen (EVENT_STREAM_TYPE))
+                == 0;
+}
+
 static void
 on_responding (void *user, int status, const struct upstream_header *headers,
                size_t count)
@@ -534,7 +551,8 @@
                            && gateway_request_may_retry (request);
   request->discard = request->retry_granted
                      || (!state.has_signature && status < 300)
-                     || (reply_started (&request->reply) && status != 200);
+                     || (reply_started (&request->reply)
+                         && !continues_stream (status, headers, count));
   if (request->discard || reply_started (&request->reply))
     return;
   if (status >= 300)
@@ -563,6 +581,7 @@
 forward_body (struct gateway_request *request, struct evbuffer *data)
 {
   struct evbuffer *complete_events;
+  int error = 0;
 
   if (request->first_byte_ns == 0)
     request->first_byte_ns = gateway_now_ns (request->gateway);
@@ -588,9 +607,16 @@
         gateway_streams_event (request);
       event_times_arrived (&request->event_times,
                            gateway_now_ns (request->gateway));
-      reply_send_body (&request->reply, complete_events);
+      error = reply_send_body (&request->reply, complete_events);
     }
   evbuffer_free (complete_events);
+  if (error != 0)
+    {
+      /* The stream goes on with more than its head said. */
+      gateway_request_cancel_attempt (request);
+      gateway_request_abort (request);
+      return;
+    }
   gateway_quarantine_responded (request);
   pause_if_client_slow (request);
 }
@@ -623,11 +649,12 @@
   struct registry_upstream *upstream
       = registry_find (&gateway->registry, request->upstream_id);
 
-  if (request->is_stream && !request->discard
-      && !sse_at_event_boundary (&request->sse))
+  if (!request->discard
+      && ((request->is_stream && !sse_at_event_boundary (&request->sse))
+          || !reply_length_kept (&request->reply)))
     {
-      /* The stream ended within an event: it was truncated, although the
-         connection closed normally. */
+      /* The stream ended within an event, or goes on with less than its head
+         said: it was truncated, although the connection closed normally. */
       handle_attempt_failure (request, ERR_TRUNCATED);
       return;
     }
--- a/src/request.c
+++ b/src/request.c
@@ -79,8 +79,11 @@
       reply_abort (&request->reply);
       break;
     case DISPATCH_FINISH:
-      reply_finish (&request->reply, router->draining);
-      record_end (request, METRICS_COMPLETED, VERDICT_RAN, REFUSAL_NONE);
+      record_end (request,
+                  reply_finish (&request->reply, router->draining) == 0
+                      ? METRICS_COMPLETED
+                      : METRICS_ABORTED,
+                  VERDICT_RAN, REFUSAL_NONE);
       break;
     case DISPATCH_RELEASE:
       request_free (request);
--- a/src/transport/reply.c
+++ b/src/transport/reply.c
@@ -3,10 +3,11 @@
  * Forwards upstream responses to clients.
  */
 #include "transport/reply.h"
+#include "state/err.h"
 #include <stdlib.h>
 #include <strings.h>
 
-static enum reply_mode choose_mode (const struct reply *reply,
+static enum reply_mode choose_mode (struct reply *reply,
                                     const struct reply_head *head);
 
 void
@@ -29,7 +30,7 @@
 }
 
 static enum reply_mode
-choose_mode (const struct reply *reply, const struct reply_head *head)
+choose_mode (struct reply *reply, const struct reply_head *head)
 {
   const char *length;
 
@@ -39,9 +40,9 @@
   length = upstream_header_find (head->headers, head->count, "Content-Length");
   if (length == NULL)
     return REPLY_CHUNKED;
-  return strtoull (length, NULL, 10) <= head->buffered_max_bytes
-             ? REPLY_BUFFERED
-             : REPLY_LENGTH;
+  reply->length = strtoull (length, NULL, 10);
+  return reply->length <= head->buffered_max_bytes ? REPLY_BUFFERED
+                                                   : REPLY_LENGTH;
 }
 
 void
@@ -74,11 +75,18 @@
   reply->mode = REPLY_NONE;
 }
 
-void
+int
 reply_send_body (struct reply *reply, struct evbuffer *data)
 {
   size_t size = evbuffer_get_length (data);
 
+  if (reply->mode == REPLY_LENGTH
+      && size > reply->length - reply->delivered_bytes)
+    {
+      reply->overrun = true;
+      evbuffer_drain (data, size);
+      return ERR_TOO_LARGE;
+    }
   switch (reply->mode)
     {
     case REPLY_BUFFERED:
@@ -101,11 +109,24 @@
       break;
     }
   evbuffer_drain (data, evbuffer_get_length (data));
+  return 0;
 }
 
-void
+bool
+reply_length_kept (const struct reply *reply)
+{
+  return reply->mode != REPLY_LENGTH
+         || (!reply->overrun && reply->delivered_bytes == reply->length);
+}
+
+int
 reply_finish (struct reply *reply, bool last)
 {
+  if (!reply_length_kept (reply))
+    {
+      reply_abort (reply);
+      return ERR_TRUNCATED;
+    }
   switch (reply->mode)
     {
     case REPLY_BUFFERED:
@@ -124,10 +145,11 @@
       break;
     case REPLY_NONE:
     case REPLY_ENDED:
-      return;
+      return 0;
     }
   /* A head that was sent has promised whether the connection is kept. */
   reply_release (reply, false);
+  return 0;
 }
 
 void
--- a/src/transport/reply.h
+++ b/src/transport/reply.h
@@ -31,6 +31,8 @@
   enum reply_mode mode;
   int status;
   uint64_t delivered_bytes; /**< response body bytes forwarded to the client */
+  uint64_t length;          /**< of the body, with REPLY_LENGTH */
+  bool overrun;             /**< there were more bytes than that */
 };
 
 struct reply_head
@@ -52,11 +54,17 @@
 void reply_send_head (struct reply *reply);
 /** Discards a buffered reply, so that another attempt can respond. */
 void reply_reset (struct reply *reply);
-/** Forwards body bytes and drains the buffer. */
-void reply_send_body (struct reply *reply, struct evbuffer *data);
+/** Forwards body bytes and drains the buffer.
+    @return 0, or ERR_TOO_LARGE if they exceed the length that the client was
+    told: they are not forwarded, and the response cannot be completed. */
+int reply_send_body (struct reply *reply, struct evbuffer *data);
+/** Whether the body so far has the length that the client was told, if any.
+    One that attempts at several upstreams contribute to may not. */
+bool reply_length_kept (const struct reply *reply);
 /** Ends the response and gives the request back to libevhtp.
-    @param last close the connection after this response. */
-void reply_finish (struct reply *reply, bool last);
+    @param last close the connection after this response.
+    @return 0, or ERR_TRUNCATED if it was aborted, see reply_length_kept(). */
+int reply_finish (struct reply *reply, bool last);
 /** Gives the request back to libevhtp after its response was written. */
 void reply_release (struct reply *reply, bool last);
 /** Resets the client's connection. */
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -16,6 +16,7 @@
   "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
   "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n"                  \
   "Content-Length: 0\r\n\r\n"
+#define RESUMABLE "POST /resume/z HTTP/1.1\r\n" REQUEST_HEADERS
 
 /* Of responses. */
 #define HEADERS "X-Attempt-Id: id-1\r\nX-Worker-Signature: sig-b\r\n"
@@ -307,11 +308,135 @@
     }
 }
 
+/** How another upstream answers a stream that is to go on after event 2. */
+static const struct
+{
+  const char *name;
+  const char *response;
+} continuations[] = {
+  { "error with a length",
+    "HTTP/1.1 500 Failed\r\n" HEADERS "Content-Length: 8\r\n\r\nfailed\n\n" },
+  { "error in chunks",
+    "HTTP/1.1 500 Failed\r\n" HEADERS CHUNKED "8\r\nfailed\n\n\r\n0\r\n\r\n" },
+  { "error until the end",
+    "HTTP/1.1 500 Failed\r\n" HEADERS "\r\nfailed\n\n" },
+  { "error without a body",
+    "HTTP/1.1 500 Failed\r\n" HEADERS "Content-Length: 0\r\n\r\n" },
+  { "not found",
+    "HTTP/1.1 404 No\r\n" HEADERS "Content-Length: 8\r\n\r\nfailed\n\n" },
+  { "refusal", "HTTP/1.1 503 Full\r\n" HEADERS "X-Not-Executed: 1\r\n"
+               "Content-Length: 8\r\n\r\nfailed\n\n" },
+  { "no content", "HTTP/1.1 204 No\r\n" HEADERS "\r\n" },
+  { "not modified", "HTTP/1.1 304 No\r\n" HEADERS "\r\n" },
+  { "moved",
+    "HTTP/1.1 302 Moved\r\n" HEADERS "Content-Length: 8\r\n\r\nfailed\n\n" },
+  { "another content type",
+    OK "Content-Type: text/html\r\nContent-Length: 8\r\n\r\nfailed\n\n" },
+  { "no content type", OK "Content-Length: 8\r\n\r\nfailed\n\n" },
+  { "no signature",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+    "Content-Type: text/event-stream\r\nContent-Length: 8\r\n\r\nfailed\n\n" },
+  { "head cut", "HTTP/1.1 500 Failed\r\n" HEADERS "Content-Le" },
+  { "status line cut", "HTTP/1.1 500 Fai" },
+  { "malformed head", "failed\n\n" },
+  { "error cut",
+    "HTTP/1.1 500 Failed\r\n" HEADERS "Content-Length: 80\r\n\r\nfailed\n\n" },
+};
+
+#define FIRST_EVENTS "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+
+/* A stream breaks off, and the next upstream answers with an error.  Guards
+   against the error's text in the middle of the stream, and against a stream
+   that ends as if it were complete. */
+static void
+test_continued_with_error (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  size_t i;
+
+  for (i = 0; i < COUNT (continuations); i++)
+    {
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].behaviour = UPSTREAMSERVER_STREAM_RESET;
+      fixture.upstreams[1].behaviour = UPSTREAMSERVER_SCRIPT;
+      fixture.upstreams[1].script = continuations[i].response;
+      fixture.upstreams[1].script_size = strlen (continuations[i].response);
+      fixture.upstreams[1].script_end = UPSTREAMSERVER_END_CLOSE;
+      gatefixture_request (&fixture, RESUMABLE);
+      CU_ASSERT_EQUAL (fixture.upstreams[1].requests, 1);
+      read_received (&fixture.client, &received);
+      if (received.complete || !fixture.client.closed
+          || strcmp (received.body, FIRST_EVENTS) != 0
+          || strstr (fixture.client.got, "failed") != NULL)
+        {
+          printf ("%s: %s\n", continuations[i].name, fixture.client.got);
+          CU_FAIL ("an error was forwarded as a part of the stream");
+        }
+      gatefixture_finish (&fixture);
+    }
+}
+
+#define THIRD_EVENT "id: 3\ndata: e3\n\n"
+
+/** A stream with a length of 64 bytes, as of events 1 to 4, that goes on with
+    another one's length. */
+static const struct
+{
+  const char *name;
+  const char *continuation;
+  bool complete;
+} lengths[] = {
+  { "as promised", "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", true },
+  { "shorter", THIRD_EVENT, false },
+  { "longer", "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n",
+    false },
+};
+
+/* Guards against a stream whose parts are not as long as its head says: bytes
+   that belong to no response, or a client that waits for the rest. */
+static void
+test_continued_length (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  char second[512];
+  size_t i;
+
+  for (i = 0; i < COUNT (lengths); i++)
+    {
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].behaviour = UPSTREAMSERVER_SCRIPT;
+      fixture.upstreams[0].script
+          = STREAM "Content-Length: 64\r\n\r\n" FIRST_EVENTS "id: 3";
+      fixture.upstreams[0].script_size = strlen (fixture.upstreams[0].script);
+      fixture.upstreams[0].script_end = UPSTREAMSERVER_END_CLOSE;
+      snprintf (second, sizeof second, STREAM "Content-Length: %zu\r\n\r\n%s",
+                strlen (lengths[i].continuation), lengths[i].continuation);
+      fixture.upstreams[1].behaviour = UPSTREAMSERVER_SCRIPT;
+      fixture.upstreams[1].script = second;
+      fixture.upstreams[1].script_size = strlen (second);
+      gatefixture_request (&fixture, RESUMABLE);
+      gatefixture_run (&fixture, 50);
+      CU_ASSERT_EQUAL (fixture.upstreams[1].requests, 1);
+      read_received (&fixture.client, &received);
+      if (received.complete != lengths[i].complete || received.size > 64
+          || (!lengths[i].complete && !fixture.client.closed))
+        {
+          printf ("%s: %s\n", lengths[i].name, fixture.client.got);
+          CU_FAIL ("a stream is not as long as its head says");
+        }
+      gatefixture_finish (&fixture);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "whole responses", test_whole_responses },
   { "responses that break off", test_cut_responses },
   { "malformed responses", test_malformed_responses },
   { "white space before a colon", test_spaces_before_colon },
+  { "streams that go on with an error", test_continued_with_error },
+  { "streams that go on with another length", test_continued_length },
 };
 
 SUITE_MAIN ("test_broken_responses", tests)
