The grace period of a planned stop begins with the signal

Cause: libevent's callback of a signal comes in its turn, and the drain began with it.

sigtime records the time in the signal's handler and calls libevent's; the gateway's drain and that of `serve' count from there.

Not covered: a loop that stands still for the whole last 400 ms of the period.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
+#include "transport/sigtime.h"
 #include "transport/sock.h"
 #include <signal.h>
 #include <stdlib.h>
@@ -70,6 +71,7 @@
 static void on_signal (evutil_socket_t fd, short what, void *arg);
 static void on_upstream_removed (void *user,
                                  const struct registry_upstream *upstream);
+static void drain_since (struct gateway *gateway, uint64_t start_ns);
 static void check_drain (struct gateway *gateway, uint64_t now_ns);
 
 int
@@ -198,6 +200,8 @@
         return ERR_NO_MEMORY;
       loop_set_control (gateway->signals[i]);
       event_add (gateway->signals[i], NULL);
+      if (sigtime_watch (numbers[i], &gateway->clock) != 0)
+        return ERR_INVALID;
     }
   return 0;
 }
@@ -250,6 +254,7 @@
   if (gateway->tick != NULL)
     event_free (gateway->tick);
   looplag_finish (&gateway->loop_lag);
+  sigtime_finish (&gateway->clock);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
     if (gateway->signals[i] != NULL)
       event_free (gateway->signals[i]);
@@ -459,7 +464,7 @@
 
   (void)what;
   if (fd != SIGHUP)
-    gateway_drain (gateway);
+    drain_since (gateway, sigtime_last_ns (fd, gateway_now_ns (gateway)));
   else if (gateway->reload_settings != NULL)
     gateway->reload_settings (gateway->reload_user);
 }
@@ -491,11 +496,19 @@
 
 void
 gateway_drain (struct gateway *gateway)
+{
+  drain_since (gateway, gateway_now_ns (gateway));
+}
+
+/* The grace period has begun with the signal, however late the event loop gets
+   to it. */
+static void
+drain_since (struct gateway *gateway, uint64_t start_ns)
 {
   if (gateway->draining)
     return;
   gateway->draining = true;
-  gateway->drain_ns = gateway_now_ns (gateway);
+  gateway->drain_ns = start_ns;
   LOG (LOG_DRAIN_STARTED, NULL, LOG_U ("requests", gateway->request_count));
   httpd_disable_keepalive (gateway->httpd);
 }
--- a/src/router.c
+++ b/src/router.c
@@ -11,6 +11,7 @@
 #include "state/share.h"
 #include "transport/log.h"
 #include "transport/loop.h"
+#include "transport/sigtime.h"
 #include "transport/sock.h"
 #include "transport/upstream_http.h"
 #include <signal.h>
@@ -102,6 +103,7 @@
   for (i = 0; i < ROUTER_SIGNAL_COUNT; i++)
     if (router->signal_events[i] != NULL)
       event_free (router->signal_events[i]);
+  sigtime_finish (&router->clock);
   if (router->base == NULL)
     return;
   /* libevent frees bufferevents only while the loop runs. */
@@ -245,6 +247,8 @@
         return ERR_NO_MEMORY;
       loop_set_control (router->signal_events[i]);
       event_add (router->signal_events[i], NULL);
+      if (sigtime_watch (signal_numbers[i], &router->clock) != 0)
+        return ERR_INVALID;
     }
   return 0;
 }
@@ -448,11 +452,11 @@
 {
   struct router *router = arg;
 
-  (void)fd;
   (void)what;
   if (!router->draining)
     {
       router_drain (router);
+      router->drain_start_ns = sigtime_last_ns (fd, router_now_ns (router));
       return;
     }
   router->aborted = true;
