A turned away connection was reset while its client had not left

Cause: 512 turned away connections are kept open for 100 ms, so that their clients can read the response. The 513th has the oldest one closed. When the client of that one has sent nothing yet, its request then meets a closed socket and is reset. Nearly all of the 512 are those whose clients have left already: they took up the room.

Now those make room first. The oldest is closed only if none has left.

--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -3,6 +3,7 @@
  * Responses to connections that are not read.
  */
 #include "transport/turnaway.h"
+#include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,8 +14,9 @@
 #define DISCARD_BYTES 16384
 #define DISCARD_READS 8
 
+static void close_left (struct turnaway *turnaway);
 static void close_first (struct turnaway *turnaway);
-static void discard_input (int fd);
+static bool discard_input (int fd);
 
 size_t
 turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
@@ -36,6 +38,8 @@
           close (fd);
           continue;
         }
+      if (turnaway->count == TURNAWAY_SOCKETS_MAX)
+        close_left (turnaway);
       if (turnaway->count == TURNAWAY_SOCKETS_MAX)
         {
           discard_input (turnaway->sockets[turnaway->first].fd);
@@ -67,16 +71,43 @@
     close_first (turnaway);
 }
 
-/* So that a close does not reset the connection. */
+/* Closes the sockets whose clients have closed theirs.  Looks at all of them
+   once in a round only. */
 static void
+close_left (struct turnaway *turnaway)
+{
+  struct turnaway_socket *sockets = turnaway->sockets;
+  struct turnaway_socket socket;
+  size_t kept = 0;
+  size_t i;
+
+  if (turnaway->looked && turnaway->look_round == turnaway->round)
+    return;
+  turnaway->looked = true;
+  turnaway->look_round = turnaway->round;
+  for (i = 0; i < turnaway->count; i++)
+    {
+      socket = sockets[(turnaway->first + i) % TURNAWAY_SOCKETS_MAX];
+      if (discard_input (socket.fd))
+        close (socket.fd);
+      else
+        sockets[(turnaway->first + kept++) % TURNAWAY_SOCKETS_MAX] = socket;
+    }
+  turnaway->count = kept;
+}
+
+/* So that a close does not reset the connection.
+   @return whether its client has closed it. */
+static bool
 discard_input (int fd)
 {
   char bytes[DISCARD_BYTES];
-  int reads = 0;
+  ssize_t n = 1;
+  int reads;
 
-  while (reads < DISCARD_READS
-         && recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
-    reads++;
+  for (reads = 0; n > 0 && reads < DISCARD_READS; reads++)
+    n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 static void
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -10,6 +10,7 @@
 
 #include <event2/buffer.h>
 #include <event2/util.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -29,10 +30,13 @@
   size_t first;
   size_t count;
   uint32_t round; /**< calls of turnaway_close() */
+  bool looked;    /**< for clients that have left, in `look_round` */
+  uint32_t look_round;
 };
 
 /** Accepts and answers all connections that wait at a listening socket. Beyond
-    TURNAWAY_SOCKETS_MAX, the oldest is read and closed.
+    TURNAWAY_SOCKETS_MAX, those whose clients have left make room, or else the
+    oldest, which is read first.
     @param response  not changed.
     @return their number. */
 size_t turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -429,51 +429,116 @@
 
 #define WAITING (TURNAWAY_SOCKETS_MAX + 50)
 
+/* A listening socket, and clients that are turned away there. */
+struct flood
+{
+  struct turnaway turnaway;
+  struct evbuffer *response;
+  struct sockaddr_in address;
+  int listener;
+  int clients[WAITING];
+};
+
+static void
+flood_init (struct flood *flood)
+{
+  socklen_t size = sizeof flood->address;
+
+  memset (flood, 0, sizeof *flood);
+  flood->address.sin_family = AF_INET;
+  flood->address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  flood->response = evbuffer_new ();
+  evbuffer_add (flood->response, "response", 8);
+  flood->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (flood->listener, (struct sockaddr *)&flood->address, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (flood->listener, WAITING), 0);
+  getsockname (flood->listener, (struct sockaddr *)&flood->address, &size);
+}
+
+static void
+flood_connect (struct flood *flood, size_t first, size_t end)
+{
+  size_t i;
+
+  for (i = first; i < end; i++)
+    {
+      flood->clients[i] = socket (AF_INET, SOCK_STREAM, 0);
+      CU_ASSERT_EQUAL_FATAL (connect (flood->clients[i],
+                                      (struct sockaddr *)&flood->address,
+                                      sizeof flood->address),
+                             0);
+    }
+}
+
+static void
+flood_finish (struct flood *flood)
+{
+  size_t i;
+
+  for (i = 0; i < WAITING; i++)
+    if (flood->clients[i] > 0)
+      close (flood->clients[i]);
+  turnaway_finish (&flood->turnaway);
+  close (flood->listener);
+  evbuffer_free (flood->response);
+}
+
+/* More are turned away than are kept open, while one client has not sent its
+   request yet.  Guards against its reset: those whose clients have left make
+   room first. */
+static void
+test_turned_away_beyond_limit (void)
+{
+  static struct flood flood;
+  char got[16];
+  size_t i;
+
+  flood_init (&flood);
+  flood_connect (&flood, 0, TURNAWAY_SOCKETS_MAX);
+  turnaway_waiting (&flood.turnaway, flood.listener, flood.response);
+  CU_ASSERT_EQUAL (flood.turnaway.count, TURNAWAY_SOCKETS_MAX);
+  for (i = 1; i < TURNAWAY_SOCKETS_MAX; i++)
+    {
+      close (flood.clients[i]);
+      flood.clients[i] = -1;
+    }
+  flood_connect (&flood, TURNAWAY_SOCKETS_MAX, WAITING);
+  turnaway_waiting (&flood.turnaway, flood.listener, flood.response);
+  CU_ASSERT_EQUAL (flood.turnaway.count, WAITING - TURNAWAY_SOCKETS_MAX + 1);
+  for (i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL (
+        send (flood.clients[0], REQUEST, strlen (REQUEST), MSG_NOSIGNAL),
+        (ssize_t)strlen (REQUEST));
+  CU_ASSERT_EQUAL (recv (flood.clients[0], got, sizeof got, 0), 8);
+  CU_ASSERT_EQUAL (recv (flood.clients[0], got, sizeof got, 0), 0);
+  flood_finish (&flood);
+}
+
 /* More are turned away than are kept open, and the loop is late for longer
    than they are kept open: the others get their response in the next turn. */
 static void
 test_turned_away_late (void)
 {
-  static struct turnaway turnaway;
-  static int clients[WAITING];
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t size = sizeof address;
-  struct evbuffer *text = evbuffer_new ();
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  static struct flood flood;
   size_t told = 0;
   char got[16];
   size_t i;
 
-  memset (&turnaway, 0, sizeof turnaway);
-  evbuffer_add (text, "response", 8);
-  CU_ASSERT_EQUAL_FATAL (
-      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
-  CU_ASSERT_EQUAL_FATAL (listen (listener, WAITING), 0);
-  getsockname (listener, (struct sockaddr *)&address, &size);
-  for (i = 0; i < WAITING; i++)
-    {
-      clients[i] = socket (AF_INET, SOCK_STREAM, 0);
-      CU_ASSERT_EQUAL_FATAL (
-          connect (clients[i], (struct sockaddr *)&address, sizeof address),
-          0);
-    }
-  turnaway_waiting (&turnaway, listener, text);
+  flood_init (&flood);
+  flood_connect (&flood, 0, WAITING);
+  turnaway_waiting (&flood.turnaway, flood.listener, flood.response);
   for (i = 0; i < 3; i++)
     {
       usleep (300000);
-      turnaway_close (&turnaway);
-      turnaway_waiting (&turnaway, listener, text);
+      turnaway_close (&flood.turnaway);
+      turnaway_waiting (&flood.turnaway, flood.listener, flood.response);
     }
   for (i = 0; i < WAITING; i++)
-    if (recv (clients[i], got, sizeof got, MSG_DONTWAIT) == 8)
+    if (recv (flood.clients[i], got, sizeof got, MSG_DONTWAIT) == 8)
       told++;
   CU_ASSERT_EQUAL (told, WAITING);
-  for (i = 0; i < WAITING; i++)
-    close (clients[i]);
-  turnaway_finish (&turnaway);
-  close (listener);
-  evbuffer_free (text);
+  flood_finish (&flood);
 }
 
 /* The process ends: the client of a connection that has had no request learns
@@ -833,6 +898,7 @@
   { "accepted as the drain ends", test_unaccepted_at_drain_end },
   { "final response while the loop is late", test_final_response_late },
   { "turned away while the loop is late", test_turned_away_late },
+  { "turned away beyond those that are kept", test_turned_away_beyond_limit },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
