Connections that were idle before the limit grew kept the shorter one

What callers see: the operator lets connections be idle for longer; a client that goes by it has a request reset, as its connection went idle before.

Cause: an idle connection's timer is set when its request ends, and was not set again. Now it is, when the limit grows.

Test: test_unread_requests, "idle limit grows", fails before in two checks.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -238,11 +238,18 @@
 void
 httpd_set_limits (struct httpd *httpd, const struct httpd_limits *limits)
 {
+  const bool idle_longer
+      = limits->idle_timeout_ms > httpd->config.limits.idle_timeout_ms;
   struct httpd_conn *conn;
 
   httpd->config.limits = *limits;
   for (conn = httpd->conns; conn != NULL; conn = conn->next)
-    bufferevent_setwatermark (conn->evhtp->bev, EV_READ, 0, read_max (limits));
+    {
+      bufferevent_setwatermark (conn->evhtp->bev, EV_READ, 0,
+                                read_max (limits));
+      if (idle_longer && conn->state == CONN_IDLE)
+        set_timer (conn, limits->idle_timeout_ms);
+    }
 }
 
 void
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -427,6 +427,31 @@
   gatefixture_finish_servers (&fixture);
 }
 
+/* The configuration lets connections be idle for longer.  Guards against the
+   close of one that went idle before, while its client may still use it. */
+static void
+test_idle_limit_grows (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_limits (&fixture, IDLE_MS);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  set_limits (&fixture, DONE_MS);
+  gatefixture_run (&fixture, IDLE_MS);
+  client_receive (&client);
+  CU_ASSERT_FALSE (client.ended);
+  client_send (&client, SECOND);
+  gatefixture_run (&fixture, IDLE_MS / 2);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-2"));
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
 #define WAITING (TURNAWAY_SOCKETS_MAX + 50)
 
 /* A listening socket, and clients that are turned away there. */
@@ -897,6 +922,7 @@
   { "refused as the drain ends", test_refused_at_drain_end },
   { "accepted as the drain ends", test_unaccepted_at_drain_end },
   { "final response while the loop is late", test_final_response_late },
+  { "idle limit grows", test_idle_limit_grows },
   { "turned away while the loop is late", test_turned_away_late },
   { "turned away beyond those that are kept", test_turned_away_beyond_limit },
 };
