--- a/src/transport/httpd_head.c
+++ b/src/transport/httpd_head.c
@@ -247,8 +247,16 @@
 
   if (i == 0 || i == size || line[i] != ':')
     return false;
-  for (i++; i < size; i++)
-    if (((unsigned char)line[i] < ' ' && line[i] != '\t') || line[i] == DELETE)
+  return httpd_head_is_value (line + i + 1, size - i - 1);
+}
+
+bool
+httpd_head_is_value (const char *text, size_t size)
+{
+  size_t i;
+
+  for (i = 0; i < size; i++)
+    if (((unsigned char)text[i] < ' ' && text[i] != '\t') || text[i] == DELETE)
       return false;
   return true;
 }
--- a/src/transport/httpd_head.h
+++ b/src/transport/httpd_head.h
@@ -53,6 +53,9 @@
     @param size  bytes of the line without its CRLF. */
 bool httpd_head_is_header (const char *line, size_t size);
 
+/** Whether bytes hold no control characters but tabs. */
+bool httpd_head_is_value (const char *text, size_t size);
+
 /** Whether a text is a token and not empty. */
 bool httpd_head_is_token (const char *text);
 
--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -64,8 +64,8 @@
 {
   const char *status = line + STATUS_OFFSET;
 
-  return size >= STATUS_SIZE && memcmp (line, "HTTP/", 5) == 0
-         && is_digit (line[5]) && line[6] == '.' && is_digit (line[7])
+  return size >= STATUS_SIZE && httpd_head_is_value (line, size)
+         && memcmp (line, "HTTP/1.", 7) == 0 && is_digit (line[7])
          && line[8] == ' ' && is_digit (status[0]) && is_digit (status[1])
          && is_digit (status[2])
          && (size == STATUS_SIZE || line[STATUS_SIZE] == ' ');
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -27,6 +27,7 @@
   bool responded;               /* to an earlier request */
   bool close_after_write;       /* close once all output is written */
   bool reset_after_write;       /* reset it instead */
+  bool script_paused;           /* after a part of the script */
   bool endless;                 /* the response has no end */
   unsigned int event;           /* last one sent of a timed stream; 0: none */
   unsigned int reset_event;     /* as of the request */
@@ -276,7 +277,10 @@
   (void)what;
   if (request == NULL)
     {
-      send_timed_event (conn);
+      if (conn->script_paused)
+        run_script (conn);
+      else
+        send_timed_event (conn);
       return;
     }
   conn->request = NULL;
@@ -337,11 +341,22 @@
 run_script (struct upstreamserver_conn *conn)
 {
   const struct upstreamserver *server = conn->server;
+  const struct timeval pause = clock_timeval (1);
+  const size_t skipped = conn->script_paused ? server->script_pause : 0;
 
+  if (skipped == 0 && server->script_pause > 0
+      && server->script_pause < server->script_size)
+    {
+      conn->script_paused = true;
+      bufferevent_write (conn->bev, server->script, server->script_pause);
+      event_add (conn->response_timer, &pause);
+      return;
+    }
   conn->close_after_write = server->script_end != UPSTREAMSERVER_END_OPEN;
   conn->reset_after_write = server->script_end == UPSTREAMSERVER_END_RESET;
   if (server->script_size > 0)
-    bufferevent_write (conn->bev, server->script, server->script_size);
+    bufferevent_write (conn->bev, server->script + skipped,
+                       server->script_size - skipped);
   else if (conn->close_after_write)
     bufferevent_trigger (conn->bev, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -75,6 +75,7 @@
   unsigned int repetitions; /**< times that it was written */
   const char *script;       /**< raw bytes; NULL: none */
   size_t script_size;       /**< bytes */
+  size_t script_pause;      /**< bytes before a short pause; 0: none */
   enum upstreamserver_end script_end;
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
