--- a/src/transport/reply.h
+++ b/src/transport/reply.h
@@ -55,15 +55,15 @@
 /** Discards a buffered reply, so that another attempt can respond. */
 void reply_reset (struct reply *reply);
 /** Forwards body bytes and drains the buffer.
-    @return 0, or ERR_TOO_LARGE if they exceed the length that the client was
-    told: they are not forwarded, and the response cannot be completed. */
+    @return 0, or ERR_TOO_LARGE if the body gets longer than `length`; then
+    nothing is forwarded, and reply_finish() aborts the response. */
 int reply_send_body (struct reply *reply, struct evbuffer *data);
-/** Whether the body so far has the length that the client was told, if any.
-    One that attempts at several upstreams contribute to may not. */
+/** Whether the body is complete by `length`; true without one.  The parts of a
+    resumed response may add up to another length. */
 bool reply_length_kept (const struct reply *reply);
 /** Ends the response and gives the request back to libevhtp.
     @param last close the connection after this response.
-    @return 0, or ERR_TRUNCATED if it was aborted, see reply_length_kept(). */
+    @return 0, or ERR_TRUNCATED if it was aborted for its length. */
 int reply_finish (struct reply *reply, bool last);
 /** Gives the request back to libevhtp after its response was written. */
 void reply_release (struct reply *reply, bool last);
--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -77,8 +77,7 @@
   return character >= '0' && character <= '9';
 }
 
-/* A server would refuse such a request; of a response, the white space is to
-   be removed (RFC 9112, section 5.1). */
+/* A proxy removes white space before a colon (RFC 9112, section 5.1). */
 static void
 move_spaces_behind_colon (char *line, size_t size)
 {
--- a/src/transport/sigtime.c
+++ b/src/transport/sigtime.c
@@ -11,7 +11,7 @@
 
 static void on_signal (int signal_number);
 
-/* A handler has no argument of its own. */
+/* Static, as a signal handler gets no user pointer. */
 static const struct clock *_Atomic signal_clock;
 static _Atomic uint64_t last_ns[NSIG];
 static void (*next_handlers[NSIG]) (int signal_number);
--- a/src/transport/sigtime.h
+++ b/src/transport/sigtime.h
@@ -1,22 +1,21 @@
 /**
  * @file sigtime.h
- * When signals arrived.  libevent's callback of a signal comes in its turn,
- * which a late event loop delays.
+ * Records when signals arrive.  A late event loop delays libevent's callbacks
+ * of them.
  */
 #ifndef TRANSPORT_SIGTIME_H
 #define TRANSPORT_SIGTIME_H
 
 #include "transport/clock.h"
 
-/** Records the times of a signal, in the place of the handler that is
-    installed, which is called then.
+/** Records the times of a signal.  Its present handler is still called.
     @param clock  for all signals; async-signal-safe.
     @return 0 or ERR_INVALID. */
 int sigtime_watch (int signal_number, const struct clock *clock);
 /** @return the time at which the signal arrived last, in nanoseconds; `now_ns`
     if that was not recorded. */
 uint64_t sigtime_last_ns (int signal_number, uint64_t now_ns);
-/** Records nothing more by this clock. */
+/** Stops recording if it uses this clock. */
 void sigtime_finish (const struct clock *clock);
 
 #endif
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -35,8 +35,8 @@
 };
 
 /** Accepts and answers all connections that wait at a listening socket. Beyond
-    TURNAWAY_SOCKETS_MAX, those whose clients have left make room, or else the
-    oldest, which is read first.
+    TURNAWAY_SOCKETS_MAX, sockets that their clients have closed are closed; if
+    there are none, the oldest is read and closed.
     @param response  not changed.
     @return their number. */
 size_t turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -92,8 +92,8 @@
   fixture->upstreams[1].behaviour = UPSTREAMSERVER_REJECT;
 }
 
-/* Each request has a path of its own, as one that breaks upstreams is held
-   back. */
+/* Each request has another path: the gateway holds back a request that breaks
+   upstreams. */
 static void
 request_script (struct gatefixture *fixture, const char *prefix,
                 const char *script, size_t size, enum upstreamserver_end end,
@@ -143,7 +143,7 @@
   const char *body = strstr (response, "\r\n\r\n") + 4;
   const bool in_head = cut < (size_t)(body - response);
   const bool close_delimited = strcmp (framings[i].name, "close") == 0;
-  /* An orderly end is all that tells where such a body ends. */
+  /* Only the close tells where such a body ends. */
   const bool may_be_whole
       = close_delimited && !in_head && end == UPSTREAMSERVER_END_CLOSE;
   struct received received;
