--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -5,6 +5,7 @@
  */
 #include "state/err.h"
 #include "support/suite.h"
+#include "transport/clock.h"
 #include "transport/httpcall.h"
 #include "transport/loop.h"
 #include "transport/sock.h"
@@ -15,6 +16,11 @@
 #define TRAFFIC_EVENTS 20
 #define CALLS          20
 
+/* Events of control that take a millisecond and never end. */
+#define BUSY_EVENTS         20
+#define BUSY_RUNS           5000
+#define TRAFFIC_WAIT_MAX_MS 250 /* promised for a ready event of a client */
+
 static struct event_base *base;
 static unsigned int traffic_run;
 static unsigned int traffic_run_at_control; /* when the control event ran */
@@ -117,9 +123,74 @@
   event_base_free (base);
 }
 
+struct busy_control
+{
+  struct event *event;
+  struct clock *clock;
+  bool ends;
+};
+
+/* Takes a millisecond, and is ready again at once. */
+static void
+on_busy_control (evutil_socket_t fd, short what, void *user)
+{
+  struct busy_control *busy = user;
+
+  (void)fd;
+  (void)what;
+  control_run++;
+  clock_advance_ms (busy->clock, 1);
+  busy->ends = busy->ends || control_run >= BUSY_RUNS;
+  if (!busy->ends)
+    event_active (busy->event, EV_TIMEOUT, 0);
+}
+
+static void
+on_first_traffic (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  (void)user;
+  traffic_run = control_run;
+}
+
+/* Events of control that never end.  Guards against traffic without a turn:
+   an event of it waits for the time for which control goes first, not for the
+   end of the flood. */
+static void
+test_traffic_beside_busy_control (void)
+{
+  struct busy_control busy[BUSY_EVENTS];
+  struct clock clock;
+  struct event *traffic;
+  int i;
+
+  base = loop_new ();
+  clock_init_manual (&clock, CLOCK_NS_PER_S, 0);
+  control_run = traffic_run = 0;
+  for (i = 0; i < BUSY_EVENTS; i++)
+    {
+      busy[i] = (struct busy_control){ .clock = &clock };
+      busy[i].event = event_new (base, -1, 0, on_busy_control, &busy[i]);
+      loop_set_control (busy[i].event);
+      event_active (busy[i].event, EV_TIMEOUT, 0);
+    }
+  traffic = event_new (base, -1, 0, on_first_traffic, NULL);
+  event_active (traffic, EV_TIMEOUT, 0);
+  for (i = 0; i < BUSY_RUNS && traffic_run == 0; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  CU_ASSERT (traffic_run > 0);
+  CU_ASSERT (traffic_run <= TRAFFIC_WAIT_MAX_MS);
+  for (i = 0; i < BUSY_EVENTS; i++)
+    event_free (busy[i].event);
+  event_free (traffic);
+  event_base_free (base);
+}
+
 static const struct suite_test tests[] = {
   { "control before traffic", test_control_first },
   { "order after refused calls", test_order_after_refused_calls },
+  { "traffic beside busy control", test_traffic_beside_busy_control },
 };
 
 SUITE_MAIN ("test_loop", tests)
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -466,6 +466,11 @@
 
 #define WAITING (TURNAWAY_SOCKETS_MAX + 50)
 
+/* Clients that send a part of their request every so often, for so long. */
+#define LONG_REQUESTS   20
+#define LONG_PART_MS    20
+#define LONG_REQUEST_MS 2000
+
 /* A listening socket, and clients that are turned away there. */
 struct flood
 {
@@ -628,6 +633,35 @@
   flood_finish (&flood);
 }
 
+/* A client goes on sending for longer than the window: its request is read on,
+   and it gets its response.  Guards against a connection that is closed, and
+   so reset, while its client sends. */
+static void
+test_turned_away_long_request (void)
+{
+  static char part[65536];
+  static struct flood flood;
+  uint32_t spent_ms;
+  char got[16];
+  size_t i;
+
+  flood_init (&flood);
+  flood_connect (&flood, 0, WAITING);
+  flood_turn_away (&flood);
+  for (spent_ms = 0; spent_ms < LONG_REQUEST_MS; spent_ms += LONG_PART_MS)
+    {
+      for (i = 0; i < LONG_REQUESTS; i++)
+        CU_ASSERT (send (flood.clients[i], part, sizeof part,
+                         MSG_NOSIGNAL | MSG_DONTWAIT)
+                   > 0);
+      clock_advance_ms (&flood.clock, LONG_PART_MS);
+      flood_turn_away (&flood);
+    }
+  for (i = 0; i < LONG_REQUESTS; i++)
+    CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 8);
+  flood_finish (&flood);
+}
+
 /* More are turned away than are kept open, and the loop is late for longer
    than they are kept open: the others get their response in the next turn. */
 static void
@@ -1115,6 +1149,7 @@
   { "turned away, none of those that are kept has left",
     test_turned_away_none_left },
   { "turned away, slow client", test_turned_away_slow },
+  { "turned away, long request", test_turned_away_long_request },
   { "more connections than there may be", test_connections_above_limit },
 };
 
