--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -31,13 +31,15 @@
 /* Connections accepted before those that are ready get their turn.  libevent
    accepts all that wait in one event; a slow instance would then reach its
    limit of connections and be late for each of them. */
-#define ACCEPT_BATCH 64
+#define ACCEPT_BATCH 8
 /* Connections not yet accepted.  A client that finds it full fails after a
    second and may not send its request again, so it holds the connections of a
    flood while the instance is late. */
-#define LISTEN_BACKLOG  4096
-#define HEADER_OVERHEAD 4 /**< bytes of ": " and CRLF */
-#define CRLF_SIZE       2
+#define LISTEN_BACKLOG 4096
+/* Connections that wait for so long are turned away. */
+#define ACCEPT_WAIT_MAX_MS 50
+#define HEADER_OVERHEAD    4 /**< bytes of ": " and CRLF */
+#define CRLF_SIZE          2
 
 /** State of a connection. */
 enum conn_state
@@ -53,7 +55,7 @@
   struct httpd *httpd;
   evhtp_connection_t *evhtp;
   struct event *timer;
-  struct event *leave; /**< control; added while a request is in progress */
+  struct event *leave; /**< added while a request is in progress */
   struct evbuffer_cb_entry *output_cb;
   enum conn_state state;
   bufferevent_data_cb parse; /**< libevhtp's callback for input */
@@ -78,11 +80,12 @@
   struct httpd_config config;
   evhtp_t *evhtp;
   struct event *accept_again; /**< enables the listener in its turn */
-  struct event *shed;         /**< control; turns connections away */
+  struct event *shed;         /**< turns connections away */
   bool shedding;              /**< no connections are accepted */
   struct evbuffer *shed_response;
   struct turnaway turnaway;
-  uint32_t accepted; /**< connections since then */
+  uint32_t accepted;         /**< connections since `accept_again` */
+  uint64_t accept_behind_ns; /**< since when some wait for it; 0: none do */
   uint64_t shed_count;
   uint64_t closes[HTTPD_CLOSE_MAX]; /**< except turned away connections */
   struct httpd_conn *conns;
@@ -106,7 +109,9 @@
 static struct evbuffer *split_input (struct evbuffer *input, size_t size);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
+static void accept_batch (struct httpd *httpd);
 static bool has_capacity (const struct httpd *httpd);
+static bool is_behind (const struct httpd *httpd);
 static bool start_shedding (struct httpd *httpd);
 static void on_shed (evutil_socket_t fd, short what, void *arg);
 static bool peer_closed (evutil_socket_t fd);
@@ -119,6 +124,7 @@
 static evhtp_res on_accept (evhtp_connection_t *evhtp, void *arg);
 static evhtp_res accept_connection (struct httpd *httpd,
                                     evhtp_connection_t *evhtp);
+static void end_batch (struct httpd *httpd);
 static evhtp_res on_headers_start (evhtp_request_t *http, void *arg);
 static evhtp_res on_header (evhtp_request_t *http, evhtp_header_t *header,
                             void *arg);
@@ -192,10 +198,10 @@
     return ERR_IO;
   httpd->accept_again
       = event_new (httpd->config.base, -1, 0, on_accept_again, httpd);
-  httpd->shed = event_new (httpd->config.base, -1, EV_PERSIST, on_shed, httpd);
+  httpd->shed = event_new (httpd->config.base, -1, 0, on_shed, httpd);
   if (httpd->accept_again == NULL || httpd->shed == NULL)
     return ERR_NO_MEMORY;
-  loop_set_control (httpd->shed);
+  turnaway_init (&httpd->turnaway, httpd->config.clock);
   return 0;
 }
 
@@ -383,11 +389,14 @@
 on_leave (evutil_socket_t fd, short what, void *arg)
 {
   struct httpd_conn *conn = arg;
+  struct httpd *httpd = conn->httpd;
+  enum loop_work work = begin_work (httpd, LOOP_WORK_CLOSE);
 
   (void)what;
   event_del (conn->leave);
   if (peer_closed (fd))
     notify_gone (conn);
+  begin_work (httpd, work);
 }
 
 static enum loop_work
@@ -459,11 +468,23 @@
 
   (void)fd;
   (void)what;
+  if (!waits_for_accept (httpd))
+    httpd->accept_behind_ns = 0;
   httpd->accepted = 0;
-  if (!httpd->shedding)
+  if (!httpd->shedding && !start_shedding (httpd))
     evconnlistener_enable (httpd->evhtp->server);
 }
 
+static void
+accept_batch (struct httpd *httpd)
+{
+  httpd->accepted = 0;
+  if (has_capacity (httpd))
+    evconnlistener_enable (httpd->evhtp->server);
+  else
+    evconnlistener_disable (httpd->evhtp->server);
+}
+
 static bool
 has_capacity (const struct httpd *httpd)
 {
@@ -473,13 +494,24 @@
              || httpd->config.accepts (httpd->config.user));
 }
 
+/* @return whether connections wait to be accepted for long. */
+static bool
+is_behind (const struct httpd *httpd)
+{
+  const uint64_t since_ns = httpd->accept_behind_ns;
+
+  return since_ns != 0
+         && clock_now_ns (httpd->config.clock) - since_ns
+                >= ACCEPT_WAIT_MAX_MS * CLOCK_NS_PER_MS;
+}
+
 /* @return whether connections are turned away from now on. */
 static bool
 start_shedding (struct httpd *httpd)
 {
-  const struct timeval interval = clock_timeval (TURNAWAY_INTERVAL_MS);
+  const struct timeval now = { 0, 0 };
 
-  if (has_capacity (httpd))
+  if (has_capacity (httpd) && !is_behind (httpd))
     return false;
   if (httpd->shed_response == NULL)
     {
@@ -491,31 +523,42 @@
     }
   httpd->shedding = true;
   evconnlistener_disable (httpd->evhtp->server);
-  event_add (httpd->shed, &interval);
+  event_add (httpd->shed, &now);
   return true;
 }
 
+/* Turning away ends when no connection waits any more.  Until then, a batch is
+   accepted after each pass, if the instance has capacity for it. */
 static void
 on_shed (evutil_socket_t fd, short what, void *arg)
 {
+  const struct timeval interval = clock_timeval (TURNAWAY_INTERVAL_MS);
   struct httpd *httpd = arg;
   enum loop_work work = begin_work (httpd, LOOP_WORK_TURN_AWAY);
-  uint64_t now_ns = clock_now_ns (httpd->config.clock);
-  size_t left = turnaway_close (&httpd->turnaway, now_ns);
+  bool none_waits = false;
+  size_t count = 0;
 
   (void)fd;
   (void)what;
-  if (httpd->shedding && has_capacity (httpd))
+  turnaway_close (&httpd->turnaway);
+  if (httpd->shedding)
+    count = turnaway_waiting (&httpd->turnaway,
+                              evconnlistener_get_fd (httpd->evhtp->server),
+                              httpd->shed_response, &none_waits);
+  httpd->shed_count += count;
+  if (none_waits)
+    httpd->accept_behind_ns = 0;
+  if (httpd->shedding)
     {
-      httpd->shedding = false;
-      evconnlistener_enable (httpd->evhtp->server);
+      httpd->shedding = !none_waits || !has_capacity (httpd);
+      accept_batch (httpd);
     }
-  if (httpd->shedding)
-    httpd->shed_count += turnaway_waiting (
-        &httpd->turnaway, evconnlistener_get_fd (httpd->evhtp->server),
-        httpd->shed_response, now_ns);
-  else if (left == 0)
-    event_del (httpd->shed);
+  /* More wait: the next pass follows as soon as all that is ready had its
+     turn. */
+  if (httpd->shedding && count > 0 && !none_waits)
+    event_active (httpd->shed, EV_TIMEOUT, 0);
+  else if (httpd->shedding || httpd->turnaway.count > 0)
+    event_add (httpd->shed, &interval);
   begin_work (httpd, work);
 }
 
@@ -555,8 +598,6 @@
   conn->next_request
       = event_new (httpd->config.base, -1, 0, on_next_request, conn);
   conn->held = evbuffer_new ();
-  if (conn->leave != NULL)
-    loop_set_control (conn->leave);
   if (conn->timer == NULL || conn->leave == NULL || conn->output_cb == NULL
       || conn->next_request == NULL || conn->held == NULL)
     {
@@ -572,15 +613,25 @@
   bufferevent_set_timeouts (evhtp->bev, NULL, &write_timeout);
   bufferevent_setwatermark (evhtp->bev, EV_READ, 0, read_max (limits));
   set_timer (conn, limits->idle_timeout_ms);
-  if (!httpd->shedding && !start_shedding (httpd)
-      && ++httpd->accepted >= ACCEPT_BATCH)
-    {
-      evconnlistener_disable (httpd->evhtp->server);
-      event_active (httpd->accept_again, EV_TIMEOUT, 0);
-    }
+  end_batch (httpd);
   return EVHTP_RES_OK;
 }
 
+/* Of connections that are accepted, when one has been. */
+static void
+end_batch (struct httpd *httpd)
+{
+  if ((!httpd->shedding && start_shedding (httpd))
+      || ++httpd->accepted < ACCEPT_BATCH)
+    return;
+  evconnlistener_disable (httpd->evhtp->server);
+  if (httpd->shedding)
+    return;
+  if (httpd->accept_behind_ns == 0)
+    httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+  event_active (httpd->accept_again, EV_TIMEOUT, 0);
+}
+
 /* A head is parsed when it has arrived whole. */
 static size_t
 read_max (const struct httpd_limits *limits)
@@ -1114,14 +1165,18 @@
 on_event (evhtp_connection_t *evhtp, short events, void *arg)
 {
   struct httpd_conn *conn = arg;
+  struct httpd *httpd = conn->httpd;
+  enum loop_work work;
 
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
     return;
+  work = begin_work (httpd, LOOP_WORK_CLOSE);
   conn->close_reason = (events & BEV_EVENT_TIMEOUT) != 0 ? HTTPD_CLOSE_STALLED
                                                          : HTTPD_CLOSE_CLIENT;
   notify_gone (conn);
   if ((evhtp->flags & EVHTP_CONN_FLAG_PAUSED) != 0)
     evhtp_connection_resume (evhtp);
+  begin_work (httpd, work);
 }
 
 /* libevhtp's own write hook is not called while a connection is paused, so
--- a/src/transport/looptime.c
+++ b/src/transport/looptime.c
@@ -5,11 +5,11 @@
 #include "transport/looptime.h"
 
 static const char *const names[LOOP_WORK_MAX] = {
-  [LOOP_WORK_OTHER] = "other",     [LOOP_WORK_TURN_AWAY] = "turn_away",
-  [LOOP_WORK_ACCEPT] = "accept",   [LOOP_WORK_PARSE] = "parse",
-  [LOOP_WORK_REQUEST] = "request", [LOOP_WORK_DISPATCH] = "dispatch",
-  [LOOP_WORK_SEND] = "send",       [LOOP_WORK_RESPONSE] = "response",
-  [LOOP_WORK_PEERS] = "peers",
+  [LOOP_WORK_OTHER] = "other",       [LOOP_WORK_TURN_AWAY] = "turn_away",
+  [LOOP_WORK_ACCEPT] = "accept",     [LOOP_WORK_CLOSE] = "close",
+  [LOOP_WORK_PARSE] = "parse",       [LOOP_WORK_REQUEST] = "request",
+  [LOOP_WORK_DISPATCH] = "dispatch", [LOOP_WORK_SEND] = "send",
+  [LOOP_WORK_RESPONSE] = "response", [LOOP_WORK_PEERS] = "peers",
 };
 
 enum loop_work
--- a/src/transport/looptime.h
+++ b/src/transport/looptime.h
@@ -14,6 +14,7 @@
   LOOP_WORK_OTHER,     /**< system calls of the event loop, waiting */
   LOOP_WORK_TURN_AWAY, /**< refusing connections unread */
   LOOP_WORK_ACCEPT,    /**< setting up connections */
+  LOOP_WORK_CLOSE,     /**< clients that left */
   LOOP_WORK_PARSE,     /**< parsing requests */
   LOOP_WORK_REQUEST,   /**< validating requests, refusing them on arrival */
   LOOP_WORK_DISPATCH,  /**< passes over the wait queue */
--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -3,119 +3,171 @@
  * Responses to connections that are not read.
  */
 #include "transport/turnaway.h"
-#include "transport/clock.h"
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define LOOK_NS    (TURNAWAY_LOOK_MS * CLOCK_NS_PER_MS)
 #define READING_NS (TURNAWAY_READING_MS * CLOCK_NS_PER_MS)
+#define LINGER_NS  (TURNAWAY_LINGER_MS * CLOCK_NS_PER_MS)
+#define SENDING_NS (TURNAWAY_SENDING_MS * CLOCK_NS_PER_MS)
 
-/* Bound what is read of a request that is discarded. */
+/* Bound what is read at once of a request that is discarded. */
 #define DISCARD_BYTES 16384
 #define DISCARD_READS 8
 
-static bool make_room (struct turnaway *turnaway, uint64_t now_ns);
+enum input
+{
+  INPUT_NONE,
+  INPUT_DISCARDED,
+  INPUT_ENDED /**< the client has left */
+};
+
+static void answer (struct turnaway *turnaway, evutil_socket_t fd,
+                    const void *text, size_t size, uint64_t now_ns);
+static uint64_t pass_ns (uint64_t rest_ns);
+static bool make_room (struct turnaway *turnaway, size_t *looks);
+static void look (struct turnaway *turnaway, uint64_t now_ns,
+                  uint64_t quiet_max_ns);
 static void append (struct turnaway *turnaway,
                     const struct turnaway_socket *socket);
 static struct turnaway_socket take_first (struct turnaway *turnaway);
-static bool discard_input (int fd);
+static enum input discard_input (evutil_socket_t fd);
+
+void
+turnaway_init (struct turnaway *turnaway, const struct clock *clock)
+{
+  memset (turnaway, 0, sizeof *turnaway);
+  turnaway->clock = clock;
+}
+
+void
+turnaway_finish (struct turnaway *turnaway)
+{
+  evutil_socket_t fd;
+
+  while (turnaway->count > 0)
+    {
+      fd = take_first (turnaway).fd;
+      discard_input (fd);
+      close (fd);
+    }
+}
+
+void
+turnaway_close (struct turnaway *turnaway)
+{
+  uint64_t now_ns = clock_now_ns (turnaway->clock);
+  const uint64_t length_ns = pass_ns (now_ns - turnaway->rest_ns);
+  /* The other half is for connections that wait. */
+  const uint64_t end_ns = now_ns + length_ns / 2;
+
+  turnaway->pass_end_ns = now_ns + length_ns;
+  while (turnaway->count > 0 && now_ns < end_ns
+         && turnaway->sockets[turnaway->first].look_ns <= now_ns)
+    {
+      look (turnaway, now_ns, LINGER_NS);
+      now_ns = clock_now_ns (turnaway->clock);
+    }
+  turnaway->rest_ns = now_ns;
+}
+
+static uint64_t
+pass_ns (uint64_t rest_ns)
+{
+  if (rest_ns < TURNAWAY_PASS_MIN_MS * CLOCK_NS_PER_MS)
+    return TURNAWAY_PASS_MIN_MS * CLOCK_NS_PER_MS;
+  if (rest_ns > TURNAWAY_PASS_MAX_MS * CLOCK_NS_PER_MS)
+    return TURNAWAY_PASS_MAX_MS * CLOCK_NS_PER_MS;
+  return rest_ns;
+}
 
 size_t
 turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
-                  struct evbuffer *response, uint64_t now_ns)
+                  struct evbuffer *response, bool *none_waits)
 {
   const size_t size = evbuffer_get_length (response);
   const unsigned char *text = evbuffer_pullup (response, -1);
+  uint64_t now_ns = clock_now_ns (turnaway->clock);
   size_t accepted = 0;
+  size_t looks = 0;
   int fd;
 
-  while (make_room (turnaway, now_ns)
-         && (fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
-                >= 0)
+  *none_waits = false;
+  while (now_ns < turnaway->pass_end_ns && make_room (turnaway, &looks))
     {
-      accepted++;
-      if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
-          || shutdown (fd, SHUT_WR) != 0)
+      fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
         {
-          close (fd);
-          turnaway->left++;
-          continue;
+          *none_waits = errno == EAGAIN;
+          break;
         }
-      append (turnaway, &(struct turnaway_socket){
-                            .fd = fd, .due_ns = now_ns + READING_NS });
+      accepted++;
+      answer (turnaway, fd, text, size, now_ns);
+      now_ns = clock_now_ns (turnaway->clock);
     }
+  turnaway->rest_ns = now_ns;
   return accepted;
 }
 
-size_t
-turnaway_close (struct turnaway *turnaway, uint64_t now_ns)
+/* Reads what there is of the request at once: a client that sends a long one
+   leaves only when it has sent it. */
+static void
+answer (struct turnaway *turnaway, evutil_socket_t fd, const void *text,
+        size_t size, uint64_t now_ns)
 {
-  struct turnaway_socket socket;
-
-  while (turnaway->count > 0
-         && turnaway->sockets[turnaway->first].due_ns <= now_ns)
+  if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
+      || shutdown (fd, SHUT_WR) != 0 || discard_input (fd) == INPUT_ENDED)
     {
-      socket = take_first (turnaway);
-      if (discard_input (socket.fd))
-        {
-          close (socket.fd);
-          turnaway->left++;
-        }
-      else if (++socket.looks == TURNAWAY_LOOKS)
-        {
-          close (socket.fd);
-          turnaway->expired++;
-        }
-      else
-        {
-          socket.due_ns = now_ns + READING_NS;
-          append (turnaway, &socket);
-        }
+      close (fd);
+      turnaway->left++;
+      return;
     }
-  return turnaway->count;
+  append (turnaway,
+          &(struct turnaway_socket){ .fd = fd,
+                                     .look_ns = now_ns + LOOK_NS,
+                                     .quiet_ns = now_ns,
+                                     .end_ns = now_ns + SENDING_NS });
 }
 
-void
-turnaway_finish (struct turnaway *turnaway)
+/* Looks at each socket at most once. */
+static bool
+make_room (struct turnaway *turnaway, size_t *looks)
 {
-  int fd;
+  uint64_t now_ns = 0;
 
-  while (turnaway->count > 0)
+  while (turnaway->count == TURNAWAY_SOCKETS_MAX
+         && now_ns < turnaway->pass_end_ns && *looks < TURNAWAY_SOCKETS_MAX)
     {
-      fd = take_first (turnaway).fd;
-      discard_input (fd);
-      close (fd);
+      now_ns = clock_now_ns (turnaway->clock);
+      look (turnaway, now_ns, READING_NS);
+      ++*looks;
     }
+  return turnaway->count < TURNAWAY_SOCKETS_MAX;
 }
 
-/* Looks at all sockets at most once each time. */
-static bool
-make_room (struct turnaway *turnaway, uint64_t now_ns)
+/* Looks at the client of the first socket. */
+static void
+look (struct turnaway *turnaway, uint64_t now_ns, uint64_t quiet_max_ns)
 {
-  const size_t count = turnaway->count;
-  struct turnaway_socket socket;
-  size_t i;
-
-  if (count < TURNAWAY_SOCKETS_MAX)
-    return true;
-  if (turnaway->searched_ns == now_ns)
-    return false;
-  turnaway->searched_ns = now_ns;
-  for (i = 0; i < count; i++)
+  struct turnaway_socket socket = take_first (turnaway);
+  enum input input = discard_input (socket.fd);
+
+  if (input == INPUT_DISCARDED)
+    socket.quiet_ns = now_ns;
+  if (input != INPUT_ENDED && now_ns - socket.quiet_ns < quiet_max_ns
+      && now_ns < socket.end_ns)
     {
-      socket = take_first (turnaway);
-      if (discard_input (socket.fd))
-        turnaway->left++;
-      else if (socket.looks > 0)
-        turnaway->expired++;
-      else
-        {
-          append (turnaway, &socket);
-          continue;
-        }
-      close (socket.fd);
+      socket.look_ns = now_ns + LOOK_NS;
+      append (turnaway, &socket);
+      return;
     }
-  return turnaway->count < TURNAWAY_SOCKETS_MAX;
+  close (socket.fd);
+  if (input == INPUT_ENDED)
+    turnaway->left++;
+  else
+    turnaway->expired++;
 }
 
 static void
@@ -136,16 +188,21 @@
   return socket;
 }
 
-/* So that a close does not reset the connection.
-   @return whether its client has closed it. */
-static bool
-discard_input (int fd)
+static enum input
+discard_input (evutil_socket_t fd)
 {
   char bytes[DISCARD_BYTES];
-  ssize_t n = 1;
+  enum input input = INPUT_NONE;
+  ssize_t n = sizeof bytes;
   int reads;
 
-  for (reads = 0; n > 0 && reads < DISCARD_READS; reads++)
-    n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  for (reads = 0; n == sizeof bytes && reads < DISCARD_READS; reads++)
+    {
+      n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+      if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+        return INPUT_ENDED;
+      if (n > 0)
+        input = INPUT_DISCARDED;
+    }
+  return input;
 }
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -1,7 +1,7 @@
 /**
  * @file turnaway.h
  * Refuses connections that wait to be accepted.  Each gets a prepared response
- * and is closed without being read, which costs a fraction of a request.
+ * and its input is discarded, which costs a fraction of a request.
  * Closing a socket before its client has read the response, or with unread
  * input, may reset the connection and lose the response, so it stays open
  * until its client has left or has had time to.
@@ -9,6 +9,7 @@
 #ifndef TRANSPORT_TURNAWAY_H
 #define TRANSPORT_TURNAWAY_H
 
+#include "transport/clock.h"
 #include <event2/buffer.h>
 #include <event2/util.h>
 #include <stdbool.h>
@@ -16,44 +17,58 @@
 #include <stdint.h>
 
 #define TURNAWAY_SOCKETS_MAX 512 /**< open at a time */
-#define TURNAWAY_INTERVAL_MS 5   /**< between calls of turnaway_close() */
-/** For a client to read the response and leave: some round trips. */
+#define TURNAWAY_INTERVAL_MS 5   /**< between passes */
+/** Between looks at a client: some round trips, so that most have left, and
+    one that is still sending a long request is not held up for long. */
+#define TURNAWAY_LOOK_MS 20
+/** Time for a client to leave, from its response and from each part of its
+    request on, while other connections wait for room. */
 #define TURNAWAY_READING_MS 100
-/** Looks at a client that has not left, TURNAWAY_READING_MS apart, before its
-    socket is closed. */
-#define TURNAWAY_LOOKS 10
+/** The same while there is room. */
+#define TURNAWAY_LINGER_MS 1000
+/** The same for a client that goes on sending, from its response on. */
+#define TURNAWAY_SENDING_MS 5000
+/** A pass takes as long as what the event loop did since the last one, but at
+    least and at most so long: neither waits for the other for long. */
+#define TURNAWAY_PASS_MIN_MS 5
+#define TURNAWAY_PASS_MAX_MS 50
 
 struct turnaway_socket
 {
   evutil_socket_t fd;
-  uint32_t looks;  /**< at its client, which had not left */
-  uint64_t due_ns; /**< of the next look */
+  uint64_t look_ns;  /**< when its client is looked at next */
+  uint64_t quiet_ns; /**< when its client last sent, or got its response */
+  uint64_t end_ns;   /**< closed then in any case */
 };
 
-/** Zero-initialise. */
 struct turnaway
 {
-  struct turnaway_socket sockets[TURNAWAY_SOCKETS_MAX]; /**< ring, by due_ns */
+  const struct clock *clock;
+  struct turnaway_socket
+      sockets[TURNAWAY_SOCKETS_MAX]; /**< ring, by look_ns */
   size_t first;
   size_t count;
-  uint64_t searched_ns; /**< when room was last searched for */
+  uint64_t pass_end_ns; /**< until when the pass may go on */
+  uint64_t rest_ns;     /**< when the last pass ended */
   uint64_t left;        /**< closed; their clients had left */
   uint64_t expired;     /**< closed; their clients had not left in time */
 };
 
-/** Accepts and answers the connections that wait at a listening socket, as far
-    as there is room: of TURNAWAY_SOCKETS_MAX sockets, those are closed whose
-    clients have left or have had TURNAWAY_READING_MS.
+void turnaway_init (struct turnaway *turnaway, const struct clock *clock);
+/** Closes all sockets. */
+void turnaway_finish (struct turnaway *turnaway);
+
+/** Begins a pass: discards the input of sockets that are due for a look, and
+    closes those whose clients have left or have had all their time.  To be
+    called every TURNAWAY_INTERVAL_MS while sockets are open. */
+void turnaway_close (struct turnaway *turnaway);
+/** Ends a pass: accepts and answers connections that wait at a listening
+    socket, while there is time, and room: of TURNAWAY_SOCKETS_MAX sockets,
+   those are closed whose clients have left or have had TURNAWAY_READING_MS.
     @param response  not changed.
+    @param none_waits  set to whether none was left to accept.
     @return their number. */
 size_t turnaway_waiting (struct turnaway *turnaway, evutil_socket_t listener,
-                         struct evbuffer *response, uint64_t now_ns);
-/** Closes the sockets that are due and whose clients have left, or have had
-    all their time.  To be called before each call of turnaway_waiting(), which
-    is due again after TURNAWAY_INTERVAL_MS.
-    @return the number of those left. */
-size_t turnaway_close (struct turnaway *turnaway, uint64_t now_ns);
-/** Closes all sockets. */
-void turnaway_finish (struct turnaway *turnaway);
+                         struct evbuffer *response, bool *none_waits);
 
 #endif
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -464,12 +464,8 @@
   gatefixture_finish (&fixture);
 }
 
-#define WAITING (TURNAWAY_SOCKETS_MAX + 50)
-
-/* Clients that send a part of their request every so often, for so long. */
-#define LONG_REQUESTS   20
-#define LONG_PART_MS    20
-#define LONG_REQUEST_MS 2000
+#define WAITING       (TURNAWAY_SOCKETS_MAX + 50)
+#define LONG_REQUESTS 20
 
 /* A listening socket, and clients that are turned away there. */
 struct flood
@@ -489,6 +485,7 @@
 
   memset (flood, 0, sizeof *flood);
   clock_init_manual (&flood->clock, CLOCK_NS_PER_S, 0);
+  turnaway_init (&flood->turnaway, &flood->clock);
   flood->address.sin_family = AF_INET;
   flood->address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   flood->response = evbuffer_new ();
@@ -520,11 +517,11 @@
 static size_t
 flood_turn_away (struct flood *flood)
 {
-  const uint64_t now_ns = clock_now_ns (&flood->clock);
+  bool none_waits;
 
-  turnaway_close (&flood->turnaway, now_ns);
+  turnaway_close (&flood->turnaway);
   return turnaway_waiting (&flood->turnaway, flood->listener, flood->response,
-                           now_ns);
+                           &none_waits);
 }
 
 /* A client that has not sent its request yet does so, and goes on sending: it
@@ -576,6 +573,8 @@
     }
   flood_connect (&flood, TURNAWAY_SOCKETS_MAX, WAITING);
   clock_advance_ms (&flood.clock, TURNAWAY_INTERVAL_MS);
+  CU_ASSERT_EQUAL (flood_turn_away (&flood), WAITING - TURNAWAY_SOCKETS_MAX);
+  clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
   flood_turn_away (&flood);
   CU_ASSERT_EQUAL (flood.turnaway.count, WAITING - TURNAWAY_SOCKETS_MAX + 1);
   flood_check_told (&flood, 0);
@@ -617,8 +616,7 @@
   flood_init (&flood);
   flood_connect (&flood, 0, 2);
   flood_turn_away (&flood);
-  for (spent_ms = TURNAWAY_INTERVAL_MS;
-       spent_ms < TURNAWAY_LOOKS * TURNAWAY_READING_MS;
+  for (spent_ms = TURNAWAY_INTERVAL_MS; spent_ms < TURNAWAY_LINGER_MS;
        spent_ms += TURNAWAY_INTERVAL_MS)
     {
       clock_advance_ms (&flood.clock, TURNAWAY_INTERVAL_MS);
@@ -626,7 +624,11 @@
     }
   flood_check_told (&flood, 0);
   CU_ASSERT_EQUAL (flood.turnaway.count, 2);
-  clock_advance_ms (&flood.clock, TURNAWAY_INTERVAL_MS);
+  clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+  flood_turn_away (&flood);
+  CU_ASSERT_EQUAL (flood.turnaway.count, 1);
+  CU_ASSERT_EQUAL (flood.turnaway.expired, 1);
+  clock_advance_ms (&flood.clock, TURNAWAY_LINGER_MS);
   flood_turn_away (&flood);
   CU_ASSERT_EQUAL (flood.turnaway.count, 0);
   CU_ASSERT_EQUAL (flood.turnaway.expired, 2);
@@ -648,17 +650,28 @@
   flood_init (&flood);
   flood_connect (&flood, 0, WAITING);
   flood_turn_away (&flood);
-  for (spent_ms = 0; spent_ms < LONG_REQUEST_MS; spent_ms += LONG_PART_MS)
+  for (spent_ms = 0; spent_ms < TURNAWAY_LINGER_MS * 2;
+       spent_ms += TURNAWAY_LOOK_MS)
     {
       for (i = 0; i < LONG_REQUESTS; i++)
         CU_ASSERT (send (flood.clients[i], part, sizeof part,
                          MSG_NOSIGNAL | MSG_DONTWAIT)
                    > 0);
-      clock_advance_ms (&flood.clock, LONG_PART_MS);
+      clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
       flood_turn_away (&flood);
     }
   for (i = 0; i < LONG_REQUESTS; i++)
     CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 8);
+  /* One that never ends is closed all the same. */
+  for (; spent_ms <= TURNAWAY_SENDING_MS; spent_ms += TURNAWAY_LOOK_MS)
+    {
+      for (i = 0; i < LONG_REQUESTS; i++)
+        send (flood.clients[i], part, sizeof part,
+              MSG_NOSIGNAL | MSG_DONTWAIT);
+      clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+      flood_turn_away (&flood);
+    }
+  CU_ASSERT_EQUAL (flood.turnaway.count, 0);
   flood_finish (&flood);
 }
 
