--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -90,6 +90,8 @@
   gateway->store = store;
   clock_init_real (&gateway->clock);
   gateway->loop_time.clock = &gateway->clock;
+  loop_control_init (&gateway->loop_control, &gateway->clock,
+                     &gateway->loop_time);
   log_init (LOG_LEVEL_DEBUG, &gateway->clock);
   log_set_sink (&(struct log_sink){ .fd = STDOUT_FILENO,
                                     .instance = gateway->settings.instance,
@@ -302,12 +304,12 @@
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway *gateway = arg;
-  enum loop_work work = looptime_begin (&gateway->loop_time, LOOP_WORK_PEERS);
   uint64_t now_ns = gateway_now_ns (gateway);
   uint64_t due_ns;
 
   (void)fd;
   (void)what;
+  loop_control_begin (&gateway->loop_control, gateway->tick);
   due_ns = gateway->tick_ns + TICK_MS * CLOCK_NS_PER_MS;
   gateway->tick_ns = now_ns;
   /* The tick itself may have waited for the loop. */
@@ -335,7 +337,7 @@
     }
   if (gateway->draining)
     check_drain (gateway, now_ns);
-  looptime_begin (&gateway->loop_time, work);
+  loop_control_end (&gateway->loop_control);
 }
 
 static bool
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "state/wait_queue.h"
 #include "transport/clock.h"
 #include "transport/httpd.h"
+#include "transport/loop.h"
 #include "transport/looplag.h"
 #include "transport/looptime.h"
 #include "transport/upstream_http.h"
@@ -228,6 +229,7 @@
   uint64_t ticks;
   uint64_t tick_ns; /**< time of the last tick */
   struct looplag loop_lag;
+  struct loop_control loop_control;
   struct rotation rotation; /**< of the load balancer */
   struct looptime loop_time;
   struct looptime loop_time_logged; /**< as of the last line */
--- a/src/gateway/gateway_config.c
+++ b/src/gateway/gateway_config.c
@@ -175,15 +175,15 @@
 on_next_part (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway *gateway = arg;
-  enum loop_work work = looptime_begin (&gateway->loop_time, LOOP_WORK_PEERS);
 
   (void)fd;
   (void)what;
+  loop_control_begin (&gateway->loop_control, gateway->config.next_part);
   if (gateway->config.reading != NULL)
     read_part (gateway);
   else if (gateway->config.waiting_count > 0)
     start_reading (gateway);
-  looptime_begin (&gateway->loop_time, work);
+  loop_control_end (&gateway->loop_control);
 }
 
 /* The next part follows after as long as this one took: events of control go
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -100,6 +100,7 @@
     .secret = FLEET_SECRET,
     .handshake_ms = HANDSHAKE_TIMEOUT_MS,
     .idle_ms = LINK_IDLE_TIMEOUT_MS,
+    .control = &gateway->loop_control,
     .events = &net_events,
     .user = peers,
   };
@@ -454,13 +455,12 @@
 on_report_timer (evutil_socket_t fd, short what, void *arg)
 {
   struct gateway_peers *peers = arg;
-  struct looptime *time = &peers->gateway->loop_time;
-  enum loop_work work = looptime_begin (time, LOOP_WORK_PEERS);
 
   (void)fd;
   (void)what;
+  loop_control_begin (&peers->gateway->loop_control, peers->report_timer);
   handle_report_tick (peers);
-  looptime_begin (time, work);
+  loop_control_end (&peers->gateway->loop_control);
 }
 
 static uint32_t
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -1,6 +1,6 @@
 /**
  * @file loop.c
- * Creates event loops with two priorities.
+ * Event loops with two priorities.
  */
 #include "transport/loop.h"
 #include "transport/clock.h"
@@ -39,3 +39,40 @@
 {
   event_priority_set (event, LOOP_CONTROL);
 }
+
+void
+loop_control_init (struct loop_control *control, const struct clock *clock,
+                   struct looptime *time)
+{
+  *control = (struct loop_control){
+    .clock = clock,
+    .time = time,
+    .share = { .permille = LOOP_CONTROL_SHARE_PERMILLE,
+               .burst_ns = LOOP_CONTROL_BURST_MS * CLOCK_NS_PER_MS },
+  };
+}
+
+void
+loop_control_begin (struct loop_control *control, struct event *event)
+{
+  if (control == NULL)
+    return;
+  if (control->time != NULL)
+    control->work = looptime_begin (control->time, LOOP_WORK_PEERS);
+  control->start_ns = clock_now_ns (control->clock);
+  event_priority_set (
+      event, time_share_left_ns (&control->share, control->start_ns) > 0
+                 ? LOOP_CONTROL
+                 : LOOP_TRAFFIC);
+}
+
+void
+loop_control_end (struct loop_control *control)
+{
+  if (control == NULL)
+    return;
+  time_share_take (&control->share, control->start_ns,
+                   clock_now_ns (control->clock));
+  if (control->time != NULL)
+    looptime_begin (control->time, control->work);
+}
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -3,12 +3,24 @@
  * Event loops with two priorities.  Events of links and of the store go before
  * those of clients and upstreams, so that an overloaded instance still knows
  * the state of the fleet.
+ *
+ * libevent runs no event of traffic in a round in which one of control was
+ * active.  The time for which events of control go first is therefore bounded;
+ * beyond it they wait in turn with those of traffic.
  */
 #ifndef TRANSPORT_LOOP_H
 #define TRANSPORT_LOOP_H
 
+#include "state/time_share.h"
+#include "transport/clock.h"
+#include "transport/looptime.h"
 #include <event2/event.h>
 
+/** Share of the time for which events of LOOP_CONTROL go first, in
+    thousandths, and the longest time of them at once. */
+#define LOOP_CONTROL_SHARE_PERMILLE 500
+#define LOOP_CONTROL_BURST_MS       20
+
 enum loop_priority
 {
   LOOP_CONTROL, /**< links to peers, calls to the store, ticks, signals */
@@ -24,4 +36,23 @@
     priorities it has no effect. */
 void loop_set_control (struct event *event);
 
+/** Bounds the priority of the events of control of a loop. */
+struct loop_control
+{
+  const struct clock *clock;
+  struct time_share share;
+  struct looptime *time; /**< counts it as LOOP_WORK_PEERS; may be NULL */
+  uint64_t start_ns;     /**< of the callback in progress */
+  enum loop_work work;   /**< before it */
+};
+
+void loop_control_init (struct loop_control *control,
+                        const struct clock *clock, struct looptime *time);
+/** Begins and ends the callback of an event of control.  While such callbacks
+    have taken more than their share, the event gets the priority of traffic
+    for its next turn.
+    @param control  NULL: the priority is not bounded. */
+void loop_control_begin (struct loop_control *control, struct event *event);
+void loop_control_end (struct loop_control *control);
+
 #endif
--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -22,7 +22,7 @@
 static void on_readable (evutil_socket_t fd, short what, void *arg);
 static void on_writable (evutil_socket_t fd, short what, void *arg);
 static void on_timer (evutil_socket_t fd, short what, void *arg);
-static void callback_enter (struct peerlink *link);
+static void callback_enter (struct peerlink *link, struct event *event);
 static void callback_leave (struct peerlink *link);
 static int read_frames (struct peerlink *link);
 static int read_frame (struct peerlink *link);
@@ -199,9 +199,10 @@
 
 /** Prevents the link from being freed while its callbacks run. */
 static void
-callback_enter (struct peerlink *link)
+callback_enter (struct peerlink *link, struct event *event)
 {
   link->callback_depth++;
+  loop_control_begin (link->config->control, event);
   cpumeter_enter (&link->config->counters->cpu);
 }
 
@@ -209,6 +210,7 @@
 callback_leave (struct peerlink *link)
 {
   cpumeter_leave (&link->config->counters->cpu);
+  loop_control_end (link->config->control);
   if (--link->callback_depth == 0 && link->closed)
     destroy (link);
 }
@@ -221,7 +223,7 @@
   int rc;
 
   (void)what;
-  callback_enter (link);
+  callback_enter (link, link->read_event);
   size = evbuffer_read (link->input, fd, READ_BYTES_MAX);
   if (size > 0)
     {
@@ -242,7 +244,7 @@
   struct peerlink *link = arg;
 
   (void)what;
-  callback_enter (link);
+  callback_enter (link, link->write_event);
   if (evbuffer_get_length (link->output) > 0
       && evbuffer_write (link->output, fd) < 0 && socket_error () != 0)
     report_failure (link, socket_error ());
@@ -258,7 +260,7 @@
 
   (void)fd;
   (void)what;
-  callback_enter (link);
+  callback_enter (link, link->timer);
   report_failure (link, link->error != 0 ? link->error : ERR_TIMEOUT);
   callback_leave (link);
 }
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -57,6 +57,7 @@
   uint32_t idle_ms;      /**< time without input until the link fails */
   size_t output_bytes_max;
   struct peerlink_counters *counters;
+  struct loop_control *control; /**< of the event loop; may be NULL */
   const struct peerlink_events *events;
   void *user;
 };
--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -77,6 +77,7 @@
     .idle_ms = config->idle_ms,
     .output_bytes_max = PEERLINK_OUTPUT_BYTES_MAX,
     .counters = &net->counters,
+    .control = config->control,
     .events = &net->link_events,
     .user = net,
   };
--- a/src/transport/peernet.h
+++ b/src/transport/peernet.h
@@ -49,6 +49,7 @@
   const char *secret;
   uint32_t handshake_ms;
   uint32_t idle_ms;
+  struct loop_control *control; /**< of the event loop; may be NULL */
   const struct peernet_events *events;
   void *user;
 };
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -5,7 +5,6 @@
  */
 #include "state/err.h"
 #include "support/suite.h"
-#include "transport/clock.h"
 #include "transport/httpcall.h"
 #include "transport/loop.h"
 #include "transport/sock.h"
@@ -126,6 +125,7 @@
 struct busy_control
 {
   struct event *event;
+  struct loop_control *control;
   struct clock *clock;
   bool ends;
 };
@@ -138,11 +138,13 @@
 
   (void)fd;
   (void)what;
+  loop_control_begin (busy->control, busy->event);
   control_run++;
   clock_advance_ms (busy->clock, 1);
   busy->ends = busy->ends || control_run >= BUSY_RUNS;
   if (!busy->ends)
     event_active (busy->event, EV_TIMEOUT, 0);
+  loop_control_end (busy->control);
 }
 
 static void
@@ -161,16 +163,18 @@
 test_traffic_beside_busy_control (void)
 {
   struct busy_control busy[BUSY_EVENTS];
+  struct loop_control control;
   struct clock clock;
   struct event *traffic;
   int i;
 
   base = loop_new ();
   clock_init_manual (&clock, CLOCK_NS_PER_S, 0);
+  loop_control_init (&control, &clock, NULL);
   control_run = traffic_run = 0;
   for (i = 0; i < BUSY_EVENTS; i++)
     {
-      busy[i] = (struct busy_control){ .clock = &clock };
+      busy[i] = (struct busy_control){ .control = &control, .clock = &clock };
       busy[i].event = event_new (base, -1, 0, on_busy_control, &busy[i]);
       loop_set_control (busy[i].event);
       event_active (busy[i].event, EV_TIMEOUT, 0);
