--- a/src/gateway/gateway_request_wait.c
+++ b/src/gateway/gateway_request_wait.c
@@ -31,8 +31,8 @@
 /* The pause between dispatches is this many times the duration of the last
    one, which limits them to a tenth of the CPU time. */
 #define DISPATCH_REST_FACTOR 9
-/* A dispatch that takes longer leaves the rest of the queue to the next one:
-   other events have to be handled. */
+/* A dispatch or an expiry that takes longer leaves the rest of the queue to
+   the next one: other events have to be handled. */
 #define DISPATCH_SLICE_MS 10
 /* Requests that have expired are refused this much late at most. */
 #define EXPIRE_INTERVAL_MS 10
@@ -52,7 +52,7 @@
 static void log_expired_wait (struct gateway_request *request,
                               uint64_t now_ns);
 static enum wait_queue_answer try_send (void *user, void *owner);
-static void expire_waiting (void *user, void *owner);
+static bool expire_waiting (void *user, void *owner);
 static void dispatch_waiting (struct gateway *gateway);
 static void wait_for_dispatch (struct gateway *gateway, uint64_t rest_ns);
 static void refuse_full (struct gateway_request *request);
@@ -487,6 +487,9 @@
       event_active (gateway->dispatch, EV_TIMEOUT, 0);
       return WAIT_QUEUE_STOP;
     }
+  /* The next expiry refuses it. */
+  if (request->queue_entry.expiry_ns <= now_ns)
+    return WAIT_QUEUE_HELD;
   if (gateway_quarantine_holds (request))
     {
       gateway_request_dequeue (request);
@@ -519,6 +522,8 @@
   struct gateway *gateway = request->gateway;
   struct choose_result result;
 
+  if (!log_has_budget (LOG_REQUEST_WAITED))
+    return;
   gateway_request_choose (request, &result);
   LOG (LOG_REQUEST_WAITED, request->parsed.id,
        LOG_S ("route", request->route->name),
@@ -556,12 +561,18 @@
 }
 
 /* Callback of wait_queue_expire. */
-static void
+static bool
 expire_waiting (void *user, void *owner)
 {
   struct gateway *gateway = user;
   struct gateway_request *request = owner;
 
+  if (gateway_now_ns (gateway) - gateway->expire_ns
+      >= DISPATCH_SLICE_MS * CLOCK_NS_PER_MS)
+    {
+      event_active (gateway->dispatch, EV_TIMEOUT, 0);
+      return false;
+    }
   gateway->counters.dispatch.expired++;
   log_expired_wait (request, gateway->expire_ns);
   gateway_request_dequeue (request);
@@ -569,6 +580,7 @@
     refuse_full (request);
   else
     refuse_limited (request);
+  return true;
 }
 
 void
--- a/src/state/wait_queue.c
+++ b/src/state/wait_queue.c
@@ -318,7 +318,7 @@
 
 void
 wait_queue_expire (struct wait_queue *queue, uint64_t now_ns,
-                   void (*expire) (void *user, void *owner), void *user)
+                   bool (*expire) (void *user, void *owner), void *user)
 {
   struct wait_queue_customer *customer;
   struct wait_queue_customer *next_customer;
@@ -330,7 +330,7 @@
       /* The customer's entry is freed with its last request. */
       next_customer = customer->hh.next;
       DL_FOREACH_SAFE (customer->items, item, next)
-        if (item->expiry_ns <= now_ns)
-          expire (user, item->owner);
+        if (item->expiry_ns <= now_ns && !expire (user, item->owner))
+          return;
     }
 }
--- a/src/state/wait_queue.h
+++ b/src/state/wait_queue.h
@@ -83,9 +83,9 @@
     struct wait_queue *queue, struct usage_share *share, uint64_t now_ns,
     enum wait_queue_answer (*take) (void *user, void *owner), void *user);
 
-/** Calls `expire` for each request whose expiry time has passed; it has to
-    remove the request. */
+/** Calls `expire` for each request whose expiry time has passed.  It removes
+    the request and returns true, or returns false to end the pass. */
 void wait_queue_expire (struct wait_queue *queue, uint64_t now_ns,
-                        void (*expire) (void *user, void *owner), void *user);
+                        bool (*expire) (void *user, void *owner), void *user);
 
 #endif
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -93,6 +93,15 @@
          && write_line (message, request_id, fields, count, wall_ms);
 }
 
+bool
+log_has_budget (enum log_message message)
+{
+  uint64_t wall_ms = log_clock == NULL ? 0 : clock_wall_ms (log_clock);
+
+  return log_messages[message].level >= log_threshold
+         && log_budget_has (&log_budget, message, wall_ms);
+}
+
 static bool
 write_line (enum log_message message, const char *request_id,
             const struct log_field *fields, size_t count, uint64_t wall_ms)
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -150,6 +150,9 @@
     of lines, or on an error. */
 bool log_write (enum log_message message, const char *request_id,
                 const struct log_field *fields, size_t count);
+/** @return whether log_write() would write a line now; if not, one is counted
+    as dropped.  For fields that cost much. */
+bool log_has_budget (enum log_message message);
 /** Formats one line, with the instance of the sink, into `out`, terminated by
     a NUL.  A line that does not fit is truncated.
     @return its length. */
--- a/src/transport/log_budget.c
+++ b/src/transport/log_budget.c
@@ -23,8 +23,8 @@
 }
 
 bool
-log_budget_take (struct log_budget *budget, enum log_message message,
-                 uint64_t wall_ms)
+log_budget_has (struct log_budget *budget, enum log_message message,
+                uint64_t wall_ms)
 {
   uint32_t max = budget->lines_max;
 
@@ -37,15 +37,22 @@
   if (budget->written < max
       && budget->written_by_message[message]
              < budget->lines_max / LOG_BUDGET_MESSAGE_DIVISOR)
-    {
-      budget->written++;
-      budget->written_by_message[message]++;
-      return true;
-    }
+    return true;
   log_budget_count_dropped (budget, message);
   return false;
 }
 
+bool
+log_budget_take (struct log_budget *budget, enum log_message message,
+                 uint64_t wall_ms)
+{
+  if (!log_budget_has (budget, message, wall_ms))
+    return false;
+  budget->written++;
+  budget->written_by_message[message]++;
+  return true;
+}
+
 void
 log_budget_count_dropped (struct log_budget *budget, enum log_message message)
 {
--- a/src/transport/log_budget.h
+++ b/src/transport/log_budget.h
@@ -32,6 +32,11 @@
 bool log_budget_take (struct log_budget *budget, enum log_message message,
                       uint64_t wall_ms);
 
+/** @return whether log_budget_take() would return true; if not, the line is
+    counted as dropped. */
+bool log_budget_has (struct log_budget *budget, enum log_message message,
+                     uint64_t wall_ms);
+
 /** Reports the lines dropped in earlier seconds as a text such as
     "request done:12,attempt started:7" and resets their counters.
     @return number of lines dropped; 0 if there is nothing to report. */
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -49,7 +49,7 @@
 }
 
 /* Removes an expired request, and records its customer. */
-static void
+static bool
 expire_request (void *user, void *owner)
 {
   struct fixture *fixture = user;
@@ -57,6 +57,7 @@
 
   fixture->served[fixture->count++] = request->item.customer_id;
   wait_queue_remove (&fixture->queue, &fixture->share, &request->item);
+  return true;
 }
 
 static void
@@ -612,12 +613,13 @@
   return WAIT_QUEUE_TAKEN;
 }
 
-static void
+static bool
 expire_item (void *user, void *owner)
 {
   struct queue_flood *flood = user;
 
   wait_queue_remove (&flood->queue, &flood->share, owner);
+  return true;
 }
 
 /* A customer sends ten times what is served.  In order of their objectives,
