--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -10,8 +10,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define BACKLOG_MS 250        /* permitted backlog of an engine */
-#define MS         1000000ULL /* nanoseconds */
+#define EXPIRE_TOGETHER 6
+#define BACKLOG_MS      250        /* permitted backlog of an engine */
+#define MS              1000000ULL /* nanoseconds */
 
 struct fixture
 {
@@ -257,6 +258,37 @@
   fixture_finish (&fixture);
 }
 
+static bool
+expire_one (void *user, void *owner)
+{
+  struct fixture *fixture = user;
+
+  return fixture->count == 0 && expire_request (user, owner);
+}
+
+/* Many expire together.  Guards against a pass that refuses all of them while
+   other events wait: it ends where it is told to, and the next one goes on. */
+static void
+test_expiry_in_passes (void)
+{
+  struct fixture fixture;
+  struct request requests[EXPIRE_TOGETHER];
+  int i;
+
+  fixture_init (&fixture);
+  for (i = 0; i < EXPIRE_TOGETHER; i++)
+    enqueue (&fixture, &requests[i], (uint64_t)(i % 2 + 1), 100);
+  for (i = 0; i < EXPIRE_TOGETHER; i++)
+    {
+      fixture.count = 0;
+      wait_queue_expire (&fixture.queue, fixture.now_ns + 100 * MS, expire_one,
+                         &fixture);
+      CU_ASSERT_EQUAL (fixture.count, 1);
+    }
+  CU_ASSERT_EQUAL (fixture.queue.count, 0);
+  fixture_finish (&fixture);
+}
+
 /* The mean covers customers with requests waiting at any instance; a customer
    without waiting requests is left out, however low its usage. */
 static void
@@ -690,6 +722,7 @@
 }
 
 static const struct suite_test tests[] = {
+  { "expiry in passes", test_expiry_in_passes },
   { "usage cap while engines idle", test_cap_while_engines_idle },
   { "usage cap and requests without a customer", test_cap_without_customer },
   { "capacity for a long queue", test_capacity_for_long_queue },
