--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -28,8 +28,7 @@
                     const void *text, size_t size, uint64_t now_ns);
 static uint64_t pass_ns (uint64_t rest_ns);
 static bool make_room (struct turnaway *turnaway, size_t *looks);
-static void look (struct turnaway *turnaway, uint64_t now_ns,
-                  uint64_t quiet_max_ns);
+static void look (struct turnaway *turnaway, uint64_t now_ns, bool full);
 static void append (struct turnaway *turnaway,
                     const struct turnaway_socket *socket);
 static struct turnaway_socket take_first (struct turnaway *turnaway);
@@ -67,7 +66,7 @@
   while (turnaway->count > 0 && now_ns < end_ns
          && turnaway->sockets[turnaway->first].look_ns <= now_ns)
     {
-      look (turnaway, now_ns, LINGER_NS);
+      look (turnaway, now_ns, false);
       now_ns = clock_now_ns (turnaway->clock);
     }
   turnaway->rest_ns = now_ns;
@@ -117,18 +116,25 @@
 answer (struct turnaway *turnaway, evutil_socket_t fd, const void *text,
         size_t size, uint64_t now_ns)
 {
-  if (send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
-      || shutdown (fd, SHUT_WR) != 0 || discard_input (fd) == INPUT_ENDED)
+  struct turnaway_socket socket = {
+    .fd = fd,
+    .look_ns = now_ns + LOOK_NS,
+    .quiet_ns = now_ns,
+    .end_ns = now_ns + SENDING_NS,
+  };
+  enum input input = INPUT_ENDED;
+
+  if (send (fd, text, size, MSG_NOSIGNAL) == (ssize_t)size
+      && shutdown (fd, SHUT_WR) == 0)
+    input = discard_input (fd);
+  if (input == INPUT_ENDED)
     {
       close (fd);
       turnaway->left++;
       return;
     }
-  append (turnaway,
-          &(struct turnaway_socket){ .fd = fd,
-                                     .look_ns = now_ns + LOOK_NS,
-                                     .quiet_ns = now_ns,
-                                     .end_ns = now_ns + SENDING_NS });
+  socket.sent = input == INPUT_DISCARDED;
+  append (turnaway, &socket);
 }
 
 /* Looks at each socket at most once. */
@@ -141,7 +147,7 @@
          && now_ns < turnaway->pass_end_ns && *looks < TURNAWAY_SOCKETS_MAX)
     {
       now_ns = clock_now_ns (turnaway->clock);
-      look (turnaway, now_ns, READING_NS);
+      look (turnaway, now_ns, true);
       ++*looks;
     }
   return turnaway->count < TURNAWAY_SOCKETS_MAX;
@@ -149,15 +155,19 @@
 
 /* Looks at the client of the first socket. */
 static void
-look (struct turnaway *turnaway, uint64_t now_ns, uint64_t quiet_max_ns)
+look (struct turnaway *turnaway, uint64_t now_ns, bool full)
 {
   struct turnaway_socket socket = take_first (turnaway);
   enum input input = discard_input (socket.fd);
 
   if (input == INPUT_DISCARDED)
-    socket.quiet_ns = now_ns;
-  if (input != INPUT_ENDED && now_ns - socket.quiet_ns < quiet_max_ns
-      && now_ns < socket.end_ns)
+    {
+      socket.sent = true;
+      socket.quiet_ns = now_ns;
+    }
+  if (input != INPUT_ENDED && now_ns < socket.end_ns
+      && now_ns - socket.quiet_ns
+             < (full && socket.sent ? READING_NS : LINGER_NS))
     {
       socket.look_ns = now_ns + LOOK_NS;
       append (turnaway, &socket);
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -22,20 +22,22 @@
     one that is still sending a long request is not held up for long. */
 #define TURNAWAY_LOOK_MS 20
 /** Time for a client to leave, from its response and from each part of its
-    request on, while other connections wait for room. */
-#define TURNAWAY_READING_MS 100
-/** The same while there is room. */
+    request on. */
 #define TURNAWAY_LINGER_MS 1000
+/** The same while other connections wait for room, if it has sent something:
+    one that has not would lose its response. */
+#define TURNAWAY_READING_MS 100
 /** The same for a client that goes on sending, from its response on. */
 #define TURNAWAY_SENDING_MS 5000
 /** A pass takes as long as what the event loop did since the last one, but at
     least and at most so long: neither waits for the other for long. */
 #define TURNAWAY_PASS_MIN_MS 5
-#define TURNAWAY_PASS_MAX_MS 50
+#define TURNAWAY_PASS_MAX_MS 20
 
 struct turnaway_socket
 {
   evutil_socket_t fd;
+  bool sent;         /**< its client has sent something */
   uint64_t look_ns;  /**< when its client is looked at next */
   uint64_t quiet_ns; /**< when its client last sent, or got its response */
   uint64_t end_ns;   /**< closed then in any case */
@@ -64,7 +66,7 @@
 void turnaway_close (struct turnaway *turnaway);
 /** Ends a pass: accepts and answers connections that wait at a listening
     socket, while there is time, and room: of TURNAWAY_SOCKETS_MAX sockets,
-   those are closed whose clients have left or have had TURNAWAY_READING_MS.
+    those are closed whose clients have left or have had their time.
     @param response  not changed.
     @param none_waits  set to whether none was left to accept.
     @return their number. */
