--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -17,6 +17,7 @@
 
 /* Events of control that take a millisecond and never end. */
 #define BUSY_EVENTS         20
+#define ROUND_MS            2 /* of a loop, besides its callbacks */
 #define BUSY_RUNS           5000
 #define TRAFFIC_WAIT_MAX_MS 250 /* promised for a ready event of a client */
 
@@ -191,10 +192,53 @@
   event_base_free (base);
 }
 
+/* Takes a millisecond of each three: the others go to the loop itself. */
+static void
+on_cheap_control (evutil_socket_t fd, short what, void *user)
+{
+  struct busy_control *busy = user;
+
+  clock_advance_ms (busy->clock, ROUND_MS);
+  on_busy_control (fd, what, user);
+}
+
+/* One event of control is ready in each round, and its callbacks take less
+   than their share.  Guards against traffic without a turn for as long as that
+   goes on. */
+static void
+test_traffic_beside_cheap_control (void)
+{
+  struct busy_control busy;
+  struct loop_control control;
+  struct clock clock;
+  struct event *traffic;
+  uint64_t start_ns;
+
+  base = loop_new ();
+  clock_init_manual (&clock, CLOCK_NS_PER_S, 0);
+  loop_control_init (&control, &clock, NULL);
+  control_run = traffic_run = 0;
+  busy = (struct busy_control){ .control = &control, .clock = &clock };
+  busy.event = event_new (base, -1, 0, on_cheap_control, &busy);
+  loop_set_control (busy.event);
+  event_active (busy.event, EV_TIMEOUT, 0);
+  traffic = event_new (base, -1, 0, on_first_traffic, NULL);
+  event_active (traffic, EV_TIMEOUT, 0);
+  start_ns = clock_now_ns (&clock);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  CU_ASSERT (clock_now_ns (&clock) > start_ns);
+  CU_ASSERT (traffic_run > 0);
+  CU_ASSERT (traffic_run * (ROUND_MS + 1) <= TRAFFIC_WAIT_MAX_MS);
+  event_free (busy.event);
+  event_free (traffic);
+  event_base_free (base);
+}
+
 static const struct suite_test tests[] = {
   { "control before traffic", test_control_first },
   { "order after refused calls", test_order_after_refused_calls },
   { "traffic beside busy control", test_traffic_beside_busy_control },
+  { "traffic beside cheap control", test_traffic_beside_cheap_control },
 };
 
 SUITE_MAIN ("test_loop", tests)
