--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -262,6 +262,7 @@
   if (gateway->tick != NULL)
     event_free (gateway->tick);
   looplag_finish (&gateway->loop_lag);
+  loop_control_finish (&gateway->loop_control);
   sigtime_finish (&gateway->clock);
   for (i = 0; i < GATEWAY_SIGNALS; i++)
     if (gateway->signals[i] != NULL)
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -11,6 +11,10 @@
    instances, and long against the system call that it costs. */
 #define LOOP_TRAFFIC_SLICE_MS 10
 
+static void on_turn (evutil_socket_t fd, short what, void *arg);
+static void wait_for_turn (struct loop_control *control,
+                           struct event_base *base);
+
 struct event_base *
 loop_new (void)
 {
@@ -52,18 +56,61 @@
   };
 }
 
+void
+loop_control_finish (struct loop_control *control)
+{
+  if (control->turn != NULL)
+    event_free (control->turn);
+  control->turn = NULL;
+  control->waits = false;
+}
+
 void
 loop_control_begin (struct loop_control *control, struct event *event)
 {
+  bool first;
+
   if (control == NULL)
     return;
   if (control->time != NULL)
     control->work = looptime_begin (control->time, LOOP_WORK_PEERS);
   control->start_ns = clock_now_ns (control->clock);
-  event_priority_set (
-      event, time_share_left_ns (&control->share, control->start_ns) > 0
-                 ? LOOP_CONTROL
-                 : LOOP_TRAFFIC);
+  wait_for_turn (control, event_get_base (event));
+  first = time_share_left_ns (&control->share, control->start_ns) > 0
+          && (!control->waits
+              || control->start_ns - control->waits_ns
+                     < control->share.burst_ns);
+  event_priority_set (event, first ? LOOP_CONTROL : LOOP_TRAFFIC);
+}
+
+/* What the loop itself takes between callbacks, and other events of control,
+   are not in the share, so an event of traffic tells whether any waits. */
+static void
+wait_for_turn (struct loop_control *control, struct event_base *base)
+{
+  const uint64_t traffic_ns
+      = control->time == NULL ? 0 : looptime_traffic_ns (control->time);
+
+  if (control->turn == NULL)
+    control->turn = event_new (base, -1, 0, on_turn, control);
+  if (control->turn == NULL
+      || (control->waits && traffic_ns == control->traffic_ns))
+    return;
+  control->waits_ns = control->start_ns;
+  control->traffic_ns = traffic_ns;
+  if (!control->waits)
+    event_active (control->turn, EV_TIMEOUT, 0);
+  control->waits = true;
+}
+
+static void
+on_turn (evutil_socket_t fd, short what, void *arg)
+{
+  struct loop_control *control = arg;
+
+  (void)fd;
+  (void)what;
+  control->waits = false;
 }
 
 void
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -15,9 +15,11 @@
 #include "transport/clock.h"
 #include "transport/looptime.h"
 #include <event2/event.h>
+#include <stdbool.h>
 
 /** Share of the time for which events of LOOP_CONTROL go first, in
-    thousandths, and the longest time of them at once. */
+    thousandths, and the longest time of them at once.  Traffic also goes
+    before them when none of it had a turn for that long. */
 #define LOOP_CONTROL_SHARE_PERMILLE 500
 #define LOOP_CONTROL_BURST_MS       20
 
@@ -41,6 +43,10 @@
 {
   const struct clock *clock;
   struct time_share share;
+  struct event *turn;    /**< of traffic: runs when that has its turn */
+  bool waits;            /**< `turn` does */
+  uint64_t waits_ns;     /**< since when no traffic had its turn */
+  uint64_t traffic_ns;   /**< time of traffic until then */
   struct looptime *time; /**< counts it as LOOP_WORK_PEERS; may be NULL */
   uint64_t start_ns;     /**< of the callback in progress */
   enum loop_work work;   /**< before it */
@@ -48,9 +54,11 @@
 
 void loop_control_init (struct loop_control *control,
                         const struct clock *clock, struct looptime *time);
+/** To be called before the event loop is freed. */
+void loop_control_finish (struct loop_control *control);
 /** Begins and ends the callback of an event of control.  While such callbacks
-    have taken more than their share, the event gets the priority of traffic
-    for its next turn.
+    have taken more than their share, or no traffic had a turn, the event gets
+    the priority of traffic for its next turn.
     @param control  NULL: the priority is not bounded. */
 void loop_control_begin (struct loop_control *control, struct event *event);
 void loop_control_end (struct loop_control *control);
--- a/src/transport/looptime.c
+++ b/src/transport/looptime.c
@@ -30,3 +30,15 @@
 {
   return names[work];
 }
+
+uint64_t
+looptime_traffic_ns (const struct looptime *time)
+{
+  uint64_t total_ns = 0;
+  int work;
+
+  for (work = 0; work < LOOP_WORK_MAX; work++)
+    if (work != LOOP_WORK_OTHER && work != LOOP_WORK_PEERS)
+      total_ns += time->total_ns[work];
+  return total_ns;
+}
--- a/src/transport/looptime.h
+++ b/src/transport/looptime.h
@@ -40,4 +40,7 @@
 /** Name of a kind of work, as in the log. */
 const char *looptime_name (enum loop_work work);
 
+/** @return the time of all kinds of work for clients and upstreams. */
+uint64_t looptime_traffic_ns (const struct looptime *time);
+
 #endif
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -189,6 +189,7 @@
   for (i = 0; i < BUSY_EVENTS; i++)
     event_free (busy[i].event);
   event_free (traffic);
+  loop_control_finish (&control);
   event_base_free (base);
 }
 
@@ -231,6 +232,7 @@
   CU_ASSERT (traffic_run * (ROUND_MS + 1) <= TRAFFIC_WAIT_MAX_MS);
   event_free (busy.event);
   event_free (traffic);
+  loop_control_finish (&control);
   event_base_free (base);
 }
 
