--- a/tests/test_peernet.c
+++ b/tests/test_peernet.c
@@ -5,11 +5,16 @@
  */
 #include "state/err.h"
 #include "support/suite.h"
+#include "transport/loop.h"
 #include "transport/peernet.h"
+#include "transport/sock.h"
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
-#define LOOP_TURNS_MAX 20000 /* of the event loop, to wait for a condition */
+#define LOOP_TURNS_MAX      20000 /* of the event loop, to wait for a condition */
+#define TRAFFIC_WAIT_MAX_MS 250 /* promised for a ready event of a client */
 
 /* One instance of the fleet, and the callbacks that it has received. */
 struct node
@@ -268,6 +273,82 @@
   peernet_free (silent.net);
 }
 
+static void
+on_traffic (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  *(bool *)user = true;
+}
+
+static void
+on_end (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  (void)user;
+  event_base_loopbreak (base);
+}
+
+/* Also ends a loop whose events of control are always ready. */
+static void
+run_for (uint32_t duration_ms)
+{
+  const struct timeval duration = clock_timeval (duration_ms);
+  struct event *end = event_new (base, -1, 0, on_end, NULL);
+
+  loop_set_control (end);
+  event_add (end, &duration);
+  event_base_dispatch (base);
+  event_free (end);
+}
+
+/* No descriptor is left while a peer waits to be accepted.  Guards against an
+   accept event that is ready in each round and keeps traffic from its turn,
+   and so from closing connections.  The peer is accepted when there are
+   descriptors again. */
+static void
+test_no_descriptors (void)
+{
+  struct event_base *shared = base;
+  struct event *traffic;
+  struct sock_address address;
+  struct rlimit limit;
+  rlim_t limit_before;
+  struct node a;
+  struct node b;
+  bool traffic_run = false;
+  int fd;
+
+  base = loop_new ();
+  start (&a, "router-a", 1, "127.0.0.1:0");
+  start (&b, "router-b", 1, "127.0.0.1:0");
+  CU_ASSERT_EQUAL_FATAL (sock_parse (peernet_address (a.net), &address), 0);
+  CU_ASSERT_EQUAL_FATAL (sock_connect (&address, &fd), 0);
+  run_some_turns ();
+  close (fd);
+  CU_ASSERT_EQUAL_FATAL (sock_connect (&address, &fd), 0);
+  CU_ASSERT_EQUAL_FATAL (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  limit_before = limit.rlim_cur;
+  limit.rlim_cur = 0;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  traffic = event_new (base, -1, 0, on_traffic, &traffic_run);
+  event_active (traffic, EV_TIMEOUT, 0);
+  run_for (TRAFFIC_WAIT_MAX_MS);
+  CU_ASSERT (traffic_run);
+  limit.rlim_cur = limit_before;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  CU_ASSERT_EQUAL (peernet_add_address (b.net, peernet_address (a.net), true),
+                   0);
+  run_until_links (&a, 1);
+  event_free (traffic);
+  close (fd);
+  peernet_free (a.net);
+  peernet_free (b.net);
+  event_base_free (base);
+  base = shared;
+}
+
 static const struct suite_test tests[] = {
   { "one link for each pair", test_one_link_per_pair },
   { "join by one address", test_join_by_one_address },
@@ -275,6 +356,7 @@
   { "advertised address", test_advertised_address },
   { "link of a silent peer", test_link_of_silent_peer },
   { "own address and name conflict", test_own_address_and_name_conflict },
+  { "no descriptors while a peer waits", test_no_descriptors },
 };
 
 int
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -13,7 +13,9 @@
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #define HEADERS                                                               \
@@ -1132,6 +1134,52 @@
   gatefixture_finish (&fixture);
 }
 
+#define NO_DESCRIPTOR_CLIENTS 4
+#define NO_DESCRIPTOR_MS      500
+#define NO_DESCRIPTOR_CPU_MS  250
+
+/* No descriptor is left while connections wait.  Guards against a listener
+   that is tried again in each round of the loop.  The connections are accepted
+   when there are descriptors again. */
+static void
+test_no_descriptors (void)
+{
+  struct raw_client clients[NO_DESCRIPTOR_CLIENTS];
+  struct gatefixture fixture;
+  struct rlimit limit;
+  rlim_t limit_before;
+  clock_t cpu;
+  int first_free;
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  for (i = 0; i < NO_DESCRIPTOR_CLIENTS; i++)
+    {
+      client_connect (&clients[i], &fixture);
+      client_send (&clients[i], REQUEST);
+    }
+  CU_ASSERT_EQUAL_FATAL (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  limit_before = limit.rlim_cur;
+  first_free = dup (STDOUT_FILENO);
+  close (first_free);
+  limit.rlim_cur = (rlim_t)first_free;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  cpu = clock ();
+  gatefixture_run (&fixture, NO_DESCRIPTOR_MS);
+  limit.rlim_cur = limit_before;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  CU_ASSERT ((clock () - cpu) / (CLOCKS_PER_SEC / 1000)
+             <= NO_DESCRIPTOR_CPU_MS);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < NO_DESCRIPTOR_CLIENTS; i++)
+    {
+      client_receive (&clients[i]);
+      CU_ASSERT_EQUAL (strncmp (clients[i].got, "HTTP/1.1 200", 12), 0);
+      close (clients[i].fd);
+    }
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
@@ -1164,6 +1212,7 @@
   { "turned away, slow client", test_turned_away_slow },
   { "turned away, long request", test_turned_away_long_request },
   { "more connections than there may be", test_connections_above_limit },
+  { "no descriptors while connections wait", test_no_descriptors },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
