--- a/src/transport/peernet.c
+++ b/src/transport/peernet.c
@@ -191,18 +191,26 @@
   int peer;
 
   (void)what;
+  loop_control_begin (net->config.control, net->accept_event);
   cpumeter_enter (&net->counters.cpu);
   for (batch = 0; batch < ACCEPT_BATCH; batch++)
     {
       peer = accept4 (fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (peer < 0)
-        break;
+        {
+          /* The listener stays ready: traffic would have no turn, and so
+             close none of its descriptors. */
+          if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+            event_del (net->accept_event);
+          break;
+        }
       if (count_unauthenticated (net) >= UNAUTHENTICATED_MAX)
         close (peer);
       else
         peernet_conn_new (net, peer, NULL);
     }
   cpumeter_leave (&net->counters.cpu);
+  loop_control_end (net->config.control);
 }
 
 static void
@@ -212,10 +220,14 @@
 
   (void)fd;
   (void)what;
+  loop_control_begin (net->config.control, net->dial_event);
   cpumeter_enter (&net->counters.cpu);
+  if (!event_pending (net->accept_event, EV_READ, NULL))
+    event_add (net->accept_event, NULL);
   peernet_dial_due (net);
   keep_links_alive (net);
   cpumeter_leave (&net->counters.cpu);
+  loop_control_end (net->config.control);
 }
 
 static void
