--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -38,6 +38,7 @@
 #define LISTEN_BACKLOG 4096
 /* Connections that wait for so long are turned away. */
 #define ACCEPT_WAIT_MAX_MS 50
+#define ACCEPT_RETRY_MS    5 /* after an error */
 #define HEADER_OVERHEAD    4 /**< bytes of ": " and CRLF */
 #define CRLF_SIZE          2
 
@@ -109,6 +110,7 @@
 static struct evbuffer *split_input (struct evbuffer *input, size_t size);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
+static void on_accept_error (struct evconnlistener *listener, void *arg);
 static void accept_batch (struct httpd *httpd);
 static bool has_capacity (const struct httpd *httpd);
 static bool is_behind (const struct httpd *httpd);
@@ -201,6 +203,7 @@
   httpd->shed = event_new (httpd->config.base, -1, 0, on_shed, httpd);
   if (httpd->accept_again == NULL || httpd->shed == NULL)
     return ERR_NO_MEMORY;
+  evconnlistener_set_error_cb (httpd->evhtp->server, on_accept_error);
   turnaway_init (&httpd->turnaway, httpd->config.clock);
   return 0;
 }
@@ -475,6 +478,20 @@
     evconnlistener_enable (httpd->evhtp->server);
 }
 
+/* Most likely no descriptor is left: the listener stays ready, and would take
+   all turns of the loop. */
+static void
+on_accept_error (struct evconnlistener *listener, void *arg)
+{
+  const struct timeval interval = clock_timeval (ACCEPT_RETRY_MS);
+  const evhtp_t *evhtp = arg;
+  struct httpd *httpd = evhtp->defaults.post_accept_cbarg;
+
+  evconnlistener_disable (listener);
+  if (!httpd->shedding)
+    event_add (httpd->accept_again, &interval);
+}
+
 static void
 accept_batch (struct httpd *httpd)
 {
