--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -1180,6 +1180,40 @@
   gatefixture_finish (&fixture);
 }
 
+#define STALL_CLIENTS 20
+#define STALL_MS      90 /* of an instance with a tenth of a processor */
+
+/* The process is not run for a while between two connections that it accepts,
+   and has little to do otherwise.  Guards against requests that are refused
+   though the loop is not late by itself. */
+static void
+test_stall_while_accepting (void)
+{
+  struct raw_client clients[STALL_CLIENTS];
+  struct gatefixture fixture;
+  size_t served = 0;
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  for (i = 0; i < STALL_CLIENTS; i++)
+    {
+      client_connect (&clients[i], &fixture);
+      client_send (&clients[i], REQUEST);
+    }
+  while (httpd_connections (fixture.gateway.httpd) == 0)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  usleep (STALL_MS * 1000);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < STALL_CLIENTS; i++)
+    {
+      client_receive (&clients[i]);
+      served += strncmp (clients[i].got, "HTTP/1.1 200", 12) == 0;
+      close (clients[i].fd);
+    }
+  CU_ASSERT_EQUAL (served, STALL_CLIENTS);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
@@ -1213,6 +1247,7 @@
   { "turned away, long request", test_turned_away_long_request },
   { "more connections than there may be", test_connections_above_limit },
   { "no descriptors while connections wait", test_no_descriptors },
+  { "stall while connections are accepted", test_stall_while_accepting },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
