--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -36,8 +36,10 @@
    second and may not send its request again, so it holds the connections of a
    flood while the instance is late. */
 #define LISTEN_BACKLOG 4096
-/* Connections that wait for so long are turned away. */
+/* Connections that wait for so long are turned away, unless few were accepted
+   meanwhile: then the process did not run. */
 #define ACCEPT_WAIT_MAX_MS 50
+#define ACCEPT_BATCHES_MIN 4
 #define ACCEPT_RETRY_MS    5 /* after an error */
 #define HEADER_OVERHEAD    4 /**< bytes of ": " and CRLF */
 #define CRLF_SIZE          2
@@ -87,6 +89,7 @@
   struct turnaway turnaway;
   uint32_t accepted;         /**< connections since `accept_again` */
   uint64_t accept_behind_ns; /**< since when some wait for it; 0: none do */
+  uint32_t accept_batches;   /**< since then */
   uint64_t shed_count;
   uint64_t closes[HTTPD_CLOSE_MAX]; /**< except turned away connections */
   struct httpd_conn *conns;
@@ -517,7 +520,7 @@
 {
   const uint64_t since_ns = httpd->accept_behind_ns;
 
-  return since_ns != 0
+  return since_ns != 0 && httpd->accept_batches >= ACCEPT_BATCHES_MIN
          && clock_now_ns (httpd->config.clock) - since_ns
                 >= ACCEPT_WAIT_MAX_MS * CLOCK_NS_PER_MS;
 }
@@ -645,7 +648,11 @@
   if (httpd->shedding)
     return;
   if (httpd->accept_behind_ns == 0)
-    httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+    {
+      httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+      httpd->accept_batches = 0;
+    }
+  httpd->accept_batches++;
   event_active (httpd->accept_again, EV_TIMEOUT, 0);
 }
 
