--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -36,8 +36,11 @@
    second and may not send its request again, so it holds the connections of a
    flood while the instance is late. */
 #define LISTEN_BACKLOG 4096
-/* Connections that wait for so long are turned away. */
+/* Connections that wait for so long are turned away, unless few were accepted
+   meanwhile: then the process did not run. */
 #define ACCEPT_WAIT_MAX_MS 50
+#define ACCEPT_BATCHES_MIN 4
+#define ACCEPT_RETRY_MS    5 /* after an error */
 #define HEADER_OVERHEAD    4 /**< bytes of ": " and CRLF */
 #define CRLF_SIZE          2
 
@@ -86,6 +89,7 @@
   struct turnaway turnaway;
   uint32_t accepted;         /**< connections since `accept_again` */
   uint64_t accept_behind_ns; /**< since when some wait for it; 0: none do */
+  uint32_t accept_batches;   /**< since then */
   uint64_t shed_count;
   uint64_t closes[HTTPD_CLOSE_MAX]; /**< except turned away connections */
   struct httpd_conn *conns;
@@ -109,6 +113,7 @@
 static struct evbuffer *split_input (struct evbuffer *input, size_t size);
 static uint32_t idle_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
+static void on_accept_error (struct evconnlistener *listener, void *arg);
 static void accept_batch (struct httpd *httpd);
 static bool has_capacity (const struct httpd *httpd);
 static bool is_behind (const struct httpd *httpd);
@@ -201,6 +206,7 @@
   httpd->shed = event_new (httpd->config.base, -1, 0, on_shed, httpd);
   if (httpd->accept_again == NULL || httpd->shed == NULL)
     return ERR_NO_MEMORY;
+  evconnlistener_set_error_cb (httpd->evhtp->server, on_accept_error);
   turnaway_init (&httpd->turnaway, httpd->config.clock);
   return 0;
 }
@@ -475,6 +481,20 @@
     evconnlistener_enable (httpd->evhtp->server);
 }
 
+/* Most likely no descriptor is left: the listener stays ready, and would take
+   all turns of the loop. */
+static void
+on_accept_error (struct evconnlistener *listener, void *arg)
+{
+  const struct timeval interval = clock_timeval (ACCEPT_RETRY_MS);
+  const evhtp_t *evhtp = arg;
+  struct httpd *httpd = evhtp->defaults.post_accept_cbarg;
+
+  evconnlistener_disable (listener);
+  if (!httpd->shedding)
+    event_add (httpd->accept_again, &interval);
+}
+
 static void
 accept_batch (struct httpd *httpd)
 {
@@ -500,7 +520,7 @@
 {
   const uint64_t since_ns = httpd->accept_behind_ns;
 
-  return since_ns != 0
+  return since_ns != 0 && httpd->accept_batches >= ACCEPT_BATCHES_MIN
          && clock_now_ns (httpd->config.clock) - since_ns
                 >= ACCEPT_WAIT_MAX_MS * CLOCK_NS_PER_MS;
 }
@@ -628,7 +648,11 @@
   if (httpd->shedding)
     return;
   if (httpd->accept_behind_ns == 0)
-    httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+    {
+      httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+      httpd->accept_batches = 0;
+    }
+  httpd->accept_batches++;
   event_active (httpd->accept_again, EV_TIMEOUT, 0);
 }
 
