--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -464,6 +464,7 @@
 static void
 on_accept_again (evutil_socket_t fd, short what, void *arg)
 {
+  const struct timeval now = { 0, 0 };
   struct httpd *httpd = arg;
 
   (void)fd;
@@ -471,8 +472,12 @@
   if (!waits_for_accept (httpd))
     httpd->accept_behind_ns = 0;
   httpd->accepted = 0;
-  if (!httpd->shedding && !start_shedding (httpd))
-    evconnlistener_enable (httpd->evhtp->server);
+  if (httpd->shedding || start_shedding (httpd))
+    return;
+  evconnlistener_enable (httpd->evhtp->server);
+  /* Until none waits: nothing tells that the last one has been accepted. */
+  if (httpd->accept_behind_ns != 0)
+    event_add (httpd->accept_again, &now);
 }
 
 static void
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -464,8 +464,9 @@
   gatefixture_finish (&fixture);
 }
 
-#define WAITING       (TURNAWAY_SOCKETS_MAX + 50)
-#define LONG_REQUESTS 20
+#define WAITING        (TURNAWAY_SOCKETS_MAX + 50)
+#define LONG_REQUESTS  20
+#define ACCEPT_WAITING 9 /**< one more than are accepted in a turn */
 
 /* A listening socket, and clients that are turned away there. */
 struct flood
@@ -1132,6 +1133,37 @@
   gatefixture_finish (&fixture);
 }
 
+/* Connections wait for a turn of the loop once, and are accepted.  Guards
+   against later ones that are turned away though none had to wait. */
+static void
+test_waited_for_accept_before (void)
+{
+  struct raw_client clients[ACCEPT_WAITING];
+  struct gatefixture fixture;
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  for (i = 0; i < ACCEPT_WAITING; i++)
+    client_connect (&clients[i], &fixture);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < ACCEPT_WAITING; i++)
+    close (clients[i].fd);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < 2; i++)
+    {
+      client_connect (&clients[i], &fixture);
+      client_send (&clients[i], REQUEST);
+    }
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < 2; i++)
+    {
+      client_receive (&clients[i]);
+      CU_ASSERT_EQUAL (strncmp (clients[i].got, "HTTP/1.1 200", 12), 0);
+      close (clients[i].fd);
+    }
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
@@ -1164,6 +1196,8 @@
   { "turned away, slow client", test_turned_away_slow },
   { "turned away, long request", test_turned_away_long_request },
   { "more connections than there may be", test_connections_above_limit },
+  { "connections that waited to be accepted before",
+    test_waited_for_accept_before },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
