--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -143,7 +143,7 @@
 kill -USR1 "$soak"
 while read -r command target argument <&3; do
   case $command in
-    over | broken) echo "$command $target $argument" ;;
+    over | broken | count) echo "$command $target $argument" ;;
     *) execute "$command" "$target" "$argument" ;;
   esac
 done
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -143,7 +143,10 @@
             UPSTREAMSERVER_STREAM_UNFRAMED_RESET },
           { UPSTREAMSERVER_RESET, UPSTREAMSERVER_UNFRAMED_RESET } };
 
-  return resets[plain][rng_below (&soak->rng, 2)];
+  uint32_t drawn = (uint32_t)rng_below (&soak->rng, 2);
+
+  soak->unframed_resets += drawn;
+  return resets[plain][drawn];
 }
 
 /* Gateways that were restarted, suspended or cut off since they were told are
@@ -280,6 +283,7 @@
   if (parse_body (link->got, body) != link->size)
     soak_report_violation (soak, SOAK_NO_EXTRA_BYTES, request,
                            "extra bytes after a response");
+  request->status = (uint16_t)status;
   check_status (soak, request, status);
   if (status == 200)
     {
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -21,9 +21,8 @@
   FORM_USUAL,
   FORM_REPORT, /* methods that are unknown to common parsers */
   FORM_QUERY,
-  FORM_ODD_NAME,     /* of a header; a token */
-  FORM_INVALID_NAME, /* no token */
-  FORM_MAX
+  FORM_ODD_NAME,    /* of a header; a token */
+  FORM_INVALID_NAME /* no token */
 };
 
 static void connect_to (struct soak *soak, struct soak_client *client);
@@ -34,12 +33,13 @@
                                           const struct soak_client *client);
 static bool announces_end (const struct platclient *link);
 
-static const struct soak_form forms[FORM_MAX] = {
-  [FORM_USUAL] = { 92, "POST", "", false },
-  [FORM_REPORT] = { 2, "REPORT", "", false },
-  [FORM_QUERY] = { 2, "QUERY", "", false },
-  [FORM_ODD_NAME] = { 2, "POST", "X!odd#name: 1\r\n", false },
-  [FORM_INVALID_NAME] = { 2, "POST", "X-Tenant : other\r\n", true },
+const struct soak_form soak_forms[SOAK_FORMS] = {
+  [FORM_USUAL] = { "usual", 92, "POST", "", false },
+  [FORM_REPORT] = { "REPORT", 2, "REPORT", "", false },
+  [FORM_QUERY] = { "QUERY", 2, "QUERY", "", false },
+  [FORM_ODD_NAME] = { "odd_header", 2, "POST", "X!odd#name: 1\r\n", false },
+  [FORM_INVALID_NAME]
+  = { "invalid_header", 2, "POST", "X-Tenant : other\r\n", true },
 };
 
 static const char *const paths[]
@@ -130,11 +130,11 @@
 draw_form (struct soak *soak, const struct soak_client *client)
 {
   uint32_t drawn = (uint32_t)rng_below (&soak->rng, 100);
-  const struct soak_form *form = forms;
+  const struct soak_form *form = soak_forms;
 
   for (; drawn >= form->percent; form++)
     drawn -= form->percent;
-  return form->invalid && !client->kept ? &forms[FORM_USUAL] : form;
+  return form->invalid && !client->kept ? &soak_forms[FORM_USUAL] : form;
 }
 
 static bool
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -24,6 +24,7 @@
 };
 
 static error_t parse (int key, char *arg, struct argp_state *state);
+static void print_counts (const struct soak *soak);
 static int read_ports (const char *path, uint16_t *ports, uint32_t count);
 static void on_links (evutil_socket_t fd, short what, void *user);
 static void on_start (evutil_socket_t fd, short what, void *user);
@@ -235,5 +236,37 @@
           " served %" PRIu64 " changes %u broken %u\n",
           settings.seed, soak->sent, soak->answered, soak->served, soak->key,
           violations);
+  print_counts (soak);
   return violations > 0 ? 1 : 0;
 }
+
+/* What the run has exercised. */
+static void
+print_counts (const struct soak *soak)
+{
+  const struct soak_form *form;
+  struct soak_request *request;
+
+  for (form = soak_forms; form < soak_forms + SOAK_FORMS; form++)
+    {
+      uint32_t sent = 0;
+      uint32_t forwarded = 0;
+      uint32_t served = 0;
+      uint32_t invalid = 0;
+
+      for (request = soak->requests; request != NULL;
+           request = request->hh.next)
+        {
+          if (request->form != form)
+            continue;
+          sent++;
+          forwarded += request->arrivals > 0;
+          served += request->status == 200;
+          invalid += request->status == 400;
+        }
+      printf ("count %s sent %u forwarded %u served %u invalid %u\n",
+              form->name, sent, forwarded, served, invalid);
+    }
+  printf ("count unframed_resets %u silences %u\n", soak->unframed_resets,
+          soak->silences);
+}
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -492,6 +492,7 @@
   if (soak->store.silent)
     return;
   soak->store.silent = true;
+  soak->silences++;
   fprintf (stderr, "%.3f s: store silent\n",
            (double)(soak_now_ns (soak) - soak->start_ns) / 1e9);
   schedule_end (soak, SILENCE_MS, end_silence, 0, false);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -83,12 +83,16 @@
 /** How a client writes a request. */
 struct soak_form
 {
+  const char *name; /**< for the counts */
   uint32_t percent; /**< of the requests */
   const char *method;
   const char *header; /**< additional one with CRLF, or "" */
   bool invalid;       /**< gets 400 and reaches no upstream */
 };
 
+#define SOAK_FORMS 5
+extern const struct soak_form soak_forms[SOAK_FORMS];
+
 struct soak_request
 {
   char id[SOAK_ID_SIZE];
@@ -100,8 +104,9 @@
   uint64_t disconnected_ns; /**< when its client disconnected; 0: it did not */
   uint32_t arrivals;        /**< times that it arrived at an upstream */
   uint32_t runs;            /**< arrivals that an upstream did not reject */
-  bool faulted; /**< an upstream injected a fault into its response */
-  bool refused; /**< the client got a status that means not run */
+  bool faulted;    /**< an upstream injected a fault into its response */
+  bool refused;    /**< the client got a status that means not run */
+  uint16_t status; /**< of the response; 0: none */
   UT_hash_handle hh;
 };
 
@@ -200,6 +205,8 @@
   uint64_t sent;
   uint64_t answered;
   uint64_t served;
+  uint32_t unframed_resets; /**< responses without a length, reset */
+  uint32_t silences;        /**< of the store */
   uint32_t violations[SOAK_INVARIANT_MAX];
   struct soak_fault_end *fault_ends; /**< private to schedule.c */
   uint64_t next_fault_ns;
