--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -84,7 +84,8 @@
   evhtp_t *evhtp;
   struct event *accept_again; /**< enables the listener in its turn */
   struct event *shed;         /**< turns connections away */
-  bool shedding;              /**< no connections are accepted */
+  bool shedding;              /**< connections are turned away */
+  bool shed_confirmed; /**< `shed` has run since, and found no capacity */
   struct evbuffer *shed_response;
   struct turnaway turnaway;
   uint32_t accepted;         /**< connections since `accept_again` */
@@ -119,6 +120,7 @@
 static bool is_behind (const struct httpd *httpd);
 static bool start_shedding (struct httpd *httpd);
 static void on_shed (evutil_socket_t fd, short what, void *arg);
+static void confirm_shedding (struct httpd *httpd);
 static bool peer_closed (evutil_socket_t fd);
 static size_t unread_bytes (const struct httpd_conn *conn);
 static bool waits_for_accept (const struct httpd *httpd);
@@ -534,7 +536,7 @@
 static bool
 start_shedding (struct httpd *httpd)
 {
-  const struct timeval now = { 0, 0 };
+  const struct timeval interval = clock_timeval (TURNAWAY_INTERVAL_MS);
 
   if (has_capacity (httpd) && !is_behind (httpd))
     return false;
@@ -547,11 +549,23 @@
                             httpd->shed_response);
     }
   httpd->shedding = true;
+  httpd->shed_confirmed = false;
   evconnlistener_disable (httpd->evhtp->server);
-  event_add (httpd->shed, &now);
+  event_add (httpd->shed, &interval);
   return true;
 }
 
+/* A process that was not scheduled looks late, too, but only once. */
+static void
+confirm_shedding (struct httpd *httpd)
+{
+  httpd->shed_confirmed = true;
+  if (!has_capacity (httpd) || is_behind (httpd))
+    return;
+  httpd->shedding = false;
+  on_accept_again (-1, 0, httpd);
+}
+
 /* Turning away ends when no connection waits any more.  Until then, a batch is
    accepted after each pass, if the instance has capacity for it. */
 static void
@@ -566,6 +580,8 @@
   (void)fd;
   (void)what;
   turnaway_close (&httpd->turnaway);
+  if (httpd->shedding && !httpd->shed_confirmed)
+    confirm_shedding (httpd);
   if (httpd->shedding)
     count = turnaway_waiting (&httpd->turnaway,
                               evconnlistener_get_fd (httpd->evhtp->server),
