--- a/tests/support/suite.h
+++ b/tests/support/suite.h
@@ -1,6 +1,7 @@
 /**
  * @file suite.h
- * Runs a table of CUnit tests and prints `NAME: N passed, N failed`.
+ * Runs a table of CUnit tests and prints a line `FAILED TEST` for each one
+ * that failed, and `NAME: N passed, N failed` as the last line.
  */
 #ifndef TESTS_SUPPORT_SUITE_H
 #define TESTS_SUPPORT_SUITE_H
