--- a/src/admin_server.c
+++ b/src/admin_server.c
@@ -35,21 +35,32 @@
 struct admin_pending_reply
 {
   struct admin *admin;
+  struct evhttp_connection *connection;
   struct evhttp_request *http; /* NULL once its connection is closed */
   struct admin_pending_reply *prev;
   struct admin_pending_reply *next;
 };
 
+/* A request whose response has not been written to its connection yet. */
+struct unwritten
+{
+  struct evhttp_connection *connection;
+  struct unwritten *prev;
+  struct unwritten *next;
+};
+
 struct admin
 {
   struct router *router;
   struct evhttp *server;
+  struct unwritten *unwritten;
   struct admin_pending_reply *pending_replies;
   char address[CATALOG_ADDRESS_SIZE];
 };
 
 static int start (struct router *router);
 static void finish (struct router *router);
+static bool drained (const struct router *router);
 static int start_listening (struct admin *admin, const char *address);
 static void on_request (struct evhttp_request *http, void *arg);
 static void route (struct admin *admin, struct evhttp_request *http,
@@ -58,10 +69,18 @@
                                        const char *path, bool *path_known);
 static bool is_permitted (const struct settings_token *token,
                           enum access access);
+static struct unwritten *
+find_unwritten (struct admin *admin,
+                const struct evhttp_connection *connection);
+static void add_unwritten (struct admin *admin, struct evhttp_request *http);
+static void remove_unwritten (struct admin *admin,
+                              const struct evhttp_connection *connection);
+static void on_written (struct evhttp_request *http, void *arg);
 static void on_close (struct evhttp_connection *connection, void *arg);
 
-const struct router_module admin_module
-    = { .name = "admin", .start = start, .finish = finish };
+const struct router_module admin_module = {
+  .name = "admin", .start = start, .finish = finish, .drained = drained
+};
 
 static const struct route routes[] = {
   { EVHTTP_REQ_GET, "/healthz", ACCESS_PUBLIC, admin_healthz },
@@ -132,11 +151,19 @@
   struct admin *admin = router->module_state[ROUTER_ADMIN];
   struct admin_pending_reply *pending;
   struct admin_pending_reply *next;
+  struct unwritten *unwritten;
+  struct unwritten *next_unwritten;
 
   if (admin == NULL)
     return;
   if (admin->server != NULL)
     evhttp_free (admin->server);
+  for (unwritten = admin->unwritten; unwritten != NULL;
+       unwritten = next_unwritten)
+    {
+      next_unwritten = unwritten->next;
+      free (unwritten);
+    }
   for (pending = admin->pending_replies; pending != NULL; pending = next)
     {
       next = pending->next;
@@ -146,6 +173,16 @@
   router->module_state[ROUTER_ADMIN] = NULL;
 }
 
+/* Connections time out, so a client that does not read delays a drain by
+   ADMIN_TIMEOUT_S at most after what it read last. */
+static bool
+drained (const struct router *router)
+{
+  const struct admin *admin = router->module_state[ROUTER_ADMIN];
+
+  return admin == NULL || admin->unwritten == NULL;
+}
+
 const char *
 admin_server_address (const struct router *router)
 {
@@ -162,6 +199,7 @@
   char *path
       = encoded_path == NULL ? NULL : evhttp_uridecode (encoded_path, 0, NULL);
 
+  add_unwritten (arg, http);
   if (path == NULL)
     admin_reply_error (http, HTTP_BADREQUEST, "bad_path",
                        "the path cannot be read", NULL);
@@ -244,10 +282,9 @@
   if (pending == NULL)
     return NULL;
   pending->admin = admin;
+  pending->connection = evhttp_request_get_connection (http);
   pending->http = http;
   DL_APPEND (admin->pending_replies, pending);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (http),
-                                 on_close, pending);
   return pending;
 }
 
@@ -256,19 +293,68 @@
 {
   struct evhttp_request *http = pending->http;
 
-  if (http != NULL)
-    evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL,
-                                   NULL);
   DL_DELETE (pending->admin->pending_replies, pending);
   free (pending);
   return http;
 }
 
+static struct unwritten *
+find_unwritten (struct admin *admin,
+                const struct evhttp_connection *connection)
+{
+  struct unwritten *unwritten;
+
+  DL_FOREACH (admin->unwritten, unwritten)
+    if (unwritten->connection == connection)
+      return unwritten;
+  return NULL;
+}
+
+/* evhttp handles one request of a connection at a time, but may report one
+   twice.  If out of memory, a drain does not wait for the response. */
+static void
+add_unwritten (struct admin *admin, struct evhttp_request *http)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (http);
+  struct unwritten *unwritten;
+
+  evhttp_connection_set_closecb (connection, on_close, admin);
+  evhttp_request_set_on_complete_cb (http, on_written, admin);
+  if (find_unwritten (admin, connection) != NULL)
+    return;
+  unwritten = calloc (1, sizeof *unwritten);
+  if (unwritten == NULL)
+    return;
+  unwritten->connection = connection;
+  DL_APPEND (admin->unwritten, unwritten);
+}
+
+static void
+remove_unwritten (struct admin *admin,
+                  const struct evhttp_connection *connection)
+{
+  struct unwritten *unwritten = find_unwritten (admin, connection);
+
+  if (unwritten == NULL)
+    return;
+  DL_DELETE (admin->unwritten, unwritten);
+  free (unwritten);
+}
+
+static void
+on_written (struct evhttp_request *http, void *arg)
+{
+  remove_unwritten (arg, evhttp_request_get_connection (http));
+}
+
 static void
 on_close (struct evhttp_connection *connection, void *arg)
 {
-  struct admin_pending_reply *pending = arg;
+  struct admin *admin = arg;
+  struct admin_pending_reply *pending;
 
-  (void)connection;
-  pending->http = NULL;
+  DL_FOREACH (admin->pending_replies, pending)
+    if (pending->connection == connection)
+      pending->http = NULL;
+  remove_unwritten (admin, connection);
 }
