--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -210,6 +210,7 @@
       if (sigtime_watch (numbers[i], &gateway->clock) != 0)
         return ERR_INVALID;
     }
+  sigtime_release ();
   return 0;
 }
 
--- a/src/router.c
+++ b/src/router.c
@@ -251,6 +251,7 @@
       if (sigtime_watch (signal_numbers[i], &router->clock) != 0)
         return ERR_INVALID;
     }
+  sigtime_release ();
   return 0;
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -4,6 +4,7 @@
  */
 #include "command.h"
 #include "router.h"
+#include "transport/sigtime.h"
 #include <argp.h>
 #include <stdio.h>
 
@@ -23,6 +24,7 @@
   struct settings *settings = NULL;
   int code = COMMAND_FAILED;
 
+  sigtime_hold ();
   if (argp_parse (&parser, argc, argv, 0, NULL, &path) != 0)
     return COMMAND_USAGE;
   if (settings_load (path, &settings, stderr) == 0
--- a/src/transport/sigtime.c
+++ b/src/transport/sigtime.c
@@ -9,6 +9,7 @@
 #include <stdatomic.h>
 #include <stddef.h>
 
+static void set_mask (int how);
 static void on_signal (int signal_number);
 
 /* Static, as a signal handler gets no user pointer. */
@@ -16,6 +17,30 @@
 static _Atomic uint64_t last_ns[NSIG];
 static void (*next_handlers[NSIG]) (int signal_number);
 
+void
+sigtime_hold (void)
+{
+  set_mask (SIG_BLOCK);
+}
+
+void
+sigtime_release (void)
+{
+  set_mask (SIG_UNBLOCK);
+}
+
+static void
+set_mask (int how)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (how, &set, NULL);
+}
+
 int
 sigtime_watch (int signal_number, const struct clock *clock)
 {
--- a/src/transport/sigtime.h
+++ b/src/transport/sigtime.h
@@ -1,13 +1,17 @@
 /**
  * @file sigtime.h
  * Records when signals arrive.  A late event loop delays libevent's callbacks
- * of them.
+ * of them.  Signals that arrive while a process starts wait for its handlers.
  */
 #ifndef TRANSPORT_SIGTIME_H
 #define TRANSPORT_SIGTIME_H
 
 #include "transport/clock.h"
 
+/** Holds back SIGTERM, SIGINT and SIGHUP until sigtime_release(). */
+void sigtime_hold (void);
+/** Delivers those that have arrived; does nothing if none are held back. */
+void sigtime_release (void);
 /** Records the times of a signal.  Its present handler is still called.
     @param clock  for all signals; async-signal-safe.
     @return 0 or ERR_INVALID. */
