--- /dev/null
+++ b/tests/support/memory.c
@@ -0,0 +1,26 @@
+/**
+ * @file memory.c
+ * The memory that a test's process uses.
+ */
+#include "support/memory.h"
+#include <malloc.h>
+#include <stddef.h>
+
+#ifdef __SANITIZE_ADDRESS__
+/* From sanitizer/allocator_interface.h, which not every package has. */
+size_t __sanitizer_get_current_allocated_bytes (void); /* NOLINT */
+
+uint64_t
+memory_kb (void)
+{
+  return __sanitizer_get_current_allocated_bytes () / 1024;
+}
+#else
+uint64_t
+memory_kb (void)
+{
+  const struct mallinfo2 info = mallinfo2 ();
+
+  return (info.uordblks + info.hblkhd) / 1024;
+}
+#endif
--- a/tests/support/upstreamserver.c
+++ b/tests/support/upstreamserver.c
@@ -130,12 +130,19 @@
 static void
 send_endless (struct upstreamserver_conn *conn)
 {
+  const char *part = conn->server->endless_part;
+  const size_t part_size = part == NULL ? 1 : strlen (part);
+  const size_t size = conn->server->endless_single
+                          ? part_size
+                          : ENDLESS_BLOCK / part_size * part_size;
   char block[ENDLESS_BLOCK];
+  size_t i;
 
-  memset (block, 'x', sizeof block);
+  for (i = 0; i < size; i += part_size)
+    memcpy (block + i, part == NULL ? "x" : part, part_size);
   conn->endless = true;
-  conn->server->endless_bytes += sizeof block;
-  bufferevent_write (conn->bev, block, sizeof block);
+  conn->server->endless_bytes += size;
+  bufferevent_write (conn->bev, block, size);
 }
 
 /* Sends the start of a response with the attempt's ID and what follows it,
@@ -389,6 +396,11 @@
           id, signature_header);
       send_endless (conn);
       break;
+    case UPSTREAMSERVER_ENDLESS_SCRIPT:
+      bufferevent_write (conn->bev, conn->server->script,
+                         conn->server->script_size);
+      send_endless (conn);
+      break;
     case UPSTREAMSERVER_CRASH:
       crash_after (conn, id, "");
       break;
@@ -591,6 +603,8 @@
 
   client->size += bufferevent_read (bev, client->got + client->size,
                                     sizeof client->got - 1 - client->size);
+  if (client->size == sizeof client->got - 1)
+    evbuffer_drain (bufferevent_get_input (bev), SIZE_MAX);
 }
 
 static void
--- a/tests/support/upstreamserver.h
+++ b/tests/support/upstreamserver.h
@@ -47,6 +47,8 @@
   UPSTREAMSERVER_ENDLESS_HEAD,
   UPSTREAMSERVER_ENDLESS_BODY,
   UPSTREAMSERVER_ENDLESS_EVENT,
+  /** `script`, then `endless_part` again and again. */
+  UPSTREAMSERVER_ENDLESS_SCRIPT,
   /** The whole upstream ends: before the response, within its head, within the
       first event. */
   UPSTREAMSERVER_CRASH,
@@ -84,6 +86,8 @@
   enum upstreamserver_end script_end;
   unsigned int requests;           /**< requests received completely */
   unsigned int closed_connections; /**< connections closed by the gateway */
+  const char *endless_part;        /**< NULL: bytes of a long line */
+  bool endless_single;             /**< writes one part at a time, not many */
   uint64_t endless_bytes;          /**< sent of responses without end */
   char last_request[UPSTREAMSERVER_MESSAGE_SIZE];
   unsigned int timed_events;
