--- a/src/protocol/sse.c
+++ b/src/protocol/sse.c
@@ -12,6 +12,7 @@
 #define SEPARATOR      "\n\n"
 #define SEPARATOR_SIZE 2 /* bytes */
 
+static int append (struct evbuffer *partial, struct evbuffer *data);
 static bool accept_event (struct sse *sse, const char *event, size_t size);
 
 int
@@ -33,30 +34,53 @@
 int
 sse_feed (struct sse *sse, struct evbuffer *data, struct evbuffer *out)
 {
+  const size_t held = evbuffer_get_length (sse->partial);
+  /* A separator may have begun in what was held. */
+  size_t searched = held == 0 ? 0 : held - 1;
+  struct evbuffer_ptr start;
   struct evbuffer_ptr end;
   const char *event;
   size_t size;
 
-  if (evbuffer_add_buffer (sse->partial, data) != 0)
+  if (append (sse->partial, data) != 0)
     return ERR_NO_MEMORY;
   for (;;)
     {
-      end = evbuffer_search (sse->partial, SEPARATOR, SEPARATOR_SIZE, NULL);
+      if (evbuffer_ptr_set (sse->partial, &start, searched, EVBUFFER_PTR_SET)
+          != 0)
+        break;
+      end = evbuffer_search (sse->partial, SEPARATOR, SEPARATOR_SIZE, &start);
       if (end.pos < 0)
         break;
+      searched = 0;
       size = (size_t)end.pos + SEPARATOR_SIZE;
       event = (const char *)evbuffer_pullup (sse->partial, (ev_ssize_t)size);
       if (event == NULL)
         return ERR_NO_MEMORY;
-      if (accept_event (sse, event, size))
-        evbuffer_remove_buffer (sse->partial, out, size);
-      else
-        evbuffer_drain (sse->partial, size);
+      if (accept_event (sse, event, size)
+          && evbuffer_add (out, event, size) != 0)
+        return ERR_NO_MEMORY;
+      evbuffer_drain (sse->partial, size);
     }
   return evbuffer_get_length (sse->partial) > SSE_EVENT_MAX ? ERR_TOO_LARGE
                                                             : 0;
 }
 
+/* Copies: a moved buffer takes much more memory than a few bytes. */
+static int
+append (struct evbuffer *partial, struct evbuffer *data)
+{
+  const size_t size = evbuffer_get_length (data);
+  const unsigned char *bytes = evbuffer_pullup (data, -1);
+
+  if (size == 0)
+    return 0;
+  if (bytes == NULL || evbuffer_add (partial, bytes, size) != 0)
+    return ERR_NO_MEMORY;
+  evbuffer_drain (data, size);
+  return 0;
+}
+
 /* Counts an event and records its id.  @return false for an event that was
    already forwarded. */
 static bool
