--- a/src/transport/httpcall.c
+++ b/src/transport/httpcall.c
@@ -26,10 +26,13 @@
                          const struct httpcall_request *params);
 static void on_progress (struct evbuffer *buffer,
                          const struct evbuffer_cb_info *info, void *arg);
+static void on_input (struct evbuffer *buffer,
+                      const struct evbuffer_cb_info *info, void *arg);
 static void on_timer (evutil_socket_t fd, short events, void *arg);
 static bool is_ready (const struct httpcall *call);
 static void on_output (struct evbuffer *buffer,
                        const struct evbuffer_cb_info *info, void *arg);
+static int on_head (struct evhttp_request *request, void *arg);
 static void on_response (struct evhttp_request *request, void *arg);
 static void on_error (enum evhttp_request_error error, void *arg);
 static void on_reap (evutil_socket_t fd, short events, void *arg);
@@ -54,6 +57,7 @@
   memset (&storage, 0, sizeof storage);
   server->base = base;
   server->address = address;
+  server->response_max = HTTPCALL_RESPONSE_MAX;
   if (address == NULL
       || evutil_parse_sockaddr_port (address, addr, &size) != 0)
     return ERR_INVALID;
@@ -115,6 +119,7 @@
       return ERR_NO_MEMORY;
     }
   evhttp_request_set_error_cb (request, on_error);
+  evhttp_request_set_header_cb (request, on_head);
   if (fill_request (call, request, params) != 0)
     {
       evhttp_request_free (request);
@@ -172,11 +177,11 @@
   evhttp_connection_set_timeout_tv (call->connection, &backstop);
   evhttp_connection_set_retries (call->connection, 0);
   evhttp_connection_set_max_body_size (call->connection,
-                                       HTTPCALL_RESPONSE_MAX);
+                                       (ev_ssize_t)server->response_max);
+  evhttp_connection_set_max_headers_size (call->connection, HTTPCALL_HEAD_MAX);
   bev = evhttp_connection_get_bufferevent (call->connection);
   if (evbuffer_add_cb (bufferevent_get_output (bev), on_output, call) == NULL
-      || evbuffer_add_cb (bufferevent_get_input (bev), on_progress, call)
-             == NULL
+      || evbuffer_add_cb (bufferevent_get_input (bev), on_input, call) == NULL
       || event_add (call->timer, &call->timeout) != 0)
     return ERR_NO_MEMORY;
   return 0;
@@ -195,6 +200,28 @@
     event_add (call->timer, &call->timeout);
 }
 
+/* evhttp sets no bound on interim responses and on the line of a chunk's
+   size. */
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *arg)
+{
+  struct httpcall *call = arg;
+  struct httpcall_server *server = call->server;
+
+  on_progress (buffer, info, arg);
+  call->received += info->n_added;
+  server->received += info->n_added;
+  if (call->done || call->too_large || info->n_added == 0
+      || server->received <= server->response_max)
+    return;
+  call->too_large = true;
+  bufferevent_disable (evhttp_connection_get_bufferevent (call->connection),
+                       EV_READ);
+  /* The call must not end within a callback of its connection. */
+  event_active (call->timer, EV_TIMEOUT, 0);
+}
+
 static void
 on_timer (evutil_socket_t fd, short events, void *arg)
 {
@@ -203,6 +230,11 @@
 
   (void)fd;
   (void)events;
+  if (call->too_large)
+    {
+      complete (call, ERR_RESET, 0, NULL, NULL, 0);
+      return;
+    }
   /* The loop is late, and will handle the socket next. */
   if (!call->extended && is_ready (call))
     {
@@ -260,6 +292,18 @@
     complete (call, ERR_RESET, 0, NULL, NULL, 0);
 }
 
+/* evhttp keeps memory of each interim response. */
+static int
+on_head (struct evhttp_request *request, void *arg)
+{
+  struct httpcall *call = arg;
+
+  if (evhttp_request_get_response_code (request) >= 200)
+    return 0;
+  call->interim_count++;
+  return call->interim_count > HTTPCALL_INTERIM_MAX ? -1 : 0;
+}
+
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
@@ -324,6 +368,7 @@
 free_call (struct httpcall *call)
 {
   call->done = true; /* suppresses callbacks during the free */
+  call->server->received -= call->received;
   if (call->timer != NULL)
     event_free (call->timer);
   if (call->connection != NULL)
--- a/src/transport/httpcall.h
+++ b/src/transport/httpcall.h
@@ -16,7 +16,9 @@
 #include <stdint.h>
 
 #define HTTPCALL_HOST_SIZE    64        /**< bytes of an IP address as text */
-#define HTTPCALL_RESPONSE_MAX 134217728 /**< bytes of a response body */
+#define HTTPCALL_RESPONSE_MAX 134217728 /**< default of response_max */
+#define HTTPCALL_HEAD_MAX     65536     /**< bytes of a response head */
+#define HTTPCALL_INTERIM_MAX  8         /**< interim responses to a request */
 #define HTTPCALL_DEAD_PEER_MS 2500      /**< time to detect a dead peer */
 
 struct httpcall;
@@ -30,6 +32,10 @@
   uint16_t port;
   struct httpcall *calls; /**< private */
   struct event *reap;     /**< private; frees finished calls */
+  /** Bytes that the pending calls may have read together; the call that reads
+      more ends with ERR_RESET. */
+  size_t response_max;
+  size_t received; /**< private; bytes that the calls have read */
 };
 
 /** One request; the first member of the struct of its caller. */
@@ -42,8 +48,11 @@
   struct event *timer;    /**< ends the call; control */
   struct timeval timeout; /**< without progress */
   bool extended;          /**< got more time, as the loop was late */
-  bool sent; /**< bytes of the request were written to the connection */
-  bool done; /**< `finished` was called; freed from the event loop */
+  bool sent;       /**< bytes of the request were written to the connection */
+  size_t received; /**< bytes read */
+  uint32_t interim_count;
+  bool too_large; /**< the calls have read too much */
+  bool done;      /**< `finished` was called; freed from the event loop */
   /** Called once.  `error` is 0 for any complete response, ERR_UNAVAILABLE
       when nothing was sent, ERR_TIMEOUT or ERR_RESET. */
   void (*finished) (struct httpcall *call, int error, int status,
--- a/tests/test_endless_store.c
+++ b/tests/test_endless_store.c
@@ -8,6 +8,7 @@
 #include "support/suite.h"
 #include "support/upstreamserver.h"
 #include "transport/loop.h"
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -51,6 +52,7 @@
   char address[32];
   unsigned int i;
 
+  signal (SIGPIPE, SIG_IGN); /* as in a gateway */
   upstreamserver_init (&server, base, "");
   server.behaviour = UPSTREAMSERVER_ENDLESS_SCRIPT;
   server.script = script;
