--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -404,6 +404,8 @@
   if (!request->paused || request->attempt == NULL)
     return;
   request->paused = false;
+  request->gateway->output_bytes -= request->output_bytes;
+  request->output_bytes = 0;
   upstream_http_driver.pause (request->attempt, false);
 }
 
@@ -488,6 +490,7 @@
   gateway_quarantine_ended (request);
   DL_DELETE (request->gateway->requests, request);
   request->gateway->request_count--;
+  request->gateway->output_bytes -= request->output_bytes;
   if (request->timer != NULL)
     event_free (request->timer);
   sse_finish (&request->sse);
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -17,6 +17,9 @@
 #define PENDING_OUTPUT_MAX                                                    \
   262144 /* bytes unsent to the client, above which reading                   \
             from the upstream pauses */
+/* The same while all requests together have more than this unsent. */
+#define PENDING_OUTPUT_MIN 16384
+#define OUTPUT_TOTAL_MAX   16777216
 #define BUFFERED_BODY_MAX                                                     \
   65536 /* bytes of a response that are buffered until complete */
 /* Retry-After when no upstream is usable. */
@@ -627,8 +630,18 @@
 static void
 pause_if_client_slow (struct gateway_request *request)
 {
-  if (request->paused || !reply_started (&request->reply)
-      || httpd_pending_bytes (request->reply.http) <= PENDING_OUTPUT_MAX)
+  struct gateway *gateway = request->gateway;
+  const size_t total_before = gateway->output_bytes - request->output_bytes;
+  size_t pending;
+
+  if (request->paused || !reply_started (&request->reply))
+    return;
+  pending = httpd_pending_bytes (request->reply.http);
+  request->output_bytes = pending;
+  gateway->output_bytes = total_before + pending;
+  if (pending <= (gateway->output_bytes > OUTPUT_TOTAL_MAX
+                      ? PENDING_OUTPUT_MIN
+                      : PENDING_OUTPUT_MAX))
     return;
   request->paused = true;
   upstream_http_driver.pause (request->attempt, true);
--- a/src/gateway/gateway_request_int.h
+++ b/src/gateway/gateway_request_int.h
@@ -48,6 +48,7 @@
       retry budget. */
   bool retry_granted;
   bool paused; /**< reading from the upstream is paused: the client is slow */
+  size_t output_bytes; /**< unsent to the client, as last seen */
   struct wait_queue_item queue_entry;
   uint64_t queued_upstream_id; /**< upstream that the request waits for */
   /** Counted as waiting for that upstream: tokens to prefill, and these times
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -310,7 +310,7 @@
 shrink_output (uint16_t port)
 {
   const int size = SOCKET_BYTES;
-  struct sockaddr_in address;
+  struct sockaddr_in address = { .sin_port = 0 };
   int fd;
 
   for (fd = 0; fd < FD_SETSIZE; fd++)
