--- a/tests/test_time_share.c
+++ b/tests/test_time_share.c
@@ -8,6 +8,7 @@
 #define MS       1000000ULL
 #define PERMILLE 250
 #define BURST_MS 20
+#define HOUR_NS  (3600000 * MS)
 
 static const struct time_share quarter
     = { .permille = PERMILLE, .burst_ns = BURST_MS * MS, .at_ns = MS };
@@ -44,11 +45,9 @@
 {
   struct time_share share = quarter;
 
-  CU_ASSERT_EQUAL (time_share_left_ns (&share, 3600 * 1000 * MS),
-                   BURST_MS * MS);
-  time_share_take (&share, 3600 * 1000 * MS, 3600 * 1000 * MS + 100 * MS);
-  CU_ASSERT_EQUAL (time_share_left_ns (&share, 3600 * 1000 * MS + 100 * MS),
-                   0);
+  CU_ASSERT_EQUAL (time_share_left_ns (&share, HOUR_NS), BURST_MS * MS);
+  time_share_take (&share, HOUR_NS, HOUR_NS + 100 * MS);
+  CU_ASSERT_EQUAL (time_share_left_ns (&share, HOUR_NS + 100 * MS), 0);
 }
 
 /* A clock that steps back neither gives nor takes time. */
