--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -36,8 +36,9 @@
    second and may not send its request again, so it holds the connections of a
    flood while the instance is late. */
 #define LISTEN_BACKLOG 4096
-/* Connections that wait for so long are turned away, unless few were accepted
-   meanwhile: then the process did not run. */
+/* Connections are turned away when some have waited to be accepted for this
+   time and number of batches; the number tells that from a pause of the
+   process. */
 #define ACCEPT_WAIT_MAX_MS 50
 #define ACCEPT_BATCHES_MIN 4
 #define ACCEPT_RETRY_MS    5 /* after an error */
@@ -483,7 +484,7 @@
   if (httpd->shedding || start_shedding (httpd))
     return;
   evconnlistener_enable (httpd->evhtp->server);
-  /* Until none waits: nothing tells that the last one has been accepted. */
+  /* libevent does not report that the last one was accepted. */
   if (httpd->accept_behind_ns != 0)
     event_add (httpd->accept_again, &now);
 }
@@ -658,7 +659,7 @@
   return EVHTP_RES_OK;
 }
 
-/* Of connections that are accepted, when one has been. */
+/* Ends a batch of accepted connections when it is full. */
 static void
 end_batch (struct httpd *httpd)
 {
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -83,8 +83,8 @@
   event_priority_set (event, first ? LOOP_CONTROL : LOOP_TRAFFIC);
 }
 
-/* What the loop itself takes between callbacks, and other events of control,
-   are not in the share, so an event of traffic tells whether any waits. */
+/* The share leaves out the loop's own time and other events of control, so an
+   event of traffic shows whether that has turns. */
 static void
 wait_for_turn (struct loop_control *control, struct event_base *base)
 {
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -29,8 +29,8 @@
 #define TURNAWAY_READING_MS 100
 /** The same for a client that goes on sending, from its response on. */
 #define TURNAWAY_SENDING_MS 5000
-/** A pass takes as long as what the event loop did since the last one, but at
-    least and at most so long: neither waits for the other for long. */
+/** Bounds of a pass, which takes as long as the event loop's other work since
+    the last one. */
 #define TURNAWAY_PASS_MIN_MS 5
 #define TURNAWAY_PASS_MAX_MS 20
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -23,7 +23,7 @@
   [ -f "$top/KNOWN-RED.txt" ] || return 0
   awk -v suite="$1" '
     /^$/ { name = "" }
-    sub (/^test: /, "") { name = $0; next }
+    sub (/^test: /, "") { name = $1; next }
     name == suite && sub (/^case: /, "")' "$top/KNOWN-RED.txt"
 }
 
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -267,7 +267,7 @@
 }
 
 /* Many expire together.  Guards against a pass that refuses all of them while
-   other events wait: it ends where it is told to, and the next one goes on. */
+   other events wait: it ends when `expire` returns false. */
 static void
 test_expiry_in_passes (void)
 {
