--- a/tests/test_config_parts.c
+++ b/tests/test_config_parts.c
@@ -101,7 +101,8 @@
   (void)fd;
   (void)what;
   if (event_pending (between->next_part, EV_TIMEOUT, &due)
-      && evutil_timercmp (&due, &between->due, !=))
+      && (due.tv_sec != between->due.tv_sec
+          || due.tv_usec != between->due.tv_usec))
     {
       between->due = due;
       between->turns++;
