--- a/src/gateway/gateway_config.c
+++ b/src/gateway/gateway_config.c
@@ -10,6 +10,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Requests may arrive on all kept connections at once; to receive and validate
+   one takes some 50 us of a core, and the others wait meanwhile. */
+#define KEPT_CONNECTIONS_PER_CORE 2000
+
 static bool is_known (const struct gateway *gateway,
                       const struct kvstore_item *item);
 static int copy_item (struct kvstore_item *copy,
@@ -270,12 +274,14 @@
 
   httpd_set_limits (
       gateway->httpd,
-      &(struct httpd_limits){ .header_bytes_max = limits->header_bytes_max,
-                              .body_bytes_max = limits->body_bytes_max,
-                              .connections_max
-                              = gateway->settings.connections_max / 2,
-                              .idle_timeout_ms = limits->idle_timeout_ms,
-                              .read_timeout_ms = limits->header_timeout_ms,
-                              .write_timeout_ms = limits->idle_timeout_ms,
-                              .low_water_bytes = HTTPD_READ_MAX / 4 });
+      &(struct httpd_limits){
+          .header_bytes_max = limits->header_bytes_max,
+          .body_bytes_max = limits->body_bytes_max,
+          .connections_max = gateway->settings.connections_max / 2,
+          .kept_connections_max
+          = gateway->settings.cpu_permille * KEPT_CONNECTIONS_PER_CORE / 1000,
+          .idle_timeout_ms = limits->idle_timeout_ms,
+          .read_timeout_ms = limits->header_timeout_ms,
+          .write_timeout_ms = limits->idle_timeout_ms,
+          .low_water_bytes = HTTPD_READ_MAX / 4 });
 }
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -34,8 +34,9 @@
 #define ACCEPT_BATCH 8
 /* Connections not yet accepted.  A client that finds it full fails after a
    second and may not send its request again, so it holds the connections of a
-   flood while the instance is late. */
-#define LISTEN_BACKLOG 4096
+   flood while the instance is late.  Their requests cost memory, and time of
+   the processor when they arrive. */
+#define LISTEN_BACKLOG 2048
 /* Connections are turned away when some have waited to be accepted for this
    time and number of batches; the number tells that from a pause of the
    process. */
@@ -113,7 +114,7 @@
                         const struct httpd_body_step *step);
 static bool parse_part (struct httpd_conn *conn, size_t size);
 static struct evbuffer *split_input (struct evbuffer *input, size_t size);
-static uint32_t idle_connections_max (const struct httpd *httpd);
+static uint32_t kept_connections_max (const struct httpd *httpd);
 static void on_accept_again (evutil_socket_t fd, short what, void *arg);
 static void on_accept_error (struct evconnlistener *listener, void *arg);
 static void accept_batch (struct httpd *httpd);
@@ -1180,12 +1181,17 @@
   return EVHTP_RES_OK;
 }
 
-/* Above this number, each connection closes after its response, so that idle
-   connections do not use up the limit. */
+/* Idle connections must not use up the limit. */
 static uint32_t
-idle_connections_max (const struct httpd *httpd)
+kept_connections_max (const struct httpd *httpd)
 {
-  return httpd->config.limits.connections_max / 2;
+  const struct httpd_limits *limits = &httpd->config.limits;
+  const uint32_t half = limits->connections_max / 2;
+
+  return limits->kept_connections_max != 0
+                 && limits->kept_connections_max < half
+             ? limits->kept_connections_max
+             : half;
 }
 
 static void
@@ -1200,7 +1206,7 @@
   /* While connections are turned away, those that are kept would go on to
      bring requests, which cost more. */
   if (httpd->draining || httpd->shedding
-      || httpd->count > idle_connections_max (httpd))
+      || httpd->count > kept_connections_max (httpd))
     evhtp_request_disable_flag (http, EVHTP_REQ_FLAG_KEEPALIVE);
   httpd->config.request (httpd->config.user, http);
 }
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -29,6 +29,9 @@
   uint32_t header_bytes_max;
   uint32_t body_bytes_max;
   uint32_t connections_max;
+  /** Above this number, each connection closes after its response; 0: half of
+      connections_max. */
+  uint32_t kept_connections_max;
   uint32_t idle_timeout_ms;  /**< connection without a request */
   uint32_t read_timeout_ms;  /**< to receive one complete request */
   uint32_t write_timeout_ms; /**< client that does not read */
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -40,6 +40,11 @@
 #define LOG_BYTES_MAX  65536  /* capacity of a pipe */
 #define WARM_UP_ROUNDS 4
 #define HUB            "gate-2"
+/* Processor time to receive and validate a request, and the time within which
+   requests on all connections that are kept have had their turn. */
+#define REQUEST_CPU_US     50
+#define READY_WAIT_MAX_MS  250
+#define SMALL_CPU_PERMILLE 25
 /* Index of a change that is newer than all that the fixture wrote. */
 #define NEWER_INDEX 1000
 
@@ -228,6 +233,12 @@
   return false;
 }
 
+static bool
+second_version_applied (const struct gatefixture *fixture)
+{
+  return fixture->gateway.routing->version == 2;
+}
+
 static bool
 requests_arrived (const struct gatefixture *fixture)
 {
@@ -519,6 +530,37 @@
   overload_finish (&overload);
 }
 
+/* A gateway with a small share of a core gets a request on each of many
+   connections.  Guards against an event loop that stands still when the next
+   ones arrive at once: only as many connections are kept as it can serve
+   within READY_WAIT_MAX_MS, and the others close after their response. */
+static void
+test_requests_on_all_connections (void)
+{
+  static struct overload overload;
+  struct gateway *gateway = &overload.fixture.gateway;
+  const uint32_t kept_max
+      = READY_WAIT_MAX_MS * 1000 / REQUEST_CPU_US * SMALL_CPU_PERMILLE / 1000;
+  int i;
+
+  overload_init (&overload);
+  gateway->settings.cpu_permille = SMALL_CPU_PERMILLE;
+  gatefixture_configure (&overload.fixture, 2, "\"key-1\"", "s1");
+  CU_ASSERT_TRUE (
+      gatefixture_run_until (&overload.fixture, second_version_applied));
+  for (i = 0; i < CLIENTS; i++)
+    {
+      CU_ASSERT_EQUAL (
+          write (overload.clients[i], REQUEST, sizeof REQUEST - 1),
+          sizeof REQUEST - 1);
+      gatefixture_run (&overload.fixture, 2);
+    }
+  gatefixture_run (&overload.fixture, 100);
+  CU_ASSERT (httpd_connections (gateway->httpd) <= kept_max);
+  CU_ASSERT (httpd_connections (gateway->httpd) >= kept_max / 4);
+  overload_finish (&overload);
+}
+
 static bool
 all_turned_away (const struct gatefixture *fixture)
 {
@@ -762,6 +804,7 @@
     test_free_engine_between_dispatches },
   { "request behind new connections", test_request_behind_new_connections },
   { "idle connections use up the limit", test_idle_connections_use_up_limit },
+  { "requests on all connections", test_requests_on_all_connections },
 };
 
 SUITE_MAIN ("test_overload", tests)
