--- a/src/transport/linger.c
+++ b/src/transport/linger.c
@@ -17,6 +17,7 @@
 {
   struct linger_list *list;
   struct bufferevent *bev;
+  struct event *end;
   bool flushed; /* its time has ended before the response was written */
   struct linger_conn *prev;
   struct linger_conn *next;
@@ -25,6 +26,7 @@
 static void on_read (struct bufferevent *bev, void *arg);
 static void on_written (struct bufferevent *bev, void *arg);
 static void on_event (struct bufferevent *bev, short what, void *arg);
+static void on_end (evutil_socket_t fd, short what, void *arg);
 static bool needs_time (struct linger_conn *conn);
 static void conn_free (struct linger_conn *conn);
 
@@ -32,11 +34,15 @@
 linger_close (struct linger_list *list, struct bufferevent *bev)
 {
   const struct timeval timeout = clock_timeval (LINGER_MS);
+  const struct timeval longest = clock_timeval (LINGER_MAX_MS);
   struct linger_conn *conn = calloc (1, sizeof (*conn));
 
-  if (conn == NULL)
+  if (conn != NULL)
+    conn->end = event_new (bufferevent_get_base (bev), -1, 0, on_end, conn);
+  if (conn == NULL || conn->end == NULL)
     {
       bufferevent_free (bev);
+      free (conn);
       return;
     }
   conn->list = list;
@@ -46,6 +52,7 @@
   bufferevent_setwatermark (bev, EV_READ, 0, 0);
   bufferevent_set_timeouts (bev, &timeout, &timeout);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
+  event_add (conn->end, &longest);
   bufio_flush (bev);
   if (evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     on_written (bev, conn);
@@ -62,6 +69,7 @@
     {
       next = conn->next;
       bufio_flush (conn->bev);
+      event_free (conn->end);
       bufferevent_free (conn->bev);
       free (conn);
     }
@@ -81,6 +89,7 @@
 conn_free (struct linger_conn *conn)
 {
   DL_DELETE (conn->list->conns, conn);
+  event_free (conn->end);
   bufferevent_free (conn->bev);
   free (conn);
 }
@@ -118,6 +127,17 @@
   conn_free (arg);
 }
 
+static void
+on_end (evutil_socket_t fd, short what, void *arg)
+{
+  struct linger_conn *conn = arg;
+
+  (void)fd;
+  (void)what;
+  bufio_flush (conn->bev);
+  conn_free (conn);
+}
+
 /* A client that does not read gets more time only once. */
 static bool
 needs_time (struct linger_conn *conn)
--- a/src/transport/linger.h
+++ b/src/transport/linger.h
@@ -11,7 +11,8 @@
 #include <event2/bufferevent.h>
 #include <stdint.h>
 
-#define LINGER_MS 1000 /**< timeout of each read and write */
+#define LINGER_MS     1000 /**< timeout of each read and write */
+#define LINGER_MAX_MS 5000 /**< for a client that goes on sending */
 
 /** Connections that are being closed.  Zero-initialise. */
 struct linger_list
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -7,6 +7,7 @@
 #include "gateway/gateway_request.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
+#include "transport/linger.h"
 #include "transport/turnaway.h"
 #include <arpa/inet.h>
 #include <errno.h>
@@ -1269,6 +1270,30 @@
   gatefixture_finish (&fixture);
 }
 
+/* A client whose request is refused goes on sending without end.  Guards
+   against a connection that stays open, and a drain that waits for it. */
+static void
+test_linger_endless (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  uint32_t spent_ms;
+
+  gatefixture_init (&fixture, true);
+  client_connect (&client, &fixture);
+  client_send (&client, TOO_LARGE);
+  for (spent_ms = 0; spent_ms < LINGER_MAX_MS + DONE_MS; spent_ms += IDLE_MS)
+    {
+      gatefixture_run (&fixture, IDLE_MS);
+      send (client.fd, HEADERS, strlen (HEADERS), MSG_NOSIGNAL);
+    }
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 413"));
+  CU_ASSERT_EQUAL (httpd_active_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
@@ -1286,6 +1311,7 @@
   { "refusal while the loop is late", test_linger_late },
   { "refusal while the loop is late and the client sends",
     test_linger_late_unread },
+  { "refused client sends without end", test_linger_endless },
   { "connected while the loop is late", test_connect_late },
   { "read time ends with the rest unread", test_read_timer },
   { "bytes behind a request", test_leftovers },
