--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -159,6 +159,8 @@
                                                enum httpd_close reason);
 static evhtp_res refuse (struct httpd_conn *conn, enum refusal refusal);
 static bool refuse_unparsable (struct httpd_conn *conn);
+static struct bufferevent *duplicate_socket (const struct httpd_conn *conn);
+static void linger_responded (struct httpd_conn *conn);
 static void notify_gone (struct httpd_conn *conn);
 static const char *request_id (struct httpd_conn *conn);
 static int listen_on (struct httpd *httpd, const char *address);
@@ -959,6 +961,8 @@
   notify_gone (conn);
   if (conn->state <= CONN_READING && refuse_unparsable (conn))
     reason = HTTPD_CLOSE_REFUSED;
+  else if (reason == HTTPD_CLOSE_RESPONDED && unread_bytes (conn) > 0)
+    linger_responded (conn);
   else
     log_if_cut (conn, reason);
   conn->httpd->closes[reason]++;
@@ -1006,23 +1010,18 @@
          LOG_U ("bytes", unread));
 }
 
-/* libevhtp closes a connection at once when it cannot parse the input.  A
-   duplicate of the socket's descriptor stays open to send the error response.
-   @return whether it is sent. */
+/* libevhtp closes a connection at once when it cannot parse the input.
+   @return whether the error response is sent. */
 static bool
 refuse_unparsable (struct httpd_conn *conn)
 {
   const struct httpd_config *config = &conn->httpd->config;
   htpparse_error parse_error = htparser_get_error (conn->evhtp->parser);
   struct bufferevent *bev;
-  int fd;
 
   if (parse_error == htparse_error_none || conn->evhtp->bev == NULL)
     return false;
-  fd = dup (bufferevent_getfd (conn->evhtp->bev));
-  bev = fd < 0
-            ? NULL
-            : bufferevent_socket_new (config->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bev = duplicate_socket (conn);
   if (bev == NULL)
     return false;
   config->refuse (config->user,
@@ -1034,6 +1033,34 @@
   return true;
 }
 
+/* @return a duplicate of the connection's socket, which stays open when
+   libevhtp closes the other one; NULL if there is none. */
+static struct bufferevent *
+duplicate_socket (const struct httpd_conn *conn)
+{
+  int fd = dup (bufferevent_getfd (conn->evhtp->bev));
+  struct bufferevent *bev;
+
+  if (fd < 0)
+    return NULL;
+  bev = bufferevent_socket_new (conn->httpd->config.base, fd,
+                                BEV_OPT_CLOSE_ON_FREE);
+  if (bev == NULL)
+    close (fd);
+  return bev;
+}
+
+/* The client has sent more behind its last request, and a close would reset
+   the connection. */
+static void
+linger_responded (struct httpd_conn *conn)
+{
+  struct bufferevent *bev = duplicate_socket (conn);
+
+  if (bev != NULL)
+    linger_close (&conn->httpd->linger, bev);
+}
+
 /* Takes ownership of the connection's bufferevent from libevhtp and frees
    `conn`.  The libevhtp connection itself must still be freed. */
 static struct bufferevent *
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -1294,6 +1294,47 @@
   gatefixture_finish (&fixture);
 }
 
+/* A client sends more behind a request whose response announces a close.
+   Guards against a reset, which may take that response with it. */
+static void
+check_sent_behind_last (size_t size, uint32_t response_delay_ms)
+{
+  static char more[300000];
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_connections_max (&fixture, 1, DONE_MS * 15);
+  fixture.upstreams[0].response_delay_ms = response_delay_ms;
+  fixture.upstreams[1].response_delay_ms = response_delay_ms;
+  memset (more, 'G', size);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  if (response_delay_ms > 0)
+    gatefixture_run (&fixture, response_delay_ms / 2);
+  send (client.fd, more, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  gatefixture_run (&fixture, response_delay_ms + IDLE_MS);
+  CU_ASSERT_EQUAL (send (client.fd, more, 1, MSG_NOSIGNAL | MSG_DONTWAIT), 1);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "Connection: close"));
+  CU_ASSERT_TRUE (client.ended);
+  CU_ASSERT_EQUAL (client.error, 0);
+  close (client.fd);
+  gatefixture_run (&fixture, IDLE_MS);
+  CU_ASSERT_EQUAL (httpd_active_connections (fixture.gateway.httpd), 0);
+  gatefixture_finish (&fixture);
+}
+
+static void
+test_sent_behind_last (void)
+{
+  check_sent_behind_last (3, 0);
+  check_sent_behind_last (3, 80);
+  check_sent_behind_last (300000, 0);
+  check_sent_behind_last (300000, 80);
+}
+
 static const struct suite_test tests[] = {
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
@@ -1315,6 +1356,7 @@
   { "connected while the loop is late", test_connect_late },
   { "read time ends with the rest unread", test_read_timer },
   { "bytes behind a request", test_leftovers },
+  { "bytes behind the last request", test_sent_behind_last },
   { "empty lines", test_drain_ends_with_junk },
   { "refused as the drain ends", test_refused_at_drain_end },
   { "accepted as the drain ends", test_unaccepted_at_drain_end },
