--- a/src/transport/request_end.c
+++ b/src/transport/request_end.c
@@ -3,7 +3,7 @@
  * Ends of requests that are not parsed.
  */
 #include "transport/request_end.h"
-#include <stdint.h>
+#include <stdbool.h>
 #include <string.h>
 #include <strings.h>
 
@@ -16,29 +16,32 @@
 
 static bool read_length (const char *value, const char *end, uint64_t *length);
 
-bool
-request_is_whole (const char *text, size_t size)
+uint64_t
+request_end_missing (const char *text, size_t size)
 {
   const char *const end = memmem (text, size, HEAD_END, sizeof HEAD_END - 1);
   const char *line = text;
   bool has_length = false;
   uint64_t length = 0;
+  size_t arrived;
 
-  if (end == NULL)
-    return false;
+  /* Empty lines before a request are not its end. */
+  if (end == NULL || end == text)
+    return REQUEST_END_UNKNOWN;
   /* The head's end follows each line, so no comparison passes it. */
   while ((line = memchr (line, '\n', (size_t)(end - line))) != NULL)
     {
       line++;
       if (STARTS (line, CODING))
-        return false;
+        return REQUEST_END_UNKNOWN;
       if (!STARTS (line, LENGTH))
         continue;
       if (has_length || !read_length (line + sizeof LENGTH - 1, end, &length))
-        return false;
+        return REQUEST_END_UNKNOWN;
       has_length = true;
     }
-  return length == size - (size_t)(end - text) - (sizeof HEAD_END - 1);
+  arrived = size - (size_t)(end - text) - (sizeof HEAD_END - 1);
+  return arrived <= length ? length - arrived : REQUEST_END_UNKNOWN;
 }
 
 static bool
--- a/src/transport/turnaway.c
+++ b/src/transport/turnaway.c
@@ -19,12 +19,7 @@
 #define DISCARD_BYTES 16384
 #define DISCARD_READS 8
 
-enum input
-{
-  INPUT_NONE,
-  INPUT_DISCARDED,
-  INPUT_ENDED /**< the client has left */
-};
+#define INPUT_ENDED (-1) /* the client has left */
 
 static void answer (struct turnaway *turnaway, evutil_socket_t fd,
                     const void *text, size_t size, uint64_t now_ns);
@@ -34,7 +29,8 @@
 static void append (struct turnaway *turnaway,
                     const struct turnaway_socket *socket);
 static struct turnaway_socket take_first (struct turnaway *turnaway);
-static enum input discard_input (evutil_socket_t fd);
+static void count_input (struct turnaway_socket *socket, uint64_t bytes);
+static ssize_t discard_input (evutil_socket_t fd);
 
 void
 turnaway_init (struct turnaway *turnaway, const struct clock *clock)
@@ -121,6 +117,7 @@
 {
   struct turnaway_socket socket = {
     .fd = fd,
+    .missing = REQUEST_END_UNKNOWN,
     .look_ns = now_ns + LOOK_NS,
     .quiet_ns = now_ns,
     .end_ns = now_ns + SENDING_NS,
@@ -129,15 +126,18 @@
   const ssize_t got = recv (fd, request, sizeof request, MSG_DONTWAIT);
   const bool left = got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 
+  if (got > 0)
+    {
+      socket.sent = true;
+      socket.missing = request_end_missing (request, (size_t)got);
+    }
   if (left || send (fd, text, size, MSG_NOSIGNAL) != (ssize_t)size
-      || (got > 0 && request_is_whole (request, (size_t)got))
-      || shutdown (fd, SHUT_WR) != 0)
+      || socket.missing == 0 || shutdown (fd, SHUT_WR) != 0)
     {
       close (fd);
       turnaway->left++;
       return;
     }
-  socket.sent = got > 0;
   append (turnaway, &socket);
 }
 
@@ -162,23 +162,27 @@
 look (struct turnaway *turnaway, uint64_t now_ns, bool full)
 {
   struct turnaway_socket socket = take_first (turnaway);
-  enum input input = discard_input (socket.fd);
+  const ssize_t input = discard_input (socket.fd);
+  bool done = input == INPUT_ENDED;
+  bool may_be_whole;
 
-  if (input == INPUT_DISCARDED)
+  if (input > 0)
     {
-      socket.sent = true;
+      count_input (&socket, (uint64_t)input);
       socket.quiet_ns = now_ns;
+      done = socket.missing == 0;
     }
-  if (input != INPUT_ENDED && now_ns < socket.end_ns
+  may_be_whole = socket.sent && socket.missing == REQUEST_END_UNKNOWN;
+  if (!done && now_ns < socket.end_ns
       && now_ns - socket.quiet_ns
-             < (full && socket.sent ? READING_NS : LINGER_NS))
+             < (full && may_be_whole ? READING_NS : LINGER_NS))
     {
       socket.look_ns = now_ns + LOOK_NS;
       append (turnaway, &socket);
       return;
     }
   close (socket.fd);
-  if (input == INPUT_ENDED)
+  if (done)
     turnaway->left++;
   else
     turnaway->expired++;
@@ -202,11 +206,22 @@
   return socket;
 }
 
-static enum input
+static void
+count_input (struct turnaway_socket *socket, uint64_t bytes)
+{
+  socket->sent = true;
+  if (bytes <= socket->missing && socket->missing != REQUEST_END_UNKNOWN)
+    socket->missing -= bytes;
+  else
+    socket->missing = REQUEST_END_UNKNOWN;
+}
+
+/* @return the number of bytes, or INPUT_ENDED. */
+static ssize_t
 discard_input (evutil_socket_t fd)
 {
   char bytes[DISCARD_BYTES];
-  enum input input = INPUT_NONE;
+  ssize_t discarded = 0;
   ssize_t n = sizeof bytes;
   int reads;
 
@@ -216,7 +231,7 @@
       if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
         return INPUT_ENDED;
       if (n > 0)
-        input = INPUT_DISCARDED;
+        discarded += n;
     }
-  return input;
+  return discarded;
 }
--- a/src/transport/turnaway.h
+++ b/src/transport/turnaway.h
@@ -4,7 +4,8 @@
  * and its input is discarded, which costs a fraction of a request.
  * Closing a socket before its client has read the response, or with unread
  * input, may reset the connection and lose the response, so it stays open
- * until its client has left or has had time to.
+ * until the request has arrived whole, or its client has left or has had time
+ * to.
  */
 #ifndef TRANSPORT_TURNAWAY_H
 #define TRANSPORT_TURNAWAY_H
@@ -24,8 +25,8 @@
 /** Time for a client to leave, from its response and from each part of its
     request on. */
 #define TURNAWAY_LINGER_MS 1000
-/** The same while other connections wait for room, if it has sent something:
-    one that has not would lose its response. */
+/** The same while other connections wait for room, if the client may have sent
+    its whole request: one that has not would lose its response. */
 #define TURNAWAY_READING_MS 100
 /** The same for a client that goes on sending, from its response on. */
 #define TURNAWAY_SENDING_MS 5000
@@ -38,6 +39,7 @@
 {
   evutil_socket_t fd;
   bool sent;         /**< its client has sent something */
+  uint64_t missing;  /**< bytes of its request, or REQUEST_END_UNKNOWN */
   uint64_t look_ns;  /**< when its client is looked at next */
   uint64_t quiet_ns; /**< when its client last sent, or got its response */
   uint64_t end_ns;   /**< closed then in any case */
@@ -52,7 +54,7 @@
   size_t count;
   uint64_t pass_end_ns; /**< until when the pass may go on */
   uint64_t rest_ns;     /**< when the last pass ended */
-  uint64_t left;        /**< closed; their clients had left */
+  uint64_t left;        /**< closed; their clients had left or sent all */
   uint64_t expired;     /**< closed; their clients had not left in time */
 };
 
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -700,6 +700,46 @@
   flood_finish (&flood);
 }
 
+#define PART      "POST /again/y HTTP/1.1\r\n" HEADERS "Content-Length: 9\r\n\r\nab"
+#define PART_REST "cdefghi"
+#define PAUSE_MS  300
+
+/* Clients pause while they send their requests, and others wait for room.
+   Guards against a reset of one whose request is known not to be whole; it is
+   closed when it is. */
+static void
+test_turned_away_pause (void)
+{
+  static struct flood flood;
+  uint32_t spent_ms;
+  char got[16];
+  size_t i;
+
+  flood_init (&flood);
+  flood_connect (&flood, 0, WAITING);
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    client_send (&(struct raw_client){ .fd = flood.clients[i] }, PART);
+  CU_ASSERT_EQUAL (flood_turn_away (&flood), TURNAWAY_SOCKETS_MAX);
+  for (spent_ms = 0; spent_ms < PAUSE_MS; spent_ms += TURNAWAY_LOOK_MS)
+    {
+      clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+      CU_ASSERT_EQUAL (flood_turn_away (&flood), 0);
+    }
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    client_send (&(struct raw_client){ .fd = flood.clients[i] }, PART_REST);
+  clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+  CU_ASSERT_EQUAL (flood_turn_away (&flood), WAITING - TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.count, WAITING - TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.left, TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.expired, 0);
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    {
+      CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 8);
+      CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 0);
+    }
+  flood_finish (&flood);
+}
+
 /* More are turned away than are kept open, and the loop is late for longer
    than they are kept open: the others get their response in the next turn. */
 static void
@@ -1369,6 +1409,7 @@
   { "turned away, slow client", test_turned_away_slow },
   { "turned away, whole request", test_turned_away_whole_request },
   { "turned away, long request", test_turned_away_long_request },
+  { "turned away, pause in a request", test_turned_away_pause },
   { "more connections than there may be", test_connections_above_limit },
   { "connections that waited to be accepted before",
     test_waited_for_accept_before },
