--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -10,10 +10,12 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define READ_BYTES_MAX 65536 /**< bytes per read call */
+#define UNREAD_MS      500   /**< for input that lies unread at a timeout */
 
 static void fail_later (struct peerlink *link, int error);
 static int queue (struct peerlink *link, const uint8_t *data, size_t size);
@@ -24,6 +26,7 @@
 static void on_timer (evutil_socket_t fd, short what, void *arg);
 static void callback_enter (struct peerlink *link, struct event *event);
 static void callback_leave (struct peerlink *link);
+static bool has_unread (const struct peerlink *link);
 static int read_frames (struct peerlink *link);
 static int read_frame (struct peerlink *link);
 static int handle_frame (struct peerlink *link, const uint8_t *data,
@@ -228,7 +231,10 @@
   if (size > 0)
     {
       if (link->state == PEERLINK_UP)
-        arm_timer (link, link->config->idle_ms);
+        {
+          link->extended = false;
+          arm_timer (link, link->config->idle_ms);
+        }
       rc = read_frames (link);
     }
   else
@@ -261,10 +267,26 @@
   (void)fd;
   (void)what;
   callback_enter (link, link->timer);
-  report_failure (link, link->error != 0 ? link->error : ERR_TIMEOUT);
+  /* Beyond the share of control, input waits with traffic, and timers may go
+     before it. */
+  if (link->error == 0 && !link->extended && has_unread (link))
+    {
+      link->extended = true;
+      arm_timer (link, UNREAD_MS);
+    }
+  else
+    report_failure (link, link->error != 0 ? link->error : ERR_TIMEOUT);
   callback_leave (link);
 }
 
+static bool
+has_unread (const struct peerlink *link)
+{
+  int unread = 0;
+
+  return ioctl (link->fd, FIONREAD, &unread) == 0 && unread > 0;
+}
+
 /** Handles all complete frames in the input buffer. */
 static int
 read_frames (struct peerlink *link)
--- a/src/transport/peerlink_int.h
+++ b/src/transport/peerlink_int.h
@@ -23,7 +23,8 @@
   const struct peerlink_config *config;
   int fd;
   bool dialed;
-  bool closed; /**< freed once `callback_depth` is 0 */
+  bool closed;   /**< freed once `callback_depth` is 0 */
+  bool extended; /**< got time for input that is unread */
   bool queued; /**< a frame was queued since the last peerlink_keep_alive() */
   int error;   /**< reason for the failure; 0 if none */
   uint32_t callback_depth;
--- a/tests/test_peerlink.c
+++ b/tests/test_peerlink.c
@@ -6,6 +6,7 @@
 #include "protocol/peercodec.h"
 #include "state/err.h"
 #include "support/suite.h"
+#include "transport/loop.h"
 #include "transport/peerlink.h"
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -24,6 +25,7 @@
   struct peerlink_config config;
   struct peerlink_counters counters;
   struct peerlink *link;
+  int link_fd;
   bool up;
   bool down;
   int error;
@@ -102,6 +104,7 @@
 
   CU_ASSERT_EQUAL_FATAL (
       socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), 0);
+  dialer->link_fd = fds[0];
   dialer->link = peerlink_open (&dialer->config, fds[0], true);
   acceptor->link = peerlink_open (&acceptor->config, fds[1], false);
 }
@@ -401,6 +404,49 @@
   run_until (&b.down);
 }
 
+#define IDLE_MS 100
+
+/* The event loop is late, events of control have had their share of it, and a
+   frame of the peer is in the socket when the idle time ends.  Guards against
+   the loss of a peer that has sent in time. */
+static void
+test_idle_time_ends_with_input (void)
+{
+  static const char keep_alive[sizeof (uint32_t)];
+  struct event_base *shared = base;
+  struct loop_control control;
+  struct clock clock;
+  struct endpoint a;
+  struct endpoint b;
+  int fd;
+
+  base = loop_new ();
+  clock_init_manual (&clock, CLOCK_NS_PER_S, 0);
+  loop_control_init (&control, &clock, NULL);
+  time_share_take (&control.share, 0, CLOCK_NS_PER_S);
+  endpoint_init (&a, "router-a");
+  endpoint_init (&b, "router-b");
+  b.config.control = &control;
+  b.config.idle_ms = IDLE_MS;
+  open_pair (&a, &b);
+  fd = a.link_fd;
+  run_until (&a.up);
+  run_until (&b.up);
+  CU_ASSERT_EQUAL (write (fd, keep_alive, sizeof keep_alive),
+                   sizeof keep_alive);
+  usleep (IDLE_MS * 2 * 1000);
+  run_pending ();
+  CU_ASSERT_FALSE (b.down);
+  /* It stays silent. */
+  if (!b.down)
+    run_until (&b.down);
+  CU_ASSERT_EQUAL (b.error, ERR_TIMEOUT);
+  endpoint_finish (&a);
+  loop_control_finish (&control);
+  event_base_free (base);
+  base = shared;
+}
+
 static const struct suite_test tests[] = {
   { "a link carries messages", test_link },
   { "wrong secret, fleet or instance name", test_rejected_peers },
@@ -409,6 +455,7 @@
   { "reflected proof", test_reflection },
   { "oversized frame", test_oversized_frame },
   { "peer that does not read", test_peer_that_does_not_read },
+  { "idle time ends with input unread", test_idle_time_ends_with_input },
 };
 
 int
