--- a/tests/test_request_end.c
+++ b/tests/test_request_end.c
@@ -5,6 +5,7 @@
 #include "support/suite.h"
 #include "transport/request_end.h"
 #include <stdbool.h>
+#include <stdio.h>
 #include <string.h>
 
 #define HEAD "POST /a HTTP/1.1\r\nHost: a\r\n"
@@ -34,8 +35,7 @@
       CU_ASSERT_TRUE (is_whole (requests[i]));
       for (size = 0; size < strlen (requests[i]); size++)
         CU_ASSERT_NOT_EQUAL (request_end_missing (requests[i], size), 0);
-      strcpy (more, requests[i]);
-      strcat (more, "G");
+      snprintf (more, sizeof more, "%sG", requests[i]);
       CU_ASSERT_FALSE (is_whole (more));
     }
 }
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -1375,7 +1375,79 @@
   check_sent_behind_last (300000, 80);
 }
 
+#define BURST_CLIENTS  40
+#define STEADY_CLIENTS 100 /**< one in a millisecond */
+
+struct steady_clients
+{
+  const struct gatefixture *fixture;
+  struct raw_client clients[BURST_CLIENTS + STEADY_CLIENTS];
+  size_t count;
+};
+
+static void
+connect_next (struct steady_clients *steady)
+{
+  struct raw_client *client = &steady->clients[steady->count++];
+
+  client_connect (client, steady->fixture);
+  client_send (client, REQUEST);
+}
+
+/* In each round of the loop, after what it accepts. */
+static void
+on_steady (evutil_socket_t fd, short what, void *user)
+{
+  struct steady_clients *steady = user;
+
+  (void)fd;
+  (void)what;
+  usleep (1000);
+  if (steady->count < BURST_CLIENTS + STEADY_CLIENTS)
+    connect_next (steady);
+}
+
+/* Some connections wait at once, and then one comes in each round of the loop,
+   for longer than a connection may wait.  Guards against refusals though each
+   is accepted in the next round. */
+static void
+test_steady_connections (void)
+{
+  static struct steady_clients steady;
+  struct gatefixture fixture;
+  struct event *event;
+  size_t served = 0;
+  int fds[2];
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  memset (&steady, 0, sizeof steady);
+  steady.fixture = &fixture;
+  for (i = 0; i < BURST_CLIENTS; i++)
+    connect_next (&steady);
+  CU_ASSERT_EQUAL_FATAL (pipe (fds), 0);
+  event = event_new (fixture.base, fds[1], EV_WRITE | EV_PERSIST, on_steady,
+                     &steady);
+  event_add (event, NULL);
+  while (steady.count < BURST_CLIENTS + STEADY_CLIENTS)
+    gatefixture_run (&fixture, 10);
+  event_free (event);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < steady.count; i++)
+    {
+      client_receive (&steady.clients[i]);
+      served += strncmp (steady.clients[i].got, "HTTP/1.1 200", 12) == 0;
+      close (steady.clients[i].fd);
+    }
+  CU_ASSERT_EQUAL (served, steady.count);
+  CU_ASSERT_EQUAL (httpd_shed_count (fixture.gateway.httpd), 0);
+  close (fds[0]);
+  close (fds[1]);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "connections in each round", test_steady_connections },
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
   { "idle connection closed while the loop is late", test_idle_close_at_once },
