--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -7,6 +7,7 @@
 #include "gateway/gateway_request.h"
 #include "support/gatefixture.h"
 #include "support/suite.h"
+#include "transport/linger.h"
 #include "transport/turnaway.h"
 #include <arpa/inet.h>
 #include <errno.h>
@@ -699,6 +700,46 @@
   flood_finish (&flood);
 }
 
+#define PART      "POST /again/y HTTP/1.1\r\n" HEADERS "Content-Length: 9\r\n\r\nab"
+#define PART_REST "cdefghi"
+#define PAUSE_MS  300
+
+/* Clients pause while they send their requests, and others wait for room.
+   Guards against a reset of one whose request is known not to be whole; it is
+   closed when it is. */
+static void
+test_turned_away_pause (void)
+{
+  static struct flood flood;
+  uint32_t spent_ms;
+  char got[16];
+  size_t i;
+
+  flood_init (&flood);
+  flood_connect (&flood, 0, WAITING);
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    client_send (&(struct raw_client){ .fd = flood.clients[i] }, PART);
+  CU_ASSERT_EQUAL (flood_turn_away (&flood), TURNAWAY_SOCKETS_MAX);
+  for (spent_ms = 0; spent_ms < PAUSE_MS; spent_ms += TURNAWAY_LOOK_MS)
+    {
+      clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+      CU_ASSERT_EQUAL (flood_turn_away (&flood), 0);
+    }
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    client_send (&(struct raw_client){ .fd = flood.clients[i] }, PART_REST);
+  clock_advance_ms (&flood.clock, TURNAWAY_LOOK_MS);
+  CU_ASSERT_EQUAL (flood_turn_away (&flood), WAITING - TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.count, WAITING - TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.left, TURNAWAY_SOCKETS_MAX);
+  CU_ASSERT_EQUAL (flood.turnaway.expired, 0);
+  for (i = 0; i < TURNAWAY_SOCKETS_MAX; i++)
+    {
+      CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 8);
+      CU_ASSERT_EQUAL (recv (flood.clients[i], got, sizeof got, 0), 0);
+    }
+  flood_finish (&flood);
+}
+
 /* More are turned away than are kept open, and the loop is late for longer
    than they are kept open: the others get their response in the next turn. */
 static void
@@ -1269,7 +1310,144 @@
   gatefixture_finish (&fixture);
 }
 
+/* A client whose request is refused goes on sending without end.  Guards
+   against a connection that stays open, and a drain that waits for it. */
+static void
+test_linger_endless (void)
+{
+  struct gatefixture fixture;
+  struct raw_client client;
+  uint32_t spent_ms;
+
+  gatefixture_init (&fixture, true);
+  client_connect (&client, &fixture);
+  client_send (&client, TOO_LARGE);
+  for (spent_ms = 0; spent_ms < LINGER_MAX_MS + DONE_MS; spent_ms += IDLE_MS)
+    {
+      gatefixture_run (&fixture, IDLE_MS);
+      send (client.fd, HEADERS, strlen (HEADERS), MSG_NOSIGNAL);
+    }
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "HTTP/1.1 413"));
+  CU_ASSERT_EQUAL (httpd_active_connections (fixture.gateway.httpd), 0);
+  close (client.fd);
+  gatefixture_finish (&fixture);
+}
+
+/* A client sends more behind a request whose response announces a close.
+   Guards against a reset, which may take that response with it. */
+static void
+check_sent_behind_last (size_t size, uint32_t response_delay_ms)
+{
+  static char more[300000];
+  struct gatefixture fixture;
+  struct raw_client client;
+
+  gatefixture_init (&fixture, true);
+  set_connections_max (&fixture, 1, DONE_MS * 15);
+  fixture.upstreams[0].response_delay_ms = response_delay_ms;
+  fixture.upstreams[1].response_delay_ms = response_delay_ms;
+  memset (more, 'G', size);
+  client_connect (&client, &fixture);
+  client_send (&client, REQUEST);
+  if (response_delay_ms > 0)
+    gatefixture_run (&fixture, response_delay_ms / 2);
+  send (client.fd, more, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  gatefixture_run (&fixture, response_delay_ms + IDLE_MS);
+  CU_ASSERT_EQUAL (send (client.fd, more, 1, MSG_NOSIGNAL | MSG_DONTWAIT), 1);
+  client_receive (&client);
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "id-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (client.got, "Connection: close"));
+  CU_ASSERT_TRUE (client.ended);
+  CU_ASSERT_EQUAL (client.error, 0);
+  close (client.fd);
+  gatefixture_run (&fixture, IDLE_MS);
+  CU_ASSERT_EQUAL (httpd_active_connections (fixture.gateway.httpd), 0);
+  gatefixture_finish (&fixture);
+}
+
+static void
+test_sent_behind_last (void)
+{
+  check_sent_behind_last (3, 0);
+  check_sent_behind_last (3, 80);
+  check_sent_behind_last (300000, 0);
+  check_sent_behind_last (300000, 80);
+}
+
+#define BURST_CLIENTS  40
+#define STEADY_CLIENTS 100 /**< one in a millisecond */
+
+struct steady_clients
+{
+  const struct gatefixture *fixture;
+  struct raw_client clients[BURST_CLIENTS + STEADY_CLIENTS];
+  size_t count;
+};
+
+static void
+connect_next (struct steady_clients *steady)
+{
+  struct raw_client *client = &steady->clients[steady->count++];
+
+  client_connect (client, steady->fixture);
+  client_send (client, REQUEST);
+}
+
+/* In each round of the loop, after what it accepts. */
+static void
+on_steady (evutil_socket_t fd, short what, void *user)
+{
+  struct steady_clients *steady = user;
+
+  (void)fd;
+  (void)what;
+  usleep (1000);
+  if (steady->count < BURST_CLIENTS + STEADY_CLIENTS)
+    connect_next (steady);
+}
+
+/* Some connections wait at once, and then one comes in each round of the loop,
+   for longer than a connection may wait.  Guards against refusals though each
+   is accepted in the next round. */
+static void
+test_steady_connections (void)
+{
+  static struct steady_clients steady;
+  struct gatefixture fixture;
+  struct event *event;
+  size_t served = 0;
+  int fds[2];
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  memset (&steady, 0, sizeof steady);
+  steady.fixture = &fixture;
+  for (i = 0; i < BURST_CLIENTS; i++)
+    connect_next (&steady);
+  CU_ASSERT_EQUAL_FATAL (pipe (fds), 0);
+  event = event_new (fixture.base, fds[1], EV_WRITE | EV_PERSIST, on_steady,
+                     &steady);
+  event_add (event, NULL);
+  while (steady.count < BURST_CLIENTS + STEADY_CLIENTS)
+    gatefixture_run (&fixture, 10);
+  event_free (event);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < steady.count; i++)
+    {
+      client_receive (&steady.clients[i]);
+      served += strncmp (steady.clients[i].got, "HTTP/1.1 200", 12) == 0;
+      close (steady.clients[i].fd);
+    }
+  CU_ASSERT_EQUAL (served, steady.count);
+  CU_ASSERT_EQUAL (httpd_shed_count (fixture.gateway.httpd), 0);
+  close (fds[0]);
+  close (fds[1]);
+  gatefixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "connections in each round", test_steady_connections },
   { "more turned away than are kept open", test_turned_away },
   { "idle time ends with a request unread", test_idle_timer },
   { "idle connection closed while the loop is late", test_idle_close_at_once },
@@ -1286,9 +1464,11 @@
   { "refusal while the loop is late", test_linger_late },
   { "refusal while the loop is late and the client sends",
     test_linger_late_unread },
+  { "refused client sends without end", test_linger_endless },
   { "connected while the loop is late", test_connect_late },
   { "read time ends with the rest unread", test_read_timer },
   { "bytes behind a request", test_leftovers },
+  { "bytes behind the last request", test_sent_behind_last },
   { "empty lines", test_drain_ends_with_junk },
   { "refused as the drain ends", test_refused_at_drain_end },
   { "accepted as the drain ends", test_unaccepted_at_drain_end },
@@ -1301,6 +1481,7 @@
   { "turned away, slow client", test_turned_away_slow },
   { "turned away, whole request", test_turned_away_whole_request },
   { "turned away, long request", test_turned_away_long_request },
+  { "turned away, pause in a request", test_turned_away_pause },
   { "more connections than there may be", test_connections_above_limit },
   { "connections that waited to be accepted before",
     test_waited_for_accept_before },
