--- a/src/transport/reply.c
+++ b/src/transport/reply.c
@@ -7,8 +7,15 @@
 #include <stdlib.h>
 #include <strings.h>
 
+/* Bytes of a part below which it is copied: what is moved keeps a buffer of
+   its own, of a kilobyte or more. */
+#define COPY_MAX 2048
+
 static enum reply_mode choose_mode (struct reply *reply,
                                     const struct reply_head *head);
+static void add_part (struct evbuffer *out, struct evbuffer *data);
+static void add_chunk (evhtp_request_t *http, struct evbuffer *out,
+                       struct evbuffer *data);
 
 void
 reply_start (struct reply *reply, const struct reply_head *head)
@@ -83,6 +90,10 @@
 reply_send_body (struct reply *reply, struct evbuffer *data)
 {
   size_t size = evbuffer_get_length (data);
+  struct evbuffer *out
+      = reply->mode == REPLY_LENGTH || reply->mode == REPLY_CHUNKED
+            ? bufferevent_get_output (reply->http->conn->bev)
+            : NULL;
 
   if (reply->mode == REPLY_LENGTH
       && size > reply->length - reply->delivered_bytes)
@@ -94,20 +105,20 @@
   switch (reply->mode)
     {
     case REPLY_BUFFERED:
-      evbuffer_add_buffer (reply->http->buffer_out, data);
+      add_part (reply->http->buffer_out, data);
       break;
     case REPLY_LENGTH:
       reply->delivered_bytes += size;
       httpd_cork (reply->http);
       reply_send_head (reply);
-      evhtp_send_reply_body (reply->http, data);
+      add_part (out, data);
       httpd_uncork (reply->http);
       break;
     case REPLY_CHUNKED:
       reply->delivered_bytes += size;
       httpd_cork (reply->http);
       reply_send_head (reply);
-      evhtp_send_reply_chunk (reply->http, data);
+      add_chunk (reply->http, out, data);
       httpd_uncork (reply->http);
       break;
     case REPLY_NONE:
@@ -118,6 +129,32 @@
   return 0;
 }
 
+static void
+add_part (struct evbuffer *out, struct evbuffer *data)
+{
+  const size_t size = evbuffer_get_length (data);
+
+  if (size >= COPY_MAX
+      || evbuffer_add (out, evbuffer_pullup (data, -1), size) != 0)
+    evbuffer_add_buffer (out, data);
+}
+
+/* A client of HTTP/1.0 gets no chunks. */
+static void
+add_chunk (evhtp_request_t *http, struct evbuffer *out, struct evbuffer *data)
+{
+  const bool chunked = (http->flags & EVHTP_REQ_FLAG_CHUNKED) != 0;
+  const size_t size = evbuffer_get_length (data);
+
+  if (size == 0)
+    return;
+  if (chunked)
+    evbuffer_add_printf (out, "%zx\r\n", size);
+  add_part (out, data);
+  if (chunked)
+    evbuffer_add (out, "\r\n", 2);
+}
+
 bool
 reply_length_kept (const struct reply *reply)
 {
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -6,6 +6,7 @@
 #include "request_int.h"
 #include "router.h"
 #include "state/err.h"
+#include "support/memory.h"
 #include "support/suite.h"
 #include "suspects.h"
 #include <errno.h>
@@ -23,6 +24,10 @@
 #define BODY_PART_BYTES  8192     /**< of the response to the slow client */
 #define FLOOD_BYTES      33554432 /**< more than socket buffers hold */
 #define RECEIVE_MAX      4096     /**< bytes of a response that are kept */
+#define LONG_BYTES       131072   /**< more than response_buffer_bytes */
+#define FULL_TURNS       20       /**< until a socket counts as full */
+/* Of a body that waits for its end or its client: eight times its bytes. */
+#define HELD_MAX_KB (8 * BUFFER_MAX / 1024)
 
 #define KEY "key-of-ana-000000"
 /** First headers of a request; the name of the profile follows. */
@@ -507,6 +512,88 @@
   fixture_finish (&fixture);
 }
 
+/* The client reads nothing, until its socket takes no more for some turns. */
+static void
+fill_socket (struct fixture *fixture)
+{
+  static const char part[BODY_PART_BYTES] = { 'x' };
+  size_t sent = 0;
+  int full = 0;
+
+  while (full < FULL_TURNS && sent < FLOOD_BYTES)
+    {
+      run_loop_once (fixture);
+      if (httpd_pending_bytes (request_http (fixture)) > 0)
+        {
+          full++;
+          usleep (POLL_INTERVAL_US);
+          continue;
+        }
+      full = 0;
+      respond_body (fixture, part, sizeof (part));
+      sent += sizeof (part);
+    }
+  CU_ASSERT_FALSE (fixture->fake.paused);
+}
+
+/* Bytes one by one, until the upstream is paused or there are as many as the
+   buffer may hold, take little more memory than their number. */
+static void
+play_byte_by_byte (const struct upstream_header *header, size_t bytes,
+                   bool streamed)
+{
+  const char start[] = "POST /services/farm/job HTTP/1.1\r\n" HEAD "once\r\n"
+                       "Content-Length: 0\r\n\r\n";
+  const int socket_bytes = 4096;
+  struct fixture fixture;
+  uint64_t before_kb;
+  uint64_t held_kb;
+  size_t sent;
+  int fd;
+
+  fixture_init (&fixture);
+  fd = client_connect (&fixture);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &socket_bytes, sizeof socket_bytes);
+  client_send (fd, start);
+  wait_attempt (&fixture, 1);
+  respond (&fixture, header, 1);
+  if (streamed)
+    fill_socket (&fixture);
+  before_kb = memory_kb ();
+  for (sent = 0; sent < bytes && !fixture.fake.paused; sent++)
+    respond_body (&fixture, "x", 1);
+  CU_ASSERT_EQUAL (fixture.fake.paused, streamed);
+  held_kb = memory_kb () - before_kb;
+  if (held_kb >= HELD_MAX_KB)
+    printf ("%s: %zu bytes one by one take %zu KB\n", header->value, sent,
+            (size_t)held_kb);
+  CU_ASSERT (held_kb < HELD_MAX_KB);
+  close (fd);
+  fixture_finish (&fixture);
+}
+
+static void
+test_small_parts_of_buffered_body (void)
+{
+  const struct upstream_header length = { "Content-Length", "60000" };
+
+  play_byte_by_byte (&length, 60000 - 1, false);
+}
+
+static void
+test_small_parts_of_long_body (void)
+{
+  const struct upstream_header length = { "Content-Length", "1000000000" };
+
+  play_byte_by_byte (&length, LONG_BYTES, true);
+}
+
+static void
+test_small_parts_of_chunked_body (void)
+{
+  play_byte_by_byte (chunked, LONG_BYTES, true);
+}
+
 /** Refused input and the expected status. */
 static const struct
 {
@@ -792,6 +879,9 @@
     test_truncated_stream_closes_connection },
   { "client disconnect cancels the attempt", test_client_disconnect_cancels },
   { "slow client", test_slow_client },
+  { "small parts of a buffered body", test_small_parts_of_buffered_body },
+  { "small parts of a long body", test_small_parts_of_long_body },
+  { "small parts of a chunked body", test_small_parts_of_chunked_body },
   { "refused input", test_refused_input },
   { "header limit", test_header_limit },
   { "headers above a number are dropped", test_many_headers },
