--- a/src/request_upstream.c
+++ b/src/request_upstream.c
@@ -217,6 +217,9 @@
       request->usage.event_stream
           = strncasecmp (headers[i].value, "text/event-stream", 17) == 0;
   request_reply_start (request, status, headers, count);
+  /* From now on the client gets no other response. */
+  if (reply_started (&request->reply))
+    raise_progress (request, DISPATCH_PROGRESS);
 }
 
 /* Pauses reading from the upstream while the client is slow.  A part of the
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -556,6 +556,8 @@
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &socket_bytes, sizeof socket_bytes);
   client_send (fd, start);
   wait_attempt (&fixture, 1);
+  setsockopt (bufferevent_getfd (request_http (&fixture)->conn->bev),
+              SOL_SOCKET, SO_SNDBUF, &socket_bytes, sizeof socket_bytes);
   respond (&fixture, header, 1);
   if (streamed)
     fill_socket (&fixture);
