--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -1236,6 +1236,79 @@
   gatefixture_finish (&fixture);
 }
 
+#define PAUSE_CLIENTS 9
+#define PAUSE_MS      300 /* a tick of the gateway is due in it */
+
+/* The process is not run for a while, and its clients connect meanwhile.
+   Guards against a single late measurement of the loop that refuses them. */
+static void
+test_pause_while_connecting (void)
+{
+  struct raw_client clients[PAUSE_CLIENTS];
+  struct gatefixture fixture;
+  size_t served = 0;
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < PAUSE_CLIENTS; i++)
+    {
+      client_connect (&clients[i], &fixture);
+      client_send (&clients[i], REQUEST);
+    }
+  usleep (PAUSE_MS * 1000);
+  gatefixture_run (&fixture, DONE_MS);
+  for (i = 0; i < PAUSE_CLIENTS; i++)
+    {
+      client_receive (&clients[i]);
+      served += strncmp (clients[i].got, "HTTP/1.1 200", 12) == 0;
+      close (clients[i].fd);
+    }
+  CU_ASSERT_EQUAL (served, PAUSE_CLIENTS);
+  gatefixture_finish (&fixture);
+}
+
+#define LATE_CLIENTS 40
+#define LATE_TURN_MS 120
+
+static void
+on_late_turn (evutil_socket_t fd, short what, void *arg)
+{
+  const struct timeval now = { 0, 0 };
+
+  (void)fd;
+  (void)what;
+  usleep (LATE_TURN_MS * 1000);
+  event_add (*(struct event **)arg, &now);
+}
+
+/* Every turn of the loop is late.  Guards against an overload that is taken
+   for a pause. */
+static void
+test_every_turn_late (void)
+{
+  struct raw_client clients[LATE_CLIENTS];
+  struct gatefixture fixture;
+  struct event *late;
+  size_t i;
+
+  gatefixture_init (&fixture, true);
+  gatefixture_run (&fixture, DONE_MS);
+  late = event_new (fixture.base, -1, 0, on_late_turn, &late);
+  for (i = 0; i < LATE_CLIENTS; i++)
+    {
+      client_connect (&clients[i], &fixture);
+      client_send (&clients[i], REQUEST);
+    }
+  event_active (late, EV_TIMEOUT, 0);
+  gatefixture_run (&fixture, 10 * LATE_TURN_MS);
+  CU_ASSERT (httpd_shed_count (fixture.gateway.httpd) > 0);
+  for (i = 0; i < LATE_CLIENTS; i++)
+    close (clients[i].fd);
+  event_free (late);
+  gatefixture_finish (&fixture);
+}
+
 #define ACCEPT_WAITING 9 /**< one more than are accepted in a turn */
 
 /* Connections wait for a turn of the loop once, and are accepted.  Guards
@@ -1306,6 +1379,8 @@
     test_waited_for_accept_before },
   { "no descriptors while connections wait", test_no_descriptors },
   { "stall while connections are accepted", test_stall_while_accepting },
+  { "pause while clients connect", test_pause_while_connecting },
+  { "every turn of the loop is late", test_every_turn_late },
 };
 
 SUITE_MAIN ("test_unread_requests", tests)
