--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -19,6 +19,10 @@
 #define LOAD_COLUMNS       3
 #define LOAD_COUNT_COLUMNS 2
 #define PAIRS_MIN          64 /* initial capacity of a dictionary */
+/* Bytes that protobuf-c may allocate for a frame.  An empty entry takes two
+   bytes of the frame and a hundred times as much when it is unpacked; the
+   largest configuration takes three quarters of this. */
+#define UNPACKED_MAX (4 * (size_t)MESSAGE_FRAME_MAX)
 
 /** A dictionary entry, with the counters last received for it as the sender's
     own account. */
@@ -44,6 +48,8 @@
 typedef int (*decode_fn) (struct peercodec_decoder *decoder,
                           const Peer__Frame *frame, struct message *message);
 
+static void *allocate_unpacked (void *left, size_t size);
+static void free_unpacked (void *left, void *pointer);
 static int decode_hello (struct peercodec_decoder *decoder,
                          const Peer__Frame *frame, struct message *message);
 static int decode_proof (struct peercodec_decoder *decoder,
@@ -120,12 +126,16 @@
 peercodec_decode (struct peercodec_decoder *decoder, const uint8_t *data,
                   size_t size, struct message *message)
 {
+  size_t left = UNPACKED_MAX;
+  ProtobufCAllocator allocator = { .alloc = allocate_unpacked,
+                                   .free = free_unpacked,
+                                   .allocator_data = &left };
   Peer__Frame *frame;
   int rc = ERR_PROTOCOL;
 
   if (size > MESSAGE_FRAME_MAX)
     return ERR_TOO_LARGE;
-  frame = peer__frame__unpack (NULL, size, data);
+  frame = peer__frame__unpack (&allocator, size, data);
   if (frame == NULL)
     return ERR_PROTOCOL;
   memset (message, 0, sizeof *message);
@@ -135,12 +145,28 @@
       message->kind = decoders[frame->body_case].kind;
       rc = decoders[frame->body_case].decode (decoder, frame, message);
     }
-  peer__frame__free_unpacked (frame, NULL);
+  peer__frame__free_unpacked (frame, &allocator);
   if (rc != 0)
     message_finish (message);
   return rc;
 }
 
+static void *
+allocate_unpacked (void *left, size_t size)
+{
+  if (size > *(size_t *)left)
+    return NULL;
+  *(size_t *)left -= size;
+  return malloc (size);
+}
+
+static void
+free_unpacked (void *left, void *pointer)
+{
+  (void)left;
+  free (pointer);
+}
+
 /** Allocates an array; leaves `out` NULL when it is empty. */
 static int
 allocate_items (void **out, size_t count, size_t size)
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -6,12 +6,23 @@
 #include "protocol/peer.pb-c.h"
 #include "protocol/peercodec.h"
 #include "state/err.h"
+#include "support/memory.h"
 #include "support/suite.h"
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define RANDOM_FRAMES    20000
 #define RANDOM_BYTES_MAX 96
+/* An eighth of the smallest gateway's memory, for one frame while it is
+   decoded; three times that with the sanitizers, which take some 40 bytes more
+   for each allocation and keep freed ones for a while. */
+#ifdef __SANITIZE_ADDRESS__
+static const long peak_max_kb = 3 * MEMORY_GATEWAY_KB / 8;
+#else
+static const long peak_max_kb = MEMORY_GATEWAY_KB / 8;
+#endif
 
 static struct message_demand demands[]
     = { { 1, 2, 3, 4 }, { UINT64_MAX, UINT64_MAX, UINT32_MAX, UINT32_MAX } };
@@ -403,6 +414,90 @@
       ERR_PROTOCOL);
 }
 
+static size_t
+put_varint (uint8_t *out, size_t value)
+{
+  size_t size = 0;
+
+  for (; value >= 0x80; value >>= 7)
+    out[size++] = (uint8_t)(value | 0x80);
+  out[size++] = (uint8_t)value;
+  return size;
+}
+
+static long
+peak_kb (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+/* A frame of one body that is full of empty entries of one field. */
+static void
+assert_refused_in_little_memory (unsigned int body, unsigned int field)
+{
+  static uint8_t wire[MESSAGE_FRAME_MAX];
+  struct message message;
+  const size_t count = (MESSAGE_FRAME_MAX - 16) / 2;
+  long before_kb;
+  long peak;
+  size_t size = 0;
+  size_t i;
+
+  wire[size++] = (uint8_t)(body << 3 | 2);
+  size += put_varint (wire + size, 2 * count);
+  for (i = 0; i < count; i++)
+    {
+      wire[size++] = (uint8_t)(field << 3 | 2);
+      wire[size++] = 0;
+    }
+  before_kb = peak_kb ();
+  CU_ASSERT (decode_first (wire, size, &message) < 0);
+  peak = peak_kb () - before_kb;
+  if (peak >= peak_max_kb)
+    printf ("body %u: %ld KB\n", body, peak);
+  CU_ASSERT (peak < peak_max_kb);
+}
+
+static void
+test_frame_of_empty_entries (void)
+{
+  assert_refused_in_little_memory (PEER__FRAME__BODY_ADDRESSES, 1);
+  assert_refused_in_little_memory (PEER__FRAME__BODY_CONFIG, 3);
+}
+
+/* As many objects as one message may have. */
+static void
+test_largest_config (void)
+{
+  struct message message = { .kind = MESSAGE_CONFIG };
+  struct message_config *config = &message.u.config;
+  struct peercodec_buffer buffer = { 0 };
+  struct message decoded;
+  size_t i;
+
+  config->newest_index = 1;
+  config->object_count = PEERCODEC_ITEMS_MAX;
+  config->objects = calloc (PEERCODEC_ITEMS_MAX, sizeof *config->objects);
+  for (i = 0; i < PEERCODEC_ITEMS_MAX; i++)
+    {
+      struct message_object *object = &config->objects[i];
+
+      snprintf (object->key, sizeof object->key, "customer/customer-%zu", i);
+      object->index = 1;
+      object->value = (char *)"{\"weight\":1,\"keys\":[]}";
+      object->value_size = strlen (object->value);
+    }
+  encode_first (&message, &buffer);
+  CU_ASSERT_EQUAL_FATAL (decode_first (buffer.data, buffer.size, &decoded), 0);
+  CU_ASSERT_EQUAL (decoded.u.config.object_count, PEERCODEC_ITEMS_MAX);
+  message_finish (&decoded);
+  free (config->objects);
+  peercodec_buffer_finish (&buffer);
+}
+
 static const struct suite_test tests[] = {
   { "round trip of every kind", test_round_trip },
   { "dictionary and increments", test_dictionary },
@@ -412,6 +507,8 @@
   { "random bytes", test_random_bytes },
   { "values out of range are rejected", test_values_out_of_range },
   { "sizes out of range are rejected", test_sizes_out_of_range },
+  { "frame of empty entries", test_frame_of_empty_entries },
+  { "largest configuration", test_largest_config },
 };
 
 SUITE_MAIN ("test_peercodec", tests)
