--- a/tests/test_peerlink.c
+++ b/tests/test_peerlink.c
@@ -5,6 +5,7 @@
  */
 #include "protocol/peercodec.h"
 #include "state/err.h"
+#include "support/memory.h"
 #include "support/suite.h"
 #include "transport/peerlink.h"
 #include <arpa/inet.h>
@@ -17,6 +18,9 @@
 #define LOOP_TURNS_MAX 2000 /* of the event loop, to wait for a condition */
 #define WIRE_BYTES_MAX 4096 /* bytes recorded of one direction */
 #define HANDSHAKE_MS   200
+/* A frame takes its own bytes and those that the buffer grows ahead. */
+#define HELD_MAX_KB (3 * MESSAGE_FRAME_MAX / 1024)
+#define FLOOD_BYTES 16777216 /* four frames */
 
 /* One side of a link, and the callbacks that it has received. */
 struct endpoint
@@ -374,6 +378,75 @@
   close (raw_b);
 }
 
+/* Writes `part` to an established link, again and again, until the link ends
+   or `FLOOD_BYTES` were written.
+   @return the most memory that was allocated meanwhile, in KB. */
+static uint64_t
+flood (struct endpoint *endpoint, int fd, const uint8_t *part, size_t size)
+{
+  const uint64_t before_kb = memory_kb ();
+  uint64_t most_kb = before_kb;
+  size_t sent = 0;
+
+  while (!endpoint->down && sent < FLOOD_BYTES)
+    {
+      const ssize_t count = send (fd, part, size, MSG_NOSIGNAL);
+
+      if (count > 0)
+        sent += (size_t)count;
+      if (count < (ssize_t)size)
+        event_base_loop (base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+      if (memory_kb () > most_kb)
+        most_kb = memory_kb ();
+    }
+  return most_kb - before_kb;
+}
+
+static void
+play_flood (uint32_t prefix, const uint8_t *part, size_t size, bool ends)
+{
+  struct endpoint a;
+  struct endpoint b;
+  uint8_t recorded[WIRE_BYTES_MAX];
+  int raw_a;
+  int raw_b;
+  int turn;
+
+  prefix = htonl (prefix);
+  endpoint_init (&a, "router-a");
+  endpoint_init (&b, "router-b");
+  raw_a = open_raw (&a, true);
+  raw_b = open_raw (&b, false);
+  for (turn = 0; turn < LOOP_TURNS_MAX && !(a.up && b.up); turn++)
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      relay (raw_a, raw_b, recorded, 0);
+      relay (raw_b, raw_a, recorded, 0);
+    }
+  CU_ASSERT_TRUE_FATAL (a.up && b.up);
+  CU_ASSERT_EQUAL (write (raw_b, &prefix, sizeof prefix), sizeof prefix);
+  CU_ASSERT (flood (&b, raw_b, part, size) < HELD_MAX_KB);
+  CU_ASSERT_EQUAL (b.down, ends);
+  CU_ASSERT_EQUAL (b.messages, 0);
+  endpoint_finish (&a);
+  endpoint_finish (&b);
+  close (raw_a);
+  close (raw_b);
+}
+
+/* Of a peer that knows the secret: a frame that ends as no message, the same
+   byte by byte, and empty frames. */
+static void
+test_frames_without_end (void)
+{
+  static const uint8_t letters[4096] = { 'x', 'x', 'x', 'x' };
+  static const uint8_t zeros[4096];
+
+  play_flood (MESSAGE_FRAME_MAX, letters, sizeof letters, true);
+  play_flood (MESSAGE_FRAME_MAX, letters, 1, true);
+  play_flood (0, zeros, sizeof zeros, false);
+}
+
 /* Output queued for a peer that does not read is bounded; the link ends when
    the bound is exceeded. */
 static void
@@ -408,6 +481,7 @@
   { "replayed proof", test_replay },
   { "reflected proof", test_reflection },
   { "oversized frame", test_oversized_frame },
+  { "frames without end", test_frames_without_end },
   { "peer that does not read", test_peer_that_does_not_read },
 };
 
