--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -16,8 +16,6 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -90,7 +88,6 @@
   uint32_t accepted;         /**< connections since `accept_again` */
   uint64_t accept_behind_ns; /**< since when some wait for it; 0: none do */
   uint32_t accept_batches;   /**< since then */
-  uint32_t accept_older;     /**< connections that have waited since then */
   uint64_t shed_count;
   uint64_t closes[HTTPD_CLOSE_MAX]; /**< except turned away connections */
   struct httpd_conn *conns;
@@ -124,8 +121,6 @@
 static bool peer_closed (evutil_socket_t fd);
 static size_t unread_bytes (const struct httpd_conn *conn);
 static bool waits_for_accept (const struct httpd *httpd);
-static uint32_t waiting_connections (const struct httpd *httpd);
-static void mark_waiting (struct httpd *httpd);
 static enum httpd_close close_reason (const struct httpd_conn *conn);
 static void log_if_cut (const struct httpd_conn *conn,
                         enum httpd_close reason);
@@ -480,32 +475,8 @@
   return poll (&listener, 1, 0) > 0;
 }
 
-/* @return UINT32_MAX if it is not known. */
-static uint32_t
-waiting_connections (const struct httpd *httpd)
-{
-  struct tcp_info info;
-  socklen_t size = sizeof info;
-
-  if (getsockopt (evconnlistener_get_fd (httpd->evhtp->server), IPPROTO_TCP,
-                  TCP_INFO, &info, &size)
-      != 0)
-    return UINT32_MAX;
-  /* Of a listening socket, the length of its queue. */
-  return info.tcpi_unacked;
-}
-
 /* Connections. */
 
-/* Those that wait now are accepted before any that come later. */
-static void
-mark_waiting (struct httpd *httpd)
-{
-  httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
-  httpd->accept_batches = 0;
-  httpd->accept_older = waiting_connections (httpd);
-}
-
 static void
 on_accept_again (evutil_socket_t fd, short what, void *arg)
 {
@@ -516,8 +487,6 @@
   (void)what;
   if (!waits_for_accept (httpd))
     httpd->accept_behind_ns = 0;
-  else if (httpd->accept_behind_ns != 0 && httpd->accept_older == 0)
-    mark_waiting (httpd);
   httpd->accepted = 0;
   if (httpd->shedding || start_shedding (httpd))
     return;
@@ -647,11 +616,7 @@
 {
   struct httpd *httpd = arg;
   enum loop_work work = begin_work (httpd, LOOP_WORK_ACCEPT);
-  evhtp_res result;
-
-  if (httpd->accept_older > 0)
-    httpd->accept_older--;
-  result = accept_connection (httpd, evhtp);
+  evhtp_res result = accept_connection (httpd, evhtp);
 
   begin_work (httpd, work);
   return result;
@@ -712,7 +677,10 @@
   if (httpd->shedding)
     return;
   if (httpd->accept_behind_ns == 0)
-    mark_waiting (httpd);
+    {
+      httpd->accept_behind_ns = clock_now_ns (httpd->config.clock);
+      httpd->accept_batches = 0;
+    }
   httpd->accept_batches++;
   event_active (httpd->accept_again, EV_TIMEOUT, 0);
 }
