--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -478,9 +478,6 @@
   struct gateway *gateway = user;
 
   hist_observe (&gateway->counters.loop_lag, lag_ns / CLOCK_NS_PER_US);
-  /* A pause of the process ends with one late turn, an overload does not. */
-  if (lag_ns >= LOOP_LAG_ACCEPT_MAX_MS * CLOCK_NS_PER_MS)
-    looplag_start_next (&gateway->loop_lag);
   if (lag_ns >= LOOP_LAG_LOGGED_MS * CLOCK_NS_PER_MS)
     LOG (LOG_LOOP_LATE, NULL, LOG_U ("ms", lag_ns / CLOCK_NS_PER_MS),
          LOG_U ("requests", gateway->request_count),
--- a/src/transport/looplag.c
+++ b/src/transport/looplag.c
@@ -38,18 +38,6 @@
   event_active (lag->probe, EV_TIMEOUT, 0);
 }
 
-void
-looplag_start_next (struct looplag *lag)
-{
-  const struct timeval now = { 0, 0 };
-
-  if (lag->since_ns != 0)
-    return;
-  /* A timer runs after all that is ready when the turn begins. */
-  if (event_add (lag->probe, &now) == 0)
-    lag->since_ns = clock_now_ns (lag->clock);
-}
-
 uint64_t
 looplag_pending_ns (const struct looplag *lag)
 {
--- a/src/transport/looplag.h
+++ b/src/transport/looplag.h
@@ -32,10 +32,6 @@
     @param since_ns  from when on the loop is known to be late, or now. */
 void looplag_start (struct looplag *lag, uint64_t since_ns);
 
-/** Starts a measurement of the loop's next turn, whole, unless one is in
-    progress. */
-void looplag_start_next (struct looplag *lag);
-
 /** How long the measurement in progress has taken; 0 if there is none. */
 uint64_t looplag_pending_ns (const struct looplag *lag);
 /** The lag as far as it is known now: the last result, or the measurement in
