--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -14,13 +14,13 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define HELD 0   /**< exit codes: the rule held, was broken, */
-#define BROKEN 1
+#define HELD    0 /**< exit codes: the rule held, was broken, */
+#define BROKEN  1
 #define NOT_RUN 2 /**< or the case could not run */
 
-#define HEADERS_MAX 64
+#define HEADERS_MAX  64
 #define GATEWAYS_MAX 24
-#define WORKERS_MAX 24
+#define WORKERS_MAX  24
 
 /** A message read from a socket. */
 struct message
@@ -65,8 +65,8 @@
 struct path
 {
   int port;
-  _Atomic bool silent;  /**< passes nothing on, in either direction */
-  _Atomic int calls;    /**< connections */
+  _Atomic bool silent; /**< passes nothing on, in either direction */
+  _Atomic int calls;   /**< connections */
 };
 
 /** Bounds of the settings, in ms. */
@@ -126,7 +126,8 @@
 int dial (int port);
 int listen_on (int *port);
 bool send_all (int fd, const void *bytes, size_t size);
-bool read_message (struct input *input, struct message *message, bool response);
+bool read_message (struct input *input, struct message *message,
+                   bool response);
 const char *header (const struct message *message, const char *name);
 void message_free (struct message *message);
 void thread (void *(*run) (void *), void *arg);
