Withhold an upstream's 408, 421, 429 or 503 that may have run

Cause: a response that states that the request has not run is kept from the client, but all others were forwarded with their status, also those whose status tells a gateway's client the same without anybody having said so.

Change: such a response is read and dropped, and the attempt has failed and may have run: a retry where one is allowed, else 502 without a signature. The log has the status and the upstream.

The gateway's own refusals with these statuses were read one by one: the verdict is not-run in each.

--- a/src/explain.c
+++ b/src/explain.c
@@ -79,6 +79,9 @@
   { LOG_ATTEMPT_FAILED,
     "attempt {attempt} at {upstream} failed: {error}; verdict so far: "
     "{verdict}" },
+  { LOG_STATUS_WITHHELD,
+    "{upstream} answered {status} without saying that the request did not "
+    "run: withheld" },
   { LOG_UPSTREAM_DRAINING, "{upstream} is leaving, by its {from}" },
   { LOG_UPSTREAM_PAUSED, "{upstream} wants no requests for {ms} ms" },
   { LOG_REQUEST_REFUSED,
--- a/src/gateway/gateway_request_attempt.c
+++ b/src/gateway/gateway_request_attempt.c
@@ -537,6 +537,7 @@
     .buffered_max_bytes = request->is_stream ? 0 : BUFFERED_BODY_MAX,
   };
   struct adapter_response state;
+  bool unfounded;
 
   attempt_advance (&request->attempt_state, ATTEMPT_RESPONDING,
                    gateway_now_ns (gateway));
@@ -551,11 +552,19 @@
       upstream->load.reported_waiting = state.waiting;
       upstream->load.reported_ns = gateway_now_ns (gateway);
     }
-  /* A success without an upstream's signature is not trusted. */
+  /* A success without an upstream's signature is not trusted.  A response that
+     states that the request has not run does not come here: one with a status
+     that says the same would have it sent again, though it may have run. */
+  unfounded = verdict_status_is_not_run (status);
+  if (unfounded)
+    LOG (LOG_STATUS_WITHHELD, request->parsed.id,
+         LOG_U ("status", (uint64_t)status),
+         LOG_S ("upstream",
+                upstream == NULL ? "gone" : upstream->record.identity));
   request->retry_granted = retryable_status (request, status)
                            && gateway_request_may_retry (request);
   request->discard = request->retry_granted
-                     || (!state.has_signature && status < 300)
+                     || (!state.has_signature && status < 300) || unfounded
                      || (reply_started (&request->reply)
                          && !continues_stream (status, headers, count));
   if (request->discard || reply_started (&request->reply))
--- a/src/state/verdict.c
+++ b/src/state/verdict.c
@@ -1,6 +1,6 @@
 /**
  * @file verdict.c
- * Values of the `Cherrylanding-Verdict` header.
+ * Values of the `Cherrylanding-Verdict` header, and statuses that imply one.
  */
 #include "state/verdict.h"
 
@@ -15,3 +15,9 @@
 {
   return verdict_names[verdict];
 }
+
+bool
+verdict_status_is_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
--- a/src/state/verdict.h
+++ b/src/state/verdict.h
@@ -5,6 +5,8 @@
 #ifndef STATE_VERDICT_H
 #define STATE_VERDICT_H
 
+#include <stdbool.h>
+
 /** What is known of the execution of a request when it ends. */
 enum verdict
 {
@@ -20,4 +22,10 @@
  */
 const char *verdict_name (enum verdict verdict);
 
+/**
+ * Whether the clients of a gateway take an HTTP status as a statement that the
+ * request has not run: they send even one that is not idempotent again.
+ */
+bool verdict_status_is_not_run (int status);
+
 #endif
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -47,6 +47,8 @@
   = { LOG_LEVEL_ERROR, "upstream answered another request", false },
   [LOG_UPSTREAM_REJECTED]
   = { LOG_LEVEL_WARN, "upstream's announcement rejected", false },
+  [LOG_STATUS_WITHHELD]
+  = { LOG_LEVEL_WARN, "status of an upstream withheld", false },
   [LOG_PART_HELD]
   = { LOG_LEVEL_WARN, "upstreams crash under a part of prompts", false },
   [LOG_PART_RELEASED]
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -233,14 +233,21 @@
 }
 
 static void
-respond (struct fixture *fixture, const struct upstream_header *headers,
-         size_t count)
+respond_status (struct fixture *fixture, int status,
+                const struct upstream_header *headers, size_t count)
 {
   struct fake_upstream *fake = &fixture->fake;
 
   fake->events->sending (fake->user);
   fake->events->sent (fake->user);
-  fake->events->responding (fake->user, 200, headers, count);
+  fake->events->responding (fake->user, status, headers, count);
+}
+
+static void
+respond (struct fixture *fixture, const struct upstream_header *headers,
+         size_t count)
+{
+  respond_status (fixture, 200, headers, count);
 }
 
 static void
@@ -302,6 +309,40 @@
   fixture_finish (&fixture);
 }
 
+/* An upstream that has run a request may answer with such a status.  Guards
+   against a verdict in it, which only the router may give. */
+static void
+test_refusal_of_upstream_has_no_verdict (void)
+{
+  static const struct upstream_header headers[]
+      = { { "Content-Length", "5" }, { "Cherrylanding-Verdict", "not-run" } };
+  static const int statuses[] = { 408, 421, 429, 503 };
+  struct fixture fixture;
+  struct received in;
+  char status_line[32];
+  unsigned int i;
+  int fd;
+
+  fixture_init (&fixture);
+  for (i = 0; i < sizeof (statuses) / sizeof (statuses[0]); i++)
+    {
+      fd = client_connect (&fixture);
+      client_send (fd, PLAIN_REQUEST);
+      wait_attempt (&fixture, i + 1);
+      respond_status (&fixture, statuses[i], headers, 2);
+      respond_body (&fixture, "hello", 5);
+      respond_end (&fixture, 0);
+      in = client_receive (&fixture, fd, "hello");
+      snprintf (status_line, sizeof (status_line), "HTTP/1.1 %d ",
+                statuses[i]);
+      CU_ASSERT_PTR_NOT_NULL (strstr (in.text, status_line));
+      CU_ASSERT_PTR_NULL (strstr (in.text, "Cherrylanding-Verdict"));
+      CU_ASSERT_PTR_NULL (strstr (in.text, "not-run"));
+      close (fd);
+    }
+  fixture_finish (&fixture);
+}
+
 /* libevhtp has no name for these, or does not parse them. */
 static const char *const unknown_methods[]
     = { "REPORT", "M-SEARCH", "get", "_", "CONNECT", "X'*!#$%&+.^`|~09" };
@@ -870,6 +911,8 @@
 
 static const struct suite_test tests[] = {
   { "complete response", test_complete_response },
+  { "refusal of an upstream has no verdict",
+    test_refusal_of_upstream_has_no_verdict },
   { "refusal of an earlier attempt is believed",
     test_refusal_of_earlier_attempt_is_believed },
   { "a method that libevhtp has no name for ends the router",
--- a/tests/test_verdict.c
+++ b/tests/test_verdict.c
@@ -15,6 +15,18 @@
   CU_ASSERT_STRING_EQUAL (verdict_name (VERDICT_RAN), "ran");
 }
 
+/* Guards against a status that has a client send again what has run. */
+static void
+test_not_run_statuses (void)
+{
+  int status;
+
+  for (status = 100; status < 600; status++)
+    CU_ASSERT_EQUAL (verdict_status_is_not_run (status),
+                     status == 408 || status == 421 || status == 429
+                         || status == 503);
+}
+
 static void
 test_error_names (void)
 {
@@ -31,6 +43,7 @@
 
 static const struct suite_test tests[] = {
   { "verdict names", test_verdict_names },
+  { "statuses that mean not run", test_not_run_statuses },
   { "every error has a name", test_error_names },
 };
 
