Compare versions by their digits, not as doubles

Cause: get_number () read the version as a double. Above 2^53 two versions near one another were the same number, and the newer one was dropped as not newer.

Change: a version is the text that was written, of any size, compared by state/decimal. The metric config_version had six digits.

Tests: versions are texts now; checks of them compare strings.

--- a/src/gateway/gateway_config.c
+++ b/src/gateway/gateway_config.c
@@ -4,6 +4,7 @@
  */
 #include "gateway/gateway_config.h"
 #include "gateway/gateway_peers.h"
+#include "state/decimal.h"
 #include "state/err.h"
 #include "transport/log.h"
 #include "transport/loop.h"
@@ -245,10 +246,10 @@
   size_t older = 0;
 
   if (gateway->routing != NULL
-      && routing->version <= gateway->routing->version)
+      && decimal_compare (routing->version, gateway->routing->version) <= 0)
     {
-      LOG (LOG_CONFIG_STALE, NULL, LOG_U ("version", routing->version),
-           LOG_U ("held", gateway->routing->version));
+      LOG (LOG_CONFIG_STALE, NULL, LOG_S ("version", routing->version),
+           LOG_S ("held", gateway->routing->version));
       routing_release (routing);
       return;
     }
@@ -262,7 +263,7 @@
   gateway->counters.entries_rejected += routing->rejected_count;
   apply_http_limits (gateway);
   gateway_peers_publish_item (gateway, item, true);
-  LOG (LOG_CONFIG_APPLIED, NULL, LOG_U ("version", routing->version),
+  LOG (LOG_CONFIG_APPLIED, NULL, LOG_S ("version", routing->version),
        LOG_U ("routes", routing->route_count),
        LOG_U ("customers", routing->customer_count));
 }
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -466,7 +466,7 @@
   LOG (message, request->parsed.id, LOG_S ("route", request->route->name),
        LOG_S ("customer",
               request->customer == NULL ? "" : request->customer->name),
-       LOG_U ("config", request->routing->version),
+       LOG_S ("config", request->routing->version),
        LOG_U ("status", (uint64_t)request->reply.status),
        LOG_S ("verdict",
               verdict_name (attempt_verdict (&request->attempt_state))),
@@ -550,8 +550,8 @@
        LOG_U ("status", info->status),
        LOG_S ("verdict", verdict_name (verdict)),
        LOG_U ("retry_after_ms", retry_after_ms),
-       LOG_U ("config",
-              gateway->routing == NULL ? 0 : gateway->routing->version),
+       LOG_S ("config",
+              gateway->routing == NULL ? "0" : gateway->routing->version),
        LOG_U ("config_age_ms", discovery_age_ns (gateway) / CLOCK_NS_PER_MS));
 }
 
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -297,8 +297,6 @@
       HASH_COUNT (gateway->registry.upstreams) },
     { "neighbours", "other gateways linked",
       gateway_peers_linked_count (gateway) },
-    { "config_version", "configuration in force",
-      gateway->routing == NULL ? 0 : (double)gateway->routing->version },
     { "config_age_seconds", "time since the configuration was confirmed",
       (double)discovery_age_ns (gateway) / CLOCK_NS_PER_S },
     { "upstream_connections", "connections to upstreams",
@@ -314,6 +312,12 @@
                          "%s gauge\n" METRIC_PREFIX "%s %g\n",
                          gauges[i].name, gauges[i].help, gauges[i].name,
                          gauges[i].name, gauges[i].value);
+  evbuffer_add_printf (
+      body,
+      "# HELP " METRIC_PREFIX "config_version configuration in force\n"
+      "# TYPE " METRIC_PREFIX "config_version gauge\n" METRIC_PREFIX
+      "config_version %s\n",
+      gateway->routing == NULL ? "0" : gateway->routing->version);
 }
 
 static void
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -53,15 +53,18 @@
                                        size_t length);
 
 struct routing *
-routing_new (uint64_t version)
+routing_new (const char *version)
 {
   struct routing *routing = calloc (1, sizeof (*routing));
 
   if (routing == NULL)
     return NULL;
-  routing->version = version;
   routing->references = 1;
-  return routing;
+  routing->version = arena_copy_text (&routing->arena, version);
+  if (routing->version != NULL)
+    return routing;
+  routing_release (routing);
+  return NULL;
 }
 
 struct routing *
--- a/src/state/routing.h
+++ b/src/state/routing.h
@@ -77,7 +77,7 @@
 
 struct routing
 {
-  uint64_t version;
+  const char *version; /**< as it was written; see decimal_compare() */
   struct routing_limits limits;
   struct route *routes;
   uint32_t route_count;
@@ -94,8 +94,9 @@
   uint32_t references;
 };
 
-/** Creates an empty version with one reference; NULL when out of memory. */
-struct routing *routing_new (uint64_t version);
+/** Creates an empty version with one reference; NULL when out of memory.
+    @param version  its number, see decimal_is_valid(); copied. */
+struct routing *routing_new (const char *version);
 struct routing *routing_retain (struct routing *routing);
 void routing_release (struct routing *routing);
 
--- a/tests/test_config_bounds.c
+++ b/tests/test_config_bounds.c
@@ -186,13 +186,13 @@
 
 #define ENLARGEMENTS (sizeof enlargements / sizeof enlargements[0])
 
-static uint64_t expected_version;
+static char expected_version[16];
 
 static bool
 has_version (const struct gatefixture *fixture)
 {
   return fixture->gateway.routing != NULL
-         && fixture->gateway.routing->version == expected_version;
+         && strcmp (fixture->gateway.routing->version, expected_version) == 0;
 }
 
 static bool
@@ -240,7 +240,7 @@
 check_version (struct gatefixture *fixture, unsigned int version,
                const char *name)
 {
-  expected_version = version;
+  snprintf (expected_version, sizeof expected_version, "%u", version);
   if (!gatefixture_run_until (fixture, has_version)
       || request_status (fixture, version) != 200
       || request_status (fixture, version - 2) != 401)
--- a/tests/test_config_parts.c
+++ b/tests/test_config_parts.c
@@ -121,14 +121,14 @@
 
   gatefixture_init (&fixture, true);
   apply_large_version (&fixture, 2);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 1);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "1");
   between.next_part = fixture.gateway.config.next_part;
   between.event = event_new (fixture.base, -1, 0, on_between_parts, &between);
   event_active (between.event, EV_TIMEOUT, 0);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
   event_free (between.event);
   CU_ASSERT (between.turns >= 20);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "2");
   CU_ASSERT_EQUAL (fixture.gateway.routing->route_count, ROUTES + 1);
   gatefixture_request (&fixture, REQUEST);
   CU_ASSERT_TRUE (got_status (&fixture, "200"));
@@ -148,7 +148,7 @@
   apply_large_version (&fixture, 2);
   gatefixture_request (&fixture, UNKNOWN_KEY);
   CU_ASSERT_TRUE (got_status (&fixture, "503"));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 1);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "1");
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
   gatefixture_request (&fixture, UNKNOWN_KEY);
   CU_ASSERT_TRUE (got_status (&fixture, "200"));
@@ -174,7 +174,7 @@
       apply_large_version (&fixture, 5);
     }
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 6);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "6");
   CU_ASSERT_EQUAL (fixture.gateway.counters.entries_rejected, rejected);
   apply_large_version (&fixture, 6);
   CU_ASSERT_TRUE (nothing_pending (&fixture));
@@ -193,10 +193,10 @@
   gatefixture_init (&fixture, true);
   apply_version (&fixture, 2, text);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 1);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "1");
   apply_large_version (&fixture, 3);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 3);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "3");
   free (text);
   gatefixture_finish (&fixture);
 }
@@ -214,12 +214,12 @@
   apply_large_version (&fixture, 3);
   apply_version (&fixture, 4, "{\"version\":4,\"routes\":[");
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 3);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "3");
   apply_large_version (&fixture, 5);
   apply_version (&fixture, 7, "{\"version\":7,\"routes\":[");
   apply_large_version (&fixture, 6);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 6);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "6");
   gatefixture_finish (&fixture);
 }
 
@@ -241,7 +241,7 @@
                                 .index = 2ULL * INDEX };
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 3);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "3");
   free (text);
   gatefixture_finish (&fixture);
 }
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -291,7 +291,7 @@
 is_configured (const struct gatefixture *fixture)
 {
   return fixture->gateway.routing != NULL
-         && fixture->gateway.routing->version == 2;
+         && strcmp (fixture->gateway.routing->version, "2") == 0;
 }
 
 /* Lets all requests through to upstreams, for a longer time. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -234,7 +234,7 @@
 static bool
 config_version_is_2 (const struct gatefixture *fixture)
 {
-  return fixture->gateway.routing->version == 2;
+  return strcmp (fixture->gateway.routing->version, "2") == 0;
 }
 
 static bool
@@ -334,7 +334,7 @@
   storeserver_put (&fixture.store, "op/config",
                    "{\"version\":9,\"routes\":7}");
   gatefixture_run (&fixture, 200);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 1);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "1");
   gatefixture_configure (&fixture, 2, "\"key-2\"", "s2");
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, config_version_is_2));
   platclient_reset (&fixture.client);
@@ -343,7 +343,7 @@
   assert_status (&fixture, "401");
   gatefixture_configure (&fixture, 1, "\"key-1\"", "s2");
   gatefixture_run (&fixture, 200);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "2");
   gatefixture_finish (&fixture);
 }
 
@@ -378,7 +378,7 @@
   discovery_apply_item (&fixture.gateway, &item);
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_EQUAL (config_reads, 1);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "2");
   item.index++;
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_EQUAL (config_reads, 2);
@@ -409,7 +409,7 @@
       gatefixture_configure (&fixture, 2, "\"key-2\"", "s2");
       storeserver_put (&fixture.store, "servers/w-0", NULL);
       storeserver_compact (&fixture.store);
-      CU_ASSERT_EQUAL (fixture.gateway.routing->version, 1);
+      CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "1");
       fixture.store.fault = STORESERVER_FAULT_NONE;
       CU_ASSERT_TRUE (gatefixture_run_until (&fixture, store_recovered));
       CU_ASSERT_TRUE (gatefixture_run_until (&fixture, config_version_is_2));
--- a/tests/test_gateways.c
+++ b/tests/test_gateways.c
@@ -152,7 +152,8 @@
   for (i = 0; i < GATEWAYS; i++)
     if (fleet->started[i]
         && (!gateway_ready (&fleet->gateways[i])
-            || fleet->gateways[i].routing->version != fleet->config_version
+            || strtoull (fleet->gateways[i].routing->version, NULL, 10)
+                   != fleet->config_version
             || HASH_COUNT (fleet->gateways[i].registry.upstreams)
                    != fleet->upstream_count))
       return false;
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -241,7 +241,7 @@
 static bool
 second_version_applied (const struct gatefixture *fixture)
 {
-  return fixture->gateway.routing->version == 2;
+  return strcmp (fixture->gateway.routing->version, "2") == 0;
 }
 
 static bool
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -66,7 +66,7 @@
   struct routing *routing = NULL;
 
   CU_ASSERT_EQUAL_FATAL (read_config (config_text, &routing), 0);
-  CU_ASSERT_EQUAL (routing->version, 7);
+  CU_ASSERT_STRING_EQUAL (routing->version, "7");
   CU_ASSERT_EQUAL (routing->route_count, 2);
   CU_ASSERT_EQUAL (routing->routes[0].kind, ROUTE_STREAMING);
   CU_ASSERT_TRUE (routing->routes[0].resumable);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -12,7 +12,7 @@
 build (void)
 {
   static const char *const prefixes[] = { "/", "/a/", "/a/b/", "/other/" };
-  struct routing *routing = routing_new (7);
+  struct routing *routing = routing_new ("7");
   struct routing_service service = { .engine = false };
   struct routing_customer customer = { .has_priority = false };
   const struct route_target target = { .weight = 1 };
@@ -157,7 +157,7 @@
   struct routing *retained = routing_retain (routing);
 
   routing_release (routing);
-  CU_ASSERT_EQUAL (retained->version, 7);
+  CU_ASSERT_STRING_EQUAL (retained->version, "7");
   CU_ASSERT_STRING_EQUAL (matched_name (retained, "shop.example", "/a/b/"),
                           "r2");
   routing_release (retained);
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -424,7 +424,7 @@
   gatefixture_init (&fixture, true);
   storeserver_put (&fixture.store, "op/config", config);
   gatefixture_run (&fixture, 200);
-  CU_ASSERT_EQUAL (fixture.gateway.routing->version, 2);
+  CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "2");
   fixture.gateway.settings.grace_ms = 3000;
   fixture.upstreams[0].behaviour = UPSTREAMSERVER_HANG;
   fixture.upstreams[1].behaviour = UPSTREAMSERVER_HANG;
