Tell the age of a view of the store from its responses

Cause: store_watch_age_ns () was 0 while a long poll was pending. A call whose path is cut does not fail before its time is over, so the hub told its subscribers that its view was current, and they read the store themselves only 0.6 to 1 s after that had passed 1 s.

Change: the age counts from a time at which the store has answered. A response to either watch shows that the way works; after 0.3 of config_apply_ms without one, a call that does not wait is made beside the long poll. Subscribers rely on a view up to half of config_apply_ms old, counted from what the hub knew, and read the store themselves at 0.5 to 0.7 of it.

Related: the age covers the view of the upstreams, too; a first call that is pending after a fall back does not count as current. A gateway that could not reach some other gateways took its upstreams for confirmed for 2 s after a reading: two that were cut off together joined streams of two builds. They are confirmed up to the time of the store's answer now, which is asked for when a client waits for it.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -34,8 +34,14 @@
 /* Pauses after failed calls of an instance that has lost its hubs. */
 #define FALLBACK_BACKOFF_MIN_MS 800
 #define FALLBACK_BACKOFF_MAX_MS 3200
-/* An older configuration may lack a route or key that is in effect. */
+/* An older configuration may lack a route or key that is in effect.  While the
+   store does not answer, this age is enough to expect that. */
 #define STALE_CONFIG_MS 500
+/* Parts of the time in which a configuration has to be in force everywhere: a
+   view of the store that no response has confirmed for so long is confirmed by
+   a call; one of twice that age is not relied on. */
+#define CONFIRM_PERCENT 30
+#define AGE_MAX_PERCENT 50
 
 static void on_config_item (void *user, const struct kvstore_item *item);
 static void on_config_listing_begin (void *user);
@@ -52,6 +58,10 @@
 upstream_watch_interval_ms (const struct gateway_settings *settings);
 static uint64_t expired_entry_grace_ns (const struct gateway *gateway);
 static const char *upstream_identity (const char *key, const char *prefix);
+static uint64_t path_confirmed_ns (const struct gateway *gateway);
+static uint64_t watch_confirmed_ns (const struct gateway *gateway,
+                                    const struct store_watch *watch);
+static uint64_t config_age_ns (const struct gateway *gateway);
 static void log_draining (const struct gateway *gateway,
                           const struct registry_record *record);
 
@@ -161,15 +171,74 @@
 uint64_t
 discovery_age_ns (const struct gateway *gateway)
 {
-  return gateway->config_watch.paused
+  const struct store_watch *upstreams = &gateway->upstream_watch;
+  uint64_t age_ns = config_age_ns (gateway);
+  uint64_t upstreams_age_ns;
+
+  if (upstreams->paused)
+    return age_ns;
+  upstreams_age_ns
+      = gateway_now_ns (gateway) - watch_confirmed_ns (gateway, upstreams);
+  return upstreams_age_ns > age_ns ? upstreams_age_ns : age_ns;
+}
+
+static uint64_t
+config_age_ns (const struct gateway *gateway)
+{
+  const struct store_watch *config = &gateway->config_watch;
+
+  return config->paused
              ? gateway_peers_store_age_ns (gateway)
-             : store_watch_age_ns (&gateway->config_watch);
+             : gateway_now_ns (gateway) - watch_confirmed_ns (gateway, config);
+}
+
+/* While the response to a long poll may still come, a response to the other
+   watch shows that this one's changes would have come too. */
+static uint64_t
+watch_confirmed_ns (const struct gateway *gateway,
+                    const struct store_watch *watch)
+{
+  return store_watch_current (watch) && !store_watch_overdue (watch)
+             ? path_confirmed_ns (gateway)
+             : watch->confirmed_ns;
+}
+
+static uint64_t
+path_confirmed_ns (const struct gateway *gateway)
+{
+  const uint64_t config_ns = gateway->config_watch.confirmed_ns;
+  const uint64_t upstreams_ns = gateway->upstream_watch.confirmed_ns;
+
+  return config_ns > upstreams_ns ? config_ns : upstreams_ns;
+}
+
+uint32_t
+discovery_age_max_ms (const struct gateway *gateway)
+{
+  return gateway->settings.config_apply_ms * AGE_MAX_PERCENT / 100;
+}
+
+void
+discovery_confirm (struct gateway *gateway)
+{
+  const uint64_t limit_ms
+      = (uint64_t)gateway->settings.config_apply_ms * CONFIRM_PERCENT / 100;
+
+  if (!gateway->config_watch.paused
+      && gateway_now_ns (gateway) - path_confirmed_ns (gateway)
+             >= limit_ms * CLOCK_NS_PER_MS)
+    store_watch_confirm (&gateway->config_watch);
 }
 
 bool
 discovery_config_stale (const struct gateway *gateway)
 {
-  return discovery_age_ns (gateway) > STALE_CONFIG_MS * CLOCK_NS_PER_MS;
+  const struct store_watch *config = &gateway->config_watch;
+  const uint32_t limit_ms = config->paused || store_watch_current (config)
+                                ? discovery_age_max_ms (gateway)
+                                : STALE_CONFIG_MS;
+
+  return config_age_ns (gateway) > limit_ms * CLOCK_NS_PER_MS;
 }
 
 void
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -22,6 +22,12 @@
 void discovery_stop_watching (struct gateway *gateway);
 /** Upper bound of the age of this gateway's view of the store. */
 uint64_t discovery_age_ns (const struct gateway *gateway);
+/** Age from which a view of the store is not relied on: what is written until
+    then can still be read elsewhere in time. */
+uint32_t discovery_age_max_ms (const struct gateway *gateway);
+/** Asks the store whether the view is current, if nothing has shown it for a
+    while; to be called periodically. */
+void discovery_confirm (struct gateway *gateway);
 /** Bracket a complete snapshot of the store's items from another instance. */
 void discovery_snapshot_begin (struct gateway *gateway);
 void discovery_snapshot_end (struct gateway *gateway, uint64_t index);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -20,12 +20,15 @@
   1000 /* network latency between instances is low */
 #define LINK_IDLE_TIMEOUT_MS                                                  \
   1500 /* a link without a load report for this long is closed */
-/* An instance relies on a hub's view of the store up to this age.  Without
-   such a hub it watches the store itself after a delay, with jitter so that
-   not all instances start at once. */
-#define HUB_VIEW_AGE_MAX_MS      1000
+/* An instance that has not had the view of a hub yet watches the store itself
+   after a delay.  Jitter, so that not all instances start at once. */
 #define WATCH_FALLBACK_MS        600
 #define WATCH_FALLBACK_JITTER_MS 400
+/* The same once the view is too old, in parts of the time in which a
+   configuration has to be in force everywhere. */
+#define VIEW_JITTER_PERCENT 20
+/* A hub with an older report may have ended. */
+#define HUB_REPORT_AGE_MAX_MS 1000
 /* Ticks of the report timer between other work. */
 #define REPORT_TICKS (GATEWAY_PEERS_REPORT_MS / GATEWAY_PEERS_ZONE_REPORT_MS)
 #define HUB_STARTUP_MS                                                        \
@@ -56,6 +59,7 @@
                          const struct message_config *config);
 static bool hub_starting (const struct gateway_peers *peers, uint64_t now_ns);
 static void rely_on_hubs (struct gateway_peers *peers);
+static bool view_lost (const struct gateway_peers *peers, uint64_t now_ns);
 static void update_watching (struct gateway_peers *peers, uint64_t now_ns);
 static void check_store_lag (struct gateway_peers *peers, uint64_t now_ns);
 
@@ -507,6 +511,7 @@
       = gateway_peers_fleet_size (peers->gateway);
   check_store_lag (peers, now_ns);
   update_watching (peers, now_ns);
+  discovery_confirm (peers->gateway);
   send_pending_snapshots (peers);
   gateway_peers_send_reports (peers, to_hubs);
 }
@@ -544,7 +549,7 @@
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     if (!peer->subscribed && peer->load.store_index == 0
-        && now_ns - peer->report_ns < HUB_VIEW_AGE_MAX_MS * CLOCK_NS_PER_MS
+        && now_ns - peer->report_ns < HUB_REPORT_AGE_MAX_MS * CLOCK_NS_PER_MS
         && gateway_peers_knows_hub (peers, peer->instance_id))
       return true;
   return false;
@@ -564,30 +569,50 @@
   gateway_peers_update_subscriptions (peers);
 }
 
+/* Whether no hub has had a fresh view for a while.  The time counts from what
+   the hubs knew, not from when they said so. */
+static bool
+view_lost (const struct gateway_peers *peers, uint64_t now_ns)
+{
+  const struct gateway *gateway = peers->gateway;
+  const uint64_t jitter_ms
+      = gateway->settings.config_apply_ms * VIEW_JITTER_PERCENT / 100;
+  uint64_t limit_ms;
+
+  if (peers->view_ns != 0)
+    {
+      limit_ms = discovery_age_max_ms (gateway)
+                 + (jitter_ms == 0 ? 0 : peers->self_id % jitter_ms);
+      return now_ns - peers->view_ns > limit_ms * CLOCK_NS_PER_MS;
+    }
+  limit_ms
+      = (hub_starting (peers, now_ns) ? HUB_STARTUP_MS : WATCH_FALLBACK_MS)
+        + peers->self_id % WATCH_FALLBACK_JITTER_MS;
+  return peers->zone_listed
+         && now_ns - peers->hub_fresh_ns > limit_ms * CLOCK_NS_PER_MS;
+}
+
 /* Hubs watch the store; other instances only while no hub has a fresh view. */
 static void
 update_watching (struct gateway_peers *peers, uint64_t now_ns)
 {
   struct gateway *gateway = peers->gateway;
-  uint64_t fallback_ms
-      = (hub_starting (peers, now_ns) ? HUB_STARTUP_MS : WATCH_FALLBACK_MS)
-        + peers->self_id % WATCH_FALLBACK_JITTER_MS;
+  const uint64_t age_ns = gateway_peers_store_age_ns (gateway);
 
   if (peers->hub)
     {
       discovery_watch (gateway);
       return;
     }
-  if (gateway_peers_store_age_ns (gateway)
-          < HUB_VIEW_AGE_MAX_MS * CLOCK_NS_PER_MS
+  if (age_ns < discovery_age_max_ms (gateway) * CLOCK_NS_PER_MS
       && gateway->upstreams_loaded)
     {
-      peers->hub_fresh_ns = now_ns;
+      if (now_ns - age_ns > peers->view_ns)
+        peers->view_ns = now_ns - age_ns;
       if (!gateway->config_watch.paused)
         rely_on_hubs (peers);
     }
-  else if (peers->zone_listed
-           && now_ns - peers->hub_fresh_ns > fallback_ms * CLOCK_NS_PER_MS)
+  else if (view_lost (peers, now_ns))
     {
       discovery_watch_if_store_answers (gateway);
       /* The hubs may be lost for good: others follow once their entries
--- a/src/gateway/gateway_peers_confirm.c
+++ b/src/gateway/gateway_peers_confirm.c
@@ -11,15 +11,15 @@
 /* An instance that has answered nothing for this long has ended or is out of
    reach: ten reports between hubs. */
 #define SILENT_MS 1000
-/* Upstreams renew their entries so often that reads of them succeed twice in
-   this time. */
-#define STORE_CONFIRMED_MS 2000
-
 static uint64_t hub_confirmed_ns (const struct gateway_peers *peers);
 static uint64_t subscriber_confirmed_ns (const struct gateway_peers *peers);
+static const struct gateway_peer *
+answering_hub (const struct gateway_peers *peers,
+               const struct gateway_peers_member *member, uint64_t now_ns);
 static bool is_silent (const struct gateway_peer *peer, uint64_t now_ns);
-static bool store_confirmed (const struct gateway_peers *peers,
+static bool all_hubs_answer (const struct gateway_peers *peers,
                              uint64_t now_ns);
+static uint64_t store_confirmed_ns (const struct gateway_peers *peers);
 static uint64_t newest_answered_ms (const struct gateway_peer *peer,
                                     uint64_t until_ns);
 
@@ -67,6 +67,9 @@
             || peers->gateway->streams_awaited;
   peers->asks = peers->asked || peers->gateway->streams_awaited;
   peers->asked = peers->asked_by_hub = false;
+  if (peers->hub && peers->asks
+      && !all_hubs_answer (peers, gateway_now_ns (peers->gateway)))
+    store_watch_confirm (&peers->gateway->upstream_watch);
   peers->confirmed_ns = gateway_peers_confirmed_ns (peers->gateway);
   return to_hubs;
 }
@@ -114,35 +117,56 @@
 }
 
 /* Hubs that have ended do not answer.  They, or some that are out of reach,
-   are left out if another one answers and the store does: upstreams that
-   those may have seen are known here then. */
+   are left out if another one answers and the store does: upstreams that those
+   had seen when the store answered are known here then. */
 static uint64_t
 hub_confirmed_ns (const struct gateway_peers *peers)
 {
   const struct gateway_peers_member *member;
   const struct gateway_peer *peer;
-  uint64_t now_ns = gateway_now_ns (peers->gateway);
+  const uint64_t now_ns = gateway_now_ns (peers->gateway);
   uint64_t oldest_ns = now_ns;
-  bool all_answer = true;
+  uint64_t store_ns;
   bool one_answers = false;
 
   for (member = peers->members; member != NULL; member = member->hh.next)
     {
-      if (member->id == peers->self_id || !member->hub)
+      peer = answering_hub (peers, member, now_ns);
+      if (peer == NULL)
         continue;
-      peer = gateway_peers_find (peers, member->id);
-      if (peer == NULL || is_silent (peer, now_ns))
-        {
-          all_answer = false;
-          continue;
-        }
       one_answers = true;
       if (peer->confirmed_ns < oldest_ns)
         oldest_ns = peer->confirmed_ns;
     }
-  if (all_answer || (one_answers && store_confirmed (peers, now_ns)))
+  if (all_hubs_answer (peers, now_ns))
     return oldest_ns;
-  return 0;
+  store_ns = one_answers ? store_confirmed_ns (peers) : 0;
+  return store_ns < oldest_ns ? store_ns : oldest_ns;
+}
+
+static bool
+all_hubs_answer (const struct gateway_peers *peers, uint64_t now_ns)
+{
+  const struct gateway_peers_member *member;
+
+  for (member = peers->members; member != NULL; member = member->hh.next)
+    if (member->id != peers->self_id && member->hub
+        && answering_hub (peers, member, now_ns) == NULL)
+      return false;
+  return true;
+}
+
+/* NULL for a member that is no other hub, or does not answer. */
+static const struct gateway_peer *
+answering_hub (const struct gateway_peers *peers,
+               const struct gateway_peers_member *member, uint64_t now_ns)
+{
+  const struct gateway_peer *peer
+      = member->id == peers->self_id || !member->hub
+            ? NULL
+            : gateway_peers_find (peers, member->id);
+
+  return peer == NULL || is_silent (peer, now_ns) ? NULL : peer;
 }
 
 /* Only the hub that gets this instance's reports can answer them. */
@@ -162,12 +186,12 @@
   return now_ns - peer->confirmed_ns > SILENT_MS * CLOCK_NS_PER_MS;
 }
 
-static bool
-store_confirmed (const struct gateway_peers *peers, uint64_t now_ns)
+static uint64_t
+store_confirmed_ns (const struct gateway_peers *peers)
 {
   const struct store_watch *watch = &peers->gateway->upstream_watch;
 
   return store_watch_current (watch) && !peers->store_lags
-         && now_ns - watch->last_success_ns
-                < STORE_CONFIRMED_MS * CLOCK_NS_PER_MS;
+             ? watch->confirmed_ns
+             : 0;
 }
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -111,7 +111,9 @@
   bool asked;            /**< by a subscriber: other hubs are asked */
   bool asked_by_hub;     /**< other hubs get the next report at once */
   bool asks;             /**< this round of reports asks for answers */
-  uint64_t hub_fresh_ns; /**< when a hub's view was last fresh */
+  uint64_t hub_fresh_ns; /**< until a hub's view has come: since when it may
+                              be expected */
+  uint64_t view_ns;      /**< time of the newest view of a hub; 0: none yet */
   /** Store index that this instance has to reach: the newest one reported by
       peers when it had reached the previous one. */
   uint64_t peer_store_index;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -27,6 +27,8 @@
   uint32_t upstream_leave_ms; /**< how long a draining upstream still serves */
   uint32_t contact_ms;        /**< after an impairment of the store or of this
                                  instance, until it is up to date again */
+  uint32_t config_apply_ms;   /**< from a configuration's acknowledgement until
+                                 it is in force everywhere */
   uint32_t lease_min_ms;      /**< shortest lease that the store grants */
   uint32_t retry_permille;    /**< retry budget, in thousandths of a service's
                                  requests, over the fleet */
--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -3,6 +3,7 @@
  * Records of builds, and of the streams that they began, in the store.
  */
 #include "gateway/gateway_stream_store.h"
+#include "gateway/discovery.h"
 #include "gateway/gateway_peers_int.h"
 #include "protocol/stream_summary.h"
 #include "state/err.h"
@@ -31,8 +32,6 @@
 #define SINGLE_DELAY_MS 2000
 /* After a failed write. */
 #define RETRY_MS 1000
-/* Older views of the store are not those of its writer. */
-#define WRITER_AGE_MAX_MS 1500
 /* Time for links and for reading the summaries. */
 #define START_MS 3000
 
@@ -170,7 +169,7 @@
     return false;
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
     if (peer->instance_id < peers->self_id && peer->report_ns != 0
-        && peer->load.age_ms < WRITER_AGE_MAX_MS
+        && peer->load.age_ms < discovery_age_max_ms (gateway)
         && gateway_peers_knows_hub (peers, peer->instance_id))
       return false;
   return true;
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -21,6 +21,7 @@
 {
   struct store_watch *watch;
   uint64_t start_ns;
+  uint32_t wait_ms; /**< for which the store may hold it */
   struct store_watch_call *prev;
   struct store_watch_call *next;
 };
@@ -34,7 +35,14 @@
 static void forget_calls (struct store_watch *watch);
 static void list_again (struct store_watch *watch);
 static void on_failure (struct store_watch *watch, int error);
-static void on_success (struct store_watch *watch, uint64_t start_ns);
+static void on_success (struct store_watch *watch, uint64_t confirmed_ns);
+static uint64_t answered_ns (const struct store_watch *watch,
+                             const struct store_watch_call *call,
+                             const struct kvstore_page *page);
+static bool is_confirmation (const struct store_watch *watch,
+                             const struct store_watch_call *call,
+                             const struct kvstore_page *page);
+static void confirm (struct store_watch *watch, uint64_t confirmed_ns);
 static void handle_listing (struct store_watch *watch,
                             const struct kvstore_page *page);
 static void handle_changes (struct store_watch *watch,
@@ -126,11 +134,24 @@
 uint64_t
 store_watch_age_ns (const struct store_watch *watch)
 {
-  uint64_t now_ns = clock_now_ns (watch->config.clock);
+  return clock_now_ns (watch->config.clock) - watch->confirmed_ns;
+}
+
+bool
+store_watch_overdue (const struct store_watch *watch)
+{
+  const struct store_watch_call *call = watch->call;
 
-  /* While a long poll is pending without an error there are no changes, so the
-     state is current; after a failure nothing is known. */
-  return watch->failed_ns == 0 ? 0 : now_ns - watch->last_success_ns;
+  return call != NULL
+         && clock_now_ns (watch->config.clock) - call->start_ns
+                >= (call->wait_ms + STORE_WATCH_OVERDUE_MS) * CLOCK_NS_PER_MS;
+}
+
+void
+store_watch_confirm (struct store_watch *watch)
+{
+  if (store_watch_current (watch))
+    start_call (watch, &watch->second);
 }
 
 static void
@@ -184,6 +205,7 @@
     }
   call->watch = watch;
   call->start_ns = clock_now_ns (config->clock);
+  call->wait_ms = watch->phase == STORE_WATCH_WATCHING ? poll_timeout_ms : 0;
   DL_APPEND (watch->calls, call);
   *slot = call;
   if (watch->phase == STORE_WATCH_WATCHING && poll_timeout_ms > 0)
@@ -209,15 +231,22 @@
   struct store_watch_call *call = user;
   struct store_watch *watch = call->watch;
   bool current = call == watch->call || call == watch->second;
-  uint64_t start_ns = call->start_ns;
-  uint64_t spent_ms
-      = (clock_now_ns (watch->config.clock) - start_ns) / CLOCK_NS_PER_MS;
+  bool confirms = error == 0 && is_confirmation (watch, call, page);
+  uint64_t confirmed_ns = error == 0 ? answered_ns (watch, call, page) : 0;
+  uint64_t spent_ms = (clock_now_ns (watch->config.clock) - call->start_ns)
+                      / CLOCK_NS_PER_MS;
   bool continues;
 
   DL_DELETE (watch->calls, call);
   free (call);
   if (!current)
     return;
+  if (confirms)
+    {
+      watch->second = NULL;
+      confirm (watch, confirmed_ns);
+      return;
+    }
   forget_calls (watch);
   if (error == ERR_STALE && watch->phase == STORE_WATCH_WATCHING)
     {
@@ -232,7 +261,7 @@
       return;
     }
   continues = check_era (watch, page->index);
-  on_success (watch, start_ns);
+  on_success (watch, confirmed_ns);
   if (!continues)
     {
       list_again (watch);
@@ -304,11 +333,11 @@
 }
 
 static void
-on_success (struct store_watch *watch, uint64_t start_ns)
+on_success (struct store_watch *watch, uint64_t confirmed_ns)
 {
   uint64_t failed_ns = watch->failed_ns;
 
-  watch->last_success_ns = start_ns;
+  confirm (watch, confirmed_ns);
   watch->backoff_ms = 0;
   watch->failed_ns = 0;
   if (failed_ns != 0)
@@ -316,6 +345,44 @@
         watch->config.user, clock_now_ns (watch->config.clock) - failed_ns);
 }
 
+static void
+confirm (struct store_watch *watch, uint64_t confirmed_ns)
+{
+  if (confirmed_ns > watch->confirmed_ns)
+    watch->confirmed_ns = confirmed_ns;
+}
+
+/* The earliest time at which the store may have answered.  A long poll without
+   changes was held for all of its time, unless the store cut it.  A listing is
+   as old as its first page. */
+static uint64_t
+answered_ns (const struct store_watch *watch,
+             const struct store_watch_call *call,
+             const struct kvstore_page *page)
+{
+  const uint64_t held_ns = call->wait_ms * CLOCK_NS_PER_MS;
+
+  if (watch->phase == STORE_WATCH_LISTING && watch->page_after_key[0] != '\0')
+    return watch->confirmed_ns;
+  if (page->count == 0
+      && clock_now_ns (watch->config.clock) - call->start_ns >= held_ns)
+    return call->start_ns + held_ns;
+  return call->start_ns;
+}
+
+/* Whether a response came without changes, beside a long poll that is not
+   overdue or between two of them. */
+static bool
+is_confirmation (const struct store_watch *watch,
+                 const struct store_watch_call *call,
+                 const struct kvstore_page *page)
+{
+  return call == watch->second && page->count == 0
+         && watch->phase == STORE_WATCH_WATCHING
+         && !store_watch_overdue (watch)
+         && store_index_era (page->index) == store_index_era (watch->index);
+}
+
 static void
 handle_listing (struct store_watch *watch, const struct kvstore_page *page)
 {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -69,7 +69,8 @@
   struct store_watch_call *calls; /**< pending ones, also those that a pause
                                        has made obsolete; private */
   struct store_watch_call *call;  /**< the one that counts; NULL: none */
-  /** Made beside it because its response is overdue; counts too. */
+  /** Made beside it because its response is overdue, or to confirm the state;
+      counts too. */
   struct store_watch_call *second;
   bool paused;
   char page_after_key[256]; /**< last key of the previous page */
@@ -77,7 +78,7 @@
   uint64_t index;        /**< store index up to which changes were reported */
   uint64_t restored_era; /**< newest era for which `restored` was called */
   uint64_t failed_ns;    /**< first of the current failures; 0: none */
-  uint64_t last_success_ns; /**< start of the last successful call */
+  uint64_t confirmed_ns; /**< what was reported is the state at this time */
   uint32_t backoff_ms;
   uint32_t backoff_min_ms; /**< after the first failure */
   uint32_t backoff_max_ms;
@@ -112,8 +113,14 @@
 /** Whether a listing was completed since the watch was last paused, and no
     call has failed since. */
 bool store_watch_current (const struct store_watch *watch);
-/** Upper bound of the age of the reported state: 0 while calls succeed,
-    otherwise the time since the last successful call began. */
+/** Upper bound of the age of the reported state.  A pending call tells nothing
+    of it: its response may be lost, or the store out of reach. */
 uint64_t store_watch_age_ns (const struct store_watch *watch);
+/** Whether the response to a long poll is overdue. */
+bool store_watch_overdue (const struct store_watch *watch);
+/** Makes a call that does not wait, beside a pending long poll or before the
+    next one, if there is none yet; a response without changes only renews
+    `confirmed_ns`. */
+void store_watch_confirm (struct store_watch *watch);
 
 #endif
--- a/tests/support/gatefixture.c
+++ b/tests/support/gatefixture.c
@@ -30,6 +30,7 @@
     .grace_ms = 8000,
     .upstream_leave_ms = 2000,
     .contact_ms = 3000,
+    .config_apply_ms = 2000,
     .lease_min_ms = 1000,
     .retry_permille = 200,
     .retry_allowance = 50,
--- a/tests/support/gatefleet.c
+++ b/tests/support/gatefleet.c
@@ -31,6 +31,8 @@
   clock_init_real (&fleet->clock);
   storeserver_init (&fleet->store, fleet->base);
   fleet->upstream_count = upstreams;
+  fleet->contact_ms = 3000;
+  fleet->config_apply_ms = 2000;
   for (i = 0; i < upstreams; i++)
     {
       upstreamserver_init (&fleet->upstreams[i], fleet->base, "sig");
@@ -107,7 +109,8 @@
     .memory_mb = 100,
     .grace_ms = 8000,
     .upstream_leave_ms = 2000,
-    .contact_ms = 3000,
+    .contact_ms = fleet->contact_ms,
+    .config_apply_ms = fleet->config_apply_ms,
     .lease_min_ms = 1000,
     .retry_permille = 200,
     .retry_allowance = 50,
--- a/tests/support/gatefleet.h
+++ b/tests/support/gatefleet.h
@@ -20,6 +20,8 @@
   struct storeserver store;
   unsigned int gateway_count;
   unsigned int upstream_count;
+  uint32_t contact_ms;      /* of the settings; before gateways start */
+  uint32_t config_apply_ms; /* the same */
   struct gateway gateways[GATEFLEET_GATEWAYS_MAX];
   struct upstreamserver upstreams[GATEFLEET_UPSTREAMS];
   unsigned int lives[GATEFLEET_UPSTREAMS]; /* incarnations before this one */
--- a/tests/test_gateways.c
+++ b/tests/test_gateways.c
@@ -84,6 +84,7 @@
     .grace_ms = 8000,
     .upstream_leave_ms = 2000,
     .contact_ms = 3000,
+    .config_apply_ms = 2000,
     .lease_min_ms = 1000,
     .retry_window_ms = 10000,
     .share_window_ms = 4000,
--- a/tests/test_out_of_step.c
+++ b/tests/test_out_of_step.c
@@ -50,6 +50,7 @@
   uint32_t second_ms; /* when the second build joins; 0: never */
   bool stays;         /* clients do not take streams up */
   bool no_ticks;      /* of its companion, while the fault lasts */
+  bool heartbeats;    /* upstreams write to the store all the time */
 };
 
 struct scene;
@@ -312,6 +313,8 @@
     {
       if (start)
         start_stream (scene);
+      if (scene->plan->heartbeats)
+        gatefleet_register (&scene->fleet, 0);
       gatefleet_run (&scene->fleet, STEP_MS);
       for (i = 0; i < STREAMS; i++)
         advance_stream (&scene->streams[i]);
@@ -415,6 +418,20 @@
                               .second_ms = CALM_MS });
 }
 
+/* The store answered until just before.  Guards against a gateway that takes
+   what it has read for current for a time after it was cut off. */
+static void
+test_pair_cut_off_beside_heartbeats (void)
+{
+  play_fault (&(struct plan){ .gateways = 5,
+                              .hub = true,
+                              .pair = true,
+                              .heartbeats = true,
+                              .fault = FAULT_CUT_OFF,
+                              .fault_ms = 2500,
+                              .second_ms = CALM_MS });
+}
+
 static void
 test_cut_from_peers (void)
 {
@@ -507,6 +524,8 @@
   { "streams are joined while one is cut off from hubs",
     test_cut_off_with_hubs },
   { "streams are joined while two are cut off together", test_pair_cut_off },
+  { "streams are joined while two are cut off beside heartbeats",
+    test_pair_cut_off_beside_heartbeats },
   { "streams are joined without peers", test_cut_from_peers },
   { "streams are joined without the store", test_cut_from_store },
   { "streams are joined before a tick marks their service",
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -416,7 +416,107 @@
   fixture_finish (&fixture);
 }
 
+/* A watch with a pending long poll, confirmed at the manual clock's time. */
+static void
+start_long_poll (struct watch_fixture *fixture)
+{
+  fixture_init (fixture);
+  run_until_call (fixture);
+  answer_call (fixture, 0, 1);
+  run_until_call (fixture);
+  CU_ASSERT_EQUAL (fixture->store.poll_timeout_ms, POLL_TIMEOUT_MS);
+  CU_ASSERT_EQUAL (store_watch_age_ns (&fixture->watch), 0);
+}
+
+static void
+answer_without_changes (const struct lost_call *call, uint64_t index)
+{
+  const struct kvstore_page page = { .index = index };
+
+  call->done (call->user, 0, &page);
+}
+
+/* Guards against a state that counts as current while a call is pending, the
+   response to which may never come. */
+static void
+test_age_of_pending_call (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call poll;
+
+  start_long_poll (&fixture);
+  clock_advance_ms (&fixture.clock, 900);
+  CU_ASSERT_EQUAL (store_watch_age_ns (&fixture.watch), 900 * CLOCK_NS_PER_MS);
+  /* The store held the long poll for all of its time, so its response is as
+     old as that end. */
+  poll = lose_call (&fixture);
+  clock_advance_ms (&fixture.clock, POLL_TIMEOUT_MS - 900 + 20);
+  answer_without_changes (&poll, 1);
+  CU_ASSERT_EQUAL (store_watch_age_ns (&fixture.watch), 20 * CLOCK_NS_PER_MS);
+  /* One that came at once may be as old as its call. */
+  run_until_call (&fixture);
+  poll = lose_call (&fixture);
+  clock_advance_ms (&fixture.clock, 300);
+  answer_without_changes (&poll, 1);
+  CU_ASSERT_EQUAL (store_watch_age_ns (&fixture.watch), 300 * CLOCK_NS_PER_MS);
+  fixture_finish (&fixture);
+}
+
+/* A call beside the long poll renews the state's age and ends nothing. */
+static void
+test_confirmation (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call poll;
+  struct lost_call second;
+
+  start_long_poll (&fixture);
+  poll = lose_call (&fixture);
+  clock_advance_ms (&fixture.clock, 600);
+  store_watch_confirm (&fixture.watch);
+  CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, 0);
+  CU_ASSERT_EQUAL (fixture.store.calls, 3);
+  /* There is one already. */
+  store_watch_confirm (&fixture.watch);
+  CU_ASSERT_EQUAL (fixture.store.calls, 3);
+  clock_advance_ms (&fixture.clock, 10);
+  second = lose_call (&fixture);
+  answer_without_changes (&second, 5);
+  CU_ASSERT_EQUAL (store_watch_age_ns (&fixture.watch), 10 * CLOCK_NS_PER_MS);
+  event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  CU_ASSERT_EQUAL (fixture.store.calls, 3);
+  /* The long poll's changes are reported as ever. */
+  answer (&fixture, &poll, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  fixture_finish (&fixture);
+}
+
+/* What a confirming call finds changed is reported, once. */
+static void
+test_confirmation_with_changes (void)
+{
+  struct watch_fixture fixture;
+  struct lost_call poll;
+
+  start_long_poll (&fixture);
+  poll = lose_call (&fixture);
+  clock_advance_ms (&fixture.clock, 600);
+  store_watch_confirm (&fixture.watch);
+  answer_call (&fixture, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  answer (&fixture, &poll, 0, 9);
+  CU_ASSERT_EQUAL (fixture.items, 2);
+  CU_ASSERT_EQUAL (fixture.failures, 0);
+  fixture_finish (&fixture);
+}
+
 static const struct suite_test tests[] = {
+  { "state counts as current while a call is pending",
+    test_age_of_pending_call },
+  { "confirmation", test_confirmation },
+  { "confirmation with changes", test_confirmation_with_changes },
   { "restored store", test_restored_store },
   { "no long poll after a failure", test_no_long_poll_after_failure },
   { "change history discarded", test_history_discarded },
