Reject responses whose status is none

Callers: a response with the status 1000 was taken for an interim one and dropped, and its request waited until its deadline; 600 to 999 were forwarded as they came.

Cause: whatever began with "HTTP/1.1 1" was skipped up to an empty line, unread, and a final status could be any three digits.

Change: interim responses are read line by line as strictly as final ones, and a status is of three digits from 100 to 599 (RFC 9110). What is not ends the attempt at once as a protocol error: 502. `serve' uses the same driver.

--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -59,6 +59,7 @@
   return httpd_head_is_header (line, size) ? 0 : ERR_PROTOCOL;
 }
 
+/* A status is of three digits, from 100 to 599 (RFC 9110, section 15). */
 static bool
 is_status_line (const char *line, size_t size)
 {
@@ -66,8 +67,8 @@
 
   return size >= STATUS_SIZE && httpd_head_is_value (line, size)
          && memcmp (line, "HTTP/1.", 7) == 0 && is_digit (line[7])
-         && line[8] == ' ' && is_digit (status[0]) && is_digit (status[1])
-         && is_digit (status[2])
+         && line[8] == ' ' && status[0] >= '1' && status[0] <= '5'
+         && is_digit (status[1]) && is_digit (status[2])
          && (size == STATUS_SIZE || line[STATUS_SIZE] == ' ');
 }
 
--- a/src/transport/upstream_http_int.h
+++ b/src/transport/upstream_http_int.h
@@ -36,11 +36,12 @@
   uint64_t received; /**< body bytes so far */
   bool has_length;
   bool chunked;
-  bool body_absent;     /**< because of the status or the request's method */
-  bool close_delimited; /**< the body ends when the connection closes */
-  bool past_interim;    /**< all 1xx responses have been skipped */
-  bool head_delivered;  /**< `responding` has been called */
-  bool foreign;         /**< has another request's ID; it is dropped */
+  bool body_absent;       /**< because of the status or the request's method */
+  bool close_delimited;   /**< the body ends when the connection closes */
+  bool past_interim;      /**< all 1xx responses have been skipped */
+  uint32_t interim_bytes; /**< skipped of one that is not complete */
+  bool head_delivered;    /**< `responding` has been called */
+  bool foreign;           /**< has another request's ID; it is dropped */
   bool complete;
   int error; /**< a value of enum err; 0 if none */
 };
--- a/src/transport/upstream_http_response.c
+++ b/src/transport/upstream_http_response.c
@@ -25,8 +25,10 @@
                           size_t size);
 static bool has_ended (const struct upstream_http_conn *conn);
 static size_t line_max (const struct upstream_http_conn *conn);
-static size_t skip_interim (struct upstream_http_conn *conn, const char *data,
+static size_t skip_interim (struct upstream_http_conn *conn, char *data,
                             size_t size);
+static bool is_interim (struct upstream_http_conn *conn, const char *data,
+                        size_t size);
 static int on_header_name (htparser *parser, const char *data, size_t size);
 static int on_header_value (htparser *parser, const char *data, size_t size);
 static int on_headers (htparser *parser);
@@ -179,38 +181,54 @@
    when the first bytes of the final response have arrived.
    @return the number of bytes skipped. */
 static size_t
-skip_interim (struct upstream_http_conn *conn, const char *data, size_t size)
+skip_interim (struct upstream_http_conn *conn, char *data, size_t size)
 {
   struct response *response = &conn->attempt->response;
-  static const char prefix[] = "HTTP/1.1 1";
   size_t used = 0;
-  size_t compared;
-  const char *end;
+  size_t step;
 
-  while (used < size)
+  while (used < size && response->error == 0
+         && (response->head.has_status
+             || is_interim (conn, data + used, size - used)))
     {
-      compared = size - used < sizeof (prefix) - 1 ? size - used
-                                                   : sizeof (prefix) - 1;
-      if (memcmp (data + used, prefix, compared) != 0)
-        {
-          response->past_interim = true;
-          break;
-        }
-      if (size - used < STATUS_LINE_MIN)
+      response->error = response_head_read (
+          &response->head, data + used, size - used, line_max (conn), &step);
+      if (step == 0)
         break;
-      /* 101 Switching Protocols was not requested. */
-      if (strncmp (data + used + 9, "101", 3) == 0)
-        response->error = ERR_PROTOCOL;
-      end = memmem (data + used, size - used, "\r\n\r\n", 4);
-      if (end == NULL && size - used > RESPONSE_HEADER_BYTES_MAX)
+      used += step;
+      response->interim_bytes += (uint32_t)step;
+      if (response->interim_bytes > RESPONSE_HEADER_BYTES_MAX)
         response->error = ERR_TOO_LARGE;
-      if (end == NULL || response->error != 0)
-        break;
-      used = (size_t)(end + 4 - data);
+      if (response->head.complete)
+        {
+          memset (&response->head, 0, sizeof response->head);
+          response->interim_bytes = 0;
+        }
     }
   return used;
 }
 
+/* Whether a 1xx response begins.  Sets `past_interim` if another one does. */
+static bool
+is_interim (struct upstream_http_conn *conn, const char *data, size_t size)
+{
+  static const char prefix[] = "HTTP/1.1 1";
+  const size_t length = sizeof prefix - 1;
+  struct response *response = &conn->attempt->response;
+
+  if (memcmp (data, prefix, size < length ? size : length) != 0)
+    {
+      response->past_interim = true;
+      return false;
+    }
+  if (size < STATUS_LINE_MIN)
+    return false;
+  /* 101 Switching Protocols was not requested. */
+  if (strncmp (data + 9, "101", 3) == 0)
+    response->error = ERR_PROTOCOL;
+  return response->error == 0;
+}
+
 static int
 on_header_name (htparser *parser, const char *data, size_t size)
 {
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -12,6 +12,8 @@
 
 #define COUNT(array) (sizeof (array) / sizeof ((array)[0]))
 
+#define ROUTE_TIMEOUT_MS 600 /* of the fixture's routes */
+
 #define REQUEST_HEADERS                                                       \
   "Host: shop.example\r\nX-Attempt-Id: id-1\r\n"                              \
   "X-Deadline-Remaining-Ms: 5000\r\nX-Credential: key-1\r\n"                  \
@@ -243,6 +245,98 @@
     "ICY/1.1 200 OK\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY },
 };
 
+/* With these a client would wait until its deadline, or get a status that is
+   none. */
+static const char *const bad_statuses[] = {
+  "000",  "001",  "099",  "600",  "700", "999", "1000", "1010",
+  "1030", "1999", "0100", "0200", "10",  "1",   "",     "+20",
+  "-20",  "0x1",  "1 0",  "20x",  "10x", "1e2",
+};
+
+/* A status that is no status must end the request at once, as failed, on both
+   interfaces to upstreams. */
+static void
+test_bad_statuses (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  char script[512];
+  uint64_t start_ns;
+  size_t i;
+
+  for (i = 0; i < COUNT (bad_statuses); i++)
+    {
+      fixture_init (&fixture);
+      snprintf (script, sizeof script,
+                "HTTP/1.1 %s OK\r\n" HEADERS "Content-Length: 5\r\n\r\n" BODY,
+                bad_statuses[i]);
+      start_ns = gateway_now_ns (&fixture.gateway);
+      request_script (&fixture, "/once/", script, strlen (script),
+                      UPSTREAMSERVER_END_OPEN, &received);
+      if (received.status != 502
+          || strstr (fixture.client.got, "X-Worker-Signature") != NULL
+          || gateway_now_ns (&fixture.gateway) - start_ns
+                 > ROUTE_TIMEOUT_MS * CLOCK_NS_PER_MS)
+        {
+          printf ("status %s: %s\n", bad_statuses[i], fixture.client.got);
+          CU_FAIL ("a status that is none was taken for one");
+        }
+      gatefixture_finish (&fixture);
+    }
+}
+
+#define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+#define WHOLE   OK "Content-Length: 5\r\n\r\n" BODY
+
+/** Interim responses before the final one. */
+static const struct
+{
+  const char *script;
+  bool valid;
+} interims[] = {
+  { INTERIM WHOLE, true },
+  { "HTTP/1.1 100 Continue\r\n\r\n" INTERIM WHOLE, true },
+  { "HTTP/1.1 100\r\n\r\n" WHOLE, true },
+  { "HTTP/1.1 199 Odd\r\n\r\n" WHOLE, true },
+  { "HTTP/1.1 101 Switching\r\n\r\n" WHOLE, false },
+  { "HTTP/1.1 1000 Odd\r\n\r\n" WHOLE, false },
+  { "HTTP/1.1 100Continue\r\n\r\n" WHOLE, false },
+  { "HTTP/1.1 103 Early\nLink: a\r\n\r\n" WHOLE, false },
+  { "HTTP/1.1 103 Early\r\nno header\r\n\r\n" WHOLE, false },
+  { "HTTP/1.1 103 Early\r\n\r\n\r\n" WHOLE, false },
+};
+
+/* They are read as strictly as final ones, in parts of any size. */
+static void
+test_interim_responses (void)
+{
+  struct gatefixture fixture;
+  struct received received;
+  size_t size;
+  size_t i;
+
+  for (i = 0; i < COUNT (interims); i++)
+    {
+      size = strlen (interims[i].script);
+      gatefixture_init (&fixture, true);
+      fixture.upstreams[0].behaviour = UPSTREAMSERVER_SCRIPT;
+      fixture.upstreams[1].behaviour = UPSTREAMSERVER_REJECT;
+      for (fixture.upstreams[0].script_pause = 0;
+           fixture.upstreams[0].script_pause < size;
+           fixture.upstreams[0].script_pause += 3)
+        {
+          request_script (&fixture, "/once/", interims[i].script, size,
+                          UPSTREAMSERVER_END_CLOSE, &received);
+          if (received.status != (interims[i].valid ? 200 : 502))
+            {
+              printf ("%s: %s\n", interims[i].script, fixture.client.got);
+              CU_FAIL ("an interim response was misread");
+            }
+        }
+      gatefixture_finish (&fixture);
+    }
+}
+
 /* The same cause as that of a request inside another one's body, on the way
    back: a header that one reader knows and the next one does not. */
 static void
@@ -494,6 +588,8 @@
   { "whole responses", test_whole_responses },
   { "responses that break off", test_cut_responses },
   { "malformed responses", test_malformed_responses },
+  { "status that is none", test_bad_statuses },
+  { "interim responses", test_interim_responses },
   { "white space before a colon", test_spaces_before_colon },
   { "streams that go on with an error", test_continued_with_error },
   { "streams that go on with another length", test_continued_length },
