End a response with its connection only once the request has arrived

Cause: the end of the connection was taken for the end of the response unless a write had failed before. An upstream that has read what had come so far, or that closes its own direction first, ends with a FIN; the reset follows only when the rest of the request arrives there, after the end was taken for orderly.

Change: such an end counts only if all of the request was sent and has been acknowledged. An upstream that has read a whole request has acknowledged it before it ends its response.

--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -17,6 +17,7 @@
 #include "transport/upstream_http_int.h"
 #include <errno.h>
 #include <event2/util.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -63,6 +64,7 @@
 static void on_event (struct bufferevent *bev, short what, void *arg);
 static void on_output (struct evbuffer *buffer,
                        const struct evbuffer_cb_info *info, void *arg);
+static bool request_received (const struct upstream_http_conn *conn);
 static void read_response (struct upstream_http_conn *conn);
 
 const struct upstream_driver upstream_http_driver = {
@@ -573,6 +575,20 @@
   return poll (&connection, 1, 0) > 0;
 }
 
+/* An upstream that closes its connection before it has got the whole request
+   may have ended within its response: the reset follows when the rest of the
+   request arrives there. */
+static bool
+request_received (const struct upstream_http_conn *conn)
+{
+  int unacknowledged = 0;
+
+  return conn->attempt->sent
+         && (ioctl (bufferevent_getfd (conn->bev), SIOCOUTQ, &unacknowledged)
+                 != 0
+             || unacknowledged == 0);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -616,7 +632,8 @@
     attempt_end (conn,
                  (what & BEV_EVENT_TIMEOUT) != 0 ? ERR_TIMEOUT : ERR_REFUSED);
   else if ((what & BEV_EVENT_EOF) != 0 && !conn->write_failed
-           && conn->attempt->response.close_delimited)
+           && conn->attempt->response.close_delimited
+           && request_received (conn))
     {
       conn->reusable = false;
       attempt_end (conn, 0);
