Show that the store answers by renewing the lease

Change: without a response for 0.4 of config_apply_ms the lease of the gateway's entry is renewed early, at a tenth of the price, unless the last renewal failed. Views are relied on up to 0.6 of that time, and read from the store up to 0.15 later: hubs with a late loop are passed over less often.

Evidence: test_cut_hub, test_gateways.

--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -39,9 +39,9 @@
 #define STALE_CONFIG_MS 500
 /* Parts of the time in which a configuration has to be in force everywhere: a
    view of the store that no response has confirmed for so long is confirmed by
-   a call; one of twice that age is not relied on. */
-#define CONFIRM_PERCENT 30
-#define AGE_MAX_PERCENT 50
+   a call; an older one is not relied on. */
+#define CONFIRM_PERCENT 40
+#define AGE_MAX_PERCENT 60
 
 static void on_config_item (void *user, const struct kvstore_item *item);
 static void on_config_listing_begin (void *user);
@@ -192,8 +192,8 @@
              : gateway_now_ns (gateway) - watch_confirmed_ns (gateway, config);
 }
 
-/* While the response to a long poll may still come, a response to the other
-   watch shows that this one's changes would have come too. */
+/* While the response to a long poll may still come, a response to another call
+   shows that its changes would have come too. */
 static uint64_t
 watch_confirmed_ns (const struct gateway *gateway,
                     const struct store_watch *watch)
@@ -208,8 +208,11 @@
 {
   const uint64_t config_ns = gateway->config_watch.confirmed_ns;
   const uint64_t upstreams_ns = gateway->upstream_watch.confirmed_ns;
+  const uint64_t watches_ns
+      = config_ns > upstreams_ns ? config_ns : upstreams_ns;
+  const uint64_t renewed_ns = gateway_peers_renewed_ns (gateway);
 
-  return config_ns > upstreams_ns ? config_ns : upstreams_ns;
+  return renewed_ns > watches_ns ? renewed_ns : watches_ns;
 }
 
 uint32_t
@@ -224,9 +227,10 @@
   const uint64_t limit_ms
       = (uint64_t)gateway->settings.config_apply_ms * CONFIRM_PERCENT / 100;
 
-  if (!gateway->config_watch.paused
+  if (store_watch_current (&gateway->config_watch)
       && gateway_now_ns (gateway) - path_confirmed_ns (gateway)
-             >= limit_ms * CLOCK_NS_PER_MS)
+             >= limit_ms * CLOCK_NS_PER_MS
+      && !gateway_peers_renew_lease (gateway))
     store_watch_confirm (&gateway->config_watch);
 }
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -26,7 +26,7 @@
 #define WATCH_FALLBACK_JITTER_MS 400
 /* The same once the view is too old, in parts of the time in which a
    configuration has to be in force everywhere. */
-#define VIEW_JITTER_PERCENT 20
+#define VIEW_JITTER_PERCENT 15
 /* A hub with an older report may have ended. */
 #define HUB_REPORT_AGE_MAX_MS 1000
 /* Ticks of the report timer between other work. */
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -24,6 +24,14 @@
 /** Whether this gateway is a hub: watches the store and forwards its items. */
 bool gateway_peers_is_hub (const struct gateway *gateway);
 
+/** Renews the lease of this gateway's entry now, unless a call for it is
+    pending, which shows whether the store answers at a tenth of a read's
+   price.
+    @return whether it has a lease. */
+bool gateway_peers_renew_lease (const struct gateway *gateway);
+/** Start of the last grant or renewal that succeeded; 0: none. */
+uint64_t gateway_peers_renewed_ns (const struct gateway *gateway);
+
 /** Upper bound of the age of the view of the store received from a hub;
     UINT64_MAX without a hub. */
 uint64_t gateway_peers_store_age_ns (const struct gateway *gateway);
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -89,6 +89,9 @@
   enum membership membership;
   uint64_t lease;
   uint64_t lease_era; /**< era of the store that granted the lease */
+  uint64_t renewal_start_ns;
+  uint64_t renewed_ns; /**< start of the last grant or renewal that
+                           succeeded */
   char key[GATEWAY_PEERS_KEY_SIZE];
   /** Prefix of the entries of this availability zone. */
   char zone_prefix[GATEWAY_PEERS_KEY_SIZE];
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -137,6 +137,7 @@
 
   (void)fd;
   (void)what;
+  peers->renewal_start_ns = gateway_now_ns (peers->gateway);
   if (peers->membership == MEMBERSHIP_HELD && peers->lease_era == store->era)
     error = store->ops->lease_keep_alive (store, peers->lease,
                                           on_lease_renewed, peers);
@@ -186,6 +187,8 @@
 
   (void)index;
   peers->membership = error == 0 ? MEMBERSHIP_HELD : MEMBERSHIP_NONE;
+  if (error == 0)
+    peers->renewed_ns = peers->renewal_start_ns;
   schedule_membership (peers, error == 0 ? LEASE_RENEW_MS : RETRY_MS);
 }
 
@@ -200,9 +203,31 @@
     error = ERR_NOT_FOUND;
   if (error == ERR_NOT_FOUND)
     peers->membership = MEMBERSHIP_NONE;
+  if (error == 0)
+    peers->renewed_ns = peers->renewal_start_ns;
   schedule_membership (peers, error == 0 ? LEASE_RENEW_MS : RETRY_MS);
 }
 
+bool
+gateway_peers_renew_lease (const struct gateway *gateway)
+{
+  struct gateway_peers *peers = gateway->peers;
+
+  if (peers == NULL || peers->membership != MEMBERSHIP_HELD)
+    return false;
+  /* After a failure it is renewed in its own time. */
+  if (peers->renewed_ns == peers->renewal_start_ns
+      && event_pending (peers->membership_timer, EV_TIMEOUT, NULL))
+    schedule_membership (peers, 0);
+  return true;
+}
+
+uint64_t
+gateway_peers_renewed_ns (const struct gateway *gateway)
+{
+  return gateway->peers == NULL ? 0 : gateway->peers->renewed_ns;
+}
+
 /* All entries. */
 
 void
