--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -37,9 +37,8 @@
 /* An older configuration may lack a route or key that is in effect.  While the
    store does not answer, this age is enough to expect that. */
 #define STALE_CONFIG_MS 500
-/* Parts of the time in which a configuration has to be in force everywhere: a
-   view of the store that no response has confirmed for so long is confirmed by
-   a call; an older one is not relied on. */
+/* Percentages of config_apply_ms: the ages at which a view of the store is
+   confirmed by a call, and at which it is no longer relied on. */
 #define CONFIRM_PERCENT 40
 #define AGE_MAX_PERCENT 60
 
@@ -218,7 +217,8 @@
 uint32_t
 discovery_age_max_ms (const struct gateway *gateway)
 {
-  return gateway->settings.config_apply_ms * AGE_MAX_PERCENT / 100;
+  return (uint32_t)((uint64_t)gateway->settings.config_apply_ms
+                    * AGE_MAX_PERCENT / 100);
 }
 
 void
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -24,8 +24,7 @@
    after a delay.  Jitter, so that not all instances start at once. */
 #define WATCH_FALLBACK_MS        600
 #define WATCH_FALLBACK_JITTER_MS 400
-/* The same once the view is too old, in parts of the time in which a
-   configuration has to be in force everywhere. */
+/* Jitter once the view is too old; a percentage of config_apply_ms. */
 #define VIEW_JITTER_PERCENT 15
 /* A hub with an older report may have ended. */
 #define HUB_REPORT_AGE_MAX_MS 1000
@@ -569,14 +568,14 @@
   gateway_peers_update_subscriptions (peers);
 }
 
-/* Whether no hub has had a fresh view for a while.  The time counts from what
-   the hubs knew, not from when they said so. */
+/* Whether the newest view of the hubs is too old, or none has come in time
+   after the start. */
 static bool
 view_lost (const struct gateway_peers *peers, uint64_t now_ns)
 {
   const struct gateway *gateway = peers->gateway;
-  const uint64_t jitter_ms
-      = gateway->settings.config_apply_ms * VIEW_JITTER_PERCENT / 100;
+  const uint64_t jitter_ms = (uint64_t)gateway->settings.config_apply_ms
+                             * VIEW_JITTER_PERCENT / 100;
   uint64_t limit_ms;
 
   if (peers->view_ns != 0)
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -25,9 +25,9 @@
 bool gateway_peers_is_hub (const struct gateway *gateway);
 
 /** Renews the lease of this gateway's entry now, unless a call for it is
-    pending, which shows whether the store answers at a tenth of a read's
-   price.
-    @return whether it has a lease. */
+    pending or has failed.  It shows whether the store answers, at a tenth of
+    the price of a read.
+    @return whether there is a lease. */
 bool gateway_peers_renew_lease (const struct gateway *gateway);
 /** Start of the last grant or renewal that succeeded; 0: none. */
 uint64_t gateway_peers_renewed_ns (const struct gateway *gateway);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -113,8 +113,8 @@
 /** Whether a listing was completed since the watch was last paused, and no
     call has failed since. */
 bool store_watch_current (const struct store_watch *watch);
-/** Upper bound of the age of the reported state.  A pending call tells nothing
-    of it: its response may be lost, or the store out of reach. */
+/** Upper bound of the age of the reported state.  A pending call does not make
+    it newer: its response may be lost. */
 uint64_t store_watch_age_ns (const struct store_watch *watch);
 /** Whether the response to a long poll is overdue. */
 bool store_watch_overdue (const struct store_watch *watch);
