--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -525,6 +525,36 @@
   dialect = NULL;
 }
 
+/* A router of `serve' has the default dialect.  Guards against a status that
+   is none, or a part of an early response, that is taken for a response: each
+   ends the attempt while the connection is still open. */
+static void
+test_default_dialect_rejects (void)
+{
+  static const char *const replies[] = {
+    "HTTP/1.1 000 OK\r\n" REQUEST_ID_HEADER "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 099 OK\r\n" REQUEST_ID_HEADER "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 600 OK\r\n" REQUEST_ID_HEADER "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 1000 OK\r\n" REQUEST_ID_HEADER "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 10 OK\r\n" REQUEST_ID_HEADER "Content-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\n" REQUEST_ID_HEADER "\r\nhello",
+  };
+  struct fixture fixture;
+  size_t i;
+
+  for (i = 0; i < sizeof (replies) / sizeof (replies[0]); i++)
+    {
+      struct upstream_request request = { .idempotent = true };
+      const struct script script = { replies[i], AFTER_REPLY_KEEP_OPEN };
+
+      fixture_init (&fixture);
+      run_attempt (&fixture, &request, &script);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_EQUAL (fixture.status, 0);
+      fixture_finish (&fixture);
+    }
+}
+
 /* Starts an attempt with a body that stays unsent in part, and waits for the
    first bytes of a response without a length. */
 static void
@@ -1002,6 +1032,8 @@
     test_upstream_removed_during_request },
   { "bytes after a complete response", test_bytes_after_response },
   { "close-delimited responses", test_close_delimited_responses },
+  { "default dialect takes what is no response for one",
+    test_default_dialect_rejects },
   { "reset response looks complete", test_reset_response_looks_complete },
   { "removed upstream", test_removed_upstream },
   { "a refused connection sends nothing",
