--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -76,7 +76,7 @@
     return ERR_NO_MEMORY;
   gateway->peers = peers;
   peers->gateway = gateway;
-  peers->start_ns = peers->hub_fresh_ns = gateway_now_ns (gateway);
+  peers->start_ns = peers->hub_expected_ns = gateway_now_ns (gateway);
   peers->self_id = catalog_id (gateway->settings.instance);
   peers->zone_id = catalog_id (gateway->settings.availability_zone);
   error = start_net (peers);
@@ -588,7 +588,7 @@
       = (hub_starting (peers, now_ns) ? HUB_STARTUP_MS : WATCH_FALLBACK_MS)
         + peers->self_id % WATCH_FALLBACK_JITTER_MS;
   return peers->zone_listed
-         && now_ns - peers->hub_fresh_ns > limit_ms * CLOCK_NS_PER_MS;
+         && now_ns - peers->hub_expected_ns > limit_ms * CLOCK_NS_PER_MS;
 }
 
 /* Hubs watch the store; other instances only while no hub has a fresh view. */
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -109,14 +109,14 @@
                                 are out of the load balancer's rotation */
   struct gateway_peer *linked_peers; /**< uthash by instance_id */
   uint64_t start_ns;
-  uint64_t confirmed_ns; /**< gateway_peers_confirmed_ns() as of the last
-                              round of reports */
-  bool asked;            /**< by a subscriber: other hubs are asked */
-  bool asked_by_hub;     /**< other hubs get the next report at once */
-  bool asks;             /**< this round of reports asks for answers */
-  uint64_t hub_fresh_ns; /**< until a hub's view has come: since when it may
-                              be expected */
-  uint64_t view_ns;      /**< time of the newest view of a hub; 0: none yet */
+  uint64_t confirmed_ns;    /**< gateway_peers_confirmed_ns() as of the last
+                                 round of reports */
+  bool asked;               /**< by a subscriber: other hubs are asked */
+  bool asked_by_hub;        /**< other hubs get the next report at once */
+  bool asks;                /**< this round of reports asks for answers */
+  uint64_t hub_expected_ns; /**< since when a first view of a hub is
+                               expected */
+  uint64_t view_ns; /**< time of the newest view of a hub; 0: none yet */
   /** Store index that this instance has to reach: the newest one reported by
       peers when it had reached the previous one. */
   uint64_t peer_store_index;
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -262,7 +262,7 @@
   /* Now that it knows the hubs, it gives them time before it watches the
      store itself. */
   if (!peers->zone_listed)
-    peers->hub_fresh_ns = gateway_now_ns (peers->gateway);
+    peers->hub_expected_ns = gateway_now_ns (peers->gateway);
   peers->zone_listed = true;
 }
 
--- a/tests/test_early_responses.c
+++ b/tests/test_early_responses.c
@@ -52,6 +52,7 @@
   char head[HEAD_MAX + 1];
   size_t size;
   size_t body_read;
+  bool half_closed;
 };
 
 static void
@@ -117,9 +118,10 @@
       read_on (conn);
       break;
     case ENDING_HALF_CLOSE:
-      if (shutdown (conn->fd, SHUT_WR) == 0 && conn->body_read == 0)
+      if (!conn->half_closed)
         {
-          conn->body_read = 1;
+          conn->half_closed = true;
+          shutdown (conn->fd, SHUT_WR);
           event_add (conn->event, &pause);
           return;
         }
@@ -157,8 +159,6 @@
   if (end == NULL)
     return;
   conn->body_read = conn->size - (size_t)(end + 4 - conn->head);
-  if (conn->server->ending == ENDING_HALF_CLOSE)
-    conn->body_read = 0;
   CU_ASSERT_EQUAL (send (fd, head, sizeof head - 1, MSG_NOSIGNAL),
                    (ssize_t)sizeof head - 1);
   send_bytes (conn, PART_BYTES);
