--- a/review/standins-3/counter.c
+++ b/review/standins-3/counter.c
@@ -53,6 +53,7 @@
   int i;
   double acknowledged;
   char worker[32];
+  static struct rig_store_side side;
 
   if (argc != 3)
     return 2;
@@ -67,8 +68,8 @@
     }
   configure (1);
   snprintf (path, sizeof path, "%s/settings.json", argv[1]);
-  rig_gateway_settings (path, "edge-1", "za", rig_store_start (20.0), &front,
-                        &ready);
+  rig_gateway_settings (path, "edge-1", "za", rig_store_start (20.0, &side),
+                        &front, &ready);
   printf ("settings written\n");
   fflush (stdout);
   rig_gateway_wait (ready);
--- a/review/standins-3/rig.c
+++ b/review/standins-3/rig.c
@@ -481,8 +481,6 @@
   uint64_t revision;
   uint64_t lease;
   double history_s;
-  enum rig_store_mode mode;
-  unsigned long mode_changes;
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER,
             .changed = PTHREAD_COND_INITIALIZER,
             .revision = 10 };
@@ -559,15 +557,16 @@
 }
 
 void
-rig_store_set_mode (enum rig_store_mode mode)
+rig_store_set_mode (struct rig_store_side *side, enum rig_store_mode mode)
 {
   pthread_mutex_lock (&store.lock);
-  store.mode = mode;
-  store.mode_changes++;
+  side->mode = mode;
+  side->changes++;
   pthread_cond_broadcast (&store.changed);
   pthread_mutex_unlock (&store.lock);
-  rig_record ("store %s",
-              mode == RIG_STORE_SERVES ? "serves" : "resets its channels");
+  rig_record ("store %s", mode == RIG_STORE_SERVES
+                              ? "serves all machines"
+                              : "resets the channels of one machine");
 }
 
 static const struct event *
@@ -662,9 +661,10 @@
 
 /* @return the status, 0 if the channel is to be reset. */
 static int
-watch (const char *path, struct rig_text *out)
+watch (const char *path, const struct rig_store_side *side,
+       struct rig_text *out)
 {
-  const unsigned long mode_changes = store.mode_changes;
+  const unsigned long changes = side->changes;
   char prefix[RIG_TEXT];
   char text[RIG_TEXT];
   struct timespec end;
@@ -699,7 +699,7 @@
       if (found
           || pthread_cond_timedwait (&store.changed, &store.lock, &end) != 0)
         break;
-      if (mode_changes != store.mode_changes)
+      if (changes != side->changes)
         return 0;
     }
   rig_text_add (out, "{\"events\":[");
@@ -752,7 +752,8 @@
 }
 
 static int
-call_store (const struct rig_message *request, struct rig_text *out)
+call_store (const struct rig_message *request,
+            const struct rig_store_side *side, struct rig_text *out)
 {
   char method[16];
   char path[RIG_TEXT];
@@ -764,7 +765,7 @@
       return 200;
     }
   if (strncmp (path, "/kv-watch", 9) == 0)
-    return watch (path, out);
+    return watch (path, side, out);
   if (strcmp (path, "/kv-txn") == 0)
     return transact (request->body, out);
   if (strcmp (path, "/kv-lease") == 0)
@@ -780,11 +781,11 @@
 static void
 serve_store (int fd, void *user)
 {
+  const struct rig_store_side *side = user;
   struct rig_reader reader = { .fd = fd };
   struct rig_message request;
   bool open = true;
 
-  (void)user;
   while (open && rig_read (&reader, &request, false))
     {
       struct rig_text out = { .size = 0 };
@@ -792,8 +793,8 @@
       int status = 0;
 
       pthread_mutex_lock (&store.lock);
-      if (store.mode == RIG_STORE_SERVES)
-        status = call_store (&request, &out);
+      if (side->mode == RIG_STORE_SERVES)
+        status = call_store (&request, side, &out);
       pthread_mutex_unlock (&store.lock);
       snprintf (head, sizeof head,
                 "HTTP/1.1 %d Store\r\nContent-Type: application/json\r\n"
@@ -815,10 +816,11 @@
 }
 
 int
-rig_store_start (double history_s)
+rig_store_start (double history_s, struct rig_store_side *side)
 {
-  store.history_s = history_s;
-  return start_server (serve_store, NULL);
+  if (store.history_s == 0)
+    store.history_s = history_s;
+  return start_server (serve_store, side);
 }
 
 /* Workers. */
--- a/review/standins-3/rig.h
+++ b/review/standins-3/rig.h
@@ -76,15 +76,24 @@
   RIG_STORE_RESETS /**< resets the channels of all machines */
 };
 
-/** Starts the store. @return its port. */
-int rig_store_start (double history_s);
+/** How the store treats the machines that have one of its addresses. */
+struct rig_store_side
+{
+  enum rig_store_mode mode;
+  unsigned long changes; /**< private */
+};
+
+/** Opens an address of the store; the first call sets the time for which it
+    keeps its history. @return the port. */
+int rig_store_start (double history_s, struct rig_store_side *side);
 /** The revision before the first change. */
 void rig_store_set_revision (unsigned long long revision);
 /** The operator or a worker writes; returns when that is acknowledged. */
 void rig_store_put (const char *key, const void *value, size_t size);
 void rig_store_delete (const char *key);
 /** Also cuts the watches that wait. */
-void rig_store_set_mode (enum rig_store_mode mode);
+void rig_store_set_mode (struct rig_store_side *side,
+                         enum rig_store_mode mode);
 
 /* Workers. */
 
