--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -10,6 +10,7 @@
 #include "state/catalog.h"
 #include "state/ledger.h"
 #include "state/quarantine.h"
+#include "state/store_position.h"
 #include "state/stream_builds.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -132,17 +133,19 @@
 struct message_object
 {
   char key[MESSAGE_KEY_SIZE]; /**< "customer/NAME" and so on */
-  uint64_t index;    /**< modify index plus index base, see confsync.h */
-  bool deleted;      /**< tombstone */
-  size_t value_size; /**< bytes */
-  char *value;       /**< JSON text; of a tombstone NULL, or the value
-                        that preserves its change records */
+  uint64_t index; /**< modify index plus index base, see confsync.h */
+  struct store_position position; /**< between gateways, in place of `index` */
+  bool deleted;                   /**< tombstone */
+  size_t value_size;              /**< bytes */
+  char *value; /**< JSON text; of a tombstone NULL, or the value
+                  that preserves its change records */
 };
 
 struct message_config
 {
   uint64_t newest_index; /**< up to which the sender is complete */
-  bool complete;         /**< last part of a complete response */
+  struct store_position newest_position; /**< between gateways */
+  bool complete; /**< last part of a complete response */
   size_t object_count;
   struct message_object *objects;
 };
@@ -180,8 +183,9 @@
  */
 struct message_load
 {
-  uint64_t store_index; /**< up to which the sender has followed the store */
-  uint32_t age_ms;      /**< since the sender last confirmed that index */
+  /** Up to which the sender has followed the store. */
+  struct store_position store_position;
+  uint32_t age_ms; /**< since the sender last confirmed that index */
   size_t item_count;
   struct message_load_item *items;
   size_t suspect_count;
--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -7,7 +7,6 @@
 #include "gateway/gateway_config.h"
 #include "gateway/gateway_peers.h"
 #include "state/err.h"
-#include "state/store_index.h"
 #include "transport/log.h"
 #include <stdio.h>
 #include <string.h>
@@ -44,14 +43,17 @@
 
 static void on_config_item (void *user, const struct kvstore_item *item);
 static void on_config_listing_begin (void *user);
-static void on_config_listing_end (void *user, uint64_t index);
+static void on_config_listing_end (void *user,
+                                   const struct store_position *position);
 static void on_upstream_item (void *user, const struct kvstore_item *item);
 static void on_upstream_listing_begin (void *user);
-static void on_upstream_listing_end (void *user, uint64_t index);
+static void on_upstream_listing_end (void *user,
+                                     const struct store_position *position);
 static void on_failed (void *user, int error);
 static void on_config_recovered (void *user, uint64_t outage_ns);
 static void on_upstream_recovered (void *user, uint64_t outage_ns);
-static void on_upstream_restored (void *user, uint64_t lost_index);
+static void on_upstream_restored (void *user,
+                                  const struct store_position *lost);
 static uint32_t watch_timeout_ms (const struct gateway_settings *settings);
 static uint32_t
 upstream_watch_interval_ms (const struct gateway_settings *settings);
@@ -252,9 +254,10 @@
 }
 
 void
-discovery_snapshot_end (struct gateway *gateway, uint64_t index)
+discovery_snapshot_end (struct gateway *gateway,
+                        const struct store_position *position)
 {
-  on_upstream_listing_end (gateway, index);
+  on_upstream_listing_end (gateway, position);
 }
 
 void
@@ -280,7 +283,8 @@
             upstream->record.identity);
   gateway_peers_publish_item (
       gateway,
-      &(struct kvstore_item){ .key = key, .index = upstream->record.revision },
+      &(struct kvstore_item){ .key = key,
+                              .position = upstream->record.position },
       true);
 }
 
@@ -288,7 +292,7 @@
 on_failed (void *user, int error)
 {
   (void)user;
-  LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("error", err_name (error)));
+  LOG (store_watch_failure (error), NULL, LOG_S ("error", err_name (error)));
 }
 
 /* Configuration. */
@@ -300,10 +304,11 @@
 }
 
 static void
-on_config_listing_end (void *user, uint64_t index)
+on_config_listing_end (void *user, const struct store_position *position)
 {
   (void)user;
-  LOG (LOG_CONFIG_READY, NULL, LOG_U ("index", index));
+  LOG (LOG_CONFIG_READY, NULL, LOG_S ("era", digits_text (&position->era)),
+       LOG_S ("index", digits_text (&position->revision)));
 }
 
 static void
@@ -338,15 +343,16 @@
 /* Registrations since the copy are gone until their upstreams write them
    again, as after an outage. */
 static void
-on_upstream_restored (void *user, uint64_t lost_index)
+on_upstream_restored (void *user, const struct store_position *lost)
 {
   struct gateway *gateway = user;
 
   gateway->upstream_recovered_ns = gateway_now_ns (gateway);
   gateway->counters.store_restores++;
-  LOG (LOG_STORE_RESTORED, NULL, LOG_U ("era", gateway->store->era),
-       LOG_U ("lost_era", store_index_era (lost_index)),
-       LOG_U ("lost_index", store_index_revision (lost_index)),
+  LOG (LOG_STORE_RESTORED, NULL,
+       LOG_S ("era", digits_text (&gateway->store->era)),
+       LOG_S ("lost_era", digits_text (&lost->era)),
+       LOG_S ("lost_index", digits_text (&lost->revision)),
        LOG_U ("kept_upstreams", HASH_COUNT (gateway->registry.upstreams)),
        LOG_U ("age_ms", store_watch_age_ns (&gateway->upstream_watch)
                             / CLOCK_NS_PER_MS));
@@ -371,11 +377,11 @@
 }
 
 static void
-on_upstream_listing_end (void *user, uint64_t index)
+on_upstream_listing_end (void *user, const struct store_position *position)
 {
   struct gateway *gateway = user;
 
-  registry_listing_end (&gateway->registry, index,
+  registry_listing_end (&gateway->registry, position,
                         expired_entry_grace_ns (gateway),
                         gateway_now_ns (gateway));
   gateway->upstreams_loaded = true;
@@ -387,7 +393,7 @@
   struct gateway *gateway = user;
   const char *identity
       = upstream_identity (item->key, gateway->adapter->upstream_prefix);
-  struct registry_record record = { .revision = item->index };
+  struct registry_record record = { .position = item->position };
   char reason[ADAPTER_REASON_SIZE];
   int error;
 
@@ -400,7 +406,7 @@
     }
   if (item->value == NULL)
     {
-      registry_mark_missing (&gateway->registry, identity, item->index,
+      registry_mark_missing (&gateway->registry, identity, &item->position,
                              expired_entry_grace_ns (gateway),
                              gateway_now_ns (gateway));
       return;
@@ -423,7 +429,7 @@
   gateway->counters.entries_rejected++;
   LOG (LOG_UPSTREAM_REJECTED, NULL, LOG_S ("identity", identity),
        LOG_S ("reason", reason));
-  registry_mark_missing (&gateway->registry, identity, item->index, 0,
+  registry_mark_missing (&gateway->registry, identity, &item->position, 0,
                          gateway_now_ns (gateway));
 }
 
@@ -448,6 +454,7 @@
               const struct registry_record *record)
 {
   LOG (LOG_UPSTREAM_DRAINING, NULL, LOG_S ("upstream", record->identity),
-       LOG_U ("index", record->revision),
+       LOG_S ("era", digits_text (&record->position.era)),
+       LOG_S ("index", digits_text (&record->position.revision)),
        LOG_S ("from", gateway->upstream_watch.paused ? "hub" : "store"));
 }
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -30,7 +30,8 @@
 void discovery_confirm (struct gateway *gateway);
 /** Bracket a complete snapshot of the store's items from another instance. */
 void discovery_snapshot_begin (struct gateway *gateway);
-void discovery_snapshot_end (struct gateway *gateway, uint64_t index);
+void discovery_snapshot_end (struct gateway *gateway,
+                             const struct store_position *position);
 /** Applies an item of the store that another instance forwarded. */
 void discovery_apply_item (struct gateway *gateway,
                            const struct kvstore_item *item);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,10 +54,10 @@
 /** Versions of the configuration that are read in parts. */
 struct gateway_config
 {
-  uint64_t index;                 /**< of the item that is in force */
+  struct store_position position; /**< of the item that is in force */
   struct kvstore_item item;       /**< that is being read; owned */
   struct adapter_config *reading; /**< NULL: none */
-  /** Read next, the last one first; owned, in the order of their index. */
+  /** Read next, the last one first; owned, in the order of their position. */
   struct kvstore_item waiting[GATEWAY_CONFIG_WAITING_MAX];
   size_t waiting_count;
   struct event *next_part;
@@ -163,12 +163,12 @@
   uint64_t load_ns; /**< last start of reading them */
   bool writing;     /**< one call at a time */
   uint64_t write_ns;
-  uint64_t summaries; /**< written so far */
-  uint64_t written;   /**< sequence of the streams that are written */
-  uint64_t sequence;  /**< same, with the write in progress */
-  uint64_t lease;     /**< of summaries; 0: none */
-  uint64_t lease_era; /**< of the store that granted it */
-  uint64_t lease_ns;  /**< when it was granted */
+  uint64_t summaries;      /**< written so far */
+  uint64_t written;        /**< sequence of the streams that are written */
+  uint64_t sequence;       /**< same, with the write in progress */
+  uint64_t lease;          /**< of summaries; 0: none */
+  struct digits lease_era; /**< of the store that granted it */
+  uint64_t lease_ns;       /**< when it was granted */
 };
 
 struct gateway
--- a/src/gateway/gateway_config.c
+++ b/src/gateway/gateway_config.c
@@ -18,6 +18,8 @@
 /* One in this many sockets of clients is for those that are refused. */
 #define REFUSED_PART 16
 
+static bool is_same (const struct kvstore_item *item,
+                     const struct store_position *position);
 static bool is_known (const struct gateway *gateway,
                       const struct kvstore_item *item);
 static int copy_item (struct kvstore_item *copy,
@@ -31,8 +33,8 @@
 static void read_part (struct gateway *gateway);
 static void end_reading (struct gateway *gateway, int error,
                          struct routing *routing, const char *reason);
-static void reject (struct gateway *gateway, uint64_t index,
-                    const char *reason);
+static void reject (struct gateway *gateway,
+                    const struct store_position *position, const char *reason);
 static void apply (struct gateway *gateway, const struct kvstore_item *item,
                    struct routing *routing);
 static void apply_http_limits (struct gateway *gateway);
@@ -79,7 +81,7 @@
     return;
   if (copy_item (&copy, item) != 0)
     {
-      reject (gateway, item->index, err_name (ERR_NO_MEMORY));
+      reject (gateway, &item->position, err_name (ERR_NO_MEMORY));
       return;
     }
   add_waiting (config, &copy);
@@ -87,6 +89,13 @@
     start_reading (gateway);
 }
 
+static bool
+is_same (const struct kvstore_item *item,
+         const struct store_position *position)
+{
+  return store_position_compare (&item->position, position) == 0;
+}
+
 /* Each hub of the zone sends each version. */
 static bool
 is_known (const struct gateway *gateway, const struct kvstore_item *item)
@@ -95,10 +104,10 @@
   size_t i;
 
   for (i = 0; i < config->waiting_count; i++)
-    if (item->index == config->waiting[i].index)
+    if (is_same (item, &config->waiting[i].position))
       return true;
-  return (config->reading != NULL && item->index == config->item.index)
-         || (gateway->routing != NULL && item->index == config->index);
+  return (config->reading != NULL && is_same (item, &config->item.position))
+         || (gateway->routing != NULL && is_same (item, &config->position));
 }
 
 static int
@@ -140,7 +149,10 @@
   if (config->waiting_count == GATEWAY_CONFIG_WAITING_MAX)
     discard_waiting (config, 1);
   for (at = config->waiting_count;
-       at > 0 && waiting[at - 1].index > item->index; at--)
+       at > 0
+       && store_position_compare (&waiting[at - 1].position, &item->position)
+              > 0;
+       at--)
     waiting[at] = waiting[at - 1];
   waiting[at] = *item;
   config->waiting_count++;
@@ -228,18 +240,20 @@
     gateway->adapter->config_free (config->reading);
   config->reading = NULL;
   if (error != 0)
-    reject (gateway, config->item.index, reason);
+    reject (gateway, &config->item.position, reason);
   else
     apply (gateway, &config->item, routing);
   discard_item (&config->item);
 }
 
 static void
-reject (struct gateway *gateway, uint64_t index, const char *reason)
+reject (struct gateway *gateway, const struct store_position *position,
+        const char *reason)
 {
   gateway->counters.entries_rejected++;
   LOG (LOG_CONFIG_REJECTED, NULL, LOG_S ("reason", reason),
-       LOG_U ("index", index));
+       LOG_S ("era", digits_text (&position->era)),
+       LOG_S ("index", digits_text (&position->revision)));
 }
 
 static void
@@ -258,9 +272,11 @@
     }
   routing_release (gateway->routing);
   gateway->routing = routing;
-  gateway->config.index = item->index;
+  gateway->config.position = item->position;
   while (older < gateway->config.waiting_count
-         && gateway->config.waiting[older].index < item->index)
+         && store_position_compare (&gateway->config.waiting[older].position,
+                                    &item->position)
+                < 0)
     older++;
   discard_waiting (&gateway->config, older);
   gateway->counters.entries_rejected += routing->rejected_count;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -362,7 +362,7 @@
     return;
   for (item = peers->mirror.items; item != NULL; item = item->hh.next)
     config->objects[config->object_count++] = item->object;
-  config->newest_index = peers->gateway->upstream_watch.index;
+  config->newest_position = peers->gateway->upstream_watch.position;
   config->complete = true;
   peernet_send (peers->net, peer->instance_id, &message);
   free (config->objects);
@@ -374,11 +374,12 @@
 {
   struct gateway_peers *peers = gateway->peers;
   struct message_object object
-      = { .index = item->index, .deleted = item->value == NULL };
-  const struct message message = { .kind = MESSAGE_CONFIG,
-                                   .u.config = { .newest_index = item->index,
-                                                 .object_count = 1,
-                                                 .objects = &object } };
+      = { .position = item->position, .deleted = item->value == NULL };
+  const struct message message
+      = { .kind = MESSAGE_CONFIG,
+          .u.config = { .newest_position = item->position,
+                        .object_count = 1,
+                        .objects = &object } };
   struct gateway_peer *peer;
   struct gateway_peer *next;
 
@@ -417,7 +418,7 @@
           = { .key = object->key,
               .value = object->deleted ? NULL : object->value,
               .value_size = object->value_size,
-              .index = object->index };
+              .position = object->position };
 
       if (strncmp (item.key, gateway->adapter->gateway_prefix, prefix) == 0)
         gateway_peers_apply_member (peers, &item);
@@ -426,7 +427,7 @@
     }
   if (config->complete)
     {
-      discovery_snapshot_end (gateway, config->newest_index);
+      discovery_snapshot_end (gateway, &config->newest_position);
       gateway_peers_listing_end (peers);
     }
 }
@@ -522,18 +523,19 @@
 {
   const struct store_watch *watch = &peers->gateway->upstream_watch;
   const struct gateway_peer *peer;
-  uint64_t newest = 0;
+  struct store_position newest = { .packed = false };
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
-    if (peer->load.store_index > newest)
-      newest = peer->load.store_index;
-  if (watch->paused || watch->index >= peers->peer_store_index)
+    if (store_position_compare (&peer->load.store_position, &newest) > 0)
+      newest = peer->load.store_position;
+  if (watch->paused
+      || store_position_compare (&watch->position, &peers->peer_position) >= 0)
     {
       peers->store_lags = false;
-      peers->peer_store_index = newest;
-      peers->peer_store_index_ns = now_ns;
+      peers->peer_position = newest;
+      peers->peer_position_ns = now_ns;
     }
-  else if (now_ns - peers->peer_store_index_ns
+  else if (now_ns - peers->peer_position_ns
            > STORE_LAG_MAX_MS * CLOCK_NS_PER_MS)
     peers->store_lags = true;
 }
@@ -547,7 +549,8 @@
   const struct gateway_peer *peer;
 
   for (peer = peers->linked_peers; peer != NULL; peer = peer->hh.next)
-    if (!peer->subscribed && peer->load.store_index == 0
+    if (!peer->subscribed
+        && store_position_is_none (&peer->load.store_position)
         && now_ns - peer->report_ns < HUB_REPORT_AGE_MAX_MS * CLOCK_NS_PER_MS
         && gateway_peers_knows_hub (peers, peer->instance_id))
       return true;
--- a/src/gateway/gateway_peers_int.h
+++ b/src/gateway/gateway_peers_int.h
@@ -88,7 +88,7 @@
   struct event *membership_timer;
   enum membership membership;
   uint64_t lease;
-  uint64_t lease_era; /**< era of the store that granted the lease */
+  struct digits lease_era; /**< era of the store that granted the lease */
   uint64_t renewal_start_ns;
   uint64_t renewed_ns; /**< start of the last grant or renewal that
                            succeeded */
@@ -117,11 +117,11 @@
   uint64_t hub_expected_ns; /**< since when a first view of a hub is
                                expected */
   uint64_t view_ns; /**< time of the newest view of a hub; 0: none yet */
-  /** Store index that this instance has to reach: the newest one reported by
+  /** Position that this instance has to reach: the newest one reported by
       peers when it had reached the previous one. */
-  uint64_t peer_store_index;
-  uint64_t peer_store_index_ns; /**< when peer_store_index was last set */
-  bool store_lags;              /**< this one's view is behind the peers' */
+  struct store_position peer_position;
+  uint64_t peer_position_ns; /**< when peer_position was last set */
+  bool store_lags;           /**< this one's view is behind the peers' */
   struct mirror mirror;
 };
 
--- a/src/gateway/gateway_peers_load.c
+++ b/src/gateway/gateway_peers_load.c
@@ -334,8 +334,8 @@
   load->items = calloc (sums->used + 1, sizeof *load->items);
   if (load->items == NULL)
     return;
-  load->store_index
-      = gateway->upstream_watch.paused ? 0 : gateway->upstream_watch.index;
+  if (!gateway->upstream_watch.paused)
+    load->store_position = gateway->upstream_watch.position;
   load->age_ms
       = peers->store_lags || age_ms > AGE_MAX_MS || !gateway->upstreams_loaded
             ? AGE_MAX_MS
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -30,10 +30,10 @@
 
 static void on_item (void *user, const struct kvstore_item *item);
 static void on_listing_begin (void *user);
-static void on_listing_end (void *user, uint64_t index);
+static void on_listing_end (void *user, const struct store_position *position);
 static void on_failed (void *user, int error);
 static void on_recovered (void *user, uint64_t outage_ns);
-static void on_restored (void *user, uint64_t lost_index);
+static void on_restored (void *user, const struct store_position *lost);
 static void on_membership_timer (evutil_socket_t fd, short what, void *arg);
 static void on_lease_granted (void *user, int error, uint64_t lease);
 static void on_entry_written (void *user, int error, uint64_t index);
@@ -138,7 +138,8 @@
   (void)fd;
   (void)what;
   peers->renewal_start_ns = gateway_now_ns (peers->gateway);
-  if (peers->membership == MEMBERSHIP_HELD && peers->lease_era == store->era)
+  if (peers->membership == MEMBERSHIP_HELD
+      && digits_compare (&peers->lease_era, &store->era) == 0)
     error = store->ops->lease_keep_alive (store, peers->lease,
                                           on_lease_renewed, peers);
   else
@@ -199,7 +200,8 @@
 
   (void)index;
   /* A restored store may have granted the number of this lease again. */
-  if (error == 0 && peers->lease_era != peers->gateway->store->era)
+  if (error == 0
+      && digits_compare (&peers->lease_era, &peers->gateway->store->era) != 0)
     error = ERR_NOT_FOUND;
   if (error == ERR_NOT_FOUND)
     peers->membership = MEMBERSHIP_NONE;
@@ -446,12 +448,12 @@
 }
 
 static void
-on_listing_end (void *user, uint64_t index)
+on_listing_end (void *user, const struct store_position *position)
 {
   struct gateway_peers *peers = user;
   bool zone_only = peers->member_watch.config.prefix == peers->zone_prefix;
 
-  (void)index;
+  (void)position;
   /* With more members than a full mesh has, the fleet has hubs: those of this
      availability zone are listed now, and send the other members. */
   if (zone_only && HASH_COUNT (peers->members) <= HUBS_MESH_MAX)
@@ -476,7 +478,7 @@
 on_failed (void *user, int error)
 {
   (void)user;
-  LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "members"),
+  LOG (store_watch_failure (error), NULL, LOG_S ("for", "members"),
        LOG_S ("error", err_name (error)));
 }
 
@@ -489,9 +491,9 @@
 }
 
 static void
-on_restored (void *user, uint64_t lost_index)
+on_restored (void *user, const struct store_position *lost)
 {
-  (void)lost_index;
+  (void)lost;
   keep_missing_members (user);
 }
 
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -383,11 +383,10 @@
 {
   char key[KEY_SIZE];
   char value[16];
-  const struct kvstore_item absent = { .key = key, .index = 0 };
+  const char *const absent[] = { key };
   struct kvstore_item put = { .key = key, .value = value };
-  const struct kvstore_txn txn = {
-    .conditions = &absent, .condition_count = 1, .puts = &put, .put_count = 1
-  };
+  const struct kvstore_txn txn
+      = { .absent = absent, .absent_count = 1, .puts = &put, .put_count = 1 };
 
   format_key (gateway, &entry->key, entry->trials + 1, key);
   put.value_size
--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -401,7 +401,8 @@
       || !stream_builds_any_several (&gateway->streams, now_ns))
     return;
   store->write_ns = now_ns;
-  if (store->lease == 0 || store->lease_era != gateway->store->era
+  if (store->lease == 0
+      || digits_compare (&store->lease_era, &gateway->store->era) != 0
       || now_ns - store->lease_ns > LEASE_RENEWAL_MS * CLOCK_NS_PER_MS)
     renew_lease (gateway);
   else
--- a/src/gateway/mirror.c
+++ b/src/gateway/mirror.c
@@ -66,6 +66,6 @@
   free (existing->object.value);
   existing->object.value = value;
   existing->object.value_size = item->value_size;
-  existing->object.index = item->index;
+  existing->object.position = item->position;
   return 0;
 }
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -168,6 +168,9 @@
                  "entries of the store that could not be used",
                  gateway->counters.entries_rejected
                      + gateway->store->counters.rejected);
+  write_counter (body, "store_responses_unreadable_total",
+                 "responses of the store with a field that cannot be read",
+                 gateway->store->counters.unreadable);
 }
 
 static void
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -4,7 +4,6 @@
  */
 #include "gateway/store_watch.h"
 #include "state/err.h"
-#include "state/store_index.h"
 #include "transport/loop.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,7 +30,7 @@
 static void start_call (struct store_watch *watch,
                         struct store_watch_call **slot);
 static void on_page (void *user, int error, const struct kvstore_page *page);
-static bool check_era (struct store_watch *watch, uint64_t index);
+static bool check_era (struct store_watch *watch, const struct digits *era);
 static void forget_calls (struct store_watch *watch);
 static void list_again (struct store_watch *watch);
 static void on_failure (struct store_watch *watch, int error);
@@ -124,6 +123,12 @@
   watch->backoff_max_ms = max_ms;
 }
 
+enum log_message
+store_watch_failure (int error)
+{
+  return error == ERR_PROTOCOL ? LOG_STORE_UNUSABLE : LOG_STORE_UNAVAILABLE;
+}
+
 bool
 store_watch_current (const struct store_watch *watch)
 {
@@ -217,7 +222,7 @@
         watch->page_after_key[0] == '\0' ? NULL : watch->page_after_key, false,
         on_page, call);
   else
-    error = store->ops->watch_changes (store, config->prefix, watch->index,
+    error = store->ops->watch_changes (store, config->prefix, &watch->position,
                                        poll_timeout_ms, on_page, call);
   if (error != 0)
     on_page (call, error, NULL);
@@ -250,8 +255,8 @@
   forget_calls (watch);
   if (error == ERR_STALE && watch->phase == STORE_WATCH_WATCHING)
     {
-      /* The store has discarded the history since `index`; this is no failure
-         of the store. */
+      /* The store has discarded the history since `position`; this is no
+         failure of the store. */
       list_again (watch);
       return;
     }
@@ -260,7 +265,7 @@
       on_failure (watch, error);
       return;
     }
-  continues = check_era (watch, page->index);
+  continues = check_era (watch, &page->position.era);
   on_success (watch, confirmed_ns);
   if (!continues)
     {
@@ -281,27 +286,27 @@
     schedule (watch, watch->config.min_interval_ms - spent_ms);
 }
 
-/* Whether a response continues what was read before.  Changes since an index
-   of an earlier era, and further pages of its listing, leave out what the
-   restore undid. */
+/* Whether a response continues what was read before.  Changes since a
+   position of an earlier era, and further pages of its listing, leave out what
+   the restore undid. */
 static bool
-check_era (struct store_watch *watch, uint64_t index)
+check_era (struct store_watch *watch, const struct digits *era)
 {
-  uint64_t era = store_index_era (index);
   bool first_page = watch->phase == STORE_WATCH_LISTING
                     && watch->page_after_key[0] == '\0';
-  uint64_t previous = watch->phase == STORE_WATCH_LISTING
-                          ? watch->listing_index
-                          : watch->index;
+  const struct store_position *previous = watch->phase == STORE_WATCH_LISTING
+                                              ? &watch->listing_position
+                                              : &watch->position;
 
-  if (watch->index != 0 && era > store_index_era (watch->index)
-      && era > watch->restored_era)
+  if (!store_position_is_none (&watch->position)
+      && digits_compare (era, &watch->position.era) > 0
+      && digits_compare (era, &watch->restored_era) > 0)
     {
-      watch->restored_era = era;
+      watch->restored_era = *era;
       if (watch->config.events->restored != NULL)
-        watch->config.events->restored (watch->config.user, watch->index);
+        watch->config.events->restored (watch->config.user, &watch->position);
     }
-  return first_page || era == store_index_era (previous);
+  return first_page || digits_compare (era, &previous->era) == 0;
 }
 
 static void
@@ -380,7 +385,7 @@
   return call == watch->second && page->count == 0
          && watch->phase == STORE_WATCH_WATCHING
          && !store_watch_overdue (watch)
-         && store_index_era (page->index) == store_index_era (watch->index);
+         && digits_compare (&page->position.era, &watch->position.era) == 0;
 }
 
 static void
@@ -392,8 +397,8 @@
   if (watch->page_after_key[0] == '\0')
     {
       /* Pages are not read atomically: changes made in between are reported by
-         watching from the index of the first page. */
-      watch->listing_index = page->index;
+         watching from the position of the first page. */
+      watch->listing_position = page->position;
       config->events->listing_begin (config->user);
     }
   for (i = 0; i < page->count; i++)
@@ -405,9 +410,9 @@
       return;
     }
   watch->page_after_key[0] = '\0';
-  watch->index = watch->listing_index;
+  watch->position = watch->listing_position;
   watch->phase = STORE_WATCH_WATCHING;
-  config->events->listing_end (config->user, watch->listing_index);
+  config->events->listing_end (config->user, &watch->listing_position);
 }
 
 static void
@@ -418,6 +423,6 @@
 
   for (i = 0; i < page->count; i++)
     config->events->item (config->user, &page->items[i]);
-  if (page->index > watch->index)
-    watch->index = page->index;
+  if (store_position_compare (&page->position, &watch->position) > 0)
+    watch->position = page->position;
 }
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -14,6 +14,7 @@
 #include "protocol/kvstore.h"
 #include "state/rng.h"
 #include "transport/clock.h"
+#include "transport/log.h"
 #include <event2/event.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -23,16 +24,16 @@
   /** A complete listing begins; keys not reported before its end do not
       exist. */
   void (*listing_begin) (void *user);
-  void (*listing_end) (void *user, uint64_t index);
+  void (*listing_end) (void *user, const struct store_position *position);
   /** Current state of a key; the value is NULL when it was deleted. */
   void (*item) (void *user, const struct kvstore_item *item);
   /** The first call of an outage failed. */
   void (*failed) (void *user, int error);
   /** A call succeeded after failures that began `outage_ns` ago. */
   void (*recovered) (void *user, uint64_t outage_ns);
-  /** The store was restored from a copy: changes up to `lost_index` that were
+  /** The store was restored from a copy: changes up to `lost` that were
       reported may be undone, and a new listing follows.  May be NULL. */
-  void (*restored) (void *user, uint64_t lost_index);
+  void (*restored) (void *user, const struct store_position *lost);
 };
 
 struct store_watch_config
@@ -73,11 +74,11 @@
       counts too. */
   struct store_watch_call *second;
   bool paused;
-  char page_after_key[256]; /**< last key of the previous page */
-  uint64_t listing_index;   /**< index of the listing's first page */
-  uint64_t index;        /**< store index up to which changes were reported */
-  uint64_t restored_era; /**< newest era for which `restored` was called */
-  uint64_t failed_ns;    /**< first of the current failures; 0: none */
+  char page_after_key[256];               /**< last key of the previous page */
+  struct store_position listing_position; /**< of the listing's first page */
+  struct store_position position; /**< up to which changes were reported */
+  struct digits restored_era; /**< newest for which `restored` was called */
+  uint64_t failed_ns;         /**< first of the current failures; 0: none */
   uint64_t confirmed_ns; /**< what was reported is the state at this time */
   uint32_t backoff_ms;
   uint32_t backoff_min_ms; /**< after the first failure */
@@ -101,6 +102,9 @@
 void store_watch_pause (struct store_watch *watch);
 void store_watch_resume (struct store_watch *watch);
 
+/** @return the message for a call that failed. */
+enum log_message store_watch_failure (int error);
+
 /** The default bounds of store_watch_set_backoff(). */
 #define STORE_WATCH_BACKOFF_MIN_MS 100 /**< a few round trips */
 #define STORE_WATCH_BACKOFF_MAX_MS                                            \
--- a/src/protocol/kvstore.h
+++ b/src/protocol/kvstore.h
@@ -11,6 +11,7 @@
 #ifndef PROTOCOL_KVSTORE_H
 #define PROTOCOL_KVSTORE_H
 
+#include "state/store_position.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -23,8 +24,10 @@
   const char *key;
   const char *value; /**< NULL for a deleted key */
   size_t value_size; /**< bytes */
-  uint64_t index;    /**< modify index, increases with each write to the store;
-                          see state/store_index.h for one that is restored */
+  uint64_t index;    /**< of a router's store: modify index, increases with
+                          each write to the store */
+  struct store_position position; /**< of its last change in a gateway's
+                                       store */
 };
 
 /** Result of get, list and watch. `error` is 0, ERR_NOT_FOUND, ERR_TIMEOUT,
@@ -35,34 +38,33 @@
 
 /** Result of an operation that writes a key, a lock, a lease or a transaction.
     `index` is the new one, or the current one after ERR_CONFLICT; 0 if the
-    store does not return it.  `error` is 0, ERR_CONFLICT, ERR_NOT_FOUND,
-    ERR_UNKNOWN_OUTCOME when the write may or may not have taken effect,
-    ERR_UNAVAILABLE when it did not, ERR_RATE_LIMITED or ERR_PROTOCOL. */
+    store does not return it, or a transaction of a gateway.  `error` is 0,
+   ERR_CONFLICT, ERR_NOT_FOUND, ERR_UNKNOWN_OUTCOME when the write may or may
+   not have taken effect, ERR_UNAVAILABLE when it did not, ERR_RATE_LIMITED or
+   ERR_PROTOCOL. */
 typedef void (*kvstore_write_fn) (void *user, int error, uint64_t index);
 
-/** One page of a listing, or the changes since an index. */
+/** One page of a listing, or the changes since a position. */
 struct kvstore_page
 {
-  uint64_t index; /**< of the store when it answered */
-  bool more;      /**< more keys follow the last item */
+  struct store_position position; /**< of the store when it answered */
+  bool more;                      /**< more keys follow the last item */
   const struct kvstore_item *items;
   size_t count;
 };
 
 /** Result of list_page and watch_changes.  `error` as for get, or ERR_STALE
-    when the store's history does not reach back to the index asked for, or the
-    response is older than a restore of the store. */
+    when the store's history does not reach back to the position asked for, or
+    the response is older than a restore of the store. */
 typedef void (*kvstore_page_fn) (void *user, int error,
                                  const struct kvstore_page *page);
 
 /** A transaction: writes several keys atomically. */
 struct kvstore_txn
 {
-  /** Keys and the indexes that they must have (0: key absent); values are
-      ignored. */
-  const struct kvstore_item *conditions;
-  size_t condition_count;
-  const struct kvstore_item *puts; /**< indexes are ignored */
+  const char *const *absent; /**< keys that must not exist */
+  size_t absent_count;
+  const struct kvstore_item *puts; /**< positions are ignored */
   size_t put_count;
   uint64_t lease; /**< attached to the keys in `puts`; 0: none */
   const char *const *deletes;
@@ -102,8 +104,8 @@
   /** Long poll: waits up to `wait_ms` for changes under the prefix after
       `since`, and returns just these, including deletions. */
   int (*watch_changes) (struct kvstore *store, const char *prefix,
-                        uint64_t since, uint32_t wait_ms, kvstore_page_fn done,
-                        void *user);
+                        const struct store_position *since, uint32_t wait_ms,
+                        kvstore_page_fn done, void *user);
   /** Executes a transaction; ERR_NOT_FOUND when its lease has expired,
       ERR_CONFLICT when a condition does not hold. */
   int (*txn) (struct kvstore *store, const struct kvstore_txn *txn,
@@ -126,7 +128,8 @@
   uint64_t watches;
   uint64_t failures;
   uint64_t rate_limited;
-  uint64_t rejected; /**< items of pages without a key or an index */
+  uint64_t rejected;   /**< items of pages without a key or a position */
+  uint64_t unreadable; /**< responses with a field that cannot be read */
 };
 
 /** First member of every implementation's structure. */
@@ -134,7 +137,7 @@
 {
   const struct kvstore_ops *ops;
   struct kvstore_counters counters;
-  uint64_t era; /**< newest era of a response; 0: not reported */
+  struct digits era; /**< newest era of a response; 0: not reported */
 };
 
 #endif
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1176,7 +1176,7 @@
   (ProtobufCMessageInit) peer__config_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__object__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__object__field_descriptors[6] =
 {
   {
     "key",
@@ -1226,17 +1226,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Object, store_era),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Object, store_revision),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__object__field_indices_by_name[] = {
   2,   /* field[2] = deleted */
   1,   /* field[1] = index */
   0,   /* field[0] = key */
+  4,   /* field[4] = store_era */
+  5,   /* field[5] = store_revision */
   3,   /* field[3] = value */
 };
 static const ProtobufCIntRange peer__object__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__object__descriptor =
 {
@@ -1246,14 +1272,14 @@
   "Peer__Object",
   "peer",
   sizeof(Peer__Object),
-  4,
+  6,
   peer__object__field_descriptors,
   peer__object__field_indices_by_name,
   1,  peer__object__number_ranges,
   (ProtobufCMessageInit) peer__object__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__config__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__config__field_descriptors[5] =
 {
   {
     "newest_index",
@@ -1291,16 +1317,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Config, store_era),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Config, store_revision),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__config__field_indices_by_name[] = {
   1,   /* field[1] = complete */
   0,   /* field[0] = newest_index */
   2,   /* field[2] = objects */
+  3,   /* field[3] = store_era */
+  4,   /* field[4] = store_revision */
 };
 static const ProtobufCIntRange peer__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__config__descriptor =
 {
@@ -1310,7 +1362,7 @@
   "Peer__Config",
   "peer",
   sizeof(Peer__Config),
-  3,
+  5,
   peer__config__field_descriptors,
   peer__config__field_indices_by_name,
   1,  peer__config__number_ranges,
@@ -1355,7 +1407,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[12] =
 {
   {
     "names",
@@ -1477,6 +1529,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, store_era),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_revision",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, store_revision),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -1487,13 +1563,15 @@
   0,   /* field[0] = names */
   6,   /* field[6] = out_of_rotation */
   7,   /* field[7] = sent_ms */
+  10,   /* field[10] = store_era */
   2,   /* field[2] = store_index */
+  11,   /* field[11] = store_revision */
   5,   /* field[5] = suspects */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1503,7 +1581,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  10,
+  12,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -156,10 +156,12 @@
   uint64_t index;
   protobuf_c_boolean deleted;
   ProtobufCBinaryData value;
+  char *store_era;
+  char *store_revision;
 };
 #define PEER__OBJECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__object__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__Config
@@ -169,10 +171,12 @@
   protobuf_c_boolean complete;
   size_t n_objects;
   Peer__Object **objects;
+  char *store_era;
+  char *store_revision;
 };
 #define PEER__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__config__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -230,10 +234,12 @@
    * The sender waits for an answer to this time.
    */
   protobuf_c_boolean asks;
+  char *store_era;
+  char *store_revision;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -81,6 +81,8 @@
                         struct frame_builder *out);
 static int encode_config_request (const struct message *message,
                                   struct frame_builder *out);
+static void encode_position (const struct store_position *position,
+                             uint64_t *packed, char **era, char **revision);
 static int encode_config (const struct message *message,
                           struct frame_builder *out);
 static int encode_addresses (const struct message *message,
@@ -449,6 +451,20 @@
   return 0;
 }
 
+/* A position that is known in packed form only is relayed as it came. */
+static void
+encode_position (const struct store_position *position, uint64_t *packed,
+                 char **era, char **revision)
+{
+  if (store_position_is_none (position))
+    return;
+  *packed = store_position_pack (position);
+  if (position->packed || store_position_fits (position))
+    return;
+  *era = (char *)digits_text (&position->era);
+  *revision = (char *)digits_text (&position->revision);
+}
+
 static int
 encode_config (const struct message *message, struct frame_builder *out)
 {
@@ -469,6 +485,8 @@
       peer__object__init (&items[i]);
       items[i].key = config->objects[i].key;
       items[i].index = config->objects[i].index;
+      encode_position (&config->objects[i].position, &items[i].index,
+                       &items[i].store_era, &items[i].store_revision);
       items[i].deleted = config->objects[i].deleted;
       items[i].value.data = (uint8_t *)config->objects[i].value;
       items[i].value.len = config->objects[i].value_size;
@@ -476,6 +494,8 @@
     }
   peer__config__init (wire);
   wire->newest_index = config->newest_index;
+  encode_position (&config->newest_position, &wire->newest_index,
+                   &wire->store_era, &wire->store_revision);
   wire->complete = config->complete;
   wire->n_objects = config->object_count;
   wire->objects = (Peer__Object **)out->objects;
@@ -629,7 +649,8 @@
   if (rc == 0)
     rc = add_counts (load, MESSAGE_SUBJECT_OUT, out);
   peer__load__init (wire);
-  wire->store_index = load->store_index;
+  encode_position (&load->store_position, &wire->store_index, &wire->store_era,
+                   &wire->store_revision);
   wire->age_ms = load->age_ms;
   wire->sent_ms = load->sent_ms;
   wire->echo_ms = load->echo_ms;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -63,6 +63,9 @@
                          const Peer__Frame *frame, struct message *message);
 static int decode_hold (struct peercodec_decoder *decoder,
                         const Peer__Frame *frame, struct message *message);
+static int decode_position (uint64_t packed, const char *era,
+                            const char *revision,
+                            struct store_position *position);
 static int decode_config_request (struct peercodec_decoder *decoder,
                                   const Peer__Frame *frame,
                                   struct message *message);
@@ -526,7 +529,10 @@
                     wire->n_out_of_rotation, LOAD_COUNT_COLUMNS);
   if (rc != 0)
     return rc;
-  load->store_index = wire->store_index;
+  rc = decode_position (wire->store_index, wire->store_era,
+                        wire->store_revision, &load->store_position);
+  if (rc != 0)
+    return rc;
   load->age_ms = wire->age_ms;
   load->sent_ms = wire->sent_ms;
   load->echo_ms = wire->echo_ms;
@@ -638,6 +644,25 @@
   return 0;
 }
 
+/* @return 0 or ERR_PROTOCOL. */
+static int
+decode_position (uint64_t packed, const char *era, const char *revision,
+                 struct store_position *position)
+{
+  if (*era == '\0' && *revision == '\0')
+    {
+      *position = store_position_unpack (packed);
+      return 0;
+    }
+  memset (position, 0, sizeof *position);
+  return digits_parse (&position->era, era, strlen (era)) == 0
+                 && digits_parse (&position->revision, revision,
+                                  strlen (revision))
+                        == 0
+             ? 0
+             : ERR_PROTOCOL;
+}
+
 static int
 decode_config_request (struct peercodec_decoder *decoder,
                        const Peer__Frame *frame, struct message *message)
@@ -659,8 +684,11 @@
   (void)decoder;
   config->newest_index = wire->newest_index;
   config->complete = wire->complete != 0;
-  rc = allocate_items ((void **)&config->objects, wire->n_objects,
-                       sizeof *config->objects);
+  rc = decode_position (wire->newest_index, wire->store_era,
+                        wire->store_revision, &config->newest_position);
+  if (rc == 0)
+    rc = allocate_items ((void **)&config->objects, wire->n_objects,
+                         sizeof *config->objects);
   if (rc != 0)
     return rc;
   config->object_count = wire->n_objects;
@@ -677,6 +705,10 @@
       || (wire->deleted == 0 && wire->value.len == 0))
     return ERR_PROTOCOL;
   object->index = wire->index;
+  if (decode_position (wire->index, wire->store_era, wire->store_revision,
+                       &object->position)
+      != 0)
+    return ERR_PROTOCOL;
   object->deleted = wire->deleted != 0;
   if (wire->value.len == 0 || wire->value.data == NULL)
     return 0;
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -5,7 +5,6 @@
 #include "state/registry.h"
 #include "state/err.h"
 #include "state/hash.h"
-#include "state/store_index.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,8 +14,13 @@
 find_by_identity (const struct registry *registry, const char *identity);
 static uint64_t incarnation_id (const struct registry_record *record);
 static uint64_t build_hash (const struct registry_record *record);
-static bool is_first_of_era (uint64_t *copy_revision, uint64_t known_revision,
-                             uint64_t revision);
+static bool is_after (const struct store_position *position,
+                      const struct store_position *other);
+static void raise_to (struct store_position *greatest,
+                      const struct store_position *position);
+static bool is_first_of_era (struct store_position *copy,
+                             const struct store_position *known,
+                             const struct store_position *position);
 static struct registry_tombstone *
 find_tombstone (const struct registry *registry, const char *identity);
 static int add_upstream (struct registry *registry,
@@ -25,15 +29,16 @@
                              struct registry_upstream *upstream);
 static void mark_missing (struct registry *registry,
                           struct registry_upstream *upstream,
-                          uint64_t revision, uint64_t grace_ns,
-                          uint64_t now_ns);
+                          const struct store_position *position,
+                          uint64_t grace_ns, uint64_t now_ns);
 static bool is_stale (const struct registry *registry,
                       const struct registry_record *record);
 static void put_tombstone (struct registry *registry, const char *identity,
-                           uint64_t revision, uint64_t now_ns);
+                           const struct store_position *position,
+                           uint64_t now_ns);
 static void bury (struct registry *registry,
-                  struct registry_upstream *upstream, uint64_t revision,
-                  uint64_t now_ns);
+                  struct registry_upstream *upstream,
+                  const struct store_position *position, uint64_t now_ns);
 static void expire_tombstones (struct registry *registry, uint64_t now_ns);
 
 void
@@ -228,9 +233,9 @@
     return is_stale (registry, record) ? ERR_STALE
                                        : add_upstream (registry, record);
   stored->listed = true;
-  if (record->revision < stored->record.revision
+  if (store_position_compare (&record->position, &stored->record.position) < 0
       || (stored->missing_ns != 0
-          && record->revision <= stored->missing_revision))
+          && !is_after (&record->position, &stored->missing_position)))
     return ERR_STALE;
   if (strcmp (stored->record.build, record->build) != 0
       && registry->rebuilt != NULL)
@@ -308,50 +313,69 @@
     {
       if (!stored->record.draining || record->draining
           || stored->id != incarnation_id (record)
-          || !is_first_of_era (&stored->copy_revision, stored->record.revision,
-                               record->revision))
+          || !is_first_of_era (&stored->copy_position,
+                               &stored->record.position, &record->position))
         return false;
       stored->listed = true;
       return true;
     }
   return tombstone != NULL
-         && is_first_of_era (&tombstone->copy_revision, tombstone->revision,
-                             record->revision);
+         && is_first_of_era (&tombstone->copy_position, &tombstone->position,
+                             &record->position);
 }
 
-/* Whether no later record of the era of `revision` has been seen. */
 static bool
-is_first_of_era (uint64_t *copy_revision, uint64_t known_revision,
-                 uint64_t revision)
+is_after (const struct store_position *position,
+          const struct store_position *other)
 {
-  if (store_index_era (revision) <= store_index_era (known_revision))
+  return store_position_compare (position, other) > 0;
+}
+
+static void
+raise_to (struct store_position *greatest,
+          const struct store_position *position)
+{
+  if (is_after (position, greatest))
+    *greatest = *position;
+}
+
+/* Whether no later record of the era of `position` has been seen. */
+static bool
+is_first_of_era (struct store_position *copy,
+                 const struct store_position *known,
+                 const struct store_position *position)
+{
+  if (digits_compare (&position->era, &known->era) <= 0)
     return false;
-  if (store_index_era (revision) > store_index_era (*copy_revision))
-    *copy_revision = revision;
-  return revision <= *copy_revision;
+  if (digits_compare (&position->era, &copy->era) > 0)
+    *copy = *position;
+  return !is_after (position, copy);
 }
 
 void
 registry_mark_missing (struct registry *registry, const char *identity,
-                       uint64_t revision, uint64_t grace_ns, uint64_t now_ns)
+                       const struct store_position *position,
+                       uint64_t grace_ns, uint64_t now_ns)
 {
   struct registry_upstream *upstream = find_by_identity (registry, identity);
 
   if (upstream == NULL)
-    put_tombstone (registry, identity, revision, now_ns);
-  else if (upstream->record.revision <= revision)
-    mark_missing (registry, upstream, revision, grace_ns, now_ns);
+    put_tombstone (registry, identity, position, now_ns);
+  else if (!is_after (&upstream->record.position, position))
+    mark_missing (registry, upstream, position, grace_ns, now_ns);
 }
 
 static void
 mark_missing (struct registry *registry, struct registry_upstream *upstream,
-              uint64_t revision, uint64_t grace_ns, uint64_t now_ns)
+              const struct store_position *position, uint64_t grace_ns,
+              uint64_t now_ns)
 {
-  if (upstream->missing_ns == 0 || upstream->missing_revision < revision)
-    upstream->missing_revision = revision;
+  if (upstream->missing_ns == 0
+      || is_after (position, &upstream->missing_position))
+    upstream->missing_position = *position;
   if (grace_ns == 0 || upstream->record.draining || upstream->leaving)
     {
-      bury (registry, upstream, revision, now_ns);
+      bury (registry, upstream, position, now_ns);
       return;
     }
   if (upstream->missing_ns != 0)
@@ -371,8 +395,9 @@
 }
 
 void
-registry_listing_end (struct registry *registry, uint64_t revision,
-                      uint64_t grace_ns, uint64_t now_ns)
+registry_listing_end (struct registry *registry,
+                      const struct store_position *position, uint64_t grace_ns,
+                      uint64_t now_ns)
 {
   struct registry_upstream *upstream;
   struct registry_upstream *next;
@@ -380,11 +405,11 @@
   for (upstream = registry->upstreams; upstream != NULL; upstream = next)
     {
       next = upstream->hh.next;
-      if (!upstream->listed && upstream->record.revision <= revision)
-        mark_missing (registry, upstream, revision, grace_ns, now_ns);
+      if (!upstream->listed
+          && !is_after (&upstream->record.position, position))
+        mark_missing (registry, upstream, position, grace_ns, now_ns);
     }
-  if (revision > registry->listed_revision)
-    registry->listed_revision = revision;
+  raise_to (&registry->listed_position, position);
 }
 
 void
@@ -399,7 +424,7 @@
       if (upstream->missing_ns != 0
           && now_ns - upstream->missing_ns >= upstream->grace_ns)
         {
-          bury (registry, upstream, upstream->missing_revision, now_ns);
+          bury (registry, upstream, &upstream->missing_position, now_ns);
         }
     }
   expire_tombstones (registry, now_ns);
@@ -415,9 +440,10 @@
   const struct registry_tombstone *tombstone
       = find_tombstone (registry, record->identity);
 
-  return (registry->listed_revision != 0
-          && record->revision <= registry->listed_revision)
-         || (tombstone != NULL && record->revision <= tombstone->revision);
+  return (!store_position_is_none (&registry->listed_position)
+          && !is_after (&record->position, &registry->listed_position))
+         || (tombstone != NULL
+             && !is_after (&record->position, &tombstone->position));
 }
 
 static struct registry_tombstone *
@@ -432,7 +458,7 @@
 
 static void
 put_tombstone (struct registry *registry, const char *identity,
-               uint64_t revision, uint64_t now_ns)
+               const struct store_position *position, uint64_t now_ns)
 {
   struct registry_tombstone *tombstone = find_tombstone (registry, identity);
 
@@ -443,27 +469,25 @@
          are rejected; the next listing adds those that exist. */
       if (tombstone == NULL)
         {
-          if (revision > registry->listed_revision)
-            registry->listed_revision = revision;
+          raise_to (&registry->listed_position, position);
           return;
         }
       tombstone->identity = XXH3_64bits (identity, strlen (identity));
       HASH_ADD (hh, registry->tombstones, identity, sizeof tombstone->identity,
                 tombstone);
     }
-  if (revision > tombstone->revision)
-    tombstone->revision = revision;
+  raise_to (&tombstone->position, position);
   tombstone->removed_ns = now_ns;
 }
 
 /* Removes an upstream that the store lacks, and leaves a tombstone. */
 static void
 bury (struct registry *registry, struct registry_upstream *upstream,
-      uint64_t revision, uint64_t now_ns)
+      const struct store_position *position, uint64_t now_ns)
 {
   struct registry_tombstone *tombstone;
 
-  put_tombstone (registry, upstream->record.identity, revision, now_ns);
+  put_tombstone (registry, upstream->record.identity, position, now_ns);
   tombstone = find_tombstone (registry, upstream->record.identity);
   if (tombstone != NULL && upstream->leaving)
     tombstone->leaving_id = upstream->id;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -11,6 +11,7 @@
 #include "state/engine_quota.h"
 #include "state/outlier.h"
 #include "state/rate_limit.h"
+#include "state/store_position.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -37,7 +38,7 @@
                                         states none */
   uint32_t slots;
   bool draining;
-  uint64_t revision; /**< store index of the registration */
+  struct store_position position; /**< in the store */
 };
 
 /** Load of an upstream, from this instance, its peers and the upstream. */
@@ -68,27 +69,27 @@
   struct registry_load load;
   struct outlier outlier;
   struct engine_quota quota;
-  bool leaving;              /**< by its own word in a response */
-  uint64_t pause_end_ns;     /**< wants no requests until then; 0: it does */
-  struct rate_limit limit;   /**< that it names in responses */
-  bool listed;               /**< present in the listing in progress */
-  uint64_t missing_ns;       /**< since when the store lacks it; 0: present */
-  uint64_t grace_ns;         /**< time for which it may be missing */
-  uint64_t missing_revision; /**< store revision that lacks it */
-  /** Revision of its copy in a restored store; see registry_is_copy(). */
-  uint64_t copy_revision;
+  bool leaving;            /**< by its own word in a response */
+  uint64_t pause_end_ns;   /**< wants no requests until then; 0: it does */
+  struct rate_limit limit; /**< that it names in responses */
+  bool listed;             /**< present in the listing in progress */
+  uint64_t missing_ns;     /**< since when the store lacks it; 0: present */
+  uint64_t grace_ns;       /**< time for which it may be missing */
+  struct store_position missing_position; /**< of the store that lacks it */
+  /** Position of its copy in a restored store; see registry_is_copy(). */
+  struct store_position copy_position;
   UT_hash_handle hh; /**< by identity */
   UT_hash_handle hh_id;
 };
 
-/** A removed identity: records of it up to this revision are stale. */
+/** A removed identity: records of it up to this position are stale. */
 struct registry_tombstone
 {
-  uint64_t identity;   /**< hash */
-  uint64_t revision;   /**< store revision that lacked it */
-  uint64_t leaving_id; /**< incarnation that was leaving; 0: none */
-  /** Revision of its copy in a restored store; see registry_is_copy(). */
-  uint64_t copy_revision;
+  uint64_t identity;              /**< hash */
+  struct store_position position; /**< of the store that lacked it */
+  uint64_t leaving_id;            /**< incarnation that was leaving; 0: none */
+  /** Position of its copy in a restored store; see registry_is_copy(). */
+  struct store_position copy_position;
   uint64_t removed_ns;
   UT_hash_handle hh;
 };
@@ -98,7 +99,7 @@
   struct registry_upstream *upstreams; /**< uthash by identity */
   struct registry_upstream *by_id;
   struct registry_tombstone *tombstones; /**< uthash by identity hash */
-  uint64_t listed_revision;              /**< of the newest complete listing */
+  struct store_position listed_position; /**< of the newest complete listing */
   uint64_t generation; /**< changes with the set of usable upstreams */
   /** Called when an entry is removed, before it is freed; may be NULL. */
   void (*removed) (void *user, const struct registry_upstream *upstream);
@@ -114,7 +115,7 @@
 /** Stores a registration.  One older than the stored record, or than the
     removal of the upstream, is ignored.
     @return REGISTRY_CHANGED when peers must be informed, 0 when nothing
-   changed apart from the revision, ERR_STALE or ERR_NO_MEMORY. */
+   changed apart from the position, ERR_STALE or ERR_NO_MEMORY. */
 int registry_put (struct registry *registry,
                   const struct registry_record *record);
 
@@ -125,16 +126,17 @@
 bool registry_is_copy (struct registry *registry,
                        const struct registry_record *record);
 
-/** The store lacks an identity as of a revision.  The entry is removed after
+/** The store lacks an identity as of a position.  The entry is removed after
     `grace_ns`; at once if that is 0 or the upstream was draining. */
 void registry_mark_missing (struct registry *registry, const char *identity,
-                            uint64_t revision, uint64_t grace_ns,
-                            uint64_t now_ns);
+                            const struct store_position *position,
+                            uint64_t grace_ns, uint64_t now_ns);
 
 /** Begin and end of a complete listing: entries that were not put in between
     are dropped as by registry_mark_missing. */
 void registry_listing_begin (struct registry *registry);
-void registry_listing_end (struct registry *registry, uint64_t revision,
+void registry_listing_end (struct registry *registry,
+                           const struct store_position *position,
                            uint64_t grace_ns, uint64_t now_ns);
 
 /** Removes entries whose grace period and tombstones whose lifetime ended. */
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -78,6 +78,8 @@
   = { LOG_LEVEL_DEBUG, "older configuration ignored", false },
   [LOG_CONFIG_READY] = { LOG_LEVEL_INFO, "whole configuration held", false },
   [LOG_STORE_UNAVAILABLE] = { LOG_LEVEL_WARN, "store unavailable", false },
+  [LOG_STORE_UNUSABLE]
+  = { LOG_LEVEL_ERROR, "store answers, but its response is of no use", false },
   [LOG_STORE_RECOVERED] = { LOG_LEVEL_INFO, "store recovered", false },
   [LOG_STORE_REVERTED]
   = { LOG_LEVEL_ERROR, "store holds an older state than this instance",
@@ -86,6 +88,8 @@
   = { LOG_LEVEL_WARN, "store restored from a copy", false },
   [LOG_STORE_ITEM_REJECTED]
   = { LOG_LEVEL_WARN, "item of the store without a key or revision", false },
+  [LOG_STORE_RESPONSE_UNREADABLE]
+  = { LOG_LEVEL_ERROR, "response of the store cannot be read", false },
   [LOG_ADMIN_CHANGE] = { LOG_LEVEL_INFO, "configuration changed", false },
   [LOG_ADMIN_REFUSED] = { LOG_LEVEL_WARN, "admin request refused", false },
   /* log */
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -24,7 +24,9 @@
   OPTION_INPUT_COST,
   OPTION_OUTPUT_COST,
   OPTION_SERVICE_MS,
-  OPTION_INSTANT
+  OPTION_INSTANT,
+  OPTION_REVISION,
+  OPTION_ERA
 };
 
 struct role
@@ -71,6 +73,9 @@
   { "service-ms", OPTION_SERVICE_MS, "MS", 0, "plain: processing time", 0 },
   { "instant", OPTION_INSTANT, NULL, 0, "engine: first tokens without delay",
     0 },
+  { "revision", OPTION_REVISION, "N", 0,
+    "platform: revision of the store at the start", 0 },
+  { "era", OPTION_ERA, "N", 0, "platform: era of the store", 0 },
   { 0 }
 };
 
@@ -94,7 +99,8 @@
                                    .tokens = 1,
                                    .load_lag_ms = 500,
                                    .input_cost = 1,
-                                   .output_cost = 2 } };
+                                   .output_cost = 2,
+                                   .revision = 10 } };
   struct server server;
   struct event *stops[2];
   int status;
@@ -161,6 +167,12 @@
     case OPTION_INSTANT:
       o->instant = true;
       return 0;
+    case OPTION_REVISION:
+      o->revision = strtoull (arg, NULL, 10);
+      return 0;
+    case OPTION_ERA:
+      o->era = strtoull (arg, NULL, 10);
+      return 0;
     case ARGP_KEY_ARG:
       for (i = 0; i < sizeof (roles) / sizeof (roles[0]); i++)
         if (strcmp (arg, roles[i].name) == 0)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -41,6 +41,9 @@
     }
   platform->upstream_count = options->workers;
   storeserver_init (&platform->store, server->base);
+  platform->store.revision = options->revision;
+  platform->store.oldest_revision = options->revision;
+  platform->store.era = options->era;
   for (i = 0; i < options->workers; i++)
     {
       upstreamserver_init (&platform->upstreams[i], server->base,
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -24,6 +24,8 @@
   uint32_t output_cost; /**< engine: cost units of an output token */
   bool instant;         /**< engine: first tokens without waiting for a tick */
   uint32_t service_ms;  /**< plain: processing time of a request */
+  uint64_t revision;    /**< platform: of the store at the start */
+  uint64_t era;         /**< platform: of the store; 0: not reported */
 };
 
 /** Returned by a role that has finished and needs no event loop. */
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -6,6 +6,7 @@
 #include "protocol/base64.h"
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -15,6 +16,9 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
+#define NUMBER_SIZE 160 /* bytes */
+#define NUMBER_MARK "number:"
+#define OWN_DIGITS  19
 #define EDITED_SIZE 256
 
 struct storeserver_item
@@ -59,7 +63,15 @@
 static void send_response (struct storeserver *store,
                            struct evhttp_request *request, int status,
                            json_t *body);
-static json_t *encode_item (const struct storeserver_item *item);
+static json_t *encode_item (const struct storeserver *store,
+                            const struct storeserver_item *item);
+static json_t *encode_at (const struct storeserver *store);
+static json_t *encode_revision (const struct storeserver *store,
+                                uint64_t revision);
+static void unquote_numbers (char *text);
+static void write_number (char *out, const char *lead, uint64_t number);
+static uint64_t read_revision (const struct storeserver *store,
+                               const char *text);
 static struct storeserver_item *find_item (const struct storeserver *store,
                                            const char *key);
 static struct storeserver_item *add_item (struct storeserver *store,
@@ -173,15 +185,18 @@
 {
   struct evbuffer *out = evbuffer_new ();
   char *text = json_dumps (body, JSON_COMPACT);
-  char era[24];
+  char era[NUMBER_SIZE];
 
+  unquote_numbers (text);
   evbuffer_add (
       out, store->fault == STORESERVER_FAULT_INVALID_JSON ? "{]" : text,
       store->fault == STORESERVER_FAULT_INVALID_JSON ? 2 : strlen (text));
   evhttp_add_header (evhttp_request_get_output_headers (request),
                      "Content-Type", "application/json");
-  snprintf (era, sizeof era, "%llu", (unsigned long long)store->era);
-  if (store->era != 0)
+  write_number (era, store->era_lead, store->era);
+  if (store->odd_era != NULL)
+    snprintf (era, sizeof era, "%s", store->odd_era);
+  if (store->era != 0 || store->era_lead != NULL || store->odd_era != NULL)
     evhttp_add_header (evhttp_request_get_output_headers (request),
                        "Store-Era", era);
   evhttp_send_reply (request, status, "status", out);
@@ -190,19 +205,77 @@
   json_decref (body);
 }
 
+/* A number of any size: the JSON library has 64 bits with a sign. */
 static json_t *
-encode_item (const struct storeserver_item *item)
+encode_revision (const struct storeserver *store, uint64_t revision)
+{
+  char text[NUMBER_SIZE] = NUMBER_MARK;
+
+  write_number (text + strlen (NUMBER_MARK), store->revision_lead, revision);
+  return json_string (text);
+}
+
+static json_t *
+encode_at (const struct storeserver *store)
+{
+  char text[NUMBER_SIZE];
+
+  if (store->odd_revision == NULL)
+    return encode_revision (store, store->revision);
+  snprintf (text, sizeof text, NUMBER_MARK "%s", store->odd_revision);
+  return json_string (text);
+}
+
+static void
+write_number (char *out, const char *lead, uint64_t number)
+{
+  if (lead == NULL)
+    sprintf (out, "%" PRIu64, number);
+  else
+    sprintf (out, "%s%0*" PRIu64, lead, OWN_DIGITS, number);
+}
+
+static uint64_t
+read_revision (const struct storeserver *store, const char *text)
+{
+  const size_t lead
+      = store->revision_lead == NULL ? 0 : strlen (store->revision_lead);
+
+  return strlen (text) < lead ? 0 : strtoull (text + lead, NULL, 10);
+}
+
+/* Takes the quotes from the strings that begin with the mark. */
+static void
+unquote_numbers (char *text)
+{
+  static const char begin[] = "\"" NUMBER_MARK;
+  char *from;
+  char *end;
+
+  while ((from = strstr (text, begin)) != NULL)
+    {
+      end = strchr (from + 1, '"');
+      memmove (from, from + strlen (begin),
+               (size_t)(end - from) - strlen (begin));
+      memmove (end - strlen (begin), end + 1, strlen (end + 1) + 1);
+    }
+}
+
+static json_t *
+encode_item (const struct storeserver *store,
+             const struct storeserver_item *item)
 {
   char *value;
   json_t *json;
 
   if (item->value == NULL)
-    return json_pack ("{s:s,s:I,s:b}", "key", item->key, "revision",
-                      (json_int_t)item->revision, "deleted", 1);
+    return json_pack ("{s:s,s:o,s:b}", "key", item->key, "revision",
+                      encode_revision (store, item->revision), "deleted", 1);
   value = base64_encode (item->value, item->value_size);
-  json = json_pack ("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value", value,
-                    "revision", (json_int_t)item->revision, "created",
-                    (json_int_t)1, "lease", (json_int_t)item->lease);
+  json = json_pack ("{s:s,s:s,s:o,s:o,s:I}", "key", item->key, "value", value,
+                    "revision", encode_revision (store, item->revision),
+                    "created", encode_revision (store, item->revision),
+                    "lease", (json_int_t)item->lease);
   free (value);
   if (item->members != NULL)
     {
@@ -236,11 +309,11 @@
           more = true;
           break;
         }
-      json_array_append_new (entries, encode_item (item));
+      json_array_append_new (entries, encode_item (store, item));
     }
   send_response (store, request, 200,
-                 json_pack ("{s:o,s:b,s:I}", "entries", entries, "has_more",
-                            more, "at", (json_int_t)store->revision));
+                 json_pack ("{s:o,s:b,s:o}", "entries", entries, "has_more",
+                            more, "at", encode_at (store)));
 }
 
 static void
@@ -256,7 +329,7 @@
   store->watch_calls++;
   watch->store = store;
   watch->request = request;
-  watch->after = strtoull (evhttp_find_header (query, "after"), NULL, 10);
+  watch->after = read_revision (store, evhttp_find_header (query, "after"));
   snprintf (watch->prefix, sizeof watch->prefix, "%s",
             evhttp_find_header (query, "prefix"));
   watch->timer = event_new (store->base, -1, 0, on_timeout, watch);
@@ -286,7 +359,7 @@
   for (item = store->items; item != NULL; item = item->next)
     if (item->revision > watch->after
         && strncmp (item->key, watch->prefix, strlen (watch->prefix)) == 0)
-      json_array_append_new (events, encode_item (item));
+      json_array_append_new (events, encode_item (store, item));
   if (json_array_size (events) == 0 && !timeout)
     {
       json_decref (events);
@@ -297,9 +370,9 @@
   if (store->silent)
     json_decref (events);
   else
-    send_response (store, watch->request, 200,
-                   json_pack ("{s:o,s:I}", "events", events, "at",
-                              (json_int_t)store->revision));
+    send_response (
+        store, watch->request, 200,
+        json_pack ("{s:o,s:o}", "events", events, "at", encode_at (store)));
   end_watch (watch);
   return true;
 }
@@ -398,9 +471,8 @@
   if (store->fault == STORESERVER_FAULT_LOSE_RESPONSE)
     evhttp_connection_free (evhttp_request_get_connection (request));
   else
-    send_response (
-        store, request, 200,
-        json_pack ("{s:I}", "revision", (json_int_t)store->revision));
+    send_response (store, request, 200,
+                   json_pack ("{s:o}", "revision", encode_at (store)));
   answer_watches (store);
 }
 
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -40,6 +40,13 @@
   /** Renewals of this lease and of older ones get 404. */
   uint64_t last_ended_lease_id;
   uint64_t era; /**< reported in all responses; 0: none is reported */
+  /** Digits before those of each revision and of the era, which then have 19
+      of their own: numbers of more than 64 bits.  May be NULL. */
+  const char *revision_lead;
+  const char *era_lead;
+  /** Written in place of the store's revision, or of the era; NULL: none. */
+  const char *odd_revision;
+  const char *odd_era;
   uint64_t saved_revision;
   struct storeserver_item *saved_items; /**< private */
   struct storeserver_item *items;       /**< private */
--- a/tests/test_choose.c
+++ b/tests/test_choose.c
@@ -5,6 +5,7 @@
  */
 #include "state/choose.h"
 #include "state/rng.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <string.h>
@@ -35,8 +36,9 @@
   fixture->now_ns = 5000 * MS;
   for (i = 0; i < engines; i++)
     {
-      struct registry_record record
-          = { .service_id = SERVICE, .slots = 6, .revision = i + 1 };
+      struct registry_record record = { .service_id = SERVICE,
+                                        .slots = 6,
+                                        .position = *POSITION (0, i + 1) };
 
       snprintf (record.identity, sizeof record.identity, "engine-%u", i);
       snprintf (record.availability_zone, sizeof record.availability_zone,
@@ -161,8 +163,8 @@
     }
   removed_id = fixture.registry.upstreams->id;
   registry_mark_missing (&fixture.registry,
-                         fixture.registry.upstreams->record.identity, 1000, 0,
-                         fixture.now_ns);
+                         fixture.registry.upstreams->record.identity,
+                         POSITION (0, 1000), 0, fixture.now_ns);
   for (i = 0; i < 300; i++)
     {
       struct prompt prompt = make_prompt (i, i);
--- a/tests/test_config_parts.c
+++ b/tests/test_config_parts.c
@@ -6,6 +6,7 @@
 #include "gateway/discovery.h"
 #include "gateway/gateway_config.h"
 #include "support/gatefixture.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -56,7 +57,7 @@
       = { .key = fixture->gateway.adapter->config_key,
           .value = text,
           .value_size = strlen (text),
-          .index = INDEX + version };
+          .position = *POSITION (0, INDEX + version) };
 
   discovery_apply_item (&fixture->gateway, &item);
 }
@@ -238,7 +239,7 @@
   item = (struct kvstore_item){ .key = fixture.gateway.adapter->config_key,
                                 .value = text,
                                 .value_size = strlen (text),
-                                .index = 2ULL * INDEX };
+                                .position = *POSITION (0, 2ULL * INDEX) };
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_TRUE (gatefixture_run_until (&fixture, nothing_pending));
   CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "3");
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -9,6 +9,7 @@
 #include "gateway/discovery.h"
 #include "gateway/probe.h"
 #include "support/gatefixture.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -366,7 +367,7 @@
   struct gateway_adapter adapter;
   struct kvstore_item item = { .value = value,
                                .value_size = sizeof value - 1,
-                               .index = CONFIG_INDEX };
+                               .position = *POSITION (0, CONFIG_INDEX) };
 
   gatefixture_init (&fixture, true);
   real_adapter = fixture.gateway.adapter;
@@ -379,7 +380,7 @@
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_EQUAL (config_reads, 1);
   CU_ASSERT_STRING_EQUAL (fixture.gateway.routing->version, "2");
-  item.index++;
+  item.position = *POSITION (0, CONFIG_INDEX + 1);
   discovery_apply_item (&fixture.gateway, &item);
   CU_ASSERT_EQUAL (config_reads, 2);
   fixture.gateway.adapter = real_adapter;
--- a/tests/test_hubs.c
+++ b/tests/test_hubs.c
@@ -6,6 +6,7 @@
 #include "gateway/mirror.h"
 #include "state/err.h"
 #include "state/rng.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <string.h>
 
@@ -111,18 +112,19 @@
 test_mirror (void)
 {
   struct mirror mirror = { .items = NULL };
-  struct kvstore_item item
-      = { .key = "a/1", .value = "one", .value_size = 3, .index = 5 };
+  struct kvstore_item item = {
+    .key = "a/1", .value = "one", .value_size = 3, .position = *POSITION (0, 5)
+  };
   char long_key[MESSAGE_KEY_SIZE + 1];
 
   CU_ASSERT_EQUAL (mirror_put (&mirror, &item), 0);
   item.value = "three";
   item.value_size = 5;
-  item.index = 6;
+  item.position = *POSITION (0, 6);
   CU_ASSERT_EQUAL (mirror_put (&mirror, &item), 0);
   CU_ASSERT_EQUAL (HASH_COUNT (mirror.items), 1);
   CU_ASSERT_STRING_EQUAL (mirror.items->object.value, "three");
-  CU_ASSERT_EQUAL (mirror.items->object.index, 6);
+  CU_ASSERT_TRUE (position_is (&mirror.items->object.position, 0, 6));
   item.value = NULL;
   CU_ASSERT_EQUAL (mirror_put (&mirror, &item), 0);
   CU_ASSERT_EQUAL (HASH_COUNT (mirror.items), 0);
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -8,6 +8,7 @@
 #include "state/attempt.h"
 #include "state/err.h"
 #include "state/registry.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <string.h>
@@ -73,13 +74,13 @@
                                     .address = "10.0.0.1:80",
                                     .service_id = 5,
                                     .slots = 4,
-                                    .revision = revision };
+                                    .position = *POSITION (0, revision) };
   enum change change = registry_model->history[revision - 1];
 
   if (change == CHANGE_REMOVED)
     {
-      registry_mark_missing (registry, "a", revision, registry_model->grace_ns,
-                             1);
+      registry_mark_missing (registry, "a", POSITION (0, revision),
+                             registry_model->grace_ns, 1);
       return;
     }
   record.draining = change == CHANGE_DRAINING;
@@ -109,8 +110,8 @@
     case DELIVERY_PEER_LISTING:
       registry_listing_begin (registry);
       apply_listing_entry (registry_model, registry, step->revision);
-      registry_listing_end (registry, step->revision, registry_model->grace_ns,
-                            1);
+      registry_listing_end (registry, POSITION (0, step->revision),
+                            registry_model->grace_ns, 1);
       break;
     case DELIVERY_PEER_CHANGE:
       apply_change (registry_model, registry, step->revision);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -5,6 +5,7 @@
 #include "../platform/adapter.h"
 #include "gateway/gateway_peers_int.h"
 #include "support/gatefixture.h"
+#include "support/positions.h"
 #include "support/storeseed.h"
 #include "support/suite.h"
 #include "transport/log.h"
@@ -190,13 +191,14 @@
                         "\"state\":\"draining\",\"cold_remaining_ms\":0,"
                         "\"sequence\":1,\"born\":1000}";
   struct message_object object = { .key = "servers/w-0",
-                                   .index = NEWER_INDEX,
+                                   .position = *POSITION (0, NEWER_INDEX),
                                    .value = value,
                                    .value_size = sizeof value - 1 };
-  const struct message message = { .kind = MESSAGE_CONFIG,
-                                   .u.config = { .newest_index = NEWER_INDEX,
-                                                 .object_count = 1,
-                                                 .objects = &object } };
+  const struct message message
+      = { .kind = MESSAGE_CONFIG,
+          .u.config = { .newest_position = *POSITION (0, NEWER_INDEX),
+                        .object_count = 1,
+                        .objects = &object } };
 
   CU_ASSERT_EQUAL (
       peernet_send (overload->hub, catalog_id ("gate-1"), &message), 0);
@@ -726,10 +728,11 @@
 
   for (i = 0; i < ZONE_OTHERS; i++)
     {
-      const struct kvstore_item item = { .key = key,
-                                         .value = value,
-                                         .value_size = sizeof value - 1,
-                                         .index = NEWER_INDEX };
+      const struct kvstore_item item
+          = { .key = key,
+              .value = value,
+              .value_size = sizeof value - 1,
+              .position = *POSITION (0, NEWER_INDEX) };
 
       snprintf (key, sizeof key, "%sza/other-%d",
                 gateway->adapter->gateway_prefix, i);
--- a/tests/test_peercodec.c
+++ b/tests/test_peercodec.c
@@ -7,6 +7,7 @@
 #include "protocol/peercodec.h"
 #include "state/err.h"
 #include "support/memory.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +25,15 @@
 static const long peak_max_kb = MEMORY_GATEWAY_KB / 8;
 #endif
 
+#define DIGITS(text)                                                          \
+  {                                                                           \
+    text, sizeof (text) - 1                                                   \
+  }
+#define PACKED(digits)                                                        \
+  {                                                                           \
+    .revision = DIGITS (digits), .packed = true                               \
+  }
+
 static struct message_demand demands[]
     = { { 1, 2, 3, 4 }, { UINT64_MAX, UINT64_MAX, UINT32_MAX, UINT32_MAX } };
 static struct ledger_entry entries[]
@@ -32,8 +42,11 @@
 static struct message_grant_item grants[] = { { 1, 2, 3 }, { 9, 9, 0 } };
 static struct message_hold_item holds[] = { { 1, 2, 3, 3 }, { 9, 9, 4, 0 } };
 static struct message_object objects[]
-    = { { "customer/ana", 12, false, 2, (char *)"{}" },
-        { "service/model", 13, true, 0, NULL } };
+    = { { .key = "customer/ana",
+          .index = 12,
+          .value_size = 2,
+          .value = (char *)"{}" },
+        { .key = "service/model", .index = 13, .deleted = true } };
 
 static char addresses[][CATALOG_ADDRESS_SIZE]
     = { "127.0.0.1:7000", "[::1]:7001" };
@@ -67,11 +80,15 @@
   { .kind = MESSAGE_GRANT, .u.grant = { 4, 2000, 2, grants, 77 } },
   { .kind = MESSAGE_HOLD, .u.hold = { 4, 2, holds } },
   { .kind = MESSAGE_CONFIG_REQUEST, .u.config_request = { 41 } },
-  { .kind = MESSAGE_CONFIG, .u.config = { 50, true, 2, objects } },
+  { .kind = MESSAGE_CONFIG,
+    .u.config = { .newest_index = 50,
+                  .complete = true,
+                  .object_count = 2,
+                  .objects = objects } },
   { .kind = MESSAGE_ADDRESSES, .u.addresses = { 2, addresses } },
   { .kind = MESSAGE_LOAD,
-    .u.load = { 88, 7, 3, loads, 2, suspects, 91, 90, true } },
-  { .kind = MESSAGE_LOAD, .u.load = { 0, 0, 0, NULL, 0, NULL, 0, 0, false } },
+    .u.load = { PACKED ("88"), 7, 3, loads, 2, suspects, 91, 90, true } },
+  { .kind = MESSAGE_LOAD, .u.load = { .asks = false } },
   { .kind = MESSAGE_LIMIT,
     .u.limit = { MESSAGE_LIMIT_GRANTED, UINT64_MAX, 12, true, 3400, 250 } },
   { .kind = MESSAGE_STREAMS, .u.streams = { 2, streams } },
@@ -332,6 +349,108 @@
     }
 }
 
+static struct store_position
+position_of (const char *era, const char *revision)
+{
+  struct store_position position = { .packed = false };
+
+  CU_ASSERT_EQUAL (digits_parse (&position.era, era, strlen (era)), 0);
+  CU_ASSERT_EQUAL (
+      digits_parse (&position.revision, revision, strlen (revision)), 0);
+  return position;
+}
+
+/* What gateways are told of the store's history keeps both of its numbers. */
+static void
+test_store_positions (void)
+{
+  const struct store_position positions[] = {
+    position_of ("0", "1099511627776"),
+    position_of ("20000000", "7"),
+    position_of ("4611686018427387904", "9007199254740993"),
+    position_of ("20261208012925123456", "20261208012925123457"),
+  };
+  struct message_object object
+      = { .key = "servers/w-1", .value_size = 2, .value = (char *)"{}" };
+  struct message config
+      = { .kind = MESSAGE_CONFIG,
+          .u.config = { .object_count = 1, .objects = &object } };
+  struct message load = { .kind = MESSAGE_LOAD };
+  struct peercodec_buffer buffer = { 0 };
+  struct message message;
+  size_t i;
+
+  for (i = 0; i < sizeof positions / sizeof positions[0]; i++)
+    {
+      object.position = positions[i];
+      config.u.config.newest_position = positions[i];
+      encode_first (&config, &buffer);
+      CU_ASSERT_EQUAL (decode_first (buffer.data, buffer.size, &message), 0);
+      CU_ASSERT_FALSE (message.u.config.objects[0].position.packed);
+      CU_ASSERT_EQUAL (
+          store_position_compare (&message.u.config.objects[0].position,
+                                  &positions[i]),
+          0);
+      CU_ASSERT_EQUAL (store_position_compare (
+                           &message.u.config.newest_position, &positions[i]),
+                       0);
+      message_finish (&message);
+      load.u.load.store_position = positions[i];
+      encode_first (&load, &buffer);
+      CU_ASSERT_EQUAL (decode_first (buffer.data, buffer.size, &message), 0);
+      CU_ASSERT_FALSE (message.u.load.store_position.packed);
+      CU_ASSERT_EQUAL (store_position_compare (&message.u.load.store_position,
+                                               &positions[i]),
+                       0);
+      message_finish (&message);
+    }
+  peercodec_buffer_finish (&buffer);
+}
+
+/* Messages as programs send them that have 64 bits for a position, and send
+   back what they were told.  Where these are enough, nothing else is sent. */
+static void
+test_older_program (void)
+{
+  /* A load report up to era 3, revision 5. */
+  static const uint8_t load_frame[]
+      = { 0x52, 0x09, 0x18, 0x85, 0x80, 0x80, 0x80, 0x80, 0x60, 0x20, 0x07 };
+  /* An object "k" with the value "{}", at era 3, revision 6. */
+  static const uint8_t config_frame[]
+      = { 0x42, 0x17, 0x08, 0x86, 0x80, 0x80, 0x80, 0x80, 0x60,
+          0x1a, 0x0e, 0x0a, 0x01, 'k',  0x10, 0x86, 0x80, 0x80,
+          0x80, 0x80, 0x60, 0x22, 0x02, '{',  '}' };
+  struct message_object object = { .key = "k",
+                                   .position = *POSITION (3, 6),
+                                   .value_size = 2,
+                                   .value = (char *)"{}" };
+  const struct message config
+      = { .kind = MESSAGE_CONFIG,
+          .u.config = { .newest_position = *POSITION (3, 6),
+                        .object_count = 1,
+                        .objects = &object } };
+  const struct message load
+      = { .kind = MESSAGE_LOAD,
+          .u.load = { .store_position = *POSITION (3, 5), .age_ms = 7 } };
+  struct peercodec_buffer buffer = { 0 };
+  struct message message;
+
+  CU_ASSERT_EQUAL (decode_first (load_frame, sizeof load_frame, &message), 0);
+  CU_ASSERT_TRUE (position_is (&message.u.load.store_position, 3, 5));
+  message_finish (&message);
+  encode_first (&load, &buffer);
+  CU_ASSERT_EQUAL_FATAL (buffer.size, sizeof load_frame);
+  CU_ASSERT_EQUAL (memcmp (buffer.data, load_frame, sizeof load_frame), 0);
+  CU_ASSERT_EQUAL_FATAL (
+      decode_first (config_frame, sizeof config_frame, &message), 0);
+  CU_ASSERT_TRUE (position_is (&message.u.config.objects[0].position, 3, 6));
+  message_finish (&message);
+  encode_first (&config, &buffer);
+  CU_ASSERT_EQUAL_FATAL (buffer.size, sizeof config_frame);
+  CU_ASSERT_EQUAL (memcmp (buffer.data, config_frame, buffer.size), 0);
+  peercodec_buffer_finish (&buffer);
+}
+
 /* Each message is well-formed protobuf with one value out of range. */
 static void
 test_values_out_of_range (void)
@@ -340,9 +459,9 @@
   static struct ledger_entry refunded_above_charged[]
       = { { 1, 1, 1, 2, 0, 0 } };
   static struct message_object without_value[]
-      = { { "customer/ana", 1, false, 0, 0 } };
+      = { { .key = "customer/ana", .index = 1 } };
   static struct message_object space_in_key[]
-      = { { "a b", 1, true, 0, NULL } };
+      = { { .key = "a b", .index = 1, .deleted = true } };
   const struct message bad[] = {
     { .kind = MESSAGE_HEARTBEAT,
       .u.heartbeat = { 1, MESSAGE_INSTANCE_STATE_MAX, 0, false, 0, NULL } },
@@ -358,8 +477,16 @@
     { .kind = MESSAGE_HELLO, .u.hello = { 1, "f", "r", "a", "", 1, { 0 } } },
     { .kind = MESSAGE_HELLO,
       .u.hello = { 1, "f", "r", "a", "x:1", 0, { 0 } } },
-    { .kind = MESSAGE_CONFIG, .u.config = { 1, true, 1, without_value } },
-    { .kind = MESSAGE_CONFIG, .u.config = { 1, true, 1, space_in_key } },
+    { .kind = MESSAGE_CONFIG,
+      .u.config = { .newest_index = 1,
+                    .complete = true,
+                    .object_count = 1,
+                    .objects = without_value } },
+    { .kind = MESSAGE_CONFIG,
+      .u.config = { .newest_index = 1,
+                    .complete = true,
+                    .object_count = 1,
+                    .objects = space_in_key } },
   };
   struct peercodec_buffer buffer = { 0 };
   struct message message;
@@ -505,6 +632,8 @@
   { "every truncation is rejected", test_truncation },
   { "every byte replaced by every value", test_every_byte_replaced },
   { "random bytes", test_random_bytes },
+  { "positions of any size", test_store_positions },
+  { "messages of an older program", test_older_program },
   { "values out of range are rejected", test_values_out_of_range },
   { "sizes out of range are rejected", test_sizes_out_of_range },
   { "frame of empty entries", test_frame_of_empty_entries },
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -5,7 +5,7 @@
  */
 #include "state/err.h"
 #include "state/registry.h"
-#include "state/store_index.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 
@@ -24,13 +24,13 @@
 
 static int
 put (struct registry *registry, const char *identity, uint64_t start_ms,
-     uint64_t revision, bool draining)
+     const struct store_position *position, bool draining)
 {
   struct registry_record record = { .start_ms = start_ms,
                                     .service_id = 5,
                                     .slots = 4,
                                     .draining = draining,
-                                    .revision = revision };
+                                    .position = *position };
 
   snprintf (record.identity, sizeof record.identity, "%s", identity);
   snprintf (record.address, sizeof record.address, "10.0.0.1:80");
@@ -56,15 +56,15 @@
   struct registry registry;
 
   registry_init (&registry);
-  put (&registry, "a", 0, 1, false);
-  put (&registry, "b", 0, 2, false);
+  put (&registry, "a", 0, POSITION (0, 1), false);
+  put (&registry, "b", 0, POSITION (0, 2), false);
   CU_ASSERT_EQUAL (usable_count (&registry), 2);
-  put (&registry, "a", 0, 3, true);
+  put (&registry, "a", 0, POSITION (0, 3), true);
   CU_ASSERT_EQUAL (usable_count (&registry), 1);
   /* An older registration does not make it usable again. */
-  CU_ASSERT_EQUAL (put (&registry, "a", 0, 1, false), ERR_STALE);
+  CU_ASSERT_EQUAL (put (&registry, "a", 0, POSITION (0, 1), false), ERR_STALE);
   CU_ASSERT_EQUAL (usable_count (&registry), 1);
-  registry_mark_missing (&registry, "b", 4, 0, 0);
+  registry_mark_missing (&registry, "b", POSITION (0, 4), 0, 0);
   CU_ASSERT_EQUAL (usable_count (&registry), 0);
   registry_finish (&registry);
 }
@@ -78,16 +78,16 @@
   struct registry registry;
 
   registry_init (&registry);
-  put (&registry, "stays", 0, 1, false);
-  put (&registry, "lapsed", 0, 2, false);
-  put (&registry, "dead", 0, 3, false);
-  put (&registry, "leaving", 0, 4, true);
+  put (&registry, "stays", 0, POSITION (0, 1), false);
+  put (&registry, "lapsed", 0, POSITION (0, 2), false);
+  put (&registry, "dead", 0, POSITION (0, 3), false);
+  put (&registry, "leaving", 0, POSITION (0, 4), true);
   registry_listing_begin (&registry);
-  put (&registry, "stays", 0, 1, false);
-  registry_listing_end (&registry, 9, GRACE, 100 * MS);
+  put (&registry, "stays", 0, POSITION (0, 1), false);
+  registry_listing_end (&registry, POSITION (0, 9), GRACE, 100 * MS);
   CU_ASSERT_EQUAL (usable_count (&registry), 3);
   CU_ASSERT_EQUAL (HASH_COUNT (registry.upstreams), 3);
-  put (&registry, "lapsed", 0, 10, false);
+  put (&registry, "lapsed", 0, POSITION (0, 10), false);
   registry_expire (&registry, 100 * MS + GRACE - 1);
   CU_ASSERT_EQUAL (usable_count (&registry), 3);
   registry_expire (&registry, 100 * MS + GRACE);
@@ -105,11 +105,11 @@
   struct registry registry;
 
   registry_init (&registry);
-  put (&registry, "a", 0, 1, false);
-  put (&registry, "new", 0, 12, false);
+  put (&registry, "a", 0, POSITION (0, 1), false);
+  put (&registry, "new", 0, POSITION (0, 12), false);
   registry_listing_begin (&registry);
   /* The entry "new" is newer than the listing and stays. */
-  registry_listing_end (&registry, 9, 0, 100 * MS);
+  registry_listing_end (&registry, POSITION (0, 9), 0, 100 * MS);
   CU_ASSERT_EQUAL (usable_count (&registry), 1);
   registry_finish (&registry);
 }
@@ -125,13 +125,14 @@
   registry_init (&registry);
   registry.removed = on_removed;
   removed_count = 0;
-  put (&registry, "a", 1000, 1, false);
+  put (&registry, "a", 1000, POSITION (0, 1), false);
   first = registry.upstreams->id;
   registry.upstreams->load.running = 3;
-  CU_ASSERT_EQUAL (put (&registry, "a", 1000, 2, false), 0);
+  CU_ASSERT_EQUAL (put (&registry, "a", 1000, POSITION (0, 2), false), 0);
   CU_ASSERT_EQUAL (registry.upstreams->id, first);
   CU_ASSERT_EQUAL (registry.upstreams->load.running, 3);
-  CU_ASSERT_EQUAL (put (&registry, "a", 2000, 3, false), REGISTRY_CHANGED);
+  CU_ASSERT_EQUAL (put (&registry, "a", 2000, POSITION (0, 3), false),
+                   REGISTRY_CHANGED);
   CU_ASSERT_NOT_EQUAL (registry.upstreams->id, first);
   CU_ASSERT_EQUAL (registry.upstreams->load.running, 0);
   CU_ASSERT_EQUAL (removed_count, 1);
@@ -149,12 +150,12 @@
   struct registry registry;
 
   registry_init (&registry);
-  put (&registry, "a", 1000, 5, false);
+  put (&registry, "a", 1000, POSITION (0, 5), false);
   registry_add_queued (registry.upstreams, 700, 700);
   CU_ASSERT_EQUAL (registry.upstreams->load.queued_tokens, 700);
-  registry_mark_missing (&registry, "a", 6, 0, 0);
+  registry_mark_missing (&registry, "a", POSITION (0, 6), 0, 0);
   CU_ASSERT_PTR_NULL (registry.upstreams);
-  put (&registry, "a", 1000, 7, false);
+  put (&registry, "a", 1000, POSITION (0, 7), false);
   registry_add_queued (registry.upstreams, 300, 300);
   registry_remove_queued (registry.upstreams, 700, 700);
   CU_ASSERT_EQUAL (registry.upstreams->load.queued_tokens, 0);
@@ -162,11 +163,11 @@
 }
 
 static bool
-is_copy (struct registry *registry, const char *identity, uint64_t revision,
-         bool draining)
+is_copy (struct registry *registry, const char *identity,
+         const struct store_position *position, bool draining)
 {
   struct registry_record record
-      = { .service_id = 5, .draining = draining, .revision = revision };
+      = { .service_id = 5, .draining = draining, .position = *position };
 
   snprintf (record.identity, sizeof record.identity, "%s", identity);
   return registry_is_copy (registry, &record);
@@ -180,28 +181,28 @@
   struct registry registry;
 
   registry_init (&registry);
-  put (&registry, "drains", 0, store_index (1, 500), true);
-  put (&registry, "left", 0, store_index (1, 400), false);
-  put (&registry, "stays", 0, store_index (1, 300), false);
-  registry_mark_missing (&registry, "left", store_index (1, 510), 0, 0);
+  put (&registry, "drains", 0, POSITION (1, 500), true);
+  put (&registry, "left", 0, POSITION (1, 400), false);
+  put (&registry, "stays", 0, POSITION (1, 300), false);
+  registry_mark_missing (&registry, "left", POSITION (1, 510), 0, 0);
   registry_listing_begin (&registry);
-  CU_ASSERT_TRUE (is_copy (&registry, "drains", store_index (2, 40), false));
-  CU_ASSERT_TRUE (is_copy (&registry, "left", store_index (2, 30), false));
-  CU_ASSERT_FALSE (is_copy (&registry, "stays", store_index (2, 20), false));
-  CU_ASSERT_EQUAL (put (&registry, "stays", 0, store_index (2, 20), false), 0);
-  registry_listing_end (&registry, store_index (2, 45), GRACE, 0);
+  CU_ASSERT_TRUE (is_copy (&registry, "drains", POSITION (2, 40), false));
+  CU_ASSERT_TRUE (is_copy (&registry, "left", POSITION (2, 30), false));
+  CU_ASSERT_FALSE (is_copy (&registry, "stays", POSITION (2, 20), false));
+  CU_ASSERT_EQUAL (put (&registry, "stays", 0, POSITION (2, 20), false), 0);
+  registry_listing_end (&registry, POSITION (2, 45), GRACE, 0);
   CU_ASSERT_EQUAL (HASH_COUNT (registry.upstreams), 2);
   CU_ASSERT_EQUAL (usable_count (&registry), 1);
   /* The same copy, listed again. */
-  CU_ASSERT_TRUE (is_copy (&registry, "left", store_index (2, 30), false));
-  CU_ASSERT_TRUE (is_copy (&registry, "drains", store_index (2, 40), false));
+  CU_ASSERT_TRUE (is_copy (&registry, "left", POSITION (2, 30), false));
+  CU_ASSERT_TRUE (is_copy (&registry, "drains", POSITION (2, 40), false));
   /* Written by a live upstream, and by one that is still draining. */
-  CU_ASSERT_FALSE (is_copy (&registry, "left", store_index (2, 60), false));
-  CU_ASSERT_FALSE (is_copy (&registry, "drains", store_index (2, 61), true));
-  CU_ASSERT_EQUAL (put (&registry, "left", 0, store_index (2, 60), false),
+  CU_ASSERT_FALSE (is_copy (&registry, "left", POSITION (2, 60), false));
+  CU_ASSERT_FALSE (is_copy (&registry, "drains", POSITION (2, 61), true));
+  CU_ASSERT_EQUAL (put (&registry, "left", 0, POSITION (2, 60), false),
                    REGISTRY_CHANGED);
   /* A change of the era before arrives late. */
-  CU_ASSERT_EQUAL (put (&registry, "stays", 0, store_index (1, 900), true),
+  CU_ASSERT_EQUAL (put (&registry, "stays", 0, POSITION (1, 900), true),
                    ERR_STALE);
   CU_ASSERT_EQUAL (usable_count (&registry), 2);
   registry_finish (&registry);
@@ -217,7 +218,7 @@
   uint64_t generation;
 
   snprintf (record.identity, sizeof record.identity, "u-1");
-  record.revision = 1;
+  record.position = *POSITION (0, 1);
   registry_init (&registry);
   CU_ASSERT_EQUAL (registry_put (&registry, &record), REGISTRY_CHANGED);
   upstream = registry.upstreams;
@@ -225,16 +226,16 @@
   CU_ASSERT_TRUE (registry_set_leaving (&registry, upstream));
   CU_ASSERT_FALSE (registry_set_leaving (&registry, upstream));
   CU_ASSERT_EQUAL (registry.generation, generation + 1);
-  record.revision++;
+  record.position = *POSITION (0, 2);
   registry_put (&registry, &record);
   CU_ASSERT_FALSE (registry_usable (registry.upstreams, 5));
-  registry_mark_missing (&registry, "u-1", ++record.revision, 0, 1);
+  registry_mark_missing (&registry, "u-1", POSITION (0, 3), 0, 1);
   CU_ASSERT_PTR_NULL (registry.upstreams);
-  record.revision++;
+  record.position = *POSITION (0, 4);
   registry_put (&registry, &record);
   CU_ASSERT_FALSE (registry_usable (registry.upstreams, 5));
   record.start_ms = 2000;
-  record.revision++;
+  record.position = *POSITION (0, 5);
   registry_put (&registry, &record);
   upstream = registry.upstreams;
   CU_ASSERT_TRUE (registry_usable (upstream, 5));
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -5,7 +5,7 @@
  */
 #include "gateway/store_watch.h"
 #include "state/err.h"
-#include "state/store_index.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <string.h>
 
@@ -66,8 +66,9 @@
 }
 
 static int
-watch_changes (struct kvstore *kvstore, const char *prefix, uint64_t since,
-               uint32_t poll_timeout_ms, kvstore_page_fn done, void *user)
+watch_changes (struct kvstore *kvstore, const char *prefix,
+               const struct store_position *since, uint32_t poll_timeout_ms,
+               kvstore_page_fn done, void *user)
 {
   (void)prefix;
   (void)since;
@@ -88,10 +89,10 @@
 }
 
 static void
-on_listing_end (void *user, uint64_t index)
+on_listing_end (void *user, const struct store_position *position)
 {
   (void)user;
-  (void)index;
+  (void)position;
 }
 
 static void
@@ -116,9 +117,9 @@
 }
 
 static void
-on_restored (void *user, uint64_t lost_index)
+on_restored (void *user, const struct store_position *lost)
 {
-  (void)lost_index;
+  (void)lost;
   ((struct watch_fixture *)user)->restores++;
 }
 
@@ -168,12 +169,13 @@
 
 static void
 answer (struct watch_fixture *fixture, const struct lost_call *call, int error,
-        uint64_t index)
+        const struct store_position *position)
 {
   static const struct kvstore_item item
-      = { .key = "k/1", .value = "v", .value_size = 1, .index = 1 };
-  const struct kvstore_page page
-      = { .index = index, .more = fixture->more, .items = &item, .count = 1 };
+      = { .key = "k/1", .value = "v", .value_size = 1 };
+  const struct kvstore_page page = {
+    .position = *position, .more = fixture->more, .items = &item, .count = 1
+  };
 
   call->done (call->user, error, error == 0 ? &page : NULL);
 }
@@ -189,11 +191,18 @@
 }
 
 static void
-answer_call (struct watch_fixture *fixture, int error, uint64_t index)
+answer_call_at (struct watch_fixture *fixture, int error,
+                const struct store_position *position)
 {
   const struct lost_call call = lose_call (fixture);
 
-  answer (fixture, &call, error, index);
+  answer (fixture, &call, error, position);
+}
+
+static void
+answer_call (struct watch_fixture *fixture, int error, uint64_t revision)
+{
+  answer_call_at (fixture, error, POSITION (0, revision));
 }
 
 /* Runs the loop for as long as a watch waits at most before it takes a
@@ -241,15 +250,15 @@
   CU_ASSERT_EQUAL (fixture.items, 1);
   answer_call (&fixture, 0, 9);
   CU_ASSERT_EQUAL (fixture.items, 2);
-  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 9));
   CU_ASSERT_TRUE (store_watch_current (&fixture.watch));
   /* The lost call's timeout is no failure, and ends nothing. */
   run_until_call (&fixture);
-  answer (&fixture, &lost, ERR_TIMEOUT, 0);
+  answer (&fixture, &lost, ERR_TIMEOUT, POSITION (0, 0));
   CU_ASSERT_EQUAL (fixture.failures, 0);
   CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, SHORT_POLL_TIMEOUT_MS);
   answer_call (&fixture, 0, 12);
-  CU_ASSERT_EQUAL (fixture.watch.index, 12);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 12));
   fixture_finish (&fixture);
 }
 
@@ -262,10 +271,10 @@
   struct lost_call late = lose_watch_in_silence (&fixture);
   struct lost_call second = lose_call (&fixture);
 
-  answer (&fixture, &late, 0, 9);
+  answer (&fixture, &late, 0, POSITION (0, 9));
   CU_ASSERT_EQUAL (fixture.items, 2);
-  CU_ASSERT_EQUAL (fixture.watch.index, 9);
-  answer (&fixture, &second, 0, 9);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 9));
+  answer (&fixture, &second, 0, POSITION (0, 9));
   CU_ASSERT_EQUAL (fixture.items, 2);
   CU_ASSERT_EQUAL (fixture.failures, 0);
   run_until_call (&fixture);
@@ -284,16 +293,16 @@
 
   run_until_overdue (&fixture);
   CU_ASSERT_EQUAL (fixture.store.calls, 3);
-  answer (&fixture, &first, ERR_TIMEOUT, 0);
+  answer (&fixture, &first, ERR_TIMEOUT, POSITION (0, 0));
   CU_ASSERT_EQUAL (fixture.failures, 1);
-  answer (&fixture, &second, ERR_TIMEOUT, 0);
+  answer (&fixture, &second, ERR_TIMEOUT, POSITION (0, 0));
   run_until_call (&fixture);
   first = lose_call (&fixture);
   run_until_overdue (&fixture);
   CU_ASSERT_EQUAL (fixture.store.calls, 4);
   CU_ASSERT_EQUAL (fixture.store.poll_timeout_ms, 0);
   CU_ASSERT_EQUAL (fixture.failures, 1);
-  answer (&fixture, &first, 0, 9);
+  answer (&fixture, &first, 0, POSITION (0, 9));
   CU_ASSERT_EQUAL (fixture.recoveries, 1);
   fixture_finish (&fixture);
 }
@@ -342,7 +351,7 @@
   run_until_call (&fixture);
   CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_LISTING);
   answer_call (&fixture, 0, 9);
-  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 9));
   CU_ASSERT_EQUAL (fixture.items, 1);
   fixture_finish (&fixture);
 }
@@ -377,7 +386,7 @@
   run_until_call (&fixture);
   CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_LISTING);
   answer_call (&fixture, 0, 6);
-  CU_ASSERT_EQUAL (fixture.watch.index, 6);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 6));
   fixture_finish (&fixture);
 }
 
@@ -391,27 +400,27 @@
 
   fixture_init (&fixture);
   run_until_call (&fixture);
-  answer_call (&fixture, 0, store_index (1, 100));
+  answer_call_at (&fixture, 0, POSITION (1, 100));
   run_until_call (&fixture);
   fixture.items = 0;
-  answer_call (&fixture, 0, store_index (2, 120));
+  answer_call_at (&fixture, 0, POSITION (2, 120));
   CU_ASSERT_EQUAL (fixture.items, 0);
   CU_ASSERT_EQUAL (fixture.restores, 1);
   CU_ASSERT_EQUAL (fixture.failures, 0);
   run_until_call (&fixture);
   CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_LISTING);
   fixture.more = true;
-  answer_call (&fixture, 0, store_index (2, 121));
+  answer_call_at (&fixture, 0, POSITION (2, 121));
   fixture.more = false;
   run_until_call (&fixture);
   /* The second page is of a third era. */
-  answer_call (&fixture, 0, store_index (3, 90));
+  answer_call_at (&fixture, 0, POSITION (3, 90));
   CU_ASSERT_EQUAL (fixture.restores, 2);
   CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_LISTING);
   run_until_call (&fixture);
-  answer_call (&fixture, 0, store_index (3, 91));
+  answer_call_at (&fixture, 0, POSITION (3, 91));
   CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_WATCHING);
-  CU_ASSERT_EQUAL (fixture.watch.index, store_index (3, 91));
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 3, 91));
   CU_ASSERT_EQUAL (fixture.restores, 2);
   fixture_finish (&fixture);
 }
@@ -429,9 +438,9 @@
 }
 
 static void
-answer_without_changes (const struct lost_call *call, uint64_t index)
+answer_without_changes (const struct lost_call *call, uint64_t revision)
 {
-  const struct kvstore_page page = { .index = index };
+  const struct kvstore_page page = { .position = *POSITION (0, revision) };
 
   call->done (call->user, 0, &page);
 }
@@ -486,9 +495,9 @@
   event_base_loop (fixture.base, EVLOOP_NONBLOCK);
   CU_ASSERT_EQUAL (fixture.store.calls, 3);
   /* The long poll's changes are reported as ever. */
-  answer (&fixture, &poll, 0, 9);
+  answer (&fixture, &poll, 0, POSITION (0, 9));
   CU_ASSERT_EQUAL (fixture.items, 2);
-  CU_ASSERT_EQUAL (fixture.watch.index, 9);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 9));
   fixture_finish (&fixture);
 }
 
@@ -505,8 +514,8 @@
   store_watch_confirm (&fixture.watch);
   answer_call (&fixture, 0, 9);
   CU_ASSERT_EQUAL (fixture.items, 2);
-  CU_ASSERT_EQUAL (fixture.watch.index, 9);
-  answer (&fixture, &poll, 0, 9);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 9));
+  answer (&fixture, &poll, 0, POSITION (0, 9));
   CU_ASSERT_EQUAL (fixture.items, 2);
   CU_ASSERT_EQUAL (fixture.failures, 0);
   fixture_finish (&fixture);
--- a/tests/test_stream_table.c
+++ b/tests/test_stream_table.c
@@ -5,6 +5,7 @@
  */
 #include "state/choose.h"
 #include "state/stream_builds.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include <stdio.h>
 #include <string.h>
@@ -160,7 +161,7 @@
     {
       snprintf (record.identity, sizeof record.identity, "e-%u", i);
       snprintf (record.build, sizeof record.build, i == 13 ? "v2" : "v1");
-      record.revision = i + 1;
+      record.position = *POSITION (0, i + 1);
       registry_put (&registry, &record);
     }
   CU_ASSERT_EQUAL (registry_single_build (&registry, SERVICE), 0);
@@ -186,7 +187,7 @@
       request.build = 0;
     }
   snprintf (record.build, sizeof record.build, "v1");
-  record.revision = 100;
+  record.position = *POSITION (0, 100);
   registry_put (&registry, &record);
   CU_ASSERT_EQUAL (rebuilt, 1);
   CU_ASSERT_NOT_EQUAL (registry_single_build (&registry, SERVICE), 0);
--- a/tests/test_unread_requests.c
+++ b/tests/test_unread_requests.c
@@ -6,6 +6,7 @@
 #include "gateway/discovery.h"
 #include "gateway/gateway_request.h"
 #include "support/gatefixture.h"
+#include "support/positions.h"
 #include "support/suite.h"
 #include "transport/linger.h"
 #include "transport/turnaway.h"
@@ -884,7 +885,8 @@
 
   gatefixture_init (&fixture, true);
   item.key = fixture.gateway.adapter->config_key;
-  item.index = fixture.gateway.config.index + 1000;
+  item.position = *POSITION (
+      0, digits_low64 (&fixture.gateway.config.position.revision) + 1000);
   discovery_apply_item (&fixture.gateway, &item);
   client_connect (&client, &fixture);
   gatefixture_run (&fixture, 50);
