--- a/tests/gatelib.sh
+++ b/tests/gatelib.sh
@@ -50,6 +50,7 @@
 # key.
 start_platform ()
 {
+  rm -f "$work/platform"
   # shellcheck disable=SC2154
   "$build/standin" platform --workers 3 "$@" > "$work/platform" &
   platform=$!
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1,7 +1,8 @@
 /**
  * @file platform.c
  * Stand-in for the platform around the gateways: its store and the upstreams
- * of one service, in one process.  SIGUSR1 replaces the customer's API key.
+ * of one service, in one process.  SIGUSR1 replaces the customer's API key;
+ * SIGUSR2 skips some revisions.
  */
 #include "standin/standin.h"
 #include "support/storeseed.h"
@@ -11,15 +12,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define SKIPPED_REVISIONS 1000
+
 struct platform
 {
   struct storeserver store;
   struct event *replace_key;
+  struct event *skip_revisions;
   uint32_t upstream_count;
   struct upstreamserver upstreams[];
 };
 
 static void on_replace_key (evutil_socket_t signal, short events, void *user);
+static void on_skip_revisions (evutil_socket_t signal, short events,
+                               void *user);
 
 int
 platform_init (struct server *server, const struct standin_options *options)
@@ -55,6 +61,9 @@
   platform->replace_key
       = evsignal_new (server->base, SIGUSR1, on_replace_key, platform);
   event_add (platform->replace_key, NULL);
+  platform->skip_revisions
+      = evsignal_new (server->base, SIGUSR2, on_skip_revisions, platform);
+  event_add (platform->skip_revisions, NULL);
   printf ("listen 127.0.0.1:%u\n", platform->store.port);
   fflush (stdout);
   return 0;
@@ -67,6 +76,7 @@
   uint32_t i;
 
   event_free (platform->replace_key);
+  event_free (platform->skip_revisions);
   for (i = 0; i < platform->upstream_count; i++)
     upstreamserver_finish (&platform->upstreams[i]);
   storeserver_finish (&platform->store);
@@ -84,3 +94,13 @@
   (void)events;
   storeseed_configure (&platform->store, 2, "\"key-2\"", "s2");
 }
+
+static void
+on_skip_revisions (evutil_socket_t signal, short events, void *user)
+{
+  struct platform *platform = user;
+
+  (void)signal;
+  (void)events;
+  platform->store.revision += SKIPPED_REVISIONS;
+}
