Changes beyond the memory for a response are listed

Cause: the response passed RESPONSES_MAX, its call ended like one that was reset, and the watch asked for the changes since the same position again.

Change: the call ends with ERR_TOO_LARGE, and the watch lists its keys, with pauses that double up to 0.8 to 1.6 s while that goes on. Logged and counted apart from an outage. RESPONSES_MAX is as it was.

--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -171,6 +171,9 @@
   write_counter (body, "store_responses_unreadable_total",
                  "responses of the store with a field that cannot be read",
                  gateway->store->counters.unreadable);
+  write_counter (body, "store_responses_oversized_total",
+                 "responses of the store that exceed the memory for them",
+                 gateway->store->counters.oversized);
 }
 
 static void
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -11,6 +11,8 @@
 #include <utlist.h>
 
 #define RELIST_JITTER_MS 100 /* all watches of a fleet list again at once */
+/* The most between two listings because of responses that are too large. */
+#define OVERSIZED_DELAY_MAX_MS 1600
 /* Jitter within STORE_WATCH_OVERDUE_MS: watches of a fleet that read the same
    change are overdue at once. */
 #define OVERDUE_JITTER_MS 100
@@ -32,7 +34,9 @@
 static void on_page (void *user, int error, const struct kvstore_page *page);
 static bool check_era (struct store_watch *watch, const struct digits *era);
 static void forget_calls (struct store_watch *watch);
-static void list_again (struct store_watch *watch);
+static void list_again (struct store_watch *watch, uint64_t delay_ms);
+static uint64_t relist_delay_ms (struct store_watch *watch);
+static uint64_t oversized_delay_ms (struct store_watch *watch);
 static void on_failure (struct store_watch *watch, int error);
 static void on_success (struct store_watch *watch, uint64_t confirmed_ns);
 static uint64_t answered_ns (const struct store_watch *watch,
@@ -126,7 +130,9 @@
 enum log_message
 store_watch_failure (int error)
 {
-  return error == ERR_PROTOCOL ? LOG_STORE_UNUSABLE : LOG_STORE_UNAVAILABLE;
+  return error == ERR_PROTOCOL || error == ERR_TOO_LARGE
+             ? LOG_STORE_UNUSABLE
+             : LOG_STORE_UNAVAILABLE;
 }
 
 bool
@@ -257,7 +263,13 @@
     {
       /* The store has discarded the history since `position`; this is no
          failure of the store. */
-      list_again (watch);
+      list_again (watch, relist_delay_ms (watch));
+      return;
+    }
+  if (error == ERR_TOO_LARGE && watch->phase == STORE_WATCH_WATCHING)
+    {
+      /* It would only grow; a listing has the newest state of each key. */
+      list_again (watch, oversized_delay_ms (watch));
       return;
     }
   if (error != 0)
@@ -269,7 +281,7 @@
   on_success (watch, confirmed_ns);
   if (!continues)
     {
-      list_again (watch);
+      list_again (watch, relist_delay_ms (watch));
       return;
     }
   if (watch->phase == STORE_WATCH_LISTING)
@@ -310,11 +322,30 @@
 }
 
 static void
-list_again (struct store_watch *watch)
+list_again (struct store_watch *watch, uint64_t delay_ms)
 {
   watch->phase = STORE_WATCH_LISTING;
   watch->page_after_key[0] = '\0';
-  schedule (watch, rng_below (&watch->rng, RELIST_JITTER_MS));
+  schedule (watch, delay_ms);
+}
+
+static uint64_t
+relist_delay_ms (struct store_watch *watch)
+{
+  return rng_below (&watch->rng, RELIST_JITTER_MS);
+}
+
+/* Doubles while no changes can be read between two listings. */
+static uint64_t
+oversized_delay_ms (struct store_watch *watch)
+{
+  const uint32_t last_ms = watch->oversized_ms;
+
+  watch->oversized_ms = last_ms == 0 ? RELIST_JITTER_MS : last_ms * 2;
+  if (watch->oversized_ms > OVERSIZED_DELAY_MAX_MS)
+    watch->oversized_ms = OVERSIZED_DELAY_MAX_MS;
+  return watch->oversized_ms / 2
+         + rng_below (&watch->rng, watch->oversized_ms / 2);
 }
 
 static void
@@ -421,6 +452,7 @@
   const struct store_watch_config *config = &watch->config;
   size_t i;
 
+  watch->oversized_ms = 0;
   for (i = 0; i < page->count; i++)
     config->events->item (config->user, &page->items[i]);
   if (store_position_compare (&page->position, &watch->position) > 0)
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -81,6 +81,8 @@
   uint64_t failed_ns;         /**< first of the current failures; 0: none */
   uint64_t confirmed_ns; /**< what was reported is the state at this time */
   uint32_t backoff_ms;
+  uint32_t oversized_ms;   /**< longest delay after the last response that was
+                                too large; 0: changes were read since */
   uint32_t backoff_min_ms; /**< after the first failure */
   uint32_t backoff_max_ms;
 };
--- a/src/protocol/kvstore.h
+++ b/src/protocol/kvstore.h
@@ -53,9 +53,10 @@
   size_t count;
 };
 
-/** Result of list_page and watch_changes.  `error` as for get, or ERR_STALE
+/** Result of list_page and watch_changes.  `error` as for get, ERR_STALE
     when the store's history does not reach back to the position asked for, or
-    the response is older than a restore of the store. */
+    the response is older than a restore of the store, or ERR_TOO_LARGE when
+    the response exceeds the memory for it. */
 typedef void (*kvstore_page_fn) (void *user, int error,
                                  const struct kvstore_page *page);
 
@@ -130,6 +131,7 @@
   uint64_t rate_limited;
   uint64_t rejected;   /**< items of pages without a key or a position */
   uint64_t unreadable; /**< responses with a field that cannot be read */
+  uint64_t oversized;  /**< responses that exceeded the memory for them */
 };
 
 /** First member of every implementation's structure. */
--- a/src/transport/httpcall.c
+++ b/src/transport/httpcall.c
@@ -232,7 +232,7 @@
   (void)events;
   if (call->too_large)
     {
-      complete (call, ERR_RESET, 0, NULL, NULL, 0);
+      complete (call, ERR_TOO_LARGE, 0, NULL, NULL, 0);
       return;
     }
   /* The loop is late, and will handle the socket next. */
@@ -288,6 +288,8 @@
     complete (call, ERR_UNAVAILABLE, 0, NULL, NULL, 0);
   else if (error == EVREQ_HTTP_TIMEOUT)
     complete (call, ERR_TIMEOUT, 0, NULL, NULL, 0);
+  else if (error == EVREQ_HTTP_DATA_TOO_LONG)
+    complete (call, ERR_TOO_LARGE, 0, NULL, NULL, 0);
   else
     complete (call, ERR_RESET, 0, NULL, NULL, 0);
 }
--- a/src/transport/httpcall.h
+++ b/src/transport/httpcall.h
@@ -33,7 +33,7 @@
   struct httpcall *calls; /**< private */
   struct event *reap;     /**< private; frees finished calls */
   /** Bytes that the pending calls may have read together; the call that reads
-      more ends with ERR_RESET. */
+      more ends with ERR_TOO_LARGE. */
   size_t response_max;
   size_t received; /**< private; bytes that the calls have read */
 };
@@ -54,7 +54,7 @@
   bool too_large; /**< the calls have read too much */
   bool done;      /**< `finished` was called; freed from the event loop */
   /** Called once.  `error` is 0 for any complete response, ERR_UNAVAILABLE
-      when nothing was sent, ERR_TIMEOUT or ERR_RESET. */
+      when nothing was sent, ERR_TIMEOUT, ERR_RESET or ERR_TOO_LARGE. */
   void (*finished) (struct httpcall *call, int error, int status,
                     const struct evkeyvalq *headers, const char *body,
                     size_t size);
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -90,6 +90,9 @@
   = { LOG_LEVEL_WARN, "item of the store without a key or revision", false },
   [LOG_STORE_RESPONSE_UNREADABLE]
   = { LOG_LEVEL_ERROR, "response of the store cannot be read", false },
+  [LOG_STORE_RESPONSE_OVERSIZED]
+  = { LOG_LEVEL_WARN, "response of the store exceeds the memory for it",
+      false },
   [LOG_ADMIN_CHANGE] = { LOG_LEVEL_INFO, "configuration changed", false },
   [LOG_ADMIN_REFUSED] = { LOG_LEVEL_WARN, "admin request refused", false },
   /* log */
--- a/tests/support/storeserver.c
+++ b/tests/support/storeserver.c
@@ -63,6 +63,7 @@
 static void send_response (struct storeserver *store,
                            struct evhttp_request *request, int status,
                            json_t *body);
+static json_t *make_padding (bool is_long);
 static json_t *encode_item (const struct storeserver *store,
                             const struct storeserver_item *item);
 static json_t *encode_at (const struct storeserver *store);
@@ -199,7 +200,14 @@
   if (store->era != 0 || store->era_lead != NULL || store->odd_era != NULL)
     evhttp_add_header (evhttp_request_get_output_headers (request),
                        "Store-Era", era);
-  evhttp_send_reply (request, status, "status", out);
+  if (store->chunked && evbuffer_get_length (out) > STORESERVER_LONG_BYTES)
+    {
+      evhttp_send_reply_start (request, status, "status");
+      evhttp_send_reply_chunk (request, out);
+      evhttp_send_reply_end (request);
+    }
+  else
+    evhttp_send_reply (request, status, "status", out);
   evbuffer_free (out);
   free (text);
   json_decref (body);
@@ -261,6 +269,19 @@
     }
 }
 
+static json_t *
+make_padding (bool is_long)
+{
+  const size_t size = is_long ? STORESERVER_LONG_BYTES : 0;
+  char *text = calloc (1, size + 1);
+  json_t *padding;
+
+  memset (text, 'x', size);
+  padding = json_stringn (text, size);
+  free (text);
+  return padding;
+}
+
 static json_t *
 encode_item (const struct storeserver *store,
              const struct storeserver_item *item)
@@ -372,7 +393,9 @@
   else
     send_response (
         store, watch->request, 200,
-        json_pack ("{s:o,s:o}", "events", events, "at", encode_at (store)));
+        json_pack ("{s:o,s:o,s:o}", "events", events, "at", encode_at (store),
+                   "padding",
+                   make_padding (watch->after < store->long_before_revision)));
   end_watch (watch);
   return true;
 }
--- a/tests/support/storeserver.h
+++ b/tests/support/storeserver.h
@@ -15,6 +15,8 @@
 /** Small, so that lists span pages. */
 #define STORESERVER_PAGE_ITEMS 2
 
+#define STORESERVER_LONG_BYTES 27000000
+
 /** How it answers requests. */
 enum storeserver_fault
 {
@@ -36,6 +38,10 @@
   bool silent; /**< does nothing that is asked for, and loses responses */
   uint64_t revision;
   uint64_t oldest_revision; /**< watches after an older revision get 410 */
+  /** Responses to watches after an older revision have STORESERVER_LONG_BYTES
+      more, as a history of many large values has. */
+  uint64_t long_before_revision;
+  bool chunked; /**< these responses are sent in chunks */
   uint64_t last_lease_id;
   /** Renewals of this lease and of older ones get 404. */
   uint64_t last_ended_lease_id;
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -425,6 +425,40 @@
   fixture_finish (&fixture);
 }
 
+/* The changes since a position are more than there is memory for: they would
+   be so for ever, so the keys are listed again.  If that goes on, the pauses
+   grow to 0.8 to 1.6 s. */
+static void
+test_oversized_changes (void)
+{
+  struct watch_fixture fixture;
+  uint32_t longest_ms = 0;
+  unsigned int round;
+
+  fixture_init (&fixture);
+  run_until_call (&fixture);
+  answer_call (&fixture, 0, 9);
+  for (round = 0; round < 8; round++)
+    {
+      run_until_call (&fixture);
+      CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_WATCHING);
+      answer_call (&fixture, ERR_TOO_LARGE, 0);
+      CU_ASSERT_EQUAL (fixture.watch.phase, STORE_WATCH_LISTING);
+      longest_ms = fixture.watch.oversized_ms;
+      CU_ASSERT_EQUAL (longest_ms, 100U << (round < 4 ? round : 4));
+      store_watch_pause (&fixture.watch);
+      store_watch_resume (&fixture.watch);
+      run_until_call (&fixture);
+      answer_call (&fixture, 0, 10 + round);
+    }
+  CU_ASSERT_EQUAL (fixture.failures, 0);
+  run_until_call (&fixture);
+  answer_call (&fixture, 0, 30);
+  CU_ASSERT_EQUAL (fixture.watch.oversized_ms, 0);
+  CU_ASSERT_TRUE (position_is (&fixture.watch.position, 0, 30));
+  fixture_finish (&fixture);
+}
+
 /* A watch with a pending long poll, confirmed at the manual clock's time. */
 static void
 start_long_poll (struct watch_fixture *fixture)
@@ -522,6 +556,7 @@
 }
 
 static const struct suite_test tests[] = {
+  { "changes are too large", test_oversized_changes },
   { "state counts as current while a call is pending",
     test_age_of_pending_call },
   { "confirmation", test_confirmation },
