Check indexes of a router's store and their sums

Fault: an index in the response's header was read by strtoull without a check, and sums with index_base could exceed the integers of JSON. After a restore near 2^62 the index of a change was above 2^63 and negative in the admin API.

Change: the header is read as digits below 2^63, sums go through object_index(), and a change near the end of the range uses the least base that makes it the newest. A response that cannot be read is told with field and value and counted, not as a store that is unavailable.

--- a/src/admin_status.c
+++ b/src/admin_status.c
@@ -76,18 +76,19 @@
   const struct confstore_counters *counters = confstore_counters (confstore);
   const struct kvstore *store = confstore_module_store (router);
 
-  return json_pack ("{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
-                    "kind", store->ops->name, "up",
-                    confstore_store_up (confstore), "reads",
-                    (json_int_t)store->counters.reads, "writes",
-                    (json_int_t)store->counters.writes, "watches",
-                    (json_int_t)store->counters.watches, "rate_limited",
-                    (json_int_t)store->counters.rate_limited, "failures",
-                    (json_int_t)counters->failures, "reverted",
-                    (json_int_t)counters->store_reverts, "rejected",
-                    (json_int_t)counters->rejected, "conflicts",
-                    (json_int_t)counters->conflicts, "unknown",
-                    (json_int_t)counters->unknown);
+  return json_pack (
+      "{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "kind",
+      store->ops->name, "up", confstore_store_up (confstore), "reads",
+      (json_int_t)store->counters.reads, "writes",
+      (json_int_t)store->counters.writes, "watches",
+      (json_int_t)store->counters.watches, "rate_limited",
+      (json_int_t)store->counters.rate_limited, "unreadable",
+      (json_int_t)store->counters.unreadable, "failures",
+      (json_int_t)counters->failures, "reverted",
+      (json_int_t)counters->store_reverts, "rejected",
+      (json_int_t)counters->rejected, "conflicts",
+      (json_int_t)counters->conflicts, "unknown",
+      (json_int_t)counters->unknown);
 }
 
 static json_t *
--- a/src/confstore.c
+++ b/src/confstore.c
@@ -191,7 +191,7 @@
 confstore_detect_revert (struct confstore *confstore, uint64_t index,
                          const struct confstore_baseline *baseline)
 {
-  uint64_t effective_index = confstore->index_base + index;
+  uint64_t effective_index = object_index (confstore->index_base, index);
   bool behind = effective_index < baseline->known_index
                 || index < baseline->store_index;
 
@@ -256,7 +256,7 @@
   if (error == ERR_RATE_LIMITED)
     return;
   if (confstore->store_up && !up)
-    LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("error", err_name (error)));
+    LOG (log_store_message (error), NULL, LOG_S ("error", err_name (error)));
   else if (!confstore->store_up && up)
     LOG (LOG_STORE_RECOVERED, NULL,
          LOG_U ("failures", confstore->counters.failures));
@@ -281,10 +281,11 @@
   if (value != NULL && strlen (key) < sizeof object.key)
     {
       snprintf (object.key, sizeof object.key, "%s", key);
-      object.index = object_index_base (value) + item->index;
+      object.index = object_index (object_index_base (value), item->index);
       object.deleted = object_from_value (value) == NULL;
       object.value = (char *)item->value; /* copied by confsync_offer */
-      result = confsync_offer (confstore->confsync, &object);
+      if (object.index <= OBJECT_INDEX_MAX)
+        result = confsync_offer (confstore->confsync, &object);
     }
   json_decref (value);
   if (result == ERR_INVALID)
--- a/src/confstore_write.c
+++ b/src/confstore_write.c
@@ -228,7 +228,7 @@
   if (made)
     {
       confstore_offer (pending->confstore, item);
-      succeed (pending, pending->index_base + item->index);
+      succeed (pending, object_index (pending->index_base, item->index));
       return true;
     }
   if (pending->applied)
@@ -281,9 +281,11 @@
                        ? NULL
                        : object_parse_value (item->value, item->value_size);
   uint64_t stored_index
-      = item == NULL ? 0 : object_index_base (stored) + item->index;
+      = item == NULL ? 0
+                     : object_index (object_index_base (stored), item->index);
 
-  if (known != NULL && known->index > stored_index)
+  if (known != NULL
+      && (known->index > stored_index || stored_index > OBJECT_INDEX_MAX))
     {
       json_decref (stored);
       if (known->value != NULL)
@@ -292,7 +294,7 @@
       return current;
     }
   current.value = stored;
-  current.index = stored_index;
+  current.index = stored_index > OBJECT_INDEX_MAX ? 0 : stored_index;
   current.in_store = item != NULL;
   return current;
 }
@@ -354,8 +356,12 @@
           .index_base = confstore->index_base };
 
   /* The new index must exceed every known one; see coordination/confsync.h. */
-  if (change.index_base + store_index + 1 <= known_index)
+  if (object_index (change.index_base, store_index + 1) <= known_index)
     change.index_base = known_index;
+  /* Among very large indexes, the least base that does: the sum has to fit. */
+  if (object_index (change.index_base, store_index + 1) > OBJECT_INDEX_MAX)
+    change.index_base
+        = known_index > store_index ? known_index - store_index : 0;
   snprintf (change.change_id, sizeof change.change_id, "%s",
             pending->result.change_id);
   snprintf (change.operator_name, sizeof change.operator_name, "%s",
@@ -401,7 +407,7 @@
   if (error == 0 && index > 0)
     {
       confstore_offer (confstore, &item);
-      succeed (pending, pending->index_base + index);
+      succeed (pending, object_index (pending->index_base, index));
       return;
     }
   if (error == ERR_TOO_LARGE)
--- a/src/gateway/discovery.c
+++ b/src/gateway/discovery.c
@@ -292,7 +292,7 @@
 on_failed (void *user, int error)
 {
   (void)user;
-  LOG (store_watch_failure (error), NULL, LOG_S ("error", err_name (error)));
+  LOG (log_store_message (error), NULL, LOG_S ("error", err_name (error)));
 }
 
 /* Configuration. */
--- a/src/gateway/gateway_peers_members.c
+++ b/src/gateway/gateway_peers_members.c
@@ -478,7 +478,7 @@
 on_failed (void *user, int error)
 {
   (void)user;
-  LOG (store_watch_failure (error), NULL, LOG_S ("for", "members"),
+  LOG (log_store_message (error), NULL, LOG_S ("for", "members"),
        LOG_S ("error", err_name (error)));
 }
 
--- a/src/gateway/store_watch.c
+++ b/src/gateway/store_watch.c
@@ -127,14 +127,6 @@
   watch->backoff_max_ms = max_ms;
 }
 
-enum log_message
-store_watch_failure (int error)
-{
-  return error == ERR_PROTOCOL || error == ERR_TOO_LARGE
-             ? LOG_STORE_UNUSABLE
-             : LOG_STORE_UNAVAILABLE;
-}
-
 bool
 store_watch_current (const struct store_watch *watch)
 {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -14,7 +14,6 @@
 #include "protocol/kvstore.h"
 #include "state/rng.h"
 #include "transport/clock.h"
-#include "transport/log.h"
 #include <event2/event.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -104,9 +103,6 @@
 void store_watch_pause (struct store_watch *watch);
 void store_watch_resume (struct store_watch *watch);
 
-/** @return the message for a call that failed. */
-enum log_message store_watch_failure (int error);
-
 /** The default bounds of store_watch_set_backoff(). */
 #define STORE_WATCH_BACKOFF_MIN_MS 100 /**< a few round trips */
 #define STORE_WATCH_BACKOFF_MAX_MS                                            \
--- a/src/protocol/kvstore_codec.c
+++ b/src/protocol/kvstore_codec.c
@@ -10,13 +10,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-static int decode_item (const json_t *json, struct kvstore_item *item);
+static int decode_item (const json_t *json, struct kvstore_item *item,
+                        struct kvstore_codec_items *items);
+static int reject (struct kvstore_codec_items *items, const char *field,
+                   const json_t *value);
 
 int
 kvstore_codec_decode (const char *text, size_t size,
                       struct kvstore_codec_items *items)
 {
-  json_t *json = json_loadb (text, size, 0, NULL);
+  json_error_t malformed;
+  json_t *json = json_loadb (text, size, 0, &malformed);
   size_t count = json_array_size (json);
   int error = 0;
   size_t i;
@@ -26,10 +30,15 @@
   if (items->items == NULL)
     error = ERR_NO_MEMORY;
   else if (!json_is_array (json))
-    error = ERR_PROTOCOL;
+    {
+      error = reject (items, "body", json);
+      if (json == NULL)
+        snprintf (items->bad_value, sizeof items->bad_value, "%s",
+                  malformed.text);
+    }
   for (i = 0; i < count && error == 0; i++)
     {
-      error = decode_item (json_array_get (json, i), &items->items[i]);
+      error = decode_item (json_array_get (json, i), &items->items[i], items);
       items->count++;
     }
   json_decref (json);
@@ -39,7 +48,8 @@
 }
 
 static int
-decode_item (const json_t *json, struct kvstore_item *item)
+decode_item (const json_t *json, struct kvstore_item *item,
+             struct kvstore_codec_items *items)
 {
   const char *key = json_string_value (json_object_get (json, "Key"));
   const json_t *value = json_object_get (json, "Value");
@@ -47,9 +57,10 @@
   char *copy = NULL;
   int error = 0;
 
-  if (key == NULL || !json_is_integer (index)
-      || json_integer_value (index) <= 0)
-    return ERR_PROTOCOL;
+  if (key == NULL)
+    return reject (items, "Key", json_object_get (json, "Key"));
+  if (!json_is_integer (index) || json_integer_value (index) <= 0)
+    return reject (items, "ModifyIndex", index);
   item->index = (uint64_t)json_integer_value (index);
   item->key = strdup (key);
   if (item->key == NULL)
@@ -61,7 +72,21 @@
   else if (value != NULL && !json_is_null (value))
     error = ERR_PROTOCOL;
   item->value = copy;
-  return error;
+  return error == ERR_PROTOCOL ? reject (items, "Value", value) : error;
+}
+
+/* @return ERR_PROTOCOL. */
+static int
+reject (struct kvstore_codec_items *items, const char *field,
+        const json_t *value)
+{
+  char *text = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
+
+  items->bad_field = field;
+  snprintf (items->bad_value, sizeof items->bad_value, "%s",
+            text == NULL ? "" : text);
+  free (text);
+  return ERR_PROTOCOL;
 }
 
 void
--- a/src/protocol/kvstore_codec.h
+++ b/src/protocol/kvstore_codec.h
@@ -14,11 +14,15 @@
   "X-Index" /**< response header with the store's index */
 #define KVSTORE_CODEC_KEY_PATH "/v1/kv/" /**< path prefix of a key */
 
+#define KVSTORE_CODEC_BAD_VALUE_SIZE 161 /**< bytes */
+
 /** Items of a response; owns their keys and values. */
 struct kvstore_codec_items
 {
   struct kvstore_item *items;
   size_t count;
+  const char *bad_field; /**< after ERR_PROTOCOL; "body" if it is no JSON */
+  char bad_value[KVSTORE_CODEC_BAD_VALUE_SIZE];
 };
 
 /** Decodes `[{"Key", "Value", "ModifyIndex"}]` with values in base64.
--- a/src/protocol/object.h
+++ b/src/protocol/object.h
@@ -19,6 +19,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** Indexes are integers in JSON, with a sign. */
+#define OBJECT_INDEX_MAX      INT64_MAX
 #define OBJECT_HISTORY_MAX    16  /**< maximum change records in a value */
 #define OBJECT_REASON_SIZE    256 /**< bytes of a reason, with NUL */
 #define OBJECT_CHANGE_ID_SIZE 40  /**< bytes of a change id, with NUL */
@@ -97,6 +99,9 @@
 const json_t *object_from_value (const json_t *value);
 const json_t *object_history (const json_t *value);
 uint64_t object_index_base (const json_t *value);
+/** Index of an object: the sum of its base and the store's index.
+    @return UINT64_MAX if it exceeds OBJECT_INDEX_MAX. */
+uint64_t object_index (uint64_t base, uint64_t store_index);
 /** True when one of the change records has this id. */
 bool object_has_change (const json_t *value, const char *change_id);
 
--- a/src/protocol/object_value.c
+++ b/src/protocol/object_value.c
@@ -127,6 +127,14 @@
   return base > 0 ? (uint64_t)base : 0;
 }
 
+uint64_t
+object_index (uint64_t base, uint64_t store_index)
+{
+  return base > OBJECT_INDEX_MAX || store_index > OBJECT_INDEX_MAX - base
+             ? UINT64_MAX
+             : base + store_index;
+}
+
 bool
 object_has_change (const json_t *value, const char *change_id)
 {
--- a/src/transport/kvhttp.c
+++ b/src/transport/kvhttp.c
@@ -40,7 +40,7 @@
                            uint64_t index, const char *body, size_t size);
 static void deliver_items (struct kvhttp_call *call, uint64_t index,
                            const char *body, size_t size);
-static int map_read_error (int error, int status);
+static int map_read_error (struct kvhttp_call *call, int error, int status);
 static int map_write_error (int error, int status);
 static void on_value_written (struct kvhttp_call *call, int error, int status,
                               uint64_t index, const char *body, size_t size);
@@ -168,7 +168,7 @@
 on_item_read (struct kvhttp_call *call, int error, int status, uint64_t index,
               const char *body, size_t size)
 {
-  error = map_read_error (error, status);
+  error = map_read_error (call, error, status);
   if (error == 0 && status == STATUS_NOT_FOUND)
     error = ERR_NOT_FOUND;
   if (error != 0)
@@ -183,7 +183,7 @@
 on_items_read (struct kvhttp_call *call, int error, int status, uint64_t index,
                const char *body, size_t size)
 {
-  error = map_read_error (error, status);
+  error = map_read_error (call, error, status);
   if (error != 0 || status == STATUS_NOT_FOUND)
     call->items_done (call->user, error, index, NULL, 0);
   else
@@ -199,6 +199,9 @@
 
   if (error != 0)
     {
+      if (error == ERR_PROTOCOL)
+        kvhttp_report_unreadable (call->store, items.bad_field,
+                                  items.bad_value);
       call->items_done (call->user, error, index, NULL, 0);
       return;
     }
@@ -207,17 +210,23 @@
 }
 
 static int
-map_read_error (int error, int status)
+map_read_error (struct kvhttp_call *call, int error, int status)
 {
-  if (error == ERR_TIMEOUT)
-    return ERR_TIMEOUT;
+  char text[16];
+
+  if (error == ERR_TIMEOUT || error == ERR_TOO_LARGE)
+    return error;
   if (error != 0)
     return ERR_UNAVAILABLE;
   if (status == 429)
     return ERR_RATE_LIMITED;
   if (status / 100 == 5)
     return ERR_UNAVAILABLE;
-  return status == STATUS_OK || status == STATUS_NOT_FOUND ? 0 : ERR_PROTOCOL;
+  if (status == STATUS_OK || status == STATUS_NOT_FOUND)
+    return call->index_unreadable ? ERR_PROTOCOL : 0;
+  snprintf (text, sizeof text, "%d", status);
+  kvhttp_report_unreadable (call->store, "status", text);
+  return ERR_PROTOCOL;
 }
 
 /* A failed write is known to have had no effect only if nothing was sent or
--- a/src/transport/kvhttp_call.c
+++ b/src/transport/kvhttp_call.c
@@ -3,15 +3,21 @@
  * Calls of the HTTP key-value store: rate limit, request and response.
  */
 #include "protocol/kvstore_codec.h"
+#include "protocol/object.h"
+#include "state/digits.h"
 #include "state/err.h"
 #include "transport/kvhttp_int.h"
-#include <stdlib.h>
+#include "transport/log.h"
+#include <stdio.h>
+#include <string.h>
 
+#define LOGGED_VALUE_SIZE     81         /* bytes */
 #define MICRO_TOKENS_PER_CALL 1000000ULL /* cost of a call */
 
 static void on_finished (struct httpcall *base, int error, int status,
                          const struct evkeyvalq *headers, const char *body,
                          size_t size);
+static uint64_t read_index (struct kvhttp_call *call, const char *text);
 
 int
 kvhttp_take_token (struct kvhttp *store)
@@ -74,5 +80,31 @@
   if (error != 0 || status / 100 == 5)
     call->store->kvstore.counters.failures++;
   call->finished (call, error, status,
-                  index == NULL ? 0 : strtoull (index, NULL, 10), body, size);
+                  index == NULL ? 0 : read_index (call, index), body, size);
+}
+
+static uint64_t
+read_index (struct kvhttp_call *call, const char *text)
+{
+  struct digits digits;
+  uint64_t index = 0;
+
+  if (digits_parse (&digits, text, strlen (text)) == 0
+      && digits_to_u64 (&digits, &index) == 0 && index <= OBJECT_INDEX_MAX)
+    return index;
+  call->index_unreadable = true;
+  kvhttp_report_unreadable (call->store, KVSTORE_CODEC_INDEX_HEADER, text);
+  return 0;
+}
+
+void
+kvhttp_report_unreadable (struct kvhttp *store, const char *field,
+                          const char *value)
+{
+  char text[LOGGED_VALUE_SIZE];
+
+  store->kvstore.counters.unreadable++;
+  snprintf (text, sizeof text, "%s", value);
+  LOG (LOG_STORE_RESPONSE_UNREADABLE, NULL, LOG_S ("field", field),
+       LOG_S ("value", text));
 }
--- a/src/transport/kvhttp_int.h
+++ b/src/transport/kvhttp_int.h
@@ -29,6 +29,7 @@
   void *user;
   char key[KVHTTP_KEY_SIZE];         /**< of the lock to acquire */
   char session[KVHTTP_SESSION_SIZE]; /**< that acquires the lock */
+  bool index_unreadable; /**< of the response, which then has index 0 */
 };
 
 /** A lock held by this process, and its session. */
@@ -53,6 +54,10 @@
     @return 0 or ERR_RATE_LIMITED. */
 int kvhttp_take_token (struct kvhttp *store);
 
+/** Counts and logs a response with a field that cannot be read. */
+void kvhttp_report_unreadable (struct kvhttp *store, const char *field,
+                               const char *value);
+
 /** @return a new call, or NULL if out of memory. */
 struct kvhttp_call *kvhttp_call_new (struct kvhttp *store);
 /** Starts a call made by kvhttp_call_new; frees it on an error. */
--- a/src/transport/kvmem.c
+++ b/src/transport/kvmem.c
@@ -98,6 +98,12 @@
   return &store->kvstore;
 }
 
+void
+kvmem_set_index (struct kvstore *kvstore, uint64_t index)
+{
+  ((struct kvmem *)kvstore)->index = index;
+}
+
 static void
 mem_finish (struct kvstore *kvstore)
 {
--- a/src/transport/kvmem.h
+++ b/src/transport/kvmem.h
@@ -18,4 +18,7 @@
  */
 struct kvstore *kvmem_new (struct event_base *base, const struct clock *clock);
 
+/** Continues with the modify index after `index`. */
+void kvmem_set_index (struct kvstore *kvstore, uint64_t index);
+
 #endif
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -134,6 +134,9 @@
 };
 extern const struct log_message_info log_messages[LOG_MESSAGE_MAX];
 
+/** @return the message for a call to a store that failed. */
+enum log_message log_store_message (int error);
+
 /** Destination of lines; by default standard error without a line limit. */
 struct log_sink
 {
--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -2,6 +2,7 @@
  * @file log_messages.c
  * Severity and text of every log message.
  */
+#include "state/err.h"
 #include "transport/log.h"
 
 const struct log_message_info log_messages[LOG_MESSAGE_MAX] = {
@@ -98,3 +99,11 @@
   /* log */
   [LOG_LINES_DROPPED] = { LOG_LEVEL_WARN, "lines dropped", false },
 };
+
+enum log_message
+log_store_message (int error)
+{
+  return error == ERR_PROTOCOL || error == ERR_TOO_LARGE
+             ? LOG_STORE_UNUSABLE
+             : LOG_STORE_UNAVAILABLE;
+}
--- a/tests/support/fakestore.c
+++ b/tests/support/fakestore.c
@@ -93,6 +93,7 @@
 
   store->kvmem->ops->finish (store->kvmem);
   store->kvmem = kvmem_new (NULL, store->clock);
+  kvmem_set_index (store->kvmem, store->first_index);
   for (i = 0; i < store->write_count; i++)
     {
       const struct fakestore_write *write = &store->writes[i];
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -43,6 +43,7 @@
 {
   struct kvstore kvstore; /* first, for casts */
   struct kvstore *kvmem;
+  uint64_t first_index; /**< indexes follow it, also after a restore */
   const struct clock *clock;
   /** Applied writes, in order. */
   struct fakestore_write writes[FAKESTORE_WRITES_MAX];
--- a/tests/test_confstore.c
+++ b/tests/test_confstore.c
@@ -9,6 +9,7 @@
 #include "state/err.h"
 #include "support/fakestore.h"
 #include "support/suite.h"
+#include "transport/kvmem.h"
 #include "transport/log.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -408,6 +409,41 @@
   tear_down ();
 }
 
+/* Guards against sums of indexes that pass the largest number that a value
+   can hold, so that changes after a restore are rejected as older ones. */
+static void
+test_large_indexes (void)
+{
+  static const uint64_t first[]
+      = { UINT64_C (1) << 53, UINT64_C (1) << 62, INT64_MAX - 1000 };
+  uint64_t held_index;
+  size_t i;
+
+  for (i = 0; i < sizeof first / sizeof first[0]; i++)
+    {
+      set_up ();
+      store.first_index = first[i];
+      kvmem_set_index (store.kvmem, first[i]);
+      CU_ASSERT_EQUAL (write_and_wait (&instances[0], "studio", 1, 0), 0);
+      CU_ASSERT_EQUAL (write_and_wait (&instances[0], "other", 1, 0), 0);
+      CU_ASSERT_EQUAL (write_and_wait (&instances[0], "late", 8, 0), 0);
+      held_index = installed_index (&instances[1], "customer/late");
+      CU_ASSERT_EQUAL (held_index, first[i] + 3);
+      fakestore_restore (&store, 1);
+      run_ms (60000);
+      CU_ASSERT_EQUAL (installed_weight (&instances[1], "late"), 8);
+      CU_ASSERT_EQUAL (write_and_wait (&instances[0], "studio", 2, -1), 0);
+      CU_ASSERT (instances[0].result.index > held_index);
+      CU_ASSERT (instances[0].result.index <= INT64_MAX);
+      CU_ASSERT_EQUAL (installed_weight (&instances[1], "studio"), 2);
+      CU_ASSERT_EQUAL (write_and_wait (&instances[1], "studio", 3, -1), 0);
+      CU_ASSERT_EQUAL (installed_weight (&instances[0], "studio"), 3);
+      CU_ASSERT_EQUAL (confstore_counters (instances[0].confstore)->rejected,
+                       0);
+      tear_down ();
+    }
+}
+
 static void
 test_cold_start_waits_for_newest_index (void)
 {
@@ -542,6 +578,7 @@
   { "a write just after the store was restored",
     test_write_just_after_restore },
   { "a store restored from an older state", test_restored_store },
+  { "large indexes", test_large_indexes },
   { "a cold start waits for the newest index of peers",
     test_cold_start_waits_for_newest_index },
   { "a cold start without store or peers",
--- a/tests/test_kvhttp.c
+++ b/tests/test_kvhttp.c
@@ -39,6 +39,7 @@
   enum server_behaviour behaviour;
   int status;
   const char *body;
+  const char *index_header;
   char last_request[256]; /**< method, path and query of the last request */
   int error;
   uint64_t index;
@@ -77,7 +78,7 @@
                                                                    : "GET",
             evhttp_request_get_uri (request));
   evhttp_add_header (evhttp_request_get_output_headers (request), "X-Index",
-                     "77");
+                     fixture.index_header);
   evbuffer_add (body, fixture.body, strlen (fixture.body));
   if (fixture.behaviour == BEHAVE_REPLY)
     evhttp_send_reply (request, fixture.status, "status", body);
@@ -103,6 +104,7 @@
   memset (&fixture, 0, sizeof fixture);
   clock_init_manual (&fixture.clock, 1, 1);
   fixture.base = event_base_new ();
+  fixture.index_header = "77";
   fixture.server = evhttp_new (fixture.base);
   evhttp_set_gencb (fixture.server, on_request, NULL);
   bound = evhttp_bind_socket_with_handle (fixture.server, "127.0.0.1", 0);
@@ -233,6 +235,65 @@
   fixture_finish ();
 }
 
+/* Guards against an index that is taken for another one as it is no number, or
+   exceeds the range. */
+static void
+test_index_header (void)
+{
+  static const char *const unreadable[] = { "",
+                                            "-1",
+                                            "soon",
+                                            "7x",
+                                            "9223372036854775808",
+                                            "18446744073709551616",
+                                            "99999999999999999999999" };
+  static const char body[] = "[{\"Key\":\"p/k\",\"Value\":\"aGVsbG8=\","
+                             "\"ModifyIndex\":4611686018427387904}]";
+  size_t i;
+
+  fixture_init (100);
+  fixture.index_header = "9223372036854775807";
+  read_and_wait (200, body, true);
+  CU_ASSERT_EQUAL (fixture.error, 0);
+  CU_ASSERT_EQUAL (fixture.index, INT64_MAX);
+  CU_ASSERT_EQUAL (fixture.store->counters.unreadable, 0);
+  for (i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++)
+    {
+      fixture.index_header = unreadable[i];
+      read_and_wait (200, body, i % 2 == 0);
+      CU_ASSERT_EQUAL (fixture.error, ERR_PROTOCOL);
+      CU_ASSERT_EQUAL (fixture.index, 0);
+      CU_ASSERT_EQUAL (fixture.items, 0);
+      CU_ASSERT_EQUAL (fixture.store->counters.unreadable, i + 1);
+    }
+  fixture_finish ();
+}
+
+/* The field and value at fault are told. */
+static void
+test_unreadable_item (void)
+{
+  static const char *const bad[][3] = {
+    { "[{\"Key\":\"k\",\"ModifyIndex\":-4}]", "ModifyIndex", "-4" },
+    { "[{\"Key\":7,\"ModifyIndex\":1}]", "Key", "7" },
+    { "[{\"Key\":\"k\",\"Value\":5,\"ModifyIndex\":1}]", "Value", "5" },
+    { "{\"Key\":1}", "body", "{\"Key\":1}" },
+    { "[{\"Key\":\"k\",\"ModifyIndex\":9223372036854775808}]", "body",
+      "too big integer near '9223372036854775808'" },
+  };
+  struct kvstore_codec_items items;
+  size_t i;
+
+  for (i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      CU_ASSERT_EQUAL (
+          kvstore_codec_decode (bad[i][0], strlen (bad[i][0]), &items),
+          ERR_PROTOCOL);
+      CU_ASSERT_STRING_EQUAL (items.bad_field, bad[i][1]);
+      CU_ASSERT_STRING_EQUAL (items.bad_value, bad[i][2]);
+    }
+}
+
 static void
 test_malformed_json_is_rejected (void)
 {
@@ -304,6 +365,8 @@
 static const struct suite_test tests[] = {
   { "outcomes of writes", test_write_outcomes },
   { "reads", test_reads },
+  { "index of a response", test_index_header },
+  { "item that cannot be read", test_unreadable_item },
   { "malformed JSON is rejected", test_malformed_json_is_rejected },
   { "rate limit", test_rate_limit },
   { "leases", test_leases },
