--- a/src/transport/log_messages.c
+++ b/src/transport/log_messages.c
@@ -80,7 +80,7 @@
   [LOG_CONFIG_READY] = { LOG_LEVEL_INFO, "whole configuration held", false },
   [LOG_STORE_UNAVAILABLE] = { LOG_LEVEL_WARN, "store unavailable", false },
   [LOG_STORE_UNUSABLE]
-  = { LOG_LEVEL_ERROR, "store answers, but its response is of no use", false },
+  = { LOG_LEVEL_ERROR, "response of the store is unusable", false },
   [LOG_STORE_RECOVERED] = { LOG_LEVEL_INFO, "store recovered", false },
   [LOG_STORE_REVERTED]
   = { LOG_LEVEL_ERROR, "store holds an older state than this instance",
--- a/tests/test_oversized_changes.c
+++ b/tests/test_oversized_changes.c
@@ -12,7 +12,7 @@
 #define IN_FORCE_MS   2000 /* config_apply_ms */
 #define AWAY_MS       300
 #define GROWTH_MAX_KB (MEMORY_GATEWAY_KB / 2)
-#define STAND_IN_KB   (4 * (STORESERVER_LONG_BYTES / 1024))
+#define STAND_IN_KB   (4UL * (STORESERVER_LONG_BYTES / 1024))
 
 static bool
 has_second_version (const struct gatefixture *fixture)
