--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -362,7 +362,7 @@
   if (entry != NULL && error == 0)
     entry->stored = entry->held_ns != 0;
   else if (error != 0)
-    LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "quarantine"),
+    LOG (log_store_message (error), NULL, LOG_S ("for", "quarantine"),
          LOG_S ("error", err_name (error)));
 }
 
@@ -450,7 +450,7 @@
   if (error == 0)
     return 0;
   gateway->quarantine_write.pending = false;
-  LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", "quarantine"),
+  LOG (log_store_message (error), NULL, LOG_S ("for", "quarantine"),
        LOG_S ("error", err_name (error)));
   return error;
 }
--- a/src/gateway/gateway_stream_store.c
+++ b/src/gateway/gateway_stream_store.c
@@ -418,6 +418,6 @@
 static void
 log_failure (const char *what, int error)
 {
-  LOG (LOG_STORE_UNAVAILABLE, NULL, LOG_S ("for", what),
+  LOG (log_store_message (error), NULL, LOG_S ("for", what),
        LOG_S ("error", err_name (error)));
 }
