--- a/tests/regress_rollout.sh
+++ b/tests/regress_rollout.sh
@@ -18,6 +18,8 @@
   older=$2
 else
   mkdir "$work/older"
+  # Those of a surrounding make would set the mode of this one.
+  unset MAKEFLAGS MFLAGS MAKELEVEL MAKEOVERRIDES MODE BUILD
   git -C "$top" archive "$OLDER" | tar -x -C "$work/older" \
     && make -s -j4 -C "$work/older" build-release/cherrylanding \
       > "$work/make" 2>&1 || { cat "$work/make"; exit 1; }
