Positions that fit 64 bits are marked as exact to peers

Fault, found on reading the change: subscribers of hubs took a position that came in 64 bits alone for one that an older program may have relayed, and compared it with others in that form, modulo 2^64. An era that rises from none to a time in seconds may fall there, and what was written after such a restore was ignored as older.

Change: messages say whether the 64 bits are exact (two bytes); only positions of older programs are compared in that form, and only with ones that do not fit it.

--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1176,7 +1176,7 @@
   (ProtobufCMessageInit) peer__config_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__object__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__object__field_descriptors[7] =
 {
   {
     "key",
@@ -1250,19 +1250,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_exact",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Object, store_exact),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__object__field_indices_by_name[] = {
   2,   /* field[2] = deleted */
   1,   /* field[1] = index */
   0,   /* field[0] = key */
   4,   /* field[4] = store_era */
+  6,   /* field[6] = store_exact */
   5,   /* field[5] = store_revision */
   3,   /* field[3] = value */
 };
 static const ProtobufCIntRange peer__object__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__object__descriptor =
 {
@@ -1272,14 +1285,14 @@
   "Peer__Object",
   "peer",
   sizeof(Peer__Object),
-  6,
+  7,
   peer__object__field_descriptors,
   peer__object__field_indices_by_name,
   1,  peer__object__number_ranges,
   (ProtobufCMessageInit) peer__object__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__config__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__config__field_descriptors[6] =
 {
   {
     "newest_index",
@@ -1341,18 +1354,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_exact",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Config, store_exact),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__config__field_indices_by_name[] = {
   1,   /* field[1] = complete */
   0,   /* field[0] = newest_index */
   2,   /* field[2] = objects */
   3,   /* field[3] = store_era */
+  5,   /* field[5] = store_exact */
   4,   /* field[4] = store_revision */
 };
 static const ProtobufCIntRange peer__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__config__descriptor =
 {
@@ -1362,7 +1388,7 @@
   "Peer__Config",
   "peer",
   sizeof(Peer__Config),
-  5,
+  6,
   peer__config__field_descriptors,
   peer__config__field_indices_by_name,
   1,  peer__config__number_ranges,
@@ -1407,7 +1433,7 @@
   (ProtobufCMessageInit) peer__addresses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[13] =
 {
   {
     "names",
@@ -1553,6 +1579,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_exact",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, store_exact),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -1564,6 +1602,7 @@
   6,   /* field[6] = out_of_rotation */
   7,   /* field[7] = sent_ms */
   10,   /* field[10] = store_era */
+  12,   /* field[12] = store_exact */
   2,   /* field[2] = store_index */
   11,   /* field[11] = store_revision */
   5,   /* field[5] = suspects */
@@ -1571,7 +1610,7 @@
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -1581,7 +1620,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  12,
+  13,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -158,10 +158,11 @@
   ProtobufCBinaryData value;
   char *store_era;
   char *store_revision;
+  protobuf_c_boolean store_exact;
 };
 #define PEER__OBJECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__object__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__Config
@@ -173,10 +174,11 @@
   Peer__Object **objects;
   char *store_era;
   char *store_revision;
+  protobuf_c_boolean store_exact;
 };
 #define PEER__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__config__descriptor) \
-    , 0, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -236,10 +238,11 @@
   protobuf_c_boolean asks;
   char *store_era;
   char *store_revision;
+  protobuf_c_boolean store_exact;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/protocol/peercodec.c
+++ b/src/protocol/peercodec.c
@@ -82,7 +82,8 @@
 static int encode_config_request (const struct message *message,
                                   struct frame_builder *out);
 static void encode_position (const struct store_position *position,
-                             uint64_t *packed, char **era, char **revision);
+                             uint64_t *packed, char **era, char **revision,
+                             protobuf_c_boolean *exact);
 static int encode_config (const struct message *message,
                           struct frame_builder *out);
 static int encode_addresses (const struct message *message,
@@ -454,12 +455,15 @@
 /* A position that is known in packed form only is relayed as it came. */
 static void
 encode_position (const struct store_position *position, uint64_t *packed,
-                 char **era, char **revision)
+                 char **era, char **revision, protobuf_c_boolean *exact)
 {
   if (store_position_is_none (position))
     return;
   *packed = store_position_pack (position);
-  if (position->packed || store_position_fits (position))
+  if (position->packed)
+    return;
+  *exact = store_position_fits (position);
+  if (*exact)
     return;
   *era = (char *)digits_text (&position->era);
   *revision = (char *)digits_text (&position->revision);
@@ -486,7 +490,8 @@
       items[i].key = config->objects[i].key;
       items[i].index = config->objects[i].index;
       encode_position (&config->objects[i].position, &items[i].index,
-                       &items[i].store_era, &items[i].store_revision);
+                       &items[i].store_era, &items[i].store_revision,
+                       &items[i].store_exact);
       items[i].deleted = config->objects[i].deleted;
       items[i].value.data = (uint8_t *)config->objects[i].value;
       items[i].value.len = config->objects[i].value_size;
@@ -495,7 +500,8 @@
   peer__config__init (wire);
   wire->newest_index = config->newest_index;
   encode_position (&config->newest_position, &wire->newest_index,
-                   &wire->store_era, &wire->store_revision);
+                   &wire->store_era, &wire->store_revision,
+                   &wire->store_exact);
   wire->complete = config->complete;
   wire->n_objects = config->object_count;
   wire->objects = (Peer__Object **)out->objects;
@@ -650,7 +656,7 @@
     rc = add_counts (load, MESSAGE_SUBJECT_OUT, out);
   peer__load__init (wire);
   encode_position (&load->store_position, &wire->store_index, &wire->store_era,
-                   &wire->store_revision);
+                   &wire->store_revision, &wire->store_exact);
   wire->age_ms = load->age_ms;
   wire->sent_ms = load->sent_ms;
   wire->echo_ms = load->echo_ms;
--- a/src/protocol/peercodec_decode.c
+++ b/src/protocol/peercodec_decode.c
@@ -63,7 +63,7 @@
                          const Peer__Frame *frame, struct message *message);
 static int decode_hold (struct peercodec_decoder *decoder,
                         const Peer__Frame *frame, struct message *message);
-static int decode_position (uint64_t packed, const char *era,
+static int decode_position (uint64_t packed, bool exact, const char *era,
                             const char *revision,
                             struct store_position *position);
 static int decode_config_request (struct peercodec_decoder *decoder,
@@ -529,8 +529,9 @@
                     wire->n_out_of_rotation, LOAD_COUNT_COLUMNS);
   if (rc != 0)
     return rc;
-  rc = decode_position (wire->store_index, wire->store_era,
-                        wire->store_revision, &load->store_position);
+  rc = decode_position (wire->store_index, wire->store_exact != 0,
+                        wire->store_era, wire->store_revision,
+                        &load->store_position);
   if (rc != 0)
     return rc;
   load->age_ms = wire->age_ms;
@@ -646,12 +647,13 @@
 
 /* @return 0 or ERR_PROTOCOL. */
 static int
-decode_position (uint64_t packed, const char *era, const char *revision,
-                 struct store_position *position)
+decode_position (uint64_t packed, bool exact, const char *era,
+                 const char *revision, struct store_position *position)
 {
   if (*era == '\0' && *revision == '\0')
     {
       *position = store_position_unpack (packed);
+      position->packed = !exact;
       return 0;
     }
   memset (position, 0, sizeof *position);
@@ -684,8 +686,9 @@
   (void)decoder;
   config->newest_index = wire->newest_index;
   config->complete = wire->complete != 0;
-  rc = decode_position (wire->newest_index, wire->store_era,
-                        wire->store_revision, &config->newest_position);
+  rc = decode_position (wire->newest_index, wire->store_exact != 0,
+                        wire->store_era, wire->store_revision,
+                        &config->newest_position);
   if (rc == 0)
     rc = allocate_items ((void **)&config->objects, wire->n_objects,
                          sizeof *config->objects);
@@ -705,8 +708,8 @@
       || (wire->deleted == 0 && wire->value.len == 0))
     return ERR_PROTOCOL;
   object->index = wire->index;
-  if (decode_position (wire->index, wire->store_era, wire->store_revision,
-                       &object->position)
+  if (decode_position (wire->index, wire->store_exact != 0, wire->store_era,
+                       wire->store_revision, &object->position)
       != 0)
     return ERR_PROTOCOL;
   object->deleted = wire->deleted != 0;
--- a/src/state/store_position.c
+++ b/src/state/store_position.c
@@ -8,6 +8,9 @@
 #define REVISION_MAX  ((UINT64_C (1) << REVISION_BITS) - 1)
 #define ERA_MAX       (UINT64_MAX >> REVISION_BITS)
 
+static int compare_exact (const struct store_position *left,
+                          const struct store_position *right);
+
 struct store_position
 store_position_from_u64 (uint64_t era, uint64_t revision)
 {
@@ -28,16 +31,25 @@
   const bool left_is_none = store_position_is_none (left);
   const bool right_is_none = store_position_is_none (right);
   uint64_t ahead;
-  int order;
 
   if (left_is_none || right_is_none)
     return right_is_none - left_is_none;
   if (left->packed || right->packed)
     {
+      if (store_position_fits (left) && store_position_fits (right))
+        return compare_exact (left, right);
       ahead = store_position_pack (left) - store_position_pack (right);
       return ahead == 0 ? 0 : ahead > INT64_MAX ? -1 : 1;
     }
-  order = digits_compare (&left->era, &right->era);
+  return compare_exact (left, right);
+}
+
+static int
+compare_exact (const struct store_position *left,
+               const struct store_position *right)
+{
+  const int order = digits_compare (&left->era, &right->era);
+
   return order != 0 ? order
                     : digits_compare (&left->revision, &right->revision);
 }
--- a/src/state/store_position.h
+++ b/src/state/store_position.h
@@ -6,8 +6,8 @@
  * only both together are ordered.  Each may have any size.
  *
  * Messages to peers carry a position packed into 64 bits, with 24 for the era,
- * and its digits only where these do not fit: programs without digits read the
- * packed form alone, and relay it.
+ * and its digits where these do not fit.  Programs without digits read the
+ * packed form alone, and relay it as if it were exact.
  */
 #ifndef STATE_STORE_POSITION_H
 #define STATE_STORE_POSITION_H
@@ -30,7 +30,7 @@
 bool store_position_is_none (const struct store_position *position);
 
 /** One that is known in packed form only is compared with the packed form of
-    the other.
+    another one that does not fit it.
     @return less than, equal to or greater than 0, as for strcmp(). */
 int store_position_compare (const struct store_position *left,
                             const struct store_position *right);
--- a/tests/test_store_numbers.c
+++ b/tests/test_store_numbers.c
@@ -24,6 +24,7 @@
   const char *revision_lead;
   uint64_t era;
   const char *era_lead;
+  uint64_t restored_era; /* 0: the one after `era` */
 };
 
 static const struct start revisions[] = {
@@ -51,6 +52,10 @@
   { .name = "passes 2^40, era 20000000",
     .revision = (UINT64_C (1) << 40) - 30,
     .era = 20000000 },
+  /* Packed into 64 bits, the second era is below the first. */
+  { .name = "no era, then a time in seconds",
+    .revision = 10,
+    .restored_era = 1765000000 + (1 << 23) },
   { .name = "40 and 30 digits",
     .revision_lead = "202612080129251234567",
     .era_lead = "20261208012" },
@@ -163,6 +168,8 @@
       storeserver_save (&fleet.store);
       change (&fleet, 4);
       storeserver_restore (&fleet.store);
+      if (start->restored_era != 0)
+        fleet.store.era = start->restored_era;
       gatefleet_run (&fleet, OUTAGE_MS);
       CU_ASSERT_EQUAL (count_current (&fleet, "4"), gateways);
       gatefleet_register (&fleet, 0);
--- a/tests/test_store_position.c
+++ b/tests/test_store_position.c
@@ -161,6 +161,20 @@
     }
 }
 
+/* Positions from programs that read no others are exact among themselves. */
+static void
+test_packed_and_exact (void)
+{
+  const struct store_position early
+      = store_position_unpack (store_position_pack (POSITION (0, 500)));
+  const struct store_position late
+      = store_position_unpack (store_position_pack (POSITION (12000000, 400)));
+
+  CU_ASSERT_TRUE (store_position_compare (&early, &late) < 0);
+  CU_ASSERT_TRUE (store_position_compare (&late, POSITION (0, 500)) > 0);
+  CU_ASSERT_TRUE (store_position_compare (POSITION (1, 1), &late) < 0);
+}
+
 static void
 test_packed_form (void)
 {
@@ -184,6 +198,7 @@
   { "digits", test_digits },
   { "order", test_order },
   { "order of packed positions", test_packed_order },
+  { "packed and exact positions", test_packed_and_exact },
   { "packed form", test_packed_form },
 };
 
