Ports of test_client_crowds are assigned to no other socket

The first line of the failure was not printed, as run.sh shows the last 60 lines of a log.

Cause: procmeter_port () bound port 0 and closed the socket. Until the program listened, the kernel could assign that port to another socket, or return it once more for the program's next listener; the gateway then ends at its start.

Evidence: the visible end of the sanitizer's report is that of a trial in which two listeners of the gateway have the same port: it begins with the same frames of the same leak, and the store's server has leaked no request, so the gateway had not called the store. When the gateway is killed in the middle of the crowd instead, the report is 252 lines long in place of 146 and its last 60 lines are another part.

Change: tests/support/freeport, the choice that the stand-in's `ports' had already (below the range of ephemeral ports), for both; a process does not get a port twice. run.sh prints the failed cases and assertions before the end of the log. tests/standin/ports.c was the only other place that hands ports to programs.

Test: test_freeport.

--- a/Makefile
+++ b/Makefile
@@ -47,8 +47,8 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 MAIN_OBJ = $(MAIN_SRC:%.c=$(BUILD)/%.o)
 # The stand-in for the users' platform is the one that the tests run in place.
-STANDIN_SHARED_SRC = tests/support/storeseed.c tests/support/storeserver.c \
-	tests/support/upstreamserver.c
+STANDIN_SHARED_SRC = tests/support/freeport.c tests/support/storeseed.c \
+	tests/support/storeserver.c tests/support/upstreamserver.c
 STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o) $(STANDIN_SHARED_SRC:%.c=$(BUILD)/%.o)
 # The load generator checks responses with the stand-ins' own texts.
 LOAD_SHARED_SRC = tests/standin/address.c tests/standin/record.c \
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -73,6 +73,8 @@
     failed=$((failed + bad))
     status=1
     echo "FAILED $name ($ok passed, $bad failed)"
+    # The log of a sanitizer may be longer than what follows.
+    grep -E '^FAILED |^ +[0-9]+\. .* - ' "$logs/$name" | head -20
     tail -60 "$logs/$name"
   fi
 }
--- a/tests/support/procmeter.c
+++ b/tests/support/procmeter.c
@@ -3,15 +3,12 @@
  * Starts and measures a process.
  */
 #include "support/procmeter.h"
-#include <arpa/inet.h>
 #include <dirent.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,23 +20,6 @@
 static uint64_t resident_kb (const struct procmeter *meter);
 static uint64_t unread_bytes (const struct procmeter *meter);
 
-uint16_t
-procmeter_port (void)
-{
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  uint16_t port = 0;
-
-  if (fd >= 0 && bind (fd, (struct sockaddr *)&address, size) == 0
-      && getsockname (fd, (struct sockaddr *)&address, &size) == 0)
-    port = ntohs (address.sin_port);
-  if (fd >= 0)
-    close (fd);
-  return port;
-}
-
 bool
 procmeter_start (struct procmeter *meter, const char *const *args,
                  const char *setting)
--- a/tests/support/procmeter.h
+++ b/tests/support/procmeter.h
@@ -20,9 +20,6 @@
   uint32_t peak_fds;
 };
 
-/** @return a port of 127.0.0.1 that is free. */
-uint16_t procmeter_port (void);
-
 /** Starts a program of the folder that the test is in.  Its output goes to the
     file that PROCMETER_LOG names in the environment, if any.
     @param args  with the program's name, which ends the path; NULL at the end.
--- a/tests/test_client_crowds.c
+++ b/tests/test_client_crowds.c
@@ -7,6 +7,7 @@
  * their descriptors, and serve others meanwhile.
  */
 #include "support/crowd.h"
+#include "support/freeport.h"
 #include "support/procmeter.h"
 #include "support/sinkserver.h"
 #include "support/storeserver.h"
@@ -237,8 +238,8 @@
             sink.port);
   storeserver_put (&store, "servers/w-0", record);
   storeserver_put (&store, "op/config", config);
-  size = snprintf (text, sizeof text, gateway_settings, procmeter_port (),
-                   meter.port, procmeter_port (), store.port, MAX_FDS,
+  size = snprintf (text, sizeof text, gateway_settings, freeport_next (),
+                   meter.port, freeport_next (), store.port, MAX_FDS,
                    MEMORY_MB);
   write_settings (text, (size_t)size);
   snprintf (setting, sizeof setting, "CHERRYLANDING_CONFIG=%s", settings_path);
@@ -251,7 +252,7 @@
   const char *const args[] = { "cherrylanding", "serve", settings_path, NULL };
   char text[sizeof serve_settings + 64];
   int size = snprintf (text, sizeof text, serve_settings, meter.port,
-                       procmeter_port (), sink.port);
+                       freeport_next (), sink.port);
 
   write_settings (text, (size_t)size);
   CU_ASSERT_FATAL (procmeter_start (&meter, args, NULL));
@@ -308,7 +309,7 @@
   make_bodies ();
   make_pipelined ();
   sinkserver_init (&sink, base);
-  meter.port = procmeter_port ();
+  meter.port = freeport_next ();
   meter.upstream_port = sink.port;
   program->start ();
   CU_ASSERT_TRUE_FATAL (is_served ("a", OTHER_KEY, 10));
